--- /dev/null
+++ b/fakes/fake_engine.ts
@@ -0,0 +1,340 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { countTokens, getPiece } from "./answer_text.ts";
+import { closeHttp, listenHttp, reply } from "./http_fake.ts";
+import { Ledger, type LedgerRun } from "./ledger.ts";
+import { PrefixCache } from "./prefix_cache.ts";
+
+/** How a stand-in engine behaves. */
+export interface FakeEngineOptions {
+  id: string;
+  models: string[];
+  /** Tokens the prefix cache holds. */
+  cacheTokens: number;
+  /** Time to read a thousand uncached prompt tokens. */
+  prefillMsPerThousand: number;
+  /** Time for one token of the answer when the engine is alone. */
+  tokenMs: number;
+  /** Part by which each further request in flight slows the others. */
+  batchSlowdown: number;
+  /** Requests computed at once; those beyond wait, the more urgent first. */
+  slots: number;
+  /** Lag of the load report. */
+  reportLagMs: number;
+  /** Whether orders with an older fence are refused. */
+  checksFence: boolean;
+  /** Port to listen on; 0 takes any free one. */
+  port: number;
+}
+
+/** A fault that an engine shows on request. */
+export type EngineFault = "none" | "crossed" | "truncated" | "silent";
+
+/** Time an engine keeps an answer whose reader is gone. */
+const HOLD_MS = 3_000;
+const DEFAULT_COMPLETION = 20;
+
+interface Stream {
+  run: LedgerRun;
+  prompt: string;
+  priority: number;
+  /** Pieces that exist. */
+  made: number;
+  total: number;
+  reader: ServerResponse | undefined;
+  nextIndex: number;
+  abandonedAt: number | undefined;
+}
+
+const DEFAULTS: FakeEngineOptions = {
+  id: "engine",
+  models: ["m1"],
+  cacheTokens: 200_000,
+  prefillMsPerThousand: 20,
+  tokenMs: 2,
+  batchSlowdown: 0.02,
+  slots: 64,
+  reportLagMs: 300,
+  checksFence: true,
+  port: 0,
+};
+
+/** A stand-in for a model engine: batches, caches prefixes, streams, resumes, cancels, reports late, keeps a ledger. */
+export class FakeEngine {
+  readonly ledger = Ledger.create();
+  readonly cache: PrefixCache;
+  fault: EngineFault = "none";
+  leaving = false;
+  /** Factor on all service times; above 1 is slower. */
+  slowness = 1;
+  private readonly streams = new Map<string, Stream>();
+  private readonly waiting: { priority: number; start: () => void }[] = [];
+  private computing = 0;
+  private fence = 0;
+  private models: string[];
+  private server: Server | undefined;
+  private listeningPort = 0;
+
+  private constructor(readonly options: FakeEngineOptions) {
+    this.cache = PrefixCache.create(options.cacheTokens);
+    this.models = options.models;
+  }
+
+  /** Starts an engine.
+   * @param options How it behaves, where it differs from the defaults. */
+  static async create(
+    options: Partial<FakeEngineOptions> = {},
+  ): Promise<FakeEngine> {
+    const engine = new FakeEngine({ ...DEFAULTS, ...options });
+    const { server, port } = await listenHttp(
+      (request, response, body) => engine.handle(request, response, body),
+      engine.options.port,
+    );
+    engine.server = server;
+    engine.listeningPort = port;
+    return engine;
+  }
+
+  get port(): number {
+    return this.listeningPort;
+  }
+
+  /** Requests in flight. */
+  get inFlight(): number {
+    return this.streams.size;
+  }
+
+  /** Ends the engine; streams under way break off. */
+  async close(): Promise<void> {
+    for (const id of [...this.streams.keys()]) this.end(id);
+    if (this.server) await closeHttp(this.server);
+  }
+
+  private handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> | void {
+    const path = request.url ?? "";
+    if (path === "/v1/chat/completions") {
+      return this.chat(request, response, body);
+    }
+    if (path === "/report") return this.report(response);
+    if (path === "/orders") return this.order(response, JSON.parse(body));
+    if (path === "/v1/cache") return reply(response, this.cache.getEntries());
+    const cancelled = /^\/v1\/requests\/([^/]+)\/cancel$/.exec(path)?.[1];
+    if (!cancelled) return reply(response, {}, 404);
+    this.end(decodeURIComponent(cancelled));
+    reply(response, {});
+  }
+
+  private report(response: ServerResponse): void {
+    const asOf = Date.now() - this.options.reportLagMs;
+    const lagged = this.ledger.loads.findLast(([at]) => at <= asOf)?.[1] ?? 0;
+    reply(response, {
+      inFlight: lagged,
+      leaving: this.leaving,
+      fence: this.fence,
+      models: this.models,
+    });
+  }
+
+  private order(
+    response: ServerResponse,
+    order: { fence: number; models: string[] },
+  ): void {
+    const taken = !this.options.checksFence || order.fence >= this.fence;
+    this.ledger.orders.push({ ...order, taken });
+    if (!taken) return reply(response, { fence: this.fence }, 409);
+    this.fence = order.fence;
+    this.models = order.models;
+    reply(response, {});
+  }
+
+  private async chat(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> {
+    const requestId = String(request.headers["x-request-id"]);
+    if (this.leaving) {
+      response.setHeader("x-not-run", "true");
+      return reply(response, { error: "leaving" }, 503);
+    }
+    const known = this.streams.get(requestId);
+    const resumeFrom = Number(request.headers["x-resume-from"] ?? 0);
+    if (this.fault === "silent") return;
+    const stream = known ?? this.open(requestId, request, body, resumeFrom);
+    this.attach(stream, response, requestId, resumeFrom);
+    if (!known) await this.compute(stream, requestId);
+  }
+
+  private open(
+    requestId: string,
+    request: IncomingMessage,
+    body: string,
+    resumeFrom: number,
+  ): Stream {
+    const chat = JSON.parse(body) as {
+      messages: { content: string }[];
+      max_tokens?: number;
+    };
+    const chatId = String(request.headers["x-chat"] ?? requestId);
+    const total = chat.max_tokens ?? DEFAULT_COMPLETION;
+    const promptTokens = countTokens(
+      chat.messages.map((message) => message.content).join(""),
+    );
+    const cachedTokens = Math.min(this.cache.getTokens(chatId), promptTokens);
+    const key = String(request.headers["idempotency-key"] ?? "");
+    const run: LedgerRun = {
+      requestId,
+      key,
+      chat: chatId,
+      startedAt: Date.now(),
+      endedAt: undefined,
+      promptTokens,
+      cachedTokens,
+      resumeFrom,
+    };
+    this.ledger.runs.push(run);
+    const stream: Stream = {
+      run,
+      prompt: chat.messages.at(-1)?.content ?? "",
+      priority: Number(request.headers["x-priority"] ?? 0),
+      made: resumeFrom,
+      total,
+      reader: undefined,
+      nextIndex: resumeFrom,
+      abandonedAt: undefined,
+    };
+    this.streams.set(requestId, stream);
+    this.ledger.recordLoad(this.streams.size);
+    return stream;
+  }
+
+  /** Gives the stream to a reader; an older reader loses it. */
+  private attach(
+    stream: Stream,
+    response: ServerResponse,
+    requestId: string,
+    resumeFrom: number,
+  ): void {
+    stream.reader?.destroy();
+    stream.reader = response;
+    stream.nextIndex = resumeFrom;
+    stream.abandonedAt = undefined;
+    response.on("close", () => {
+      if (stream.reader !== response) return;
+      stream.reader = undefined;
+      stream.abandonedAt = Date.now();
+    });
+    response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "x-request-id": requestId,
+    });
+    this.flush(stream, requestId);
+  }
+
+  private async compute(stream: Stream, requestId: string): Promise<void> {
+    await this.takeSlot(stream.priority);
+    const { prefillMsPerThousand, tokenMs, batchSlowdown } = this.options;
+    const uncached = stream.run.promptTokens - stream.run.cachedTokens;
+    await delay(this.slowness * uncached * prefillMsPerThousand / 1000);
+    this.cache.put(stream.run.chat, stream.run.promptTokens + stream.total);
+    while (stream.made < stream.total && this.isWanted(stream, requestId)) {
+      await delay(
+        this.slowness * tokenMs * (1 + batchSlowdown * this.streams.size),
+      );
+      stream.made += 1;
+      this.flush(stream, requestId);
+    }
+    this.releaseSlot();
+    if (stream.made < stream.total) return;
+    await this.waitForReader(stream, requestId);
+    this.end(requestId);
+  }
+
+  private async waitForReader(
+    stream: Stream,
+    requestId: string,
+  ): Promise<void> {
+    while (
+      stream.nextIndex <= stream.total && this.isWanted(stream, requestId)
+    ) await delay(20);
+  }
+
+  private isWanted(stream: Stream, requestId: string): boolean {
+    if (this.streams.get(requestId) !== stream) return false;
+    return stream.abandonedAt === undefined ||
+      Date.now() - stream.abandonedAt < HOLD_MS;
+  }
+
+  /** Sends the pieces that exist and were not sent; after the last one, the usage and the end marker. */
+  private flush(stream: Stream, requestId: string): void {
+    const { reader } = stream;
+    if (!reader) return;
+    while (stream.nextIndex < stream.made) {
+      const index = stream.nextIndex++;
+      const choices = [{ delta: { content: getPiece(stream.prompt, index) } }];
+      this.write(reader, this.corrupt({ id: requestId, index, choices }));
+      if (
+        this.fault === "truncated" && index === Math.floor(stream.total / 2)
+      ) {
+        this.fault = "none";
+        reader.end();
+        return;
+      }
+    }
+    if (stream.made < stream.total || stream.nextIndex > stream.total) return;
+    const { promptTokens, cachedTokens } = stream.run;
+    const usage = {
+      prompt_tokens: promptTokens,
+      cached_tokens: cachedTokens,
+      completion_tokens: stream.total,
+    };
+    this.write(reader, { id: requestId, index: stream.nextIndex++, usage });
+    reader.end("data: [DONE]\n\n");
+  }
+
+  private corrupt(
+    event: { id: string; index: number; choices: unknown },
+  ): object {
+    if (this.fault !== "crossed") return event;
+    this.fault = "none";
+    return {
+      ...event,
+      id: "another-request",
+      choices: [{ delta: { content: "somebody else's words " } }],
+    };
+  }
+
+  private write(reader: ServerResponse, event: object): void {
+    reader.write(`data: ${JSON.stringify(event)}\n\n`);
+  }
+
+  private end(requestId: string): void {
+    const stream = this.streams.get(requestId);
+    if (!stream) return;
+    this.streams.delete(requestId);
+    stream.run.endedAt = Date.now();
+    if (stream.reader && !stream.reader.writableEnded) stream.reader.destroy();
+    this.ledger.recordLoad(this.streams.size);
+  }
+
+  private async takeSlot(priority: number): Promise<void> {
+    if (this.computing < this.options.slots) {
+      this.computing += 1;
+      return;
+    }
+    await new Promise<void>((start) => {
+      this.waiting.push({ priority, start });
+      this.waiting.sort((a, b) => b.priority - a.priority);
+    });
+  }
+
+  private releaseSlot(): void {
+    const next = this.waiting.shift();
+    if (next) next.start();
+    else this.computing -= 1;
+  }
+}
--- /dev/null
+++ b/fakes/fake_service.ts
@@ -0,0 +1,100 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { closeHttp, listenHttp, reply } from "./http_fake.ts";
+import { Ledger } from "./ledger.ts";
+
+/** How a stand-in service behaves. */
+export interface FakeServiceOptions {
+  id: string;
+  /** Time one call takes. */
+  callMs: number;
+  /** Port to listen on; 0 takes any free one. */
+  port: number;
+}
+
+/** A fault that a service shows on request. */
+export type ServiceFault = "none" | "crossed" | "silent";
+
+/** A stand-in for a plain service, such as one that takes bookings; keeps a ledger of every run. */
+export class FakeService {
+  readonly ledger = Ledger.create();
+  fault: ServiceFault = "none";
+  leaving = false;
+  private inFlight = 0;
+  private server: Server | undefined;
+  private listeningPort = 0;
+
+  private constructor(readonly options: FakeServiceOptions) {}
+
+  /** Starts a service.
+   * @param options How it behaves, where it differs from the defaults. */
+  static async create(
+    options: Partial<FakeServiceOptions> = {},
+  ): Promise<FakeService> {
+    const service = new FakeService({
+      id: "service",
+      callMs: 10,
+      port: 0,
+      ...options,
+    });
+    const { server, port } = await listenHttp(
+      (request, response, body) => service.handle(request, response, body),
+      service.options.port,
+    );
+    service.server = server;
+    service.listeningPort = port;
+    return service;
+  }
+
+  get port(): number {
+    return this.listeningPort;
+  }
+
+  /** Ends the service; calls under way break off. */
+  async close(): Promise<void> {
+    if (this.server) await closeHttp(this.server);
+  }
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> {
+    if (request.url === "/report") {
+      return reply(response, {
+        inFlight: this.inFlight,
+        leaving: this.leaving,
+      });
+    }
+    if (this.leaving) {
+      response.setHeader("x-not-run", "true");
+      return reply(response, { error: "leaving" }, 503);
+    }
+    const requestId = String(request.headers["x-request-id"]);
+    const run = {
+      requestId,
+      key: String(request.headers["idempotency-key"] ?? ""),
+      chat: "",
+      startedAt: Date.now(),
+      endedAt: undefined as number | undefined,
+      promptTokens: 0,
+      cachedTokens: 0,
+      resumeFrom: 0,
+    };
+    this.ledger.runs.push(run);
+    this.ledger.recordLoad(++this.inFlight);
+    await delay(this.options.callMs);
+    this.ledger.recordLoad(--this.inFlight);
+    run.endedAt = Date.now();
+    if (this.fault === "silent") return;
+    const answeredId = this.fault === "crossed" ? "another-request" : requestId;
+    response.setHeader("x-request-id", answeredId);
+    reply(response, {
+      confirmed: true,
+      key: run.key,
+      path: request.url,
+      method: request.method,
+      echo: body,
+    });
+  }
+}
--- /dev/null
+++ b/fakes/fault_proxy.ts
@@ -0,0 +1,149 @@
+import { createSocket, type Socket as UdpSocket } from "node:dgram";
+import {
+  type AddressInfo,
+  connect,
+  createServer,
+  type Server,
+  type Socket,
+} from "node:net";
+
+/** What a proxy does with what passes. */
+export type ProxyMode =
+  | "pass"
+  /** New connections are refused and old ones reset. */
+  | "cut"
+  /** Nothing passes, and nobody is told. */
+  | "freeze"
+  /** Nothing passes towards the server. */
+  | "freeze_requests"
+  /** Nothing passes towards the client. */
+  | "freeze_answers";
+
+interface Link {
+  client: Socket;
+  server: Socket;
+}
+
+/** A small proxy before one TCP and UDP port, which injects faults. */
+export class FaultProxy {
+  private mode: ProxyMode = "pass";
+  private delayMs = 0;
+  private readonly links = new Set<Link>();
+  private readonly udpLinks = new Map<string, UdpSocket>();
+
+  private constructor(
+    private readonly target: number,
+    private readonly server: Server,
+    private readonly udp: UdpSocket,
+    /** Port it listens on. */
+    readonly port: number,
+  ) {
+    server.on("connection", (client) => this.accept(client));
+    udp.on("message", (datagram, from) => this.forward(datagram, from.port));
+  }
+
+  /** Starts a proxy.
+   * @param target Port of the server on the loopback address. */
+  static async create(target: number): Promise<FaultProxy> {
+    const server = createServer({ pauseOnConnect: true });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = server.address() as AddressInfo;
+    const udp = createSocket("udp4");
+    udp.on("error", () => undefined);
+    await new Promise<void>((resolve) => udp.bind(port, "127.0.0.1", resolve));
+    return new FaultProxy(target, server, udp, port);
+  }
+
+  /** Changes what is done with what passes.
+   * @param mode What to do.
+   * @param delayMs Time by which everything is held up. */
+  setMode(mode: ProxyMode, delayMs = 0): void {
+    this.mode = mode;
+    this.delayMs = delayMs;
+    for (const link of this.links) this.apply(link);
+  }
+
+  /** Ends the proxy. */
+  close(): void {
+    this.mode = "cut";
+    for (const link of this.links) this.apply(link);
+    for (const socket of this.udpLinks.values()) socket.close();
+    this.udp.close();
+    this.server.close();
+  }
+
+  private accept(client: Socket): void {
+    const server = connect(this.target, "127.0.0.1");
+    const link = { client, server };
+    this.links.add(link);
+    this.pipe(
+      client,
+      server,
+      () => this.mode === "freeze" || this.mode === "freeze_requests",
+    );
+    this.pipe(
+      server,
+      client,
+      () => this.mode === "freeze" || this.mode === "freeze_answers",
+    );
+    const end = () => {
+      this.links.delete(link);
+      client.destroy();
+      server.destroy();
+    };
+    for (const socket of [client, server]) {
+      socket.on("error", end).on("close", end);
+    }
+    this.apply(link);
+  }
+
+  private pipe(from: Socket, to: Socket, isFrozen: () => boolean): void {
+    from.on("data", (data) => {
+      if (isFrozen()) return from.pause(), from.unshift(data);
+      if (this.delayMs === 0) to.write(data);
+      else setTimeout(() => to.write(data), this.delayMs);
+    });
+  }
+
+  private apply(link: Link): void {
+    if (this.mode === "cut") {
+      link.client.resetAndDestroy();
+      link.server.destroy();
+      return;
+    }
+    const stopsRequests = this.mode === "freeze" ||
+      this.mode === "freeze_requests";
+    const stopsAnswers = this.mode === "freeze" ||
+      this.mode === "freeze_answers";
+    if (stopsRequests) link.client.pause();
+    else link.client.resume();
+    if (stopsAnswers) link.server.pause();
+    else link.server.resume();
+  }
+
+  private forward(datagram: Buffer, clientPort: number): void {
+    if (
+      this.mode === "cut" || this.mode === "freeze" ||
+      this.mode === "freeze_requests"
+    ) return;
+    const link = this.udpLinks.get(String(clientPort)) ??
+      this.openUdp(clientPort);
+    link.send(datagram, this.target, "127.0.0.1", () => undefined);
+  }
+
+  private openUdp(clientPort: number): UdpSocket {
+    const link = createSocket("udp4");
+    link.on("error", () => undefined);
+    link.on("message", (datagram) => {
+      if (
+        this.mode === "cut" || this.mode === "freeze" ||
+        this.mode === "freeze_answers"
+      ) return;
+      this.udp.send(datagram, clientPort, "127.0.0.1", () => undefined);
+    });
+    this.udpLinks.set(String(clientPort), link);
+    return link;
+  }
+}
--- /dev/null
+++ b/fakes/http_fake.ts
@@ -0,0 +1,57 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** Answers one request of a stand-in. */
+export type FakeHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  body: string,
+) => Promise<void> | void;
+
+/** Starts an HTTP server on a free port of the loopback address.
+ * @param handle Answers each request once its body is there.
+ * @param port Port to use, any free one by default. */
+export async function listenHttp(
+  handle: FakeHandler,
+  port = 0,
+): Promise<{ server: Server; port: number }> {
+  const server = createServer((request, response) => {
+    const parts: Buffer[] = [];
+    response.on("error", () => undefined);
+    request.on("error", () => undefined);
+    request.on("data", (part: Buffer) => parts.push(part));
+    request.on(
+      "end",
+      () => void handle(request, response, Buffer.concat(parts).toString()),
+    );
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(port, "127.0.0.1", resolve)
+  );
+  return { server, port: (server.address() as AddressInfo).port };
+}
+
+/** Sends JSON.
+ * @param response The response.
+ * @param value What to send.
+ * @param status HTTP status code. */
+export function reply(
+  response: ServerResponse,
+  value: unknown,
+  status = 200,
+): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(value));
+}
+
+/** Ends a server with all its connections.
+ * @param server The server. */
+export async function closeHttp(server: Server): Promise<void> {
+  server.closeAllConnections();
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+}
--- /dev/null
+++ b/src/actors/actor.ts
@@ -0,0 +1,74 @@
+import { dispatch, type Ref, spawn, start, stop } from "nact";
+import type { Logger } from "../logging/logger.ts";
+
+/** The messages of an actor: type name to payload. */
+export type MessageMap = Record<string, unknown>;
+
+/** One handler for each message type. */
+export type Handlers<M extends MessageMap> = {
+  [K in keyof M]: (payload: M[K]) => void | Promise<void>;
+};
+
+type ActorSystem = ReturnType<typeof start>;
+interface Envelope {
+  type: PropertyKey;
+  payload: unknown;
+}
+
+/** A nact actor whose behaviour is a table of handlers; a handler that throws is logged and the actor goes on. */
+export class Actor<M extends MessageMap> {
+  private constructor(private readonly reference: Ref<Envelope>) {}
+
+  /** Spawns an actor.
+   * @param system The actor system.
+   * @param name Unique name of the actor.
+   * @param handlers One handler for each message type.
+   * @param logger Where failures are written. */
+  static create<M extends MessageMap>(
+    system: ActorSystem,
+    name: string,
+    handlers: Handlers<M>,
+    logger: Logger,
+  ): Actor<M> {
+    const receive = async (state: null, message: Envelope): Promise<null> => {
+      try {
+        await handlers[message.type as keyof M](message.payload as M[keyof M]);
+      } catch (error) {
+        logger.error({
+          actor: name,
+          message: String(message.type),
+          reason: String(error),
+        }, "handler_failed");
+      }
+      return state;
+    };
+    return new Actor<M>(
+      spawn(system, receive, name, { initialState: null }) as Ref<Envelope>,
+    );
+  }
+
+  /** Sends a message; it is handled after those sent before it.
+   * @param type The message type.
+   * @param payload What the type carries. */
+  tell<K extends keyof M>(type: K, payload: M[K]): void {
+    dispatch(this.reference, { type, payload });
+  }
+
+  /** Stops the actor; messages still waiting are dropped. */
+  close(): void {
+    stop(this.reference);
+  }
+}
+
+/** Starts an actor system for one router. */
+export function startActorSystem(): ActorSystem {
+  return start();
+}
+
+/** Stops an actor system with all its actors.
+ * @param system The system. */
+export function stopActorSystem(system: ActorSystem): void {
+  stop(system);
+}
+
+export type { ActorSystem };
--- /dev/null
+++ b/src/cli/serve_command.ts
@@ -0,0 +1,35 @@
+import process from "node:process";
+import { command, positional, string } from "cmd-ts";
+import { Router } from "../router/router.ts";
+import { loadSettings } from "../settings/load_settings.ts";
+import { EXIT_CODE } from "./exit_code.ts";
+
+/** `beechkeel serve`: runs a router until it is told to stop. */
+export const serveCommand = command({
+  name: "serve",
+  description: "Run a router; SIGTERM stops it as planned, SIGINT at once.",
+  args: {
+    settings: positional({
+      type: string,
+      displayName: "settings",
+      description: "Path of the settings file",
+    }),
+  },
+  handler: async ({ settings: path }) => {
+    const settings = loadSettings(path);
+    if (settings.err) {
+      for (const line of settings.val) console.error(line);
+      process.exitCode = EXIT_CODE.refused;
+      return;
+    }
+    const router = await Router.start(settings.val);
+    process.once(
+      "SIGTERM",
+      () => void router.drain().then(() => process.exit(EXIT_CODE.ok)),
+    );
+    process.once(
+      "SIGINT",
+      () => void router.close().then(() => process.exit(EXIT_CODE.ok)),
+    );
+  },
+});
--- /dev/null
+++ b/src/entry/dispatcher.ts
@@ -0,0 +1,366 @@
+import { ANSWER_TABLE } from "../errors/answer_table.ts";
+import type { ErrorKind } from "../errors/error_kind.ts";
+import { Failure } from "../errors/failure.ts";
+import type { Logger } from "../logging/logger.ts";
+import type { FleetView } from "../membership/fleet_view.ts";
+import type { LoadBook } from "../owner/load_book.ts";
+import type { PeerDirectory } from "../peer/peer_directory.ts";
+import type { PlacementTable } from "../placement/placement_table.ts";
+import { POLICIES } from "../placement/policies.ts";
+import { Random } from "../random/random.ts";
+import type { Settings } from "../settings/settings_schema.ts";
+import type { AnswerSink } from "./answer_sink.ts";
+import { Attempt, type AttemptOutcome } from "./attempt.ts";
+import { RetryBudget } from "./retry_budget.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+import { SendGrant } from "./send_grant.ts";
+
+/** Owners tried for one upstream before it is left. */
+const OWNERS_PER_UPSTREAM = 3;
+
+/** What the dispatcher needs of the rest of the router. */
+export interface DispatcherOptions {
+  settings: Settings;
+  logger: Logger;
+  directory: PeerDirectory;
+  loads: LoadBook;
+  getView: () => FleetView;
+  getPlacement: () => PlacementTable;
+  /** Told of a router that did not answer. */
+  onUnreachable: (routerId: string) => void;
+}
+
+/** Whether the request was run, as far as the entry knows. */
+export type DispatchEnd =
+  | { type: "done" }
+  | { type: "refused"; failure: Failure; mayHaveRun: boolean }
+  | { type: "abandoned"; mayHaveRun: boolean };
+
+interface Progress {
+  request: RoutedRequest;
+  sink: AnswerSink;
+  grant: SendGrant;
+  callerGone: AbortSignal;
+  /** Events that reached the sink. */
+  events: number;
+  /** Routers that did not answer during this request. */
+  silent: Set<string>;
+  /** Whether an attempt ended without the owner's word that nothing was sent. */
+  isUncertain: boolean;
+  lastDetail: string;
+}
+
+/** What follows from an attempt's outcome. */
+type NextStep =
+  | { type: "end"; end: DispatchEnd }
+  | { type: "next_upstream" }
+  | { type: "next_owner" };
+
+/** Brings a request to an upstream: candidates in the order of its key, each through its owner. */
+export class Dispatcher {
+  private readonly budget: RetryBudget;
+  private readonly random = Random.create();
+
+  private constructor(private readonly options: DispatcherOptions) {
+    const { retryRatio, retryReserve } = options.settings.routing;
+    this.budget = RetryBudget.create(retryRatio, retryReserve);
+  }
+
+  /** Creates a dispatcher.
+   * @param options What it needs. */
+  static create(options: DispatcherOptions): Dispatcher {
+    return new Dispatcher(options);
+  }
+
+  /** Runs a request and sends its answer, or the refusal, to the sink.
+   * @param request The request.
+   * @param sink Takes the answer.
+   * @param callerGone Aborted when the caller is gone. */
+  async dispatch(
+    request: RoutedRequest,
+    sink: AnswerSink,
+    callerGone: AbortSignal,
+  ): Promise<DispatchEnd> {
+    this.budget.earn();
+    const progress: Progress = {
+      request,
+      sink,
+      grant: SendGrant.create(),
+      callerGone,
+      events: 0,
+      silent: new Set(),
+      isUncertain: false,
+      lastDetail: "",
+    };
+    const end = await this.tryAll(progress);
+    if (end.type === "done") sink.end();
+    if (end.type === "refused") sink.fail(end.failure);
+    return end;
+  }
+
+  /** Orders the upstreams for a request, the first choice first.
+   * @param request What the request needs and its key. */
+  order(
+    request: Pick<RoutedRequest, "need" | "placementKey">,
+  ): readonly string[] {
+    const candidates = this.options.getPlacement().getCandidates(
+      request.need,
+      request.placementKey,
+    );
+    const now = performance.now();
+    const getLoad = (id: string) => this.options.loads.getLoad(id, now) ?? 0;
+    return POLICIES[this.options.settings.routing.policy].order(candidates, {
+      random: this.random,
+      getLoad,
+    });
+  }
+
+  private async tryAll(progress: Progress): Promise<DispatchEnd> {
+    const order = this.order(progress.request);
+    if (order.length === 0) {
+      return refuse(progress, "no_upstream", "no live upstream serves this");
+    }
+    const { candidateLimit } = this.options.settings.routing;
+    const declines: string[] = [];
+    for (const upstreamId of order.slice(0, candidateLimit)) {
+      const end = await this.tryUpstream(progress, upstreamId, false, declines);
+      if (end) return end;
+    }
+    for (const upstreamId of this.orderForQueue(order)) {
+      const end = await this.tryUpstream(progress, upstreamId, true, declines);
+      if (end) return end;
+    }
+    return this.giveUp(progress, declines);
+  }
+
+  /** The upstreams to wait for: the least loaded of the nearest candidates, then the first choice. */
+  private orderForQueue(order: readonly string[]): string[] {
+    const now = performance.now();
+    const getLoad = (id: string) => this.options.loads.getLoad(id, now) ?? 0;
+    const near = order.slice(0, this.options.settings.routing.candidateLimit);
+    const least = [...near].sort((a, b) => getLoad(a) - getLoad(b));
+    return [...new Set([...least.slice(0, 2), ...near.slice(0, 1)])];
+  }
+
+  private async tryUpstream(
+    progress: Progress,
+    upstreamId: string,
+    mayQueue: boolean,
+    declines: string[],
+  ): Promise<DispatchEnd | undefined> {
+    for (let tries = 0; tries < OWNERS_PER_UPSTREAM; tries++) {
+      const ownerId = this.chooseOwner(upstreamId, progress.silent);
+      if (!ownerId) return undefined;
+      const outcome = await this.attempt(
+        progress,
+        upstreamId,
+        ownerId,
+        mayQueue,
+      );
+      if (outcome.type === "declined") declines.push(outcome.reason);
+      const step = this.decide(progress, ownerId, outcome);
+      if (step.type === "end") return step.end;
+      if (step.type === "next_upstream") return undefined;
+    }
+    return undefined;
+  }
+
+  private chooseOwner(
+    upstreamId: string,
+    silent: ReadonlySet<string>,
+  ): string | undefined {
+    const host = this.options.getView().getUpstream(upstreamId);
+    if (!host) return undefined;
+    const owners = this.options.getPlacement().getOwners(host).filter((id) =>
+      !silent.has(id)
+    );
+    return owners[0] ?? this.options.settings.id;
+  }
+
+  private async attempt(
+    progress: Progress,
+    upstreamId: string,
+    ownerId: string,
+    mayQueue: boolean,
+  ): Promise<AttemptOutcome> {
+    const { request, sink, grant, callerGone } = progress;
+    const remainingMs = request.deadlineAt - performance.now();
+    if (remainingMs <= 0) return { type: "expired" };
+    if (callerGone.aborted) return { type: "abandoned" };
+    const client = await this.options.directory.getClient(ownerId);
+    if (!client) {
+      return { type: "unreachable", detail: "no connection to the owner" };
+    }
+    return await Attempt.make({
+      client,
+      offer: buildOffer(
+        request,
+        upstreamId,
+        mayQueue,
+        progress.events,
+        remainingMs,
+      ),
+      sink,
+      grant,
+      acceptTimeoutMs: this.options.settings.routing.acceptTimeoutMs,
+      remainingMs,
+      callerGone,
+      onEvents: (count) => progress.events += count,
+    });
+  }
+
+  private decide(
+    progress: Progress,
+    ownerId: string,
+    outcome: AttemptOutcome,
+  ): NextStep {
+    progress.isUncertain ||= leavesDoubt(outcome);
+    switch (outcome.type) {
+      case "done":
+        return { type: "end", end: { type: "done" } };
+      case "abandoned":
+        return {
+          type: "end",
+          end: { type: "abandoned", mayHaveRun: mayHaveRun(progress) },
+        };
+      case "expired":
+        return {
+          type: "end",
+          end: refuse(
+            progress,
+            "deadline_exceeded",
+            "the caller's time is over",
+          ),
+        };
+      case "declined":
+        return this.decideOnDecline(progress, ownerId, outcome.reason);
+      case "unreachable":
+        this.options.onUnreachable(ownerId);
+        progress.silent.add(ownerId);
+        return this.decideOnFailure(progress, outcome.detail, {
+          type: "next_owner",
+        });
+      case "failed":
+        return this.decideOnFailure(progress, outcome.detail, {
+          type: "next_upstream",
+        });
+    }
+  }
+
+  private decideOnDecline(
+    progress: Progress,
+    ownerId: string,
+    reason: string,
+  ): NextStep {
+    progress.lastDetail = reason;
+    if (reason === "deadline") {
+      return {
+        type: "end",
+        end: refuse(progress, "deadline_exceeded", "the time ended in a queue"),
+      };
+    }
+    if (reason !== "stale") return { type: "next_upstream" };
+    progress.silent.add(ownerId);
+    return { type: "next_owner" };
+  }
+
+  private decideOnFailure(
+    progress: Progress,
+    detail: string,
+    next: NextStep,
+  ): NextStep {
+    progress.lastDetail = detail;
+    if (progress.grant.taken) {
+      return { type: "end", end: refuse(progress, "outcome_unknown", detail) };
+    }
+    if (this.budget.spend()) return next;
+    return {
+      type: "end",
+      end: refuse(progress, "upstream_failed", `no retry left: ${detail}`),
+    };
+  }
+
+  private giveUp(progress: Progress, declines: readonly string[]): DispatchEnd {
+    if (progress.events > 0) {
+      return refuse(progress, "stream_broken", progress.lastDetail);
+    }
+    if (declines.includes("share")) {
+      return refuse(
+        progress,
+        "too_many_requests",
+        "the customer's queue is full",
+      );
+    }
+    if (declines.includes("full")) {
+      return refuse(progress, "overloaded", "all candidates are full");
+    }
+    return refuse(
+      progress,
+      "no_upstream",
+      progress.lastDetail || "no owner answered",
+    );
+  }
+}
+
+function buildOffer(
+  request: RoutedRequest,
+  upstreamId: string,
+  mayQueue: boolean,
+  resumeFrom: number,
+  remainingMs: number,
+) {
+  const { requestId, work, method, path, headers, body, repeatable, customer } =
+    request;
+  return {
+    type: "offer" as const,
+    requestId,
+    upstreamId,
+    work,
+    method,
+    path,
+    headers,
+    body,
+    customer: customer.id,
+    partner: customer.partner,
+    priority: customer.priority,
+    capacityShare: customer.capacityShare,
+    repeatable,
+    mayQueue,
+    resumeFrom,
+    remainingMs,
+  };
+}
+
+/** Whether an attempt ended without the owner's word that nothing was sent. */
+function leavesDoubt(outcome: AttemptOutcome): boolean {
+  if (outcome.type === "failed") return outcome.ran === "unknown";
+  return outcome.type !== "done" && outcome.type !== "declined";
+}
+
+/** Whether an upstream may have begun the request. */
+function mayHaveRun(progress: Progress): boolean {
+  return progress.request.repeatable
+    ? progress.isUncertain
+    : progress.grant.taken;
+}
+
+/** Refuses a request; a kind that promises "not run" is replaced where that is not certain. */
+function refuse(
+  progress: Progress,
+  kind: ErrorKind,
+  detail: string,
+): DispatchEnd {
+  const isDoubtful = mayHaveRun(progress);
+  const isPromise = ANSWER_TABLE[kind].ran === "no";
+  const actual = isDoubtful && isPromise ? replaceKind(progress, kind) : kind;
+  return {
+    type: "refused",
+    failure: Failure.create(actual, detail),
+    mayHaveRun: isDoubtful,
+  };
+}
+
+function replaceKind(progress: Progress, kind: ErrorKind): ErrorKind {
+  if (!progress.request.repeatable) return "outcome_unknown";
+  return kind === "deadline_exceeded" ? "timed_out" : "upstream_failed";
+}
--- /dev/null
+++ b/src/errors/answer_table.ts
@@ -0,0 +1,139 @@
+import type { ErrorKind } from "./error_kind.ts";
+
+/** Whether the request that is refused ran on an upstream. */
+export type RanStatement = "no" | "unknown";
+
+/** What a caller receives for one error kind. */
+export interface AnswerStructure {
+  /** HTTP status code. */
+  status: number;
+  /** One sentence for a person. */
+  message: string;
+  /** `no` is a promise: the request was not run and will not be. */
+  ran: RanStatement;
+  /** Seconds after which a new attempt makes sense, where one does. */
+  retryAfterSeconds?: number;
+}
+
+/** The table from error kind to answer; every refusal the system gives stands here. */
+export const ANSWER_TABLE: Readonly<Record<ErrorKind, AnswerStructure>> = {
+  malformed_request: {
+    status: 400,
+    message: "The request is not well formed.",
+    ran: "no",
+  },
+  request_too_large: {
+    status: 413,
+    message: "The body exceeds the limit.",
+    ran: "no",
+  },
+  headers_too_large: {
+    status: 431,
+    message: "The headers exceed the limit.",
+    ran: "no",
+  },
+  caller_too_slow: {
+    status: 408,
+    message: "The request did not arrive in time.",
+    ran: "no",
+  },
+  not_found: { status: 404, message: "No such path.", ran: "no" },
+  method_not_allowed: {
+    status: 405,
+    message: "The path does not take this method.",
+    ran: "no",
+  },
+  unknown_customer: {
+    status: 403,
+    message: "No accepted document names this customer.",
+    ran: "no",
+  },
+  unknown_model: {
+    status: 404,
+    message: "The customer has no such model or adapter.",
+    ran: "no",
+  },
+  unknown_service: {
+    status: 404,
+    message: "The customer has no such service.",
+    ran: "no",
+  },
+  key_reused: {
+    status: 422,
+    message: "The idempotency key was used before with another request.",
+    ran: "no",
+  },
+  too_many_requests: {
+    status: 429,
+    message: "The customer's share of the queue is full.",
+    ran: "no",
+    retryAfterSeconds: 1,
+  },
+  overloaded: {
+    status: 503,
+    message: "Every upstream that could serve this is full.",
+    ran: "no",
+    retryAfterSeconds: 1,
+  },
+  no_upstream: {
+    status: 503,
+    message: "No upstream for this request can be reached.",
+    ran: "no",
+    retryAfterSeconds: 2,
+  },
+  starting: {
+    status: 503,
+    message: "The router has no configuration yet.",
+    ran: "no",
+    retryAfterSeconds: 1,
+  },
+  draining: {
+    status: 503,
+    message: "The router is stopping; ask for another address.",
+    ran: "no",
+    retryAfterSeconds: 1,
+  },
+  deadline_exceeded: {
+    status: 504,
+    message: "The time allowed ended before the request was run.",
+    ran: "no",
+    retryAfterSeconds: 1,
+  },
+  key_unconfirmed: {
+    status: 503,
+    message:
+      "This attempt was not run, and whether an earlier one with its key was cannot be confirmed now.",
+    ran: "unknown",
+    retryAfterSeconds: 2,
+  },
+  outcome_unknown: {
+    status: 502,
+    message:
+      "The request may have run and will not be run again under this key.",
+    ran: "unknown",
+  },
+  timed_out: {
+    status: 504,
+    message:
+      "The time allowed ended while an upstream may have been at work; the request may be repeated.",
+    ran: "unknown",
+    retryAfterSeconds: 1,
+  },
+  upstream_failed: {
+    status: 502,
+    message: "The upstream failed and the retries are used up.",
+    ran: "unknown",
+    retryAfterSeconds: 1,
+  },
+  stream_broken: {
+    status: 502,
+    message: "The answer broke off; what was received is not whole.",
+    ran: "unknown",
+    retryAfterSeconds: 1,
+  },
+  internal: {
+    status: 500,
+    message: "The router failed on this request.",
+    ran: "unknown",
+  },
+};
--- /dev/null
+++ b/src/errors/error_kind.ts
@@ -0,0 +1,28 @@
+/** The closed list of reasons for which the system answers anything but a whole answer. */
+export const ERROR_KINDS = [
+  "malformed_request",
+  "request_too_large",
+  "headers_too_large",
+  "caller_too_slow",
+  "not_found",
+  "method_not_allowed",
+  "unknown_customer",
+  "unknown_model",
+  "unknown_service",
+  "key_reused",
+  "too_many_requests",
+  "overloaded",
+  "no_upstream",
+  "starting",
+  "draining",
+  "deadline_exceeded",
+  "key_unconfirmed",
+  "outcome_unknown",
+  "timed_out",
+  "upstream_failed",
+  "stream_broken",
+  "internal",
+] as const;
+
+/** One member of the closed list of error kinds. */
+export type ErrorKind = (typeof ERROR_KINDS)[number];
--- /dev/null
+++ b/src/membership/rumour.ts
@@ -0,0 +1,14 @@
+import { z } from "zod";
+
+/** What one router believes of another, as it is passed on. */
+export const rumourSchema = z.object({
+  id: z.string().min(1).max(64),
+  /** Grows with each start of the router, and with each refutation of a suspicion. */
+  incarnation: z.number().int().nonnegative(),
+  status: z.enum(["alive", "suspect", "dead"]),
+  /** Whether the router is stopping. */
+  draining: z.boolean(),
+});
+
+/** What one router believes of another. */
+export type Rumour = z.infer<typeof rumourSchema>;
--- /dev/null
+++ b/src/metrics/metrics.ts
@@ -0,0 +1,49 @@
+import { StatsD } from "hot-shots";
+import type { Settings } from "../settings/settings_schema.ts";
+
+/** Sends counters, gauges and timings by StatsD; sends nothing where metrics are off. */
+export class Metrics {
+  private constructor(private readonly client: StatsD) {}
+
+  /** Creates the metrics client.
+   * @param settings The metrics part of the settings.
+   * @param routerId Tag put on every value. */
+  static create(settings: Settings["metrics"], routerId: string): Metrics {
+    return new Metrics(
+      new StatsD({
+        host: settings.host,
+        port: settings.port,
+        prefix: settings.prefix,
+        globalTags: { router: routerId },
+        mock: !settings.enabled,
+        errorHandler: () => undefined,
+      }),
+    );
+  }
+
+  /** Counts one event.
+   * @param name Metric name.
+   * @param tags Dimensions of the event. */
+  count(name: string, tags: Record<string, string> = {}): void {
+    this.client.increment(name, 1, tags);
+  }
+
+  /** Records a duration.
+   * @param name Metric name.
+   * @param milliseconds The duration. */
+  time(name: string, milliseconds: number): void {
+    this.client.timing(name, milliseconds);
+  }
+
+  /** Records a level.
+   * @param name Metric name.
+   * @param value The level. */
+  gauge(name: string, value: number): void {
+    this.client.gauge(name, value);
+  }
+
+  /** Closes the socket. */
+  close(): void {
+    this.client.close();
+  }
+}
--- /dev/null
+++ b/src/owner/owned_upstream.ts
@@ -0,0 +1,95 @@
+import type { Host } from "../platform/host_schema.ts";
+import {
+  UpstreamClient,
+  type UpstreamReport,
+} from "../upstream/upstream_client.ts";
+import { FairQueue } from "./fair_queue.ts";
+import { ForeignLoad } from "./foreign_load.ts";
+import type { Job } from "./job.ts";
+
+/** Reports that may fail in a row before an upstream counts as unreachable. */
+const MISSED_REPORTS = 2;
+
+/** The state that the owner keeps of one upstream. */
+export class OwnedUpstream {
+  /** Requests that wait. */
+  readonly queue: FairQueue<Job>;
+  /** Requests this router has running or is about to send. */
+  readonly running = new Set<Job>();
+  /** What other routers have running. */
+  readonly foreign = ForeignLoad.create();
+  /** Calls to the upstream. */
+  readonly client: UpstreamClient;
+  /** The last report, where one was read. */
+  report: UpstreamReport | undefined;
+  private missedReports = 0;
+
+  private constructor(
+    /** The upstream as last listed. */
+    public host: Host,
+    queueLimit: number,
+    stallTimeoutMs: number,
+  ) {
+    this.queue = FairQueue.create<Job>(queueLimit);
+    this.client = UpstreamClient.create(host, stallTimeoutMs);
+  }
+
+  /** Creates the state of an upstream.
+   * @param host The upstream.
+   * @param queueLimit Requests that may wait.
+   * @param stallTimeoutMs Silence of the upstream that counts as failure. */
+  static create(
+    host: Host,
+    queueLimit: number,
+    stallTimeoutMs: number,
+  ): OwnedUpstream {
+    return new OwnedUpstream(host, queueLimit, stallTimeoutMs);
+  }
+
+  /** Requests the upstream is taken to carry. */
+  get load(): number {
+    return this.running.size + this.foreign.load;
+  }
+
+  /** Whether new work may go to it: listed as live, not leaving by its own word, and answering. */
+  get takesWork(): boolean {
+    return this.host.state === "live" && this.report?.leaving !== true &&
+      this.isReachable;
+  }
+
+  /** Whether it answers reports. */
+  get isReachable(): boolean {
+    return this.missedReports < MISSED_REPORTS;
+  }
+
+  /** Takes a report.
+   * @param report The report, or nothing where it could not be read.
+   * @param now Monotonic milliseconds. */
+  takeReport(report: UpstreamReport | undefined, now: number): void {
+    if (!report) {
+      this.missedReports += 1;
+      return;
+    }
+    this.missedReports = 0;
+    this.report = report;
+    this.foreign.recordReport(report.inFlight, now);
+  }
+
+  /** Counts a job as running.
+   * @param job The job.
+   * @param now Monotonic milliseconds. */
+  add(job: Job, now: number): void {
+    this.running.add(job);
+    this.queue.started(job);
+    this.foreign.recordOwn(this.running.size, now);
+  }
+
+  /** Counts a job as ended.
+   * @param job The job.
+   * @param now Monotonic milliseconds. */
+  delete(job: Job, now: number): void {
+    if (!this.running.delete(job)) return;
+    this.queue.ended(job);
+    this.foreign.recordOwn(this.running.size, now);
+  }
+}
--- /dev/null
+++ b/src/placement/policies.ts
@@ -0,0 +1,57 @@
+import type { Random } from "../random/random.ts";
+
+/** What a policy knows when it orders candidates. */
+export interface PolicyContext {
+  random: Random;
+  /** Load of an upstream as last told, or 0. */
+  getLoad: (upstreamId: string) => number;
+}
+
+/** How candidates are tried. */
+export interface Policy {
+  /** Whether the owner holds upstreams to a multiple of the mean. */
+  isBounded: boolean;
+  /** Orders the candidates, which come in the order of the chat's key. */
+  order: (
+    candidates: readonly string[],
+    context: PolicyContext,
+  ) => readonly string[];
+}
+
+function byLoad(
+  candidates: readonly string[],
+  context: PolicyContext,
+): string[] {
+  const loads = new Map(candidates.map((id) => [id, context.getLoad(id)]));
+  return context.random.shuffle(candidates).sort((a, b) =>
+    loads.get(a)! - loads.get(b)!
+  );
+}
+
+function byPowerOfTwo(
+  candidates: readonly string[],
+  context: PolicyContext,
+): string[] {
+  const shuffled = context.random.shuffle(candidates);
+  const [first, second, ...others] = shuffled;
+  if (!first || !second) return shuffled;
+  const isFirstBetter = context.getLoad(first) <= context.getLoad(second);
+  return isFirstBetter
+    ? [first, second, ...others]
+    : [second, first, ...others];
+}
+
+/** The policies by name; all but `bounded` serve as baselines for measurements. */
+export const POLICIES = {
+  bounded: { isBounded: true, order: (candidates) => candidates },
+  rendezvous: { isBounded: false, order: (candidates) => candidates },
+  random: {
+    isBounded: false,
+    order: (candidates, context) => context.random.shuffle(candidates),
+  },
+  least_loaded: { isBounded: false, order: byLoad },
+  power_of_two: { isBounded: false, order: byPowerOfTwo },
+} as const satisfies Record<string, Policy>;
+
+/** Name of a policy. */
+export type PolicyName = keyof typeof POLICIES;
--- /dev/null
+++ b/src/random/random.ts
@@ -0,0 +1,38 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** A source of random numbers; seeded, so that a run can be repeated. */
+export class Random {
+  private constructor(
+    private readonly generator: ReturnType<typeof xoroshiro128plus>,
+  ) {}
+
+  /** Creates a source.
+   * @param seed Any integer; the clock by default. */
+  static create(seed: number = Date.now() & 0x7fffffff): Random {
+    return new Random(xoroshiro128plus(seed));
+  }
+
+  /** Returns an integer between two bounds, both included.
+   * @param low Least value.
+   * @param high Greatest value. */
+  integer(low: number, high: number): number {
+    return uniformInt(this.generator, low, high);
+  }
+
+  /** Returns a number from 0 up to, but not including, 1. */
+  fraction(): number {
+    return this.integer(0, 0x3fffffff) / 0x40000000;
+  }
+
+  /** Returns the items in a random order.
+   * @param items The items; left as they are. */
+  shuffle<T>(items: readonly T[]): T[] {
+    const shuffled = [...items];
+    for (let index = shuffled.length - 1; index > 0; index--) {
+      const other = this.integer(0, index);
+      [shuffled[index], shuffled[other]] = [shuffled[other]!, shuffled[index]!];
+    }
+    return shuffled;
+  }
+}
--- /dev/null
+++ b/src/router/version.ts
@@ -0,0 +1,2 @@
+/** Version of the program. */
+export const VERSION = "0.1.0";
--- /dev/null
+++ b/src/upstream/upstream_client.ts
@@ -0,0 +1,197 @@
+import { Agent, type Dispatcher, request } from "undici";
+import { z } from "zod";
+import type { Host } from "../platform/host_schema.ts";
+import { EventStreamParser, type ParsedEvents } from "./event_stream_parser.ts";
+import { UpstreamError } from "./upstream_error.ts";
+
+const reportSchema = z.object({
+  inFlight: z.number().int().nonnegative(),
+  leaving: z.boolean(),
+  fence: z.number().int().default(0),
+  models: z.array(z.string()).optional(),
+});
+
+/** What an upstream says of itself. */
+export type UpstreamReport = z.infer<typeof reportSchema>;
+
+/** A request as it goes to an upstream. */
+export interface UpstreamRequest {
+  requestId: string;
+  method: string;
+  path: string;
+  headers: Record<string, string>;
+  body: Uint8Array;
+  priority: number;
+  repeatable: boolean;
+  /** Events of the answer that the caller already has. */
+  resumeFrom: number;
+  signal: AbortSignal;
+}
+
+/** A whole answer of a service. */
+export interface ServiceAnswer {
+  status: number;
+  headers: Record<string, string>;
+  body: Buffer;
+}
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const REPORT_TIMEOUT_MS = 1_000;
+const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+/** Speaks to one upstream over HTTP; the form of its protocol stands only here. */
+export class UpstreamClient {
+  private readonly agent: Agent;
+  private readonly url: string;
+
+  private constructor(host: Host, private readonly stallTimeoutMs: number) {
+    this.url = `http://${host.address}:${host.port}`;
+    this.agent = new Agent({
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: 2_000,
+      pipelining: 1,
+    });
+  }
+
+  /** Creates a client without connections.
+   * @param host The upstream.
+   * @param stallTimeoutMs Silence that counts as failure. */
+  static create(host: Host, stallTimeoutMs: number): UpstreamClient {
+    return new UpstreamClient(host, stallTimeoutMs);
+  }
+
+  /** Reads the upstream's report. */
+  async readReport(): Promise<UpstreamReport> {
+    const response = await request(`${this.url}/report`, {
+      dispatcher: this.agent,
+      headersTimeout: REPORT_TIMEOUT_MS,
+      bodyTimeout: REPORT_TIMEOUT_MS,
+    });
+    return reportSchema.parse(await response.body.json());
+  }
+
+  /** Gives a fenced order; returns whether the upstream took it.
+   * @param fence Revision behind the order; an upstream that checks refuses one below the last.
+   * @param models Models to serve. */
+  async order(fence: number, models: readonly string[]): Promise<boolean> {
+    const response = await request(`${this.url}/orders`, {
+      method: "POST",
+      dispatcher: this.agent,
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ fence, models }),
+      headersTimeout: REPORT_TIMEOUT_MS,
+    });
+    await response.body.dump();
+    return response.statusCode === 200;
+  }
+
+  /** Tells an engine to stop working on a request; failures are ignored.
+   * @param requestId The request. */
+  async cancel(requestId: string): Promise<void> {
+    const path = `${this.url}/v1/requests/${
+      encodeURIComponent(requestId)
+    }/cancel`;
+    await request(path, {
+      method: "POST",
+      dispatcher: this.agent,
+      headersTimeout: REPORT_TIMEOUT_MS,
+    })
+      .then((response) => response.body.dump(), () => undefined);
+  }
+
+  /** Runs a chat and yields its events as they come; ends only after the engine's end marker.
+   * @param work The request. */
+  async *streamChat(work: UpstreamRequest): AsyncGenerator<ParsedEvents> {
+    const response = await this.send(work, this.agent);
+    if (response.statusCode !== 200) throw await this.refused(response);
+    if (response.headers["x-request-id"] !== work.requestId) {
+      response.body.destroy();
+      throw UpstreamError.create("unknown", "the answer names another request");
+    }
+    const parser = EventStreamParser.create(work.requestId, work.resumeFrom);
+    response.body.setEncoding("utf8");
+    for await (const text of response.body) {
+      const parsed = parser.push(text as string);
+      if (parsed.events.length > 0 || parsed.done) yield parsed;
+      if (parsed.done) return;
+    }
+    throw UpstreamError.create(
+      "unknown",
+      "the stream ended before its end marker",
+    );
+  }
+
+  /** Calls a service and returns its whole answer.
+   * @param work The request; one that may not be repeated goes over a connection of its own. */
+  async call(work: UpstreamRequest): Promise<ServiceAnswer> {
+    const dispatcher = work.repeatable
+      ? this.agent
+      : new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+    try {
+      const response = await this.send(work, dispatcher);
+      if (response.headers["x-not-run"] === "true") {
+        throw await this.refused(response);
+      }
+      return await this.readAnswer(response, work.requestId);
+    } finally {
+      if (dispatcher !== this.agent) void dispatcher.destroy();
+    }
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async send(
+    work: UpstreamRequest,
+    dispatcher: Dispatcher,
+  ): Promise<Dispatcher.ResponseData> {
+    return await request(this.url + work.path, {
+      method: work.method as Dispatcher.HttpMethod,
+      dispatcher,
+      signal: work.signal,
+      headers: {
+        ...work.headers,
+        "x-request-id": work.requestId,
+        "x-priority": String(work.priority),
+        "x-resume-from": String(work.resumeFrom),
+      },
+      body: work.body.length > 0 ? work.body : null,
+      headersTimeout: this.stallTimeoutMs,
+      bodyTimeout: this.stallTimeoutMs,
+    });
+  }
+
+  private async readAnswer(
+    response: Dispatcher.ResponseData,
+    requestId: string,
+  ): Promise<ServiceAnswer> {
+    const body = Buffer.from(await response.body.arrayBuffer());
+    if (response.headers["x-request-id"] !== requestId) {
+      throw UpstreamError.create("unknown", "the answer names another request");
+    }
+    if (body.length > MAX_ANSWER_BYTES) {
+      throw UpstreamError.create("unknown", "the answer exceeds the limit");
+    }
+    const contentType = String(
+      response.headers["content-type"] ?? "application/octet-stream",
+    );
+    return {
+      status: response.statusCode,
+      headers: { "content-type": contentType },
+      body,
+    };
+  }
+
+  private async refused(
+    response: Dispatcher.ResponseData,
+  ): Promise<UpstreamError> {
+    await response.body.dump();
+    const ran = response.headers["x-not-run"] === "true" ? "no" : "unknown";
+    return UpstreamError.create(
+      ran,
+      `the upstream answered ${response.statusCode}`,
+    );
+  }
+}
--- /dev/null
+++ b/tests/system/path_test.ts
@@ -0,0 +1,56 @@
+import test from "ava";
+import { getWholeText } from "../../fakes/answer_text.ts";
+import { Caller } from "../../tools/caller.ts";
+import { Fleet } from "../../tools/fleet.ts";
+
+test("a returning chat is answered whole through any router and finds its context warm", async (t) => {
+  const fleet = await Fleet.create();
+  const caller = Caller.create();
+  try {
+    const [first, second] = fleet.routers;
+    const customer = "kilima/rosters";
+    const opening = "the shift history of the whole season ".repeat(20);
+    const answer = await caller.chat(
+      { customer, router: first!.address },
+      "c1",
+      [opening],
+    );
+    t.is(answer.text, getWholeText(opening, 20));
+    const next = await caller.chat(
+      { customer, router: second!.address },
+      "c1",
+      [opening, answer.text, "and now?"],
+    );
+    t.true(next.whole);
+    const runs = fleet.engines.flatMap((engine) => engine.ledger.runs);
+    t.is(runs.length, 2);
+    t.true(runs[1]!.cachedTokens >= runs[0]!.promptTokens);
+  } finally {
+    await caller.close();
+    await fleet.close();
+  }
+});
+
+test("a booking with the same key runs once and its answer is given again by every router", async (t) => {
+  const fleet = await Fleet.create();
+  const caller = Caller.create();
+  try {
+    const answers = [];
+    for (const router of fleet.routers) {
+      answers.push(
+        await caller.book(
+          { customer: "rodar/dispatch", router: router.address },
+          "shift 1",
+          "key-1",
+        ),
+      );
+    }
+    t.deepEqual(answers.map((answer) => answer.status), [200, 200, 200]);
+    t.deepEqual(answers.map((answer) => answer.replayed), [false, true, true]);
+    t.is(new Set(answers.map((answer) => answer.text)).size, 1);
+    t.is(fleet.services.flatMap((service) => service.ledger.runs).length, 1);
+  } finally {
+    await caller.close();
+    await fleet.close();
+  }
+});
