Random faults under load, judged from the stand-ins' ledgers

Cause: the promises need a harness that meets many faults at once. Ruled out: a simulator; the routers are real processes behind proxies for TCP and UDP. Before: none.

--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -195,6 +195,7 @@
       promptTokens,
       cachedTokens,
       resumeFrom,
+      body: "",
     };
     this.ledger.runs.push(run);
     const stream: Stream = {
--- a/fakes/fake_service.ts
+++ b/fakes/fake_service.ts
@@ -80,6 +80,7 @@
       promptTokens: 0,
       cachedTokens: 0,
       resumeFrom: 0,
+      body,
     };
     this.ledger.runs.push(run);
     this.ledger.recordLoad(++this.inFlight);
--- a/fakes/ledger.ts
+++ b/fakes/ledger.ts
@@ -10,6 +10,8 @@
   cachedTokens: number;
   /** Event the run started from. */
   resumeFrom: number;
+  /** Body of a service call. */
+  body: string;
 }
 
 /** What an upstream writes down of itself; tests and reports judge by it alone. */
--- /dev/null
+++ b/tools/faults.ts
@@ -0,0 +1,134 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { FakeEngine } from "../fakes/fake_engine.ts";
+import type { Random } from "../src/random/random.ts";
+import type { Fleet } from "./fleet.ts";
+
+/** Injects one fault, waits, and mends it; returns what it did. */
+export type Fault = (fleet: Fleet, random: Random) => Promise<string>;
+
+function pick<T>(items: readonly T[], random: Random): T {
+  return items[random.integer(0, items.length - 1)]!;
+}
+
+async function killRouter(fleet: Fleet, random: Random): Promise<string> {
+  const router = pick(fleet.routers, random);
+  await router.kill();
+  await delay(random.integer(100, 2_000));
+  router.start();
+  return `killed ${router.id}`;
+}
+
+async function freezeRouter(fleet: Fleet, random: Random): Promise<string> {
+  const router = pick(fleet.routers, random);
+  const milliseconds = random.integer(300, 6_000);
+  router.signal("SIGSTOP");
+  await delay(milliseconds);
+  router.signal("SIGCONT");
+  return `froze ${router.id} for ${milliseconds} ms`;
+}
+
+async function drainRouter(fleet: Fleet, random: Random): Promise<string> {
+  const router = pick(fleet.routers, random);
+  router.signal("SIGTERM");
+  const code = await router.waitForExit();
+  router.start();
+  return `drained ${router.id}, exit code ${code}`;
+}
+
+async function partRouters(fleet: Fleet, random: Random): Promise<string> {
+  const ids = random.shuffle(fleet.routers.map((router) => router.id));
+  const size = random.integer(1, ids.length - 1);
+  const [left, right] = [ids.slice(0, size), ids.slice(size)];
+  const mode = pick(
+    ["cut", "freeze", "freeze_requests", "freeze_answers"] as const,
+    random,
+  );
+  const milliseconds = random.integer(500, 5_000);
+  fleet.mesh.part(left, right, mode);
+  await delay(milliseconds);
+  fleet.mesh.part(left, right, "pass");
+  return `parted ${left} from ${right} (${mode}) for ${milliseconds} ms`;
+}
+
+async function cutUpstream(fleet: Fleet, random: Random): Promise<string> {
+  const upstream =
+    pick([...fleet.engines, ...fleet.services], random).options.id;
+  const readers = fleet.routers.map((router) => router.id).filter(() =>
+    random.fraction() < 0.6
+  );
+  const mode = pick(["cut", "freeze", "freeze_answers"] as const, random);
+  const milliseconds = random.integer(300, 3_000);
+  fleet.mesh.setMode(readers, [upstream], mode);
+  await delay(milliseconds);
+  fleet.mesh.setMode(readers, [upstream], "pass");
+  return `cut ${upstream} from ${readers} (${mode}) for ${milliseconds} ms`;
+}
+
+async function restartEngine(fleet: Fleet, random: Random): Promise<string> {
+  const index = random.integer(0, fleet.engines.length - 1);
+  const engine = fleet.engines[index]!;
+  const port = engine.port;
+  await engine.close();
+  fleet.retired.push(engine);
+  await delay(random.integer(100, 1_500));
+  fleet.engines[index] = await FakeEngine.create({ ...engine.options, port });
+  return `restarted ${engine.options.id}`;
+}
+
+async function misbehaveEngine(fleet: Fleet, random: Random): Promise<string> {
+  const engine = pick(fleet.engines, random);
+  engine.fault = pick(["crossed", "truncated", "silent"] as const, random);
+  const { fault } = engine;
+  await delay(random.integer(100, 1_000));
+  engine.fault = "none";
+  return `${engine.options.id} ${fault}`;
+}
+
+async function leaveUpstream(fleet: Fleet, random: Random): Promise<string> {
+  const id = pick([...fleet.engines, ...fleet.services], random).options.id;
+  await fleet.setState(id, "leaving");
+  await delay(random.integer(500, 3_000));
+  await fleet.setState(id, "live");
+  return `${id} left and came back`;
+}
+
+async function stopPlatform(fleet: Fleet, random: Random): Promise<string> {
+  const mode = pick(["down", "stale"] as const, random);
+  fleet.platform.freezeStale();
+  fleet.platform.setMode(mode);
+  await delay(random.integer(500, 5_000));
+  fleet.platform.setMode("up");
+  return `platform ${mode}`;
+}
+
+async function changeConfiguration(
+  fleet: Fleet,
+  random: Random,
+): Promise<string> {
+  const share = random.integer(10, 50) / 100;
+  const parameters = { priority: random.integer(1, 9), capacityShare: share };
+  const value = {
+    kind: "customer",
+    partner: "kilima",
+    name: "clinics",
+    template: "standard",
+    parameters,
+  };
+  const revision = fleet.platform.publish("kilima/customers/clinics", value);
+  await delay(100);
+  return `published revision ${revision}`;
+}
+
+/** The faults by name. */
+export const FAULTS: Readonly<Record<string, Fault>> = {
+  killRouter,
+  freezeRouter,
+  drainRouter,
+  partRouters,
+  cutUpstream,
+  restartEngine,
+  misbehaveEngine,
+  leaveUpstream,
+  stopPlatform,
+  changeConfiguration,
+};
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -5,6 +5,7 @@
 import { FakeService, type FakeServiceOptions } from "../fakes/fake_service.ts";
 import type { Host } from "../src/platform/host_schema.ts";
 import { getFreePort } from "./free_port.ts";
+import { ProxyMesh } from "./proxy_mesh.ts";
 import { RouterProcess } from "./router_process.ts";
 
 /** What a small fleet is made of. */
@@ -18,6 +19,8 @@
   settings: Record<string, unknown>;
   /** Slots of each engine, as the platform lists them. */
   slots: number;
+  /** Whether routers reach each other and upstreams through proxies. */
+  proxied: boolean;
 }
 
 const SECRET = "a secret for stand-in fleets";
@@ -31,6 +34,7 @@
   service: {},
   settings: {},
   slots: 64,
+  proxied: false,
 };
 
 /** A fleet on this machine: routers as processes, upstreams and platform as stand-ins in this process. */
@@ -38,8 +42,12 @@
   readonly routers: RouterProcess[] = [];
   readonly engines: FakeEngine[] = [];
   readonly services: FakeService[] = [];
+  /** Engines that ended; their ledgers still count. */
+  readonly retired: FakeEngine[] = [];
   /** State in the list of hosts, by id; `live` where nothing is said. */
   readonly states = new Map<string, Host["state"]>();
+  readonly mesh = ProxyMesh.create();
+  private readonly removed = new Set<string>();
   private readonly folder = mkdtempSync(`${tmpdir()}/beechkeel-`);
 
   private constructor(
@@ -58,7 +66,7 @@
     for (let index = 0; index < fleet.options.routers; index++) {
       await fleet.addRouter();
     }
-    fleet.publishHosts();
+    await fleet.publishHosts();
     fleet.publishCustomers();
     await fleet.waitUntilServing();
     return fleet;
@@ -89,17 +97,22 @@
   }
 
   /** Publishes the list of hosts as it is now. */
-  publishHosts(): void {
-    this.platform.publishHosts(this.listHosts());
+  async publishHosts(): Promise<void> {
+    const hosts = this.listHosts();
+    if (this.options.proxied) {
+      await this.mesh.extend(this.routers.map((router) => router.id), hosts);
+      this.platform.viewFor = (reader, list) => this.mesh.getView(reader, list);
+    }
+    this.platform.publishHosts(hosts);
   }
 
   /** Changes the listed state of a host and publishes the list.
    * @param id The host.
    * @param state Its new state, or nothing to take it off the list. */
-  setState(id: string, state: Host["state"] | undefined): void {
+  async setState(id: string, state: Host["state"] | undefined): Promise<void> {
     if (state) this.states.set(id, state);
     else this.removed.add(id);
-    this.publishHosts();
+    await this.publishHosts();
   }
 
   /** Waits until every router serves and hears the others. */
@@ -123,6 +136,16 @@
     return router;
   }
 
+  /** For each engine its requests in flight at each change, over all processes it was. */
+  getEngineLoads(): [number, number][][] {
+    return this.engines.map((engine) => {
+      const earlier = this.retired.filter((other) =>
+        other.options.id === engine.options.id
+      );
+      return [...earlier, engine].flatMap((one) => one.ledger.loads);
+    });
+  }
+
   /** Ends everything. */
   async close(): Promise<void> {
     await Promise.all(this.routers.map((router) => router.kill()));
@@ -130,11 +153,10 @@
       [...this.engines, ...this.services].map((fake) => fake.close()),
     );
     await this.platform.close();
+    this.mesh.close();
     rmSync(this.folder, { recursive: true, force: true });
   }
 
-  private readonly removed = new Set<string>();
-
   private async addUpstreams(): Promise<void> {
     for (let index = 0; index < this.options.engines; index++) {
       await this.addEngine();
