Prove six promises with real processes; mend what the proofs found

Witnesses now pull the records of all others when they start, and an entry gives the winner's record to witnesses that lack it. - one key through five routers at once took 62 s: two losers waited for each other's outcome. A loser now settles its attempt as released before it asks, and the attempt that began first asks again sooner. - a rolling stop refused 4 chats as starting and 58 bookings as key_unconfirmed: a starting router was offered to callers, and fresh witnesses did not count. A router now says that it is unavailable until it serves, and one that has pulled all records counts at once. - a router whose platform is out of reach kept an old host list: it now takes a newer list from peers after one second. Ruled out: longer time-outs; the ledgers showed the runs, not the waiting, to be wrong.

--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -104,6 +104,14 @@
     return this.streams.size;
   }
 
+  /** Pieces made for the requests in flight. */
+  get piecesInFlight(): number {
+    return [...this.streams.values()].reduce(
+      (sum, stream) => sum + stream.made,
+      0,
+    );
+  }
+
   /** Ends the engine; streams under way break off. */
   async close(): Promise<void> {
     for (const id of [...this.streams.keys()]) this.end(id);
--- a/fakes/fake_platform.ts
+++ b/fakes/fake_platform.ts
@@ -48,6 +48,10 @@
     return platform;
   }
 
+  get port(): number {
+    return this.listeningPort;
+  }
+
   get url(): string {
     return `http://127.0.0.1:${this.listeningPort}`;
   }
--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -10,7 +10,7 @@
 /** What a proxy does with what passes. */
 export type ProxyMode =
   | "pass"
-  /** New connections are refused and old ones reset. */
+  /** Old connections end, and new ones end at once. */
   | "cut"
   /** Nothing passes, and nobody is told. */
   | "freeze"
@@ -109,7 +109,7 @@
 
   private apply(link: Link): void {
     if (this.mode === "cut") {
-      link.client.resetAndDestroy();
+      link.client.destroy();
       link.server.destroy();
       return;
     }
--- a/src/entry/locate_handler.ts
+++ b/src/entry/locate_handler.ts
@@ -29,7 +29,7 @@
 /** Routers for a caller, in random order: those of its hall first, then those of the region, then the others. */
 function chooseRouters(context: EntryContext, hall: string): RouterView[] {
   const usable = context.getView().routers.filter((router) =>
-    router.heard && !router.draining
+    router.heard && !router.unavailable
   );
   const shuffled = random.shuffle(usable);
   const distance = (router: RouterView) => {
--- a/src/entry/run_request.ts
+++ b/src/entry/run_request.ts
@@ -63,16 +63,16 @@
   shape: AnswerShaper,
 ): Promise<KeptAnswer | Failure> {
   checkAge(context, key);
-  const claim = createClaim(context, request, key);
-  context.outcomes.open(claim.attempt, Date.now());
   let replaces = "";
   for (let count = 0; count < MAX_REPLACED; count++) {
+    const claim = createClaim(context, request, key);
+    context.outcomes.open(claim.attempt, Date.now());
     const verdict = await claim.ask(replaces);
     if (verdict.type === "claimed") {
       return await runClaimed(context, request, claim, response, shape);
     }
+    context.outcomes.settle(claim.attempt, { state: "released" });
     if (verdict.type === "unconfirmed") {
-      context.outcomes.settle(claim.attempt, { state: "released" });
       return Failure.create(
         "key_unconfirmed",
         "too few routers that remember the key were reached",
--- a/src/membership/fleet_view.ts
+++ b/src/membership/fleet_view.ts
@@ -7,8 +7,8 @@
   heard: boolean;
   /** Whether it has been silent for so long that connections to it are given up. */
   lost: boolean;
-  /** Whether it is stopping, by its own word or the list's. */
-  draining: boolean;
+  /** Whether callers and work should go elsewhere, by its own word or the list's. */
+  unavailable: boolean;
 }
 
 /** An immutable picture of routers and upstreams, replaced whenever something changes. */
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -21,7 +21,7 @@
   private readonly members = new Map<string, Member>();
   private readonly spreads = new Map<string, number>();
   private ownIncarnation: number;
-  private ownDraining = false;
+  private isUnavailable = true;
   private changeCount = 0;
 
   private constructor(
@@ -58,7 +58,7 @@
         id,
         incarnation: 0,
         status: "alive",
-        draining: false,
+        unavailable: false,
         changedAt: now,
       });
     }
@@ -71,10 +71,10 @@
     if (rumour.id === this.ownId) return this.refute(rumour);
     const member = this.members.get(rumour.id);
     if (!member || !supersedes(rumour, member)) return;
-    const draining = rumour.incarnation > member.incarnation
-      ? rumour.draining
-      : member.draining || rumour.draining;
-    this.update(member, { ...rumour, draining }, now);
+    const unavailable = rumour.incarnation > member.incarnation
+      ? rumour.unavailable
+      : member.unavailable || rumour.unavailable;
+    this.update(member, { ...rumour, unavailable }, now);
   }
 
   /** Records an answer that came from the member itself.
@@ -84,7 +84,7 @@
     const member = this.members.get(self.id);
     if (!member || self.incarnation < member.incarnation) return;
     if (
-      member.status === "alive" && member.draining === self.draining &&
+      member.status === "alive" && member.unavailable === self.unavailable &&
       member.incarnation === self.incarnation
     ) {
       return;
@@ -115,9 +115,10 @@
     }
   }
 
-  /** Says that this router is stopping. */
-  startDraining(): void {
-    this.ownDraining = true;
+  /** Says whether callers and work should go elsewhere; at first they should.
+   * @param isUnavailable Whether they should. */
+  setUnavailable(isUnavailable: boolean): void {
+    this.isUnavailable = isUnavailable;
     this.ownIncarnation += 1;
     this.changeCount += 1;
   }
@@ -128,7 +129,7 @@
       id: this.ownId,
       incarnation: this.ownIncarnation,
       status: "alive",
-      draining: this.ownDraining,
+      unavailable: this.isUnavailable,
     };
   }
 
@@ -168,7 +169,7 @@
     if (member.status !== belief.status) member.changedAt = now;
     member.incarnation = belief.incarnation;
     member.status = belief.status;
-    member.draining = belief.draining;
+    member.unavailable = belief.unavailable;
     this.spreads.set(member.id, 0);
     this.changeCount += 1;
   }
@@ -187,10 +188,11 @@
     return rumour.incarnation > member.incarnation;
   }
   if (STATUS_RANK[rumour.status] > STATUS_RANK[member.status]) return true;
-  return rumour.status === member.status && rumour.draining && !member.draining;
+  return rumour.status === member.status && rumour.unavailable &&
+    !member.unavailable;
 }
 
 function toRumour(member: Member): Rumour {
-  const { id, incarnation, status, draining } = member;
-  return { id, incarnation, status, draining };
+  const { id, incarnation, status, unavailable } = member;
+  return { id, incarnation, status, unavailable };
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -33,6 +33,8 @@
   ) => void;
   /** Told of each peer's loads. */
   onPeerLoads: (loads: readonly [number, number][]) => void;
+  /** Told of each peer that has a newer list of hosts. */
+  onNewerHosts: (peerId: string, version: number) => void;
   /** Told of each new view. */
   onView: (view: FleetView) => void;
 }
@@ -42,7 +44,7 @@
   hostList: HostList;
   tick: null;
   unreachable: string;
-  drain: null;
+  unavailable: boolean;
   push: null;
 };
 
@@ -84,7 +86,7 @@
         hostList: (list) => this.takeHostList(list),
         tick: () => this.probe(),
         unreachable: (id) => this.suspect(id),
-        drain: () => this.drain(),
+        unavailable: (isUnavailable) => this.announce(isUnavailable),
         push: () => this.push(),
       },
       options.logger,
@@ -108,6 +110,11 @@
     return membership;
   }
 
+  /** The list of hosts in use. */
+  get hosts(): HostList {
+    return this.hostList;
+  }
+
   /** The present view of the fleet. */
   get view(): FleetView {
     return this.currentView;
@@ -143,9 +150,10 @@
     this.rounds.close();
   }
 
-  /** Says that this router is stopping. */
-  startDraining(): void {
-    this.actor.tell("drain", null);
+  /** Tells the fleet whether callers and work should go elsewhere; at first they should.
+   * @param isUnavailable Whether they should. */
+  setUnavailable(isUnavailable: boolean): void {
+    this.actor.tell("unavailable", isUnavailable);
   }
 
   /** Stops probing and closes the socket. */
@@ -161,7 +169,7 @@
     this.table.markHeard({
       id: message.from,
       incarnation: message.incarnation,
-      draining: message.draining,
+      unavailable: message.unavailable,
     }, now);
     for (const rumour of message.rumours) this.table.applyRumour(rumour, now);
     this.options.onPeerConfiguration(
@@ -170,6 +178,9 @@
       message.revision,
     );
     this.options.onPeerLoads(message.loads);
+    if (message.hosts > this.hostList.version) {
+      this.options.onNewerHosts(message.from, message.hosts);
+    }
     if (message.type === "ping") {
       this.socket?.send({ type: "ack", ...this.header(message.nonce) }, from);
     }
@@ -193,8 +204,8 @@
     this.rounds.probe(target, () => {
       const member = this.table.getMember(target);
       if (!member) return;
-      const { id, incarnation, status, draining } = member;
-      const rumour = { id, incarnation, status, draining };
+      const { id, incarnation, status, unavailable } = member;
+      const rumour = { id, incarnation, status, unavailable };
       this.socket?.send({
         type: "relayed",
         ...this.header(nonce),
@@ -260,8 +271,8 @@
     this.publish();
   }
 
-  private drain(): void {
-    this.table.startDraining();
+  private announce(isUnavailable: boolean): void {
+    this.table.setUnavailable(isUnavailable);
     for (const member of this.table.getMembers()) this.rounds.probe(member.id);
     this.publish();
   }
@@ -285,9 +296,10 @@
     return {
       from: self.id,
       incarnation: self.incarnation,
-      draining: self.draining,
+      unavailable: self.unavailable,
       nonce,
       ...this.options.getConfiguration(),
+      hosts: this.hostList.version,
       rumours: this.table.takeRumours(RUMOURS_PER_MESSAGE),
       loads: this.options.getLoads(),
     };
@@ -319,11 +331,11 @@
       const before = this.currentView.getRouter(router.host.id);
       if (
         before && before.heard === router.heard &&
-        before.draining === router.draining
+        before.unavailable === router.unavailable
       ) continue;
-      const { heard, draining } = router;
+      const { heard, unavailable } = router;
       this.options.logger.info(
-        { peer: router.host.id, heard, draining },
+        { peer: router.host.id, heard, unavailable },
         "router_seen",
       );
     }
@@ -337,7 +349,7 @@
       host,
       heard: belief?.status === "alive",
       lost: belief?.status === "dead",
-      draining: host.state === "leaving" || (belief?.draining ?? false),
+      unavailable: host.state === "leaving" || (belief?.unavailable ?? false),
     };
   }
 }
--- a/src/membership/probe_message.ts
+++ b/src/membership/probe_message.ts
@@ -4,12 +4,14 @@
 const header = {
   from: z.string().min(1).max(64),
   incarnation: z.number().int().nonnegative(),
-  draining: z.boolean(),
+  unavailable: z.boolean(),
   nonce: z.number().int(),
   /** Digest of the sender's configuration. */
   digest: z.number().int(),
   /** Highest configuration revision the sender has seen. */
   revision: z.number().int(),
+  /** Version of the sender's list of hosts. */
+  hosts: z.number().int().nonnegative(),
   rumours: z.array(rumourSchema).max(16),
   /** Requests in flight per owned upstream: hash of its id and the number; -1 where it cannot be reached. */
   loads: z.array(z.tuple([z.number().int(), z.number().int()])).max(128),
--- a/src/membership/rumour.ts
+++ b/src/membership/rumour.ts
@@ -6,8 +6,8 @@
   /** Grows with each start of the router, and with each refutation of a suspicion. */
   incarnation: z.number().int().nonnegative(),
   status: z.enum(["alive", "suspect", "dead"]),
-  /** Whether the router is stopping. */
-  draining: z.boolean(),
+  /** Whether callers and work should go elsewhere: the router is starting or stopping. */
+  unavailable: z.boolean(),
 });
 
 /** What one router believes of another. */
--- a/src/peer/frame_schema.ts
+++ b/src/peer/frame_schema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { hostListSchema } from "../platform/host_schema.ts";
 import { publishedValueSchema } from "../configuration/document_schema.ts";
 
 /** Number of the exchange a frame belongs to; unique per connection, chosen by the side that opened it. */
@@ -118,6 +119,10 @@
     attempt: z.string(),
     holder: z.string(),
   }),
+  /** Asks a router for the records of keys that the asking router is a witness of. */
+  z.object({ type: z.literal("pull_records"), exchange, witness: z.string() }),
+  /** Follows the records that were asked for. */
+  z.object({ type: z.literal("records_sent"), exchange }),
   /** Asks the holder of an attempt for its outcome. */
   z.object({
     type: z.literal("outcome"),
@@ -143,6 +148,10 @@
     values: z.array(publishedValueSchema),
     last: z.boolean(),
   }),
+  /** Asks for the peer's list of hosts. */
+  z.object({ type: z.literal("pull_hosts"), exchange }),
+  /** The list of hosts, as the peer last read it. */
+  z.object({ type: z.literal("hosts"), exchange, list: hostListSchema }),
 ] as const;
 
 /** A frame between two routers. */
--- a/src/placement/placement_table.ts
+++ b/src/placement/placement_table.ts
@@ -75,7 +75,7 @@
     const known = this.owners.get(host.id);
     if (known) return known;
     const usable = this.view.routers.filter((router) =>
-      router.heard && !router.draining
+      router.heard && !router.unavailable
     );
     const byId = new Map(usable.map((router) => [router.host.id, router]));
     const ranked = rankByRendezvous(host.id, [...byId.keys()]);
--- a/src/router/frame_handlers.ts
+++ b/src/router/frame_handlers.ts
@@ -3,6 +3,7 @@
 import type { Owner } from "../owner/owner.ts";
 import type { FramePort } from "../peer/frame_port.ts";
 import type { Frame, FrameOf } from "../peer/frame_schema.ts";
+import type { HostList } from "../platform/host_schema.ts";
 import type { Witness } from "../witness/witness.ts";
 
 /** The parts of a router that answer other routers. */
@@ -11,6 +12,8 @@
   witness: Witness;
   configuration: ConfigurationKeeper;
   outcomes: OutcomeStore;
+  /** The list of hosts in use. */
+  getHosts: () => HostList;
 }
 
 type FrameHandlers = {
@@ -30,7 +33,14 @@
     vote: (port, frame) => witness.offerVote(port, frame),
     release: (_port, frame) => witness.offerRelease(frame),
     record: (_port, frame) => witness.offerRecord(frame),
+    pull_records: (port, frame) => witness.offerPull(port, frame),
     outcome: (port, frame) => void answerOutcome(outcomes, port, frame),
+    pull_hosts: (port, frame) =>
+      port.send({
+        type: "hosts",
+        exchange: frame.exchange,
+        list: receivers.getHosts(),
+      }),
     pull: (port, frame) => configuration.answerPull(port, frame),
   };
 }
--- a/src/router/platform_watch.ts
+++ b/src/router/platform_watch.ts
@@ -75,7 +75,7 @@
       this.options.settings.id,
       waitMs,
     );
-    this.version = list.version;
+    this.version = Math.max(this.version, list.version);
     this.options.membership.offerHostList(list);
   }
 
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -24,9 +24,11 @@
 import { PeerServer } from "../peer/peer_server.ts";
 import { controlTraffic } from "../peer/socket_port.ts";
 import { PlacementTable } from "../placement/placement_table.ts";
+import type { HostList } from "../platform/host_schema.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 import { Witness } from "../witness/witness.ts";
 import { attachPort } from "./frame_handlers.ts";
+import { HostListPull } from "./host_list_pull.ts";
 import { PlatformWatch } from "./platform_watch.ts";
 import type { RouterStatus } from "./router_status.ts";
 import { VERSION } from "./version.ts";
@@ -59,6 +61,7 @@
   /** @internal */
   readonly witness: Witness;
   private readonly dispatcher: Dispatcher;
+  private readonly hostListPull: HostListPull;
   private membership: Membership | undefined;
   private platform: PlatformWatch | undefined;
   private peers: PeerServer | undefined;
@@ -96,6 +99,11 @@
       ...shared,
       onLoadGrew: () => this.membership?.pushLoads(),
     });
+    this.hostListPull = HostListPull.create(
+      this.directory,
+      () => this.getHosts().version,
+      (list) => this.membership?.offerHostList(list),
+    );
     this.dispatcher = Dispatcher.create({
       ...shared,
       directory: this.directory,
@@ -119,7 +127,7 @@
       { openRequests: this.callers?.openRequests },
       "drain_started",
     );
-    this.membership?.startDraining();
+    this.membership?.setUnavailable(true);
     await this.witness.drain();
     await delay(this.settings.locate.lifetimeMs);
     this.callers?.startDraining();
@@ -152,6 +160,11 @@
     stopActorSystem(this.system);
   }
 
+  /** @internal */
+  getHosts(): HostList {
+    return this.membership?.hosts ?? { version: 0, hosts: [] };
+  }
+
   private get isBusy(): boolean {
     return (this.callers?.openRequests ?? 0) > 0 || this.owner.openJobs > 0;
   }
@@ -187,6 +200,7 @@
       onPeerConfiguration: (id, digest, revision) =>
         this.configuration.noticePeer(id, digest, revision),
       onPeerLoads: (loads) => this.loads.record(loads, performance.now()),
+      onNewerHosts: (id, version) => this.hostListPull.notice(id, version),
       onView: (view) => this.takeView(view),
     });
     this.platform = PlatformWatch.create({
@@ -238,6 +252,7 @@
     const others = this.view.routers.map((router) => router.host.id).filter((
       id,
     ) => id !== this.settings.id);
+    void this.witness.synchronize();
     const pulls = await Promise.all(
       others.slice(0, FIRST_PULLS).map((id) => this.configuration.pullAll(id)),
     );
@@ -248,6 +263,7 @@
     ) await delay(CHECK_INTERVAL_MS);
     if (this.phase !== "starting") return;
     this.phase = "serving";
+    this.membership?.setUnavailable(false);
     this.logger.info(
       { revision: this.configuration.documents.revision },
       "router_serving",
@@ -284,13 +300,14 @@
         customers: this.configuration.customers.size,
       },
       hostListVersion: this.view.version,
-      routers: this.view.routers.map(({ host, heard, draining }) => ({
+      routers: this.view.routers.map(({ host, heard, unavailable }) => ({
         id: host.id,
         heard,
-        draining,
+        unavailable,
       })),
       upstreams: this.owner.describe(),
       openRequests: this.callers?.openRequests ?? 0,
+      witness: this.witness.describe(),
       control: {
         probeBytes: traffic.bytes,
         probeMessages: traffic.messages,
--- a/src/witness/key_claim.ts
+++ b/src/witness/key_claim.ts
@@ -9,9 +9,11 @@
 import { countVotes, type VoteVerdict } from "./vote_count.ts";
 import { getWitnesses } from "./witness_set.ts";
 
-const MAX_ROUNDS = 4;
-const LEAST_PAUSE_MS = 15;
-const MOST_PAUSE_MS = 80;
+const MAX_ROUNDS = 6;
+/** Pause of the attempt that began first, which the others let pass. */
+const FIRST_PAUSE_MS = 10;
+const LEAST_PAUSE_MS = 40;
+const MOST_PAUSE_MS = 120;
 
 /** What a claim needs of the rest of the router. */
 export interface KeyClaimOptions {
@@ -24,7 +26,7 @@
 /** Asks the witnesses of a key whether this router's attempt is the one that may run. */
 export class KeyClaim {
   private readonly random = Random.create();
-  private lastVotes: FrameOf<"voted">[] = [];
+  private lastVotes: (FrameOf<"voted"> & { witness: string })[] = [];
 
   private constructor(
     private readonly options: KeyClaimOptions,
@@ -53,12 +55,42 @@
     for (let round = 0; round < MAX_ROUNDS; round++) {
       verdict = await this.askOnce(replaces);
       if (verdict.type !== "held") return verdict;
-      if (!this.isContested(verdict.record)) return verdict;
-      await delay(this.random.integer(LEAST_PAUSE_MS, MOST_PAUSE_MS));
+      if (!this.isContested(verdict.record)) break;
+      const isFirst = this.attempt < verdict.record.attempt;
+      await delay(
+        isFirst
+          ? FIRST_PAUSE_MS
+          : this.random.integer(LEAST_PAUSE_MS, MOST_PAUSE_MS),
+      );
+    }
+    if (verdict.type === "held" && !this.isContested(verdict.record)) {
+      await this.repair(verdict.record);
     }
     return verdict;
   }
 
+  /** Gives the record of another attempt to the witnesses that do not have it. */
+  private async repair(record: KeyRecord): Promise<void> {
+    const { attempt, holder, fingerprint } = record;
+    const knowing = new Set(
+      this.lastVotes.filter((vote) => vote.attempt === attempt).map((vote) =>
+        vote.witness
+      ),
+    );
+    const lacking = this.getWitnesses().filter((id) => !knowing.has(id));
+    await Promise.all(lacking.map(async (id) => {
+      const client = await this.options.directory.getClient(id);
+      client?.send({
+        type: "record",
+        exchange: 0,
+        key: this.key,
+        fingerprint,
+        attempt,
+        holder,
+      });
+    }));
+  }
+
   /** Tells the witnesses that the attempt was certainly not run. */
   async release(): Promise<void> {
     await Promise.all(
@@ -79,7 +111,9 @@
     const answers = await Promise.all(
       witnesses.map((id) => this.askWitness(id, replaces)),
     );
-    const votes = answers.filter((vote) => vote !== undefined);
+    const votes = answers.flatMap((vote, index) =>
+      vote ? [{ ...vote, witness: witnesses[index]! }] : []
+    );
     this.lastVotes = votes;
     const verdict = countVotes(
       this.attempt,
--- a/src/witness/tenure.ts
+++ b/src/witness/tenure.ts
@@ -13,6 +13,8 @@
 export class Tenure {
   private readonly periods: ListPeriod[] = [];
 
+  private synchronizedAt = -1;
+
   private constructor(private readonly ownId: string) {}
 
   /** Creates one that has seen no list.
@@ -31,6 +33,17 @@
     if (this.periods.length > MAX_LISTS) this.periods.shift();
   }
 
+  /** Records that this router got the records of all others.
+   * @param startedAt Milliseconds since the epoch at which it began to ask. */
+  markSynchronized(startedAt: number): void {
+    this.synchronizedAt = startedAt;
+  }
+
+  /** Whether this router got the records of all others since it started. */
+  get isSynchronized(): boolean {
+    return this.synchronizedAt >= 0;
+  }
+
   /** Since when this router has been a witness of the key, or nothing where it is none.
    * @param key The idempotency key. */
   getSince(key: string): number | undefined {
@@ -42,8 +55,8 @@
     return since;
   }
 
-  /** Whether this router would know of any earlier attempt with the key: it has been a witness since before
-   * the key was made, where the key is a version 7 UUID that tells, or else for long enough.
+  /** Whether this router would know of any earlier attempt with the key: it was a witness when it got the records
+   * of all others, or before the key was made, where the key is a version 7 UUID that tells, or for long enough.
    * @param key The idempotency key.
    * @param settleMs Time that is long enough.
    * @param clockSkewMs Difference of clocks allowed for.
@@ -57,9 +70,9 @@
     const since = this.getSince(key);
     if (since === undefined) return false;
     const madeAt = readKeyTime(key);
-    if (madeAt !== undefined && madeAt <= now + clockSkewMs) {
-      return since + clockSkewMs < madeAt || now - since >= settleMs;
-    }
-    return now - since >= settleMs;
+    const isOlderThanKey = madeAt !== undefined &&
+      madeAt <= now + clockSkewMs && since + clockSkewMs < madeAt;
+    return since <= this.synchronizedAt || isOlderThanKey ||
+      now - since >= settleMs;
   }
 }
--- a/src/witness/witness.ts
+++ b/src/witness/witness.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { Actor, type ActorSystem } from "../actors/actor.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
@@ -10,6 +11,8 @@
 import { getWitnesses } from "./witness_set.ts";
 
 const EXPIRE_INTERVAL_MS = 5_000;
+const PULL_TIMEOUT_MS = 2_000;
+const SYNCHRONIZE_RETRY_MS = 250;
 
 /** What a witness needs of the rest of the router. */
 export interface WitnessOptions {
@@ -24,6 +27,8 @@
   release: FrameOf<"release">;
   record: FrameOf<"record">;
   view: FleetView;
+  pull: { port: FramePort; frame: FrameOf<"pull_records"> };
+  synchronized: number;
   drain: () => void;
   expire: null;
 };
@@ -35,6 +40,7 @@
   private readonly actor: Actor<WitnessMessages>;
   private readonly timer: NodeJS.Timeout;
   private routerIds: readonly string[] = [];
+  private isClosed = false;
 
   private constructor(private readonly options: WitnessOptions) {
     this.register = KeyRegister.create(options.settings.keys.rememberMs);
@@ -44,6 +50,8 @@
       release: (frame) => this.register.release(frame.key, frame.attempt),
       record: (frame) => this.takeRecord(frame),
       view: (view) => this.takeView(view),
+      pull: ({ port, frame }) => this.answerPull(port, frame),
+      synchronized: (at) => this.tenure.markSynchronized(at),
       drain: (done) => this.handOverAll().finally(done),
       expire: () => this.register.expire(Date.now()),
     }, options.logger);
@@ -59,6 +67,14 @@
     return new Witness(options);
   }
 
+  /** What operators see of the witness. */
+  describe(): { keys: number; synchronized: boolean } {
+    return {
+      keys: this.register.getRecords().size,
+      synchronized: this.tenure.isSynchronized,
+    };
+  }
+
   /** Votes on an attempt; the answer goes to the port.
    * @param port Connection to the entry.
    * @param frame The attempt. */
@@ -78,6 +94,30 @@
     this.actor.tell("record", frame);
   }
 
+  /** Sends a witness the records it should have.
+   * @param port Connection to the witness.
+   * @param frame Which witness asks. */
+  offerPull(port: FramePort, frame: FrameOf<"pull_records">): void {
+    this.actor.tell("pull", { port, frame });
+  }
+
+  /** Asks all other routers for the records this one should have, until all have answered.
+   * Then it knows every attempt that the others do, and counts as settled. */
+  async synchronize(): Promise<void> {
+    while (!this.isClosed) {
+      const startedAt = Date.now();
+      const others = this.routerIds.filter((id) =>
+        id !== this.options.settings.id
+      );
+      const pulls = await Promise.all(others.map((id) => this.pullFrom(id)));
+      if (this.routerIds.length > 0 && pulls.every((worked) => worked)) {
+        this.actor.tell("synchronized", startedAt);
+        return;
+      }
+      await delay(SYNCHRONIZE_RETRY_MS);
+    }
+  }
+
   /** Takes over the present view of the fleet.
    * @param view The view. */
   offerView(view: FleetView): void {
@@ -91,6 +131,7 @@
 
   /** Stops voting. */
   close(): void {
+    this.isClosed = true;
     clearInterval(this.timer);
     this.actor.close();
   }
@@ -114,6 +155,39 @@
     });
   }
 
+  private answerPull(port: FramePort, frame: FrameOf<"pull_records">): void {
+    for (const [key, record] of this.register.getRecords()) {
+      if (!getWitnesses(key, this.routerIds).includes(frame.witness)) continue;
+      port.send({
+        type: "record",
+        exchange: frame.exchange,
+        key,
+        ...pickRecord(record),
+      });
+    }
+    port.send({ type: "records_sent", exchange: frame.exchange });
+  }
+
+  /** Pulls the records that one router has; returns whether it sent them all. */
+  private async pullFrom(routerId: string): Promise<boolean> {
+    const client = await this.options.directory.getClient(routerId);
+    if (!client) return false;
+    const witness = this.options.settings.id;
+    return await new Promise((resolve) => {
+      const finish = (worked: boolean) => {
+        clearTimeout(timer);
+        client.closeExchange(exchange);
+        resolve(worked);
+      };
+      const exchange = client.openExchange((frame) => {
+        if (frame?.type === "record") this.offerRecord(frame);
+        else finish(frame?.type === "records_sent");
+      });
+      const timer = setTimeout(() => finish(false), PULL_TIMEOUT_MS);
+      client.send({ type: "pull_records", exchange, witness });
+    });
+  }
+
   private takeRecord(frame: FrameOf<"record">): void {
     this.register.testAndSet(frame.key, pickRecord(frame), "", Date.now());
   }
--- /dev/null
+++ b/tests/system/configuration_test.ts
@@ -0,0 +1,152 @@
+import { request } from "undici";
+import test from "ava";
+import type { AuditRecord } from "../../src/audit/audit_record.ts";
+import type { Fleet } from "../../tools/fleet.ts";
+import type { RouterProcess } from "../../tools/router_process.ts";
+import { withFleet } from "./with_fleet.ts";
+
+const KEY = "kilima/customers/clinics";
+
+function publishShare(fleet: Fleet, capacityShare: number): number {
+  const parameters = { capacityShare };
+  const value = {
+    kind: "customer",
+    partner: "kilima",
+    name: "clinics",
+    template: "standard",
+    parameters,
+  };
+  return fleet.platform.publish(KEY, value);
+}
+
+async function waitForRevision(
+  routers: readonly RouterProcess[],
+  revision: number,
+): Promise<void> {
+  await Promise.all(
+    routers.map((router) =>
+      router.waitFor(
+        (status) => status.configuration.revision === revision,
+        "revision",
+      )
+    ),
+  );
+}
+
+async function readAudit(
+  router: RouterProcess,
+  what: string,
+): Promise<AuditRecord[]> {
+  const response = await request(`http://${router.address}/audit?what=${what}`);
+  return ((await response.body.json()) as { records: AuditRecord[] }).records;
+}
+
+test.serial("an accepted document is in force on every router, also where the platform is out of reach", async (t) => {
+  await withFleet({ proxied: true }, async (fleet) => {
+    for (const router of fleet.routers.slice(1)) {
+      fleet.platformLinks.get(router.id)!.setMode("freeze");
+    }
+    const revision = publishShare(fleet, 0.4);
+    await waitForRevision(fleet.routers, revision);
+    const digests = await Promise.all(
+      fleet.routers.map((router) => router.getStatus()),
+    );
+    t.is(
+      new Set(digests.map((status) => status!.configuration.digest)).size,
+      1,
+    );
+  });
+});
+
+test.serial("an older value from a stale platform never replaces a newer one, nor on a router that starts anew", async (t) => {
+  await withFleet({}, async (fleet) => {
+    fleet.platform.freezeStale();
+    const revision = publishShare(fleet, 0.4);
+    await waitForRevision(fleet.routers, revision);
+    fleet.platform.setMode("stale");
+    const fresh = fleet.routers[2]!;
+    await fresh.kill();
+    fresh.start();
+    await fresh.waitFor((status) => status.phase === "serving", "serving");
+    for (const router of fleet.routers) {
+      t.is((await router.getStatus())!.configuration.revision, revision);
+      const inForce = (await readAudit(router, KEY)).filter((record) =>
+        record.action === "document_accepted"
+      );
+      t.is(inForce.at(-1)!.revision, revision);
+    }
+  });
+});
+
+test.serial("of two operators who race, the highest revision is in force everywhere", async (t) => {
+  await withFleet({}, async (fleet) => {
+    let revision = 0;
+    for (let round = 0; round < 40; round++) {
+      revision = publishShare(fleet, round % 2 === 0 ? 0.2 : 0.4);
+    }
+    await waitForRevision(fleet.routers, revision);
+    for (const router of fleet.routers) {
+      const accepted = (await readAudit(router, KEY)).filter((record) =>
+        record.action === "document_accepted"
+      );
+      const revisions = accepted.map((record) => record.revision);
+      t.deepEqual(revisions, [...revisions].sort((a, b) => a - b));
+      t.is(revisions.at(-1), revision);
+    }
+  });
+});
+
+test.serial("a document in which one partner touches what is the other's is refused whole by all, with the reason", async (t) => {
+  await withFleet({}, async (fleet, caller) => {
+    const value = {
+      kind: "customer",
+      partner: "rodar",
+      name: "rosters",
+      template: "standard",
+    };
+    fleet.platform.publish("kilima/customers/rosters", value);
+    const revision = publishShare(fleet, 0.3);
+    await waitForRevision(fleet.routers, revision);
+    for (const router of fleet.routers) {
+      const refused = (await readAudit(router, "kilima/customers/rosters")).at(
+        -1,
+      )!;
+      t.is(refused.action, "document_refused");
+      t.regex(
+        refused.why,
+        /document\.partner: rodar may not set what belongs to kilima/,
+      );
+      const answer = await caller.chat(
+        { customer: "kilima/rosters", router: router.address },
+        "c1",
+        ["hello"],
+      );
+      t.true(answer.whole);
+    }
+  });
+});
+
+test.serial("a fleet that starts with the platform down says so, and serves when it returns", async (t) => {
+  await withFleet({}, async (fleet, caller) => {
+    fleet.platform.setMode("down");
+    await Promise.all(fleet.routers.map((router) => router.kill()));
+    for (const router of fleet.routers) router.start();
+    const first = fleet.routers[0]!;
+    await first.waitFor((status) => status.phase === "starting", "starting");
+    const refused = await caller.chat(
+      { customer: "kilima/rosters", router: first.address },
+      "c1",
+      ["hello"],
+    );
+    t.is(refused.kind, "starting");
+    t.is(refused.ran, "no");
+    fleet.platform.setMode("up");
+    await fleet.waitUntilServing();
+    const answer = await caller.chat(
+      { customer: "kilima/rosters", router: first.address },
+      "c1",
+      ["hello"],
+    );
+    t.true(answer.whole);
+  });
+});
--- /dev/null
+++ b/tests/system/find_owner.ts
@@ -0,0 +1,38 @@
+import { request } from "undici";
+import type { FakeEngine } from "../../fakes/fake_engine.ts";
+import type { Fleet } from "../../tools/fleet.ts";
+import type { RouterProcess } from "../../tools/router_process.ts";
+
+/** Who serves a chat. */
+export interface ChatPlace {
+  engine: FakeEngine;
+  owner: RouterProcess;
+  /** A router that is not the owner. */
+  entry: RouterProcess;
+}
+
+/** Asks a router where a chat would go.
+ * @param fleet The fleet.
+ * @param chat Id of the chat of customer kilima/rosters. */
+export async function findPlace(
+  fleet: Fleet,
+  chat: string,
+): Promise<ChatPlace> {
+  const address = fleet.routers[0]!.address;
+  const response = await request(
+    `http://${address}/explain?customer=kilima/rosters&model=m1&chat=${chat}`,
+  );
+  const { candidates } = await response.body.json() as {
+    candidates: { engine: string; owners: string[] }[];
+  };
+  const [first] = candidates;
+  const engine = fleet.engines.find((candidate) =>
+    candidate.options.id === first?.engine
+  )!;
+  const owner = fleet.getRouterOrThrow(first!.owners[0]!);
+  return {
+    engine,
+    owner,
+    entry: fleet.routers.find((router) => router !== owner)!,
+  };
+}
--- /dev/null
+++ b/tests/system/not_run_test.ts
@@ -0,0 +1,94 @@
+import test from "ava";
+import { findBrokenPromises } from "../../tools/verdict.ts";
+import type { BookingRecord, LoadResult } from "../../tools/load.ts";
+import { waitUntil, withFleet } from "./with_fleet.ts";
+
+const CUSTOMER = "rodar/dispatch";
+/** Longer than the gap that a router notices. */
+const FREEZE_MS = 1_800;
+const EMPTY: LoadResult = {
+  chats: 0,
+  wholeChats: 0,
+  wrongChats: 0,
+  refusedChats: 0,
+  brokenChats: 0,
+  kinds: {},
+  bookings: [],
+  chatTimes: [],
+};
+
+test.serial("what is answered as not run is not run by owners that wake up late", async (t) => {
+  await withFleet(
+    { routers: 3, service: { callMs: 20 } },
+    async (fleet, caller) => {
+      const [entry, ...others] = fleet.routers;
+      const book = async (
+        id: string,
+        timeoutMs: number,
+      ): Promise<BookingRecord> => {
+        const answer = await caller.book({
+          customer: CUSTOMER,
+          router: entry!.address,
+          timeoutMs,
+        }, id);
+        return { id, keyed: false, answers: [answer] };
+      };
+      const bookings: BookingRecord[] = [];
+      for (const router of others) {
+        router.signal("SIGSTOP");
+        const wakesAt = Date.now() + FREEZE_MS;
+        const timeouts = Array.from(
+          { length: 15 },
+          (_, index) => 20 + index * 60,
+        );
+        const names = timeouts.map((timeout) => `${router.id}-${timeout}`);
+        bookings.push(
+          ...await Promise.all(
+            timeouts.map((timeout, index) => book(names[index]!, timeout)),
+          ),
+        );
+        await waitUntil("the freeze to last", () => Date.now() > wakesAt);
+        router.signal("SIGCONT");
+        await waitUntil(
+          "the owner to notice",
+          () => router.log.some((line) => line.includes("process_was_paused")),
+        );
+        await router.waitFor(
+          (status) =>
+            status.upstreams.every((upstream) => upstream.running === 0),
+          "idle",
+        );
+      }
+      const runs = fleet.services.flatMap((service) => service.ledger.runs);
+      t.deepEqual(findBrokenPromises({ ...EMPTY, bookings }, runs), []);
+      t.true(bookings.some((booking) => booking.answers[0]!.ran === "no"));
+      t.true(bookings.some((booking) => booking.answers[0]!.whole));
+    },
+  );
+});
+
+test.serial("a service that takes the request and says nothing leaves the outcome unknown, after one run", async (t) => {
+  const settings = { routing: { stallTimeoutMs: 400 } };
+  await withFleet({ settings }, async (fleet, caller) => {
+    for (const service of fleet.services) service.fault = "silent";
+    const answer = await caller.book({
+      customer: CUSTOMER,
+      router: fleet.routers[0]!.address,
+    }, "shift 1");
+    t.is(answer.kind, "outcome_unknown");
+    t.is(fleet.services.flatMap((service) => service.ledger.runs).length, 1);
+  });
+});
+
+test.serial("a request that no upstream took is answered at once as not run, with a time to come back", async (t) => {
+  await withFleet({ services: 2 }, async (fleet, caller) => {
+    for (const service of fleet.services) await service.close();
+    const answer = await caller.book({
+      customer: CUSTOMER,
+      router: fleet.routers[0]!.address,
+    }, "shift 1");
+    t.is(answer.ran, "no");
+    t.true(Number(answer.retryAfter) > 0);
+    t.is(fleet.services.flatMap((service) => service.ledger.runs).length, 0);
+  });
+});
--- /dev/null
+++ b/tests/system/once_test.ts
@@ -0,0 +1,128 @@
+import test from "ava";
+import type { FakeService } from "../../fakes/fake_service.ts";
+import type { Fleet } from "../../tools/fleet.ts";
+import { waitUntil, withFleet } from "./with_fleet.ts";
+
+const CUSTOMER = "rodar/dispatch";
+
+function countRuns(services: readonly FakeService[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const run of services.flatMap((service) => service.ledger.runs)) {
+    counts.set(run.key, (counts.get(run.key) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function names(fleet: Fleet): string[] {
+  return fleet.routers.map((router) => router.id);
+}
+
+test.serial("one key sent through all routers at once runs once, and each caller gets the answer", async (t) => {
+  await withFleet(
+    { routers: 5, service: { callMs: 50 } },
+    async (fleet, caller) => {
+      const keys = Array.from({ length: 20 }, (_, index) => `key-${index}`);
+      const sendings = keys.flatMap((key) =>
+        fleet.routers.map((router) =>
+          caller.book({ customer: CUSTOMER, router: router.address }, key, key)
+        )
+      );
+      const answers = await Promise.all(sendings);
+      t.true(
+        [...countRuns(fleet.services).values()].every((count) => count === 1),
+      );
+      t.is(
+        answers.filter((answer) => answer.whole).length +
+          answers.filter((a) => a.ran === "unknown").length,
+        100,
+      );
+      for (const key of keys) {
+        t.true(
+          answers.some((answer) => answer.whole && answer.text.includes(key)),
+        );
+      }
+    },
+  );
+});
+
+test.serial("one key does not run again when the router that ran it is killed in the middle", async (t) => {
+  await withFleet(
+    { routers: 4, service: { callMs: 600 } },
+    async (fleet, caller) => {
+      const [first, ...others] = fleet.routers;
+      const keys = Array.from({ length: 8 }, (_, index) => `key-${index}`);
+      const sendings = keys.map((key) =>
+        caller.book({ customer: CUSTOMER, router: first!.address }, key, key)
+      );
+      await waitUntil(
+        "all to run",
+        () => countRuns(fleet.services).size === keys.length,
+      );
+      await first!.kill();
+      await Promise.all(sendings);
+      first!.start();
+      await fleet.waitUntilServing();
+      for (const router of [first!, ...others]) {
+        const options = { customer: CUSTOMER, router: router.address };
+        const answers = await Promise.all(
+          keys.map((key) => caller.book(options, key, key)),
+        );
+        t.true(
+          answers.every((answer) => !answer.whole && answer.ran === "unknown"),
+        );
+      }
+      t.true(
+        [...countRuns(fleet.services).values()].every((count) => count === 1),
+      );
+    },
+  );
+});
+
+test.serial("one key sent to both sides of a parted fleet runs once, and one side runs it", async (t) => {
+  await withFleet({ routers: 5, proxied: true }, async (fleet, caller) => {
+    const ids = names(fleet);
+    const [left, right] = [ids.slice(0, 2), ids.slice(2)];
+    fleet.mesh.part(left, right, "freeze");
+    const sides = [fleet.routers[0]!, fleet.routers[4]!];
+    const keys = Array.from({ length: 24 }, (_, index) => `key-${index}`);
+    const answers = await Promise.all(
+      keys.flatMap((key) =>
+        sides.map((router) =>
+          caller.book({ customer: CUSTOMER, router: router.address }, key, key)
+        )
+      ),
+    );
+    const counts = countRuns(fleet.services);
+    t.true([...counts.values()].every((count) => count === 1));
+    t.true(
+      answers.filter((answer) => !answer.whole).every((answer) =>
+        answer.ran === "unknown"
+      ),
+    );
+    const byKey = keys.map((key) =>
+      answers.some((answer) => answer.whole && answer.text.includes(`"${key}"`))
+    );
+    t.true(byKey.every((isDone) => isDone));
+    fleet.mesh.part(left, right, "pass");
+  });
+});
+
+test.serial("one key does not run again after its witnesses are restarted one by one", async (t) => {
+  await withFleet({ routers: 4 }, async (fleet, caller) => {
+    const keys = Array.from({ length: 10 }, (_, index) => `key-${index}`);
+    const entry = fleet.routers[0]!;
+    await Promise.all(
+      keys.map((key) =>
+        caller.book({ customer: CUSTOMER, router: entry.address }, key, key)
+      ),
+    );
+    for (const router of fleet.routers.slice(1)) {
+      await router.kill();
+      router.start();
+      await fleet.waitUntilServing();
+      const options = { customer: CUSTOMER, router: router.address };
+      await Promise.all(keys.map((key) => caller.book(options, key, key)));
+    }
+    t.deepEqual([...countRuns(fleet.services).values()], keys.map(() => 1));
+  });
+});
--- /dev/null
+++ b/tests/system/with_fleet.ts
@@ -0,0 +1,38 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { Caller } from "../../tools/caller.ts";
+import { Fleet, type FleetOptions } from "../../tools/fleet.ts";
+
+const POLL_MS = 10;
+const WAIT_LIMIT_MS = 30_000;
+
+/** Runs a test body on a fleet of its own and ends the fleet after it.
+ * @param options What the fleet is made of.
+ * @param body The test. */
+export async function withFleet(
+  options: Partial<FleetOptions>,
+  body: (fleet: Fleet, caller: Caller) => Promise<void>,
+): Promise<void> {
+  const fleet = await Fleet.create(options);
+  const caller = Caller.create();
+  try {
+    await body(fleet, caller);
+  } finally {
+    await caller.close();
+    await fleet.close();
+  }
+}
+
+/** Waits until a condition holds; throws where it never does.
+ * @param what What is waited for.
+ * @param isMet The condition. */
+export async function waitUntil(
+  what: string,
+  isMet: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const endsAt = performance.now() + WAIT_LIMIT_MS;
+  while (performance.now() < endsAt) {
+    if (await isMet()) return;
+    await delay(POLL_MS);
+  }
+  throw new Error(`${what} did not come about`);
+}
--- a/tools/caller.ts
+++ b/tools/caller.ts
@@ -16,6 +16,12 @@
   router: string;
 }
 
+/** Addresses a router tells, and for how long. */
+export interface LocateAnswer {
+  addresses: string[];
+  lifetimeMs: number;
+}
+
 /** One request of a caller. */
 export interface CallOptions {
   customer: string;
@@ -36,16 +42,19 @@
 
   /** Asks a router which addresses to use; returns none where it does not answer.
    * @param router Address of the router. */
-  async locate(router: string): Promise<string[]> {
+  async locate(router: string): Promise<LocateAnswer> {
     try {
       const response = await request(`http://${router}/locate`, {
         dispatcher: this.agent,
         headersTimeout: 2_000,
       });
-      const body = await response.body.json() as { addresses?: string[] };
-      return body.addresses ?? [];
+      const body = await response.body.json() as Partial<LocateAnswer>;
+      return {
+        addresses: body.addresses ?? [],
+        lifetimeMs: body.lifetimeMs ?? 0,
+      };
     } catch {
-      return [];
+      return { addresses: [], lifetimeMs: 0 };
     }
   }
 
--- a/tools/chaos.ts
+++ b/tools/chaos.ts
@@ -75,10 +75,7 @@
     ...findBrokenPromises(result, serviceRuns),
     ...faults.revisions,
   ];
-  const ledgers = [...fleet.engines, ...fleet.retired].map((engine) =>
-    engine.ledger
-  );
-  const bound = auditBound(ledgers, {
+  const bound = auditBound(fleet.getEngineLoads(), {
     multiple: 1.5,
     minimum: 3,
     lagMs: 2_000,
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -2,8 +2,10 @@
 import { tmpdir } from "node:os";
 import { FakeEngine, type FakeEngineOptions } from "../fakes/fake_engine.ts";
 import { FakePlatform } from "../fakes/fake_platform.ts";
+import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { FakeService, type FakeServiceOptions } from "../fakes/fake_service.ts";
 import type { Host } from "../src/platform/host_schema.ts";
+import type { RouterStatus } from "../src/router/router_status.ts";
 import { getFreePort } from "./free_port.ts";
 import { ProxyMesh } from "./proxy_mesh.ts";
 import { RouterProcess } from "./router_process.ts";
@@ -46,6 +48,8 @@
   readonly retired: FakeEngine[] = [];
   /** State in the list of hosts, by id; `live` where nothing is said. */
   readonly states = new Map<string, Host["state"]>();
+  /** Between each router and the platform, where the fleet is proxied. */
+  readonly platformLinks = new Map<string, FaultProxy>();
   readonly mesh = ProxyMesh.create();
   private readonly removed = new Set<string>();
   private readonly folder = mkdtempSync(`${tmpdir()}/beechkeel-`);
@@ -118,13 +122,7 @@
   /** Waits until every router serves and hears the others. */
   async waitUntilServing(): Promise<void> {
     await Promise.all(
-      this.routers.map((router) =>
-        router.waitFor(
-          (status) =>
-            status.phase === "serving" && status.configuration.customers >= 3,
-          "serving",
-        )
-      ),
+      this.routers.map((router) => router.waitFor(isReady, "serving")),
     );
   }
 
@@ -154,6 +152,7 @@
     );
     await this.platform.close();
     this.mesh.close();
+    for (const proxy of this.platformLinks.values()) proxy.close();
     rmSync(this.folder, { recursive: true, force: true });
   }
 
@@ -179,12 +178,19 @@
       hall: hallOf(this.routers.length),
       http: { port: await getFreePort() },
       peer: { port: await getFreePort() },
-      platform: { url: this.platform.url },
+      platform: { url: await this.getPlatformUrl(id) },
       fleetSecret: SECRET,
       ...this.options.settings,
     };
   }
 
+  private async getPlatformUrl(id: string): Promise<string> {
+    if (!this.options.proxied) return this.platform.url;
+    const proxy = await FaultProxy.create(this.platform.port);
+    this.platformLinks.set(id, proxy);
+    return `http://127.0.0.1:${proxy.port}`;
+  }
+
   private listHosts(): Host[] {
     const shared = {
       partner: "kilima",
@@ -272,3 +278,10 @@
 function hallOf(index: number): string {
   return HALLS[index % HALLS.length] ?? HALLS[0];
 }
+
+/** Whether a router serves and knows what the others do. */
+function isReady(status: RouterStatus): boolean {
+  const hasConfiguration = status.configuration.customers >= 3;
+  return status.phase === "serving" && hasConfiguration &&
+    status.witness.synchronized;
+}
--- a/tools/free_port.ts
+++ b/tools/free_port.ts
@@ -1,20 +1,50 @@
 import { createSocket } from "node:dgram";
-import { type AddressInfo, createServer } from "node:net";
+import { createServer, type Server } from "node:net";
 
-/** Returns a port of the loopback address that is free for TCP and UDP. */
+/** Ports are taken from blocks below the range from which the system gives ports to clients. */
+const FIRST_LOCK_PORT = 9_000;
+const FIRST_BLOCK_PORT = 10_000;
+const BLOCK_SIZE = 200;
+const BLOCK_COUNT = 100;
+
+let block: Promise<{ next: number; end: number }> | undefined;
+
+/** Returns a port of the loopback address that is free for TCP and UDP; no other process using this gets it. */
 export async function getFreePort(): Promise<number> {
-  for (;;) {
-    const port = await getFreeTcpPort();
-    if (await isFreeForUdp(port)) return port;
+  block ??= claimBlock();
+  const claimed = await block;
+  while (claimed.next < claimed.end) {
+    const port = claimed.next++;
+    if (await isFree(port)) return port;
   }
+  throw new Error("no free port is left in this process's block");
 }
 
-async function getFreeTcpPort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
+/** Claims a block for this process by listening on the block's lock port until the process ends. */
+async function claimBlock(): Promise<{ next: number; end: number }> {
+  for (let index = 0; index < BLOCK_COUNT; index++) {
+    const lock = await tryListen(FIRST_LOCK_PORT + index);
+    if (!lock) continue;
+    lock.unref();
+    const next = FIRST_BLOCK_PORT + index * BLOCK_SIZE;
+    return { next, end: next + BLOCK_SIZE };
+  }
+  throw new Error("no block of ports is free");
+}
+
+async function isFree(port: number): Promise<boolean> {
+  const server = await tryListen(port);
+  if (!server) return false;
   await new Promise<void>((resolve) => server.close(() => resolve()));
-  return port;
+  return await isFreeForUdp(port);
+}
+
+async function tryListen(port: number): Promise<Server | undefined> {
+  const server = createServer();
+  return await new Promise((resolve) => {
+    server.once("error", () => resolve(undefined));
+    server.listen(port, "127.0.0.1", () => resolve(server));
+  });
 }
 
 async function isFreeForUdp(port: number): Promise<boolean> {
--- a/tools/load.ts
+++ b/tools/load.ts
@@ -46,6 +46,12 @@
   chatTimes: number[];
 }
 
+/** The address a caller was told, until its lifetime is over. */
+interface KeptAddress {
+  address: string;
+  until: number;
+}
+
 /** A load of returning chats and bookings, as many callers make it. */
 export class Load {
   readonly result: LoadResult = {
@@ -90,6 +96,7 @@
   }
 
   private async chatOn(customer: string, random: Random): Promise<void> {
+    const kept = { address: "", until: 0 };
     while (!this.isStopped) {
       const chatId = `chat-${++this.count}`;
       const messages = [
@@ -98,7 +105,13 @@
         ),
       ];
       for (let turn = 0; turn < this.options.turns && !this.isStopped; turn++) {
-        const text = await this.chatOnce(customer, chatId, messages, random);
+        const text = await this.chatOnce(
+          customer,
+          chatId,
+          messages,
+          kept,
+          random,
+        );
         if (text === undefined) break;
         messages.push(text, `${chatId} goes on, turn ${turn}`);
         await this.pause(random);
@@ -110,11 +123,12 @@
     customer: string,
     chatId: string,
     messages: string[],
+    kept: KeptAddress,
     random: Random,
   ): Promise<string | undefined> {
     const startedAt = performance.now();
     const tokens = this.options.answerTokens;
-    const router = await this.chooseRouter(random);
+    const router = await this.chooseRouter(kept, random);
     const answer = await this.caller.chat(
       { customer, router },
       chatId,
@@ -123,7 +137,7 @@
     );
     const { result } = this;
     result.chats += 1;
-    this.countKind(answer);
+    this.note(answer, kept);
     if (!answer.whole) {
       if (answer.status === 200 || answer.status === 0) result.brokenChats += 1;
       else result.refusedChats += 1;
@@ -139,6 +153,7 @@
   }
 
   private async bookOn(random: Random): Promise<void> {
+    const kept = { address: "", until: 0 };
     while (!this.isStopped) {
       const id = `booking-${++this.count}`;
       const record: BookingRecord = {
@@ -149,7 +164,7 @@
       this.result.bookings.push(record);
       const tries = record.keyed ? this.options.bookingTries : 1;
       for (let attempt = 0; attempt < tries; attempt++) {
-        const router = await this.chooseRouter(random);
+        const router = await this.chooseRouter(kept, random);
         const options = {
           customer: "rodar/dispatch",
           router,
@@ -161,7 +176,7 @@
           record.keyed ? id : undefined,
         );
         record.answers.push(answer);
-        this.countKind(answer);
+        this.note(answer, kept);
         if (answer.whole) break;
         await delay(random.integer(5, 400));
       }
@@ -169,16 +184,30 @@
     }
   }
 
-  /** Asks any router for an address, as callers do; uses the one asked where it gives none. */
-  private async chooseRouter(random: Random): Promise<string> {
+  /** Returns the address a caller keeps, or asks for one; uses the router asked where it gives none. */
+  private async chooseRouter(
+    kept: KeptAddress,
+    random: Random,
+  ): Promise<string> {
+    if (performance.now() < kept.until) return kept.address;
     const known = random.shuffle(this.options.routers());
     for (const router of known.slice(0, 3)) {
       const found = await this.caller.locate(router);
-      if (found.length > 0) return found[random.integer(0, found.length - 1)]!;
+      if (found.addresses.length === 0) continue;
+      kept.address = found
+        .addresses[random.integer(0, found.addresses.length - 1)]!;
+      kept.until = performance.now() + found.lifetimeMs;
+      return kept.address;
     }
     return known[0]!;
   }
 
+  /** Takes note of an answer; a caller whose connection failed asks for an address anew. */
+  private note(answer: ReceivedAnswer, kept: KeptAddress): void {
+    if (answer.status === 0) kept.until = 0;
+    this.countKind(answer);
+  }
+
   private countKind(answer: ReceivedAnswer): void {
     const kind = answer.whole ? "whole" : answer.kind;
     this.result.kinds[kind] = (this.result.kinds[kind] ?? 0) + 1;
