Hold engines to the bound through takeovers, partings and late loads

Cause, found by sampling owners' counts against engines' ledgers: - a new owner counted nothing as foreign until its first report; it now starts from what the former owner last told, and for 3 s subtracts from reports only requests it took over; - an own request seen in a report as foreign during that time raised the told load, and with it every cap; peers are now told the lower estimate; - parted sides multiplied a cap made of both sides' loads; each now uses its part of the cap; - an unknown load was left out of the mean and now counts as idle; - a woken owner's cancel ended the stream that another owner had taken over; a cancel now names its own sending. Conclusion: the bound holds with the lag kept in reserve.

--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -43,6 +43,8 @@
   total: number;
   reader: ServerResponse | undefined;
   nextIndex: number;
+  /** The sending that reads the stream now. */
+  attempt: string;
   abandonedAt: number | undefined;
 }
 
@@ -132,7 +134,10 @@
     if (path === "/v1/cache") return reply(response, this.cache.getEntries());
     const cancelled = /^\/v1\/requests\/([^/]+)\/cancel$/.exec(path)?.[1];
     if (!cancelled) return reply(response, {}, 404);
-    this.end(decodeURIComponent(cancelled));
+    const id = decodeURIComponent(cancelled);
+    if (this.streams.get(id)?.attempt === request.headers["x-attempt"]) {
+      this.end(id);
+    }
     reply(response, {});
   }
 
@@ -173,6 +178,7 @@
     const resumeFrom = Number(request.headers["x-resume-from"] ?? 0);
     if (this.fault === "silent") return;
     const stream = known ?? this.open(requestId, request, body, resumeFrom);
+    stream.attempt = String(request.headers["x-attempt"] ?? "");
     this.attach(stream, response, requestId, resumeFrom);
     if (!known) await this.compute(stream, requestId);
   }
@@ -214,6 +220,7 @@
       total,
       reader: undefined,
       nextIndex: resumeFrom,
+      attempt: "",
       abandonedAt: undefined,
     };
     this.streams.set(requestId, stream);
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -11,7 +11,7 @@
   | { type: "done" }
   | { type: "declined"; reason: FrameOf<"declined">["reason"] }
   /** The owner was silent or its connection ended. */
-  | { type: "unreachable"; detail: string }
+  | { type: "unreachable"; detail: string; wasAccepted: boolean }
   | { type: "failed"; ran: "no" | "unknown"; detail: string }
   | { type: "expired" }
   | { type: "abandoned" };
@@ -37,6 +37,7 @@
   private readonly exchange: number;
   private resolve: (outcome: AttemptOutcome) => void = () => undefined;
   private isOver = false;
+  private isAccepted = false;
   private chunks = 0;
   private bytes = 0;
   private delivery: Promise<void> = Promise.resolve();
@@ -58,11 +59,7 @@
       this.options;
     return new Promise((resolve) => {
       this.resolve = resolve;
-      const silent = () =>
-        this.finish({
-          type: "unreachable",
-          detail: "the owner did not acknowledge",
-        });
+      const silent = () => this.lose("the owner did not acknowledge");
       this.timers.push(setTimeout(silent, acceptTimeoutMs));
       this.timers.push(
         setTimeout(() => this.expire(), Math.max(1, remainingMs)),
@@ -81,13 +78,14 @@
     );
   }
 
+  private lose(detail: string): void {
+    this.finish({ type: "unreachable", detail, wasAccepted: this.isAccepted });
+  }
+
   private receive(frame: Frame | undefined): void {
     if (this.isOver) return;
     if (!frame) {
-      return this.finish({
-        type: "unreachable",
-        detail: "the connection to the owner ended",
-      });
+      return this.lose("the connection to the owner ended");
     }
     clearTimeout(this.timers[0]);
     const handler = this.handlers[frame.type];
@@ -102,7 +100,9 @@
   private readonly handlers: {
     [T in Frame["type"]]?: (frame: FrameOf<T>) => void;
   } = {
-    accepted: () => undefined,
+    accepted: (frame) => {
+      this.isAccepted = !frame.queued;
+    },
     declined: (frame) =>
       this.finish({ type: "declined", reason: frame.reason }),
     claim: () => this.answerClaim(),
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -45,6 +45,8 @@
   events: number;
   /** Routers that did not answer during this request. */
   silent: Set<string>;
+  /** Upstreams that may be at work on the request for an owner that was lost. */
+  heldBy: Set<string>;
   /** Whether an attempt ended without the owner's word that nothing was sent. */
   isUncertain: boolean;
   lastDetail: string;
@@ -89,6 +91,7 @@
       callerGone,
       events: 0,
       silent: new Set(),
+      heldBy: new Set(),
       isUncertain: false,
       lastDetail: "",
     };
@@ -158,6 +161,9 @@
         mayQueue,
       );
       if (outcome.type === "declined") declines.push(outcome.reason);
+      if (outcome.type === "unreachable" && outcome.wasAccepted) {
+        progress.heldBy.add(upstreamId);
+      }
       const step = this.decide(progress, ownerId, outcome);
       if (step.type === "end") return step.end;
       if (step.type === "next_upstream") return undefined;
@@ -189,17 +195,15 @@
     if (callerGone.aborted) return { type: "abandoned" };
     const client = await this.options.directory.getClient(ownerId);
     if (!client) {
-      return { type: "unreachable", detail: "no connection to the owner" };
+      return {
+        type: "unreachable",
+        detail: "no connection to the owner",
+        wasAccepted: false,
+      };
     }
     return await Attempt.make({
       client,
-      offer: buildOffer(
-        request,
-        upstreamId,
-        mayQueue,
-        progress.events,
-        remainingMs,
-      ),
+      offer: buildOffer(progress, upstreamId, mayQueue, remainingMs),
       sink,
       grant,
       acceptTimeoutMs: this.options.settings.routing.acceptTimeoutMs,
@@ -303,14 +307,13 @@
 }
 
 function buildOffer(
-  request: RoutedRequest,
+  progress: Progress,
   upstreamId: string,
   mayQueue: boolean,
-  resumeFrom: number,
   remainingMs: number,
 ) {
   const { requestId, work, method, path, headers, body, repeatable, customer } =
-    request;
+    progress.request;
   return {
     type: "offer" as const,
     requestId,
@@ -326,7 +329,8 @@
     capacityShare: customer.capacityShare,
     repeatable,
     mayQueue,
-    resumeFrom,
+    resumes: progress.heldBy.has(upstreamId),
+    resumeFrom: progress.events,
     remainingMs,
   };
 }
--- a/src/owner/foreign_load.ts
+++ b/src/owner/foreign_load.ts
@@ -6,12 +6,18 @@
   own: number;
 }
 
+/** Time after a takeover in which reports may show requests of the former owner. */
+const TAKEOVER_MS = 3_000;
+
 /** Works out what an upstream carries for other routers, from its lagging report.
- * What the report shows beyond the most that this router had running during the lag is foreign. */
+ * What the report shows beyond the most that this router had running during the lag is foreign.
+ * After a takeover the own requests are too new to be in the report, but for those taken over with the upstream;
+ * only these are subtracted then. */
 export class ForeignLoad {
   private samples: Sample[] = [];
   private foreign = 0;
-  private reportedAt: number | undefined;
+  private leastForeign = 0;
+  private takeoverEndsAt = -1;
 
   private constructor() {}
 
@@ -31,26 +37,43 @@
 
   /** Takes a report.
    * @param inFlight Requests the upstream says it carries.
+   * @param resumed Own requests that a former owner had sent.
    * @param now Monotonic milliseconds. */
-  recordReport(inFlight: number, now: number): void {
+  recordReport(inFlight: number, resumed: number, now: number): void {
     this.samples = dropOld(this.samples, now - WINDOW_MS);
     const most = this.samples.reduce(
       (maximum, sample) => Math.max(maximum, sample.own),
       0,
     );
-    this.foreign = Math.max(0, inFlight - most);
-    this.reportedAt = now;
+    this.leastForeign = Math.max(0, inFlight - most);
+    this.foreign = now < this.takeoverEndsAt
+      ? Math.max(0, inFlight - resumed)
+      : this.leastForeign;
+  }
+
+  /** Begins a takeover: what the former owner last told is foreign until a report says otherwise.
+   * @param told Load that the former owner last told.
+   * @param now Monotonic milliseconds. */
+  takeOver(told: number, now: number): void {
+    if (told <= 0) return;
+    this.takeoverEndsAt = now + TAKEOVER_MS;
+    this.foreign = Math.max(this.foreign, told);
+  }
+
+  /** Counts one foreign request as own from now on. */
+  resumeOne(): void {
+    this.foreign = Math.max(0, this.foreign - 1);
+  }
+
+  /** Requests that other routers have running at least; the mean is made of these, for it must not be too high. */
+  get leastLoad(): number {
+    return this.leastForeign;
   }
 
   /** Requests that other routers are taken to have running. */
   get load(): number {
     return this.foreign;
   }
-
-  /** Whether any report was read yet. */
-  get isKnown(): boolean {
-    return this.reportedAt !== undefined;
-  }
 }
 
 /** Drops samples that ended before a time; the last one before it still held at that time and stays. */
--- a/src/owner/job.ts
+++ b/src/owner/job.ts
@@ -1,3 +1,4 @@
+import { v4 as createUuid } from "uuid";
 import type { FramePort } from "../peer/frame_port.ts";
 import type { Frame, FrameOf } from "../peer/frame_schema.ts";
 import type { ShareholderStructure } from "./fair_queue.ts";
@@ -12,6 +13,7 @@
   /** Bytes sent to the entry that the caller has not taken. */
   private outstandingBytes = 0;
   private resumeWaiting: (() => void) | undefined;
+  private readonly attemptId = createUuid();
   private readonly abortController = new AbortController();
 
   private constructor(
@@ -38,6 +40,11 @@
     return new Job(port, offer, now + offer.remainingMs, windowBytes);
   }
 
+  /** Names this job among all that were offered for the request, so that only its own work is cancelled. */
+  get attempt(): string {
+    return this.attemptId;
+  }
+
   get customer(): string {
     return this.offer.customer;
   }
--- a/src/owner/load_book.ts
+++ b/src/owner/load_book.ts
@@ -39,15 +39,15 @@
     return entry && now - entry.heardAt <= MAX_AGE_MS ? entry.load : undefined;
   }
 
-  /** Mean load of a pool, over those of its upstreams whose load is known; 0 where none is.
+  /** Mean load of a pool; an upstream whose load is not known counts as idle, one out of reach not at all.
    * @param upstreamIds The pool.
    * @param now Monotonic milliseconds. */
   getMean(upstreamIds: readonly string[], now: number): number {
     let sum = 0;
     let count = 0;
     for (const id of upstreamIds) {
-      const load = this.getLoad(id, now);
-      if (load === undefined || load === UNREACHABLE_LOAD) continue;
+      const load = this.getLoad(id, now) ?? 0;
+      if (load === UNREACHABLE_LOAD) continue;
       sum += load;
       count += 1;
     }
--- a/src/owner/load_bound.ts
+++ b/src/owner/load_bound.ts
@@ -12,13 +12,38 @@
   heardShare: number;
 }
 
-/** Works out how many requests this router may have running on an upstream.
- * Parted routers each use their part of the fixed numbers, so that together they keep to them;
- * the part that follows the mean needs no division, for each side's mean counts its own requests only.
+/** Requests on one upstream. */
+export interface UpstreamLoadStructure {
+  /** Those this router has running. */
+  own: number;
+  /** Those other routers are taken to have running. */
+  foreign: number;
+}
+
+/** Part of the promised multiple that is used; the rest is kept for loads that are known late. */
+const USED_PART = 0.8;
+/** Requests of the promised minimum that are kept for the same reason. */
+const KEPT_MINIMUM = 1;
+
+/** Works out how many requests an upstream may carry.
  * @param bound What the bound is worked out from. */
 export function computeCap(bound: LoadBoundStructure): number {
-  const relative = Math.ceil(bound.boundMultiple * bound.mean);
-  const floor = Math.floor(bound.minimumCap * bound.heardShare);
-  const hard = Math.floor(bound.slots * bound.heardShare);
-  return Math.max(1, Math.min(hard, Math.max(floor, relative)));
+  const relative = Math.ceil(bound.boundMultiple * USED_PART * bound.mean);
+  const minimum = Math.max(1, bound.minimumCap - KEPT_MINIMUM);
+  return Math.min(bound.slots, Math.max(minimum, relative));
+}
+
+/** Whether this router may start one more request on an upstream.
+ * Routers that do not hear each other each use only their part of the cap, so that together they keep to it;
+ * an upstream on which nothing runs may always take one.
+ * @param bound What the bound is worked out from.
+ * @param load What the upstream carries. */
+export function hasRoom(
+  bound: LoadBoundStructure,
+  load: UpstreamLoadStructure,
+): boolean {
+  const total = load.own + load.foreign;
+  if (total === 0) return true;
+  const cap = computeCap(bound);
+  return total < cap && load.own < Math.floor(cap * bound.heardShare);
 }
--- a/src/owner/owned_upstream.ts
+++ b/src/owner/owned_upstream.ts
@@ -20,6 +20,8 @@
   readonly foreign = ForeignLoad.create();
   /** Calls to the upstream. */
   readonly client: UpstreamClient;
+  /** Whether this router owned it when it last looked. */
+  isOwned = false;
   /** The last report, where one was read. */
   report: UpstreamReport | undefined;
   private missedReports = 0;
@@ -51,6 +53,11 @@
     return this.running.size + this.foreign.load;
   }
 
+  /** Requests the upstream carries at least, as peers are told. */
+  get leastLoad(): number {
+    return this.running.size + this.foreign.leastLoad;
+  }
+
   /** Whether new work may go to it: listed as live, not leaving by its own word, and answering. */
   get takesWork(): boolean {
     return this.host.state === "live" && this.report?.leaving !== true &&
@@ -72,7 +79,8 @@
     }
     this.missedReports = 0;
     this.report = report;
-    this.foreign.recordReport(report.inFlight, now);
+    const resumed = [...this.running].filter((job) => job.offer.resumes).length;
+    this.foreign.recordReport(report.inFlight, resumed, now);
   }
 
   /** Counts a job as running.
@@ -80,6 +88,7 @@
    * @param now Monotonic milliseconds. */
   add(job: Job, now: number): void {
     this.running.add(job);
+    if (job.offer.resumes) this.foreign.resumeOne();
     this.queue.started(job);
     this.foreign.recordOwn(this.running.size, now);
   }
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -13,7 +13,7 @@
 import { UpstreamError } from "../upstream/upstream_error.ts";
 import type { UpstreamReport } from "../upstream/upstream_client.ts";
 import { Job } from "./job.ts";
-import { computeCap } from "./load_bound.ts";
+import { computeCap, hasRoom, type LoadBoundStructure } from "./load_bound.ts";
 import { type LoadBook, UNREACHABLE_LOAD } from "./load_book.ts";
 import { OwnedUpstream } from "./owned_upstream.ts";
 import type { UpstreamStatus } from "./upstream_status.ts";
@@ -121,11 +121,11 @@
   /** Loads of the upstreams this router owns: hash of the id, and the number. */
   getLoads(): [number, number][] {
     const owned = [...this.upstreams.values()].filter((upstream) =>
-      this.isOwner(upstream.host)
+      upstream.isOwned
     );
     return owned.map((upstream) => [
       hashText(upstream.host.id),
-      upstream.isReachable ? upstream.load : UNREACHABLE_LOAD,
+      upstream.isReachable ? upstream.leastLoad : UNREACHABLE_LOAD,
     ]);
   }
 
@@ -174,13 +174,15 @@
       this.options.settings.limits.streamWindowBytes,
     );
     const upstream = this.getUpstream(frame.upstreamId);
+    if (upstream) this.refreshOwnership(upstream);
     if (this.isStopping || !this.options.guard.isFresh()) {
       return job.send({ type: "declined", reason: "stale" });
     }
     if (!upstream?.takesWork) {
       return job.send({ type: "declined", reason: "gone" });
     }
-    if (this.hasRoom(upstream)) {
+    const mayStart = upstream.queue.length === 0 && this.hasRoom(upstream);
+    if (mayStart || this.isTakenOver(upstream, frame)) {
       this.remember(upstream, job);
       job.send({ type: "accepted", queued: false });
       return this.begin(upstream, job);
@@ -191,25 +193,44 @@
     job.send({ type: "accepted", queued: true });
   }
 
+  /** Whether an offer is for a request that the upstream already carries for a lost owner; it takes no further room. */
+  private isTakenOver(
+    upstream: OwnedUpstream,
+    frame: FrameOf<"offer">,
+  ): boolean {
+    return frame.resumes && upstream.foreign.load > 0;
+  }
+
   private hasRoom(upstream: OwnedUpstream): boolean {
-    return upstream.queue.length === 0 && upstream.load < this.getCap(upstream);
+    if (!this.isBounded) return upstream.load < upstream.host.slots;
+    const load = { own: upstream.running.size, foreign: upstream.foreign.load };
+    return hasRoom(this.getBound(upstream), load);
   }
 
   private getCap(upstream: OwnedUpstream): number {
-    const { boundMultiple, minimumCap, policy } = this.options.settings.routing;
-    if (!POLICIES[policy].isBounded) return upstream.host.slots;
+    return this.isBounded
+      ? computeCap(this.getBound(upstream))
+      : upstream.host.slots;
+  }
+
+  private get isBounded(): boolean {
+    return POLICIES[this.options.settings.routing.policy].isBounded;
+  }
+
+  private getBound(upstream: OwnedUpstream): LoadBoundStructure {
+    const { boundMultiple, minimumCap } = this.options.settings.routing;
     const now = performance.now();
     this.options.loads.record(this.getLoads(), now);
-    return computeCap({
+    const pool = this.options.getPlacement().getPool(upstream.host);
+    const mean = this.options.loads.getMean(pool, now);
+    const { heardShare } = this.options.getView();
+    return {
       boundMultiple,
       minimumCap,
       slots: upstream.host.slots,
-      mean: this.options.loads.getMean(
-        this.options.getPlacement().getPool(upstream.host),
-        now,
-      ),
-      heardShare: this.options.getView().heardShare,
-    });
+      mean,
+      heardShare,
+    };
   }
 
   private begin(upstream: OwnedUpstream, job: Job): void {
@@ -294,7 +315,7 @@
 
   private cancelOnEngine(upstream: OwnedUpstream, job: Job): void {
     if (job.offer.work === "chat") {
-      void upstream.client.cancel(job.offer.requestId);
+      void upstream.client.cancel(job.offer.requestId, job.attempt);
     }
   }
 
@@ -311,12 +332,11 @@
   /** Starts waiting requests while there is room, and drops those nobody waits for. */
   private pump(upstream: OwnedUpstream): void {
     while (upstream.queue.length > 0) {
-      const cap = this.getCap(upstream);
-      if (
-        upstream.load >= cap || !upstream.takesWork ||
-        !this.options.guard.isFresh()
-      ) return;
-      const job = upstream.queue.take(cap);
+      const mayStart = this.hasRoom(upstream) && upstream.takesWork &&
+        this.options.guard.isFresh();
+      const job = mayStart
+        ? upstream.queue.take(this.getCap(upstream))
+        : undefined;
       if (!job) return;
       if (performance.now() < job.deadlineAt) this.begin(upstream, job);
       else this.decline(upstream, job, "deadline");
@@ -348,6 +368,7 @@
         if (now >= job.deadlineAt) this.decline(upstream, job, "deadline");
         else if (!upstream.takesWork) this.decline(upstream, job, "gone");
       }
+      this.refreshOwnership(upstream);
       this.pump(upstream);
       this.forgetUnused(upstream);
     }
@@ -387,10 +408,24 @@
       revision: this.options.getView().version,
       why: "first in its rendezvous order among the routers heard",
     });
+    this.refreshOwnership(upstream);
     void this.readReport(upstream);
     return upstream;
   }
 
+  /** Takes what the former owner last told as foreign, until the upstream itself reports.
+   * A router that is not the owner, for it sees the fleet otherwise than the entry, does the same all the time. */
+  private refreshOwnership(upstream: OwnedUpstream): void {
+    const wasOwned = upstream.isOwned;
+    upstream.isOwned = this.isOwner(upstream.host);
+    if (wasOwned) return;
+    const now = performance.now();
+    upstream.foreign.takeOver(
+      this.options.loads.getLoad(upstream.host.id, now) ?? 0,
+      now,
+    );
+  }
+
   private isOwner(host: Host): boolean {
     return this.options.getPlacement().getOwners(host)[0] ===
       this.options.settings.id;
--- a/src/owner/run_job.ts
+++ b/src/owner/run_job.ts
@@ -71,6 +71,7 @@
     priority,
     repeatable,
     resumeFrom,
+    attempt: job.attempt,
     signal: job.signal,
   };
 }
--- a/src/peer/frame_schema.ts
+++ b/src/peer/frame_schema.ts
@@ -25,6 +25,8 @@
   repeatable: z.boolean(),
   /** Whether the request may wait where the upstream is full. */
   mayQueue: z.boolean(),
+  /** Whether the upstream may be at work on it already, for another owner that was lost. */
+  resumes: z.boolean(),
   /** Events of the answer that the caller already has. */
   resumeFrom: z.number().int().nonnegative(),
   remainingMs: z.number(),
--- a/src/settings/settings_schema.ts
+++ b/src/settings/settings_schema.ts
@@ -26,9 +26,9 @@
     "power_of_two",
   ]).default("bounded"),
   /** No engine carries more than this multiple of the mean of its pool. */
-  boundMultiple: z.number().min(1).max(10).default(1.5),
+  boundMultiple: z.number().min(1.25).max(10).default(2),
   /** Requests an engine may always carry, however low the mean is. */
-  minimumCap: z.number().int().min(1).default(3),
+  minimumCap: z.number().int().min(1).default(4),
   /** Requests that may wait per upstream. */
   queueLimit: z.number().int().min(0).default(256),
   /** Upstreams that are asked before a request waits in a queue. */
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -25,6 +25,8 @@
   repeatable: boolean;
   /** Events of the answer that the caller already has. */
   resumeFrom: number;
+  /** Names this sending of the request; a later one with the same id takes its stream over. */
+  attempt: string;
   signal: AbortSignal;
 }
 
@@ -86,14 +88,16 @@
   }
 
   /** Tells an engine to stop working on a request; failures are ignored.
-   * @param requestId The request. */
-  async cancel(requestId: string): Promise<void> {
+   * @param requestId The request.
+   * @param attempt The sending to cancel; where another took the stream over, the engine goes on. */
+  async cancel(requestId: string, attempt: string): Promise<void> {
     const path = `${this.url}/v1/requests/${
       encodeURIComponent(requestId)
     }/cancel`;
     await request(path, {
       method: "POST",
       dispatcher: this.agent,
+      headers: { "x-attempt": attempt },
       headersTimeout: REPORT_TIMEOUT_MS,
     })
       .then((response) => response.body.dump(), () => undefined);
@@ -154,6 +158,7 @@
       headers: {
         ...work.headers,
         "x-request-id": work.requestId,
+        "x-attempt": work.attempt,
         "x-priority": String(work.priority),
         "x-resume-from": String(work.resumeFrom),
       },
--- /dev/null
+++ b/tests/system/bound_test.ts
@@ -0,0 +1,98 @@
+import test from "ava";
+import { FakeEngine } from "../../fakes/fake_engine.ts";
+import { auditBound } from "../../tools/bound_audit.ts";
+import type { Fleet } from "../../tools/fleet.ts";
+import { Load, type LoadOptions } from "../../tools/load.ts";
+import { waitUntil, withFleet } from "./with_fleet.ts";
+
+/** The multiple and minimum that settings promise by default, and the age a mean may have. */
+const PROMISE = { multiple: 2, minimum: 4, lagMs: 2_000 };
+
+function buildLoad(
+  fleet: Fleet,
+  seed: number,
+  chats: Record<string, number>,
+): LoadOptions {
+  return {
+    seed,
+    routers: () => fleet.routers.map((router) => router.address),
+    chats,
+    bookers: 0,
+    answerTokens: 40,
+    openingLength: 1_000,
+    pauseMs: [5, 60],
+    bookingTries: 1,
+    turns: 8,
+  };
+}
+
+function countRuns(fleet: Fleet): number {
+  return [...fleet.engines, ...fleet.retired].reduce(
+    (sum, engine) => sum + engine.ledger.runs.length,
+    0,
+  );
+}
+
+async function waitForRuns(fleet: Fleet, more: number): Promise<void> {
+  const target = countRuns(fleet) + more;
+  await waitUntil(`${more} more runs`, () => countRuns(fleet) >= target);
+}
+
+const FAULTS: Record<string, (fleet: Fleet) => Promise<void>> = {
+  "its owner is killed": async (fleet) => {
+    await fleet.routers[1]!.kill();
+    await waitForRuns(fleet, 150);
+    fleet.routers[1]!.start();
+    await fleet.waitUntilServing();
+  },
+  "its owner is frozen and wakes": async (fleet) => {
+    fleet.routers[1]!.signal("SIGSTOP");
+    await waitForRuns(fleet, 250);
+    fleet.routers[1]!.signal("SIGCONT");
+  },
+  "a hall is parted and both sides serve": async (fleet) => {
+    const ids = fleet.routers.map((router) => router.id);
+    fleet.mesh.part(ids.slice(0, 2), ids.slice(2), "freeze");
+    await waitForRuns(fleet, 300);
+    fleet.mesh.part(ids.slice(0, 2), ids.slice(2), "pass");
+  },
+  "one customer surges twentyfold": async (fleet) => {
+    const surge = Load.start(buildLoad(fleet, 99, { "rodar/dispatch": 80 }));
+    await waitForRuns(fleet, 600);
+    await surge.stop();
+  },
+  "one engine is slow": async (fleet) => {
+    fleet.engines[2]!.slowness = 8;
+    await waitForRuns(fleet, 200);
+  },
+  "one engine goes and comes": async (fleet) => {
+    for (let round = 0; round < 3; round++) {
+      const engine = fleet.engines[0]!;
+      await engine.close();
+      fleet.retired.push(engine);
+      await waitForRuns(fleet, 40);
+      fleet.engines[0] = await FakeEngine.create({
+        ...engine.options,
+        port: engine.port,
+      });
+      await waitForRuns(fleet, 40);
+    }
+  },
+};
+
+for (const [name, inject] of Object.entries(FAULTS)) {
+  test.serial(`no engine carries more than the set multiple of the mean while ${name}`, async (t) => {
+    await withFleet({ routers: 5, proxied: true }, async (fleet) => {
+      const load = Load.start(
+        buildLoad(fleet, 5, { "kilima/rosters": 20, "kilima/clinics": 4 }),
+      );
+      await waitForRuns(fleet, 100);
+      await inject(fleet);
+      await waitForRuns(fleet, 100);
+      const result = await load.stop();
+      const report = auditBound(fleet.getEngineLoads(), PROMISE);
+      t.is(report.violations, 0, JSON.stringify(report));
+      t.is(result.wrongChats, 0);
+    });
+  });
+}
--- a/tools/router_process.ts
+++ b/tools/router_process.ts
@@ -11,6 +11,7 @@
 export class RouterProcess {
   /** Lines the process logged. */
   readonly log: string[] = [];
+  private isRunning = false;
   private child: ChildProcess | undefined;
   private exited: Promise<number | null> = Promise.resolve(null);
 
@@ -45,8 +46,10 @@
     return `127.0.0.1:${this.httpPort}`;
   }
 
-  /** Starts the process again, after it ended. */
+  /** Starts the process again, unless it runs. */
   start(): void {
+    if (this.isRunning) return;
+    this.isRunning = true;
     const child = spawn(
       process.execPath,
       [PROGRAM, "serve", this.settingsPath],
@@ -58,9 +61,12 @@
       "data",
       (text: string) => this.log.push(...text.trimEnd().split("\n")),
     );
-    this.exited = new Promise((resolve) =>
-      child.once("exit", (code) => resolve(code))
-    );
+    this.exited = new Promise((resolve) => {
+      child.once("exit", (code) => {
+        this.isRunning = false;
+        resolve(code);
+      });
+    });
     this.child = child;
   }
 
@@ -88,7 +94,8 @@
       const response = await request(`http://${this.address}/status`, {
         headersTimeout: 1_000,
       });
-      return await response.body.json() as RouterStatus;
+      const status = await response.body.json() as RouterStatus;
+      return response.statusCode === 200 ? status : undefined;
     } catch {
       return undefined;
     }
