Unit, property and model tests, bad input, the one binary under test, a demo

Cause: decisions that are pure need more cases than processes can give, and a newcomer needs to see the main job. Not solved: the binary prints one warning of Node's at start, for a library probes an optional module.

--- a/src/cli/check_command.ts
+++ b/src/cli/check_command.ts
@@ -35,7 +35,7 @@
 
 function checkSettings(file: string): string[] {
   const settings = loadSettings(file);
-  return settings.err ? settings.val : [];
+  return settings.isErr() ? settings.error : [];
 }
 
 function checkDocument(file: string, key: string): string[] {
@@ -46,5 +46,5 @@
     return [`document: ${(error as Error).message}`];
   }
   const decision = acceptDocument({ key, revision: 1, value });
-  return decision.err ? decision.val : [];
+  return decision.isErr() ? decision.error : [];
 }
--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -17,12 +17,12 @@
   },
   handler: async ({ settings: path }) => {
     const settings = loadSettings(path);
-    if (settings.err) {
-      for (const line of settings.val) console.error(line);
+    if (settings.isErr()) {
+      for (const line of settings.error) console.error(line);
       process.exitCode = EXIT_CODE.refused;
       return;
     }
-    const router = await Router.start(settings.val);
+    const router = await Router.start(settings.value);
     process.once(
       "SIGTERM",
       () => void router.drain().then(() => process.exit(EXIT_CODE.ok)),
--- a/src/configuration/accept_document.ts
+++ b/src/configuration/accept_document.ts
@@ -1,4 +1,4 @@
-import { Err, Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results-es";
 import { describeIssues } from "../settings/describe_issues.ts";
 import {
   type ConfigurationDocument,
--- a/src/configuration/document_store.ts
+++ b/src/configuration/document_store.ts
@@ -48,14 +48,14 @@
     }
     const decision = acceptDocument(published);
     this.highestRevision = Math.max(this.highestRevision, published.revision);
-    if (decision.err) {
+    if (decision.isErr()) {
       this.refused.set(published.key, published.revision);
-      return { type: "refused", reasons: decision.val };
+      return { type: "refused", reasons: decision.error };
     }
-    this.put(published, decision.val);
+    this.put(published, decision.value);
     return {
       type: "accepted",
-      document: decision.val,
+      document: decision.value,
       previousRevision: inForce,
     };
   }
@@ -70,7 +70,7 @@
   getValuesAfter(revision: number): PublishedValue[] {
     return [...this.accepted.values()].map((entry) => entry.published)
       .filter((value) => value.revision > revision)
-      .sort((a, b) => a.revision - b.revision);
+      .sort((a, b) => a.revision - b.revision || (a.key < b.key ? -1 : 1));
   }
 
   /** Highest revision that was seen, accepted or refused. */
--- a/src/settings/load_settings.ts
+++ b/src/settings/load_settings.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from "node:fs";
-import { Err, Ok, type Result } from "ts-results";
+import { Err, Ok, type Result } from "ts-results-es";
 import { describeIssues } from "./describe_issues.ts";
 import { type Settings, settingsSchema } from "./settings_schema.ts";
 
--- /dev/null
+++ b/tests/cli/program_test.ts
@@ -0,0 +1,83 @@
+import { execFile } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import process from "node:process";
+import test from "ava";
+
+interface Ended {
+  code: number;
+  output: string;
+}
+
+async function runProgram(...args: string[]): Promise<Ended> {
+  return await new Promise((resolve) => {
+    execFile(
+      process.execPath,
+      ["dist/beechkeel.cjs", ...args],
+      (error, stdout, stderr) => {
+        resolve({
+          code: typeof error?.code === "number" ? error.code : 0,
+          output: stdout + stderr,
+        });
+      },
+    );
+  });
+}
+
+const SETTINGS = {
+  id: "r1",
+  partner: "kilima",
+  region: "dar",
+  hall: "temeke",
+  http: { port: 1 },
+  peer: { port: 2 },
+  platform: { url: "http://127.0.0.1:3" },
+  fleetSecret: "sixteen characters",
+};
+
+const CASES: {
+  name: string;
+  content: unknown;
+  args: string[];
+  code: number;
+  output: RegExp;
+}[] = [
+  { name: "good settings", content: SETTINGS, args: [], code: 0, output: /ok/ },
+  {
+    name: "an unknown field",
+    content: { ...SETTINGS, colour: 1 },
+    args: [],
+    code: 1,
+    output: /colour/,
+  },
+  {
+    name: "a wrong type",
+    content: { ...SETTINGS, http: { port: "x" } },
+    args: [],
+    code: 1,
+    output: /http\.port/,
+  },
+  {
+    name: "a document of the other partner",
+    content: { kind: "template", partner: "rodar", name: "a", parameters: {} },
+    args: ["--key", "kilima/templates/a"],
+    code: 1,
+    output: /document\.partner/,
+  },
+];
+
+for (const { name, content, args, code, output } of CASES) {
+  test(`check on ${name} ends with ${code}`, async (t) => {
+    const folder = mkdtempSync(`${tmpdir()}/beechkeel-`);
+    writeFileSync(`${folder}/file.json`, JSON.stringify(content));
+    const ended = await runProgram("check", `${folder}/file.json`, ...args);
+    rmSync(folder, { recursive: true });
+    t.is(ended.code, code);
+    t.regex(ended.output, output);
+  });
+}
+
+test("the program tells its version and that a router is out of reach", async (t) => {
+  t.regex((await runProgram("--version")).output, /^\d+\.\d+\.\d+/);
+  t.is((await runProgram("status", "127.0.0.1:1")).code, 3);
+});
--- /dev/null
+++ b/tests/owner/fair_queue_test.ts
@@ -0,0 +1,52 @@
+import test from "ava";
+import {
+  FairQueue,
+  type ShareholderStructure,
+} from "../../src/owner/fair_queue.ts";
+
+function item(
+  customer: string,
+  priority = 5,
+  capacityShare = 0.25,
+): ShareholderStructure {
+  return { customer, partner: "kilima", priority, capacityShare };
+}
+
+test("a customer that surges does not hold up one that is below its share", (t) => {
+  const queue = FairQueue.create(100);
+  for (let count = 0; count < 4; count++) queue.started(item("surging"));
+  for (let count = 0; count < 40; count++) queue.push(item("surging"));
+  queue.push(item("small"));
+  t.is(queue.take(8)?.customer, "small");
+});
+
+test("a customer alone may use everything", (t) => {
+  const queue = FairQueue.create(100);
+  for (let count = 0; count < 10; count++) queue.started(item("alone"));
+  queue.push(item("alone"));
+  t.is(queue.take(8)?.customer, "alone");
+});
+
+test("of customers below their share the more urgent goes first", (t) => {
+  const queue = FairQueue.create(100);
+  queue.push(item("later", 3));
+  queue.push(item("sooner", 8));
+  t.is(queue.take(8)?.customer, "sooner");
+});
+
+test("one customer fills at most half of the queue, and nobody more than all of it", (t) => {
+  const queue = FairQueue.create(10);
+  const refusals = Array.from({ length: 6 }, () => queue.push(item("surging")));
+  t.deepEqual(refusals, [
+    undefined,
+    undefined,
+    undefined,
+    undefined,
+    undefined,
+    "share",
+  ]);
+  for (let count = 0; count < 5; count++) {
+    t.is(queue.push(item(`other-${count}`)), undefined);
+  }
+  t.is(queue.push(item("last")), "full");
+});
--- /dev/null
+++ b/tests/owner/load_bound_test.ts
@@ -0,0 +1,55 @@
+import fc from "fast-check";
+import test from "ava";
+import { computeCap, hasRoom } from "../../src/owner/load_bound.ts";
+
+const bound = fc.record({
+  boundMultiple: fc.double({ min: 1.25, max: 4, noNaN: true }),
+  minimumCap: fc.integer({ min: 1, max: 10 }),
+  slots: fc.integer({ min: 1, max: 200 }),
+  mean: fc.double({ min: 0, max: 100, noNaN: true }),
+  heardShare: fc.constant(1),
+});
+
+test("the cap never exceeds the promised multiple of the mean, the minimum or the slots", (t) => {
+  const keeps = fc.property(bound, (one) => {
+    const promised = Math.max(
+      one.minimumCap,
+      Math.ceil(one.boundMultiple * one.mean),
+    );
+    return computeCap(one) <= Math.min(promised, one.slots) &&
+      computeCap(one) >= 1;
+  });
+  t.notThrows(() => fc.assert(keeps, { seed: 1, numRuns: 2_000 }));
+});
+
+test("sides that do not hear each other together start no more than one side may", (t) => {
+  const routers = fc.integer({ min: 2, max: 9 });
+  const keeps = fc.property(
+    bound,
+    routers,
+    fc.integer({ min: 1, max: 8 }),
+    (one, listed, cut) => {
+      const left = Math.min(cut, listed - 1);
+      const sides = [left / listed, (listed - left) / listed];
+      const started = sides.map((heardShare) => {
+        let own = 0;
+        while (
+          own < 1_000 && hasRoom({ ...one, heardShare }, { own, foreign: 0 })
+        ) own += 1;
+        return own;
+      });
+      return started[0]! + started[1]! <= Math.max(2, computeCap(one));
+    },
+  );
+  t.notThrows(() => fc.assert(keeps, { seed: 2, numRuns: 2_000 }));
+});
+
+test("an idle upstream may always take one request", (t) => {
+  const keeps = fc.property(
+    bound,
+    fc.double({ min: 0.01, max: 1, noNaN: true }),
+    (one, heardShare) =>
+      hasRoom({ ...one, heardShare }, { own: 0, foreign: 0 }),
+  );
+  t.notThrows(() => fc.assert(keeps, { seed: 3, numRuns: 500 }));
+});
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -1,7 +1,14 @@
 import { build } from "esbuild";
+import { BUNDLE } from "./bundle_path.ts";
 
-/** The program in one file, for runs without a binary. */
-export const BUNDLE = "dist/beechkeel.cjs";
+/** Native modules that packages use where they are there. */
+const OPTIONAL_MODULES = [
+  "unix-dgram",
+  "bufferutil",
+  "utf-8-validate",
+  "msgpackr-extract",
+];
+const ABSENT = "./tools/absent_module.cjs";
 
 await build({
   entryPoints: ["src/main.ts"],
@@ -11,6 +18,6 @@
   platform: "node",
   target: "node20",
   mainFields: ["module", "main"],
-  external: ["unix-dgram", "bufferutil", "utf-8-validate"],
+  alias: Object.fromEntries(OPTIONAL_MODULES.map((name) => [name, ABSENT])),
   logLevel: "error",
 });
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -21,6 +21,8 @@
   settings: Record<string, unknown>;
   /** Slots of each engine, as the platform lists them. */
   slots: number;
+  /** The program that routers run; the bundle by default. */
+  command: readonly [string, ...string[]] | undefined;
   /** Whether routers reach each other and upstreams through proxies. */
   proxied: boolean;
 }
@@ -36,6 +38,7 @@
   service: {},
   settings: {},
   slots: 64,
+  command: undefined,
   proxied: false,
 };
 
@@ -80,7 +83,11 @@
    * @param id Its id. */
   async addRouter(id = `r${this.routers.length + 1}`): Promise<RouterProcess> {
     const settings = await this.buildSettings(id);
-    const router = RouterProcess.create(settings, this.folder);
+    const router = RouterProcess.create(
+      settings,
+      this.folder,
+      this.options.command,
+    );
     this.routers.push(router);
     return router;
   }
--- /dev/null
+++ b/tools/postject.d.ts
@@ -0,0 +1,9 @@
+declare module "postject" {
+  /** Puts a resource into an executable. */
+  export function inject(
+    filename: string,
+    resourceName: string,
+    resourceData: Buffer,
+    options: { sentinelFuse: string },
+  ): Promise<void>;
+}
--- a/tools/router_process.ts
+++ b/tools/router_process.ts
@@ -2,9 +2,9 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { writeFileSync } from "node:fs";
 import { request } from "undici";
+import { BUNDLE } from "./bundle_path.ts";
 import type { RouterStatus } from "../src/router/router_status.ts";
 
-const PROGRAM = "dist/beechkeel.cjs";
 const POLL_MS = 30;
 
 /** A router that runs as a process of its own. */
@@ -20,14 +20,17 @@
     readonly httpPort: number,
     readonly peerPort: number,
     private readonly settingsPath: string,
+    private readonly command: readonly [string, ...string[]],
   ) {}
 
   /** Starts a router.
    * @param settings Its settings.
-   * @param folder Folder for its settings file. */
+   * @param folder Folder for its settings file.
+   * @param command The program, the bundle by default. */
   static create(
     settings: { id: string; http: { port: number }; peer: { port: number } },
     folder: string,
+    command: readonly [string, ...string[]] = [process.execPath, BUNDLE],
   ): RouterProcess {
     const path = `${folder}/${settings.id}.json`;
     writeFileSync(path, JSON.stringify(settings));
@@ -36,6 +39,7 @@
       settings.http.port,
       settings.peer.port,
       path,
+      command,
     );
     router.start();
     return router;
@@ -50,13 +54,10 @@
   start(): void {
     if (this.isRunning) return;
     this.isRunning = true;
-    const child = spawn(
-      process.execPath,
-      [PROGRAM, "serve", this.settingsPath],
-      {
-        stdio: ["ignore", "ignore", "pipe"],
-      },
-    );
+    const [program, ...before] = this.command;
+    const child = spawn(program, [...before, "serve", this.settingsPath], {
+      stdio: ["ignore", "ignore", "pipe"],
+    });
     child.stderr?.setEncoding("utf8").on(
       "data",
       (text: string) => this.log.push(...text.trimEnd().split("\n")),
