--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -9,7 +9,7 @@
 /** How one attempt ended. */
 export type AttemptOutcome =
   | { type: "done" }
-  | { type: "declined"; reason: FrameOf<"declined">["reason"] }
+  | { type: "declined"; reason: FrameOf<"declined">["reason"]; owner: string }
   /** The owner was silent or its connection ended. */
   | { type: "unreachable"; detail: string; wasAccepted: boolean }
   | { type: "failed"; ran: "no" | "unknown"; detail: string }
@@ -104,7 +104,11 @@
       this.isAccepted = !frame.queued;
     },
     declined: (frame) =>
-      this.finish({ type: "declined", reason: frame.reason }),
+      this.finish({
+        type: "declined",
+        reason: frame.reason,
+        owner: frame.owner,
+      }),
     claim: () => this.answerClaim(),
     head: (frame) => this.options.sink.head(frame.status, frame.headers),
     chunk: (frame) => this.takeChunk(frame),
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -18,6 +18,9 @@
 /** Owners tried for one upstream before it is left. */
 const OWNERS_PER_UPSTREAM = 3;
 
+/** Silent routers named in an offer. */
+const MAX_AVOIDED = 16;
+
 /** What the dispatcher needs of the rest of the router. */
 export interface DispatcherOptions {
   settings: Settings;
@@ -45,6 +48,8 @@
   events: number;
   /** Routers that did not answer during this request. */
   silent: Set<string>;
+  /** Owners that other routers named, by upstream. */
+  namedOwners: Map<string, string>;
   /** Upstreams that may be at work on the request for an owner that was lost. */
   heldBy: Set<string>;
   /** Whether an attempt ended without the owner's word that nothing was sent. */
@@ -91,6 +96,7 @@
       callerGone,
       events: 0,
       silent: new Set(),
+      namedOwners: new Map(),
       heldBy: new Set(),
       isUncertain: false,
       lastDetail: "",
@@ -152,7 +158,7 @@
     declines: string[],
   ): Promise<DispatchEnd | undefined> {
     for (let tries = 0; tries < OWNERS_PER_UPSTREAM; tries++) {
-      const ownerId = this.chooseOwner(upstreamId, progress.silent);
+      const ownerId = this.chooseOwner(upstreamId, progress);
       if (!ownerId) return undefined;
       const outcome = await this.attempt(
         progress,
@@ -161,6 +167,9 @@
         mayQueue,
       );
       if (outcome.type === "declined") declines.push(outcome.reason);
+      if (outcome.type === "declined" && outcome.owner !== "") {
+        progress.namedOwners.set(upstreamId, outcome.owner);
+      }
       if (outcome.type === "unreachable" && outcome.wasAccepted) {
         progress.heldBy.add(upstreamId);
       }
@@ -171,14 +180,17 @@
     return undefined;
   }
 
+  /** The owner that another router named, or else the first in this router's own view that is not silent. */
   private chooseOwner(
     upstreamId: string,
-    silent: ReadonlySet<string>,
+    progress: Progress,
   ): string | undefined {
     const host = this.options.getView().getUpstream(upstreamId);
     if (!host) return undefined;
+    const named = progress.namedOwners.get(upstreamId);
+    if (named !== undefined && !progress.silent.has(named)) return named;
     const owners = this.options.getPlacement().getOwners(host).filter((id) =>
-      !silent.has(id)
+      !progress.silent.has(id)
     );
     return owners[0] ?? this.options.settings.id;
   }
@@ -263,6 +275,7 @@
         end: refuse(progress, "deadline_exceeded", "the time ended in a queue"),
       };
     }
+    if (reason === "moved") return { type: "next_owner" };
     if (reason !== "stale") return { type: "next_upstream" };
     progress.silent.add(ownerId);
     return { type: "next_owner" };
@@ -329,6 +342,7 @@
     capacityShare: customer.capacityShare,
     repeatable,
     mayQueue,
+    avoids: [...progress.silent].slice(0, MAX_AVOIDED),
     resumes: progress.heldBy.has(upstreamId),
     resumeFrom: progress.events,
     remainingMs,
--- a/src/owner/load_book.ts
+++ b/src/owner/load_book.ts
@@ -1,7 +1,13 @@
 import { hashText } from "../hashing/hasher.ts";
 
-/** Age above which a reported load is not used. */
-const MAX_AGE_MS = 5_000;
+/** Age up to which a told load is used for the mean and for choices. */
+const FRESH_MS = 1_500;
+
+/** Age up to which a told load says what a lost owner may have left running. */
+export const REMEMBERED_MS = 10_000;
+
+/** Upstreams whose loads give a mean; where fewer are known, those of the pool that are not count as idle. */
+const SAMPLE_SIZE = 32;
 
 /** Load number that says an upstream cannot be reached. */
 export const UNREACHABLE_LOAD = -1;
@@ -33,24 +39,39 @@
 
   /** Returns an upstream's load, or nothing where none was told lately.
    * @param upstreamId The upstream.
-   * @param now Monotonic milliseconds. */
-  getLoad(upstreamId: string, now: number): number | undefined {
+   * @param now Monotonic milliseconds.
+   * @param maxAgeMs Age up to which it is used. */
+  getLoad(
+    upstreamId: string,
+    now: number,
+    maxAgeMs = FRESH_MS,
+  ): number | undefined {
     const entry = this.entries.get(hashText(upstreamId));
-    return entry && now - entry.heardAt <= MAX_AGE_MS ? entry.load : undefined;
+    return entry && now - entry.heardAt <= maxAgeMs ? entry.load : undefined;
   }
 
-  /** Mean load of a pool; an upstream whose load is not known counts as idle, one out of reach not at all.
+  /** Mean load of a pool, over the upstreams whose load is known; in a large pool these are a sample.
+   * Where they are too few for a sample the others count as idle; those out of reach do not count at all.
    * @param upstreamIds The pool.
    * @param now Monotonic milliseconds. */
   getMean(upstreamIds: readonly string[], now: number): number {
     let sum = 0;
-    let count = 0;
+    let known = 0;
+    let unreachable = 0;
     for (const id of upstreamIds) {
-      const load = this.getLoad(id, now) ?? 0;
-      if (load === UNREACHABLE_LOAD) continue;
+      const load = this.getLoad(id, now);
+      if (load === undefined) continue;
+      if (load === UNREACHABLE_LOAD) {
+        unreachable += 1;
+        continue;
+      }
       sum += load;
-      count += 1;
+      known += 1;
     }
+    const count = Math.max(
+      known,
+      Math.min(upstreamIds.length - unreachable, SAMPLE_SIZE),
+    );
     return count === 0 ? 0 : sum / count;
   }
 }
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -12,9 +12,10 @@
 import type { Settings } from "../settings/settings_schema.ts";
 import { UpstreamError } from "../upstream/upstream_error.ts";
 import type { UpstreamReport } from "../upstream/upstream_client.ts";
+import { HeardShare } from "./heard_share.ts";
 import { Job } from "./job.ts";
 import { computeCap, hasRoom, type LoadBoundStructure } from "./load_bound.ts";
-import { type LoadBook, UNREACHABLE_LOAD } from "./load_book.ts";
+import { type LoadBook, REMEMBERED_MS, UNREACHABLE_LOAD } from "./load_book.ts";
 import { OwnedUpstream } from "./owned_upstream.ts";
 import type { UpstreamStatus } from "./upstream_status.ts";
 import { JOB_RUNNERS } from "./run_job.ts";
@@ -63,6 +64,7 @@
   >();
   private readonly actor: Actor<OwnerMessages>;
   private readonly timers: NodeJS.Timeout[];
+  private readonly share = HeardShare.create();
   private toldLoad = 0;
   private isStopping = false;
 
@@ -175,11 +177,13 @@
     );
     const upstream = this.getUpstream(frame.upstreamId);
     if (upstream) this.refreshOwnership(upstream);
+    const owner = upstream ? this.findOtherOwner(upstream, frame) : undefined;
+    if (owner) return job.send({ type: "declined", reason: "moved", owner });
     if (this.isStopping || !this.options.guard.isFresh()) {
-      return job.send({ type: "declined", reason: "stale" });
+      return job.send({ type: "declined", reason: "stale", owner: "" });
     }
     if (!upstream?.takesWork) {
-      return job.send({ type: "declined", reason: "gone" });
+      return job.send({ type: "declined", reason: "gone", owner: "" });
     }
     const mayStart = upstream.queue.length === 0 && this.hasRoom(upstream);
     if (mayStart || this.isTakenOver(upstream, frame)) {
@@ -188,11 +192,23 @@
       return this.begin(upstream, job);
     }
     const refusal = frame.mayQueue ? upstream.queue.push(job) : "full";
-    if (refusal) return job.send({ type: "declined", reason: refusal });
+    if (refusal) {
+      return job.send({ type: "declined", reason: refusal, owner: "" });
+    }
     this.remember(upstream, job);
     job.send({ type: "accepted", queued: true });
   }
 
+  /** Returns the router that owns an upstream, unless it is this one or one that the entry could not reach. */
+  private findOtherOwner(
+    upstream: OwnedUpstream,
+    frame: FrameOf<"offer">,
+  ): string | undefined {
+    const [owner] = this.options.getPlacement().getOwners(upstream.host);
+    const isOther = owner !== undefined && owner !== this.options.settings.id;
+    return isOther && !frame.avoids.includes(owner) ? owner : undefined;
+  }
+
   /** Whether an offer is for a request that the upstream already carries for a lost owner; it takes no further room. */
   private isTakenOver(
     upstream: OwnedUpstream,
@@ -223,7 +239,7 @@
     this.options.loads.record(this.getLoads(), now);
     const pool = this.options.getPlacement().getPool(upstream.host);
     const mean = this.options.loads.getMean(pool, now);
-    const { heardShare } = this.options.getView();
+    const heardShare = this.share.get(this.options.getView().heardShare, now);
     return {
       boundMultiple,
       minimumCap,
@@ -348,7 +364,7 @@
     job: Job,
     reason: "gone" | "deadline",
   ): void {
-    job.send({ type: "declined", reason });
+    job.send({ type: "declined", reason, owner: "" });
     upstream.queue.remove(job);
     this.finish(upstream, job);
   }
@@ -420,10 +436,12 @@
     upstream.isOwned = this.isOwner(upstream.host);
     if (wasOwned) return;
     const now = performance.now();
-    upstream.foreign.takeOver(
-      this.options.loads.getLoad(upstream.host.id, now) ?? 0,
+    const told = this.options.loads.getLoad(
+      upstream.host.id,
       now,
+      REMEMBERED_MS,
     );
+    upstream.foreign.takeOver(told ?? 0, now);
   }
 
   private isOwner(host: Host): boolean {
--- a/src/peer/frame_schema.ts
+++ b/src/peer/frame_schema.ts
@@ -25,6 +25,8 @@
   repeatable: z.boolean(),
   /** Whether the request may wait where the upstream is full. */
   mayQueue: z.boolean(),
+  /** Routers that did not answer the entry; one of them being the owner is no reason to decline. */
+  avoids: z.array(z.string()).max(16),
   /** Whether the upstream may be at work on it already, for another owner that was lost. */
   resumes: z.boolean(),
   /** Events of the answer that the caller already has. */
@@ -52,7 +54,9 @@
   z.object({
     type: z.literal("declined"),
     exchange,
-    reason: z.enum(["full", "share", "gone", "stale", "deadline"]),
+    reason: z.enum(["full", "share", "gone", "stale", "deadline", "moved"]),
+    /** Where the reason is `moved`: the router that owns the upstream. */
+    owner: z.string(),
   }),
   /** The owner is about to send and asks for the grant. */
   z.object({ type: z.literal("claim"), exchange }),
