Cheaper chunks on the streamed path; the owner split into small modules

Change: the owner is told of taken bytes every 4 KiB; chunk frames are checked by hand, all others by schema; an engine's answer is read to its end so that the connection is kept. The registry of upstreams, the table of jobs and the work on one are modules of their own.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -6,6 +6,9 @@
 /** Time an owner has to say what became of a request whose time is over. */
 const CANCEL_CONFIRM_MS = 100;
 
+/** Bytes taken by the caller after which the owner is told; a small part of the least stream window. */
+const CREDIT_STEP_BYTES = 4 * 1024;
+
 /** How one attempt ended. */
 export type AttemptOutcome =
   | { type: "done" }
@@ -40,6 +43,8 @@
   private isAccepted = false;
   private chunks = 0;
   private bytes = 0;
+  /** Bytes the caller has taken that the owner was not told of. */
+  private takenBytes = 0;
   private delivery: Promise<void> = Promise.resolve();
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly leave = () => this.finish({ type: "abandoned" });
@@ -141,11 +146,14 @@
 
   private async deliver(bytes: Uint8Array): Promise<void> {
     await this.options.sink.chunk(bytes);
+    this.takenBytes += bytes.length;
+    if (this.takenBytes < CREDIT_STEP_BYTES) return;
     this.options.client.send({
       type: "credit",
       exchange: this.exchange,
-      bytes: bytes.length,
+      bytes: this.takenBytes,
     });
+    this.takenBytes = 0;
   }
 
   private takeEnd(frame: FrameOf<"end">): void {
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -1,24 +1,20 @@
 import { Actor, type ActorSystem } from "../actors/actor.ts";
 import type { AuditTrail } from "../audit/audit_trail.ts";
 import type { PauseGuard } from "../clock/pause_guard.ts";
-import { hashText } from "../hashing/hasher.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { PlacementTable } from "../placement/placement_table.ts";
-import { POLICIES } from "../placement/policies.ts";
 import type { FramePort } from "../peer/frame_port.ts";
 import type { FrameOf } from "../peer/frame_schema.ts";
-import type { Host } from "../platform/host_schema.ts";
 import type { Settings } from "../settings/settings_schema.ts";
-import { UpstreamError } from "../upstream/upstream_error.ts";
 import type { UpstreamReport } from "../upstream/upstream_client.ts";
-import { HeardShare } from "./heard_share.ts";
 import { Job } from "./job.ts";
-import { computeCap, hasRoom, type LoadBoundStructure } from "./load_bound.ts";
-import { type LoadBook, REMEMBERED_MS, UNREACHABLE_LOAD } from "./load_book.ts";
-import { OwnedUpstream } from "./owned_upstream.ts";
+import { JobTable } from "./job_table.ts";
+import type { LoadBook } from "./load_book.ts";
+import type { OwnedUpstream } from "./owned_upstream.ts";
+import { UpstreamRegistry } from "./upstream_registry.ts";
 import type { UpstreamStatus } from "./upstream_status.ts";
-import { JOB_RUNNERS } from "./run_job.ts";
+import { cancelOnEngine, workOn } from "./work_on.ts";
 
 /** Time an entry has to answer a claim. */
 const CLAIM_TIMEOUT_MS = 2_000;
@@ -57,18 +53,19 @@
 
 /** The task that owns upstreams: it alone decides when a request is sent to one of them. */
 export class Owner {
-  private readonly upstreams = new Map<string, OwnedUpstream>();
-  private readonly jobs = new Map<
-    FramePort,
-    Map<number, { upstream: OwnedUpstream; job: Job }>
-  >();
+  private readonly registry: UpstreamRegistry;
+  private readonly jobs = JobTable.create();
   private readonly actor: Actor<OwnerMessages>;
   private readonly timers: NodeJS.Timeout[];
-  private readonly share = HeardShare.create();
   private toldLoad = 0;
   private isStopping = false;
 
   private constructor(private readonly options: OwnerOptions) {
+    this.registry = UpstreamRegistry.create({
+      ...options,
+      onReport: (upstream, report) =>
+        this.actor.tell("report", { upstream, report }),
+    });
     this.actor = Actor.create<OwnerMessages>(options.system, "owner", {
       offer: ({ port, frame }) => this.takeOffer(port, frame),
       reply: ({ port, frame }) => this.takeReply(port, frame),
@@ -81,7 +78,7 @@
     this.timers = [
       setInterval(() => this.actor.tell("sweep", null), SWEEP_INTERVAL_MS),
       setInterval(
-        () => this.readReports(),
+        () => this.registry.readReports(),
         options.settings.routing.reportIntervalMs,
       ),
     ];
@@ -111,7 +108,7 @@
    * @param port Connection to the entry.
    * @param frame The number of bytes. */
   credit(port: FramePort, frame: FrameOf<"credit">): void {
-    this.jobs.get(port)?.get(frame.exchange)?.job.credit(frame.bytes);
+    this.jobs.getEntry(port, frame.exchange)?.job.credit(frame.bytes);
   }
 
   /** Drops the work of an entry whose connection ended.
@@ -122,19 +119,13 @@
 
   /** Loads of the upstreams this router owns: hash of the id, and the number. */
   getLoads(): [number, number][] {
-    const owned = [...this.upstreams.values()].filter((upstream) =>
-      upstream.isOwned
-    );
-    return owned.map((upstream) => [
-      hashText(upstream.host.id),
-      upstream.isReachable ? upstream.leastLoad : UNREACHABLE_LOAD,
-    ]);
+    return this.registry.getLoads();
   }
 
   /** Requests this router has running or waiting, over all upstreams. */
   get openJobs(): number {
     let count = 0;
-    for (const upstream of this.upstreams.values()) {
+    for (const upstream of this.registry.getAll()) {
       count += upstream.running.size + upstream.queue.length;
     }
     return count;
@@ -142,13 +133,13 @@
 
   /** What operators see of each upstream. */
   describe(): UpstreamStatus[] {
-    return [...this.upstreams.values()].map((upstream) => ({
+    return this.registry.getAll().map((upstream) => ({
       id: upstream.host.id,
-      owned: this.isOwner(upstream.host),
+      owned: upstream.isOwned,
       running: upstream.running.size,
       foreign: upstream.foreign.load,
       waiting: upstream.queue.length,
-      cap: this.getCap(upstream),
+      cap: this.registry.getCap(upstream),
       takesWork: upstream.takesWork,
     }));
   }
@@ -162,10 +153,10 @@
   async close(): Promise<void> {
     for (const timer of this.timers) clearInterval(timer);
     this.actor.close();
-    for (const upstream of this.upstreams.values()) {
+    for (const upstream of this.registry.getAll()) {
       for (const job of upstream.running) job.abort();
-      await upstream.client.close();
     }
+    await this.registry.close();
   }
 
   private takeOffer(port: FramePort, frame: FrameOf<"offer">): void {
@@ -175,9 +166,10 @@
       performance.now(),
       this.options.settings.limits.streamWindowBytes,
     );
-    const upstream = this.getUpstream(frame.upstreamId);
-    if (upstream) this.refreshOwnership(upstream);
-    const owner = upstream ? this.findOtherOwner(upstream, frame) : undefined;
+    const upstream = this.registry.getUpstream(frame.upstreamId);
+    const owner = upstream
+      ? this.registry.findOtherOwner(upstream, frame)
+      : undefined;
     if (owner) return job.send({ type: "declined", reason: "moved", owner });
     if (this.isStopping || !this.options.guard.isFresh()) {
       return job.send({ type: "declined", reason: "stale", owner: "" });
@@ -185,9 +177,10 @@
     if (!upstream?.takesWork) {
       return job.send({ type: "declined", reason: "gone", owner: "" });
     }
-    const mayStart = upstream.queue.length === 0 && this.hasRoom(upstream);
+    const mayStart = upstream.queue.length === 0 &&
+      this.registry.hasRoom(upstream);
     if (mayStart || this.isTakenOver(upstream, frame)) {
-      this.remember(upstream, job);
+      this.jobs.add({ upstream, job });
       job.send({ type: "accepted", queued: false });
       return this.begin(upstream, job);
     }
@@ -195,20 +188,10 @@
     if (refusal) {
       return job.send({ type: "declined", reason: refusal, owner: "" });
     }
-    this.remember(upstream, job);
+    this.jobs.add({ upstream, job });
     job.send({ type: "accepted", queued: true });
   }
 
-  /** Returns the router that owns an upstream, unless it is this one or one that the entry could not reach. */
-  private findOtherOwner(
-    upstream: OwnedUpstream,
-    frame: FrameOf<"offer">,
-  ): string | undefined {
-    const [owner] = this.options.getPlacement().getOwners(upstream.host);
-    const isOther = owner !== undefined && owner !== this.options.settings.id;
-    return isOther && !frame.avoids.includes(owner) ? owner : undefined;
-  }
-
   /** Whether an offer is for a request that the upstream already carries for a lost owner; it takes no further room. */
   private isTakenOver(
     upstream: OwnedUpstream,
@@ -217,38 +200,6 @@
     return frame.resumes && upstream.foreign.load > 0;
   }
 
-  private hasRoom(upstream: OwnedUpstream): boolean {
-    if (!this.isBounded) return upstream.load < upstream.host.slots;
-    const load = { own: upstream.running.size, foreign: upstream.foreign.load };
-    return hasRoom(this.getBound(upstream), load);
-  }
-
-  private getCap(upstream: OwnedUpstream): number {
-    return this.isBounded
-      ? computeCap(this.getBound(upstream))
-      : upstream.host.slots;
-  }
-
-  private get isBounded(): boolean {
-    return POLICIES[this.options.settings.routing.policy].isBounded;
-  }
-
-  private getBound(upstream: OwnedUpstream): LoadBoundStructure {
-    const { boundMultiple, minimumCap } = this.options.settings.routing;
-    const now = performance.now();
-    this.options.loads.record(this.getLoads(), now);
-    const pool = this.options.getPlacement().getPool(upstream.host);
-    const mean = this.options.loads.getMean(pool, now);
-    const heardShare = this.share.get(this.options.getView().heardShare, now);
-    return {
-      boundMultiple,
-      minimumCap,
-      slots: upstream.host.slots,
-      mean,
-      heardShare,
-    };
-  }
-
   private begin(upstream: OwnedUpstream, job: Job): void {
     upstream.add(job, performance.now());
     this.noteGrowth();
@@ -261,33 +212,13 @@
 
   private run(upstream: OwnedUpstream, job: Job): void {
     job.state = "running";
-    void this.work(upstream, job).finally(() =>
+    void workOn(upstream, job, this.options.logger).finally(() =>
       this.actor.tell("finished", { upstream, job })
     );
   }
 
-  private async work(upstream: OwnedUpstream, job: Job): Promise<void> {
-    try {
-      const result = await JOB_RUNNERS[job.offer.work](job, upstream.client);
-      job.send({ type: "end", ...result });
-    } catch (thrown) {
-      const error = UpstreamError.from(thrown);
-      if (job.signal.aborted) return;
-      this.cancelOnEngine(upstream, job);
-      this.options.logger.warn(
-        {
-          upstream: upstream.host.id,
-          request: job.offer.requestId,
-          reason: error.message,
-        },
-        "upstream_failed",
-      );
-      job.send({ type: "failed", ran: error.ran, detail: error.message });
-    }
-  }
-
   private takeReply(port: FramePort, frame: ReplyFrame): void {
-    const entry = this.jobs.get(port)?.get(frame.exchange);
+    const entry = this.jobs.getEntry(port, frame.exchange);
     if (!entry) return;
     const { upstream, job } = entry;
     if (frame.type === "grant") {
@@ -311,7 +242,7 @@
 
   private onClaimTimeout(job: Job): void {
     if (job.state !== "claiming") return;
-    const entry = this.jobs.get(job.port)?.get(job.offer.exchange);
+    const entry = this.jobs.getEntry(job.port, job.offer.exchange);
     job.send({
       type: "failed",
       ran: "no",
@@ -325,33 +256,25 @@
     if (wasRunning && !job.offer.repeatable) return;
     if (!wasRunning) return this.decline(upstream, job, "deadline");
     job.abort();
-    this.cancelOnEngine(upstream, job);
+    cancelOnEngine(upstream, job);
     this.finish(upstream, job);
   }
 
-  private cancelOnEngine(upstream: OwnedUpstream, job: Job): void {
-    if (job.offer.work === "chat") {
-      void upstream.client.cancel(job.offer.requestId, job.attempt);
-    }
-  }
-
   private finish(upstream: OwnedUpstream, job: Job): void {
     if (job.state === "over") return;
     job.state = "over";
     upstream.delete(job, performance.now());
-    const jobs = this.jobs.get(job.port);
-    jobs?.delete(job.offer.exchange);
-    if (jobs?.size === 0) this.jobs.delete(job.port);
+    this.jobs.delete(job);
     this.pump(upstream);
   }
 
   /** Starts waiting requests while there is room, and drops those nobody waits for. */
   private pump(upstream: OwnedUpstream): void {
     while (upstream.queue.length > 0) {
-      const mayStart = this.hasRoom(upstream) && upstream.takesWork &&
+      const mayStart = this.registry.hasRoom(upstream) && upstream.takesWork &&
         this.options.guard.isFresh();
       const job = mayStart
-        ? upstream.queue.take(this.getCap(upstream))
+        ? upstream.queue.take(this.registry.getCap(upstream))
         : undefined;
       if (!job) return;
       if (performance.now() < job.deadlineAt) this.begin(upstream, job);
@@ -370,94 +293,21 @@
   }
 
   private dropPort(port: FramePort): void {
-    for (const { upstream, job } of [...this.jobs.get(port)?.values() ?? []]) {
+    for (const { upstream, job } of this.jobs.getEntries(port)) {
       this.stopJob(upstream, job);
     }
   }
 
   private sweep(): void {
     const now = performance.now();
-    for (const upstream of this.upstreams.values()) {
-      upstream.host = this.options.getView().getUpstream(upstream.host.id) ??
-        { ...upstream.host, state: "leaving" };
+    this.registry.refresh();
+    for (const upstream of this.registry.getAll()) {
       for (const job of [...upstream.queue.items]) {
         if (now >= job.deadlineAt) this.decline(upstream, job, "deadline");
         else if (!upstream.takesWork) this.decline(upstream, job, "gone");
       }
-      this.refreshOwnership(upstream);
       this.pump(upstream);
-      this.forgetUnused(upstream);
     }
-    for (const host of this.options.getView().upstreams) {
-      if (this.isOwner(host) && !this.upstreams.has(host.id)) {
-        this.takeOver(host);
-      }
-    }
-  }
-
-  private forgetUnused(upstream: OwnedUpstream): void {
-    const isUsed = upstream.running.size > 0 || upstream.queue.length > 0;
-    const isListed =
-      this.options.getView().getUpstream(upstream.host.id) !== undefined;
-    if (isUsed || (isListed && this.isOwner(upstream.host))) return;
-    this.upstreams.delete(upstream.host.id);
-    void upstream.client.close();
-  }
-
-  private getUpstream(id: string): OwnedUpstream | undefined {
-    const host = this.options.getView().getUpstream(id);
-    const known = this.upstreams.get(id);
-    if (known && host) known.host = host;
-    if (known || !host) return known;
-    return this.takeOver(host);
-  }
-
-  private takeOver(host: Host): OwnedUpstream {
-    const { queueLimit, stallTimeoutMs } = this.options.settings.routing;
-    const upstream = OwnedUpstream.create(host, queueLimit, stallTimeoutMs);
-    this.upstreams.set(host.id, upstream);
-    const who = this.options.settings.id;
-    this.options.audit.add({
-      action: "upstream_taken_over",
-      who,
-      what: host.id,
-      revision: this.options.getView().version,
-      why: "first in its rendezvous order among the routers heard",
-    });
-    this.refreshOwnership(upstream);
-    void this.readReport(upstream);
-    return upstream;
-  }
-
-  /** Takes what the former owner last told as foreign, until the upstream itself reports.
-   * A router that is not the owner, for it sees the fleet otherwise than the entry, does the same all the time. */
-  private refreshOwnership(upstream: OwnedUpstream): void {
-    const wasOwned = upstream.isOwned;
-    upstream.isOwned = this.isOwner(upstream.host);
-    if (wasOwned) return;
-    const now = performance.now();
-    const told = this.options.loads.getLoad(
-      upstream.host.id,
-      now,
-      REMEMBERED_MS,
-    );
-    upstream.foreign.takeOver(told ?? 0, now);
-  }
-
-  private isOwner(host: Host): boolean {
-    return this.options.getPlacement().getOwners(host)[0] ===
-      this.options.settings.id;
-  }
-
-  private readReports(): void {
-    for (const upstream of this.upstreams.values()) {
-      void this.readReport(upstream);
-    }
-  }
-
-  private async readReport(upstream: OwnedUpstream): Promise<void> {
-    const report = await upstream.client.readReport().catch(() => undefined);
-    this.actor.tell("report", { upstream, report });
   }
 
   private takeReport(
@@ -470,16 +320,10 @@
 
   private noteGrowth(): void {
     let load = 0;
-    for (const upstream of this.upstreams.values()) load += upstream.load;
+    for (const upstream of this.registry.getAll()) load += upstream.load;
     if (load > this.toldLoad * PUSH_GROWTH + PUSH_STEP) {
       this.options.onLoadGrew();
     } else if (load >= this.toldLoad) return;
     this.toldLoad = load;
   }
-
-  private remember(upstream: OwnedUpstream, job: Job): void {
-    const jobs = this.jobs.get(job.port) ?? new Map();
-    jobs.set(job.offer.exchange, { upstream, job });
-    this.jobs.set(job.port, jobs);
-  }
 }
--- /dev/null
+++ b/src/owner/upstream_registry.ts
@@ -0,0 +1,197 @@
+import type { AuditTrail } from "../audit/audit_trail.ts";
+import { hashText } from "../hashing/hasher.ts";
+import type { FleetView } from "../membership/fleet_view.ts";
+import type { FrameOf } from "../peer/frame_schema.ts";
+import type { PlacementTable } from "../placement/placement_table.ts";
+import { POLICIES } from "../placement/policies.ts";
+import type { Host } from "../platform/host_schema.ts";
+import type { Settings } from "../settings/settings_schema.ts";
+import type { UpstreamReport } from "../upstream/upstream_client.ts";
+import { HeardShare } from "./heard_share.ts";
+import { computeCap, hasRoom, type LoadBoundStructure } from "./load_bound.ts";
+import { type LoadBook, REMEMBERED_MS, UNREACHABLE_LOAD } from "./load_book.ts";
+import { OwnedUpstream } from "./owned_upstream.ts";
+
+/** What the registry needs of the rest of the router. */
+export interface UpstreamRegistryOptions {
+  settings: Settings;
+  audit: AuditTrail;
+  loads: LoadBook;
+  getView: () => FleetView;
+  getPlacement: () => PlacementTable;
+  /** Told of each report that was read, or that could not be. */
+  onReport: (
+    upstream: OwnedUpstream,
+    report: UpstreamReport | undefined,
+  ) => void;
+}
+
+/** The upstreams that a router owns or still has work on, with what bounds them. */
+export class UpstreamRegistry {
+  private readonly upstreams = new Map<string, OwnedUpstream>();
+  private readonly share = HeardShare.create();
+
+  private constructor(private readonly options: UpstreamRegistryOptions) {}
+
+  /** Creates an empty registry.
+   * @param options What it needs. */
+  static create(options: UpstreamRegistryOptions): UpstreamRegistry {
+    return new UpstreamRegistry(options);
+  }
+
+  /** All upstreams. */
+  getAll(): OwnedUpstream[] {
+    return [...this.upstreams.values()];
+  }
+
+  /** Returns an upstream with its present place on the list, or nothing where it is not listed.
+   * @param id The upstream. */
+  getUpstream(id: string): OwnedUpstream | undefined {
+    const host = this.options.getView().getUpstream(id);
+    const known = this.upstreams.get(id);
+    if (known && host) known.host = host;
+    const upstream = known ?? (host ? this.takeOver(host) : undefined);
+    if (upstream) this.refreshOwnership(upstream);
+    return upstream;
+  }
+
+  /** Loads of the upstreams this router owns: hash of the id, and the number. */
+  getLoads(): [number, number][] {
+    const owned = [...this.upstreams.values()].filter((upstream) =>
+      upstream.isOwned
+    );
+    return owned.map((upstream) => [
+      hashText(upstream.host.id),
+      upstream.isReachable ? upstream.leastLoad : UNREACHABLE_LOAD,
+    ]);
+  }
+
+  /** Takes over the upstreams that this router came to own, and forgets those it has nothing to do with. */
+  refresh(): void {
+    for (const upstream of this.upstreams.values()) {
+      const { host } = upstream;
+      upstream.host = this.options.getView().getUpstream(host.id) ??
+        { ...host, state: "leaving" };
+      this.refreshOwnership(upstream);
+      this.forgetUnused(upstream);
+    }
+    for (const host of this.options.getView().upstreams) {
+      if (this.isOwner(host) && !this.upstreams.has(host.id)) {
+        this.takeOver(host);
+      }
+    }
+  }
+
+  /** Returns the router that owns an upstream, unless it is this one or one that the entry could not reach.
+   * @param upstream The upstream.
+   * @param frame The entry's offer. */
+  findOtherOwner(
+    upstream: OwnedUpstream,
+    frame: FrameOf<"offer">,
+  ): string | undefined {
+    const [owner] = this.options.getPlacement().getOwners(upstream.host);
+    const isOther = owner !== undefined && owner !== this.options.settings.id;
+    return isOther && !frame.avoids.includes(owner) ? owner : undefined;
+  }
+
+  /** Whether one more request may be started on an upstream.
+   * @param upstream The upstream. */
+  hasRoom(upstream: OwnedUpstream): boolean {
+    if (!this.isBounded) return upstream.load < upstream.host.slots;
+    const load = { own: upstream.running.size, foreign: upstream.foreign.load };
+    return hasRoom(this.getBound(upstream), load);
+  }
+
+  /** Requests an upstream may carry now.
+   * @param upstream The upstream. */
+  getCap(upstream: OwnedUpstream): number {
+    return this.isBounded
+      ? computeCap(this.getBound(upstream))
+      : upstream.host.slots;
+  }
+
+  /** Reads the reports of all upstreams. */
+  readReports(): void {
+    for (const upstream of this.upstreams.values()) {
+      void this.readReport(upstream);
+    }
+  }
+
+  /** Ends all connections to upstreams. */
+  async close(): Promise<void> {
+    for (const upstream of this.upstreams.values()) {
+      await upstream.client.close();
+    }
+  }
+
+  private get isBounded(): boolean {
+    return POLICIES[this.options.settings.routing.policy].isBounded;
+  }
+
+  private getBound(upstream: OwnedUpstream): LoadBoundStructure {
+    const { boundMultiple, minimumCap } = this.options.settings.routing;
+    const now = performance.now();
+    this.options.loads.record(this.getLoads(), now);
+    const pool = this.options.getPlacement().getPool(upstream.host);
+    const mean = this.options.loads.getMean(pool, now);
+    const heardShare = this.share.get(this.options.getView().heardShare, now);
+    return {
+      boundMultiple,
+      minimumCap,
+      slots: upstream.host.slots,
+      mean,
+      heardShare,
+    };
+  }
+
+  private forgetUnused(upstream: OwnedUpstream): void {
+    const isUsed = upstream.running.size > 0 || upstream.queue.length > 0;
+    const isListed =
+      this.options.getView().getUpstream(upstream.host.id) !== undefined;
+    if (isUsed || (isListed && this.isOwner(upstream.host))) return;
+    this.upstreams.delete(upstream.host.id);
+    void upstream.client.close();
+  }
+
+  private takeOver(host: Host): OwnedUpstream {
+    const { queueLimit, stallTimeoutMs } = this.options.settings.routing;
+    const upstream = OwnedUpstream.create(host, queueLimit, stallTimeoutMs);
+    this.upstreams.set(host.id, upstream);
+    const who = this.options.settings.id;
+    this.options.audit.add({
+      action: "upstream_taken_over",
+      who,
+      what: host.id,
+      revision: this.options.getView().version,
+      why: "first in its rendezvous order among the routers heard",
+    });
+    this.refreshOwnership(upstream);
+    void this.readReport(upstream);
+    return upstream;
+  }
+
+  /** Takes what the former owner last told as foreign, until the upstream itself reports.
+   * A router that is not the owner, for it sees the fleet otherwise than the entry, does the same all the time. */
+  private refreshOwnership(upstream: OwnedUpstream): void {
+    const wasOwned = upstream.isOwned;
+    upstream.isOwned = this.isOwner(upstream.host);
+    if (wasOwned) return;
+    const now = performance.now();
+    const told = this.options.loads.getLoad(
+      upstream.host.id,
+      now,
+      REMEMBERED_MS,
+    );
+    upstream.foreign.takeOver(told ?? 0, now);
+  }
+
+  private isOwner(host: Host): boolean {
+    return this.options.getPlacement().getOwners(host)[0] ===
+      this.options.settings.id;
+  }
+
+  private async readReport(upstream: OwnedUpstream): Promise<void> {
+    const report = await upstream.client.readReport().catch(() => undefined);
+    this.options.onReport(upstream, report);
+  }
+}
--- a/src/peer/socket_port.ts
+++ b/src/peer/socket_port.ts
@@ -1,7 +1,7 @@
 import { Packr } from "msgpackr";
 import type { WebSocket } from "ws";
 import type { FramePort } from "./frame_port.ts";
-import { type Frame, frameSchema } from "./frame_schema.ts";
+import { type Frame, type FrameOf, frameSchema } from "./frame_schema.ts";
 
 const packr = new Packr({ useRecords: false });
 
@@ -68,7 +68,8 @@
   private decode(data: Buffer): void {
     let frame: Frame;
     try {
-      frame = frameSchema.parse(packr.unpack(data));
+      const value: unknown = packr.unpack(data);
+      frame = isChunk(value) ? value : frameSchema.parse(value);
     } catch {
       this.close();
       return;
@@ -76,3 +77,15 @@
     this.receive(frame);
   }
 }
+
+/** Whether a value is a well-formed chunk; checked by hand, for chunks are nearly all frames there are. */
+function isChunk(value: unknown): value is FrameOf<"chunk"> {
+  const chunk = value as Partial<FrameOf<"chunk">> | null;
+  return chunk?.type === "chunk" && isCount(chunk.exchange) &&
+    isCount(chunk.sequence) && isCount(chunk.events) &&
+    chunk.bytes instanceof Uint8Array;
+}
+
+function isCount(value: unknown): boolean {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
--- a/src/settings/settings_schema.ts
+++ b/src/settings/settings_schema.ts
@@ -13,7 +13,7 @@
   requestTimeoutMs: milliseconds.default(15_000),
   maxOpenRequests: z.number().int().min(1).default(5_000),
   /** Bytes that may be under way to one caller before the upstream is paused. */
-  streamWindowBytes: z.number().int().min(1024).default(256 * 1024),
+  streamWindowBytes: z.number().int().min(16 * 1024).default(256 * 1024),
 });
 
 const routingSchema = z.strictObject({
--- a/src/upstream/event_stream_parser.ts
+++ b/src/upstream/event_stream_parser.ts
@@ -20,7 +20,7 @@
  * Throws where an event names another request, is out of order, or follows the end marker. */
 export class EventStreamParser {
   private rest = "";
-  private isDone = false;
+  private hasEnded = false;
 
   private constructor(
     private readonly requestId: string,
@@ -42,7 +42,7 @@
     const end = all.lastIndexOf(SEPARATOR);
     if (end < 0) {
       this.rest = all;
-      return { bytes: Buffer.alloc(0), events: [], done: this.isDone };
+      return { bytes: Buffer.alloc(0), events: [], done: this.hasEnded };
     }
     const whole = all.slice(0, end + SEPARATOR.length);
     this.rest = all.slice(end + SEPARATOR.length);
@@ -51,7 +51,7 @@
       const event = line === "" ? undefined : this.parseLine(line);
       if (event) events.push(event);
     }
-    return { bytes: Buffer.from(whole), events, done: this.isDone };
+    return { bytes: Buffer.from(whole), events, done: this.hasEnded };
   }
 
   /** Number of the next event expected. */
@@ -59,10 +59,15 @@
     return this.nextIndex;
   }
 
+  /** Whether the end marker was read. */
+  get isDone(): boolean {
+    return this.hasEnded;
+  }
+
   private parseLine(line: string): EngineEvent | undefined {
-    if (this.isDone) throw new Error("an event follows the end marker");
+    if (this.hasEnded) throw new Error("an event follows the end marker");
     if (line === DONE_LINE) {
-      this.isDone = true;
+      this.hasEnded = true;
       return undefined;
     }
     if (!line.startsWith(DATA_PREFIX)) {
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -104,6 +104,7 @@
   }
 
   /** Runs a chat and yields its events as they come; ends only after the engine's end marker.
+   * The body is read to its end, so that the connection serves the next request.
    * @param work The request. */
   async *streamChat(work: UpstreamRequest): AsyncGenerator<ParsedEvents> {
     const response = await this.send(work, this.agent);
@@ -117,12 +118,13 @@
     for await (const text of response.body) {
       const parsed = parser.push(text as string);
       if (parsed.events.length > 0 || parsed.done) yield parsed;
-      if (parsed.done) return;
     }
-    throw UpstreamError.create(
-      "unknown",
-      "the stream ended before its end marker",
-    );
+    if (!parser.isDone) {
+      throw UpstreamError.create(
+        "unknown",
+        "the stream ended before its end marker",
+      );
+    }
   }
 
   /** Calls a service and returns its whole answer.
--- a/tools/free_port.ts
+++ b/tools/free_port.ts
@@ -7,27 +7,26 @@
 const BLOCK_SIZE = 200;
 const BLOCK_COUNT = 100;
 
-let block: Promise<{ next: number; end: number }> | undefined;
+let block: Promise<{ first: number; used: number }> | undefined;
 
 /** Returns a port of the loopback address that is free for TCP and UDP; no other process using this gets it. */
 export async function getFreePort(): Promise<number> {
   block ??= claimBlock();
   const claimed = await block;
-  while (claimed.next < claimed.end) {
-    const port = claimed.next++;
+  for (let tries = 0; tries < BLOCK_SIZE; tries++) {
+    const port = claimed.first + claimed.used++ % BLOCK_SIZE;
     if (await isFree(port)) return port;
   }
   throw new Error("no free port is left in this process's block");
 }
 
 /** Claims a block for this process by listening on the block's lock port until the process ends. */
-async function claimBlock(): Promise<{ next: number; end: number }> {
+async function claimBlock(): Promise<{ first: number; used: number }> {
   for (let index = 0; index < BLOCK_COUNT; index++) {
     const lock = await tryListen(FIRST_LOCK_PORT + index);
     if (!lock) continue;
     lock.unref();
-    const next = FIRST_BLOCK_PORT + index * BLOCK_SIZE;
-    return { next, end: next + BLOCK_SIZE };
+    return { first: FIRST_BLOCK_PORT + index * BLOCK_SIZE, used: 0 };
   }
   throw new Error("no block of ports is free");
 }
