--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -1,32 +1,14 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { countTokens, getPiece } from "./answer_text.ts";
+import {
+  DEFAULT_ENGINE_OPTIONS,
+  type FakeEngineOptions,
+} from "./fake_engine_options.ts";
 import { closeHttp, listenHttp, reply } from "./http_fake.ts";
 import { Ledger, type LedgerRun } from "./ledger.ts";
 import { PrefixCache } from "./prefix_cache.ts";
 
-/** How a stand-in engine behaves. */
-export interface FakeEngineOptions {
-  id: string;
-  models: string[];
-  /** Tokens the prefix cache holds. */
-  cacheTokens: number;
-  /** Time to read a thousand uncached prompt tokens. */
-  prefillMsPerThousand: number;
-  /** Time for one token of the answer when the engine is alone. */
-  tokenMs: number;
-  /** Part by which each further request in flight slows the others. */
-  batchSlowdown: number;
-  /** Requests computed at once; those beyond wait, the more urgent first. */
-  slots: number;
-  /** Lag of the load report. */
-  reportLagMs: number;
-  /** Whether orders with an older fence are refused. */
-  checksFence: boolean;
-  /** Port to listen on; 0 takes any free one. */
-  port: number;
-}
-
 /** A fault that an engine shows on request. */
 export type EngineFault = "none" | "crossed" | "truncated" | "silent";
 
@@ -48,19 +30,6 @@
   abandonedAt: number | undefined;
 }
 
-const DEFAULTS: FakeEngineOptions = {
-  id: "engine",
-  models: ["m1"],
-  cacheTokens: 200_000,
-  prefillMsPerThousand: 20,
-  tokenMs: 2,
-  batchSlowdown: 0.02,
-  slots: 64,
-  reportLagMs: 300,
-  checksFence: true,
-  port: 0,
-};
-
 /** A stand-in for a model engine: batches, caches prefixes, streams, resumes, cancels, reports late, keeps a ledger. */
 export class FakeEngine {
   readonly ledger = Ledger.create();
@@ -87,7 +56,7 @@
   static async create(
     options: Partial<FakeEngineOptions> = {},
   ): Promise<FakeEngine> {
-    const engine = new FakeEngine({ ...DEFAULTS, ...options });
+    const engine = new FakeEngine({ ...DEFAULT_ENGINE_OPTIONS, ...options });
     const { server, port } = await listenHttp(
       (request, response, body) => engine.handle(request, response, body),
       engine.options.port,
--- a/src/configuration/configuration_keeper.ts
+++ b/src/configuration/configuration_keeper.ts
@@ -73,7 +73,8 @@
     );
   }
 
-  /** Compares a peer's documents with the own ones and pulls what is missing.
+  /** Compares a peer's documents with the own ones and pulls what is missing: what is newer from a peer that has seen
+   * more, everything from one that has seen as much but holds others; one that has seen less will pull itself.
    * @param peerId The peer.
    * @param digest Digest of its documents.
    * @param revision Highest revision it has seen. */
@@ -153,7 +154,7 @@
   }
 
   private comparePeer(peerId: string, digest: number, revision: number): void {
-    if (digest === this.store.digest) return;
+    if (digest === this.store.digest || revision < this.store.revision) return;
     const now = performance.now();
     if (
       now - (this.pulledAt.get(peerId) ?? -PULL_INTERVAL_MS) < PULL_INTERVAL_MS
--- a/src/configuration/document_store.ts
+++ b/src/configuration/document_store.ts
@@ -47,7 +47,6 @@
       return { type: "known" };
     }
     const decision = acceptDocument(published);
-    this.highestRevision = Math.max(this.highestRevision, published.revision);
     if (decision.isErr()) {
       this.refused.set(published.key, published.revision);
       return { type: "refused", reasons: decision.error };
@@ -73,7 +72,7 @@
       .sort((a, b) => a.revision - b.revision || (a.key < b.key ? -1 : 1));
   }
 
-  /** Highest revision that was seen, accepted or refused. */
+  /** Highest revision that was accepted. */
   get revision(): number {
     return this.highestRevision;
   }
@@ -87,6 +86,7 @@
     published: PublishedValue,
     document: ConfigurationDocument,
   ): void {
+    this.highestRevision = Math.max(this.highestRevision, published.revision);
     const previous = this.accepted.get(published.key)?.published;
     if (previous) {
       this.digestSum = (this.digestSum - fingerprint(previous)) >>> 0;
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -1,6 +1,3 @@
-import { ANSWER_TABLE } from "../errors/answer_table.ts";
-import type { ErrorKind } from "../errors/error_kind.ts";
-import { Failure } from "../errors/failure.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { LoadBook } from "../owner/load_book.ts";
@@ -11,16 +8,21 @@
 import type { Settings } from "../settings/settings_schema.ts";
 import type { AnswerSink } from "./answer_sink.ts";
 import { Attempt, type AttemptOutcome } from "./attempt.ts";
+import {
+  buildOffer,
+  createProgress,
+  type DispatchEnd,
+  leavesDoubt,
+  mayHaveRun,
+  type Progress,
+  refuse,
+} from "./dispatch_progress.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import type { RoutedRequest } from "./routed_request.ts";
-import { SendGrant } from "./send_grant.ts";
 
 /** Owners tried for one upstream before it is left. */
 const OWNERS_PER_UPSTREAM = 3;
 
-/** Silent routers named in an offer. */
-const MAX_AVOIDED = 16;
-
 /** What the dispatcher needs of the rest of the router. */
 export interface DispatcherOptions {
   settings: Settings;
@@ -33,30 +35,6 @@
   onUnreachable: (routerId: string) => void;
 }
 
-/** Whether the request was run, as far as the entry knows. */
-export type DispatchEnd =
-  | { type: "done" }
-  | { type: "refused"; failure: Failure; mayHaveRun: boolean }
-  | { type: "abandoned"; mayHaveRun: boolean };
-
-interface Progress {
-  request: RoutedRequest;
-  sink: AnswerSink;
-  grant: SendGrant;
-  callerGone: AbortSignal;
-  /** Events that reached the sink. */
-  events: number;
-  /** Routers that did not answer during this request. */
-  silent: Set<string>;
-  /** Owners that other routers named, by upstream. */
-  namedOwners: Map<string, string>;
-  /** Upstreams that may be at work on the request for an owner that was lost. */
-  heldBy: Set<string>;
-  /** Whether an attempt ended without the owner's word that nothing was sent. */
-  isUncertain: boolean;
-  lastDetail: string;
-}
-
 /** What follows from an attempt's outcome. */
 type NextStep =
   | { type: "end"; end: DispatchEnd }
@@ -89,18 +67,7 @@
     callerGone: AbortSignal,
   ): Promise<DispatchEnd> {
     this.budget.earn();
-    const progress: Progress = {
-      request,
-      sink,
-      grant: SendGrant.create(),
-      callerGone,
-      events: 0,
-      silent: new Set(),
-      namedOwners: new Map(),
-      heldBy: new Set(),
-      isUncertain: false,
-      lastDetail: "",
-    };
+    const progress = createProgress(request, sink, callerGone);
     const end = await this.tryAll(progress);
     if (end.type === "done") sink.end();
     if (end.type === "refused") sink.fail(end.failure);
@@ -318,67 +285,3 @@
     );
   }
 }
-
-function buildOffer(
-  progress: Progress,
-  upstreamId: string,
-  mayQueue: boolean,
-  remainingMs: number,
-) {
-  const { requestId, work, method, path, headers, body, repeatable, customer } =
-    progress.request;
-  return {
-    type: "offer" as const,
-    requestId,
-    upstreamId,
-    work,
-    method,
-    path,
-    headers,
-    body,
-    customer: customer.id,
-    partner: customer.partner,
-    priority: customer.priority,
-    capacityShare: customer.capacityShare,
-    repeatable,
-    mayQueue,
-    avoids: [...progress.silent].slice(0, MAX_AVOIDED),
-    resumes: progress.heldBy.has(upstreamId),
-    resumeFrom: progress.events,
-    remainingMs,
-  };
-}
-
-/** Whether an attempt ended without the owner's word that nothing was sent. */
-function leavesDoubt(outcome: AttemptOutcome): boolean {
-  if (outcome.type === "failed") return outcome.ran === "unknown";
-  return outcome.type !== "done" && outcome.type !== "declined";
-}
-
-/** Whether an upstream may have begun the request. */
-function mayHaveRun(progress: Progress): boolean {
-  return progress.request.repeatable
-    ? progress.isUncertain
-    : progress.grant.taken;
-}
-
-/** Refuses a request; a kind that promises "not run" is replaced where that is not certain. */
-function refuse(
-  progress: Progress,
-  kind: ErrorKind,
-  detail: string,
-): DispatchEnd {
-  const isDoubtful = mayHaveRun(progress);
-  const isPromise = ANSWER_TABLE[kind].ran === "no";
-  const actual = isDoubtful && isPromise ? replaceKind(progress, kind) : kind;
-  return {
-    type: "refused",
-    failure: Failure.create(actual, detail),
-    mayHaveRun: isDoubtful,
-  };
-}
-
-function replaceKind(progress: Progress, kind: ErrorKind): ErrorKind {
-  if (!progress.request.repeatable) return "outcome_unknown";
-  return kind === "deadline_exceeded" ? "timed_out" : "upstream_failed";
-}
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -2,10 +2,11 @@
 import type { PauseGuard } from "../clock/pause_guard.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetSecret } from "../peer/fleet_secret.ts";
-import type { Host, HostList } from "../platform/host_schema.ts";
+import type { HostList } from "../platform/host_schema.ts";
 import { Random } from "../random/random.ts";
 import type { Settings } from "../settings/settings_schema.ts";
-import { FleetView, type RouterView } from "./fleet_view.ts";
+import { FleetView } from "./fleet_view.ts";
+import { logChanges, viewRouters } from "./view_routers.ts";
 import { MemberTable } from "./member_table.ts";
 import type { ProbeMessage } from "./probe_message.ts";
 import { type DatagramAddress, ProbeSocket } from "./probe_socket.ts";
@@ -311,12 +312,11 @@
       return;
     }
     this.publishedChanges = this.table.changes;
-    const routers = this.hostList.hosts.filter((host) => host.role === "router")
-      .map((host) => this.toView(host));
+    const routers = viewRouters(this.hostList, this.table);
     const upstreams = this.hostList.hosts.filter((host) =>
       host.role !== "router"
     );
-    this.logChanges(routers);
+    logChanges(this.currentView, routers, this.options.logger);
     this.currentView = FleetView.create(
       this.options.settings.id,
       this.hostList.version,
@@ -325,31 +325,4 @@
     );
     this.options.onView(this.currentView);
   }
-
-  private logChanges(routers: RouterView[]): void {
-    for (const router of routers) {
-      const before = this.currentView.getRouter(router.host.id);
-      if (
-        before && before.heard === router.heard &&
-        before.unavailable === router.unavailable
-      ) continue;
-      const { heard, unavailable } = router;
-      this.options.logger.info(
-        { peer: router.host.id, heard, unavailable },
-        "router_seen",
-      );
-    }
-  }
-
-  private toView(host: Host): RouterView {
-    const belief = host.id === this.options.settings.id
-      ? this.table.getSelf()
-      : this.table.getMember(host.id);
-    return {
-      host,
-      heard: belief?.status === "alive",
-      lost: belief?.status === "dead",
-      unavailable: host.state === "leaving" || (belief?.unavailable ?? false),
-    };
-  }
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,4 +1,3 @@
-import process from "node:process";
 import { setTimeout as delay } from "node:timers/promises";
 import {
   type ActorSystem,
@@ -31,6 +30,7 @@
 import { HostListPull } from "./host_list_pull.ts";
 import { PlatformWatch } from "./platform_watch.ts";
 import type { RouterStatus } from "./router_status.ts";
+import { readProcess } from "./read_process.ts";
 import { VERSION } from "./version.ts";
 
 /** Room in a frame beside the largest body. */
@@ -313,11 +313,7 @@
         probeMessages: traffic.messages,
         ...controlTraffic,
       },
-      process: {
-        memoryBytes: process.memoryUsage().rss,
-        cpuMicroseconds: process.cpuUsage().user + process.cpuUsage().system,
-        uptimeSeconds: process.uptime(),
-      },
+      process: readProcess(),
     };
   }
 }
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -1,6 +1,7 @@
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
-import { FakeEngine, type FakeEngineOptions } from "../fakes/fake_engine.ts";
+import { FakeEngine } from "../fakes/fake_engine.ts";
+import type { FakeEngineOptions } from "../fakes/fake_engine_options.ts";
 import { FakePlatform } from "../fakes/fake_platform.ts";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { FakeService, type FakeServiceOptions } from "../fakes/fake_service.ts";
