Proofs that fail without their mechanism; stricter where three passed without it

Three tests did not notice: the grant (a woken owner declines for another reason as well), the leaving check (the stand-in engine refused and wrote nothing down) and the parted share (the relative bound adds up by itself; only the minimum needs the share). A fourth, older values, noticed only sometimes. Change: a test in which requests wait at an owner that the entry no longer reaches; stand-ins write down work they refuse; both sides of a parted fleet aim at one engine; the stale test waits until the older value was offered everywhere.

--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -140,6 +140,7 @@
   ): Promise<void> {
     const requestId = String(request.headers["x-request-id"]);
     if (this.leaving) {
+      this.ledger.refusedAt.push(Date.now());
       response.setHeader("x-not-run", "true");
       return reply(response, { error: "leaving" }, 503);
     }
--- a/fakes/fake_service.ts
+++ b/fakes/fake_service.ts
@@ -67,6 +67,7 @@
       });
     }
     if (this.leaving) {
+      this.ledger.refusedAt.push(Date.now());
       response.setHeader("x-not-run", "true");
       return reply(response, { error: "leaving" }, 503);
     }
--- a/fakes/ledger.ts
+++ b/fakes/ledger.ts
@@ -20,6 +20,8 @@
   /** Requests in flight, sampled at each change: milliseconds since the epoch and the number. */
   readonly loads: [number, number][] = [];
   readonly orders: { fence: number; models: string[]; taken: boolean }[] = [];
+  /** Times at which work came that was refused because the upstream was leaving. */
+  readonly refusedAt: number[] = [];
   peakInFlight = 0;
 
   private constructor() {}
--- a/tests/system/bound_test.ts
+++ b/tests/system/bound_test.ts
@@ -3,6 +3,7 @@
 import { auditBound } from "../../tools/bound_audit.ts";
 import type { Fleet } from "../../tools/fleet.ts";
 import { Load, type LoadOptions } from "../../tools/load.ts";
+import { findPlace } from "./find_owner.ts";
 import { waitUntil, withFleet } from "./with_fleet.ts";
 
 /** The multiple and minimum that settings promise by default, and the age a mean may have. */
@@ -96,3 +97,42 @@
     });
   });
 }
+
+test.serial("both sides of a parted fleet together keep one engine to the minimum", async (t) => {
+  await withFleet(
+    { routers: 5, proxied: true, engine: { tokenMs: 4 } },
+    async (fleet, caller) => {
+      const chats: string[] = [];
+      for (let index = 0; chats.length < 12; index++) {
+        const place = await findPlace(fleet, `chat-${index}`);
+        if (place.engine === fleet.engines[0]) chats.push(`chat-${index}`);
+      }
+      const ids = fleet.routers.map((router) => router.id);
+      fleet.mesh.part(ids.slice(0, 2), ids.slice(2), "freeze");
+      const sides = [{ router: fleet.routers[0]!, heard: 2 }, {
+        router: fleet.routers[4]!,
+        heard: 3,
+      }];
+      await Promise.all(
+        sides.map(({ router, heard }) =>
+          router.waitFor(
+            (status) =>
+              status.routers.filter((other) => other.heard).length === heard,
+            "the parting",
+          )
+        ),
+      );
+      const answers = await Promise.all(chats.map((chat, index) => {
+        const { router } = sides[index % 2]!;
+        return caller.chat(
+          { customer: "kilima/rosters", router: router.address },
+          chat,
+          ["hello"],
+          250,
+        );
+      }));
+      t.true(answers.every((answer) => answer.whole));
+      t.true(fleet.engines[0]!.ledger.peakInFlight <= PROMISE.minimum);
+    },
+  );
+});
--- a/tests/system/configuration_test.ts
+++ b/tests/system/configuration_test.ts
@@ -3,7 +3,7 @@
 import type { AuditRecord } from "../../src/audit/audit_record.ts";
 import type { Fleet } from "../../tools/fleet.ts";
 import type { RouterProcess } from "../../tools/router_process.ts";
-import { withFleet } from "./with_fleet.ts";
+import { waitUntil, withFleet } from "./with_fleet.ts";
 
 const KEY = "kilima/customers/clinics";
 
@@ -64,6 +64,14 @@
     const revision = publishShare(fleet, 0.4);
     await waitForRevision(fleet.routers, revision);
     fleet.platform.setMode("stale");
+    for (const router of fleet.routers) {
+      await waitUntil("the older value to be offered", async () => {
+        const records = await readAudit(router, KEY);
+        return records.some((record) =>
+          record.action === "document_superseded"
+        );
+      });
+    }
     const fresh = fleet.routers[2]!;
     await fresh.kill();
     fresh.start();
@@ -73,7 +81,9 @@
       const inForce = (await readAudit(router, KEY)).filter((record) =>
         record.action === "document_accepted"
       );
-      t.is(inForce.at(-1)!.revision, revision);
+      const revisions = inForce.map((record) => record.revision);
+      t.deepEqual(revisions, [...revisions].sort((a, b) => a - b));
+      t.is(revisions.at(-1), revision);
     }
   });
 });
--- a/tests/system/leaving_test.ts
+++ b/tests/system/leaving_test.ts
@@ -66,6 +66,7 @@
         () => countOthers() > before + 200,
       );
       const result = await load.stop();
+      t.deepEqual(engine.ledger.refusedAt.filter((at) => at > limit), []);
       t.is(engine.ledger.runs.filter((run) => run.startedAt > limit).length, 0);
       t.is(result.wrongChats + result.brokenChats + result.refusedChats, 0);
     });
--- a/tests/system/not_run_test.ts
+++ b/tests/system/not_run_test.ts
@@ -92,3 +92,47 @@
     t.is(fleet.services.flatMap((service) => service.ledger.runs).length, 0);
   });
 });
+
+test.serial("what waits at an owner that the entry no longer reaches is answered as not run, and is not", async (t) => {
+  const options = {
+    routers: 2,
+    services: 1,
+    slots: 3,
+    proxied: true,
+    service: { callMs: 2_000 },
+  };
+  await withFleet(options, async (fleet, caller) => {
+    const statuses = await Promise.all(
+      fleet.routers.map((router) => router.getStatus()),
+    );
+    const owner = fleet.routers[
+      statuses.findIndex((status) =>
+        status!.upstreams.some((one) => one.id === "s1")
+      )
+    ]!;
+    const entry = fleet.routers.find((router) => router !== owner)!;
+    const runs = fleet.services[0]!.ledger.runs;
+    const bookings = Array.from(
+      { length: 12 },
+      async (_, index): Promise<BookingRecord> => {
+        const id = `waiting-${index}`;
+        const answer = await caller.book({
+          customer: CUSTOMER,
+          router: entry.address,
+          timeoutMs: 900,
+        }, id);
+        return { id, keyed: false, answers: [answer] };
+      },
+    );
+    await waitUntil("some to run", () => runs.length >= 3);
+    fleet.mesh.part([entry.id], [owner.id], "freeze");
+    const ended = await Promise.all(bookings);
+    await owner.waitFor(
+      (status) =>
+        status.upstreams.every((one) => one.running + one.waiting === 0),
+      "idle",
+    );
+    t.true(ended.some((booking) => booking.answers[0]!.ran === "no"));
+    t.deepEqual(findBrokenPromises({ ...EMPTY, bookings: ended }, runs), []);
+  });
+});
