--- a/src/configuration/configuration_keeper.ts
+++ b/src/configuration/configuration_keeper.ts
@@ -165,21 +165,18 @@
   }
 
   private async pull(peerId: string, after: number): Promise<boolean> {
-    const client = await this.options.directory.getClient(peerId);
-    if (!client) return false;
-    return await new Promise((resolve) => {
-      const finish = (worked: boolean) => {
-        clearTimeout(timer);
-        client.closeExchange(exchange);
-        resolve(worked);
-      };
-      const exchange = client.openExchange((frame) => {
-        if (frame?.type !== "values") return finish(false);
-        const merged = this.offer(frame.values, peerId);
-        if (frame.last) void merged.then(() => finish(true));
-      });
-      const timer = setTimeout(() => finish(false), PULL_TIMEOUT_MS);
-      client.send({ type: "pull", exchange, after });
-    });
+    let merged = Promise.resolve();
+    const hasAll = await this.options.directory.gather(
+      peerId,
+      (exchange) => ({ type: "pull", exchange, after }),
+      (frame) => {
+        if (frame.type !== "values") return "wrong";
+        merged = this.offer(frame.values, peerId);
+        return frame.last ? "all" : "more";
+      },
+      PULL_TIMEOUT_MS,
+    );
+    await merged;
+    return hasAll;
   }
 }
--- a/src/peer/peer_directory.ts
+++ b/src/peer/peer_directory.ts
@@ -17,6 +17,9 @@
   onUnreachable: (routerId: string) => void;
 }
 
+/** What follows from a frame of an answer made of many. */
+export type GatherStep = "more" | "all" | "wrong";
+
 /** The connections to other routers, made when first needed and kept. */
 export class PeerDirectory {
   private readonly clients = new Map<string, Promise<PeerClient>>();
@@ -67,6 +70,35 @@
     });
   }
 
+  /** Sends one frame and takes frames in return until they end.
+   * @param routerId The router to ask.
+   * @param build Builds the frame for an exchange.
+   * @param take Takes each frame and says whether more follow, all came, or something was wrong.
+   * @param timeoutMs Time for all of it.
+   * @returns Whether all came. */
+  async gather(
+    routerId: string,
+    build: (exchange: number) => Frame,
+    take: (frame: Frame) => GatherStep,
+    timeoutMs: number,
+  ): Promise<boolean> {
+    const client = await this.getClient(routerId);
+    if (!client) return false;
+    return await new Promise((resolve) => {
+      const finish = (hasAll: boolean) => {
+        clearTimeout(timer);
+        client.closeExchange(exchange);
+        resolve(hasAll);
+      };
+      const exchange = client.openExchange((frame) => {
+        const step = frame ? take(frame) : "wrong";
+        if (step !== "more") finish(step === "all");
+      });
+      const timer = setTimeout(() => finish(false), timeoutMs);
+      client.send(build(exchange));
+    });
+  }
+
   /** Ends the connections to routers that count as lost.
    * @param view The present view of the fleet. */
   dropLost(view: FleetView): void {
--- a/src/witness/witness.ts
+++ b/src/witness/witness.ts
@@ -170,22 +170,18 @@
 
   /** Pulls the records that one router has; returns whether it sent them all. */
   private async pullFrom(routerId: string): Promise<boolean> {
-    const client = await this.options.directory.getClient(routerId);
-    if (!client) return false;
     const witness = this.options.settings.id;
-    return await new Promise((resolve) => {
-      const finish = (worked: boolean) => {
-        clearTimeout(timer);
-        client.closeExchange(exchange);
-        resolve(worked);
-      };
-      const exchange = client.openExchange((frame) => {
-        if (frame?.type === "record") this.offerRecord(frame);
-        else finish(frame?.type === "records_sent");
-      });
-      const timer = setTimeout(() => finish(false), PULL_TIMEOUT_MS);
-      client.send({ type: "pull_records", exchange, witness });
-    });
+    return await this.options.directory.gather(
+      routerId,
+      (exchange) => ({ type: "pull_records", exchange, witness }),
+      (frame) => {
+        if (frame.type === "records_sent") return "all";
+        if (frame.type !== "record") return "wrong";
+        this.offerRecord(frame);
+        return "more";
+      },
+      PULL_TIMEOUT_MS,
+    );
   }
 
   private takeRecord(frame: FrameOf<"record">): void {
--- a/tests/system/not_run_test.ts
+++ b/tests/system/not_run_test.ts
@@ -1,21 +1,11 @@
 import test from "ava";
 import { findBrokenPromises } from "../../tools/verdict.ts";
-import type { BookingRecord, LoadResult } from "../../tools/load.ts";
+import type { BookingRecord } from "../../tools/load.ts";
 import { waitUntil, withFleet } from "./with_fleet.ts";
 
 const CUSTOMER = "rodar/dispatch";
 /** Longer than the gap that a router notices. */
 const FREEZE_MS = 1_800;
-const EMPTY: LoadResult = {
-  chats: 0,
-  wholeChats: 0,
-  wrongChats: 0,
-  refusedChats: 0,
-  brokenChats: 0,
-  kinds: {},
-  bookings: [],
-  chatTimes: [],
-};
 
 test.serial("what is answered as not run is not run by owners that wake up late", async (t) => {
   await withFleet(
@@ -60,7 +50,7 @@
         );
       }
       const runs = fleet.services.flatMap((service) => service.ledger.runs);
-      t.deepEqual(findBrokenPromises({ ...EMPTY, bookings }, runs), []);
+      t.deepEqual(findBrokenPromises({ wrongChats: 0, bookings }, runs), []);
       t.true(bookings.some((booking) => booking.answers[0]!.ran === "no"));
       t.true(bookings.some((booking) => booking.answers[0]!.whole));
     },
@@ -133,6 +123,9 @@
       "idle",
     );
     t.true(ended.some((booking) => booking.answers[0]!.ran === "no"));
-    t.deepEqual(findBrokenPromises({ ...EMPTY, bookings: ended }, runs), []);
+    t.deepEqual(
+      findBrokenPromises({ wrongChats: 0, bookings: ended }, runs),
+      [],
+    );
   });
 });
--- a/tools/verdict.ts
+++ b/tools/verdict.ts
@@ -3,7 +3,7 @@
 
 /** Promises that were not kept, from the stand-ins' ledgers and what callers received; one line each. */
 export function findBrokenPromises(
-  result: LoadResult,
+  result: Pick<LoadResult, "wrongChats" | "bookings">,
   serviceRuns: readonly LedgerRun[],
 ): string[] {
   const broken: string[] = [];
