Let the not-run test wait until the service has an owner

Cause: the test read the routers' status once, before either had taken the service over, and then had no owner (one failure in four runs of npm test). Ruled out: the router; the test read an entry of an empty list. The fleet of this test has no engines, so that owning anything is owning the service. The assertions are as they were.

--- a/tests/system/not_run_test.ts
+++ b/tests/system/not_run_test.ts
@@ -1,6 +1,8 @@
 import test from "ava";
 import { findBrokenPromises } from "../../tools/verdict.ts";
 import type { BookingRecord } from "../../tools/load.ts";
+import type { RouterStatus } from "../../src/router/router_status.ts";
+import type { RouterProcess } from "../../tools/router_process.ts";
 import { waitUntil, withFleet } from "./with_fleet.ts";
 
 const CUSTOMER = "rodar/dispatch";
@@ -86,20 +88,28 @@
 test.serial("what waits at an owner that the entry no longer reaches is answered as not run, and is not", async (t) => {
   const options = {
     routers: 2,
+    engines: 0,
     services: 1,
     slots: 3,
     proxied: true,
     service: { callMs: 2_000 },
   };
   await withFleet(options, async (fleet, caller) => {
-    const statuses = await Promise.all(
-      fleet.routers.map((router) => router.getStatus()),
-    );
-    const owner = fleet.routers[
-      statuses.findIndex((status) =>
-        status!.upstreams.some((one) => one.id === "s1")
-      )
-    ]!;
+    const owners: RouterProcess[] = [];
+    await waitUntil("an owner of the service", async () => {
+      const statuses = await Promise.all(
+        fleet.routers.map((router) => router.getStatus()),
+      );
+      const owns = (status: RouterStatus | undefined) =>
+        status?.upstreams.some((one) => one.owned) ?? false;
+      owners.splice(
+        0,
+        owners.length,
+        ...fleet.routers.filter((_, index) => owns(statuses[index])),
+      );
+      return owners.length === 1;
+    });
+    const owner = owners[0]!;
     const entry = fleet.routers.find((router) => router !== owner)!;
     const runs = fleet.services[0]!.ledger.runs;
     const bookings = Array.from(
