Name the reader of the configuration service after what it reads

The folder platform/ is to hold the adapter for the users' platform; the product's own reader keeps its interface and moves to src/configuration_service/.

--- a/fakes/fake_platform.ts
+++ b/fakes/fake_platform.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Host } from "../src/platform/host_schema.ts";
+import type { Host } from "../src/configuration_service/host_schema.ts";
 import { closeHttp, listenHttp, reply } from "./http_fake.ts";
 
 /** How the stand-in platform behaves now. */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -2,7 +2,7 @@
 import type { PauseGuard } from "../clock/pause_guard.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetSecret } from "../peer/fleet_secret.ts";
-import type { HostList } from "../platform/host_schema.ts";
+import type { HostList } from "../configuration_service/host_schema.ts";
 import { Random } from "../random/random.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 import { FleetView } from "./fleet_view.ts";
--- a/src/membership/view_routers.ts
+++ b/src/membership/view_routers.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "../logging/logger.ts";
-import type { HostList } from "../platform/host_schema.ts";
+import type { HostList } from "../configuration_service/host_schema.ts";
 import type { FleetView, RouterView } from "./fleet_view.ts";
 import type { MemberTable } from "./member_table.ts";
 
--- a/src/owner/owned_upstream.ts
+++ b/src/owner/owned_upstream.ts
@@ -1,4 +1,4 @@
-import type { Host } from "../platform/host_schema.ts";
+import type { Host } from "../configuration_service/host_schema.ts";
 import {
   UpstreamClient,
   type UpstreamReport,
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -4,7 +4,7 @@
 import type { FrameOf } from "../peer/frame_schema.ts";
 import type { PlacementTable } from "../placement/placement_table.ts";
 import { POLICIES } from "../placement/policies.ts";
-import type { Host } from "../platform/host_schema.ts";
+import type { Host } from "../configuration_service/host_schema.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 import type { UpstreamReport } from "../upstream/upstream_client.ts";
 import { HeardShare } from "./heard_share.ts";
--- a/src/peer/frame_schema.ts
+++ b/src/peer/frame_schema.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { hostListSchema } from "../platform/host_schema.ts";
+import { hostListSchema } from "../configuration_service/host_schema.ts";
 import { publishedValueSchema } from "../configuration/document_schema.ts";
 
 /** Number of the exchange a frame belongs to; unique per connection, chosen by the side that opened it. */
--- a/src/placement/placement_table.ts
+++ b/src/placement/placement_table.ts
@@ -1,7 +1,7 @@
 import { hashText } from "../hashing/hasher.ts";
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { FleetView, RouterView } from "../membership/fleet_view.ts";
-import type { Host } from "../platform/host_schema.ts";
+import type { Host } from "../configuration_service/host_schema.ts";
 import { namePool } from "./pool_name.ts";
 
 /** Virtual slots that chats are spread over; a fixed power of two. */
--- a/src/placement/pool_name.ts
+++ b/src/placement/pool_name.ts
@@ -1,4 +1,4 @@
-import type { Host } from "../platform/host_schema.ts";
+import type { Host } from "../configuration_service/host_schema.ts";
 
 /** Names the pool of upstreams whose loads are compared: those of one region that serve the same.
  * @param host An upstream. */
--- a/src/router/frame_handlers.ts
+++ b/src/router/frame_handlers.ts
@@ -3,7 +3,7 @@
 import type { Owner } from "../owner/owner.ts";
 import type { FramePort } from "../peer/frame_port.ts";
 import type { Frame, FrameOf } from "../peer/frame_schema.ts";
-import type { HostList } from "../platform/host_schema.ts";
+import type { HostList } from "../configuration_service/host_schema.ts";
 import type { Witness } from "../witness/witness.ts";
 
 /** The parts of a router that answer other routers. */
--- a/src/router/host_list_pull.ts
+++ b/src/router/host_list_pull.ts
@@ -1,4 +1,4 @@
-import type { HostList } from "../platform/host_schema.ts";
+import type { HostList } from "../configuration_service/host_schema.ts";
 import type { PeerDirectory } from "../peer/peer_directory.ts";
 
 /** Time for which a peer's list must be newer before it is taken; the platform usually brings it sooner. */
--- a/src/router/platform_watch.ts
+++ b/src/router/platform_watch.ts
@@ -2,8 +2,8 @@
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { Membership } from "../membership/membership.ts";
-import { PlatformClient } from "../platform/platform_client.ts";
-import { WatchLoop } from "../platform/watch_loop.ts";
+import { PlatformClient } from "../configuration_service/platform_client.ts";
+import { WatchLoop } from "../configuration_service/watch_loop.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 
 /** Time after which other routers of a hall watch. */
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -23,7 +23,7 @@
 import { PeerServer } from "../peer/peer_server.ts";
 import { controlTraffic } from "../peer/socket_port.ts";
 import { PlacementTable } from "../placement/placement_table.ts";
-import type { HostList } from "../platform/host_schema.ts";
+import type { HostList } from "../configuration_service/host_schema.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 import { Witness } from "../witness/witness.ts";
 import { attachPort } from "./frame_handlers.ts";
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -1,6 +1,6 @@
 import { Agent, type Dispatcher, request } from "undici";
 import { z } from "zod";
-import type { Host } from "../platform/host_schema.ts";
+import type { Host } from "../configuration_service/host_schema.ts";
 import { EventStreamParser, type ParsedEvents } from "./event_stream_parser.ts";
 import { UpstreamError } from "./upstream_error.ts";
 
--- a/tests/placement/placement_table_test.ts
+++ b/tests/placement/placement_table_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { FleetView } from "../../src/membership/fleet_view.ts";
 import { PlacementTable } from "../../src/placement/placement_table.ts";
-import type { Host } from "../../src/platform/host_schema.ts";
+import type { Host } from "../../src/configuration_service/host_schema.ts";
 
 function host(id: string, role: Host["role"], hall = "a"): Host {
   const fields = {
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -5,7 +5,7 @@
 import { FakePlatform } from "../fakes/fake_platform.ts";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { FakeService, type FakeServiceOptions } from "../fakes/fake_service.ts";
-import type { Host } from "../src/platform/host_schema.ts";
+import type { Host } from "../src/configuration_service/host_schema.ts";
 import type { RouterStatus } from "../src/router/router_status.ts";
 import { getFreePort } from "./free_port.ts";
 import { ProxyMesh } from "./proxy_mesh.ts";
--- a/tools/proxy_mesh.ts
+++ b/tools/proxy_mesh.ts
@@ -1,5 +1,5 @@
 import { FaultProxy, type ProxyMode } from "../fakes/fault_proxy.ts";
-import type { Host } from "../src/platform/host_schema.ts";
+import type { Host } from "../src/configuration_service/host_schema.ts";
 
 /** Proxies between each router and every host it reaches, so that any two can be parted. */
 export class ProxyMesh {
