--- a/src/entry/read_body.ts
+++ b/src/entry/read_body.ts
@@ -12,7 +12,8 @@
   if (announced > maxBytes) throw tooLarge(maxBytes);
   const parts: Buffer[] = [];
   let size = 0;
-  for await (const part of request as AsyncIterable<Buffer>) {
+  // The connection stays open, so that a refusal can still be written to it.
+  for await (const part of request.iterator({ destroyOnReturn: false })) {
     size += part.length;
     if (size > maxBytes) throw tooLarge(maxBytes);
     parts.push(part);
--- a/src/errors/answer_table.ts
+++ b/src/errors/answer_table.ts
@@ -58,6 +58,11 @@
     message: "The customer has no such service.",
     ran: "no",
   },
+  unknown_key: {
+    status: 401,
+    message: "No customer holds this key.",
+    ran: "no",
+  },
   key_reused: {
     status: 422,
     message: "The idempotency key was used before with another request.",
@@ -87,6 +92,13 @@
     ran: "no",
     retryAfterSeconds: 1,
   },
+  belief_too_old: {
+    status: 503,
+    message:
+      "The host has not heard of the configuration for too long to honour keys.",
+    ran: "no",
+    retryAfterSeconds: 0.2,
+  },
   draining: {
     status: 503,
     message: "The router is stopping; ask for another address.",
--- /dev/null
+++ b/src/forward/attempt.ts
@@ -0,0 +1,146 @@
+import type { Channel } from "../upstreams/channel.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
+import type { AnswerHeaders, HeaderCodec } from "./caller_headers.ts";
+
+/** Why an attempt ended without a whole answer. */
+export type AttemptFailure =
+  /** No byte of the request left this host. */
+  | "not_sent"
+  /** The connection ended, or what came is no answer to this request. */
+  | "broken";
+
+/** What an attempt sends. */
+export interface AttemptRequest {
+  method: string;
+  path: string;
+  /** Name and value by turns. */
+  headers: string[];
+  body: Buffer | undefined;
+  requestId: string;
+}
+
+/** Told what becomes of an attempt. */
+export interface AttemptListener {
+  /** The head of the answer. */
+  onHead(status: number, answer: AnswerHeaders): void;
+  /** Bytes of the answer's body. */
+  onBytes(bytes: Buffer): void;
+  /** The answer is whole. */
+  onEnd(): void;
+  /** There will be no whole answer. */
+  onFailure(failure: AttemptFailure, detail: string): void;
+}
+
+/** One sending of a request to one upstream, up to its end. */
+export class Attempt {
+  private readonly channel: Channel;
+  private isSent = false;
+  private isOver = false;
+  private isReusable = true;
+  private controller: { pause(): void; resume(): void } | undefined;
+
+  private constructor(
+    /** Where the request is sent. */
+    readonly upstream: Upstream,
+    private readonly codec: HeaderCodec,
+    private readonly listener: AttemptListener,
+  ) {
+    this.channel = upstream.channels.take();
+    upstream.ownRequests += 1;
+  }
+
+  /** Sends a request.
+   * @param upstream Where to.
+   * @param request The request.
+   * @param codec Reads the answer's headers.
+   * @param listener Told what becomes of it, never before this returns. */
+  static create(
+    upstream: Upstream,
+    request: AttemptRequest,
+    codec: HeaderCodec,
+    listener: AttemptListener,
+  ): Attempt {
+    const attempt = new Attempt(upstream, codec, listener);
+    attempt.send(request);
+    return attempt;
+  }
+
+  /** Whether bytes of the request may have left this host. */
+  get wasSent(): boolean {
+    return this.isSent;
+  }
+
+  /** Breaks the attempt off; the upstream sees its connection close, and the listener hears no more. */
+  abandon(): void {
+    if (this.finish()) this.channel.close();
+  }
+
+  /** Stops reading the answer until `resume`. */
+  pause(): void {
+    this.controller?.pause();
+  }
+
+  /** Goes on reading the answer. */
+  resume(): void {
+    if (!this.isOver) this.controller?.resume();
+  }
+
+  private send(request: AttemptRequest): void {
+    const { method, path, headers, body, requestId } = request;
+    try {
+      this.channel.send(
+        { method: method as "GET", path, headers, body: body ?? null },
+        {
+          onRequestStart: (controller) => {
+            this.isSent = true;
+            this.controller = controller;
+          },
+          onResponseStart: (_controller, status, answerHeaders) =>
+            this.takeHead(status, answerHeaders, requestId),
+          onResponseData: (_controller, bytes) => {
+            if (!this.isOver) this.listener.onBytes(bytes);
+          },
+          onResponseEnd: () => this.takeEnd(),
+          onResponseError: (_controller, error) => this.fail(error.message),
+        },
+      );
+    } catch (error) {
+      queueMicrotask(() => this.fail((error as Error).message));
+    }
+  }
+
+  private takeHead(
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+    requestId: string,
+  ): void {
+    if (status < 200 || this.isOver) return;
+    const answer = this.codec.readAnswer(status, headers);
+    if (answer.isClosing) this.isReusable = false;
+    if (answer.requestId !== undefined && answer.requestId !== requestId) {
+      return this.fail(`answer to another request ${answer.requestId}`);
+    }
+    this.listener.onHead(status, answer);
+  }
+
+  private takeEnd(): void {
+    if (!this.finish()) return;
+    if (this.isReusable) this.upstream.channels.giveBack(this.channel);
+    else this.channel.close();
+    this.listener.onEnd();
+  }
+
+  private fail(detail: string): void {
+    if (!this.finish()) return;
+    this.channel.close();
+    this.listener.onFailure(this.isSent ? "broken" : "not_sent", detail);
+  }
+
+  /** Ends the attempt; returns whether it had not ended before. */
+  private finish(): boolean {
+    if (this.isOver) return false;
+    this.isOver = true;
+    this.upstream.ownRequests -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/gateway/call_handler.ts
@@ -0,0 +1,180 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { readBody } from "../entry/read_body.ts";
+import { Failure } from "../errors/failure.ts";
+import { admitCall, type AdmittedCall } from "../forward/admit_call.ts";
+import { CallRun, type CallRunContext } from "../forward/call_run.ts";
+import { CallerAnswer } from "../forward/caller_answer.ts";
+import type { CallerHeaders, HeaderCodec } from "../forward/caller_headers.ts";
+import type { Logger } from "../logging/logger.ts";
+import type { CallerLimits } from "../published/configuration_schema.ts";
+import type { RouteTable } from "../published/route_table.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+
+/** Limits until the first configuration tells others. */
+const FIRST_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
+/** What the handler needs of the rest of the process. */
+export interface CallHandlerOptions {
+  logger: Logger;
+  metrics: GatewayMetrics;
+  codec: HeaderCodec;
+  getRoutes: () => RouteTable | undefined;
+  /** Whether what is known of keys is new enough to honour them. */
+  mayHonourKeys: () => boolean;
+  /** Age of what is known, in milliseconds, for the log. */
+  getAgeMs: () => number;
+  /** Whether connections are to be closed after their answer. */
+  isLeaving: () => boolean;
+  /** Told of each request that is sent on for the first time. */
+  onFirstSend: (service: string) => void;
+  run: Omit<CallRunContext, "onEnd" | "logger" | "codec">;
+}
+
+/** Takes callers' requests from their heads to their runs. */
+export class CallHandler {
+  private readonly runs = new Set<CallRun>();
+  private reading = 0;
+
+  private constructor(private readonly options: CallHandlerOptions) {}
+
+  /** Creates a handler.
+   * @param options What it needs. */
+  static create(options: CallHandlerOptions): CallHandler {
+    return new CallHandler(options);
+  }
+
+  /** Requests that have not been answered. */
+  get openCalls(): number {
+    return this.runs.size + this.reading;
+  }
+
+  /** Takes a request.
+   * @param request The request.
+   * @param response Where its answer is written. */
+  handle(request: IncomingMessage, response: ServerResponse): void {
+    const receivedAt = performance.now();
+    const headers = this.options.codec.readCaller(request.rawHeaders);
+    const answer = CallerAnswer.create(response, this.options.isLeaving);
+    this.reading += 1;
+    void this.read(request, response, headers, answer, receivedAt).finally(
+      () => this.reading -= 1,
+    );
+  }
+
+  /** Takes over a configuration for the requests under way.
+   * @param routes The routes in force. */
+  applyRoutes(routes: RouteTable): void {
+    for (const run of this.runs) {
+      run.applyRoute(routes.getRouteByName(run.call.route.name));
+    }
+  }
+
+  private async read(
+    request: IncomingMessage,
+    response: ServerResponse,
+    headers: CallerHeaders,
+    answer: CallerAnswer,
+    receivedAt: number,
+  ): Promise<void> {
+    try {
+      const limits = this.options.getRoutes()?.limits ?? FIRST_LIMITS;
+      checkHeaderSize(request, limits);
+      const admitted = this.admit(request, headers, receivedAt);
+      const body = await readBody(request, limits.maxBodyBytes);
+      if (response.destroyed) return;
+      this.start(admitted, body, answer, response);
+    } catch (thrown) {
+      if (request.destroyed && !request.complete) return;
+      this.refuse(Failure.from(thrown), headers, answer, request);
+    }
+  }
+
+  private admit(
+    request: IncomingMessage,
+    headers: CallerHeaders,
+    receivedAt: number,
+  ): AdmittedCall {
+    const admitted = admitCall({
+      routes: this.options.getRoutes(),
+      headers,
+      method: request.method ?? "GET",
+      path: request.url ?? "/",
+      receivedAt,
+      mayHonourKeys: this.options.mayHonourKeys(),
+    });
+    if (admitted.isErr()) throw admitted.error;
+    return admitted.value;
+  }
+
+  private start(
+    admitted: AdmittedCall,
+    body: Buffer,
+    answer: CallerAnswer,
+    response: ServerResponse,
+  ): void {
+    const call = { ...admitted, body: body.length > 0 ? body : undefined };
+    this.options.onFirstSend(call.service);
+    const { logger, metrics, codec } = this.options;
+    let isEnded = false;
+    const run = CallRun.create(call, answer, {
+      ...this.options.run,
+      logger,
+      codec,
+      onEnd: (ended, outcome) => {
+        isEnded = true;
+        this.runs.delete(ended);
+        const { result, detail, durationMs, attempts } = outcome;
+        metrics.noteRequest(call.route.kind, result, durationMs);
+        logger.info({
+          request: call.requestId,
+          route: call.route.name,
+          service: call.service,
+          customer: call.customer,
+          configuration: this.options.getRoutes()?.version,
+          result,
+          detail,
+          attempts,
+          durationMs: Math.round(durationMs),
+        }, "request_ended");
+      },
+    });
+    if (isEnded) return;
+    this.runs.add(run);
+    response.once("close", () => {
+      if (!response.writableFinished) run.abandon();
+    });
+  }
+
+  private refuse(
+    failure: Failure,
+    headers: CallerHeaders,
+    answer: CallerAnswer,
+    request: IncomingMessage,
+  ): void {
+    this.options.metrics.noteRefusal(failure.kind);
+    this.options.logger.info({
+      request: headers.requestId,
+      kind: failure.kind,
+      detail: failure.detail,
+      configuration: this.options.getRoutes()?.version,
+      ageMs: Math.round(this.options.getAgeMs()),
+    }, "request_refused");
+    answer.refuse(failure);
+    if (!request.complete) request.resume();
+  }
+}
+
+function checkHeaderSize(request: IncomingMessage, limits: CallerLimits): void {
+  const bytes = request.rawHeaders.reduce(
+    (sum, part) => sum + part.length + 2,
+    (request.url ?? "").length,
+  );
+  if (bytes > limits.maxHeaderBytes) {
+    throw Failure.create("headers_too_large", `${bytes} bytes`);
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway_metrics.ts
@@ -0,0 +1,85 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Bounds of the histogram of a request's time, in seconds. */
+const DURATION_BOUNDS_S = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.25,
+  0.5,
+  1,
+  2.5,
+  5,
+  10,
+];
+
+/** Counters and histograms of one gateway, served as text. */
+export class GatewayMetrics {
+  private readonly registry = new Registry();
+  private readonly requests = new Counter({
+    name: "beechkeel_requests_total",
+    help: "Requests by route kind and by how they ended.",
+    labelNames: ["kind", "result"],
+    registers: [this.registry],
+  });
+  private readonly attempts = new Counter({
+    name: "beechkeel_attempts_total",
+    help: "Attempts at upstreams by what they said of its health.",
+    labelNames: ["sign"],
+    registers: [this.registry],
+  });
+  private readonly refusals = new Counter({
+    name: "beechkeel_refusals_total",
+    help: "Requests refused before any attempt, by kind of error.",
+    labelNames: ["kind"],
+    registers: [this.registry],
+  });
+  private readonly durations = new Histogram({
+    name: "beechkeel_request_seconds",
+    help: "Time from a request's arrival to the end of its answer.",
+    labelNames: ["kind"],
+    buckets: DURATION_BOUNDS_S,
+    registers: [this.registry],
+  });
+  private readonly age = new Gauge({
+    name: "beechkeel_publication_age_seconds",
+    help: "Age of what this host knows of the configuration and upstreams.",
+    registers: [this.registry],
+  });
+
+  private constructor() {}
+
+  /** Creates metrics at zero. */
+  static create(): GatewayMetrics {
+    return new GatewayMetrics();
+  }
+
+  /** Counts a request that ended.
+   * @param kind Kind of its route.
+   * @param result How it ended.
+   * @param durationMs Its time in milliseconds. */
+  noteRequest(kind: string, result: string, durationMs: number): void {
+    this.requests.inc({ kind, result });
+    this.durations.observe({ kind }, durationMs / 1_000);
+  }
+
+  /** Counts an attempt.
+   * @param sign What it said of the upstream's health. */
+  noteAttempt(sign: string): void {
+    this.attempts.inc({ sign });
+  }
+
+  /** Counts a refusal before any attempt.
+   * @param kind Kind of error. */
+  noteRefusal(kind: string): void {
+    this.refusals.inc({ kind });
+  }
+
+  /** Returns all metrics as text.
+   * @param ageMs Age of what is published, in milliseconds. */
+  async getText(ageMs: number): Promise<string> {
+    this.age.set(ageMs / 1_000);
+    return await this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/src/gateway/http_endpoint.ts
@@ -0,0 +1,48 @@
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+
+/** Answers one path of an endpoint. */
+export type EndpointHandler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  query: URLSearchParams,
+) => void;
+
+/** Handlers by method and path, such as `GET /status`. */
+export type EndpointHandlers = Readonly<Record<string, EndpointHandler>>;
+
+/** A small HTTP server for one purpose beside the callers' requests. */
+export class HttpEndpoint {
+  private constructor(private readonly server: Server) {}
+
+  /** Opens an endpoint.
+   * @param address Where to listen, as ip:port.
+   * @param handlers What it answers; any other path is a 404.
+   * @throws The system's error where the address can't be listened on. */
+  static async create(
+    address: string,
+    handlers: EndpointHandlers,
+  ): Promise<HttpEndpoint> {
+    const server = createServer((request, response) => {
+      const url = new URL(request.url ?? "/", "http://endpoint");
+      const handler = handlers[`${request.method} ${url.pathname}`];
+      if (handler) handler(request, response, url.searchParams);
+      else response.writeHead(404).end();
+    });
+    const [host, port] = address.split(":");
+    server.listen(Number(port), host);
+    await once(server, "listening");
+    return new HttpEndpoint(server);
+  }
+
+  /** Closes the endpoint and its connections. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/src/gateway/publication_exchange.ts
@@ -0,0 +1,108 @@
+import type { ServerResponse } from "node:http";
+import { pack, unpack } from "msgpackr";
+import { Agent, request } from "undici";
+import { z } from "zod";
+import type { Logger } from "../logging/logger.ts";
+import { configurationSchema } from "../published/configuration_schema.ts";
+import type { PublicationKeeper } from "../published/publication_keeper.ts";
+import { upstreamSchema } from "../published/upstream_schema.ts";
+
+/** Path under which a host tells another everything it knows. */
+export const PUBLICATION_PATH = "/publication";
+
+/** Time for a host's answer in milliseconds; others can be asked after it. */
+const ANSWER_TIMEOUT_MS = 800;
+/** Least time between two questions to one host, in milliseconds. */
+const ASK_INTERVAL_MS = 150;
+
+const stateSchema = z.object({
+  configuration: configurationSchema.optional(),
+  changes: z.array(z.object({
+    id: z.string(),
+    revision: z.number(),
+    upstream: upstreamSchema.optional(),
+  })),
+  /** Undefined where the host knows nothing yet. */
+  ageMs: z.number().optional(),
+});
+
+/** Asks other hosts for what is published, and answers them. */
+export class PublicationExchange {
+  private readonly agent = new Agent({
+    connect: { timeout: ANSWER_TIMEOUT_MS },
+  });
+  private readonly askedAt = new Map<string, number>();
+
+  private constructor(
+    private readonly keeper: PublicationKeeper,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Creates an exchange.
+   * @param keeper What is known here.
+   * @param logger Where failures are written. */
+  static create(
+    keeper: PublicationKeeper,
+    logger: Logger,
+  ): PublicationExchange {
+    return new PublicationExchange(keeper, logger);
+  }
+
+  /** Answers a host with everything that is known here.
+   * @param response Where the answer is written. */
+  answer(response: ServerResponse): void {
+    const { ageMs, ...state } = this.keeper.getState();
+    const age = Number.isFinite(ageMs) ? { ageMs } : {};
+    response.writeHead(200, { "content-type": "application/msgpack" });
+    response.end(pack({ ...state, ...age }));
+  }
+
+  /** Asks a host for everything it knows, unless it was asked just now.
+   * @param peerId The host.
+   * @param address Where it answers other hosts, as ip:port. */
+  async ask(peerId: string, address: string): Promise<void> {
+    const now = performance.now();
+    const last = this.askedAt.get(peerId) ?? -Infinity;
+    if (now - last < ASK_INTERVAL_MS) return;
+    this.askedAt.set(peerId, now);
+    try {
+      await this.take(peerId, address, now);
+    } catch (error) {
+      this.logger.info(
+        { host: peerId, reason: (error as Error).message },
+        "publication_pull_failed",
+      );
+    }
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async take(
+    peerId: string,
+    address: string,
+    askedAt: number,
+  ): Promise<void> {
+    const response = await request(`http://${address}${PUBLICATION_PATH}`, {
+      dispatcher: this.agent,
+      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
+    });
+    const bytes = Buffer.from(await response.body.arrayBuffer());
+    const state = stateSchema.parse(unpack(bytes));
+    this.keeper.takeState(
+      {
+        configuration: state.configuration,
+        changes: state.changes.map((change) => ({
+          id: change.id,
+          revision: change.revision,
+          upstream: change.upstream,
+        })),
+        ageMs: state.ageMs ?? Infinity,
+      },
+      peerId,
+      askedAt,
+    );
+  }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,5 +1,9 @@
 import process from "node:process";
 import { binary, run, subcommands } from "cmd-ts";
+import {
+  checkGatewayCommand,
+  gatewayCommand,
+} from "../platform/gateway_command.ts";
 import { checkCommand } from "./cli/check_command.ts";
 import {
   auditCommand,
@@ -18,6 +22,8 @@
   cmds: {
     serve: serveCommand,
     check: checkCommand,
+    gateway: gatewayCommand,
+    "check-gateway": checkGatewayCommand,
     status: statusCommand,
     explain: explainCommand,
     audit: auditCommand,
--- /dev/null
+++ b/src/peers/gossip.ts
@@ -0,0 +1,163 @@
+import type { Logger } from "../logging/logger.ts";
+import { Random } from "../random/random.ts";
+import type { GossipMessage, PeerEntry } from "./gossip_schema.ts";
+import { GossipSocket } from "./gossip_socket.ts";
+import { HostTable, isLive, type KnownHost } from "./host_table.ts";
+
+/** Interval at which a host tells of itself, in milliseconds; loads known to others are late by about as much. */
+const ROUND_MS = 200;
+/** Other hosts told in each round where there are more; in a small fleet all are. */
+const FANOUT = 10;
+/** Entries of other hosts in one datagram, so that it fits into one packet. */
+const RELAYED_ENTRIES = 6;
+/** Rounds between two attempts to reach hosts that are not heard, and seeds that are not known. */
+const ROUNDS_PER_ATTEMPT = 4;
+
+/** What gossip needs and whom it tells. */
+export interface GossipOptions {
+  logger: Logger;
+  /** Where to listen, as ip:port. */
+  address: string;
+  /** Gossip addresses of hosts to begin with; read anew each time. */
+  getSeeds: () => readonly string[];
+  /** What this host tells of itself, but for the fields that gossip itself fills in. */
+  describeSelf: () => Omit<PeerEntry, "incarnation" | "sequence">;
+  /** Told of each host's word; `askedAt` is this host's clock after which the host composed it, where that is known. */
+  onEntry: (entry: PeerEntry, heardAt: number, askedAt?: number) => void;
+}
+
+/** The task by which hosts find each other and tell each other how they are. */
+export class Gossip {
+  /** The other hosts. */
+  readonly hosts: HostTable;
+  private readonly random = Random.create();
+  private readonly incarnation = this.random.integer(1, 0x3fffffff);
+  private socket: GossipSocket | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private sequence = 0;
+  private round = 0;
+  private readonly liveBefore = new Set<string>();
+
+  private constructor(private readonly options: GossipOptions) {
+    this.hosts = HostTable.create(options.address);
+  }
+
+  /** Opens the socket and starts the rounds.
+   * @param options What gossip needs. */
+  static async create(options: GossipOptions): Promise<Gossip> {
+    const gossip = new Gossip(options);
+    gossip.socket = await GossipSocket.create(
+      options.address,
+      options.logger,
+      (message) => gossip.receive(message),
+    );
+    gossip.timer = setInterval(() => gossip.runRound(), ROUND_MS);
+    gossip.runRound();
+    return gossip;
+  }
+
+  /** Tells all hosts at once, rather than with the next round. */
+  announce(): void {
+    const now = performance.now();
+    for (const host of this.hosts.getLive(now).slice(0, FANOUT * 2)) {
+      this.tell(host.entry.gossipAddress, now);
+    }
+  }
+
+  /** Stops the rounds and closes the socket. */
+  close(): void {
+    clearInterval(this.timer);
+    this.socket?.close();
+  }
+
+  private runRound(): void {
+    const now = performance.now();
+    this.round += 1;
+    this.sequence += 1;
+    this.hosts.forget(now);
+    this.logChanges(now);
+    for (const address of this.chooseTargets(now)) this.tell(address, now);
+  }
+
+  private chooseTargets(now: number): string[] {
+    const live = this.hosts.getLive(now).map((host) =>
+      host.entry.gossipAddress
+    );
+    const chosen = live.length <= FANOUT
+      ? live
+      : this.random.shuffle(live).slice(0, FANOUT);
+    if (this.round % ROUNDS_PER_ATTEMPT !== 1) return chosen;
+    const silent = this.hosts.getAll().filter((host) => !isLive(host, now))
+      .map((host) => host.entry.gossipAddress);
+    const seeds = this.options.getSeeds().filter((seed) =>
+      seed !== this.options.address
+    );
+    const attempts = this.random.shuffle(silent).slice(0, FANOUT);
+    return [...new Set([...chosen, ...attempts, ...seeds])];
+  }
+
+  private tell(address: string, now: number): void {
+    const message: GossipMessage = {
+      sender: this.describeSelf(),
+      sentAt: now,
+      echo: this.hosts.getHost(address)?.lastSentAt,
+      others: this.chooseRelayed(address, now),
+    };
+    this.socket?.send(address, message);
+  }
+
+  private describeSelf(): PeerEntry {
+    return {
+      ...this.options.describeSelf(),
+      incarnation: this.incarnation,
+      sequence: this.sequence,
+    };
+  }
+
+  /** Some live hosts for a receiver; with each round the list begins further on. */
+  private chooseRelayed(
+    address: string,
+    now: number,
+  ): GossipMessage["others"] {
+    const live = this.hosts.getLive(now).filter((host) =>
+      host.entry.gossipAddress !== address
+    );
+    const count = Math.min(live.length, RELAYED_ENTRIES);
+    return Array.from({ length: count }, (_, index) => {
+      const host = live[(this.round * RELAYED_ENTRIES + index) % live.length]!;
+      return { entry: host.entry, agoMs: now - host.heardAt };
+    });
+  }
+
+  private receive(message: GossipMessage): void {
+    const now = performance.now();
+    const { sender, sentAt, echo, others } = message;
+    if (this.hosts.hear(sender, sentAt, now)) {
+      const isOwnClock = echo !== undefined && echo <= now;
+      this.options.onEntry(sender, now, isOwnClock ? echo : undefined);
+    }
+    for (const { entry, agoMs } of others) {
+      const heardAt = now - Math.max(0, agoMs);
+      if (this.hosts.hearOf(entry, heardAt)) {
+        this.options.onEntry(entry, heardAt);
+      }
+    }
+  }
+
+  private logChanges(now: number): void {
+    for (const host of this.hosts.getAll()) this.logChange(host, now);
+  }
+
+  private logChange(host: KnownHost, now: number): void {
+    const { id, phase } = host.entry;
+    const live = isLive(host, now);
+    if (live === this.liveBefore.has(id)) return;
+    if (live) this.liveBefore.add(id);
+    else this.liveBefore.delete(id);
+    const silentMs = Math.round(now - host.heardAt);
+    this.options.logger.info(
+      { host: id, phase, silentMs },
+      live ? "host_heard" : "host_lost",
+    );
+  }
+}
--- /dev/null
+++ b/src/published/publication.ts
@@ -0,0 +1,129 @@
+import { hashText } from "../hashing/hasher.ts";
+import type { PublishedConfiguration } from "./configuration_schema.ts";
+import type { UpstreamChange } from "./publication_feed.ts";
+import type { PublishedUpstream } from "./upstream_schema.ts";
+
+/** Time for which it is remembered that an upstream is gone, so that no peer brings it back. */
+const GONE_REMEMBERED_MS = 120_000;
+
+interface Known {
+  revision: number;
+  upstream: PublishedUpstream | undefined;
+  /** Monotonic milliseconds at which this became known here. */
+  knownAt: number;
+}
+
+/** What changed when something was merged. */
+export interface MergeResult {
+  /** Whether a newer configuration is now in force. */
+  isConfigurationNew: boolean;
+  /** Changes of upstreams that were news. */
+  changes: UpstreamChange[];
+}
+
+/** Everything published that this process knows.
+ * Of the configuration the highest version, and of each upstream the highest revision is kept, so that merging
+ * gives the same result in any order and never goes back. */
+export class Publication {
+  private current: PublishedConfiguration | undefined;
+  private readonly known = new Map<string, Known>();
+  private highestRevision = 0;
+  private digestSum = 0;
+
+  private constructor() {}
+
+  /** Creates an empty publication. */
+  static create(): Publication {
+    return new Publication();
+  }
+
+  /** The configuration in force, or nothing before the first. */
+  get configuration(): PublishedConfiguration | undefined {
+    return this.current;
+  }
+
+  /** Highest revision of any change that was merged. */
+  get revision(): number {
+    return this.highestRevision;
+  }
+
+  /** A number that is equal on two processes that know the same. */
+  get digest(): number {
+    return (this.digestSum + (this.current?.version ?? 0)) >>> 0;
+  }
+
+  /** Merges a configuration and changes of upstreams.
+   * @param configuration The configuration, where there is one.
+   * @param changes The changes, in any order.
+   * @param now Monotonic milliseconds. */
+  merge(
+    configuration: PublishedConfiguration | undefined,
+    changes: readonly UpstreamChange[],
+    now: number,
+  ): MergeResult {
+    const isConfigurationNew = configuration !== undefined &&
+      configuration.version > (this.current?.version ?? -Infinity);
+    if (isConfigurationNew) this.current = configuration;
+    const news = changes.filter((change) => this.mergeChange(change, now));
+    this.forgetGone(now);
+    return { isConfigurationNew, changes: news };
+  }
+
+  /** Merges a snapshot: what it lacks and was known before it is gone.
+   * @param revision Revision of the snapshot.
+   * @param configuration Its configuration.
+   * @param changes Its upstreams.
+   * @param now Monotonic milliseconds. */
+  mergeSnapshot(
+    revision: number,
+    configuration: PublishedConfiguration | undefined,
+    changes: readonly UpstreamChange[],
+    now: number,
+  ): MergeResult {
+    const listed = new Set(changes.map((change) => change.id));
+    const gone = [...this.known].filter(([id, known]) =>
+      known.upstream !== undefined && !listed.has(id) &&
+      known.revision < revision
+    ).map(([id]) => ({ id, revision, upstream: undefined }));
+    return this.merge(configuration, [...changes, ...gone], now);
+  }
+
+  /** All upstreams as they are known, with those lately gone. */
+  getChanges(): UpstreamChange[] {
+    return [...this.known].map(([id, { revision, upstream }]) => ({
+      id,
+      revision,
+      upstream,
+    }));
+  }
+
+  private mergeChange(change: UpstreamChange, now: number): boolean {
+    const before = this.known.get(change.id);
+    if (before && before.revision >= change.revision) return false;
+    if (!before && change.upstream === undefined) return false;
+    if (before) this.addToDigest(change.id, before, -1);
+    const known = {
+      revision: change.revision,
+      upstream: change.upstream,
+      knownAt: now,
+    };
+    this.known.set(change.id, known);
+    this.addToDigest(change.id, known, 1);
+    this.highestRevision = Math.max(this.highestRevision, change.revision);
+    return true;
+  }
+
+  private forgetGone(now: number): void {
+    for (const [id, known] of this.known) {
+      if (known.upstream !== undefined) continue;
+      if (now - known.knownAt > GONE_REMEMBERED_MS) this.known.delete(id);
+    }
+  }
+
+  /** Adds or takes away an upstream's part of the digest; one that is gone has none. */
+  private addToDigest(id: string, known: Known, sign: 1 | -1): void {
+    if (known.upstream === undefined) return;
+    this.digestSum =
+      (this.digestSum + sign * hashText(id, known.revision >>> 0)) >>> 0;
+  }
+}
--- /dev/null
+++ b/src/published/publication_keeper.ts
@@ -0,0 +1,149 @@
+import type { Logger } from "../logging/logger.ts";
+import type { PublishedConfiguration } from "./configuration_schema.ts";
+import { Freshness } from "./freshness.ts";
+import { type MergeResult, Publication } from "./publication.ts";
+import type {
+  PublicationChanges,
+  PublicationSnapshot,
+  UpstreamChange,
+} from "./publication_feed.ts";
+import { RouteTable } from "./route_table.ts";
+
+/** What the keeper needs and whom it tells. */
+export interface PublicationKeeperOptions {
+  logger: Logger;
+  /** Told of each newer configuration. */
+  onConfiguration: (table: RouteTable) => void;
+  /** Told of each change of upstreams. */
+  onUpstreams: (changes: readonly UpstreamChange[]) => void;
+}
+
+/** What a peer tells of everything it knows. */
+export interface PublicationState {
+  configuration: PublishedConfiguration | undefined;
+  changes: UpstreamChange[];
+  /** Age in milliseconds of what the peer knows, when it told this. */
+  ageMs: number;
+}
+
+/** The task that owns what is published: it merges the platform's and peers' word and tells the rest what is new. */
+export class PublicationKeeper {
+  private readonly publication = Publication.create();
+  private readonly freshness = Freshness.create();
+  private table: RouteTable | undefined;
+
+  private constructor(private readonly options: PublicationKeeperOptions) {}
+
+  /** Creates a keeper that knows nothing.
+   * @param options What it needs. */
+  static create(options: PublicationKeeperOptions): PublicationKeeper {
+    return new PublicationKeeper(options);
+  }
+
+  /** The routes in force, or nothing before the first configuration. */
+  get routes(): RouteTable | undefined {
+    return this.table;
+  }
+
+  /** Highest revision of any change that was merged. */
+  get revision(): number {
+    return this.publication.revision;
+  }
+
+  /** A number that is equal on two processes that know the same. */
+  get digest(): number {
+    return this.publication.digest;
+  }
+
+  /** Age in milliseconds of what is known: nothing published before that is missing here. */
+  get ageMs(): number {
+    return this.freshness.getAge(performance.now());
+  }
+
+  /** Everything known, for a peer. */
+  getState(): PublicationState {
+    return {
+      configuration: this.publication.configuration,
+      changes: this.publication.getChanges(),
+      ageMs: this.ageMs,
+    };
+  }
+
+  /** Merges a snapshot of the platform.
+   * @param snapshot The snapshot.
+   * @param askedAt Monotonic milliseconds at which it was asked for. */
+  takeSnapshot(snapshot: PublicationSnapshot, askedAt: number): void {
+    const { revision, configuration, upstreams } = snapshot;
+    const now = performance.now();
+    this.apply(
+      this.publication.mergeSnapshot(revision, configuration, upstreams, now),
+      "snapshot",
+    );
+    this.freshness.confirm(askedAt);
+  }
+
+  /** Merges changes that a watch brought.
+   * @param changes The changes.
+   * @param knownUpTo Monotonic milliseconds up to which the watch is sure to have brought every change. */
+  takeChanges(changes: PublicationChanges, knownUpTo: number): void {
+    const { configuration, upstreams } = changes;
+    this.apply(
+      this.publication.merge(configuration, upstreams, performance.now()),
+      "watch",
+    );
+    this.freshness.confirm(knownUpTo);
+  }
+
+  /** Merges what a peer knows.
+   * @param state What it knows.
+   * @param peerId The peer.
+   * @param askedAt Monotonic milliseconds at which it was asked. */
+  takeState(state: PublicationState, peerId: string, askedAt: number): void {
+    this.apply(
+      this.publication.merge(
+        state.configuration,
+        state.changes,
+        performance.now(),
+      ),
+      `peer ${peerId}`,
+    );
+    this.freshness.confirm(askedAt - state.ageMs);
+  }
+
+  /** Takes a peer's word that it knows the same; its age then holds here too.
+   * @param digest The peer's digest.
+   * @param moment Monotonic milliseconds of this process up to which the peer knows everything. */
+  takeConfirmation(digest: number, moment: number): void {
+    if (digest === this.digest) this.freshness.confirm(moment);
+  }
+
+  private apply(result: MergeResult, source: string): void {
+    if (result.isConfigurationNew) this.applyConfiguration(source);
+    if (result.changes.length === 0) return;
+    for (const { id, revision, upstream } of result.changes) {
+      const state = !upstream
+        ? "gone"
+        : upstream.isLeaving
+        ? "leaving"
+        : "live";
+      const address = upstream?.address ?? "";
+      const service = upstream?.service ?? "";
+      this.options.logger.info(
+        { upstream: id, state, service, address, revision, source },
+        "upstream_published",
+      );
+    }
+    this.options.onUpstreams(result.changes);
+  }
+
+  private applyConfiguration(source: string): void {
+    const before = this.table?.version;
+    this.table = RouteTable.create(this.publication.configuration!);
+    const { version } = this.table;
+    this.options.logger.info(
+      { version, before, source },
+      "configuration_in_force",
+    );
+    this.options.onConfiguration(this.table);
+  }
+}
--- /dev/null
+++ b/src/upstreams/load_counts.ts
@@ -0,0 +1,64 @@
+import type { Upstream } from "./upstream.ts";
+
+/** Age up to which a host's counts are used, in milliseconds: some rounds of what hosts tell each other. */
+const USED_FOR_MS = 1_200;
+
+/** An upstream's short name, and the requests that a host has running there. */
+export type LoadCount = [key: number, requests: number];
+
+interface HostCounts {
+  at: number;
+  counts: readonly LoadCount[];
+}
+
+/** The requests on each upstream: exact for this process, and for other hosts as they last told. */
+export class LoadCounts {
+  private readonly hosts = new Map<string, HostCounts>();
+  private foreign = new Map<number, number>();
+
+  private constructor() {}
+
+  /** Creates counts without other hosts. */
+  static create(): LoadCounts {
+    return new LoadCounts();
+  }
+
+  /** Takes over what a host told.
+   * @param hostId The host.
+   * @param counts Its counts; an upstream that is missing has none.
+   * @param at Monotonic milliseconds at which it counted. */
+  record(hostId: string, counts: readonly LoadCount[], at: number): void {
+    this.hosts.set(hostId, { at, counts });
+    this.sumUp(performance.now());
+  }
+
+  /** Requests on an upstream from all hosts.
+   * @param upstream The upstream. */
+  getTotal(upstream: Upstream): number {
+    return upstream.ownRequests + (this.foreign.get(upstream.key) ?? 0);
+  }
+
+  /** Counts of this process, for other hosts.
+   * @param upstreams All upstreams. */
+  getOwn(upstreams: Iterable<Upstream>): LoadCount[] {
+    const counts: LoadCount[] = [];
+    for (const { key, ownRequests } of upstreams) {
+      if (ownRequests > 0) counts.push([key, ownRequests]);
+    }
+    return counts;
+  }
+
+  private sumUp(now: number): void {
+    const sums = new Map<number, number>();
+    for (const [hostId, { at, counts }] of this.hosts) {
+      if (now - at > USED_FOR_MS) {
+        this.hosts.delete(hostId);
+        continue;
+      }
+      for (const [key, requests] of counts) {
+        sums.set(key, (sums.get(key) ?? 0) + requests);
+      }
+    }
+    this.foreign = sums;
+  }
+}
--- /dev/null
+++ b/src/upstreams/upstream.ts
@@ -0,0 +1,47 @@
+import { hashText } from "../hashing/hasher.ts";
+import type { PublishedUpstream } from "../published/upstream_schema.ts";
+import { ChannelPool } from "./channel_pool.ts";
+import { LatencyAverage } from "./latency_average.ts";
+import { UpstreamHealth } from "./upstream_health.ts";
+
+/** One upstream as this process knows and uses it. */
+export class Upstream {
+  /** Connections to it. */
+  readonly channels: ChannelPool;
+  /** What its answers say of its health. */
+  readonly health = UpstreamHealth.create();
+  /** Time to its whole answers, in milliseconds. */
+  readonly latency = LatencyAverage.create();
+  /** Short name of the upstream in what hosts tell each other. */
+  readonly key: number;
+  /** Requests that this process has running there. */
+  ownRequests = 0;
+  /** Monotonic milliseconds until which it said that it is full. */
+  fullUntil = -Infinity;
+  /** Monotonic milliseconds at which it became known that it is gone; undefined while it is listed. */
+  goneAt: number | undefined;
+
+  private constructor(
+    /** What it last published. */
+    public published: PublishedUpstream,
+  ) {
+    this.channels = ChannelPool.create(published.address);
+    this.key = hashText(published.id);
+  }
+
+  /** Creates an upstream.
+   * @param published What it published. */
+  static create(published: PublishedUpstream): Upstream {
+    return new Upstream(published);
+  }
+
+  /** Its id. */
+  get id(): string {
+    return this.published.id;
+  }
+
+  /** Closes the idle connections; those in use close with their request. */
+  close(): void {
+    this.channels.close();
+  }
+}
--- /dev/null
+++ b/src/upstreams/upstream_table.ts
@@ -0,0 +1,111 @@
+import type { Logger } from "../logging/logger.ts";
+import type { UpstreamChange } from "../published/publication_feed.ts";
+import { Upstream } from "./upstream.ts";
+
+/** Time for which an upstream that disappeared just after an outage of the platform is still used, in milliseconds.
+ * Entries that lapsed meanwhile come back within two seconds, and a leaving upstream may get work for as long. */
+const LAPSE_GRACE_MS = 1_600;
+
+/** What the table needs. */
+export interface UpstreamTableOptions {
+  logger: Logger;
+  /** Whether the platform has come back so lately that missing entries may only have lapsed. */
+  mayHaveLapsed: () => boolean;
+}
+
+/** The upstreams that are known, by service. */
+export class UpstreamTable {
+  private readonly byId = new Map<string, Upstream>();
+  private readonly byService = new Map<string, Upstream[]>();
+
+  private constructor(private readonly options: UpstreamTableOptions) {}
+
+  /** Creates an empty table.
+   * @param options What it needs. */
+  static create(options: UpstreamTableOptions): UpstreamTable {
+    return new UpstreamTable(options);
+  }
+
+  /** Number of upstreams. */
+  get size(): number {
+    return this.byId.size;
+  }
+
+  /** All upstreams. */
+  getAll(): Iterable<Upstream> {
+    return this.byId.values();
+  }
+
+  /** The upstreams of a service that new requests may go to.
+   * @param service Name of the service. */
+  getServing(service: string): Upstream[] {
+    return (this.byService.get(service) ?? []).filter((upstream) =>
+      this.mayServe(upstream)
+    );
+  }
+
+  /** Whether an upstream may get a new request at this moment.
+   * @param upstream The upstream. */
+  mayServe(upstream: Upstream): boolean {
+    if (upstream.published.isLeaving) return false;
+    if (upstream.goneAt === undefined) return true;
+    return performance.now() < upstream.goneAt + LAPSE_GRACE_MS;
+  }
+
+  /** Takes over changes.
+   * @param changes The changes. */
+  apply(changes: readonly UpstreamChange[]): void {
+    for (const { id, upstream } of changes) {
+      if (upstream === undefined) this.remove(id);
+      else this.put(Upstream.create(upstream));
+    }
+  }
+
+  /** Takes an upstream out at once, for another has its address.
+   * @param upstream The upstream. */
+  drop(upstream: Upstream): void {
+    if (this.byId.get(upstream.id) !== upstream) return;
+    this.byId.delete(upstream.id);
+    this.rebuild(upstream.published.service);
+    upstream.close();
+    this.options.logger.info({ upstream: upstream.id }, "upstream_dropped");
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const upstream of this.byId.values()) upstream.close();
+  }
+
+  private put(fresh: Upstream): void {
+    const known = this.byId.get(fresh.id);
+    const isSame = known?.published.address === fresh.published.address &&
+      known.published.service === fresh.published.service;
+    if (known && isSame) {
+      known.published = fresh.published;
+      known.goneAt = undefined;
+      return;
+    }
+    known?.close();
+    this.byId.set(fresh.id, fresh);
+    this.rebuild(fresh.published.service);
+    if (known) this.rebuild(known.published.service);
+  }
+
+  private remove(id: string): void {
+    const known = this.byId.get(id);
+    if (!known) return;
+    if (!this.options.mayHaveLapsed()) return this.drop(known);
+    known.goneAt = performance.now();
+    const timer = setTimeout(() => {
+      if (known.goneAt !== undefined) this.drop(known);
+    }, LAPSE_GRACE_MS);
+    timer.unref();
+  }
+
+  private rebuild(service: string): void {
+    const serving = [...this.byId.values()].filter((upstream) =>
+      upstream.published.service === service
+    );
+    this.byService.set(service, serving);
+  }
+}
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -1,3 +1,4 @@
+import process from "node:process";
 import { build } from "esbuild";
 import { BUNDLE } from "./bundle_path.ts";
 
@@ -12,7 +13,7 @@
 
 await build({
   entryPoints: ["src/main.ts"],
-  outfile: BUNDLE,
+  outfile: process.argv[2] ?? BUNDLE,
   format: "cjs",
   bundle: true,
   platform: "node",
