--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -124,6 +124,7 @@
   }
 
   private takeEnd(): void {
+    if (this.channel.wasReset) return this.fail("reset within the answer");
     if (!this.finish()) return;
     if (this.isReusable) this.upstream.channels.giveBack(this.channel);
     else this.channel.close();
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -26,6 +26,8 @@
     call: RoutedCall,
     tried: ReadonlySet<string>,
   ) => Upstream | undefined;
+  /** Address of the engine from which another should fetch what it lacks of a call's prompt. */
+  findFetchSource: (call: RoutedCall, target: Upstream) => string | undefined;
   /** Takes a retry from the budget of a service; returns whether there was one. */
   spendRetry: (service: string) => boolean;
   /** Told how an attempt ended, as far as the upstream's health goes. */
@@ -148,7 +150,7 @@
       customer: call.customer,
       urgency: call.headers.prompt ? call.urgency : undefined,
       lastEventId: this.lastEventId,
-      fetchFrom: undefined,
+      fetchFrom: context.findFetchSource(call, upstream),
     });
     const { method, path, body, requestId } = call;
     return { method, path, body, requestId, headers };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
+import type { RoutedCall } from "../forward/routed_call.ts";
 import { CallServer } from "../forward/call_server.ts";
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -12,7 +13,9 @@
 import { Random } from "../random/random.ts";
 import { chooseUpstream } from "../upstreams/choose_upstream.ts";
 import { LoadCounts } from "../upstreams/load_counts.ts";
+import { PrefixIndex } from "../upstreams/prefix_index.ts";
 import { RetryShare } from "../upstreams/retry_share.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
 import { UpstreamTable } from "../upstreams/upstream_table.ts";
 import type { CallerSurface } from "./caller_surface.ts";
 import { CallHandler } from "./call_handler.ts";
@@ -70,6 +73,7 @@
   private readonly keeper: PublicationKeeper;
   private readonly upstreams: UpstreamTable;
   private readonly loads = LoadCounts.create();
+  private readonly prefixes = PrefixIndex.create();
   private readonly retries = new Map<string, RetryShare>();
   private readonly handler: CallHandler;
   private readonly exchange: PublicationExchange;
@@ -237,6 +241,7 @@
             random: this.random,
             now: performance.now(),
           }),
+        findFetchSource: (call, target) => this.findFetchSource(call, target),
         spendRetry: (service) =>
           this.getRetryShare(service).spend(performance.now()),
         noteHealth: (upstream, sign) => {
@@ -253,6 +258,23 @@
     });
   }
 
+  private findFetchSource(
+    call: RoutedCall,
+    target: Upstream,
+  ): string | undefined {
+    const { homeKey, service } = call;
+    if (homeKey === undefined) return undefined;
+    const now = performance.now();
+    const engines = this.upstreams.getPresent(service).filter((engine) =>
+      !engine.health.isEjected(now)
+    );
+    const source = this.keeper.routes?.getService(service)?.canFetch
+      ? this.prefixes.findSource(homeKey, target, engines, now)
+      : undefined;
+    this.prefixes.note(homeKey, target.id, now);
+    return source?.published.address;
+  }
+
   private get mayHonourKeys(): boolean {
     const { keyBeliefMs } = this.settings;
     if (keyBeliefMs === undefined) return true;
--- a/src/published/configuration_schema.ts
+++ b/src/published/configuration_schema.ts
@@ -45,6 +45,8 @@
   maxConnections: z.number().int().positive(),
   /** Whether the upstreams are model engines. */
   isEngine: z.boolean(),
+  /** Whether an engine can take from another what that keeps of a prompt. */
+  canFetch: z.boolean(),
 });
 
 /** One service. */
--- a/src/upstreams/channel.ts
+++ b/src/upstreams/channel.ts
@@ -1,4 +1,4 @@
-import { Client, type Dispatcher } from "undici";
+import { buildConnector, Client, type Dispatcher } from "undici";
 
 /** Time for a new connection to an upstream, in milliseconds: some hundred times the usual way there and back. */
 const CONNECT_TIMEOUT_MS = 450;
@@ -15,6 +15,7 @@
 export class Channel {
   private readonly client: Client;
   private isClosed = false;
+  private hasFailed = false;
 
   private constructor(address: string, onClosed: (channel: Channel) => void) {
     this.client = new Client(`http://${address}`, {
@@ -24,11 +25,7 @@
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      connect: {
-        timeout: CONNECT_TIMEOUT_MS,
-        keepAlive: true,
-        keepAliveInitialDelay: KEEPALIVE_PROBE_MS,
-      },
+      connect: this.createConnector(),
     });
     this.client.on("disconnect", () => {
       this.close();
@@ -51,6 +48,12 @@
     return !this.isClosed;
   }
 
+  /** Whether the connection was reset or failed in another way.
+   * The client counts an answer without a length as whole even then, so whoever takes one has to ask. */
+  get wasReset(): boolean {
+    return this.hasFailed;
+  }
+
   /** Sends a request.
    * @param options The request.
    * @param handler Told what becomes of it. */
@@ -67,4 +70,17 @@
     this.isClosed = true;
     void this.client.destroy();
   }
+
+  private createConnector(): buildConnector.connector {
+    const connect = buildConnector({
+      timeout: CONNECT_TIMEOUT_MS,
+      keepAlive: true,
+      keepAliveInitialDelay: KEEPALIVE_PROBE_MS,
+    });
+    return (options, callback) =>
+      connect(options, (...result) => {
+        result[1]?.once("error", () => this.hasFailed = true);
+        callback(...result);
+      });
+  }
 }
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -44,6 +44,12 @@
     );
   }
 
+  /** All upstreams of a service that are still there, those that leave too.
+   * @param service Name of the service. */
+  getPresent(service: string): readonly Upstream[] {
+    return this.byService.get(service) ?? [];
+  }
+
   /** Whether an upstream may get a new request at this moment.
    * @param upstream The upstream. */
   mayServe(upstream: Upstream): boolean {
--- /dev/null
+++ b/tests/forward/attempt_test.ts
@@ -0,0 +1,118 @@
+import { createServer, type Server, type Socket } from "node:net";
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { platformHeaders } from "../../platform/header_codec.ts";
+import { Attempt } from "../../src/forward/attempt.ts";
+import { Upstream } from "../../src/upstreams/upstream.ts";
+
+const REQUEST_ID = "r-1";
+
+/** What became of an attempt. */
+type Ending =
+  | { type: "whole"; body: string }
+  | { type: "failed"; failure: string; detail: string };
+
+/** Serves raw bytes to whatever is asked. */
+async function serveRaw(answer: (socket: Socket) => void): Promise<Server> {
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => answer(socket));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  return server;
+}
+
+function attemptAt(upstream: Upstream): Promise<Ending> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    const request = {
+      method: "GET",
+      path: "/a/",
+      headers: ["Host", "a.example"],
+      body: undefined,
+      requestId: REQUEST_ID,
+    };
+    Attempt.create(upstream, request, platformHeaders, {
+      onHead: () => undefined,
+      onBytes: (bytes) => parts.push(bytes),
+      onEnd: () =>
+        resolve({ type: "whole", body: Buffer.concat(parts).toString() }),
+      onFailure: (failure, detail) =>
+        resolve({ type: "failed", failure, detail }),
+    });
+  });
+}
+
+function createUpstream(port: number): Upstream {
+  return Upstream.create({
+    id: "u-1",
+    service: "s",
+    address: `127.0.0.1:${port}`,
+    hall: "h",
+    slots: 4,
+    isLeaving: false,
+  });
+}
+
+async function attemptAgainst(
+  answer: (socket: Socket) => void,
+): Promise<Ending> {
+  const server = await serveRaw(answer);
+  const upstream = createUpstream((server.address() as AddressInfo).port);
+  try {
+    return await attemptAt(upstream);
+  } finally {
+    upstream.close();
+    server.close();
+  }
+}
+
+const HEAD = `HTTP/1.1 200 OK\r\nX-Beechkeel-Attempt-Id: ${REQUEST_ID}\r\n`;
+
+test("an answer without a length that ends with its connection is whole", async (t) => {
+  const ending = await attemptAgainst((socket) =>
+    socket.end(`${HEAD}Connection: close\r\n\r\nall of it`)
+  );
+  t.deepEqual(ending, { type: "whole", body: "all of it" });
+});
+
+test("an answer without a length whose connection is reset is not whole", async (t) => {
+  const ending = await attemptAgainst((socket) =>
+    socket.write(
+      `${HEAD}Connection: close\r\n\r\nhalf of it`,
+      () => setTimeout(() => socket.resetAndDestroy(), 20),
+    )
+  );
+  t.is(ending.type, "failed");
+});
+
+test("an answer shorter than its length is not whole", async (t) => {
+  const ending = await attemptAgainst((socket) =>
+    socket.end(`${HEAD}Content-Length: 20\r\n\r\nhalf`)
+  );
+  t.is(ending.type, "failed");
+});
+
+test("an answer to another request is not taken", async (t) => {
+  const ending = await attemptAgainst((socket) =>
+    socket.end(
+      "HTTP/1.1 200 OK\r\nX-Beechkeel-Attempt-Id: r-0\r\nContent-Length: 2\r\n\r\nno",
+    )
+  );
+  t.is(ending.type, "failed");
+  t.regex(
+    ending.type === "failed" ? ending.detail : "",
+    /another request r-0/,
+  );
+});
+
+test("a refused connection says that nothing was sent", async (t) => {
+  const server = await serveRaw(() => undefined);
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  const ending = await attemptAt(createUpstream(port));
+  t.is(ending.type === "failed" && ending.failure, "not_sent");
+});
