--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import type { RoutedCall } from "../forward/routed_call.ts";
@@ -204,8 +205,8 @@
           this.answerLocate(response),
       },
       [settings.peerAddress]: {
-        [`GET ${PUBLICATION_PATH}`]: (_request, response) =>
-          this.exchange.answer(response),
+        [`GET ${PUBLICATION_PATH}`]: (_request, response, query) =>
+          this.exchange.answer(response, query),
       },
       [settings.metricsAddress]: {
         "GET /metrics": (_request, response) =>
@@ -359,7 +360,7 @@
   }
 
   private answerLocate(
-    response: Parameters<PublicationExchange["answer"]>[0],
+    response: ServerResponse,
   ): void {
     const addresses = chooseAddresses({
       own: {
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -48,11 +48,15 @@
     return new PublicationExchange(keeper, logger);
   }
 
-  /** Answers a host with everything that is known here.
-   * @param response Where the answer is written. */
-  answer(response: ServerResponse): void {
+  /** Answers a host with everything that is known here, but for a configuration that it has.
+   * @param response Where the answer is written.
+   * @param query With `version`, that of the configuration which the host has. */
+  answer(response: ServerResponse, query: URLSearchParams): void {
     const { ageMs, ...state } = this.keeper.getState();
     const age = Number.isFinite(ageMs) ? { ageMs } : {};
+    const isKnown = String(state.configuration?.version) ===
+      query.get("version");
+    if (isKnown) state.configuration = undefined;
     response.writeHead(200, { "content-type": "application/msgpack" });
     response.end(pack({ ...state, ...age }));
   }
@@ -85,7 +89,9 @@
     address: string,
     askedAt: number,
   ): Promise<void> {
-    const response = await request(`http://${address}${PUBLICATION_PATH}`, {
+    const version = this.keeper.routes?.version ?? "none";
+    const url = `http://${address}${PUBLICATION_PATH}?version=${version}`;
+    const response = await request(url, {
       dispatcher: this.agent,
       signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
     });
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -10,6 +10,8 @@
 const FANOUT = 10;
 /** Entries of other hosts in one datagram, so that it fits into one packet. */
 const RELAYED_ENTRIES = 6;
+/** Rounds between two in which other hosts are told, where all hosts hear each other directly. */
+const ROUNDS_PER_RELAY = 10;
 /** Rounds between two attempts to reach hosts that are not heard, and seeds that are not known. */
 const ROUNDS_PER_ATTEMPT = 4;
 
@@ -122,6 +124,9 @@
     const live = this.hosts.getLive(now).filter((host) =>
       host.entry.gossipAddress !== address
     );
+    const isDue = this.round <= ROUNDS_PER_RELAY ||
+      this.round % ROUNDS_PER_RELAY === 0;
+    if (live.length < FANOUT && !isDue) return [];
     const count = Math.min(live.length, RELAYED_ENTRIES);
     return Array.from({ length: count }, (_, index) => {
       const host = live[(this.round * RELAYED_ENTRIES + index) % live.length]!;
--- /dev/null
+++ b/src/peers/gossip_codec.ts
@@ -0,0 +1,117 @@
+import { pack, unpack } from "msgpackr";
+import { z } from "zod";
+import {
+  type GossipMessage,
+  gossipSchema,
+  HOST_PHASES,
+  type PeerEntry,
+} from "./gossip_schema.ts";
+
+/** A host's entry as a list, in the order of `packEntry`; field names would be two thirds of a datagram. */
+const packedEntrySchema = z.tuple([
+  z.string(),
+  z.number(),
+  z.number(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.array(z.tuple([z.number(), z.number()])),
+]);
+
+const packedMessageSchema = z.tuple([
+  packedEntrySchema,
+  z.number(),
+  z.number().nullable(),
+  z.array(z.tuple([packedEntrySchema, z.number()])),
+]);
+
+/** Writes a message as a datagram.
+ * @param message The message. */
+export function encodeGossip(message: GossipMessage): Buffer {
+  return pack([
+    packEntry(message.sender),
+    message.sentAt,
+    message.echo ?? null,
+    message.others.map(({ entry, agoMs }) => [packEntry(entry), agoMs]),
+  ]);
+}
+
+/** Reads a datagram; one that is no message is undefined.
+ * @param bytes The datagram. */
+export function decodeGossip(bytes: Buffer): GossipMessage | undefined {
+  const packed = packedMessageSchema.safeParse(tryUnpack(bytes));
+  if (!packed.success) return undefined;
+  const [sender, sentAt, echo, others] = packed.data;
+  const message = gossipSchema.safeParse({
+    sender: unpackEntry(sender),
+    sentAt,
+    echo: echo ?? undefined,
+    others: others.map(([entry, agoMs]) => ({
+      entry: unpackEntry(entry),
+      agoMs,
+    })),
+  });
+  return message.data;
+}
+
+function packEntry(entry: PeerEntry): z.infer<typeof packedEntrySchema> {
+  return [
+    entry.id,
+    entry.incarnation,
+    entry.sequence,
+    entry.gossipAddress,
+    entry.peerAddress,
+    entry.callerAddress,
+    entry.hall,
+    HOST_PHASES.indexOf(entry.phase),
+    entry.digest,
+    entry.revision,
+    Math.round(entry.publicationAgeMs),
+    entry.loads,
+  ];
+}
+
+function unpackEntry(packed: z.infer<typeof packedEntrySchema>): unknown {
+  const [
+    id,
+    incarnation,
+    sequence,
+    gossipAddress,
+    peerAddress,
+    callerAddress,
+    hall,
+    phase,
+    digest,
+    revision,
+    publicationAgeMs,
+    loads,
+  ] = packed;
+  return {
+    id,
+    incarnation,
+    sequence,
+    gossipAddress,
+    peerAddress,
+    callerAddress,
+    hall,
+    phase: HOST_PHASES[phase],
+    digest,
+    revision,
+    publicationAgeMs,
+    loads,
+  };
+}
+
+/** Unpacks bytes; what can't be unpacked is undefined, which the schema then refuses. */
+function tryUnpack(bytes: Buffer): unknown {
+  try {
+    return unpack(bytes);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/peers/gossip_socket.ts
+++ b/src/peers/gossip_socket.ts
@@ -1,8 +1,8 @@
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
-import { pack, unpack } from "msgpackr";
 import type { Logger } from "../logging/logger.ts";
-import { type GossipMessage, gossipSchema } from "./gossip_schema.ts";
+import { decodeGossip, encodeGossip } from "./gossip_codec.ts";
+import type { GossipMessage } from "./gossip_schema.ts";
 
 /** The socket over which hosts tell each other of themselves. */
 export class GossipSocket {
@@ -41,7 +41,7 @@
   send(address: string, message: GossipMessage): void {
     if (this.isClosed) return;
     const [host, port] = address.split(":");
-    this.socket.send(pack(message), Number(port), host, (error) => {
+    this.socket.send(encodeGossip(message), Number(port), host, (error) => {
       if (error) {
         this.logger.debug({ address, reason: error.message }, "gossip_unsent");
       }
@@ -59,18 +59,8 @@
     bytes: Buffer,
     onMessage: (message: GossipMessage) => void,
   ): void {
-    const decoded = tryUnpack(bytes);
-    const message = gossipSchema.safeParse(decoded);
-    if (message.success) onMessage(message.data);
+    const message = decodeGossip(bytes);
+    if (message) onMessage(message);
     else this.logger.warn({ bytes: bytes.length }, "gossip_malformed");
   }
 }
-
-/** Unpacks a datagram; one that is no message is undefined, which the schema then refuses. */
-function tryUnpack(bytes: Buffer): unknown {
-  try {
-    return unpack(bytes);
-  } catch {
-    return undefined;
-  }
-}
