--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -1,5 +1,5 @@
 import process from "node:process";
-import { build } from "esbuild";
+import { build, type Plugin } from "esbuild";
 import { BUNDLE } from "./bundle_path.ts";
 
 /** Native modules that packages use where they are there. */
@@ -11,6 +11,15 @@
 ];
 const ABSENT = "./tools/absent_module.cjs";
 
+/** Leaves out the translations of zod's messages. */
+const englishOnly: Plugin = {
+  name: "english-only",
+  setup: (building) => {
+    const filter = /zod.*locales\/index\.[cm]?js$/;
+    building.onLoad({ filter }, () => ({ contents: "export {};" }));
+  },
+};
+
 await build({
   entryPoints: ["src/main.ts"],
   outfile: process.argv[2] ?? BUNDLE,
@@ -19,6 +28,12 @@
   platform: "node",
   target: "node20",
   mainFields: ["module", "main"],
-  alias: Object.fromEntries(OPTIONAL_MODULES.map((name) => [name, ABSENT])),
+  alias: {
+    ...Object.fromEntries(OPTIONAL_MODULES.map((name) => [name, ABSENT])),
+    undici: "./tools/undici_subset.cjs",
+  },
+  plugins: [englishOnly],
+  minifyWhitespace: true,
+  minifySyntax: true,
   logLevel: "error",
 });
