--- a/src/upstreams/channel.ts
+++ b/src/upstreams/channel.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { buildConnector, Client, type Dispatcher } from "undici";
 
 /** Time for a new connection to an upstream, in milliseconds: some hundred times the usual way there and back. */
@@ -79,8 +80,17 @@
     });
     return (options, callback) =>
       connect(options, (...result) => {
-        result[1]?.once("error", () => this.hasFailed = true);
+        if (result[1]) this.watchForReset(result[1]);
         callback(...result);
       });
   }
+
+  /** Notes a reset. Where it comes together with the last bytes, the event loop reports a plain end; a socket that was
+   * reset then has no other side any more, while one that was ended well still names its address. */
+  private watchForReset(socket: Socket): void {
+    socket.once("error", () => this.hasFailed = true);
+    socket.prependOnceListener("end", () => {
+      if (socket.remoteAddress === undefined) this.hasFailed = true;
+    });
+  }
 }
--- a/tests/forward/attempt_test.ts
+++ b/tests/forward/attempt_test.ts
@@ -88,6 +88,16 @@
   t.is(ending.type, "failed");
 });
 
+test("an answer without a length is not whole where its reset comes together with its last bytes", async (t) => {
+  const ending = await attemptAgainst((socket) =>
+    socket.write(
+      `${HEAD}Connection: close\r\n\r\nhalf of it`,
+      () => socket.resetAndDestroy(),
+    )
+  );
+  t.is(ending.type, "failed");
+});
+
 test("an answer shorter than its length is not whole", async (t) => {
   const ending = await attemptAgainst((socket) =>
     socket.end(`${HEAD}Content-Length: 20\r\n\r\nhalf`)
