Shorter lives of addresses, and none from a host that knows of none ready

Cause: callers went on to hosts without power for up to three lifetimes of an answer; a host cut off from platform and hosts named only itself, and then refused keys. Empty watches now confirm what is known up to their end.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -47,7 +47,7 @@
 /** Time after an outage in which a missing entry may only have lapsed, in milliseconds. */
 const LAPSE_WINDOW_MS = 2_200;
 /** Time for which callers may keep an answer with addresses, in milliseconds. */
-const LOCATE_LIFETIME_MS = 1_000;
+const LOCATE_LIFETIME_MS = 500;
 /** Time from the start of a planned stop after which answers close their connections, in milliseconds. */
 const CLOSE_CONNECTIONS_AFTER_MS = 1_500;
 /** Time for which a stopping host still takes requests, in milliseconds: three lifetimes of an answer with addresses,
@@ -366,7 +366,6 @@
       own: {
         callerAddress: this.settings.callerAddress,
         isReady: this.isReady && this.mayHonourKeys,
-        isDraining: this.drainingSince !== undefined,
       },
       live: this.getLiveHosts(),
     });
--- a/src/gateway/locate.ts
+++ b/src/gateway/locate.ts
@@ -5,13 +5,14 @@
 
 /** What an answer with addresses is made from. */
 export interface LocateOptions {
-  /** Address and phase of this host. */
-  own: { callerAddress: string; isReady: boolean; isDraining: boolean };
+  /** Address of this host, and whether it takes requests. */
+  own: { callerAddress: string; isReady: boolean };
   /** Other hosts that are heard. */
   live: readonly KnownHost[];
 }
 
-/** The addresses that callers should use: of hosts that are ready; where none is, of any that is not stopping.
+/** The addresses that callers should use: of hosts that are ready. Where none is known there are none, so that the
+ * caller asks another host or keeps the addresses it has.
  * @param options What the answer is made from. */
 export function chooseAddresses(options: LocateOptions): string[] {
   const { own, live } = options;
@@ -19,10 +20,5 @@
     host,
   ) => host.entry.callerAddress);
   if (own.isReady) ready.push(own.callerAddress);
-  if (ready.length > 0) return ready.slice(0, MAX_ADDRESSES);
-  const others = live.filter((host) => host.entry.phase !== "draining").map((
-    host,
-  ) => host.entry.callerAddress);
-  if (!own.isDraining) others.push(own.callerAddress);
-  return others.slice(0, MAX_ADDRESSES);
+  return ready.slice(0, MAX_ADDRESSES);
 }
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -1,7 +1,7 @@
 import type { PeerEntry } from "./gossip_schema.ts";
 
-/** Time after which a host that is not heard is no longer told to callers, in milliseconds: five rounds of gossip. */
-const LIVE_FOR_MS = 1_000;
+/** Time after which a host that is not heard is no longer told to callers, in milliseconds: three rounds of gossip and a little. */
+const LIVE_FOR_MS = 700;
 /** Time after which a host that is not heard is forgotten, in milliseconds: longer than a host takes to come back. */
 const REMEMBERED_MS = 60_000;
 /** Silence after which another's word on a new start of a host is believed, in milliseconds. */
--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -87,7 +87,10 @@
     }
     const { watchMs, feed, keeper } = this.options;
     const changes = await feed.watch(this.revision, watchMs);
-    keeper.takeChanges(changes, askedAt);
+    const isEmpty = changes.upstreams.length === 0 &&
+      changes.configuration === undefined;
+    // An empty answer was held for the whole wait, so there was no change up to the wait's end.
+    keeper.takeChanges(changes, isEmpty ? askedAt + watchMs : askedAt);
     this.logProblems(changes.problems);
     this.revision = changes.revision;
   }
