--- a/src/forward/admit_call.ts
+++ b/src/forward/admit_call.ts
@@ -6,6 +6,7 @@
   type KeyHolder,
   type RouteTable,
 } from "../published/route_table.ts";
+import { PrefixIndex } from "../upstreams/prefix_index.ts";
 import type { CallerHeaders } from "./caller_headers.ts";
 import type { RoutedCall } from "./routed_call.ts";
 
@@ -77,7 +78,7 @@
   holder: KeyHolder | undefined,
 ): AdmittedCall {
   const { headers, method, path, receivedAt } = options;
-  const homeKey = findHomeKey(headers);
+  const sharedParts = findSharedParts(headers);
   const { remainingMs } = headers;
   return {
     requestId,
@@ -85,10 +86,10 @@
     path,
     headers,
     route,
-    service: chooseService(route, homeKey ?? requestId),
+    service: chooseService(route, sharedParts.at(-1) ?? requestId),
     customer: holder?.name,
     urgency: rankUrgency(route, holder),
-    homeKey,
+    sharedParts: sharedParts.map(PrefixIndex.nameOf),
     receivedAt,
     callerEndsAt: remainingMs === undefined
       ? Infinity
@@ -96,11 +97,10 @@
   };
 }
 
-/** The last part of a prompt that other requests share, or the only part. */
-function findHomeKey(headers: CallerHeaders): string | undefined {
-  const parts = headers.prompt?.parts ?? [];
-  const shared = parts.at(-2) ?? parts.at(-1);
-  return shared?.id;
+/** Ids of the prompt's parts that other requests share: all but the last, or the only one. */
+function findSharedParts(headers: CallerHeaders): string[] {
+  const ids = (headers.prompt?.parts ?? []).map((part) => part.id);
+  return ids.length > 1 ? ids.slice(0, -1) : ids;
 }
 
 function rankUrgency(route: Route, holder: KeyHolder | undefined): number {
--- a/src/forward/routed_call.ts
+++ b/src/forward/routed_call.ts
@@ -17,8 +17,8 @@
   customer: string | undefined;
   /** 0 is the most urgent. */
   urgency: number;
-  /** What requests share that should meet at one upstream; nothing where they share nothing. */
-  homeKey: string | undefined;
+  /** Short names of the prompt's parts that other requests share, in order; empty where it shares nothing. */
+  sharedParts: readonly number[];
   /** Monotonic milliseconds at which the request came. */
   receivedAt: number;
   /** Monotonic milliseconds up to which the caller waits; infinity where it does not tell. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import type { RouteTable } from "../published/route_table.ts";
 import { Random } from "../random/random.ts";
 import { chooseUpstream } from "../upstreams/choose_upstream.ts";
+import { findFetchSource } from "../upstreams/find_fetch_source.ts";
 import { LoadCounts } from "../upstreams/load_counts.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
 import { RetryShare } from "../upstreams/retry_share.ts";
@@ -166,6 +167,8 @@
       address: settings.gossipAddress,
       getSeeds: () => this.settings.seedAddresses,
       describeSelf: () => this.describeSelf(),
+      takeFacts: () => this.prefixes.takeFacts(),
+      onFacts: (facts) => this.prefixes.learn(facts, performance.now()),
       onEntry: (entry, heardAt, askedAt) =>
         this.takeEntry(entry, heardAt, askedAt),
     });
@@ -236,7 +239,8 @@
           chooseUpstream({
             candidates: this.upstreams.getServing(call.service),
             tried,
-            homeKey: call.homeKey,
+            sharedParts: call.sharedParts,
+            prefixes: this.prefixes,
             loads: this.loads,
             hall: this.settings.hall,
             random: this.random,
@@ -263,16 +267,16 @@
     call: RoutedCall,
     target: Upstream,
   ): string | undefined {
-    const { homeKey, service } = call;
-    if (homeKey === undefined) return undefined;
+    const { sharedParts, service } = call;
+    if (sharedParts.length === 0) return undefined;
     const now = performance.now();
     const engines = this.upstreams.getPresent(service).filter((engine) =>
       !engine.health.isEjected(now)
     );
     const source = this.keeper.routes?.getService(service)?.canFetch
-      ? this.prefixes.findSource(homeKey, target, engines, now)
+      ? findFetchSource(sharedParts, target, engines, this.prefixes, now)
       : undefined;
-    this.prefixes.note(homeKey, target.id, now);
+    this.prefixes.noteSent(sharedParts, target.key, now);
     return source?.published.address;
   }
 
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "../logging/logger.ts";
 import { Random } from "../random/random.ts";
+import type { PrefixFact } from "../upstreams/prefix_index.ts";
 import type { GossipMessage, PeerEntry } from "./gossip_schema.ts";
 import { GossipSocket } from "./gossip_socket.ts";
 import { HostTable, isLive, type KnownHost } from "./host_table.ts";
@@ -24,6 +25,10 @@
   getSeeds: () => readonly string[];
   /** What this host tells of itself, but for the fields that gossip itself fills in. */
   describeSelf: () => Omit<PeerEntry, "incarnation" | "sequence">;
+  /** Facts about prompts to tell in a round; each is given once. */
+  takeFacts: () => PrefixFact[];
+  /** Told of another host's facts about prompts. */
+  onFacts: (facts: readonly PrefixFact[]) => void;
   /** Told of each host's word; `askedAt` is this host's clock after which the host composed it, where that is known. */
   onEntry: (entry: PeerEntry, heardAt: number, askedAt?: number) => void;
 }
@@ -62,7 +67,7 @@
   announce(): void {
     const now = performance.now();
     for (const host of this.hosts.getLive(now).slice(0, FANOUT * 2)) {
-      this.tell(host.entry.gossipAddress, now);
+      this.tell(host.entry.gossipAddress, now, []);
     }
   }
 
@@ -78,7 +83,10 @@
     this.sequence += 1;
     this.hosts.forget(now);
     this.logChanges(now);
-    for (const address of this.chooseTargets(now)) this.tell(address, now);
+    const facts = this.options.takeFacts();
+    for (const address of this.chooseTargets(now)) {
+      this.tell(address, now, facts);
+    }
   }
 
   private chooseTargets(now: number): string[] {
@@ -98,11 +106,16 @@
     return [...new Set([...chosen, ...attempts, ...seeds])];
   }
 
-  private tell(address: string, now: number): void {
+  private tell(
+    address: string,
+    now: number,
+    facts: readonly PrefixFact[],
+  ): void {
     const message: GossipMessage = {
       sender: this.describeSelf(),
       sentAt: now,
       echo: this.hosts.getHost(address)?.lastSentAt,
+      facts: [...facts],
       others: this.chooseRelayed(address, now),
     };
     this.socket?.send(address, message);
@@ -136,7 +149,8 @@
 
   private receive(message: GossipMessage): void {
     const now = performance.now();
-    const { sender, sentAt, echo, others } = message;
+    const { sender, sentAt, echo, facts, others } = message;
+    if (facts.length > 0) this.options.onFacts(facts);
     if (this.hosts.hear(sender, sentAt, now)) {
       const isOwnClock = echo !== undefined && echo <= now;
       this.options.onEntry(sender, now, isOwnClock ? echo : undefined);
--- a/src/peers/gossip_codec.ts
+++ b/src/peers/gossip_codec.ts
@@ -27,6 +27,7 @@
   packedEntrySchema,
   z.number(),
   z.number().nullable(),
+  z.array(z.tuple([z.number(), z.number()])),
   z.array(z.tuple([packedEntrySchema, z.number()])),
 ]);
 
@@ -37,6 +38,7 @@
     packEntry(message.sender),
     message.sentAt,
     message.echo ?? null,
+    message.facts,
     message.others.map(({ entry, agoMs }) => [packEntry(entry), agoMs]),
   ]);
 }
@@ -46,11 +48,12 @@
 export function decodeGossip(bytes: Buffer): GossipMessage | undefined {
   const packed = packedMessageSchema.safeParse(tryUnpack(bytes));
   if (!packed.success) return undefined;
-  const [sender, sentAt, echo, others] = packed.data;
+  const [sender, sentAt, echo, facts, others] = packed.data;
   const message = gossipSchema.safeParse({
     sender: unpackEntry(sender),
     sentAt,
     echo: echo ?? undefined,
+    facts,
     others: others.map(([entry, agoMs]) => ({
       entry: unpackEntry(entry),
       agoMs,
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -1,14 +1,15 @@
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { Random } from "../random/random.ts";
 import type { LoadCounts } from "./load_counts.ts";
+import type { PrefixIndex } from "./prefix_index.ts";
 import type { Upstream } from "./upstream.ts";
 
-/** Multiple of the mean load up to which a chat goes to its first upstream; below the multiple that is promised,
- * because other hosts' counts are known late. */
+/** Multiple of the mean load up to which a chat goes to an engine that keeps its context; below the multiple that is
+ * promised, because other hosts' counts are known late. */
 const HOME_MULTIPLE = 1.5;
-/** Requests above that multiple which a chat's first upstream may still carry; half of what the promise allows. */
+/** Requests above that multiple which such an engine may still carry; half of what the promise allows. */
 const HOME_EXTRA = 1.5;
-/** Time after an upstream's word that it is full for which it is left out, in milliseconds. */
+/** What an upstream in another hall costs against one in this, as a part of an upstream's slots. */
 const COST_OF_OTHER_HALL = 0.15;
 
 /** What a choice is made from. */
@@ -17,9 +18,10 @@
   candidates: readonly Upstream[];
   /** Those it was sent to before. */
   tried: ReadonlySet<string>;
-  /** What requests share that should meet at one upstream; nothing where they share nothing. */
-  homeKey: string | undefined;
+  /** Short names of the prompt's parts that other requests share, in order; empty where it shares nothing. */
+  sharedParts: readonly number[];
   loads: LoadCounts;
+  prefixes: PrefixIndex;
   /** Hall of this host. */
   hall: string;
   random: Random;
@@ -39,28 +41,31 @@
   const free = sound.filter((upstream) => options.now >= upstream.fullUntil);
   const usable = [free, sound, untried].find((list) => list.length > 0);
   if (usable === undefined) return undefined;
-  return options.homeKey === undefined
+  return options.sharedParts.length === 0
     ? chooseLeastLoaded(usable, options)
-    : chooseHome(usable, options.homeKey, options);
+    : chooseHome(usable, options);
 }
 
-/** The first upstream in the key's order that is not far above the mean; where all are, the least loaded. */
+/** An engine that keeps the prompt, else the first in the prompt's order, as long as it is not far above the mean;
+ * where all are, the least loaded. */
 function chooseHome(
   usable: readonly Upstream[],
-  homeKey: string,
   options: ChoiceOptions,
 ): Upstream {
+  const { sharedParts, prefixes, loads, now } = options;
+  const homeKey = sharedParts.at(-1)!;
+  const total = usable.reduce((sum, one) => sum + loads.getTotal(one), 0);
+  const limit = HOME_MULTIPLE * total / usable.length + HOME_EXTRA;
   const byId = new Map(usable.map((upstream) => [upstream.id, upstream]));
-  const total = usable.reduce(
-    (sum, upstream) => sum + options.loads.getTotal(upstream),
-    0,
+  const ranked = rankByRendezvous(String(homeKey), [...byId.keys()])
+    .map((id) => byId.get(id)!);
+  const keeping = ranked.filter((upstream) =>
+    prefixes.isKept(homeKey, upstream.key, now)
   );
-  const limit = HOME_MULTIPLE * total / usable.length + HOME_EXTRA;
-  for (const id of rankByRendezvous(homeKey, [...byId.keys()])) {
-    const upstream = byId.get(id)!;
-    if (options.loads.getTotal(upstream) < limit) return upstream;
-  }
-  return chooseLeastLoaded(usable, options);
+  const home = [...keeping, ...ranked].find((upstream) =>
+    loads.getTotal(upstream) < limit
+  );
+  return home ?? chooseLeastLoaded(usable, options);
 }
 
 function chooseLeastLoaded(
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -1,15 +1,24 @@
-import { rankByRendezvous } from "../hashing/rendezvous.ts";
-import type { Upstream } from "./upstream.ts";
+import { hashText } from "../hashing/hasher.ts";
 
-/** Time for which an engine is taken to keep what it read, in milliseconds. */
-const KEPT_FOR_MS = 8_000;
-/** Prompts remembered; the one unused longest gives way. */
-const MAX_PROMPTS = 20_000;
+/** Time for which an engine is taken to keep what it read, in milliseconds: rereading costs only where a part was used
+ * within about ten seconds, and memory lasts some times as long. */
+const KEPT_FOR_MS = 30_000;
+/** Time after which it is told again that an engine keeps a part that goes on being used, in milliseconds. */
+const TELL_AGAIN_MS = 5_000;
+/** Parts remembered; the one unused longest gives way. */
+const MAX_PARTS = 50_000;
+/** Facts told to other hosts in one round, so that they fit into one packet. */
+const MAX_FACTS = 60;
 
-/** Where this host sent the prompts that requests share, and when. */
+/** That an engine was sent a part of a prompt: short names of the part and of the engine. */
+export type PrefixFact = [part: number, engine: number];
+
+/** Which engines keep which parts of prompts, from what this host and others sent there. */
 export class PrefixIndex {
-  /** By what requests share, the engines with the monotonic milliseconds of the last request sent there. */
-  private readonly engines = new Map<string, Map<string, number>>();
+  /** By part, the engines with the monotonic milliseconds of the last request. */
+  private readonly engines = new Map<number, Map<number, number>>();
+  private readonly toldAt = new Map<number, Map<number, number>>();
+  private untold: PrefixFact[] = [];
 
   private constructor() {}
 
@@ -18,53 +27,61 @@
     return new PrefixIndex();
   }
 
-  /** Records that a prompt was sent to an engine.
-   * @param homeKey What the requests share.
-   * @param engineId The engine.
+  /** Short name of a part.
+   * @param partId Id of the part. */
+  static nameOf(partId: string): number {
+    return hashText(partId);
+  }
+
+  /** Records that this host sends parts to an engine.
+   * @param parts Short names of the parts.
+   * @param engine Short name of the engine.
    * @param now Monotonic milliseconds. */
-  note(homeKey: string, engineId: string, now: number): void {
-    const known = this.engines.get(homeKey) ?? new Map<string, number>();
-    known.set(engineId, now);
-    this.engines.delete(homeKey);
-    this.engines.set(homeKey, known);
-    if (this.engines.size <= MAX_PROMPTS) return;
-    const [oldest] = this.engines.keys();
-    if (oldest !== undefined) this.engines.delete(oldest);
+  noteSent(parts: readonly number[], engine: number, now: number): void {
+    for (const part of parts) {
+      this.put(part, engine, now);
+      this.queue(part, engine, now);
+    }
   }
 
-  /** Whether an engine is taken to keep a prompt.
-   * @param homeKey What the requests share.
-   * @param engineId The engine.
+  /** Records what another host told.
+   * @param facts The facts.
    * @param now Monotonic milliseconds. */
-  isKept(homeKey: string, engineId: string, now: number): boolean {
-    const at = this.engines.get(homeKey)?.get(engineId);
-    return at !== undefined && now - at < KEPT_FOR_MS;
+  learn(facts: readonly PrefixFact[], now: number): void {
+    for (const [part, engine] of facts) this.put(part, engine, now);
+  }
+
+  /** The facts to tell other hosts in this round; each is given once. */
+  takeFacts(): PrefixFact[] {
+    return this.untold.splice(0, MAX_FACTS);
   }
 
-  /** The engine from which another should fetch what it lacks of a prompt: where this host sent it last, else the one
-   * that other hosts most likely sent it to.
-   * @param homeKey What the requests share.
-   * @param target The engine that is to run the request.
-   * @param engines All engines of the service that can be reached, leaving ones too.
+  /** Whether an engine is taken to keep a part.
+   * @param part Short name of the part.
+   * @param engine Short name of the engine.
    * @param now Monotonic milliseconds. */
-  findSource(
-    homeKey: string,
-    target: Upstream,
-    engines: readonly Upstream[],
-    now: number,
-  ): Upstream | undefined {
-    if (this.isKept(homeKey, target.id, now)) return undefined;
-    const others = new Map(
-      engines.filter((engine) => engine !== target).map((engine) => [
-        engine.id,
-        engine,
-      ]),
-    );
-    const used = [...this.engines.get(homeKey) ?? []].filter(([id, at]) =>
-      others.has(id) && now - at < KEPT_FOR_MS
-    ).sort((a, b) => b[1] - a[1]);
-    const sourceId = used[0]?.[0] ??
-      rankByRendezvous(homeKey, [...others.keys()])[0];
-    return sourceId === undefined ? undefined : others.get(sourceId);
+  isKept(part: number, engine: number, now: number): boolean {
+    const at = this.engines.get(part)?.get(engine);
+    return at !== undefined && now - at < KEPT_FOR_MS;
+  }
+
+  private put(part: number, engine: number, now: number): void {
+    const known = this.engines.get(part) ?? new Map<number, number>();
+    known.set(engine, now);
+    this.engines.delete(part);
+    this.engines.set(part, known);
+    if (this.engines.size <= MAX_PARTS) return;
+    const [oldest] = this.engines.keys();
+    this.engines.delete(oldest!);
+    this.toldAt.delete(oldest!);
+  }
+
+  private queue(part: number, engine: number, now: number): void {
+    const told = this.toldAt.get(part) ?? new Map<number, number>();
+    const last = told.get(engine) ?? -Infinity;
+    if (now - last < TELL_AGAIN_MS) return;
+    told.set(engine, now);
+    this.toldAt.set(part, told);
+    this.untold.push([part, engine]);
   }
 }
