--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -277,6 +277,7 @@
       ? findFetchSource(sharedParts, target, engines, this.prefixes, now)
       : undefined;
     this.prefixes.noteSent(sharedParts, target.key, now);
+    if (this.prefixes.hasUntold) this.gossip?.announce();
     return source?.published.address;
   }
 
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -7,6 +7,8 @@
 
 /** Interval at which a host tells of itself, in milliseconds; loads known to others are late by about as much. */
 const ROUND_MS = 200;
+/** Time in which news is gathered before it is told ahead of the next round, in milliseconds. */
+const ANNOUNCE_DELAY_MS = 15;
 /** Other hosts told in each round where there are more; in a small fleet all are. */
 const FANOUT = 10;
 /** Entries of other hosts in one datagram, so that it fits into one packet. */
@@ -41,6 +43,7 @@
   private readonly incarnation = this.random.integer(1, 0x3fffffff);
   private socket: GossipSocket | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private announcement: NodeJS.Timeout | undefined;
   private sequence = 0;
   private round = 0;
   private readonly liveBefore = new Set<string>();
@@ -63,17 +66,18 @@
     return gossip;
   }
 
-  /** Tells all hosts at once, rather than with the next round. */
+  /** Tells hosts soon, rather than with the next round; what comes up meanwhile is told along. */
   announce(): void {
-    const now = performance.now();
-    for (const host of this.hosts.getLive(now).slice(0, FANOUT * 2)) {
-      this.tell(host.entry.gossipAddress, now, []);
-    }
+    this.announcement ??= setTimeout(() => {
+      this.announcement = undefined;
+      this.tellChosen();
+    }, ANNOUNCE_DELAY_MS);
   }
 
   /** Stops the rounds and closes the socket. */
   close(): void {
     clearInterval(this.timer);
+    clearTimeout(this.announcement);
     this.socket?.close();
   }
 
@@ -83,6 +87,11 @@
     this.sequence += 1;
     this.hosts.forget(now);
     this.logChanges(now);
+    this.tellChosen();
+  }
+
+  private tellChosen(): void {
+    const now = performance.now();
     const facts = this.options.takeFacts();
     for (const address of this.chooseTargets(now)) {
       this.tell(address, now, facts);
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -6,9 +6,9 @@
 
 /** Multiple of the mean load up to which a chat goes to an engine that keeps its context; below the multiple that is
  * promised, because other hosts' counts are known late. */
-const HOME_MULTIPLE = 1.5;
+const HOME_MULTIPLE = 1.6;
 /** Requests above that multiple which such an engine may still carry; half of what the promise allows. */
-const HOME_EXTRA = 1.5;
+const HOME_EXTRA = 2.2;
 /** What an upstream in another hall costs against one in this, as a part of an upstream's slots. */
 const COST_OF_OTHER_HALL = 0.15;
 
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -56,6 +56,11 @@
     return this.untold.splice(0, MAX_FACTS);
   }
 
+  /** Whether there are facts that were not told. */
+  get hasUntold(): boolean {
+    return this.untold.length > 0;
+  }
+
   /** Whether an engine is taken to keep a part.
    * @param part Short name of the part.
    * @param engine Short name of the engine.
