After a restart, engines fetch from where a prompt most likely was; facts go to new hosts

Cause: after all hosts lost power their knowledge of what engines keep was gone, and chats went by rendezvous to engines that came later than their context.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -104,7 +104,11 @@
         this.gossip?.announce();
       },
     });
-    this.exchange = PublicationExchange.create(this.keeper, this.logger);
+    this.exchange = PublicationExchange.create(
+      this.keeper,
+      this.prefixes,
+      this.logger,
+    );
     this.handler = this.createHandler();
   }
 
--- a/src/published/upstream_schema.ts
+++ b/src/published/upstream_schema.ts
@@ -9,6 +9,8 @@
   hall: z.string(),
   /** Requests it works on at once. */
   slots: z.number().int().positive(),
+  /** Grows with each upstream that comes; of two, the one with the smaller number came first. */
+  arrival: z.number(),
   /** Whether it has said that it will leave. */
   isLeaving: z.boolean(),
 });
--- a/src/upstreams/find_fetch_source.ts
+++ b/src/upstreams/find_fetch_source.ts
@@ -4,7 +4,8 @@
 
 /** The engine from which another should fetch what it lacks of a prompt, or nothing where it lacks nothing that may be
  * kept elsewhere. The deepest part decides, for an engine that keeps it was sent those before it too. Where no engine
- * is known to keep any, it is the first in the prompt's order: another host may have sent it there just now.
+ * is known to keep any, as after a restart, it is the one that the prompt was most likely sent to first: the first in
+ * its order, or where that is the target, the first of those that came before the target.
  * @param parts Short names of the prompt's shared parts, in order.
  * @param target The engine that is to run the request.
  * @param engines Engines of the service that can be reached, leaving ones too.
@@ -24,9 +25,27 @@
     );
     if (source) return source;
   }
-  const byId = new Map(engines.map((engine) => [engine.id, engine]));
-  const [first] = rankByRendezvous(String(parts.at(-1)), [...byId.keys()]);
-  return first === undefined || first === target.id
-    ? undefined
-    : byId.get(first);
+  return findLikelySource(parts, target, engines);
+}
+
+function findLikelySource(
+  parts: readonly number[],
+  target: Upstream,
+  engines: readonly Upstream[],
+): Upstream | undefined {
+  const first = chooseFirst(parts, engines);
+  if (first !== target) return first;
+  const older = engines.filter((engine) =>
+    engine.published.arrival < target.published.arrival
+  );
+  return chooseFirst(parts, older);
+}
+
+function chooseFirst(
+  parts: readonly number[],
+  engines: readonly Upstream[],
+): Upstream | undefined {
+  const ids = engines.map((engine) => engine.id);
+  const [first] = rankByRendezvous(String(parts.at(-1)), ids);
+  return engines.find((engine) => engine.id === first);
 }
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -56,6 +56,20 @@
     return this.untold.splice(0, MAX_FACTS);
   }
 
+  /** The facts used last, for a host that has just started.
+   * @param limit Most facts.
+   * @param now Monotonic milliseconds. */
+  getRecent(limit: number, now: number): PrefixFact[] {
+    const facts: PrefixFact[] = [];
+    for (const [part, keepings] of [...this.engines].reverse()) {
+      for (const [engine, usedAt] of keepings) {
+        if (now - usedAt < KEPT_FOR_MS) facts.push([part, engine]);
+      }
+      if (facts.length >= limit) break;
+    }
+    return facts.slice(0, limit);
+  }
+
   /** Whether there are facts that were not told. */
   get hasUntold(): boolean {
     return this.untold.length > 0;
--- a/tests/forward/attempt_test.ts
+++ b/tests/forward/attempt_test.ts
@@ -52,6 +52,7 @@
     address: `127.0.0.1:${port}`,
     hall: "h",
     slots: 4,
+    arrival: 1,
     isLeaving: false,
   });
 }
