Never call a request not run that was sent and not answered in time

Test: tests/forward/call_run_test.ts fails first; nine more of the run's decisions (declines, resets, proofs, resumed and broken streams) are held there too.

--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -113,8 +113,14 @@
   }
 
   private expire(): void {
-    const detail = `no answer within ${Math.round(this.timeoutMs)} ms`;
-    this.refuse(this.ranAttempts > 0 ? "timed_out" : "overloaded", detail);
+    const durationMs = performance.now() - this.call.receivedAt;
+    const detail = `no answer within ${Math.round(durationMs)} ms`;
+    this.refuse(this.mayHaveRun ? "timed_out" : "overloaded", detail);
+  }
+
+  /** Whether the request may have run: an attempt failed after it was sent, or one is under way. */
+  private get mayHaveRun(): boolean {
+    return this.ranAttempts > 0 || (this.attempt?.wasSent ?? false);
   }
 
   /** Sends the request to the next upstream, or refuses it where there is none. */
@@ -188,6 +194,7 @@
     status: number,
   ): void {
     this.attempt!.abandon();
+    this.attempt = undefined;
     this.unrunAttempts += 1;
     if (answer.isOtherUpstream) this.context.noteMoved(upstream);
     else upstream.fullUntil = performance.now() + FULL_FOR_MS;
--- /dev/null
+++ b/tests/forward/call_run_test.ts
@@ -0,0 +1,261 @@
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { ServerResponse } from "node:http";
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { pino } from "pino";
+import { platformHeaders } from "../../platform/header_codec.ts";
+import { type CallOutcome, CallRun } from "../../src/forward/call_run.ts";
+import { CallerAnswer } from "../../src/forward/caller_answer.ts";
+import type { RoutedCall } from "../../src/forward/routed_call.ts";
+import type { Route } from "../../src/published/configuration_schema.ts";
+import { Upstream } from "../../src/upstreams/upstream.ts";
+
+const REQUEST_ID = "r-1";
+
+/** What an upstream of a test does with a request. */
+type Behaviour = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** What a caller of a test received. */
+interface Received {
+  status: number;
+  headers: Headers;
+  body: string;
+  /** Whether the answer broke off. */
+  isBroken: boolean;
+  outcome: CallOutcome;
+}
+
+const answered: Behaviour = (_request, response) => {
+  response.writeHead(200, proven());
+  response.end("done");
+};
+
+const silent: Behaviour = () => undefined;
+
+const declined: Behaviour = (_request, response) => {
+  response.writeHead(503, { "X-Beechkeel-Not-Executed": "1" }).end();
+};
+
+const failed: Behaviour = (_request, response) => {
+  response.writeHead(500, proven()).end("no");
+};
+
+const cut: Behaviour = (request) => request.socket.resetAndDestroy();
+
+/** Streams some events, then ends or breaks off. */
+function streams(ids: readonly number[], rest = "", breaks = false): Behaviour {
+  return (_request, response) => {
+    response.writeHead(200, {
+      ...proven(),
+      "Content-Type": "text/event-stream",
+    });
+    response.write(ids.map((id) => `id: ${id}\ndata: x\n\n`).join("") + rest);
+    if (breaks) setTimeout(() => response.socket?.resetAndDestroy(), 20);
+    else response.end();
+  };
+}
+
+function proven(): Record<string, string> {
+  return {
+    "X-Beechkeel-Attempt-Id": REQUEST_ID,
+    "X-Beechkeel-Response-Seal": "proof",
+  };
+}
+
+function buildRoute(changes: Partial<Route>): Route {
+  return {
+    name: "r",
+    host: "a.example",
+    pathPrefix: "/a/",
+    kind: "repeatable",
+    timeoutMs: 5_000,
+    objectiveMs: 500,
+    priority: 0,
+    shares: [{ service: "s", weight: 1 }],
+    maxAttempts: 2,
+    isAnonymous: true,
+    isSticky: false,
+    isResumable: false,
+    ...changes,
+  };
+}
+
+function buildCall(route: Route): RoutedCall {
+  const rawHeaders = [
+    "Host",
+    "a.example",
+    "X-Beechkeel-Attempt-Id",
+    REQUEST_ID,
+  ];
+  const receivedAt = performance.now();
+  return {
+    requestId: REQUEST_ID,
+    method: "POST",
+    path: "/a/b",
+    headers: platformHeaders.readCaller(rawHeaders),
+    body: Buffer.from("body"),
+    route,
+    service: "s",
+    customer: "c",
+    urgency: 0,
+    sharedParts: [],
+    receivedAt,
+    callerEndsAt: receivedAt + 10_000,
+  };
+}
+
+async function listen(server: Server): Promise<number> {
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  return (server.address() as AddressInfo).port;
+}
+
+/** Runs one call against upstreams with the given behaviours, tried in this order. */
+async function runCall(
+  behaviours: readonly Behaviour[],
+  changes: Partial<Route> = {},
+): Promise<Received & { requests: IncomingMessage[] }> {
+  const requests: IncomingMessage[] = [];
+  const servers = behaviours.map((behaviour) =>
+    createServer((request, response) => {
+      requests.push(request);
+      request.resume();
+      behaviour(request, response);
+    })
+  );
+  const upstreams: Upstream[] = [];
+  for (const server of servers) {
+    upstreams.push(createUpstream(upstreams.length, await listen(server)));
+  }
+  const received = await callThrough(upstreams, buildRoute(changes));
+  for (const upstream of upstreams) upstream.close();
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+  return { ...received, requests };
+}
+
+function createUpstream(index: number, port: number): Upstream {
+  return Upstream.create({
+    id: `u-${index}`,
+    service: "s",
+    address: `127.0.0.1:${port}`,
+    hall: "h",
+    slots: 4,
+    arrival: index,
+    isLeaving: false,
+  });
+}
+
+function createDeferred<T>() {
+  let resolve: (value: T) => void = () => undefined;
+  const promise = new Promise<T>((done) => resolve = done);
+  return { promise, resolve };
+}
+
+async function callThrough(
+  upstreams: readonly Upstream[],
+  route: Route,
+): Promise<Received> {
+  const ended = createDeferred<CallOutcome>();
+  const front = createServer((_request, response) => {
+    const answer = CallerAnswer.create(response, () => false);
+    CallRun.create(buildCall(route), answer, {
+      logger: pino({ level: "silent" }),
+      codec: platformHeaders,
+      choose: (_call, tried) =>
+        upstreams.find((upstream) => !tried.has(upstream.id)),
+      findFetchSource: () => undefined,
+      spendRetry: () => true,
+      noteHealth: () => undefined,
+      noteMoved: () => undefined,
+      onEnd: (_run, outcome) => ended.resolve(outcome),
+    });
+  });
+  const port = await listen(front);
+  const response = await fetch(`http://127.0.0.1:${port}/`);
+  let isBroken = false;
+  const body = await response.text().catch(() => {
+    isBroken = true;
+    return "";
+  });
+  const outcome = await ended.promise;
+  front.close();
+  front.closeAllConnections();
+  const { status, headers } = response;
+  return { status, headers, body, isBroken, outcome };
+}
+
+test("a request that was sent and not answered in time is not called not run", async (t) => {
+  const received = await runCall([silent], { timeoutMs: 60, kind: "once" });
+  t.is(received.status, 504);
+});
+
+test("a request that nobody took in time is refused as not run, with a time to come back", async (t) => {
+  const received = await runCall([declined], { kind: "once" });
+  t.is(received.status, 503);
+  t.truthy(received.headers.get("retry-after"));
+});
+
+test("a request that may run once is sent on after a refusal that says it was not run", async (t) => {
+  const received = await runCall([declined, answered], { kind: "once" });
+  t.is(received.status, 200);
+  t.is(received.requests.length, 2);
+});
+
+test("a request that may run once is not sent again after its connection broke", async (t) => {
+  const received = await runCall([cut, answered], { kind: "once" });
+  t.is(received.status, 502);
+  t.is(received.requests.length, 1);
+});
+
+test("a repeatable request is sent again after a failure, up to the route's attempts", async (t) => {
+  const received = await runCall([failed, cut, answered], { maxAttempts: 2 });
+  t.is(received.status, 502);
+  t.is(received.requests.length, 2);
+});
+
+test("the last upstream's own failure is passed on unchanged", async (t) => {
+  const received = await runCall([cut, failed, answered]);
+  t.is(received.status, 500);
+  t.is(received.body, "no");
+  t.is(received.headers.get("x-beechkeel-response-seal"), "proof");
+});
+
+test("a success without a proof is not passed on", async (t) => {
+  const received = await runCall([(_request, response) => {
+    response.writeHead(200, { "X-Beechkeel-Attempt-Id": REQUEST_ID }).end("x");
+  }], { kind: "once" });
+  t.is(received.status, 502);
+});
+
+test("a resumable stream goes on at another upstream after its last whole event", async (t) => {
+  const received = await runCall(
+    [streams([1, 2], "id: 3\nda", true), streams([3, 4])],
+    { kind: "stream", isResumable: true },
+  );
+  t.is(
+    received.body,
+    [1, 2, 3, 4].map((id) => `id: ${id}\ndata: x\n\n`).join(""),
+  );
+  t.is(received.requests[1]!.headers["last-event-id"], "2");
+});
+
+test("a stream that may not be resumed breaks off visibly and is not sent again", async (t) => {
+  const received = await runCall(
+    [streams([1, 2], "", true), streams([3])],
+    { kind: "stream", isResumable: false },
+  );
+  t.true(received.isBroken);
+  t.is(received.requests.length, 1);
+});
+
+test("a stream that ends within an event is not whole", async (t) => {
+  const received = await runCall(
+    [streams([1], "id: 2\nda")],
+    { kind: "stream", isResumable: false },
+  );
+  t.true(received.isBroken);
+});
