--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -8,6 +8,7 @@
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { AnswerHeaders, HeaderCodec } from "./caller_headers.ts";
 import { EventSplitter } from "./event_splitter.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 import { mayRunAgain, type RoutedCall } from "./routed_call.ts";
 
 /** Upstreams that a request may be brought to without running there: out of reach, full, or gone. */
@@ -26,6 +27,8 @@
     call: RoutedCall,
     tried: ReadonlySet<string>,
   ) => Upstream | undefined;
+  /** Whether there is an upstream left for a call. */
+  canChoose: (call: RoutedCall, tried: ReadonlySet<string>) => boolean;
   /** Address of the engine from which another should fetch what it lacks of a call's prompt. */
   findFetchSource: (call: RoutedCall, target: Upstream) => string | undefined;
   /** Takes a retry from the budget of a service; returns whether there was one. */
@@ -55,7 +58,7 @@
   private unrunAttempts = 0;
   private isOver = false;
   private timer: NodeJS.Timeout | undefined;
-  private stallTimer: NodeJS.Timeout | undefined;
+  private silence: SilenceWatch | undefined;
   private timeoutMs: number;
   private head: { status: number; answer: AnswerHeaders } | undefined;
   private body: Buffer[] = [];
@@ -135,6 +138,12 @@
     const remainingMs = this.endsAt - performance.now();
     if (remainingMs < LEAST_REMAINING_MS) return this.giveUp("no time left");
     this.logSend(upstream, reason, remainingMs);
+    this.silence?.close();
+    this.silence = SilenceWatch.create(
+      upstream,
+      call.route,
+      (silentMs) => this.takeSilence(upstream, silentMs),
+    );
     this.attempt = Attempt.create(
       upstream,
       this.buildRequest(upstream, remainingMs),
@@ -202,7 +211,23 @@
     this.retryUnrun(`declined with ${status}`);
   }
 
+  /** A silent upstream counts as unsound; a request that may run again goes elsewhere, any other waits on. */
+  private takeSilence(upstream: Upstream, silentMs: number): void {
+    if (this.isOver) return;
+    const detail = `silent for ${Math.round(silentMs)} ms`;
+    this.logTrouble(upstream, detail);
+    this.context.noteHealth(upstream, "silent");
+    if (!mayRunAgain(this.call)) return;
+    if (this.ranAttempts + 1 >= this.call.route.maxAttempts) return;
+    if (!this.context.canChoose(this.call, this.tried)) return;
+    if (!this.context.spendRetry(this.call.service)) return;
+    this.attempt?.abandon();
+    this.ranAttempts += 1;
+    this.next(detail);
+  }
+
   private takeBytes(bytes: Buffer): void {
+    this.silence?.noteBytes();
     if (!this.splitter) {
       this.body.push(bytes);
       return;
@@ -306,7 +331,7 @@
     if (this.isOver) return;
     this.isOver = true;
     clearTimeout(this.timer);
-    clearTimeout(this.stallTimer);
+    this.silence?.close();
     this.attempt?.abandon();
     const durationMs = performance.now() - this.call.receivedAt;
     const attempts = this.tried.size;
--- /dev/null
+++ b/src/forward/silence_watch.ts
@@ -0,0 +1,57 @@
+import type { Route } from "../published/configuration_schema.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
+
+/** Part of a route's objective after which a first answer is missed from an upstream that already failed lately. */
+const SUSPECT_PART = 0.5;
+/** Part of a route's objective after which it is missed from any other, which may only be busy with a long prompt. */
+const SOUND_PART = 1;
+/** Least time after which a first answer is missed, in milliseconds: some times what a sound upstream takes for its
+ * shortest work. */
+const LEAST_SILENCE_MS = 60;
+/** Part of the longest pause in time after which the next event of a stream is missed. */
+const STALL_PART = 1.5;
+/** Longest pause where a route names none, in milliseconds. */
+const DEFAULT_GAP_MS = 1_000;
+
+/** Notices when an attempt has been silent for too long. */
+export class SilenceWatch {
+  private timer: NodeJS.Timeout | undefined;
+  private isClosed = false;
+
+  private constructor(
+    private readonly route: Route,
+    private readonly onSilence: (silentMs: number) => void,
+  ) {}
+
+  /** Starts to watch an attempt that is being sent.
+   * @param upstream Where it is sent.
+   * @param route The request's route.
+   * @param onSilence Told, at most once for each silence, how long it has lasted in milliseconds. */
+  static create(
+    upstream: Upstream,
+    route: Route,
+    onSilence: (silentMs: number) => void,
+  ): SilenceWatch {
+    const watch = new SilenceWatch(route, onSilence);
+    const part = upstream.health.isSuspect ? SUSPECT_PART : SOUND_PART;
+    watch.arm(Math.max(LEAST_SILENCE_MS, route.objectiveMs * part));
+    return watch;
+  }
+
+  /** Notes that bytes of the answer came. */
+  noteBytes(): void {
+    this.arm((this.route.gapObjectiveMs ?? DEFAULT_GAP_MS) * STALL_PART);
+  }
+
+  /** Stops watching. */
+  close(): void {
+    this.isClosed = true;
+    clearTimeout(this.timer);
+  }
+
+  private arm(milliseconds: number): void {
+    clearTimeout(this.timer);
+    if (this.isClosed) return;
+    this.timer = setTimeout(() => this.onSilence(milliseconds), milliseconds);
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
-import type { RoutedCall } from "../forward/routed_call.ts";
+import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
 import { CallServer } from "../forward/call_server.ts";
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -258,17 +258,8 @@
       onFirstSend: (service) =>
         this.getRetryShare(service).noteRequest(performance.now()),
       run: {
-        choose: (call, tried) =>
-          chooseUpstream({
-            candidates: this.upstreams.getServing(call.service),
-            tried,
-            sharedParts: call.sharedParts,
-            prefixes: this.prefixes,
-            loads: this.loads,
-            hall: this.settings.hall,
-            random: this.random,
-            now: performance.now(),
-          }),
+        choose: (call, tried) => this.choose(call, tried),
+        canChoose: (call, tried) => this.choose(call, tried) !== undefined,
         findFetchSource: (call, target) => this.findFetchSource(call, target),
         spendRetry: (service) =>
           this.getRetryShare(service).spend(performance.now()),
@@ -286,6 +277,23 @@
     });
   }
 
+  private choose(
+    call: RoutedCall,
+    tried: ReadonlySet<string>,
+  ): Upstream | undefined {
+    return chooseUpstream({
+      candidates: this.upstreams.getServing(call.service),
+      tried,
+      isCautious: !mayRunAgain(call),
+      sharedParts: call.sharedParts,
+      prefixes: this.prefixes,
+      loads: this.loads,
+      hall: this.settings.hall,
+      random: this.random,
+      now: performance.now(),
+    });
+  }
+
   private findFetchSource(
     call: RoutedCall,
     target: Upstream,
@@ -294,7 +302,7 @@
     if (sharedParts.length === 0) return undefined;
     const now = performance.now();
     const engines = this.upstreams.getPresent(service).filter((engine) =>
-      !engine.health.isEjected(now)
+      engine.health.isWithinReach(now)
     );
     const source = this.keeper.routes?.getService(service)?.canFetch
       ? findFetchSource(sharedParts, target, engines, this.prefixes, now)
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -20,6 +20,8 @@
   tried: ReadonlySet<string>;
   /** Short names of the prompt's parts that other requests share, in order; empty where it shares nothing. */
   sharedParts: readonly number[];
+  /** Whether the request can't be sent again once it may have run; it then avoids upstreams that failed lately. */
+  isCautious: boolean;
   loads: LoadCounts;
   prefixes: PrefixIndex;
   /** Hall of this host. */
@@ -39,7 +41,12 @@
     !upstream.health.isEjected(options.now)
   );
   const free = sound.filter((upstream) => options.now >= upstream.fullUntil);
-  const usable = [free, sound, untried].find((list) => list.length > 0);
+  const trusted = options.isCautious
+    ? free.filter((upstream) => !upstream.health.isSuspect)
+    : free;
+  const usable = [trusted, free, sound, untried].find((list) =>
+    list.length > 0
+  );
   if (usable === undefined) return undefined;
   return options.sharedParts.length === 0
     ? chooseLeastLoaded(usable, options)
--- a/src/upstreams/upstream_health.ts
+++ b/src/upstreams/upstream_health.ts
@@ -1,29 +1,48 @@
-/** Weight of the newest attempt in the rate of failures. */
-const RATE_WEIGHT = 0.12;
-/** Weight of a failure that is the connection's or silence, which healthy upstreams do not show. */
-const HARD_RATE_WEIGHT = 0.34;
-/** Rate of failures above which an upstream is left out. */
-const EJECTION_RATE = 0.33;
+/** Rate of faults from which an upstream is a suspect. */
+const SUSPECT_RATE = 0.1;
+
+/** Rate of faults above which an upstream is left out. */
+const FAULT_EJECTION_RATE = 0.33;
+/** Rate of error answers above which an upstream is left out; well above what a request's own content causes. */
+const ERROR_EJECTION_RATE = 0.5;
+/** Time after a broken connection for which an upstream is not taken to be within reach, in milliseconds. */
+const OUT_OF_REACH_MS = 3_000;
 /** First time for which an upstream is left out, in milliseconds; it doubles while failures go on. */
 const FIRST_EJECTION_MS = 1_000;
 /** Longest time for which an upstream is left out, in milliseconds. */
 const MAX_EJECTION_MS = 6_000;
 
 /** How an attempt at an upstream ended, as far as the upstream's health goes. */
-export type HealthSign = "good" | "error_answer" | "broken" | "unreachable";
+export type HealthSign =
+  | "good"
+  | "error_answer"
+  | "broken"
+  | "silent"
+  | "unreachable";
+
+/** What one sign adds: its weight in the rate of faults, and in that of error answers. */
+interface SignWeights {
+  fault: number;
+  error: number;
+}
 
-const WEIGHT_BY_SIGN: Readonly<Record<HealthSign, number>> = {
-  good: RATE_WEIGHT,
-  error_answer: RATE_WEIGHT,
-  broken: HARD_RATE_WEIGHT,
-  unreachable: 1,
+/** Two silences in a row leave an upstream out, for one may come from a long prompt of another request; a connection
+ * that broke does so alone. */
+const WEIGHTS: Readonly<Record<HealthSign, SignWeights>> = {
+  good: { fault: 0.12, error: 0.1 },
+  error_answer: { fault: 0.12, error: 0.1 },
+  broken: { fault: 0.34, error: 0 },
+  silent: { fault: 0.2, error: 0 },
+  unreachable: { fault: 1, error: 0 },
 };
 
 /** What the answers of one upstream say of its health; probes are not used. */
 export class UpstreamHealth {
-  private failureRate = 0;
+  private faultRate = 0;
+  private errorRate = 0;
   private ejections = 0;
   private ejectedUntil = -Infinity;
+  private outOfReachUntil = -Infinity;
 
   private constructor() {}
 
@@ -32,9 +51,14 @@
     return new UpstreamHealth();
   }
 
-  /** Recent rate of failures, from 0 to 1. */
+  /** Recent rate of broken connections and silences, from 0 to 1. */
   get rate(): number {
-    return this.failureRate;
+    return this.faultRate;
+  }
+
+  /** Whether faults were seen lately. */
+  get isSuspect(): boolean {
+    return this.faultRate >= SUSPECT_RATE;
   }
 
   /** Whether the upstream is left out for now.
@@ -43,20 +67,30 @@
     return now < this.ejectedUntil;
   }
 
+  /** Whether connections to the upstream held lately.
+   * @param now Monotonic milliseconds. */
+  isWithinReach(now: number): boolean {
+    return now >= this.outOfReachUntil;
+  }
+
   /** Records how an attempt ended.
    * @param sign What the attempt says.
    * @param now Monotonic milliseconds.
    * @returns Time for which the upstream is now left out, in milliseconds, or 0. */
   note(sign: HealthSign, now: number): number {
-    const weight = WEIGHT_BY_SIGN[sign];
-    const target = sign === "good" ? 0 : 1;
-    this.failureRate += weight * (target - this.failureRate);
-    if (sign === "good") {
-      if (this.failureRate < EJECTION_RATE / 2) this.ejections = 0;
-      return 0;
+    const { fault, error } = WEIGHTS[sign];
+    const isFault = sign !== "good" && sign !== "error_answer";
+    const isError = sign === "error_answer";
+    this.faultRate += fault * (Number(isFault) - this.faultRate);
+    this.errorRate += error * (Number(isError) - this.errorRate);
+    if (sign === "unreachable" || sign === "broken") {
+      this.outOfReachUntil = now + OUT_OF_REACH_MS;
     }
-    if (this.failureRate < EJECTION_RATE || this.isEjected(now)) return 0;
-    return this.eject(now);
+    if (sign === "good" && !this.isSuspect) this.ejections = 0;
+    if (sign === "good" || this.isEjected(now)) return 0;
+    const isUnsound = this.faultRate > FAULT_EJECTION_RATE ||
+      this.errorRate > ERROR_EJECTION_RATE;
+    return isUnsound ? this.eject(now) : 0;
   }
 
   private eject(now: number): number {
@@ -66,7 +100,8 @@
     );
     this.ejections += 1;
     this.ejectedUntil = now + duration;
-    this.failureRate = EJECTION_RATE * 0.9;
+    this.faultRate = Math.min(this.faultRate, FAULT_EJECTION_RATE * 0.9);
+    this.errorRate = Math.min(this.errorRate, ERROR_EJECTION_RATE * 0.9);
     return duration;
   }
 }
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -167,6 +167,7 @@
       codec: platformHeaders,
       choose: (_call, tried) =>
         upstreams.find((upstream) => !tried.has(upstream.id)),
+      canChoose: (_call, tried) => tried.size < upstreams.length,
       findFetchSource: () => undefined,
       spendRetry: () => true,
       noteHealth: () => undefined,
@@ -259,3 +260,39 @@
   );
   t.true(received.isBroken);
 });
+
+test("a repeatable request goes elsewhere when its upstream is silent", async (t) => {
+  const received = await runCall([silent, answered], { objectiveMs: 60 });
+  t.is(received.status, 200);
+  t.is(received.outcome.attempts, 2);
+});
+
+test("a request that may run once waits for a silent upstream", async (t) => {
+  const slow: Behaviour = (_request, response) =>
+    void setTimeout(() => {
+      response.writeHead(200, proven());
+      response.end("late");
+    }, 200);
+  const received = await runCall([slow, answered], {
+    kind: "once",
+    objectiveMs: 20,
+  });
+  t.is(received.body, "late");
+  t.is(received.requests.length, 1);
+});
+
+test("a resumable stream that stalls goes on elsewhere", async (t) => {
+  const stalls: Behaviour = (_request, response) => {
+    response.writeHead(200, {
+      ...proven(),
+      "Content-Type": "text/event-stream",
+    });
+    response.write("id: 1\ndata: x\n\n");
+  };
+  const received = await runCall([stalls, streams([2])], {
+    kind: "stream",
+    isResumable: true,
+    gapObjectiveMs: 40,
+  });
+  t.is(received.body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+});
