Engines gone from the list lately still give what they keep; only likely stuck ones are left

Cause: some engines leave without saying so; their entry goes and they serve on for two seconds and more, but they were no longer asked for what they keep. And a silent engine that answers others is busy, not stuck: leaving it costs a whole reading.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -98,6 +98,7 @@
           onResponseStart: (_controller, status, answerHeaders) =>
             this.takeHead(status, answerHeaders, requestId),
           onResponseData: (_controller, bytes) => {
+            this.upstream.heardAt = performance.now();
             if (!this.isOver) this.listener.onBytes(bytes);
           },
           onResponseEnd: () => this.takeEnd(),
@@ -114,6 +115,7 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
     requestId: string,
   ): void {
+    this.upstream.heardAt = performance.now();
     if (status < 200 || this.isOver) return;
     const answer = this.codec.readAnswer(status, headers);
     if (answer.isClosing) this.isReusable = false;
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -8,7 +8,7 @@
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { AnswerHeaders, HeaderCodec } from "./caller_headers.ts";
 import { EventSplitter } from "./event_splitter.ts";
-import { SilenceWatch } from "./silence_watch.ts";
+import { type Silence, SilenceWatch } from "./silence_watch.ts";
 import { mayRunAgain, type RoutedCall } from "./routed_call.ts";
 
 /** Upstreams that a request may be brought to without running there: out of reach, full, or gone. */
@@ -142,7 +142,7 @@
     this.silence = SilenceWatch.create(
       upstream,
       call.route,
-      (silentMs) => this.takeSilence(upstream, silentMs),
+      (silence) => this.takeSilence(upstream, silence),
     );
     this.attempt = Attempt.create(
       upstream,
@@ -211,13 +211,14 @@
     this.retryUnrun(`declined with ${status}`);
   }
 
-  /** A silent upstream counts as unsound; a request that may run again goes elsewhere, any other waits on. */
-  private takeSilence(upstream: Upstream, silentMs: number): void {
+  /** A silent upstream counts as unsound; where it is likely stuck a request that may run again goes elsewhere, any
+   * other waits on. */
+  private takeSilence(upstream: Upstream, silence: Silence): void {
     if (this.isOver) return;
-    const detail = `silent for ${Math.round(silentMs)} ms`;
+    const detail = `silent for ${Math.round(silence.silentMs)} ms`;
     this.logTrouble(upstream, detail);
     this.context.noteHealth(upstream, "silent");
-    if (!mayRunAgain(this.call)) return;
+    if (!silence.isLikelyStuck || !mayRunAgain(this.call)) return;
     if (this.ranAttempts + 1 >= this.call.route.maxAttempts) return;
     if (!this.context.canChoose(this.call, this.tried)) return;
     if (!this.context.spendRetry(this.call.service)) return;
--- a/src/forward/silence_watch.ts
+++ b/src/forward/silence_watch.ts
@@ -1,7 +1,7 @@
 import type { Route } from "../published/configuration_schema.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 
-/** Part of a route's objective after which a first answer is missed from an upstream that already failed lately. */
+/** Part of a route's objective after which a first answer is missed from an upstream that failed lately. */
 const SUSPECT_PART = 0.5;
 /** Part of a route's objective after which it is missed from any other, which may only be busy with a long prompt. */
 const SOUND_PART = 1;
@@ -13,26 +13,36 @@
 /** Longest pause where a route names none, in milliseconds. */
 const DEFAULT_GAP_MS = 1_000;
 
+/** One silence of an attempt. */
+export interface Silence {
+  /** Its length in milliseconds. */
+  silentMs: number;
+  /** Whether the upstream is likely stuck: it failed lately, or was silent towards all requests of this process. */
+  isLikelyStuck: boolean;
+}
+
 /** Notices when an attempt has been silent for too long. */
 export class SilenceWatch {
   private timer: NodeJS.Timeout | undefined;
   private isClosed = false;
+  private heardAt = performance.now();
 
   private constructor(
+    private readonly upstream: Upstream,
     private readonly route: Route,
-    private readonly onSilence: (silentMs: number) => void,
+    private readonly onSilence: (silence: Silence) => void,
   ) {}
 
   /** Starts to watch an attempt that is being sent.
    * @param upstream Where it is sent.
    * @param route The request's route.
-   * @param onSilence Told, at most once for each silence, how long it has lasted in milliseconds. */
+   * @param onSilence Told of each silence, and again where it goes on as long. */
   static create(
     upstream: Upstream,
     route: Route,
-    onSilence: (silentMs: number) => void,
+    onSilence: (silence: Silence) => void,
   ): SilenceWatch {
-    const watch = new SilenceWatch(route, onSilence);
+    const watch = new SilenceWatch(upstream, route, onSilence);
     const part = upstream.health.isSuspect ? SUSPECT_PART : SOUND_PART;
     watch.arm(Math.max(LEAST_SILENCE_MS, route.objectiveMs * part));
     return watch;
@@ -40,6 +50,7 @@
 
   /** Notes that bytes of the answer came. */
   noteBytes(): void {
+    this.heardAt = performance.now();
     this.arm((this.route.gapObjectiveMs ?? DEFAULT_GAP_MS) * STALL_PART);
   }
 
@@ -52,6 +63,14 @@
   private arm(milliseconds: number): void {
     clearTimeout(this.timer);
     if (this.isClosed) return;
-    this.timer = setTimeout(() => this.onSilence(milliseconds), milliseconds);
+    this.timer = setTimeout(() => this.tell(milliseconds), milliseconds);
+  }
+
+  private tell(milliseconds: number): void {
+    const isLikelyStuck = this.upstream.health.isSuspect ||
+      this.upstream.heardAt <= this.heardAt;
+    const silentMs = performance.now() - this.heardAt;
+    this.arm(milliseconds);
+    this.onSilence({ silentMs, isLikelyStuck });
   }
 }
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -16,6 +16,8 @@
   readonly key: number;
   /** Requests that this process has running there. */
   ownRequests = 0;
+  /** Monotonic milliseconds at which any of its answers last brought bytes. */
+  heardAt = -Infinity;
   /** Monotonic milliseconds until which it said that it is full. */
   fullUntil = -Infinity;
   /** Monotonic milliseconds at which it became known that it is gone; undefined while it is listed. */
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -6,6 +6,10 @@
  * Entries that lapsed meanwhile come back within two seconds, and a leaving upstream may get work for as long. */
 const LAPSE_GRACE_MS = 1_600;
 
+/** Time for which an upstream that is gone from the list is still taken to be there, in milliseconds: leaving ones serve
+ * on for a little longer than the two seconds that they have to get no new work. */
+const DEPARTED_KEPT_MS = 3_000;
+
 /** What the table needs. */
 export interface UpstreamTableOptions {
   logger: Logger;
@@ -17,6 +21,7 @@
 export class UpstreamTable {
   private readonly byId = new Map<string, Upstream>();
   private readonly byService = new Map<string, Upstream[]>();
+  private readonly departed = new Map<Upstream, number>();
 
   private constructor(private readonly options: UpstreamTableOptions) {}
 
@@ -44,10 +49,18 @@
     );
   }
 
-  /** All upstreams of a service that are still there, those that leave too.
+  /** All upstreams of a service that are still there: those listed, those that leave, and those gone from the list so
+   * lately that they still answer other upstreams.
    * @param service Name of the service. */
   getPresent(service: string): readonly Upstream[] {
-    return this.byService.get(service) ?? [];
+    const now = performance.now();
+    for (const [upstream, goneAt] of this.departed) {
+      if (now - goneAt > DEPARTED_KEPT_MS) this.departed.delete(upstream);
+    }
+    const departed = [...this.departed.keys()].filter((upstream) =>
+      upstream.published.service === service
+    );
+    return [...this.byService.get(service) ?? [], ...departed];
   }
 
   /** Whether an upstream may get a new request at this moment.
@@ -84,6 +97,7 @@
 
   private put(fresh: Upstream): void {
     const known = this.byId.get(fresh.id);
+    if (known) this.departed.delete(known);
     const isSame = known?.published.address === fresh.published.address &&
       known.published.service === fresh.published.service;
     if (known && isSame) {
@@ -100,6 +114,7 @@
   private remove(id: string): void {
     const known = this.byId.get(id);
     if (!known) return;
+    this.departed.set(known, performance.now());
     if (!this.options.mayHaveLapsed()) return this.drop(known);
     known.goneAt = performance.now();
     const timer = setTimeout(() => {
