--- a/src/forward/admit_call.ts
+++ b/src/forward/admit_call.ts
@@ -7,7 +7,7 @@
   type RouteTable,
 } from "../published/route_table.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
-import type { CallerHeaders } from "./caller_headers.ts";
+import type { CallerHeaders, PromptPart } from "./caller_headers.ts";
 import type { RoutedCall } from "./routed_call.ts";
 
 /** Least urgent class of an engine's queue. */
@@ -86,10 +86,13 @@
     path,
     headers,
     route,
-    service: chooseService(route, sharedParts.at(-1) ?? requestId),
+    service: chooseService(route, sharedParts.at(-1)?.id ?? requestId),
     customer: holder?.name,
     urgency: rankUrgency(route, holder),
-    sharedParts: sharedParts.map(PrefixIndex.nameOf),
+    sharedParts: sharedParts.map(({ id, tokens }) => ({
+      name: PrefixIndex.nameOf(id),
+      tokens,
+    })),
     receivedAt,
     callerEndsAt: remainingMs === undefined
       ? Infinity
@@ -97,10 +100,10 @@
   };
 }
 
-/** Ids of the prompt's parts that other requests share: all but the last, or the only one. */
-function findSharedParts(headers: CallerHeaders): string[] {
-  const ids = (headers.prompt?.parts ?? []).map((part) => part.id);
-  return ids.length > 1 ? ids.slice(0, -1) : ids;
+/** The prompt's parts that other requests share: all but the last, or the only one. */
+function findSharedParts(headers: CallerHeaders): readonly PromptPart[] {
+  const parts = headers.prompt?.parts ?? [];
+  return parts.length > 1 ? parts.slice(0, -1) : parts;
 }
 
 function rankUrgency(route: Route, holder: KeyHolder | undefined): number {
--- a/src/forward/routed_call.ts
+++ b/src/forward/routed_call.ts
@@ -1,4 +1,5 @@
 import type { Route } from "../published/configuration_schema.ts";
+import type { SentPart } from "../upstreams/prefix_index.ts";
 import type { CallerHeaders } from "./caller_headers.ts";
 
 /** A request that was read, matched and allowed. */
@@ -17,8 +18,8 @@
   customer: string | undefined;
   /** 0 is the most urgent. */
   urgency: number;
-  /** Short names of the prompt's parts that other requests share, in order; empty where it shares nothing. */
-  sharedParts: readonly number[];
+  /** The prompt's parts that other requests share, in order; empty where it shares nothing. */
+  sharedParts: readonly SentPart[];
   /** Monotonic milliseconds at which the request came. */
   receivedAt: number;
   /** Monotonic milliseconds up to which the caller waits; infinity where it does not tell. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -307,7 +307,8 @@
     const source = this.keeper.routes?.getService(service)?.canFetch
       ? findFetchSource(sharedParts, target, engines, this.prefixes, now)
       : undefined;
-    this.prefixes.noteSent(sharedParts, target.key, now);
+    const isFetched = source !== undefined;
+    this.prefixes.noteSent(sharedParts, target.key, isFetched, now);
     if (this.prefixes.hasUntold) this.gossip?.announce();
     return source?.published.address;
   }
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -28,7 +28,7 @@
     upstream: upstreamSchema.optional(),
   })),
   /** Which engines were sent which parts of prompts lately; told to a host that has no configuration yet. */
-  facts: z.array(z.tuple([z.number(), z.number()])).default([]),
+  facts: z.array(z.tuple([z.number(), z.number(), z.number()])).default([]),
   /** Undefined where the host knows nothing yet. */
   ageMs: z.number().optional(),
 });
--- a/src/peers/gossip_codec.ts
+++ b/src/peers/gossip_codec.ts
@@ -27,7 +27,7 @@
   packedEntrySchema,
   z.number(),
   z.number().nullable(),
-  z.array(z.tuple([z.number(), z.number()])),
+  z.array(z.tuple([z.number(), z.number(), z.number()])),
   z.array(z.tuple([packedEntrySchema, z.number()])),
 ]);
 
--- a/src/peers/gossip_schema.ts
+++ b/src/peers/gossip_schema.ts
@@ -38,8 +38,8 @@
   sentAt: z.number(),
   /** The latest `sentAt` that the sender has from the receiver, or nothing. */
   echo: z.number().optional(),
-  /** Which engines were sent which parts of prompts, by short names. */
-  facts: z.array(z.tuple([z.number(), z.number()])),
+  /** Which engines were sent which parts of prompts, by short names, and the tokens they had to read. */
+  facts: z.array(z.tuple([z.number(), z.number(), z.number()])),
   /** Other hosts as the sender last heard of them. */
   others: z.array(z.object({ entry: peerEntrySchema, agoMs: z.number() })),
 });
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -1,7 +1,7 @@
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { Random } from "../random/random.ts";
 import type { LoadCounts } from "./load_counts.ts";
-import type { PrefixIndex } from "./prefix_index.ts";
+import type { PrefixIndex, SentPart } from "./prefix_index.ts";
 import type { Upstream } from "./upstream.ts";
 
 /** Multiple of the mean load up to which a chat goes to an engine that keeps its context; below the multiple that is
@@ -9,6 +9,9 @@
 const HOME_MULTIPLE = 1.6;
 /** Requests above that multiple which such an engine may still carry; half of what the promise allows. */
 const HOME_EXTRA = 2.2;
+/** Reading ahead of an engine from which a prompt that none keeps goes to the next in its order, in milliseconds: below
+ * half of the objectives of first events, and above what most prompts take. */
+const BUSY_READING_MS = 150;
 /** What an upstream in another hall costs against one in this, as a part of an upstream's slots. */
 const COST_OF_OTHER_HALL = 0.15;
 
@@ -18,8 +21,8 @@
   candidates: readonly Upstream[];
   /** Those it was sent to before. */
   tried: ReadonlySet<string>;
-  /** Short names of the prompt's parts that other requests share, in order; empty where it shares nothing. */
-  sharedParts: readonly number[];
+  /** The prompt's parts that other requests share, in order; empty where it shares nothing. */
+  sharedParts: readonly SentPart[];
   /** Whether the request can't be sent again once it may have run; it then avoids upstreams that failed lately. */
   isCautious: boolean;
   loads: LoadCounts;
@@ -60,7 +63,7 @@
   options: ChoiceOptions,
 ): Upstream {
   const { sharedParts, prefixes, loads, now } = options;
-  const homeKey = sharedParts.at(-1)!;
+  const homeKey = sharedParts.at(-1)!.name;
   const total = usable.reduce((sum, one) => sum + loads.getTotal(one), 0);
   const limit = HOME_MULTIPLE * total / usable.length + HOME_EXTRA;
   const byId = new Map(usable.map((upstream) => [upstream.id, upstream]));
@@ -69,7 +72,10 @@
   const keeping = ranked.filter((upstream) =>
     prefixes.isKept(homeKey, upstream.key, now)
   );
-  const home = [...keeping, ...ranked].find((upstream) =>
+  const idle = ranked.filter((upstream) =>
+    prefixes.getReadingMs(upstream.key, now) < BUSY_READING_MS
+  );
+  const home = [...keeping, ...idle, ...ranked].find((upstream) =>
     loads.getTotal(upstream) < limit
   );
   return home ?? chooseLeastLoaded(usable, options);
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -10,13 +10,26 @@
 /** Facts told to other hosts in one round, so that they fit into one packet. */
 const MAX_FACTS = 60;
 
-/** That an engine was sent a part of a prompt: short names of the part and of the engine. */
-export type PrefixFact = [part: number, engine: number];
+/** Time that an engine takes to read a token of a prompt, in milliseconds: those served today read some 48 in one. */
+const READING_MS_PER_TOKEN = 1 / 48;
+
+/** That an engine was sent a part of a prompt: short names of the part and of the engine, and the tokens that the engine
+ * had to read for it, 0 where it kept the part or fetched it. */
+export type PrefixFact = [part: number, engine: number, readTokens: number];
+
+/** A part of a prompt that is sent. */
+export interface SentPart {
+  /** Short name of the part. */
+  name: number;
+  tokens: number;
+}
 
 /** Which engines keep which parts of prompts, from what this host and others sent there. */
 export class PrefixIndex {
   /** By part, the engines with the monotonic milliseconds of the last request. */
   private readonly engines = new Map<number, Map<number, number>>();
+  /** By engine, the monotonic milliseconds at which it has read what it was sent. */
+  private readonly readyAt = new Map<number, number>();
   private readonly toldAt = new Map<number, Map<number, number>>();
   private untold: PrefixFact[] = [];
 
@@ -34,21 +47,36 @@
   }
 
   /** Records that this host sends parts to an engine.
-   * @param parts Short names of the parts.
+   * @param parts The parts.
    * @param engine Short name of the engine.
+   * @param isFetched Whether the engine fetches what it lacks from another.
    * @param now Monotonic milliseconds. */
-  noteSent(parts: readonly number[], engine: number, now: number): void {
-    for (const part of parts) {
-      this.put(part, engine, now);
-      this.queue(part, engine, now);
+  noteSent(
+    parts: readonly SentPart[],
+    engine: number,
+    isFetched: boolean,
+    now: number,
+  ): void {
+    for (const { name, tokens } of parts) {
+      const isRead = !isFetched && !this.isKept(name, engine, now);
+      const readTokens = isRead ? tokens : 0;
+      this.put([name, engine, readTokens], now);
+      this.queue([name, engine, readTokens], now);
     }
   }
 
+  /** Time until an engine has read the shared parts it was sent, in milliseconds.
+   * @param engine Short name of the engine.
+   * @param now Monotonic milliseconds. */
+  getReadingMs(engine: number, now: number): number {
+    return Math.max(0, (this.readyAt.get(engine) ?? now) - now);
+  }
+
   /** Records what another host told.
    * @param facts The facts.
    * @param now Monotonic milliseconds. */
   learn(facts: readonly PrefixFact[], now: number): void {
-    for (const [part, engine] of facts) this.put(part, engine, now);
+    for (const fact of facts) this.put(fact, now);
   }
 
   /** The facts to tell other hosts in this round; each is given once. */
@@ -63,7 +91,7 @@
     const facts: PrefixFact[] = [];
     for (const [part, keepings] of [...this.engines].reverse()) {
       for (const [engine, usedAt] of keepings) {
-        if (now - usedAt < KEPT_FOR_MS) facts.push([part, engine]);
+        if (now - usedAt < KEPT_FOR_MS) facts.push([part, engine, 0]);
       }
       if (facts.length >= limit) break;
     }
@@ -84,7 +112,11 @@
     return at !== undefined && now - at < KEPT_FOR_MS;
   }
 
-  private put(part: number, engine: number, now: number): void {
+  private put([part, engine, readTokens]: PrefixFact, now: number): void {
+    if (readTokens > 0) {
+      const startsAt = Math.max(now, this.readyAt.get(engine) ?? now);
+      this.readyAt.set(engine, startsAt + readTokens * READING_MS_PER_TOKEN);
+    }
     const known = this.engines.get(part) ?? new Map<number, number>();
     known.set(engine, now);
     this.engines.delete(part);
@@ -95,12 +127,13 @@
     this.toldAt.delete(oldest!);
   }
 
-  private queue(part: number, engine: number, now: number): void {
+  private queue(fact: PrefixFact, now: number): void {
+    const [part, engine] = fact;
     const told = this.toldAt.get(part) ?? new Map<number, number>();
     const last = told.get(engine) ?? -Infinity;
     if (now - last < TELL_AGAIN_MS) return;
     told.set(engine, now);
     this.toldAt.set(part, told);
-    this.untold.push([part, engine]);
+    this.untold.push(fact);
   }
 }
