--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { LoadCounts } from "../upstreams/load_counts.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
 import { RetryShare } from "../upstreams/retry_share.ts";
+import type { EngineInventory } from "../upstreams/engine_inventory.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import { UpstreamTable } from "../upstreams/upstream_table.ts";
 import type { CallerSurface } from "./caller_surface.ts";
@@ -24,6 +25,8 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { type EndpointHandlers, HttpEndpoint } from "./http_endpoint.ts";
+import { PREFIXES_PATH, PrefixExchange } from "./prefix_exchange.ts";
+import { PrefixRecovery } from "./prefix_recovery.ts";
 import { chooseAddresses } from "./locate.ts";
 import {
   PUBLICATION_PATH,
@@ -63,6 +66,7 @@
 export interface GatewayParts {
   logger: Logger;
   feed: PublicationFeed;
+  inventory: EngineInventory;
   codec: HeaderCodec;
   surface: CallerSurface;
 }
@@ -79,6 +83,7 @@
   private readonly retries = new Map<string, RetryShare>();
   private readonly handler: CallHandler;
   private readonly exchange: PublicationExchange;
+  private readonly prefixExchange: PrefixExchange;
   private readonly endpoints: HttpEndpoint[] = [];
   private resolveFirstRoutes: () => void = () => undefined;
   private readonly firstRoutes = new Promise<void>((resolve) =>
@@ -108,11 +113,8 @@
         this.gossip?.announce();
       },
     });
-    this.exchange = PublicationExchange.create(
-      this.keeper,
-      this.prefixes,
-      this.logger,
-    );
+    this.exchange = PublicationExchange.create(this.keeper, this.logger);
+    this.prefixExchange = PrefixExchange.create(this.prefixes, this.logger);
     this.handler = this.createHandler();
   }
 
@@ -165,6 +167,8 @@
     this.upstreams.close();
     for (const endpoint of this.endpoints) endpoint.close();
     await this.exchange.close();
+    await this.prefixExchange.close();
+    await this.parts.inventory.close();
     await this.parts.feed.close();
   }
 
@@ -183,9 +187,34 @@
     this.server = server;
     this.gossip = gossip;
     if (this.keeper.routes) server.applyLimits(this.keeper.routes.limits);
+    if (settings.isFirstStart) this.prefixes.markComplete();
+    else void this.recoverPrefixes();
     logger.info({ address: settings.callerAddress }, "gateway_started");
   }
 
+  private async recoverPrefixes(): Promise<void> {
+    await this.firstRoutes;
+    const recovery = PrefixRecovery.create({
+      logger: this.logger,
+      prefixes: this.prefixes,
+      inventory: this.parts.inventory,
+      hostId: this.settings.id,
+      exchange: this.prefixExchange,
+      getHosts: () => this.getLiveHosts().map((host) => host.entry),
+      getEngines: () => this.getFetchingEngines(),
+    });
+    await recovery.run();
+    this.gossip?.announce();
+  }
+
+  /** Engines of the services that can take from each other what they keep. */
+  private getFetchingEngines(): Upstream[] {
+    const { routes } = this.keeper;
+    return [...this.upstreams.getAll()].filter((upstream) =>
+      routes?.getService(upstream.published.service)?.canFetch
+    );
+  }
+
   private createGossip(): Promise<Gossip> {
     return Gossip.create({
       logger: this.logger,
@@ -193,6 +222,7 @@
       getSeeds: () => this.settings.seedAddresses,
       describeSelf: () => this.describeSelf(),
       takeFacts: () => this.prefixes.takeFacts(),
+      hasFacts: () => this.prefixes.hasUntold,
       onFacts: (facts) => this.prefixes.learn(facts, performance.now()),
       onEntry: (entry, heardAt, askedAt) =>
         this.takeEntry(entry, heardAt, askedAt),
@@ -231,6 +261,8 @@
       [settings.peerAddress]: {
         [`GET ${PUBLICATION_PATH}`]: (_request, response, query) =>
           this.exchange.answer(response, query),
+        [`GET ${PREFIXES_PATH}`]: (_request, response) =>
+          this.prefixExchange.answer(response),
       },
       [settings.metricsAddress]: {
         "GET /metrics": (_request, response) =>
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -24,6 +24,8 @@
   /** Gossip addresses of hosts to begin with. */
   seedAddresses: z.array(address),
   platformAddress: address,
+  /** Whether the whole fleet starts for the first time, so that no engine keeps anything yet. */
+  isFirstStart: z.boolean(),
   /** Time after which a leaving upstream may get no new work. */
   leaveWithinMs: milliseconds,
   /** Time that a planned stop may take. */
--- /dev/null
+++ b/src/gateway/prefix_exchange.ts
@@ -0,0 +1,73 @@
+import type { ServerResponse } from "node:http";
+import { pack, unpack } from "msgpackr";
+import { Agent, request } from "undici";
+import { z } from "zod";
+import type { Logger } from "../logging/logger.ts";
+import type { PrefixIndex } from "../upstreams/prefix_index.ts";
+
+/** Path under which a host tells another which engines keep which parts. */
+export const PREFIXES_PATH = "/prefixes";
+
+/** Facts in one answer: some tens of kilobytes. */
+const MAX_FACTS = 4_000;
+/** Time for a host's answer in milliseconds; the first requests after a start do not wait longer. */
+const ANSWER_TIMEOUT_MS = 300;
+
+const factsSchema = z.array(z.tuple([z.number(), z.number(), z.number()]));
+
+/** Asks other hosts which engines keep which parts of prompts, and answers them. */
+export class PrefixExchange {
+  private readonly agent = new Agent({
+    connect: { timeout: ANSWER_TIMEOUT_MS },
+  });
+
+  private constructor(
+    private readonly prefixes: PrefixIndex,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Creates an exchange.
+   * @param prefixes What is known here.
+   * @param logger Where failures are written. */
+  static create(prefixes: PrefixIndex, logger: Logger): PrefixExchange {
+    return new PrefixExchange(prefixes, logger);
+  }
+
+  /** Answers a host; 204 where this host has just started too and knows only a part.
+   * @param response Where the answer is written. */
+  answer(response: ServerResponse): void {
+    if (!this.prefixes.isComplete) {
+      response.writeHead(204).end();
+      return;
+    }
+    const facts = this.prefixes.getRecent(MAX_FACTS, performance.now());
+    response.writeHead(200, { "content-type": "application/msgpack" });
+    response.end(pack(facts));
+  }
+
+  /** Asks a host; returns whether it knew.
+   * @param address Where it answers other hosts, as ip:port. */
+  async ask(address: string): Promise<boolean> {
+    try {
+      const response = await request(`http://${address}${PREFIXES_PATH}`, {
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
+      });
+      const bytes = Buffer.from(await response.body.arrayBuffer());
+      if (response.statusCode !== 200) return false;
+      const facts = factsSchema.parse(unpack(bytes));
+      this.prefixes.learn(facts, performance.now());
+      this.logger.info({ address, facts: facts.length }, "prefixes_learned");
+      return true;
+    } catch (error) {
+      const reason = (error as Error).message;
+      this.logger.info({ address, reason }, "prefixes_not_learned");
+      return false;
+    }
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+}
--- /dev/null
+++ b/src/gateway/prefix_recovery.ts
@@ -0,0 +1,88 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { rankByRendezvous } from "../hashing/rendezvous.ts";
+import type { Logger } from "../logging/logger.ts";
+import type { EngineInventory } from "../upstreams/engine_inventory.ts";
+import type { PeerEntry } from "../peers/gossip_schema.ts";
+import { PrefixIndex } from "../upstreams/prefix_index.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
+import type { PrefixExchange } from "./prefix_exchange.ts";
+
+/** Time after the first configuration in which other hosts may be heard, in milliseconds: a round of gossip and more. */
+const WAIT_FOR_HOSTS_MS = 260;
+/** Time in which other hosts tell what they learned from their engines, in milliseconds; before, this one knows only a
+ * part and does not answer others. */
+const WAIT_FOR_FACTS_MS = 1_500;
+/** Hosts that are asked at most. */
+const MAX_HOSTS_ASKED = 3;
+
+/** What the recovery needs. */
+export interface PrefixRecoveryOptions {
+  logger: Logger;
+  prefixes: PrefixIndex;
+  inventory: EngineInventory;
+  exchange: PrefixExchange;
+  hostId: string;
+  /** The other hosts that are heard. */
+  getHosts: () => readonly PeerEntry[];
+  /** All engines that can list what they keep. */
+  getEngines: () => readonly Upstream[];
+}
+
+/** Learns after a start which engines keep which parts: from another host, or where all were restarted at once and
+ * nobody is left to tell, from the engines, each of which is asked once, by the first host in its order. */
+export class PrefixRecovery {
+  private constructor(private readonly options: PrefixRecoveryOptions) {}
+
+  /** Creates a recovery.
+   * @param options What it needs. */
+  static create(options: PrefixRecoveryOptions): PrefixRecovery {
+    return new PrefixRecovery(options);
+  }
+
+  /** Learns what is to be known. */
+  async run(): Promise<void> {
+    await delay(WAIT_FOR_HOSTS_MS);
+    const hosts = this.options.getHosts();
+    const isKnown = await this.askHosts(hosts);
+    if (!isKnown) {
+      await this.askEngines(hosts.map((host) => host.id));
+      await delay(WAIT_FOR_FACTS_MS);
+    }
+    this.options.prefixes.markComplete();
+  }
+
+  private async askHosts(hosts: readonly PeerEntry[]): Promise<boolean> {
+    const { exchange } = this.options;
+    const asked = hosts.slice(0, MAX_HOSTS_ASKED).map((host) =>
+      exchange.ask(host.peerAddress)
+    );
+    return (await Promise.all(asked)).includes(true);
+  }
+
+  private async askEngines(hostIds: readonly string[]): Promise<void> {
+    const { hostId, getEngines } = this.options;
+    const own = getEngines().filter((engine) =>
+      rankByRendezvous(engine.id, [...hostIds, hostId])[0] === hostId
+    );
+    await Promise.all(own.map((engine) => this.ask(engine)));
+  }
+
+  private async ask(engine: Upstream): Promise<void> {
+    const { inventory, prefixes, logger } = this.options;
+    try {
+      const parts = await inventory.listParts(engine.published.address);
+      const sent = parts.map((id) => ({
+        name: PrefixIndex.nameOf(id),
+        tokens: 0,
+      }));
+      prefixes.noteSent(sent, engine.key, true, performance.now());
+      logger.info(
+        { upstream: engine.id, parts: parts.length },
+        "prefixes_recovered",
+      );
+    } catch (error) {
+      const reason = (error as Error).message;
+      logger.info({ upstream: engine.id, reason }, "prefixes_not_recovered");
+    }
+  }
+}
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -5,7 +5,6 @@
 import type { Logger } from "../logging/logger.ts";
 import { configurationSchema } from "../published/configuration_schema.ts";
 import type { PublicationKeeper } from "../published/publication_keeper.ts";
-import type { PrefixIndex } from "../upstreams/prefix_index.ts";
 import { upstreamSchema } from "../published/upstream_schema.ts";
 
 /** Path under which a host tells another everything it knows. */
@@ -13,8 +12,6 @@
 
 /** Version that a host names while it has no configuration. */
 const NO_VERSION = "none";
-/** Facts about prompts that a host tells one that has just started: some kilobytes. */
-const MAX_FACTS = 1_000;
 /** Time for a host's answer in milliseconds; others can be asked after it. */
 const ANSWER_TIMEOUT_MS = 800;
 /** Least time between two questions to one host, in milliseconds. */
@@ -27,8 +24,6 @@
     revision: z.number(),
     upstream: upstreamSchema.optional(),
   })),
-  /** Which engines were sent which parts of prompts lately; told to a host that has no configuration yet. */
-  facts: z.array(z.tuple([z.number(), z.number(), z.number()])).default([]),
   /** Undefined where the host knows nothing yet. */
   ageMs: z.number().optional(),
 });
@@ -42,20 +37,17 @@
 
   private constructor(
     private readonly keeper: PublicationKeeper,
-    private readonly prefixes: PrefixIndex,
     private readonly logger: Logger,
   ) {}
 
   /** Creates an exchange.
    * @param keeper What is known here.
-   * @param prefixes Which engines keep which parts of prompts.
    * @param logger Where failures are written. */
   static create(
     keeper: PublicationKeeper,
-    prefixes: PrefixIndex,
     logger: Logger,
   ): PublicationExchange {
-    return new PublicationExchange(keeper, prefixes, logger);
+    return new PublicationExchange(keeper, logger);
   }
 
   /** Answers a host with everything that is known here, but for a configuration that it has.
@@ -68,10 +60,7 @@
       query.get("version");
     if (isKnown) state.configuration = undefined;
     response.writeHead(200, { "content-type": "application/msgpack" });
-    const facts = query.get("version") === NO_VERSION
-      ? this.prefixes.getRecent(MAX_FACTS, performance.now())
-      : [];
-    response.end(pack({ ...state, ...age, facts }));
+    response.end(pack({ ...state, ...age }));
   }
 
   /** Asks a host for everything it knows, unless it was asked just now.
@@ -110,7 +99,6 @@
     });
     const bytes = Buffer.from(await response.body.arrayBuffer());
     const state = stateSchema.parse(unpack(bytes));
-    this.prefixes.learn(state.facts, performance.now());
     this.keeper.takeState(
       {
         configuration: state.configuration,
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -18,6 +18,9 @@
 /** Rounds between two attempts to reach hosts that are not heard, and seeds that are not known. */
 const ROUNDS_PER_ATTEMPT = 4;
 
+/** Rounds after a start in which hosts not heard are tried each time, for all hosts may be starting. */
+const STARTING_ROUNDS = 10;
+
 /** What gossip needs and whom it tells. */
 export interface GossipOptions {
   logger: Logger;
@@ -29,6 +32,8 @@
   describeSelf: () => Omit<PeerEntry, "incarnation" | "sequence">;
   /** Facts about prompts to tell in a round; each is given once. */
   takeFacts: () => PrefixFact[];
+  /** Whether facts are left to tell. */
+  hasFacts: () => boolean;
   /** Told of another host's facts about prompts. */
   onFacts: (facts: readonly PrefixFact[]) => void;
   /** Told of each host's word; `askedAt` is this host's clock after which the host composed it, where that is known. */
@@ -96,6 +101,7 @@
     for (const address of this.chooseTargets(now)) {
       this.tell(address, now, facts);
     }
+    if (this.options.hasFacts()) this.announce();
   }
 
   private chooseTargets(now: number): string[] {
@@ -105,7 +111,8 @@
     const chosen = live.length <= FANOUT
       ? live
       : this.random.shuffle(live).slice(0, FANOUT);
-    if (this.round % ROUNDS_PER_ATTEMPT !== 1) return chosen;
+    const isStarting = this.round <= STARTING_ROUNDS;
+    if (!isStarting && this.round % ROUNDS_PER_ATTEMPT !== 1) return chosen;
     const silent = this.hosts.getAll().filter((host) => !isLive(host, now))
       .map((host) => host.entry.gossipAddress);
     const seeds = this.options.getSeeds().filter((seed) =>
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -7,8 +7,8 @@
 const TELL_AGAIN_MS = 5_000;
 /** Parts remembered; the one unused longest gives way. */
 const MAX_PARTS = 50_000;
-/** Facts told to other hosts in one round, so that they fit into one packet. */
-const MAX_FACTS = 60;
+/** Facts told to other hosts at a time, so that they fit into one packet. */
+const MAX_FACTS = 80;
 
 /** Time that an engine takes to read a token of a prompt, in milliseconds: those served today read some 48 in one. */
 const READING_MS_PER_TOKEN = 1 / 48;
@@ -32,6 +32,7 @@
   private readonly readyAt = new Map<number, number>();
   private readonly toldAt = new Map<number, Map<number, number>>();
   private untold: PrefixFact[] = [];
+  private isWhole = false;
 
   private constructor() {}
 
@@ -72,6 +73,16 @@
     return Math.max(0, (this.readyAt.get(engine) ?? now) - now);
   }
 
+  /** Whether this holds all that is to be known, rather than what came up since a start. */
+  get isComplete(): boolean {
+    return this.isWhole;
+  }
+
+  /** Declares that all that is to be known was learned. */
+  markComplete(): void {
+    this.isWhole = true;
+  }
+
   /** Records what another host told.
    * @param facts The facts.
    * @param now Monotonic milliseconds. */
@@ -98,7 +109,7 @@
     return facts.slice(0, limit);
   }
 
-  /** Whether there are facts that were not told. */
+  /** Whether there are facts that were not told; where many came at once, more than one telling is needed. */
   get hasUntold(): boolean {
     return this.untold.length > 0;
   }
