--- /dev/null
+++ b/fakes/fake_store.ts
@@ -0,0 +1,145 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { closeHttp, listenHttp, reply } from "./http_fake.ts";
+
+/** How a store answers just now: well, with 503, with 410 to a watch, or not at all. */
+export type StoreMood = "well" | "busy" | "forgetful" | "silent";
+
+interface Item {
+  private_key: string;
+  value?: string;
+  revision: number;
+  created: number;
+  deleted?: boolean;
+}
+
+interface Waiting {
+  after: number;
+  answer: () => void;
+}
+
+/** A small stand-in of the platform's metadata store: items with revisions, ranges, long polls and its troubles. */
+export class FakeStore {
+  /** How it answers. */
+  mood: StoreMood = "well";
+  /** Calls it got. */
+  calls = 0;
+  private revision = 0;
+  private readonly items = new Map<string, Item>();
+  private readonly waiting = new Set<Waiting>();
+
+  private constructor(
+    private readonly server: Server,
+    /** Port on the loopback address. */
+    readonly port: number,
+    private readonly pageSize: number,
+  ) {}
+
+  /** Starts a store.
+   * @param pageSize Items in one page of a range. */
+  static async create(pageSize = 500): Promise<FakeStore> {
+    const { server, port } = await listenHttp((request, response) =>
+      store.handle(request, response)
+    );
+    const store = new FakeStore(server, port, pageSize);
+    return store;
+  }
+
+  /** Writes a value.
+   * @param key Its key.
+   * @param value Any value; it is kept as JSON. */
+  put(key: string, value: unknown): void {
+    this.putText(key, JSON.stringify(value));
+  }
+
+  /** Writes a value as it is.
+   * @param key Its key.
+   * @param text The value's text. */
+  putText(key: string, text: string): void {
+    this.revision += 1;
+    const created = this.items.get(key)?.created ?? this.revision;
+    this.items.set(key, {
+      private_key: key,
+      value: Buffer.from(text).toString("base64"),
+      revision: this.revision,
+      created,
+    });
+    this.wake();
+  }
+
+  /** Deletes a value.
+   * @param key Its key. */
+  remove(key: string): void {
+    this.revision += 1;
+    const created = this.items.get(key)?.created ?? 0;
+    const { revision } = this;
+    this.items.set(key, { private_key: key, revision, created, deleted: true });
+    this.wake();
+  }
+
+  /** Ends the store. */
+  async close(): Promise<void> {
+    await closeHttp(this.server);
+  }
+
+  private wake(): void {
+    for (const waiting of [...this.waiting]) waiting.answer();
+  }
+
+  private handle(request: IncomingMessage, response: ServerResponse): void {
+    this.calls += 1;
+    const url = new URL(request.url ?? "/", "http://store");
+    if (this.mood === "silent") return;
+    if (this.mood === "busy") return reply(response, {}, 503);
+    const handlers: Record<string, () => void> = {
+      "/kv-key": () => this.answerKey(response, url.searchParams),
+      "/kv-range": () => this.answerRange(response, url.searchParams),
+      "/kv-watch": () => this.answerWatch(response, url.searchParams),
+    };
+    const handler = handlers[url.pathname];
+    if (handler) handler();
+    else reply(response, {}, 404);
+  }
+
+  private answerKey(response: ServerResponse, query: URLSearchParams): void {
+    const item = this.items.get(query.get("private_key") ?? "");
+    if (!item || item.deleted) return reply(response, {}, 404);
+    reply(response, { ...item, timestamp: this.revision });
+  }
+
+  private answerRange(response: ServerResponse, query: URLSearchParams): void {
+    const prefix = query.get("path_prefix") ?? "";
+    const after = query.get("after") ?? "";
+    const matching = [...this.items.values()].filter((item) =>
+      !item.deleted && item.private_key.startsWith(prefix) &&
+      item.private_key > after
+    ).sort((a, b) => a.private_key < b.private_key ? -1 : 1);
+    reply(response, {
+      items: matching.slice(0, this.pageSize),
+      has_more: matching.length > this.pageSize,
+      timestamp: this.revision,
+    });
+  }
+
+  private answerWatch(response: ServerResponse, query: URLSearchParams): void {
+    if (this.mood === "forgetful") return reply(response, {}, 410);
+    const after = Number(query.get("after"));
+    const prefix = query.get("path_prefix") ?? "";
+    const findEvents = () =>
+      [...this.items.values()].filter((item) =>
+        item.revision > after && item.private_key.startsWith(prefix)
+      ).sort((a, b) => a.revision - b.revision);
+    const answer = () => {
+      clearTimeout(timer);
+      this.waiting.delete(waiting);
+      reply(response, { events: findEvents(), timestamp: this.revision });
+    };
+    const waiting = { after, answer };
+    const timer = setTimeout(answer, Number(query.get("wait_ms")));
+    response.on("close", () => {
+      clearTimeout(timer);
+      this.waiting.delete(waiting);
+    });
+    if (findEvents().length > 0) answer();
+    else this.waiting.add(waiting);
+  }
+}
--- a/src/published/publication.ts
+++ b/src/published/publication.ts
@@ -100,7 +100,6 @@
   private mergeChange(change: UpstreamChange, now: number): boolean {
     const before = this.known.get(change.id);
     if (before && before.revision >= change.revision) return false;
-    if (!before && change.upstream === undefined) return false;
     if (before) this.addToDigest(change.id, before, -1);
     const known = {
       revision: change.revision,
@@ -110,7 +109,8 @@
     this.known.set(change.id, known);
     this.addToDigest(change.id, known, 1);
     this.highestRevision = Math.max(this.highestRevision, change.revision);
-    return true;
+    // That one which was never known is gone is kept, so that no older word brings it up, but it is no news.
+    return before?.upstream !== undefined || change.upstream !== undefined;
   }
 
   private forgetGone(now: number): void {
--- /dev/null
+++ b/tests/gateway/call.ts
@@ -0,0 +1,68 @@
+import { connect } from "node:net";
+import { request } from "undici";
+import { randomUUID } from "node:crypto";
+import type { TestGateway } from "./with_gateways.ts";
+
+/** What a caller received. */
+export interface CallResult {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+}
+
+/** Sends a request as a caller does.
+ * @param to The gateway.
+ * @param key Key of a customer.
+ * @param changes Path and headers that differ. */
+export async function call(
+  to: TestGateway,
+  key: string,
+  changes: { path?: string; headers?: Record<string, string>; body?: string } =
+    {},
+): Promise<CallResult> {
+  const path = changes.path ?? "/a/b?c=d";
+  const response = await request(`http://${to.settings.callerAddress}${path}`, {
+    method: "POST",
+    headers: {
+      host: "a.example",
+      "x-beechkeel-attempt-id": randomUUID(),
+      "x-beechkeel-deadline-ms": "8000",
+      "x-api-key": key,
+      ...changes.headers,
+    },
+    body: changes.body ?? "a body",
+  });
+  return {
+    status: response.statusCode,
+    headers: response.headers,
+    body: await response.body.text(),
+  };
+}
+
+/** Asks a gateway which addresses to use; empty where it knows of none.
+ * @param at The gateway. */
+export async function locate(at: TestGateway): Promise<string[]> {
+  const response = await request(
+    `http://${at.settings.locateAddress}/lookup?name=a.example&region=x&zone=h`,
+  );
+  if (response.statusCode !== 200) {
+    await response.body.dump();
+    return [];
+  }
+  const answer = await response.body.json() as { addresses: string[] };
+  return answer.addresses.sort();
+}
+
+/** Sends raw bytes and returns all that comes back until the connection ends.
+ * @param to The gateway.
+ * @param text The bytes. */
+export async function sendRaw(to: TestGateway, text: string): Promise<string> {
+  const [host, port] = to.settings.callerAddress.split(":");
+  const socket = connect(Number(port), host!);
+  const parts: Buffer[] = [];
+  socket.on("data", (part) => parts.push(part));
+  socket.on("error", () => undefined);
+  socket.write(text);
+  await new Promise<void>((resolve) => socket.once("close", () => resolve()));
+  return Buffer.concat(parts).toString();
+}
--- /dev/null
+++ b/tests/gateway/gateway_test.ts
@@ -0,0 +1,273 @@
+import test from "ava";
+import { FakeStore } from "../../fakes/fake_store.ts";
+import { answerWell } from "../../fakes/fake_worker.ts";
+import { waitUntil } from "../system/with_fleet.ts";
+import { call, locate, sendRaw } from "./call.ts";
+import { type TestGateway, withGateways } from "./with_gateways.ts";
+
+const KEY = "key-1";
+
+async function waitForStatus(
+  to: TestGateway,
+  key: string,
+  status: number,
+): Promise<void> {
+  await waitUntil(
+    `status ${status}`,
+    async () => (await call(to, key)).status === status,
+  );
+}
+
+test("a request reaches a worker of its route's service unchanged, and its answer comes back", async (t) => {
+  await withGateways(async (fleet) => {
+    const worker = await fleet.startWorker("s");
+    fleet.publishConfiguration(3, [KEY]);
+    const gateway = await fleet.startGateway();
+    const answer = await call(gateway, KEY, {
+      headers: { "x-beechkeel-tenant": "forged", "x-mine": "kept" },
+    });
+    t.is(answer.status, 200);
+    t.is(answer.body, worker.id);
+    t.is(answer.headers["x-beechkeel-response-seal"], `proof of ${worker.id}`);
+    const [arrival] = worker.arrivals;
+    t.is(arrival?.path, "/a/b?c=d");
+    t.is(arrival?.body, "a body");
+    t.is(arrival?.headers["x-beechkeel-tenant"], "c");
+    t.is(arrival?.headers["x-mine"], "kept");
+    t.is(arrival?.headers["x-api-key"], undefined);
+  });
+});
+
+test("an unknown key, path or id has its own answer, and nothing is passed on", async (t) => {
+  await withGateways(async (fleet) => {
+    const worker = await fleet.startWorker("s");
+    fleet.publishConfiguration(3, [KEY]);
+    const gateway = await fleet.startGateway();
+    t.is((await call(gateway, "other")).status, 401);
+    t.is((await call(gateway, KEY, { path: "/b/" })).status, 404);
+    const headers = { "x-beechkeel-attempt-id": "" };
+    t.is((await call(gateway, KEY, { headers })).status, 400);
+    t.is(worker.arrivals.length, 0);
+  });
+});
+
+test("a gateway without a configuration says that a request has not run, and when to come back", async (t) => {
+  await withGateways(async (fleet) => {
+    fleet.store.mood = "busy";
+    const gateway = await fleet.startGateway();
+    const answer = await call(gateway, KEY);
+    t.is(answer.status, 503);
+    t.truthy(answer.headers["retry-after"]);
+    t.deepEqual(await locate(gateway), []);
+  });
+});
+
+test("gateways find each other by one seed, and each names all", async (t) => {
+  await withGateways(async (fleet) => {
+    fleet.publishConfiguration(1, [KEY]);
+    const gateways = [];
+    for (let index = 0; index < 3; index++) {
+      gateways.push(await fleet.startGateway());
+    }
+    const all = gateways.map((one) => one.settings.callerAddress).sort();
+    for (const gateway of gateways) {
+      await waitUntil(
+        "all addresses",
+        async () => (await locate(gateway)).join() === all.join(),
+      );
+    }
+    t.pass();
+  });
+});
+
+test("a gateway that the store turns away hears from another, also of keys taken away", async (t) => {
+  await withGateways(async (fleet) => {
+    const deaf = await FakeStore.create();
+    deaf.mood = "busy";
+    await fleet.startWorker("s");
+    fleet.publishConfiguration(1, [KEY, "key-2"]);
+    await fleet.startGateway();
+    const cut = await fleet.startGateway({
+      platformAddress: `127.0.0.1:${deaf.port}`,
+    });
+    await waitForStatus(cut, KEY, 200);
+    fleet.publishConfiguration(2, ["key-2"]);
+    await waitForStatus(cut, KEY, 401);
+    t.is((await call(cut, "key-2")).status, 200);
+    await deaf.close();
+  });
+});
+
+test("a gateway that hears neither the store nor others stops honouring keys, and says that nothing ran", async (t) => {
+  await withGateways(async (fleet) => {
+    const worker = await fleet.startWorker("s");
+    fleet.publishConfiguration(1, [KEY]);
+    const gateway = await fleet.startGateway({ keyBeliefMs: 2_600 });
+    await waitForStatus(gateway, KEY, 200);
+    fleet.store.mood = "silent";
+    await waitForStatus(gateway, KEY, 503);
+    const before = worker.arrivals.length;
+    t.truthy((await call(gateway, KEY)).headers["retry-after"]);
+    t.is(worker.arrivals.length, before);
+    fleet.store.mood = "well";
+    await waitForStatus(gateway, KEY, 200);
+  });
+});
+
+test("the newest configuration is in force after the store forgot its history", async (t) => {
+  await withGateways(async (fleet) => {
+    await fleet.startWorker("s");
+    fleet.publishConfiguration(1, [KEY]);
+    const gateway = await fleet.startGateway();
+    await waitForStatus(gateway, KEY, 200);
+    fleet.store.mood = "forgetful";
+    fleet.publishConfiguration(2, ["key-2"]);
+    await waitForStatus(gateway, KEY, 401);
+    t.is((await call(gateway, "key-2")).status, 200);
+  });
+});
+
+test("a value that does not decode is left out, and what was in force stays", async (t) => {
+  await withGateways(async (fleet) => {
+    await fleet.startWorker("s");
+    fleet.publishConfiguration(1, [KEY]);
+    const gateway = await fleet.startGateway();
+    await waitForStatus(gateway, KEY, 200);
+    fleet.store.putText("op/config", "{ not a document");
+    fleet.store.put("servers/bad", { address: 5 });
+    fleet.publishConfiguration(2, [KEY, "key-2"]);
+    await waitForStatus(gateway, "key-2", 200);
+    t.is((await call(gateway, KEY)).status, 200);
+  });
+});
+
+test("a leaving worker gets no new request once that is known", async (t) => {
+  await withGateways(async (fleet) => {
+    const [leaving, staying] = [
+      await fleet.startWorker("s"),
+      await fleet.startWorker("s"),
+    ];
+    fleet.publishConfiguration(1, [KEY]);
+    const gateway = await fleet.startGateway();
+    await waitForStatus(gateway, KEY, 200);
+    fleet.publishWorker(leaving, "s", "draining");
+    await waitUntil("only the other is used", async () => {
+      const before = leaving.arrivals.length;
+      for (let index = 0; index < 12; index++) await call(gateway, KEY);
+      return leaving.arrivals.length === before;
+    });
+    t.true(staying.arrivals.length >= 12);
+  });
+});
+
+test("a worker whose address another has now is left, and the request runs elsewhere", async (t) => {
+  await withGateways(async (fleet) => {
+    const taken = await fleet.startWorker("s");
+    const sound = await fleet.startWorker("s");
+    fleet.store.put("servers/former", {
+      service: "s",
+      address: taken.address,
+      zone: "h",
+      slots: 8,
+      state: "ready",
+    });
+    fleet.store.remove(`servers/${taken.id}`);
+    fleet.publishConfiguration(1, [KEY]);
+    const gateway = await fleet.startGateway();
+    for (let index = 0; index < 12; index++) {
+      t.is((await call(gateway, KEY)).body, sound.id);
+    }
+    t.is(taken.arrivals.length, 0);
+  });
+});
+
+test("a stopping gateway leaves the answers first and finishes what it has taken", async (t) => {
+  await withGateways(async (fleet) => {
+    const worker = await fleet.startWorker("s");
+    let release = () => undefined as void;
+    const isReleased = new Promise<void>((resolve) => release = resolve);
+    worker.behaviour = (request, response, self) =>
+      void isReleased.then(() => answerWell(request, response, self));
+    fleet.publishConfiguration(1, [KEY]);
+    const staying = await fleet.startGateway();
+    const stopping = await fleet.startGateway();
+    const own = stopping.settings.callerAddress;
+    await waitUntil(
+      "both are named",
+      async () => (await locate(staying)).includes(own),
+    );
+    const pending = call(stopping, KEY);
+    await waitUntil("the request arrived", () => worker.arrivals.length === 1);
+    const stopped = stopping.gateway.drain();
+    await waitUntil(
+      "it is no longer named",
+      async () => !(await locate(staying)).includes(own),
+    );
+    release();
+    t.is((await pending).status, 200);
+    await stopped;
+  });
+});
+
+test("a shorter time-out of the route holds for requests under way", async (t) => {
+  await withGateways(async (fleet) => {
+    const worker = await fleet.startWorker("s");
+    worker.behaviour = () => undefined;
+    fleet.publishConfiguration(1, [KEY], {
+      timeout_ms: 60_000,
+      slo_ms: 60_000,
+    });
+    const gateway = await fleet.startGateway();
+    const pending = call(gateway, KEY);
+    await waitUntil("the request arrived", () => worker.arrivals.length === 1);
+    fleet.publishConfiguration(2, [KEY], { timeout_ms: 50, slo_ms: 60_000 });
+    t.is((await pending).status, 504);
+  });
+});
+
+const HEAD =
+  `POST /a/ HTTP/1.1\r\nHost: a.example\r\nX-Beechkeel-Attempt-Id: r-1\r\nX-Api-Key: ${KEY}\r\n`;
+
+const MALFORMED: Record<string, [text: string, status: number]> = {
+  "a request line that is none": ["nonsense\r\n\r\n", 400],
+  "two lengths": [
+    `${HEAD}Content-Length: 1\r\nContent-Length: 2\r\n\r\nx`,
+    400,
+  ],
+  "a length and chunks": [
+    `${HEAD}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+    400,
+  ],
+  "a chunk size that is none": [
+    `${HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\n`,
+    400,
+  ],
+  "two hosts": [
+    `${HEAD}Host: b.example\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`,
+    400,
+  ],
+  "a body over the limit": [
+    `${HEAD}Content-Length: 5000000\r\nConnection: close\r\n\r\n`,
+    413,
+  ],
+  "headers over the limit": [
+    `${HEAD}X-Long: ${"x".repeat(20_000)}\r\nConnection: close\r\n\r\n`,
+    431,
+  ],
+};
+
+test("malformed requests have their answer, and nothing of them is passed on", async (t) => {
+  await withGateways(async (fleet) => {
+    const worker = await fleet.startWorker("s");
+    fleet.publishConfiguration(1, [KEY]);
+    const gateway = await fleet.startGateway();
+    await waitForStatus(gateway, KEY, 200);
+    const before = worker.arrivals.length;
+    for (const [name, [text, status]] of Object.entries(MALFORMED)) {
+      const answer = await sendRaw(gateway, text);
+      t.regex(answer, new RegExp(`^HTTP/1\\.1 ${status} `), name);
+    }
+    t.is(worker.arrivals.length, before);
+    t.is((await call(gateway, KEY)).status, 200);
+  });
+});
--- /dev/null
+++ b/tests/gateway/with_gateways.ts
@@ -0,0 +1,164 @@
+import { pino } from "pino";
+import { FakeStore } from "../../fakes/fake_store.ts";
+import { FakeWorker } from "../../fakes/fake_worker.ts";
+import { platformSurface } from "../../platform/caller_surface.ts";
+import { EngineClient } from "../../platform/engine_client.ts";
+import { platformHeaders } from "../../platform/header_codec.ts";
+import { StoreClient } from "../../platform/store_client.ts";
+import { Gateway } from "../../src/gateway/gateway.ts";
+import type { GatewaySettings } from "../../src/gateway/gateway_settings.ts";
+import { getFreePort } from "../../tools/free_port.ts";
+
+/** Bound on old keys in these tests, in milliseconds; many times a watch. */
+const KEY_BELIEF_MS = 5_000;
+
+/** One gateway of a test with its settings. */
+export interface TestGateway {
+  gateway: Gateway;
+  settings: GatewaySettings;
+}
+
+/** A store, workers and gateways of one test. */
+export class GatewayFleet {
+  readonly gateways: TestGateway[] = [];
+  readonly workers: FakeWorker[] = [];
+
+  private constructor(
+    /** The store that all gateways read but those started with another. */
+    readonly store: FakeStore,
+  ) {}
+
+  /** Starts a store without gateways. */
+  static async create(): Promise<GatewayFleet> {
+    return new GatewayFleet(await FakeStore.create());
+  }
+
+  /** Starts a gateway.
+   * @param changes Settings that differ. */
+  async startGateway(
+    changes: Partial<GatewaySettings> = {},
+  ): Promise<TestGateway> {
+    const settings = { ...await this.buildSettings(), ...changes };
+    const gateway = await Gateway.start(settings, {
+      logger: pino({ level: "silent" }),
+      feed: StoreClient.create(settings.platformAddress),
+      inventory: EngineClient.create(),
+      codec: platformHeaders,
+      surface: platformSurface,
+    });
+    const started = { gateway, settings };
+    this.gateways.push(started);
+    return started;
+  }
+
+  /** Starts a worker and publishes it.
+   * @param service Service it belongs to. */
+  async startWorker(service: string): Promise<FakeWorker> {
+    const worker = await FakeWorker.create(`w-${this.workers.length}`);
+    this.workers.push(worker);
+    this.publishWorker(worker, service, "ready");
+    return worker;
+  }
+
+  /** Publishes a worker's state.
+   * @param worker The worker.
+   * @param service Service it belongs to.
+   * @param state `ready` or `draining`. */
+  publishWorker(worker: FakeWorker, service: string, state: string): void {
+    const { address, id } = worker;
+    this.store.put(`servers/${id}`, {
+      service,
+      address,
+      zone: "h",
+      slots: 8,
+      state,
+    });
+  }
+
+  /** Publishes a configuration with one route to service `s` under `/a/`.
+   * @param version Its version.
+   * @param keys Keys of its only customer.
+   * @param changes What differs in the route. */
+  publishConfiguration(
+    version: number,
+    keys: readonly string[],
+    changes: Record<string, unknown> = {},
+  ): void {
+    this.store.put("op/config", {
+      version,
+      routes: [{
+        name: "r",
+        host: "a.example",
+        path_prefix: "/a/",
+        route_kind: "idempotent",
+        timeout_ms: 5_000,
+        slo_ms: 500,
+        service: "s",
+        max_attempts: 2,
+        ...changes,
+      }],
+      services: [{ name: "s", max_conns: 100 }],
+      tenants: [{ name: "c", api_keys: keys }],
+    });
+  }
+
+  /** Ends everything. */
+  async close(): Promise<void> {
+    for (const { gateway } of this.gateways) await gateway.close();
+    for (const worker of this.workers) await worker.close();
+    await this.store.close();
+  }
+
+  private async buildSettings(): Promise<GatewaySettings> {
+    const ports = await Promise.all(
+      Array.from({ length: 6 }, () => getFreePort()),
+    );
+    const [caller, readiness, locate, peer, gossip, metrics] = ports.map((
+      port,
+    ) => `127.0.0.1:${port}`) as [
+      string,
+      string,
+      string,
+      string,
+      string,
+      string,
+    ];
+    return {
+      id: `g-${this.gateways.length}`,
+      hall: "h",
+      region: "x",
+      callerAddress: caller,
+      readinessAddress: readiness,
+      locateAddress: locate,
+      peerAddress: peer,
+      gossipAddress: gossip,
+      metricsAddress: metrics,
+      seedAddresses: this.gateways.slice(0, 1).map((one) =>
+        one.settings.gossipAddress
+      ),
+      platformAddress: `127.0.0.1:${this.store.port}`,
+      isFirstStart: true,
+      leaveWithinMs: 2_000,
+      stopWithinMs: 8_000,
+      keyBeliefMs: KEY_BELIEF_MS,
+      retryRatio: 0.2,
+      retryWindowMs: 10_000,
+      retryExtra: 50,
+      boundMultiple: 2,
+      locateLifetimeLimitMs: 5_000,
+    };
+  }
+}
+
+/** Runs a test body on a fleet of its own and ends the fleet after it.
+ * @param body The test. */
+export async function withGateways(
+  body: (fleet: GatewayFleet) => Promise<void>,
+): Promise<void> {
+  const fleet = await GatewayFleet.create();
+  try {
+    await body(fleet);
+  } finally {
+    await fleet.close();
+  }
+}
--- /dev/null
+++ b/tests/published/publication_test.ts
@@ -0,0 +1,82 @@
+import fc from "fast-check";
+import test from "ava";
+import { Publication } from "../../src/published/publication.ts";
+import type { UpstreamChange } from "../../src/published/publication_feed.ts";
+import { buildConfiguration, buildUpstream } from "./build_published.ts";
+
+/** Changes as the platform makes them: each revision belongs to one upstream. */
+const history = fc.array(
+  fc.record({ id: fc.constantFrom("a", "b", "c"), isGone: fc.boolean() }),
+  { minLength: 1, maxLength: 20 },
+).map((entries): UpstreamChange[] =>
+  entries.map(({ id, isGone }, index) =>
+    isGone
+      ? { id, revision: index + 1, upstream: undefined }
+      : { id, revision: index + 1, upstream: buildUpstream({ id }) }
+  )
+);
+
+function listLive(publication: Publication): string[] {
+  return publication.getChanges().filter((change) => change.upstream)
+    .map((change) => `${change.id}@${change.revision}`).sort();
+}
+
+test("changes merged in any order, any of them twice, give the same list", (t) => {
+  const keeps = fc.property(
+    history,
+    fc.infiniteStream(fc.nat(1_000)),
+    (changes, ranks) => {
+      const first = Publication.create();
+      first.merge(undefined, changes, 0);
+      const keyed = [...changes, ...changes].map((change) => ({
+        change,
+        rank: ranks.next().value as number,
+      }));
+      const shuffled = keyed.sort((a, b) => a.rank - b.rank);
+      const second = Publication.create();
+      for (const { change } of shuffled) second.merge(undefined, [change], 0);
+      return listLive(first).join() === listLive(second).join();
+    },
+  );
+  t.notThrows(() => fc.assert(keeps, { seed: 11, numRuns: 500 }));
+});
+
+test("an older configuration never replaces a newer one", (t) => {
+  const publication = Publication.create();
+  publication.merge(buildConfiguration({ version: 7 }), [], 0);
+  const result = publication.merge(buildConfiguration({ version: 4 }), [], 0);
+  t.false(result.isConfigurationNew);
+  t.is(publication.configuration?.version, 7);
+});
+
+test("what a snapshot lacks is gone, unless it changed after the snapshot", (t) => {
+  const publication = Publication.create();
+  publication.merge(undefined, [
+    { id: "old", revision: 1, upstream: buildUpstream({ id: "old" }) },
+    { id: "new", revision: 9, upstream: buildUpstream({ id: "new" }) },
+  ], 0);
+  publication.mergeSnapshot(5, undefined, [], 0);
+  t.deepEqual(listLive(publication), ["new@9"]);
+});
+
+test("a peer that has not heard of an upstream's end does not bring it back", (t) => {
+  const publication = Publication.create();
+  const live = { id: "a", revision: 1, upstream: buildUpstream({ id: "a" }) };
+  publication.merge(undefined, [live], 0);
+  publication.merge(undefined, [
+    { id: "a", revision: 2, upstream: undefined },
+  ], 0);
+  publication.merge(undefined, [live], 0);
+  t.deepEqual(listLive(publication), []);
+});
+
+test("two that know the same have the same digest, and another after a change", (t) => {
+  const [one, other] = [Publication.create(), Publication.create()];
+  const change = { id: "a", revision: 1, upstream: buildUpstream({ id: "a" }) };
+  for (const publication of [one, other]) {
+    publication.merge(buildConfiguration({ version: 2 }), [change], 0);
+  }
+  t.is(one.digest, other.digest);
+  one.merge(undefined, [{ id: "a", revision: 3, upstream: undefined }], 0);
+  t.not(one.digest, other.digest);
+});
--- /dev/null
+++ b/tests/upstreams/choose_upstream_test.ts
@@ -0,0 +1,121 @@
+import fc from "fast-check";
+import test from "ava";
+import { Random } from "../../src/random/random.ts";
+import {
+  type ChoiceOptions,
+  chooseUpstream,
+} from "../../src/upstreams/choose_upstream.ts";
+import { findFetchSource } from "../../src/upstreams/find_fetch_source.ts";
+import { LoadCounts } from "../../src/upstreams/load_counts.ts";
+import { PrefixIndex } from "../../src/upstreams/prefix_index.ts";
+import { Upstream } from "../../src/upstreams/upstream.ts";
+import { buildUpstream } from "../published/build_published.ts";
+
+const CHAT = [{ name: PrefixIndex.nameOf("chat"), tokens: 500 }];
+
+function createUpstreams(count: number): Upstream[] {
+  return Array.from(
+    { length: count },
+    (_, index) =>
+      Upstream.create(buildUpstream({ id: `u-${index}`, arrival: index })),
+  );
+}
+
+function buildOptions(
+  candidates: readonly Upstream[],
+  changes: Partial<ChoiceOptions> = {},
+): ChoiceOptions {
+  return {
+    candidates,
+    tried: new Set(),
+    sharedParts: [],
+    isCautious: false,
+    loads: LoadCounts.create(),
+    prefixes: PrefixIndex.create(),
+    hall: "h",
+    random: Random.create(1),
+    now: 0,
+    ...changes,
+  };
+}
+
+test("a chat goes where its context is kept, on every host alike where nobody knows", (t) => {
+  const upstreams = createUpstreams(6);
+  const prefixes = PrefixIndex.create();
+  const first = chooseUpstream(
+    buildOptions(upstreams, { sharedParts: CHAT, prefixes }),
+  );
+  const elsewhere = chooseUpstream(
+    buildOptions([...upstreams].reverse(), { sharedParts: CHAT }),
+  );
+  t.is(first?.id, elsewhere?.id);
+  const other = upstreams.find((upstream) => upstream !== first)!;
+  prefixes.noteSent(CHAT, other.key, false, 0);
+  const again = chooseUpstream(
+    buildOptions(upstreams, { sharedParts: CHAT, prefixes }),
+  );
+  t.is(again, other);
+});
+
+test("no choice puts an engine above twice the mean and three, whatever chats share", (t) => {
+  const keeps = fc.property(
+    fc.integer({ min: 2, max: 12 }),
+    fc.array(fc.nat(4), { minLength: 1, maxLength: 300 }),
+    (count, chats) => {
+      const upstreams = createUpstreams(count);
+      const options = buildOptions(upstreams);
+      return chats.every((chat) => {
+        const name = PrefixIndex.nameOf(`chat-${chat}`);
+        const sharedParts = [{ name, tokens: 100 }];
+        const chosen = chooseUpstream({ ...options, sharedParts })!;
+        options.prefixes.noteSent(sharedParts, chosen.key, false, 0);
+        chosen.ownRequests += 1;
+        const total = upstreams.reduce((sum, one) => sum + one.ownRequests, 0);
+        return chosen.ownRequests <= 2 * total / count + 3;
+      });
+    },
+  );
+  t.notThrows(() => fc.assert(keeps, { seed: 5, numRuns: 200 }));
+});
+
+test("what runs once avoids an upstream that failed lately", (t) => {
+  const upstreams = createUpstreams(2);
+  upstreams[0]!.health.note("silent", 0);
+  upstreams[1]!.ownRequests = 2;
+  const cautious = buildOptions(upstreams, { isCautious: true });
+  t.is(chooseUpstream(cautious), upstreams[1]);
+});
+
+test("where all are left out, one is used all the same", (t) => {
+  const upstreams = createUpstreams(2);
+  for (const upstream of upstreams) upstream.health.note("unreachable", 0);
+  t.truthy(chooseUpstream(buildOptions(upstreams, { now: 1 })));
+});
+
+test("an engine fetches the deepest part it lacks from one that keeps it", (t) => {
+  const upstreams = createUpstreams(3);
+  const prefixes = PrefixIndex.create();
+  const parts = [{ name: 1, tokens: 10 }, { name: 2, tokens: 20 }];
+  prefixes.noteSent(parts.slice(0, 1), upstreams[0]!.key, false, 0);
+  prefixes.noteSent(parts, upstreams[1]!.key, false, 0);
+  const find = (target: Upstream) =>
+    findFetchSource(parts, target, upstreams, prefixes, 0);
+  t.is(find(upstreams[2]!), upstreams[1]);
+  t.is(find(upstreams[0]!), upstreams[1]);
+  t.is(find(upstreams[1]!), undefined);
+});
+
+test("after a restart the first in a prompt's order fetches from the first that came before it", (t) => {
+  const upstreams = createUpstreams(6);
+  const first = chooseUpstream(buildOptions(upstreams, { sharedParts: CHAT }))!;
+  const source = findFetchSource(
+    CHAT,
+    first,
+    upstreams,
+    PrefixIndex.create(),
+    0,
+  );
+  const isOlder = source === undefined ||
+    source.published.arrival < first.published.arrival;
+  t.true(isOlder);
+});
