Take the bound on load, the time for leaving and the share of connections from what is published

Cause: constants of today's two deployments stood in for the settings, and nothing kept a host to its share of an upstream's connections.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -104,6 +104,7 @@
       logger: this.logger,
       mayHaveLapsed: () =>
         performance.now() - this.regainedAt < LAPSE_WINDOW_MS,
+      leaveWithinMs: settings.leaveWithinMs,
     });
     this.keeper = PublicationKeeper.create({
       logger: this.logger,
@@ -314,7 +315,8 @@
     tried: ReadonlySet<string>,
   ): Upstream | undefined {
     return chooseUpstream({
-      candidates: this.upstreams.getServing(call.service),
+      candidates: this.getCandidates(call.service),
+      boundMultiple: this.settings.boundMultiple,
       tried,
       isCautious: !mayRunAgain(call),
       sharedParts: call.sharedParts,
@@ -326,6 +328,15 @@
     });
   }
 
+  /** Upstreams of a service that may get a request, but for those on which this host uses up its share of connections. */
+  private getCandidates(service: string): Upstream[] {
+    const serving = this.upstreams.getServing(service);
+    const most = this.keeper.routes?.getService(service)?.maxConnections;
+    if (most === undefined) return serving;
+    const share = Math.max(1, most / (1 + this.getLiveHosts().length));
+    return serving.filter((upstream) => upstream.ownRequests < share);
+  }
+
   private findFetchSource(
     call: RoutedCall,
     target: Upstream,
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -4,10 +4,10 @@
 import type { PrefixIndex, SentPart } from "./prefix_index.ts";
 import type { Upstream } from "./upstream.ts";
 
-/** Multiple of the mean load up to which a chat goes to an engine that keeps its context; below the multiple that is
- * promised, because other hosts' counts are known late. */
-const HOME_MULTIPLE = 1.6;
-/** Requests above that multiple which such an engine may still carry; half of what the promise allows. */
+/** Part of the promised multiple of the mean up to which a chat goes to an engine that keeps its context; the rest is
+ * for other hosts' counts, which are known late. */
+const USED_BOUND_PART = 0.8;
+/** Requests above that which such an engine may still carry, of the three that the promise allows. */
 const HOME_EXTRA = 2.2;
 /** Reading ahead of an engine from which a prompt that none keeps goes to the next in its order, in milliseconds: below
  * half of the objectives of first events, and above what most prompts take. */
@@ -25,6 +25,8 @@
   sharedParts: readonly SentPart[];
   /** Whether the request can't be sent again once it may have run; it then avoids upstreams that failed lately. */
   isCautious: boolean;
+  /** No upstream is to carry more than this multiple of the mean load, and three requests. */
+  boundMultiple: number;
   loads: LoadCounts;
   prefixes: PrefixIndex;
   /** Hall of this host. */
@@ -65,7 +67,8 @@
   const { sharedParts, prefixes, loads, now } = options;
   const homeKey = sharedParts.at(-1)!.name;
   const total = usable.reduce((sum, one) => sum + loads.getTotal(one), 0);
-  const limit = HOME_MULTIPLE * total / usable.length + HOME_EXTRA;
+  const multiple = options.boundMultiple * USED_BOUND_PART;
+  const limit = multiple * total / usable.length + HOME_EXTRA;
   const byId = new Map(usable.map((upstream) => [upstream.id, upstream]));
   const ranked = rankByRendezvous(String(homeKey), [...byId.keys()])
     .map((id) => byId.get(id)!);
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -2,10 +2,9 @@
 import type { UpstreamChange } from "../published/publication_feed.ts";
 import { Upstream } from "./upstream.ts";
 
-/** Time for which an upstream that disappeared just after an outage of the platform is still used, in milliseconds.
- * Entries that lapsed meanwhile come back within two seconds, and a leaving upstream may get work for as long. */
-const LAPSE_GRACE_MS = 1_600;
-
+/** Part of the time in which a leaving upstream may get work for which one that disappeared just after an outage of the
+ * platform is still used: entries that lapsed meanwhile come back within two seconds. */
+const LAPSE_GRACE_PART = 0.8;
 /** Time for which an upstream that is gone from the list is still taken to be there, in milliseconds: leaving ones serve
  * on for a little longer than the two seconds that they have to get no new work. */
 const DEPARTED_KEPT_MS = 3_000;
@@ -15,6 +14,8 @@
   logger: Logger;
   /** Whether the platform has come back so lately that missing entries may only have lapsed. */
   mayHaveLapsed: () => boolean;
+  /** Time after which a leaving upstream may get no new work, in milliseconds. */
+  leaveWithinMs: number;
 }
 
 /** The upstreams that are known, by service. */
@@ -31,6 +32,10 @@
     return new UpstreamTable(options);
   }
 
+  private get lapseGraceMs(): number {
+    return this.options.leaveWithinMs * LAPSE_GRACE_PART;
+  }
+
   /** Number of upstreams. */
   get size(): number {
     return this.byId.size;
@@ -68,7 +73,7 @@
   mayServe(upstream: Upstream): boolean {
     if (upstream.published.isLeaving) return false;
     if (upstream.goneAt === undefined) return true;
-    return performance.now() < upstream.goneAt + LAPSE_GRACE_MS;
+    return performance.now() < upstream.goneAt + this.lapseGraceMs;
   }
 
   /** Takes over changes.
@@ -119,7 +124,7 @@
     known.goneAt = performance.now();
     const timer = setTimeout(() => {
       if (known.goneAt !== undefined) this.drop(known);
-    }, LAPSE_GRACE_MS);
+    }, this.lapseGraceMs);
     timer.unref();
   }
 
--- a/tests/upstreams/choose_upstream_test.ts
+++ b/tests/upstreams/choose_upstream_test.ts
@@ -30,6 +30,7 @@
     tried: new Set(),
     sharedParts: [],
     isCautious: false,
+    boundMultiple: 2,
     loads: LoadCounts.create(),
     prefixes: PrefixIndex.create(),
     hall: "h",
