--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -31,6 +31,8 @@
   canChoose: (call: RoutedCall, tried: ReadonlySet<string>) => boolean;
   /** Address of the engine from which another should fetch what it lacks of a call's prompt. */
   findFetchSource: (call: RoutedCall, target: Upstream) => string | undefined;
+  /** Requests on an upstream from all hosts, as far as is known. */
+  getLoad: (upstream: Upstream) => number;
   /** Takes a retry from the budget of a service; returns whether there was one. */
   spendRetry: (service: string) => boolean;
   /** Told how an attempt ended, as far as the upstream's health goes. */
@@ -137,16 +139,17 @@
     this.splitter = undefined;
     const remainingMs = this.endsAt - performance.now();
     if (remainingMs < LEAST_REMAINING_MS) return this.giveUp("no time left");
-    this.logSend(upstream, reason, remainingMs);
     this.silence?.close();
     this.silence = SilenceWatch.create(
       upstream,
       call.route,
       (silence) => this.takeSilence(upstream, silence),
     );
+    const fetchFrom = context.findFetchSource(call, upstream);
+    this.logSend(upstream, reason, remainingMs, fetchFrom);
     this.attempt = Attempt.create(
       upstream,
-      this.buildRequest(upstream, remainingMs),
+      this.buildRequest(upstream, remainingMs, fetchFrom),
       context.codec,
       {
         onHead: (status, answer) => this.takeHead(status, answer),
@@ -157,7 +160,11 @@
     );
   }
 
-  private buildRequest(upstream: Upstream, remainingMs: number) {
+  private buildRequest(
+    upstream: Upstream,
+    remainingMs: number,
+    fetchFrom: string | undefined,
+  ) {
     const { call, context } = this;
     const headers = context.codec.writeUpstream(call.headers, {
       upstreamId: upstream.id,
@@ -165,20 +172,26 @@
       customer: call.customer,
       urgency: call.headers.prompt ? call.urgency : undefined,
       lastEventId: this.lastEventId,
-      fetchFrom: context.findFetchSource(call, upstream),
+      fetchFrom,
     });
     const { method, path, body, requestId } = call;
     return { method, path, body, requestId, headers };
   }
 
-  private logSend(upstream: Upstream, reason: string, remainingMs: number) {
-    this.context.logger.debug({
+  private logSend(
+    upstream: Upstream,
+    reason: string,
+    remainingMs: number,
+    fetchFrom: string | undefined,
+  ): void {
+    this.context.logger.info({
       request: this.call.requestId,
       upstream: upstream.id,
       reason,
       remainingMs: Math.round(remainingMs),
-      own: upstream.ownRequests,
+      load: this.context.getLoad(upstream),
       failureRate: Number(upstream.health.rate.toFixed(2)),
+      fetchFrom,
     }, "request_sent");
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -294,6 +294,7 @@
         choose: (call, tried) => this.choose(call, tried),
         canChoose: (call, tried) => this.choose(call, tried) !== undefined,
         findFetchSource: (call, target) => this.findFetchSource(call, target),
+        getLoad: (upstream) => this.loads.getTotal(upstream),
         spendRetry: (service) =>
           this.getRetryShare(service).spend(performance.now()),
         noteHealth: (upstream, sign) => {
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -169,6 +169,7 @@
         upstreams.find((upstream) => !tried.has(upstream.id)),
       canChoose: (_call, tried) => tried.size < upstreams.length,
       findFetchSource: () => undefined,
+      getLoad: () => 0,
       spendRetry: () => true,
       noteHealth: () => undefined,
       noteMoved: () => undefined,
