Large fleets: one question for the publication at a time, few hosts of other halls told

Also an upstream's own word of its load now counts where it is more than hosts told, for in a large fleet few counts arrive.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -118,6 +118,10 @@
     this.upstream.heardAt = performance.now();
     if (status < 200 || this.isOver) return;
     const answer = this.codec.readAnswer(status, headers);
+    if (answer.load) {
+      const requests = answer.load.running + answer.load.waiting;
+      this.upstream.reported = { requests, at: performance.now() };
+    }
     if (answer.isClosing) this.isReusable = false;
     if (answer.requestId !== undefined && answer.requestId !== requestId) {
       return this.fail(`answer to another request ${answer.requestId}`);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -220,6 +220,7 @@
     return Gossip.create({
       logger: this.logger,
       address: this.settings.gossipAddress,
+      hall: this.settings.hall,
       getSeeds: () => this.settings.seedAddresses,
       describeSelf: () => this.describeSelf(),
       takeFacts: () => this.prefixes.takeFacts(),
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -14,8 +14,6 @@
 const NO_VERSION = "none";
 /** Time for a host's answer in milliseconds; others can be asked after it. */
 const ANSWER_TIMEOUT_MS = 800;
-/** Least time between two questions to one host, in milliseconds. */
-const ASK_INTERVAL_MS = 150;
 
 const stateSchema = z.object({
   configuration: configurationSchema.optional(),
@@ -33,7 +31,7 @@
   private readonly agent = new Agent({
     connect: { timeout: ANSWER_TIMEOUT_MS },
   });
-  private readonly askedAt = new Map<string, number>();
+  private isAsking = false;
 
   private constructor(
     private readonly keeper: PublicationKeeper,
@@ -63,21 +61,21 @@
     response.end(pack({ ...state, ...age }));
   }
 
-  /** Asks a host for everything it knows, unless it was asked just now.
+  /** Asks a host for everything it knows, unless another is being asked: all would send the same.
    * @param peerId The host.
    * @param address Where it answers other hosts, as ip:port. */
   async ask(peerId: string, address: string): Promise<void> {
-    const now = performance.now();
-    const last = this.askedAt.get(peerId) ?? -Infinity;
-    if (now - last < ASK_INTERVAL_MS) return;
-    this.askedAt.set(peerId, now);
+    if (this.isAsking) return;
+    this.isAsking = true;
     try {
-      await this.take(peerId, address, now);
+      await this.take(peerId, address, performance.now());
     } catch (error) {
       this.logger.info(
         { host: peerId, reason: (error as Error).message },
         "publication_pull_failed",
       );
+    } finally {
+      this.isAsking = false;
     }
   }
 
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -3,14 +3,18 @@
 import type { PrefixFact } from "../upstreams/prefix_index.ts";
 import type { GossipMessage, PeerEntry } from "./gossip_schema.ts";
 import { GossipSocket } from "./gossip_socket.ts";
-import { HostTable, isLive, type KnownHost } from "./host_table.ts";
+import { HostTable, type KnownHost, SMALL_FLEET } from "./host_table.ts";
 
 /** Interval at which a host tells of itself, in milliseconds; loads known to others are late by about as much. */
 const ROUND_MS = 200;
 /** Time in which news is gathered before it is told ahead of the next round, in milliseconds. */
 const ANNOUNCE_DELAY_MS = 15;
-/** Other hosts told in each round where there are more; in a small fleet all are. */
-const FANOUT = 10;
+/** Hosts of the own hall told in each round of a large fleet; in a small one all hosts are told. */
+const OWN_HALL_FANOUT = 3;
+/** Hosts of other halls told in each round of a large fleet; bytes between halls are dear. */
+const OTHER_HALLS_FANOUT = 1;
+/** Silent hosts tried at a time. */
+const MAX_ATTEMPTS = 10;
 /** Entries of other hosts in one datagram, so that it fits into one packet. */
 const RELAYED_ENTRIES = 6;
 /** Rounds between two in which other hosts are told, where all hosts hear each other directly. */
@@ -26,6 +30,8 @@
   logger: Logger;
   /** Where to listen, as ip:port. */
   address: string;
+  /** Hall of this host; in a large fleet its hosts are told most. */
+  hall: string;
   /** Gossip addresses of hosts to begin with; read anew each time. */
   getSeeds: () => readonly string[];
   /** What this host tells of itself, but for the fields that gossip itself fills in. */
@@ -105,23 +111,34 @@
   }
 
   private chooseTargets(now: number): string[] {
-    const live = this.hosts.getLive(now).map((host) =>
-      host.entry.gossipAddress
-    );
-    const chosen = live.length <= FANOUT
-      ? live
-      : this.random.shuffle(live).slice(0, FANOUT);
+    const chosen = this.chooseLive(now);
     const isStarting = this.round <= STARTING_ROUNDS;
     if (!isStarting && this.round % ROUNDS_PER_ATTEMPT !== 1) return chosen;
-    const silent = this.hosts.getAll().filter((host) => !isLive(host, now))
+    const silent = this.hosts.getAll().filter((host) =>
+      !this.hosts.isLive(host, now)
+    )
       .map((host) => host.entry.gossipAddress);
     const seeds = this.options.getSeeds().filter((seed) =>
       seed !== this.options.address
     );
-    const attempts = this.random.shuffle(silent).slice(0, FANOUT);
+    const attempts = this.random.shuffle(silent).slice(0, MAX_ATTEMPTS);
     return [...new Set([...chosen, ...attempts, ...seeds])];
   }
 
+  /** The hosts heard that are told in a round. */
+  private chooseLive(now: number): string[] {
+    const live = this.random.shuffle(this.hosts.getLive(now));
+    const { hall } = this.options;
+    const isNear = (host: KnownHost) => host.entry.hall === hall;
+    const near = live.filter(isNear);
+    const far = live.filter((host) => !isNear(host));
+    const chosen = live.length <= SMALL_FLEET ? live : [
+      ...near.slice(0, OWN_HALL_FANOUT),
+      ...far.slice(0, OTHER_HALLS_FANOUT),
+    ];
+    return chosen.map((host) => host.entry.gossipAddress);
+  }
+
   private tell(
     address: string,
     now: number,
@@ -155,7 +172,7 @@
     );
     const isDue = this.round <= ROUNDS_PER_RELAY ||
       this.round % ROUNDS_PER_RELAY === 0;
-    if (live.length < FANOUT && !isDue) return [];
+    if (live.length < SMALL_FLEET && !isDue) return [];
     const count = Math.min(live.length, RELAYED_ENTRIES);
     return Array.from({ length: count }, (_, index) => {
       const host = live[(this.round * RELAYED_ENTRIES + index) % live.length]!;
@@ -185,7 +202,7 @@
 
   private logChange(host: KnownHost, now: number): void {
     const { id, phase } = host.entry;
-    const live = isLive(host, now);
+    const live = this.hosts.isLive(host, now);
     if (live === this.liveBefore.has(id)) return;
     if (live) this.liveBefore.add(id);
     else this.liveBefore.delete(id);
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -1,7 +1,15 @@
 import type { PeerEntry } from "./gossip_schema.ts";
 
-/** Time after which a host that is not heard is no longer told to callers, in milliseconds: three rounds of gossip and a little. */
+/** Time after which a host that is not heard is no longer told to callers, in milliseconds: three rounds of gossip and a
+ * little. */
 const LIVE_FOR_MS = 700;
+/** Time by which that is longer for each host of a fleet that is too large for all to hear each other in each round, in
+ * milliseconds: word of a host then comes by others, about as often as one in twenty rounds. */
+const LIVE_FOR_MS_PER_HOST = 25;
+/** Hosts up to which all hear each other in each round. */
+export const SMALL_FLEET = 12;
+/** Longest such time, in milliseconds. */
+const MAX_LIVE_FOR_MS = 3_000;
 /** Time after which a host that is not heard is forgotten, in milliseconds: longer than a host takes to come back. */
 const REMEMBERED_MS = 60_000;
 /** Silence after which another's word on a new start of a host is believed, in milliseconds. */
@@ -42,7 +50,17 @@
   /** The hosts heard lately.
    * @param now Monotonic milliseconds. */
   getLive(now: number): KnownHost[] {
-    return this.getAll().filter((host) => isLive(host, now));
+    return this.getAll().filter((host) => this.isLive(host, now));
+  }
+
+  /** Whether a host was heard lately.
+   * @param host The host.
+   * @param now Monotonic milliseconds. */
+  isLive(host: KnownHost, now: number): boolean {
+    const beyond = Math.max(0, this.hosts.size - SMALL_FLEET);
+    const longerMs = beyond * LIVE_FOR_MS_PER_HOST;
+    const liveForMs = Math.min(MAX_LIVE_FOR_MS, LIVE_FOR_MS + longerMs);
+    return now - host.heardAt <= liveForMs;
   }
 
   /** Takes a host's own word.
@@ -94,13 +112,6 @@
   }
 }
 
-/** Whether a host was heard lately.
- * @param host The host.
- * @param now Monotonic milliseconds. */
-export function isLive(host: KnownHost, now: number): boolean {
-  return now - host.heardAt <= LIVE_FOR_MS;
-}
-
 function isNewer(
   entry: PeerEntry,
   heardAt: number,
--- a/src/upstreams/load_counts.ts
+++ b/src/upstreams/load_counts.ts
@@ -3,6 +3,9 @@
 /** Age up to which a host's counts are used, in milliseconds: some rounds of what hosts tell each other. */
 const USED_FOR_MS = 1_200;
 
+/** Age up to which an upstream's own word of its load is used, in milliseconds. */
+const REPORT_USED_FOR_MS = 400;
+
 /** An upstream's short name, and the requests that a host has running there. */
 export type LoadCount = [key: number, requests: number];
 
@@ -32,10 +35,14 @@
     this.sumUp(performance.now());
   }
 
-  /** Requests on an upstream from all hosts.
+  /** Requests on an upstream from all hosts: as hosts told, or where that is more as it told itself just now.
    * @param upstream The upstream. */
   getTotal(upstream: Upstream): number {
-    return upstream.ownRequests + (this.foreign.get(upstream.key) ?? 0);
+    const told = upstream.ownRequests + (this.foreign.get(upstream.key) ?? 0);
+    const report = upstream.reported;
+    const isNew = report !== undefined &&
+      performance.now() - report.at <= REPORT_USED_FOR_MS;
+    return isNew ? Math.max(told, report.requests) : told;
   }
 
   /** Counts of this process, for other hosts.
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -18,6 +18,8 @@
   ownRequests = 0;
   /** Monotonic milliseconds at which any of its answers last brought bytes. */
   heardAt = -Infinity;
+  /** Requests that it told of itself with an answer, running and waiting, and the monotonic milliseconds of that. */
+  reported: { requests: number; at: number } | undefined;
   /** Monotonic milliseconds until which it said that it is full. */
   fullUntil = -Infinity;
   /** Monotonic milliseconds at which it became known that it is gone; undefined while it is listed. */
