Split the gateway: choice of upstreams, endpoints, watch of the platform, planned stop

gateway.ts held four things in 465 lines; each is now a class in a file of its own, and the gateway puts them together. Constants, log lines and their order are as before.

--- /dev/null
+++ b/src/gateway/gateway_endpoints.ts
@@ -0,0 +1,107 @@
+import type { ServerResponse } from "node:http";
+import type { KnownHost } from "../peers/host_table.ts";
+import type { CallerSurface } from "./caller_surface.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { GatewaySettings } from "./gateway_settings.ts";
+import { type EndpointHandlers, HttpEndpoint } from "./http_endpoint.ts";
+import { chooseAddresses } from "./locate.ts";
+import { PREFIXES_PATH, type PrefixExchange } from "./prefix_exchange.ts";
+import {
+  PUBLICATION_PATH,
+  type PublicationExchange,
+} from "./publication_exchange.ts";
+
+/** Path under which counters and histograms are served, as Prometheus asks for it. */
+const METRICS_PATH = "/metrics";
+/** Time for which callers may keep an answer with addresses, in milliseconds. */
+const LOCATE_LIFETIME_MS = 500;
+
+/** What the endpoints answer from. */
+export interface GatewayEndpointsOptions {
+  /** The settings in force; the addresses to listen on are read once. */
+  getSettings: () => GatewaySettings;
+  surface: CallerSurface;
+  metrics: GatewayMetrics;
+  publicationExchange: PublicationExchange;
+  prefixExchange: PrefixExchange;
+  /** Whether the host is up and not stopping. */
+  isReady: () => boolean;
+  /** Whether callers should send requests to this host. */
+  isServing: () => boolean;
+  /** Other hosts that are heard. */
+  getLiveHosts: () => readonly KnownHost[];
+  /** Age of what is known, in milliseconds. */
+  getAgeMs: () => number;
+}
+
+/** The HTTP endpoints of a gateway beside the callers' requests: readiness, addresses, other hosts and metrics. */
+export class GatewayEndpoints {
+  private constructor(
+    private readonly options: GatewayEndpointsOptions,
+    private readonly endpoints: HttpEndpoint[] = [],
+  ) {}
+
+  /** Opens the endpoints.
+   * @param options What they answer from.
+   * @throws The system's error where an address can't be listened on. */
+  static async create(
+    options: GatewayEndpointsOptions,
+  ): Promise<GatewayEndpoints> {
+    const opened = new GatewayEndpoints(options);
+    const opening = Object.entries(opened.buildHandlers()).map((
+      [address, handlers],
+    ) => HttpEndpoint.create(address, handlers));
+    opened.endpoints.push(...await Promise.all(opening));
+    return opened;
+  }
+
+  /** Closes the endpoints and their connections. */
+  close(): void {
+    for (const endpoint of this.endpoints) endpoint.close();
+  }
+
+  private buildHandlers(): Record<string, EndpointHandlers> {
+    const settings = this.options.getSettings();
+    const { surface, publicationExchange, prefixExchange } = this.options;
+    return {
+      [settings.readinessAddress]: {
+        [`GET ${surface.readinessPath}`]: (_request, response) =>
+          response.writeHead(this.options.isReady() ? 200 : 503).end(),
+      },
+      [settings.locateAddress]: {
+        [`GET ${surface.locatePath}`]: (_request, response) =>
+          this.answerLocate(response),
+      },
+      [settings.peerAddress]: {
+        [`GET ${PUBLICATION_PATH}`]: (_request, response, query) =>
+          publicationExchange.answer(response, query),
+        [`GET ${PREFIXES_PATH}`]: (_request, response) =>
+          prefixExchange.answer(response),
+      },
+      [settings.metricsAddress]: {
+        [`GET ${METRICS_PATH}`]: (_request, response) =>
+          void this.answerMetrics(response),
+      },
+    };
+  }
+
+  private answerLocate(response: ServerResponse): void {
+    const { callerAddress, locateLifetimeLimitMs } = this.options.getSettings();
+    const addresses = chooseAddresses({
+      own: { callerAddress, isReady: this.options.isServing() },
+      live: this.options.getLiveHosts(),
+    });
+    if (addresses.length === 0) {
+      response.writeHead(503).end();
+      return;
+    }
+    const lifetimeMs = Math.min(LOCATE_LIFETIME_MS, locateLifetimeLimitMs);
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(this.options.surface.writeAddresses(addresses, lifetimeMs));
+  }
+
+  private async answerMetrics(response: ServerResponse): Promise<void> {
+    const { metrics, getAgeMs } = this.options;
+    response.end(await metrics.getText(getAgeMs()));
+  }
+}
--- /dev/null
+++ b/src/gateway/planned_stop.ts
@@ -0,0 +1,56 @@
+import { setTimeout as delay } from "node:timers/promises";
+
+/** Time from the start of a planned stop after which answers close their connections, in milliseconds. */
+const CLOSE_CONNECTIONS_AFTER_MS = 1_500;
+/** Time for which a stopping host still takes requests, in milliseconds: three lifetimes of an answer with addresses,
+ * for which some callers keep it. */
+const LINGER_MS = 3_500;
+/** Part of the time of a planned stop that may be used. */
+const STOP_PART = 0.93;
+/** Interval at which a stopping host looks whether its work is done, in milliseconds. */
+const STOP_CHECK_MS = 50;
+
+/** The course of a planned stop: whether it has started, and how long the host still takes requests. */
+export class PlannedStop {
+  private startedAt: number | undefined;
+
+  private constructor() {}
+
+  /** Creates a stop that has not started. */
+  static create(): PlannedStop {
+    return new PlannedStop();
+  }
+
+  /** Whether the stop has started. */
+  get hasStarted(): boolean {
+    return this.startedAt !== undefined;
+  }
+
+  /** Whether connections of callers are to be closed after their answer. */
+  get closesConnections(): boolean {
+    return this.startedAt !== undefined &&
+      performance.now() - this.startedAt > CLOSE_CONNECTIONS_AFTER_MS;
+  }
+
+  /** Starts the stop, where it has not started. */
+  start(): void {
+    this.startedAt ??= performance.now();
+  }
+
+  /** Waits until callers use other hosts and no call is open, or until the time is used up.
+   * @param limitMs Time that the stop may take, in milliseconds.
+   * @param countOpenCalls Calls that have not been answered. */
+  async waitForCalls(
+    limitMs: number,
+    countOpenCalls: () => number,
+  ): Promise<void> {
+    const startedAt = this.startedAt ?? performance.now();
+    const endsAt = startedAt + limitMs * STOP_PART;
+    const lingersUntil = Math.min(startedAt + LINGER_MS, endsAt);
+    while (performance.now() < endsAt) {
+      const isLate = performance.now() >= lingersUntil;
+      if (isLate && countOpenCalls() === 0) break;
+      await delay(STOP_CHECK_MS);
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/upstream_chooser.ts
@@ -0,0 +1,160 @@
+import type { Logger } from "../logging/logger.ts";
+import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
+import type { Service } from "../published/configuration_schema.ts";
+import { Random } from "../random/random.ts";
+import { chooseUpstream } from "../upstreams/choose_upstream.ts";
+import { findFetchSource } from "../upstreams/find_fetch_source.ts";
+import { LoadCounts } from "../upstreams/load_counts.ts";
+import { PrefixIndex } from "../upstreams/prefix_index.ts";
+import { RetryShare } from "../upstreams/retry_share.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
+import type { HealthSign } from "../upstreams/upstream_health.ts";
+import { UpstreamTable } from "../upstreams/upstream_table.ts";
+import type { GatewaySettings } from "./gateway_settings.ts";
+
+/** What the chooser needs of the gateway and whom it tells. */
+export interface UpstreamChooserOptions {
+  logger: Logger;
+  /** The settings in force; read anew for each choice. */
+  getSettings: () => GatewaySettings;
+  /** A service as it is published, or nothing. */
+  getService: (name: string) => Service | undefined;
+  /** Hosts that are heard, this one too. */
+  countHosts: () => number;
+  /** Whether the platform has come back so lately that missing entries may only have lapsed. */
+  mayHaveLapsed: () => boolean;
+  /** Told when there are facts about prompts for other hosts. */
+  onFacts: () => void;
+  /** Told of each sign of an upstream's health. */
+  onSign: (sign: HealthSign) => void;
+}
+
+/** Holds the upstreams with their loads, the prompts they keep and the retries left, and chooses among them. */
+export class UpstreamChooser {
+  /** The upstreams that are known. */
+  readonly upstreams: UpstreamTable;
+  /** Requests on each upstream. */
+  readonly loads = LoadCounts.create();
+  /** Which engines keep which parts of prompts. */
+  readonly prefixes = PrefixIndex.create();
+  private readonly random = Random.create();
+  private readonly retryShares = new Map<string, RetryShare>();
+
+  private constructor(private readonly options: UpstreamChooserOptions) {
+    this.upstreams = UpstreamTable.create({
+      logger: options.logger,
+      mayHaveLapsed: options.mayHaveLapsed,
+      leaveWithinMs: options.getSettings().leaveWithinMs,
+    });
+  }
+
+  /** Creates a chooser that knows no upstreams.
+   * @param options What it needs. */
+  static create(options: UpstreamChooserOptions): UpstreamChooser {
+    return new UpstreamChooser(options);
+  }
+
+  /** Chooses an upstream for a call, or nothing where none is left.
+   * @param call The call.
+   * @param tried Ids of the upstreams that the call was sent to before. */
+  choose(call: RoutedCall, tried: ReadonlySet<string>): Upstream | undefined {
+    const { boundMultiple, hall } = this.options.getSettings();
+    return chooseUpstream({
+      candidates: this.getCandidates(call.service),
+      boundMultiple,
+      tried,
+      isCautious: !mayRunAgain(call),
+      sharedParts: call.sharedParts,
+      prefixes: this.prefixes,
+      loads: this.loads,
+      hall,
+      random: this.random,
+      now: performance.now(),
+    });
+  }
+
+  /** Address of the engine from which the chosen one should fetch what it lacks of a call's prompt, or nothing; records
+   * that the prompt is sent.
+   * @param call The call.
+   * @param target The engine that is to run it. */
+  findFetchSource(call: RoutedCall, target: Upstream): string | undefined {
+    const { sharedParts, service } = call;
+    if (sharedParts.length === 0) return undefined;
+    const now = performance.now();
+    const engines = this.upstreams.getPresent(service).filter((engine) =>
+      engine.health.isWithinReach(now)
+    );
+    const source = this.options.getService(service)?.canFetch
+      ? findFetchSource(sharedParts, target, engines, this.prefixes, now)
+      : undefined;
+    const isFetched = source !== undefined;
+    this.prefixes.noteSent(sharedParts, target.key, isFetched, now);
+    if (this.prefixes.hasUntold) this.options.onFacts();
+    return source?.published.address;
+  }
+
+  /** Engines of the services that can take from each other what they keep. */
+  getFetchingEngines(): Upstream[] {
+    return [...this.upstreams.getAll()].filter((upstream) =>
+      this.options.getService(upstream.published.service)?.canFetch
+    );
+  }
+
+  /** Records how an attempt at an upstream ended.
+   * @param upstream The upstream.
+   * @param sign What the attempt says of its health. */
+  noteHealth(upstream: Upstream, sign: HealthSign): void {
+    this.options.onSign(sign);
+    const ejectedMs = upstream.health.note(sign, performance.now());
+    if (ejectedMs === 0) return;
+    this.options.logger.warn(
+      { upstream: upstream.id, sign, ejectedMs },
+      "upstream_ejected",
+    );
+  }
+
+  /** Counts a call that is sent for the first time, from which its service's retries grow.
+   * @param service Name of the service. */
+  noteFirstSend(service: string): void {
+    this.getRetryShare(service).noteRequest(performance.now());
+  }
+
+  /** Takes a retry of a service; returns whether there was one left.
+   * @param service Name of the service. */
+  spendRetry(service: string): boolean {
+    return this.getRetryShare(service).spend(performance.now());
+  }
+
+  /** Begins the counts of retries anew, for the settings they follow have changed. */
+  resetRetries(): void {
+    this.retryShares.clear();
+  }
+
+  /** Closes the connections to all upstreams. */
+  close(): void {
+    this.upstreams.close();
+  }
+
+  /** Upstreams of a service that may get a request, but for those on which this host uses up its share of connections. */
+  private getCandidates(service: string): Upstream[] {
+    const serving = this.upstreams.getServing(service);
+    const most = this.options.getService(service)?.maxConnections;
+    if (most === undefined) return serving;
+    const share = Math.max(1, most / this.options.countHosts());
+    return serving.filter((upstream) => upstream.ownRequests < share);
+  }
+
+  private getRetryShare(service: string): RetryShare {
+    const known = this.retryShares.get(service);
+    if (known) return known;
+    const settings = this.options.getSettings();
+    const share = RetryShare.create({
+      ratio: settings.retryRatio,
+      extra: settings.retryExtra,
+      windowMs: settings.retryWindowMs,
+      countHosts: this.options.countHosts,
+    });
+    this.retryShares.set(service, share);
+    return share;
+  }
+}
