--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -1,72 +1,37 @@
 import { Failure } from "../errors/failure.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
-import type { Logger } from "../logging/logger.ts";
 import type { Route } from "../published/configuration_schema.ts";
-import type { HealthSign } from "../upstreams/upstream_health.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
-import { Attempt, type AttemptFailure } from "./attempt.ts";
+import { AnswerRelay } from "./answer_relay.ts";
+import {
+  Attempt,
+  type AttemptFailure,
+  type AttemptRequest,
+} from "./attempt.ts";
+import { AttemptBudget } from "./attempt_budget.ts";
+import { CallLog } from "./call_log.ts";
+import type { CallOutcome, CallRunContext } from "./call_run_context.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
-import type { AnswerHeaders, HeaderCodec } from "./caller_headers.ts";
-import { EventSplitter } from "./event_splitter.ts";
+import type { AnswerHeaders } from "./caller_headers.ts";
 import { type Silence, SilenceWatch } from "./silence_watch.ts";
-import { mayRunAgain, type RoutedCall } from "./routed_call.ts";
+import type { RoutedCall } from "./routed_call.ts";
 
-/** Upstreams that a request may be brought to without running there: out of reach, full, or gone. */
-const MAX_UNRUN_ATTEMPTS = 4;
 /** Time for which an upstream that said it is full is left out, in milliseconds. */
 const FULL_FOR_MS = 150;
 /** Least time left in which sending once more makes sense, in milliseconds. */
 const LEAST_REMAINING_MS = 15;
 
-/** What a run needs of the rest of the process. */
-export interface CallRunContext {
-  logger: Logger;
-  codec: HeaderCodec;
-  /** Chooses an upstream for a call, leaving out those tried. */
-  choose: (
-    call: RoutedCall,
-    tried: ReadonlySet<string>,
-  ) => Upstream | undefined;
-  /** Whether there is an upstream left for a call. */
-  canChoose: (call: RoutedCall, tried: ReadonlySet<string>) => boolean;
-  /** Address of the engine from which another should fetch what it lacks of a call's prompt. */
-  findFetchSource: (call: RoutedCall, target: Upstream) => string | undefined;
-  /** Requests on an upstream from all hosts, as far as is known. */
-  getLoad: (upstream: Upstream) => number;
-  /** Takes a retry from the budget of a service; returns whether there was one. */
-  spendRetry: (service: string) => boolean;
-  /** Told how an attempt ended, as far as the upstream's health goes. */
-  noteHealth: (upstream: Upstream, sign: HealthSign) => void;
-  /** Told that an upstream's address belongs to another now. */
-  noteMoved: (upstream: Upstream) => void;
-  /** Told when the run is over. */
-  onEnd: (run: CallRun, outcome: CallOutcome) => void;
-}
-
-/** How a run ended. */
-export interface CallOutcome {
-  result: "answered" | "refused" | "broken_off" | "caller_gone";
-  detail: string;
-  durationMs: number;
-  attempts: number;
-}
-
 /** One request on its way: attempts at upstreams until one gives the answer, or time or retries are used up. */
 export class CallRun {
   private readonly tried = new Set<string>();
+  private readonly budget: AttemptBudget;
+  private readonly relay: AnswerRelay;
+  private readonly log: CallLog;
   private attempt: Attempt | undefined;
-  /** Attempts that may have run the request. */
-  private ranAttempts = 0;
-  private unrunAttempts = 0;
   private isOver = false;
   private timer: NodeJS.Timeout | undefined;
   private silence: SilenceWatch | undefined;
   private timeoutMs: number;
-  private head: { status: number; answer: AnswerHeaders } | undefined;
-  private body: Buffer[] = [];
-  private splitter: EventSplitter | undefined;
-  private lastEventId: string | undefined;
-  private eventsGiven = 0;
 
   private constructor(
     /** The request. */
@@ -75,7 +40,9 @@
     private readonly context: CallRunContext,
   ) {
     this.timeoutMs = call.route.timeoutMs;
-    this.lastEventId = call.headers.lastEventId;
+    this.budget = AttemptBudget.create(call, context.spendRetry);
+    this.log = CallLog.create(context.logger, call.requestId);
+    this.relay = AnswerRelay.create(answer, call.headers.lastEventId);
   }
 
   /** Starts a run.
@@ -125,7 +92,7 @@
 
   /** Whether the request may have run: an attempt failed after it was sent, or one is under way. */
   private get mayHaveRun(): boolean {
-    return this.ranAttempts > 0 || (this.attempt?.wasSent ?? false);
+    return this.budget.mayHaveRun || (this.attempt?.wasSent ?? false);
   }
 
   /** Sends the request to the next upstream, or refuses it where there is none. */
@@ -134,67 +101,52 @@
     const upstream = context.choose(call, this.tried);
     if (!upstream) return this.giveUp(`no upstream left after ${reason}`);
     this.tried.add(upstream.id);
-    this.head = undefined;
-    this.body = [];
-    this.splitter = undefined;
+    this.relay.startAttempt();
     const remainingMs = this.endsAt - performance.now();
     if (remainingMs < LEAST_REMAINING_MS) return this.giveUp("no time left");
+    this.watchForSilence(upstream);
+    const fetchFrom = context.findFetchSource(call, upstream);
+    const load = context.getLoad(upstream);
+    this.log.noteSent({ upstream, reason, remainingMs, load, fetchFrom });
+    this.send(upstream, this.buildRequest(upstream, remainingMs, fetchFrom));
+  }
+
+  private watchForSilence(upstream: Upstream): void {
     this.silence?.close();
     this.silence = SilenceWatch.create(
       upstream,
-      call.route,
+      this.call.route,
       (silence) => this.takeSilence(upstream, silence),
     );
-    const fetchFrom = context.findFetchSource(call, upstream);
-    this.logSend(upstream, reason, remainingMs, fetchFrom);
-    this.attempt = Attempt.create(
-      upstream,
-      this.buildRequest(upstream, remainingMs, fetchFrom),
-      context.codec,
-      {
-        onHead: (status, answer) => this.takeHead(status, answer),
-        onBytes: (bytes) => this.takeBytes(bytes),
-        onEnd: () => this.takeEnd(),
-        onFailure: (failure, detail) => this.takeFailure(failure, detail),
-      },
-    );
+  }
+
+  private send(upstream: Upstream, request: AttemptRequest): void {
+    this.attempt = Attempt.create(upstream, request, this.context.codec, {
+      onHead: (status, answer) => this.takeHead(status, answer),
+      onBytes: (bytes) => this.takeBytes(bytes),
+      onEnd: () => this.takeEnd(),
+      onFailure: (failure, detail) => this.takeFailure(failure, detail),
+    });
   }
 
   private buildRequest(
     upstream: Upstream,
     remainingMs: number,
     fetchFrom: string | undefined,
-  ) {
+  ): AttemptRequest {
     const { call, context } = this;
     const headers = context.codec.writeUpstream(call.headers, {
       upstreamId: upstream.id,
       remainingMs,
       customer: call.customer,
       urgency: call.headers.prompt ? call.urgency : undefined,
-      lastEventId: this.lastEventId,
+      lastEventId: this.relay.lastEventId,
       fetchFrom,
     });
     const { method, path, body, requestId } = call;
     return { method, path, body, requestId, headers };
   }
 
-  private logSend(
-    upstream: Upstream,
-    reason: string,
-    remainingMs: number,
-    fetchFrom: string | undefined,
-  ): void {
-    this.context.logger.info({
-      request: this.call.requestId,
-      upstream: upstream.id,
-      reason,
-      remainingMs: Math.round(remainingMs),
-      load: this.context.getLoad(upstream),
-      failureRate: Number(upstream.health.rate.toFixed(2)),
-      fetchFrom,
-    }, "request_sent");
-  }
-
   private takeHead(status: number, answer: AnswerHeaders): void {
     const upstream = this.attempt!.upstream;
     if (answer.isNotRun) return this.takeDecline(upstream, answer, status);
@@ -204,10 +156,8 @@
       this.attempt!.abandon();
       return this.takeFailure("broken", "a success without proof or id");
     }
-    this.head = { status, answer };
-    if (isSuccess && answer.isEventStream) {
-      this.splitter = EventSplitter.create();
-    }
+    const isStream = isSuccess && answer.isEventStream;
+    this.relay.takeHead({ status, answer }, isStream);
   }
 
   private takeDecline(
@@ -217,10 +167,10 @@
   ): void {
     this.attempt!.abandon();
     this.attempt = undefined;
-    this.unrunAttempts += 1;
+    this.budget.noteUnrun();
     if (answer.isOtherUpstream) this.context.noteMoved(upstream);
     else upstream.fullUntil = performance.now() + FULL_FOR_MS;
-    this.logTrouble(upstream, `declined with ${status}`);
+    this.log.noteTrouble(upstream, `declined with ${status}`, this.tried.size);
     this.retryUnrun(`declined with ${status}`);
   }
 
@@ -229,65 +179,45 @@
   private takeSilence(upstream: Upstream, silence: Silence): void {
     if (this.isOver) return;
     const detail = `silent for ${Math.round(silence.silentMs)} ms`;
-    this.logTrouble(upstream, detail);
+    this.log.noteTrouble(upstream, detail, this.tried.size);
     this.context.noteHealth(upstream, "silent");
-    if (!silence.isLikelyStuck || !mayRunAgain(this.call)) return;
-    if (this.ranAttempts + 1 >= this.call.route.maxAttempts) return;
+    if (!silence.isLikelyStuck || !this.budget.allowsRun(1)) return;
     if (!this.context.canChoose(this.call, this.tried)) return;
-    if (!this.context.spendRetry(this.call.service)) return;
+    if (!this.budget.spendRetry()) return;
     this.attempt?.abandon();
-    this.ranAttempts += 1;
+    this.budget.noteRan();
     this.next(detail);
   }
 
   private takeBytes(bytes: Buffer): void {
     this.silence?.noteBytes();
-    if (!this.splitter) {
-      this.body.push(bytes);
-      return;
-    }
-    for (const event of this.splitter.push(bytes)) {
-      if (event.id !== undefined) this.lastEventId = event.id;
-      this.giveEvent(event.bytes);
-    }
-  }
-
-  private giveEvent(bytes: Buffer): void {
-    const { status, answer } = this.head!;
-    if (!this.answer.hasStarted) {
-      this.answer.beginStream(status, withoutLength(answer.passedBack));
-    }
-    this.eventsGiven += 1;
-    const attempt = this.attempt;
-    const hasRoom = this.answer.write(bytes, () => attempt?.resume());
-    if (!hasRoom) attempt?.pause();
+    this.relay.takeBytes(bytes, this.attempt);
   }
 
   private takeEnd(): void {
     const upstream = this.attempt!.upstream;
-    if (!this.head) return this.takeFailure("broken", "an end without a head");
-    if (this.splitter) return this.takeStreamEnd(upstream);
-    const { status, answer } = this.head;
+    const { head } = this.relay;
+    if (!head) return this.takeFailure("broken", "an end without a head");
+    if (this.relay.isStream) return this.takeStreamEnd(upstream);
+    const { status } = head;
     if (status >= 500) {
       this.context.noteHealth(upstream, "error_answer");
-      this.ranAttempts += 1;
-      if (this.mayRetry()) return this.next(`answered with ${status}`);
+      this.budget.noteRan();
+      if (this.budget.spendAfterRun()) {
+        return this.next(`answered with ${status}`);
+      }
     } else this.noteGood(upstream);
-    this.answer.giveWhole(status, answer.passedBack, Buffer.concat(this.body));
+    this.relay.giveWhole();
     this.finish("answered", `status ${status}`);
   }
 
   private takeStreamEnd(upstream: Upstream): void {
-    if (this.splitter!.hasRest) {
+    if (this.relay.hasRest) {
       return this.takeFailure("broken", "the stream ended within an event");
     }
-    const { status, answer } = this.head!;
-    if (!this.answer.hasStarted) {
-      this.answer.beginStream(status, withoutLength(answer.passedBack));
-    }
     this.noteGood(upstream);
-    this.answer.endStream();
-    this.finish("answered", `${this.eventsGiven} events`);
+    this.relay.endStream();
+    this.finish("answered", `${this.relay.eventsGiven} events`);
   }
 
   private noteGood(upstream: Upstream): void {
@@ -297,37 +227,28 @@
 
   private takeFailure(failure: AttemptFailure, detail: string): void {
     const upstream = this.attempt!.upstream;
-    this.logTrouble(upstream, detail);
+    this.log.noteTrouble(upstream, detail, this.tried.size);
     if (failure === "not_sent") {
-      this.unrunAttempts += 1;
+      this.budget.noteUnrun();
       this.context.noteHealth(upstream, "unreachable");
       return this.retryUnrun(detail);
     }
     this.context.noteHealth(upstream, "broken");
-    this.ranAttempts += 1;
-    if (this.mayRetry()) return this.next(detail);
+    this.budget.noteRan();
+    if (this.budget.spendAfterRun()) return this.next(detail);
     this.refuse("upstream_failed", detail);
   }
 
   /** Goes on after an attempt that certainly did not run. */
   private retryUnrun(detail: string): void {
-    const mayGoOn = this.unrunAttempts < MAX_UNRUN_ATTEMPTS &&
-      this.context.spendRetry(this.call.service);
-    if (mayGoOn) return this.next(detail);
+    if (this.budget.spendAfterUnrun()) return this.next(detail);
     this.giveUp(detail);
   }
 
-  /** Whether the request may be sent again after it may have run. */
-  private mayRetry(): boolean {
-    return mayRunAgain(this.call) &&
-      this.ranAttempts < this.call.route.maxAttempts &&
-      this.context.spendRetry(this.call.service);
-  }
-
   /** Refuses: as not run where that is certain. */
   private giveUp(detail: string): void {
     this.refuse(
-      this.ranAttempts > 0 ? "upstream_failed" : "overloaded",
+      this.budget.mayHaveRun ? "upstream_failed" : "overloaded",
       detail,
     );
   }
@@ -336,7 +257,7 @@
     if (this.isOver) return;
     this.answer.refuse(Failure.create(kind, detail));
     this.finish(
-      this.eventsGiven > 0 ? "broken_off" : "refused",
+      this.relay.eventsGiven > 0 ? "broken_off" : "refused",
       `${kind}: ${detail}`,
     );
   }
@@ -351,24 +272,4 @@
     const attempts = this.tried.size;
     this.context.onEnd(this, { result, detail, durationMs, attempts });
   }
-
-  private logTrouble(upstream: Upstream, detail: string): void {
-    this.context.logger.info({
-      request: this.call.requestId,
-      upstream: upstream.id,
-      detail,
-      attempt: this.tried.size,
-      failureRate: Number(upstream.health.rate.toFixed(2)),
-    }, "attempt_failed");
-  }
-}
-
-/** Headers without a length, which a stream that may go on elsewhere can't promise. */
-function withoutLength(headers: readonly string[]): string[] {
-  const kept: string[] = [];
-  for (let index = 0; index < headers.length; index += 2) {
-    if (headers[index]!.toLowerCase() === "content-length") continue;
-    kept.push(headers[index]!, headers[index + 1]!);
-  }
-  return kept;
 }
--- /dev/null
+++ b/src/forward/call_run_context.ts
@@ -0,0 +1,41 @@
+import type { Logger } from "../logging/logger.ts";
+import type { HealthSign } from "../upstreams/upstream_health.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
+import type { CallRun } from "./call_run.ts";
+import type { HeaderCodec } from "./caller_headers.ts";
+import type { RoutedCall } from "./routed_call.ts";
+
+/** How a run ended. */
+export interface CallOutcome {
+  result: "answered" | "refused" | "broken_off" | "caller_gone";
+  /** Status or count of events of the answer, or why there is none. */
+  detail: string;
+  durationMs: number;
+  /** Upstreams that were chosen for the request. */
+  attempts: number;
+}
+
+/** What a run needs of the rest of the process. */
+export interface CallRunContext {
+  logger: Logger;
+  codec: HeaderCodec;
+  /** Chooses an upstream for a call, leaving out those tried. */
+  choose: (
+    call: RoutedCall,
+    tried: ReadonlySet<string>,
+  ) => Upstream | undefined;
+  /** Whether there is an upstream left for a call. */
+  canChoose: (call: RoutedCall, tried: ReadonlySet<string>) => boolean;
+  /** Address of the engine from which another should fetch what it lacks of a call's prompt. */
+  findFetchSource: (call: RoutedCall, target: Upstream) => string | undefined;
+  /** Requests on an upstream from all hosts, as far as is known. */
+  getLoad: (upstream: Upstream) => number;
+  /** Takes a retry from the budget of a service; returns whether there was one. */
+  spendRetry: (service: string) => boolean;
+  /** Told how an attempt ended, as far as the upstream's health goes. */
+  noteHealth: (upstream: Upstream, sign: HealthSign) => void;
+  /** Told that an upstream's address belongs to another now. */
+  noteMoved: (upstream: Upstream) => void;
+  /** Told when the run is over. */
+  onEnd: (run: CallRun, outcome: CallOutcome) => void;
+}
