Leave out what nothing reads

The average of latencies, the reported load, two fields of the prompt's outline, the region of the settings and three getters had no reader.

--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -206,7 +206,7 @@
       if (this.budget.spendAfterRun()) {
         return this.next(`answered with ${status}`);
       }
-    } else this.noteGood(upstream);
+    } else this.context.noteHealth(upstream, "good");
     this.relay.giveWhole();
     this.finish("answered", `status ${status}`);
   }
@@ -215,16 +215,11 @@
     if (this.relay.hasRest) {
       return this.takeFailure("broken", "the stream ended within an event");
     }
-    this.noteGood(upstream);
+    this.context.noteHealth(upstream, "good");
     this.relay.endStream();
     this.finish("answered", `${this.relay.eventsGiven} events`);
   }
 
-  private noteGood(upstream: Upstream): void {
-    upstream.latency.add(performance.now() - this.call.receivedAt);
-    this.context.noteHealth(upstream, "good");
-  }
-
   private takeFailure(failure: AttemptFailure, detail: string): void {
     const upstream = this.attempt!.upstream;
     this.log.noteTrouble(upstream, detail, this.tried.size);
--- a/src/forward/caller_answer.ts
+++ b/src/forward/caller_answer.ts
@@ -30,11 +30,6 @@
     return this.isStarted;
   }
 
-  /** Status code that was written. */
-  get status(): number {
-    return this.response.statusCode;
-  }
-
   /** Gives an upstream's whole answer.
    * @param status Status code.
    * @param headers Name and value by turns.
--- a/src/forward/caller_headers.ts
+++ b/src/forward/caller_headers.ts
@@ -12,10 +12,6 @@
   parts: readonly PromptPart[];
   /** Tokens of the whole prompt. */
   promptTokens: number;
-  /** Most tokens of the answer. */
-  maxAnswerTokens: number;
-  /** The caller's guess of the answer's tokens, where it gives one. */
-  expectedAnswerTokens: number | undefined;
 }
 
 /** What the headers of a caller's request say. */
@@ -53,13 +49,6 @@
   fetchFrom: string | undefined;
 }
 
-/** Requests that an upstream has at the moment. */
-export interface ReportedLoad {
-  running: number;
-  waiting: number;
-  slots: number;
-}
-
 /** What the headers of an upstream's answer say. */
 export interface AnswerHeaders {
   /** Id of the request that the answer belongs to. */
@@ -71,7 +60,6 @@
   /** Whether the upstream's proof is there, without which an answer is not a success. */
   hasProof: boolean;
   isEventStream: boolean;
-  load: ReportedLoad | undefined;
   /** Whether the upstream will close the connection. */
   isClosing: boolean;
   /** Headers for the caller, as name and value by turns. */
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -8,7 +8,6 @@
   /** Name of the host, the same after a restart. */
   id: z.string().min(1),
   hall: z.string(),
-  region: z.string(),
   /** Where callers send requests. */
   callerAddress: address,
   /** Where it is asked whether the host is ready. */
--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -40,11 +40,6 @@
     return watcher;
   }
 
-  /** Whether the last call failed. */
-  get isFailing(): boolean {
-    return this.failedSince !== undefined;
-  }
-
   /** Ends the watch after the call under way. */
   close(): void {
     this.abort.abort();
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -1,7 +1,6 @@
 import { hashText } from "../hashing/hasher.ts";
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
 import { ChannelPool } from "./channel_pool.ts";
-import { LatencyAverage } from "./latency_average.ts";
 import { UpstreamHealth } from "./upstream_health.ts";
 
 /** One upstream as this process knows and uses it. */
@@ -10,8 +9,6 @@
   readonly channels: ChannelPool;
   /** What its answers say of its health. */
   readonly health = UpstreamHealth.create();
-  /** Time to its whole answers, in milliseconds. */
-  readonly latency = LatencyAverage.create();
   /** Short name of the upstream in what hosts tell each other. */
   readonly key: number;
   /** Requests that this process has running there. */
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -32,15 +32,6 @@
     return new UpstreamTable(options);
   }
 
-  private get lapseGraceMs(): number {
-    return this.options.leaveWithinMs * LAPSE_GRACE_PART;
-  }
-
-  /** Number of upstreams. */
-  get size(): number {
-    return this.byId.size;
-  }
-
   /** All upstreams. */
   getAll(): Iterable<Upstream> {
     return this.byId.values();
@@ -68,14 +59,6 @@
     return [...this.byService.get(service) ?? [], ...departed];
   }
 
-  /** Whether an upstream may get a new request at this moment.
-   * @param upstream The upstream. */
-  mayServe(upstream: Upstream): boolean {
-    if (upstream.published.isLeaving) return false;
-    if (upstream.goneAt === undefined) return true;
-    return performance.now() < upstream.goneAt + this.lapseGraceMs;
-  }
-
   /** Takes over changes.
    * @param changes The changes. */
   apply(changes: readonly UpstreamChange[]): void {
@@ -100,6 +83,18 @@
     for (const upstream of this.byId.values()) upstream.close();
   }
 
+  /** Time for which an upstream that may only have lapsed is still used, in milliseconds. */
+  private get lapseGraceMs(): number {
+    return this.options.leaveWithinMs * LAPSE_GRACE_PART;
+  }
+
+  /** Whether an upstream may get a new request at this moment. */
+  private mayServe(upstream: Upstream): boolean {
+    if (upstream.published.isLeaving) return false;
+    if (upstream.goneAt === undefined) return true;
+    return performance.now() < upstream.goneAt + this.lapseGraceMs;
+  }
+
   private put(fresh: Upstream): void {
     const known = this.byId.get(fresh.id);
     if (known) this.departed.delete(known);
--- a/tests/gateway/with_gateways.ts
+++ b/tests/gateway/with_gateways.ts
@@ -126,7 +126,6 @@
     return {
       id: `g-${this.gateways.length}`,
       hall: "h",
-      region: "x",
       callerAddress: caller,
       readinessAddress: readiness,
       locateAddress: locate,
