--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -47,10 +47,8 @@
       retryMs: RETRY_MS,
       idleCheckMs: IDLE_CHECK_MS,
       isNeeded: () => this.isNeeded(),
-      onReachable: (isReachable, outageMs) => {
-        if (isReachable && outageMs >= LAPSE_OUTAGE_MS) {
-          this.regainedAt = performance.now();
-        }
+      onRegained: (outageMs) => {
+        if (outageMs >= LAPSE_OUTAGE_MS) this.regainedAt = performance.now();
       },
     });
   }
--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -18,8 +18,8 @@
   idleCheckMs: number;
   /** Whether this process is to watch now, rather than hear from peers. */
   isNeeded: () => boolean;
-  /** Told of each change between failing and working, with the length of the failure in milliseconds. */
-  onReachable: (isReachable: boolean, outageMs: number) => void;
+  /** Told when the platform answers again, with the time since its last answer before, in milliseconds. */
+  onRegained: (outageMs: number) => void;
 }
 
 /** Repeats long polls of what is published while this process is to watch. */
@@ -101,7 +101,7 @@
     if (this.failedSince !== undefined) {
       const outageMs = Math.round(now - this.answeredAt);
       this.options.logger.info({ outageMs }, "platform_regained");
-      this.options.onReachable(true, outageMs);
+      this.options.onRegained(outageMs);
     }
     this.failedSince = undefined;
     this.answeredAt = now;
@@ -123,7 +123,6 @@
       { reason: String(error), ageMs: Math.round(this.options.keeper.ageMs) },
       "platform_lost",
     );
-    this.options.onReachable(false, 0);
   }
 
   private async pause(milliseconds: number): Promise<void> {
