Ask and answer other hosts in one place, and split addresses in one

Both exchanges between hosts held the same client and the same packing; three sockets split ip:port by hand. An answer of another status than 200 is now left unread by both; such a publication failed before too, in reading it.

--- a/src/forward/call_server.ts
+++ b/src/forward/call_server.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import { once } from "node:events";
 import type { Duplex } from "node:stream";
+import { splitAddress } from "../addresses/split_address.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
 import { Failure } from "../errors/failure.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -50,8 +51,8 @@
     }, onRequest);
     const opened = new CallServer(server, logger);
     server.on("clientError", (error, socket) => opened.refuse(error, socket));
-    const [host, port] = address.split(":");
-    server.listen(Number(port), host);
+    const { host, port } = splitAddress(address);
+    server.listen(port, host);
     await once(server, "listening");
     return opened;
   }
--- a/src/gateway/http_endpoint.ts
+++ b/src/gateway/http_endpoint.ts
@@ -5,6 +5,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { splitAddress } from "../addresses/split_address.ts";
 
 /** Answers one path of an endpoint. */
 export type EndpointHandler = (
@@ -34,8 +35,8 @@
       if (handler) handler(request, response, url.searchParams);
       else response.writeHead(404).end();
     });
-    const [host, port] = address.split(":");
-    server.listen(Number(port), host);
+    const { host, port } = splitAddress(address);
+    server.listen(port, host);
     await once(server, "listening");
     return new HttpEndpoint(server);
   }
--- a/src/gateway/prefix_exchange.ts
+++ b/src/gateway/prefix_exchange.ts
@@ -1,8 +1,7 @@
 import type { ServerResponse } from "node:http";
-import { pack, unpack } from "msgpackr";
-import { Agent, request } from "undici";
 import { z } from "zod";
 import type { Logger } from "../logging/logger.ts";
+import { answerPacked, PackedClient } from "../peers/packed_client.ts";
 import type { PrefixIndex } from "../upstreams/prefix_index.ts";
 
 /** Path under which a host tells another which engines keep which parts. */
@@ -17,9 +16,7 @@
 
 /** Asks other hosts which engines keep which parts of prompts, and answers them. */
 export class PrefixExchange {
-  private readonly agent = new Agent({
-    connect: { timeout: ANSWER_TIMEOUT_MS },
-  });
+  private readonly client = PackedClient.create(ANSWER_TIMEOUT_MS);
 
   private constructor(
     private readonly prefixes: PrefixIndex,
@@ -41,21 +38,16 @@
       return;
     }
     const facts = this.prefixes.getRecent(MAX_FACTS, performance.now());
-    response.writeHead(200, { "content-type": "application/msgpack" });
-    response.end(pack(facts));
+    answerPacked(response, facts);
   }
 
   /** Asks a host; returns whether it knew.
    * @param address Where it answers other hosts, as ip:port. */
   async ask(address: string): Promise<boolean> {
     try {
-      const response = await request(`http://${address}${PREFIXES_PATH}`, {
-        dispatcher: this.agent,
-        signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
-      });
-      const bytes = Buffer.from(await response.body.arrayBuffer());
-      if (response.statusCode !== 200) return false;
-      const facts = factsSchema.parse(unpack(bytes));
+      const answer = await this.client.ask(address, PREFIXES_PATH);
+      if (answer === undefined) return false;
+      const facts = factsSchema.parse(answer);
       this.prefixes.learn(facts, performance.now());
       this.logger.info({ address, facts: facts.length }, "prefixes_learned");
       return true;
@@ -68,6 +60,6 @@
 
   /** Closes the connections. */
   async close(): Promise<void> {
-    await this.agent.destroy();
+    await this.client.close();
   }
 }
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -1,8 +1,7 @@
 import type { ServerResponse } from "node:http";
-import { pack, unpack } from "msgpackr";
-import { Agent, request } from "undici";
 import { z } from "zod";
 import type { Logger } from "../logging/logger.ts";
+import { answerPacked, PackedClient } from "../peers/packed_client.ts";
 import { configurationSchema } from "../published/configuration_schema.ts";
 import type { PublicationKeeper } from "../published/publication_keeper.ts";
 import { upstreamSchema } from "../published/upstream_schema.ts";
@@ -30,9 +29,7 @@
 
 /** Asks other hosts for what is published, and answers them. */
 export class PublicationExchange {
-  private readonly agent = new Agent({
-    connect: { timeout: ANSWER_TIMEOUT_MS },
-  });
+  private readonly client = PackedClient.create(ANSWER_TIMEOUT_MS);
   private readonly askedAt = new Map<string, number>();
 
   private constructor(
@@ -59,8 +56,7 @@
     const isKnown = String(state.configuration?.version) ===
       query.get("version");
     if (isKnown) state.configuration = undefined;
-    response.writeHead(200, { "content-type": "application/msgpack" });
-    response.end(pack({ ...state, ...age }));
+    answerPacked(response, { ...state, ...age });
   }
 
   /** Asks a host for everything it knows, unless it was asked just now.
@@ -83,7 +79,7 @@
 
   /** Closes the connections. */
   async close(): Promise<void> {
-    await this.agent.destroy();
+    await this.client.close();
   }
 
   private async take(
@@ -92,13 +88,8 @@
     askedAt: number,
   ): Promise<void> {
     const version = this.keeper.routes?.version ?? NO_VERSION;
-    const url = `http://${address}${PUBLICATION_PATH}?version=${version}`;
-    const response = await request(url, {
-      dispatcher: this.agent,
-      signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
-    });
-    const bytes = Buffer.from(await response.body.arrayBuffer());
-    const state = stateSchema.parse(unpack(bytes));
+    const path = `${PUBLICATION_PATH}?version=${version}`;
+    const state = stateSchema.parse(await this.client.ask(address, path));
     this.keeper.takeState(
       {
         configuration: state.configuration,
--- a/src/peers/gossip_socket.ts
+++ b/src/peers/gossip_socket.ts
@@ -1,5 +1,6 @@
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
+import { splitAddress } from "../addresses/split_address.ts";
 import type { Logger } from "../logging/logger.ts";
 import { decodeGossip, encodeGossip } from "./gossip_codec.ts";
 import type { GossipMessage } from "./gossip_schema.ts";
@@ -23,8 +24,8 @@
     onMessage: (message: GossipMessage) => void,
   ): Promise<GossipSocket> {
     const socket = createSocket("udp4");
-    const [host, port] = address.split(":");
-    socket.bind(Number(port), host);
+    const { host, port } = splitAddress(address);
+    socket.bind(port, host);
     await once(socket, "listening");
     const opened = new GossipSocket(socket, logger);
     socket.on("message", (bytes) => opened.receive(bytes, onMessage));
@@ -40,8 +41,8 @@
    * @param message The message. */
   send(address: string, message: GossipMessage): void {
     if (this.isClosed) return;
-    const [host, port] = address.split(":");
-    this.socket.send(encodeGossip(message), Number(port), host, (error) => {
+    const { host, port } = splitAddress(address);
+    this.socket.send(encodeGossip(message), port, host, (error) => {
       if (error) {
         this.logger.debug({ address, reason: error.message }, "gossip_unsent");
       }
