Log other hosts as peer, and say why a request is refused under one name

Each line has host for the host that writes it; host_heard, host_lost and a failed pull wrote the other's id under the same name, so that the writer's was lost. request_malformed now has detail as request_refused has, and a failed pull of the publication is named as one of prefixes is.

--- a/src/forward/call_server.ts
+++ b/src/forward/call_server.ts
@@ -87,7 +87,7 @@
     }
     const kind = KIND_BY_CODE[error.code ?? ""] ?? "malformed_request";
     const failure = Failure.create(kind, error.message);
-    this.logger.info({ kind, reason: error.message }, "request_malformed");
+    this.logger.info({ kind, detail: error.message }, "request_malformed");
     const body = JSON.stringify(failure.body);
     const headers = Object.entries(failure.headers).map(([name, value]) =>
       `${name}: ${value}\r\n`
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -71,8 +71,8 @@
       await this.take(peerId, address, now);
     } catch (error) {
       this.logger.info(
-        { host: peerId, reason: (error as Error).message },
-        "publication_pull_failed",
+        { peer: peerId, reason: (error as Error).message },
+        "publication_not_learned",
       );
     }
   }
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -191,7 +191,7 @@
     else this.liveBefore.delete(id);
     const silentMs = Math.round(now - host.heardAt);
     this.options.logger.info(
-      { host: id, phase, silentMs },
+      { peer: id, phase, silentMs },
       live ? "host_heard" : "host_lost",
     );
   }
