Names: short name of an upstream, choice of addresses, behaviour of the store's stand-in

An upstream's short name was called key, as customers' keys are; a file was not named as its function; two words were metaphors. The tests follow the names and check the same.

--- a/fakes/fake_store.ts
+++ b/fakes/fake_store.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { closeHttp, listenHttp, reply } from "./http_fake.ts";
 
-/** How a store answers just now: well, with 503, with 410 to a watch, or not at all. */
-export type StoreMood = "well" | "busy" | "forgetful" | "silent";
+/** How a store answers: well, each call with 503, watches with 410, or not at all. */
+export type StoreBehaviour = "well" | "unavailable" | "history_lost" | "silent";
 
 interface Item {
   private_key: string;
@@ -20,7 +20,7 @@
 /** A small stand-in of the platform's metadata store: items with revisions, ranges, long polls and its troubles. */
 export class FakeStore {
   /** How it answers. */
-  mood: StoreMood = "well";
+  behaviour: StoreBehaviour = "well";
   /** Calls it got. */
   calls = 0;
   private revision = 0;
@@ -88,8 +88,8 @@
   private handle(request: IncomingMessage, response: ServerResponse): void {
     this.calls += 1;
     const url = new URL(request.url ?? "/", "http://store");
-    if (this.mood === "silent") return;
-    if (this.mood === "busy") return reply(response, {}, 503);
+    if (this.behaviour === "silent") return;
+    if (this.behaviour === "unavailable") return reply(response, {}, 503);
     const handlers: Record<string, () => void> = {
       "/kv-key": () => this.answerKey(response, url.searchParams),
       "/kv-range": () => this.answerRange(response, url.searchParams),
@@ -121,7 +121,7 @@
   }
 
   private answerWatch(response: ServerResponse, query: URLSearchParams): void {
-    if (this.mood === "forgetful") return reply(response, {}, 410);
+    if (this.behaviour === "history_lost") return reply(response, {}, 410);
     const after = Number(query.get("after"));
     const prefix = query.get("path_prefix") ?? "";
     const findEvents = () =>
--- a/src/gateway/locate.ts
+++ b/src/gateway/choose_addresses.ts
@@ -4,7 +4,7 @@
 const MAX_ADDRESSES = 64;
 
 /** What an answer with addresses is made from. */
-export interface LocateOptions {
+export interface AddressOptions {
   /** Address of this host, and whether it takes requests. */
   own: { callerAddress: string; isReady: boolean };
   /** Other hosts that are heard. */
@@ -14,7 +14,7 @@
 /** The addresses that callers should use: of hosts that are ready. Where none is known there are none, so that the
  * caller asks another host or keeps the addresses it has.
  * @param options What the answer is made from. */
-export function chooseAddresses(options: LocateOptions): string[] {
+export function chooseAddresses(options: AddressOptions): string[] {
   const { own, live } = options;
   const ready = live.filter((host) => host.entry.phase === "ready").map((
     host,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -40,7 +40,7 @@
   private readonly keeper: PublicationKeeper;
   private readonly chooser: UpstreamChooser;
   private readonly handler: CallHandler;
-  private readonly exchange: PublicationExchange;
+  private readonly publicationExchange: PublicationExchange;
   private readonly prefixExchange: PrefixExchange;
   private resolveFirstRoutes: () => void = () => undefined;
   private readonly firstRoutes = new Promise<void>((resolve) =>
@@ -65,7 +65,10 @@
         this.gossip?.announce();
       },
     });
-    this.exchange = PublicationExchange.create(this.keeper, this.logger);
+    this.publicationExchange = PublicationExchange.create(
+      this.keeper,
+      this.logger,
+    );
     this.prefixExchange = PrefixExchange.create(
       this.chooser.prefixes,
       this.logger,
@@ -117,7 +120,7 @@
     this.server?.close();
     this.chooser.close();
     this.endpoints?.close();
-    await this.exchange.close();
+    await this.publicationExchange.close();
     await this.prefixExchange.close();
     await this.parts.inventory.close();
     await this.parts.feed.close();
@@ -200,7 +203,7 @@
       getSettings: () => this.settings,
       surface: this.parts.surface,
       metrics: this.metrics,
-      publicationExchange: this.exchange,
+      publicationExchange: this.publicationExchange,
       prefixExchange: this.prefixExchange,
       isReady: () => this.isReady,
       isServing: () => this.isServing,
@@ -292,6 +295,8 @@
     }
     const isFresher = entry.publicationAgeMs < this.keeper.ageMs ||
       entry.revision > this.keeper.revision;
-    if (isFresher) void this.exchange.ask(entry.id, entry.peerAddress);
+    if (isFresher) {
+      void this.publicationExchange.ask(entry.id, entry.peerAddress);
+    }
   }
 }
--- a/src/gateway/gateway_endpoints.ts
+++ b/src/gateway/gateway_endpoints.ts
@@ -4,7 +4,7 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { type EndpointHandlers, HttpEndpoint } from "./http_endpoint.ts";
-import { chooseAddresses } from "./locate.ts";
+import { chooseAddresses } from "./choose_addresses.ts";
 import { PREFIXES_PATH, type PrefixExchange } from "./prefix_exchange.ts";
 import {
   PUBLICATION_PATH,
--- a/src/gateway/prefix_recovery.ts
+++ b/src/gateway/prefix_recovery.ts
@@ -75,7 +75,7 @@
         name: PrefixIndex.nameOf(id),
         tokens: 0,
       }));
-      prefixes.noteSent(sent, engine.key, true, performance.now());
+      prefixes.noteSent(sent, engine.shortName, true, performance.now());
       logger.info(
         { upstream: engine.id, parts: parts.length },
         "prefixes_recovered",
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -88,7 +88,7 @@
       ? findFetchSource(sharedParts, target, engines, this.prefixes, now)
       : undefined;
     const isFetched = source !== undefined;
-    this.prefixes.noteSent(sharedParts, target.key, isFetched, now);
+    this.prefixes.noteSent(sharedParts, target.shortName, isFetched, now);
     if (this.prefixes.hasUntold) this.options.onFacts();
     return source?.published.address;
   }
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -8,7 +8,7 @@
  * for other hosts' counts, which are known late. */
 const USED_BOUND_PART = 0.8;
 /** Requests above that which such an engine may still carry, of the three that the promise allows. */
-const HOME_EXTRA = 2.2;
+const KEEPING_EXTRA = 2.2;
 /** Reading ahead of an engine from which a prompt that none keeps goes to the next in its order, in milliseconds: below
  * half of the objectives of first events, and above what most prompts take. */
 const BUSY_READING_MS = 150;
@@ -55,33 +55,33 @@
   if (usable === undefined) return undefined;
   return options.sharedParts.length === 0
     ? chooseLeastLoaded(usable, options)
-    : chooseHome(usable, options);
+    : chooseKeeping(usable, options);
 }
 
 /** An engine that keeps the prompt, else the first in the prompt's order, as long as it is not far above the mean;
  * where all are, the least loaded. */
-function chooseHome(
+function chooseKeeping(
   usable: readonly Upstream[],
   options: ChoiceOptions,
 ): Upstream {
   const { sharedParts, prefixes, loads, now } = options;
-  const homeKey = sharedParts.at(-1)!.name;
+  const lastPart = sharedParts.at(-1)!.name;
   const total = usable.reduce((sum, one) => sum + loads.getTotal(one), 0);
   const multiple = options.boundMultiple * USED_BOUND_PART;
-  const limit = multiple * total / usable.length + HOME_EXTRA;
+  const limit = multiple * total / usable.length + KEEPING_EXTRA;
   const byId = new Map(usable.map((upstream) => [upstream.id, upstream]));
-  const ranked = rankByRendezvous(String(homeKey), [...byId.keys()])
+  const ranked = rankByRendezvous(String(lastPart), [...byId.keys()])
     .map((id) => byId.get(id)!);
   const keeping = ranked.filter((upstream) =>
-    prefixes.isKept(homeKey, upstream.key, now)
+    prefixes.isKept(lastPart, upstream.shortName, now)
   );
   const idle = ranked.filter((upstream) =>
-    prefixes.getReadingMs(upstream.key, now) < BUSY_READING_MS
+    prefixes.getReadingMs(upstream.shortName, now) < BUSY_READING_MS
   );
-  const home = [...keeping, ...idle, ...ranked].find((upstream) =>
+  const chosen = [...keeping, ...idle, ...ranked].find((upstream) =>
     loads.getTotal(upstream) < limit
   );
-  return home ?? chooseLeastLoaded(usable, options);
+  return chosen ?? chooseLeastLoaded(usable, options);
 }
 
 function chooseLeastLoaded(
--- a/src/upstreams/find_fetch_source.ts
+++ b/src/upstreams/find_fetch_source.ts
@@ -19,9 +19,9 @@
   now: number,
 ): Upstream | undefined {
   for (const { name: part } of parts.toReversed()) {
-    if (prefixes.isKept(part, target.key, now)) return undefined;
+    if (prefixes.isKept(part, target.shortName, now)) return undefined;
     const source = engines.find((engine) =>
-      engine !== target && prefixes.isKept(part, engine.key, now)
+      engine !== target && prefixes.isKept(part, engine.shortName, now)
     );
     if (source) return source;
   }
--- a/src/upstreams/load_counts.ts
+++ b/src/upstreams/load_counts.ts
@@ -4,7 +4,7 @@
 const USED_FOR_MS = 1_200;
 
 /** An upstream's short name, and the requests that a host has running there. */
-export type LoadCount = [key: number, requests: number];
+export type LoadCount = [upstream: number, requests: number];
 
 interface HostCounts {
   at: number;
@@ -13,7 +13,9 @@
 
 /** The requests on each upstream: exact for this process, and for other hosts as they last told. */
 export class LoadCounts {
+  /** By id of the host, what it last told. */
   private readonly hosts = new Map<string, HostCounts>();
+  /** By short name of the upstream, the requests of all other hosts. */
   private foreign = new Map<number, number>();
 
   private constructor() {}
@@ -35,15 +37,15 @@
   /** Requests on an upstream from all hosts.
    * @param upstream The upstream. */
   getTotal(upstream: Upstream): number {
-    return upstream.ownRequests + (this.foreign.get(upstream.key) ?? 0);
+    return upstream.ownRequests + (this.foreign.get(upstream.shortName) ?? 0);
   }
 
   /** Counts of this process, for other hosts.
    * @param upstreams All upstreams. */
   getOwn(upstreams: Iterable<Upstream>): LoadCount[] {
     const counts: LoadCount[] = [];
-    for (const { key, ownRequests } of upstreams) {
-      if (ownRequests > 0) counts.push([key, ownRequests]);
+    for (const { shortName, ownRequests } of upstreams) {
+      if (ownRequests > 0) counts.push([shortName, ownRequests]);
     }
     return counts;
   }
@@ -55,8 +57,8 @@
         this.hosts.delete(hostId);
         continue;
       }
-      for (const [key, requests] of counts) {
-        sums.set(key, (sums.get(key) ?? 0) + requests);
+      for (const [shortName, requests] of counts) {
+        sums.set(shortName, (sums.get(shortName) ?? 0) + requests);
       }
     }
     this.foreign = sums;
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -10,7 +10,7 @@
   /** What its answers say of its health. */
   readonly health = UpstreamHealth.create();
   /** Short name of the upstream in what hosts tell each other. */
-  readonly key: number;
+  readonly shortName: number;
   /** Requests that this process has running there. */
   ownRequests = 0;
   /** Monotonic milliseconds at which any of its answers last brought bytes. */
@@ -25,7 +25,7 @@
     public published: PublishedUpstream,
   ) {
     this.channels = ChannelPool.create(published.address);
-    this.key = hashText(published.id);
+    this.shortName = hashText(published.id);
   }
 
   /** Creates an upstream.
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -53,7 +53,7 @@
 
 test("a gateway without a configuration says that a request has not run, and when to come back", async (t) => {
   await withGateways(async (fleet) => {
-    fleet.store.mood = "busy";
+    fleet.store.behaviour = "unavailable";
     const gateway = await fleet.startGateway();
     const answer = await call(gateway, KEY);
     t.is(answer.status, 503);
@@ -83,7 +83,7 @@
 test("a gateway that the store turns away hears from another, also of keys taken away", async (t) => {
   await withGateways(async (fleet) => {
     const deaf = await FakeStore.create();
-    deaf.mood = "busy";
+    deaf.behaviour = "unavailable";
     await fleet.startWorker("s");
     fleet.publishConfiguration(1, [KEY, "key-2"]);
     await fleet.startGateway();
@@ -104,12 +104,12 @@
     fleet.publishConfiguration(1, [KEY]);
     const gateway = await fleet.startGateway({ keyBeliefMs: 2_600 });
     await waitForStatus(gateway, KEY, 200);
-    fleet.store.mood = "silent";
+    fleet.store.behaviour = "silent";
     await waitForStatus(gateway, KEY, 503);
     const before = worker.arrivals.length;
     t.truthy((await call(gateway, KEY)).headers["retry-after"]);
     t.is(worker.arrivals.length, before);
-    fleet.store.mood = "well";
+    fleet.store.behaviour = "well";
     await waitForStatus(gateway, KEY, 200);
   });
 });
@@ -120,7 +120,7 @@
     fleet.publishConfiguration(1, [KEY]);
     const gateway = await fleet.startGateway();
     await waitForStatus(gateway, KEY, 200);
-    fleet.store.mood = "forgetful";
+    fleet.store.behaviour = "history_lost";
     fleet.publishConfiguration(2, ["key-2"]);
     await waitForStatus(gateway, KEY, 401);
     t.is((await call(gateway, "key-2")).status, 200);
--- a/tests/upstreams/choose_upstream_test.ts
+++ b/tests/upstreams/choose_upstream_test.ts
@@ -51,7 +51,7 @@
   );
   t.is(first?.id, elsewhere?.id);
   const other = upstreams.find((upstream) => upstream !== first)!;
-  prefixes.noteSent(CHAT, other.key, false, 0);
+  prefixes.noteSent(CHAT, other.shortName, false, 0);
   const again = chooseUpstream(
     buildOptions(upstreams, { sharedParts: CHAT, prefixes }),
   );
@@ -69,7 +69,7 @@
         const name = PrefixIndex.nameOf(`chat-${chat}`);
         const sharedParts = [{ name, tokens: 100 }];
         const chosen = chooseUpstream({ ...options, sharedParts })!;
-        options.prefixes.noteSent(sharedParts, chosen.key, false, 0);
+        options.prefixes.noteSent(sharedParts, chosen.shortName, false, 0);
         chosen.ownRequests += 1;
         const total = upstreams.reduce((sum, one) => sum + one.ownRequests, 0);
         return chosen.ownRequests <= 2 * total / count + 3;
@@ -97,8 +97,8 @@
   const upstreams = createUpstreams(3);
   const prefixes = PrefixIndex.create();
   const parts = [{ name: 1, tokens: 10 }, { name: 2, tokens: 20 }];
-  prefixes.noteSent(parts.slice(0, 1), upstreams[0]!.key, false, 0);
-  prefixes.noteSent(parts, upstreams[1]!.key, false, 0);
+  prefixes.noteSent(parts.slice(0, 1), upstreams[0]!.shortName, false, 0);
+  prefixes.noteSent(parts, upstreams[1]!.shortName, false, 0);
   const find = (target: Upstream) =>
     findFetchSource(parts, target, upstreams, prefixes, 0);
   t.is(find(upstreams[2]!), upstreams[1]);
