--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -4,9 +4,13 @@
 import { Failure } from "../errors/failure.ts";
 import { admitCall, type AdmittedCall } from "../forward/admit_call.ts";
 import { CallRun } from "../forward/call_run.ts";
-import type { CallRunContext } from "../forward/call_run_context.ts";
+import type {
+  CallOutcome,
+  CallRunContext,
+} from "../forward/call_run_context.ts";
 import { CallerAnswer } from "../forward/caller_answer.ts";
 import type { CallerHeaders, HeaderCodec } from "../forward/caller_headers.ts";
+import type { RoutedCall } from "../forward/routed_call.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../published/configuration_schema.ts";
 import type { RouteTable } from "../published/route_table.ts";
@@ -135,7 +139,7 @@
   ): void {
     const call = { ...admitted, body: body.length > 0 ? body : undefined };
     this.options.onFirstSend(call.service);
-    const { logger, metrics, codec } = this.options;
+    const { logger, codec } = this.options;
     let isEnded = false;
     const run = CallRun.create(call, answer, {
       ...this.options.run,
@@ -144,19 +148,7 @@
       onEnd: (ended, outcome) => {
         isEnded = true;
         this.runs.delete(ended);
-        const { result, detail, durationMs, attempts } = outcome;
-        metrics.noteRequest(call.route.kind, result, durationMs);
-        logger.info({
-          request: call.requestId,
-          route: call.route.name,
-          service: call.service,
-          customer: call.customer,
-          configuration: this.options.getRoutes()?.version,
-          result,
-          detail,
-          attempts,
-          durationMs: Math.round(durationMs),
-        }, "request_ended");
+        this.noteEnd(call, outcome);
       },
     });
     if (isEnded) return;
@@ -166,6 +158,22 @@
     });
   }
 
+  private noteEnd(call: RoutedCall, outcome: CallOutcome): void {
+    const { result, detail, durationMs, attempts } = outcome;
+    this.options.metrics.noteRequest(call.route.kind, result, durationMs);
+    this.options.logger.info({
+      request: call.requestId,
+      route: call.route.name,
+      service: call.service,
+      customer: call.customer,
+      configuration: this.options.getRoutes()?.version,
+      result,
+      detail,
+      attempts,
+      durationMs: Math.round(durationMs),
+    }, "request_ended");
+  }
+
   private refuse(
     failure: Failure,
     headers: CallerHeaders,
