--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -11,6 +11,7 @@
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
 import type { Route } from "../../src/published/configuration_schema.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
+import { buildRoute } from "../published/build_published.ts";
 
 const REQUEST_ID = "r-1";
 
@@ -64,24 +65,6 @@
   };
 }
 
-function buildRoute(changes: Partial<Route>): Route {
-  return {
-    name: "r",
-    host: "a.example",
-    pathPrefix: "/a/",
-    kind: "repeatable",
-    timeoutMs: 5_000,
-    objectiveMs: 500,
-    priority: 0,
-    shares: [{ service: "s", weight: 1 }],
-    maxAttempts: 2,
-    isAnonymous: true,
-    isSticky: false,
-    isResumable: false,
-    ...changes,
-  };
-}
-
 function buildCall(route: Route): RoutedCall {
   const rawHeaders = [
     "Host",
