--- a/src/forward/event_splitter.ts
+++ b/src/forward/event_splitter.ts
@@ -1,5 +1,6 @@
 /** End of an event: an empty line. */
 const EVENT_END = Buffer.from("\n\n");
+/** Begins the line of an event that holds its id. */
 const ID_FIELD = "id:";
 
 /** One whole event of a stream, as its bytes. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,7 +32,8 @@
   surface: CallerSurface;
 }
 
-/** One host of the fleet: takes callers' requests and sends them to upstreams itself. */
+/** One host of the fleet: takes callers' requests and sends them to upstreams itself. It puts the tasks together: what is
+ * published, other hosts, upstreams and the answers to callers. */
 export class Gateway {
   private readonly logger: Logger;
   private readonly metrics = GatewayMetrics.create();
@@ -97,7 +98,8 @@
     this.chooser.resetRetries();
   }
 
-  /** Stops as planned: leaves the answers with addresses, goes on taking requests for their lifetime, ends what runs. */
+  /** Stops as planned: leaves the answers with addresses, goes on taking requests while callers may keep those, and lets
+   * what runs end. */
   async drain(): Promise<void> {
     if (this.stop.hasStarted) return;
     this.stop.start();
--- a/src/gateway/gateway_endpoints.ts
+++ b/src/gateway/gateway_endpoints.ts
@@ -13,7 +13,8 @@
 
 /** Path under which counters and histograms are served, as Prometheus asks for it. */
 const METRICS_PATH = "/metrics";
-/** Time for which callers may keep an answer with addresses, in milliseconds. */
+/** Time for which callers may keep an answer with addresses, in milliseconds; half of it gave no better service on three
+ * played days (commit bb9fbb8). */
 const LOCATE_LIFETIME_MS = 500;
 
 /** What the endpoints answer from. */
--- a/src/gateway/planned_stop.ts
+++ b/src/gateway/planned_stop.ts
@@ -1,11 +1,12 @@
 import { setTimeout as delay } from "node:timers/promises";
 
-/** Time from the start of a planned stop after which answers close their connections, in milliseconds. */
+/** Time from the start of a planned stop after which answers close their connections, in milliseconds: three lifetimes of
+ * an answer with addresses. */
 const CLOSE_CONNECTIONS_AFTER_MS = 1_500;
-/** Time for which a stopping host still takes requests, in milliseconds: three lifetimes of an answer with addresses,
- * for which some callers keep it. */
+/** Time for which a stopping host still takes requests, in milliseconds: seven lifetimes of an answer with addresses,
+ * for some callers keep it beyond its lifetime. */
 const LINGER_MS = 3_500;
-/** Part of the time of a planned stop that may be used. */
+/** Part of the time of a planned stop that may be used; the rest is for closing and for the end of the process. */
 const STOP_PART = 0.93;
 /** Interval at which a stopping host looks whether its work is done, in milliseconds. */
 const STOP_CHECK_MS = 50;
--- a/src/gateway/prefix_recovery.ts
+++ b/src/gateway/prefix_recovery.ts
@@ -7,7 +7,8 @@
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { PrefixExchange } from "./prefix_exchange.ts";
 
-/** Time after the first configuration in which other hosts may be heard, in milliseconds: a round of gossip and more. */
+/** Time after the first configuration in which other hosts may be heard, in milliseconds: a round of gossip and a
+ * little. */
 const WAIT_FOR_HOSTS_MS = 260;
 /** Time in which other hosts tell what they learned from their engines, in milliseconds; before, this one knows only a
  * part and does not answer others. */
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -7,18 +7,19 @@
 
 /** Hosts of a fleet that watch the platform; the others hear from them. */
 const WATCHERS = 3;
-/** Longest wait of one watch, in milliseconds. */
+/** Longest wait of one watch, in milliseconds; what is known looks as old as that where nothing changes. */
 const WATCH_MS = 1_000;
 /** Age of what is known at which a host watches although others are to, in milliseconds: beyond what a watcher's word
  * has on its way, two waits and two rounds of gossip. */
 const SELF_WATCH_AGE_MS = 2_600;
-/** Pause after a failed read of the platform, in milliseconds. */
+/** Pause after a failed read of the platform, in milliseconds; drawn between half and one and a half of it. */
 const RETRY_MS = 200;
 /** Interval at which a host that does not watch looks whether it should, in milliseconds. */
 const IDLE_CHECK_MS = 100;
 /** Outage of the platform from which entries may have lapsed, in milliseconds. */
 const LAPSE_OUTAGE_MS = 800;
-/** Time after an outage in which a missing entry may only have lapsed, in milliseconds. */
+/** Time after an outage in which a missing entry may only have lapsed, in milliseconds: the two seconds in which lapsed
+ * entries come back, and a little. */
 const LAPSE_WINDOW_MS = 2_200;
 
 /** What the watch needs of the gateway. */
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -135,7 +135,8 @@
     this.upstreams.close();
   }
 
-  /** Upstreams of a service that may get a request, but for those on which this host uses up its share of connections. */
+  /** Upstreams of a service that may get a request, but for those on which this host has used its share of their
+   * connections. */
   private getCandidates(service: string): Upstream[] {
     const serving = this.upstreams.getServing(service);
     const most = this.options.getService(service)?.maxConnections;
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -15,10 +15,9 @@
 const RELAYED_ENTRIES = 6;
 /** Rounds between two in which other hosts are told, where all hosts hear each other directly. */
 const ROUNDS_PER_RELAY = 10;
-/** Rounds between two attempts to reach hosts that are not heard, and seeds that are not known. */
+/** Rounds between two attempts to reach hosts that are not heard, and the seeds: 0.8 seconds. */
 const ROUNDS_PER_ATTEMPT = 4;
-
-/** Rounds after a start in which hosts not heard are tried each time, for all hosts may be starting. */
+/** Rounds after a start in which hosts not heard are tried each time, for all hosts may be starting: two seconds. */
 const STARTING_ROUNDS = 10;
 
 /** What gossip needs and whom it tells. */
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -1,6 +1,7 @@
 import type { PeerEntry } from "./gossip_schema.ts";
 
-/** Time after which a host that is not heard is no longer told to callers, in milliseconds: three rounds of gossip and a little. */
+/** Time after which a host that is not heard is no longer told to callers, in milliseconds: three rounds of gossip and a
+ * little. */
 const LIVE_FOR_MS = 700;
 /** Time after which a host that is not heard is forgotten, in milliseconds: longer than a host takes to come back. */
 const REMEMBERED_MS = 60_000;
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -9,12 +9,11 @@
 const MAX_PARTS = 50_000;
 /** Facts told to other hosts at a time, so that they fit into one packet. */
 const MAX_FACTS = 80;
-
 /** Time that an engine takes to read a token of a prompt, in milliseconds: those served today read some 48 in one. */
 const READING_MS_PER_TOKEN = 1 / 48;
 
-/** That an engine was sent a part of a prompt: short names of the part and of the engine, and the tokens that the engine
- * had to read for it, 0 where it kept the part or fetched it. */
+/** That an engine was sent a part of a prompt: short names of the part and of the engine, and the tokens that the
+ * engine had to read for it, 0 where it kept the part or fetched it. */
 export type PrefixFact = [part: number, engine: number, readTokens: number];
 
 /** A part of a prompt that is sent. */
@@ -30,6 +29,7 @@
   private readonly engines = new Map<number, Map<number, number>>();
   /** By engine, the monotonic milliseconds at which it has read what it was sent. */
   private readonly readyAt = new Map<number, number>();
+  /** By part and engine, the monotonic milliseconds at which other hosts were last told. */
   private readonly toldAt = new Map<number, Map<number, number>>();
   private untold: PrefixFact[] = [];
   private isWhole = false;
--- a/src/upstreams/upstream_health.ts
+++ b/src/upstreams/upstream_health.ts
@@ -1,6 +1,5 @@
 /** Rate of faults from which an upstream is a suspect. */
 const SUSPECT_RATE = 0.1;
-
 /** Rate of faults above which an upstream is left out. */
 const FAULT_EJECTION_RATE = 0.33;
 /** Rate of error answers above which an upstream is left out; well above what a request's own content causes. */
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -5,8 +5,8 @@
 /** Part of the time in which a leaving upstream may get work for which one that disappeared just after an outage of the
  * platform is still used: entries that lapsed meanwhile come back within two seconds. */
 const LAPSE_GRACE_PART = 0.8;
-/** Time for which an upstream that is gone from the list is still taken to be there, in milliseconds: leaving ones serve
- * on for a little longer than the two seconds that they have to get no new work. */
+/** Time for which an upstream that is gone from the list is still taken to be there, in milliseconds: leaving ones
+ * serve on for a little longer than the two seconds after which they get no new work. */
 const DEPARTED_KEPT_MS = 3_000;
 
 /** What the table needs. */
@@ -22,6 +22,7 @@
 export class UpstreamTable {
   private readonly byId = new Map<string, Upstream>();
   private readonly byService = new Map<string, Upstream[]>();
+  /** Upstreams gone from the list, with the monotonic milliseconds at which they went. */
   private readonly departed = new Map<Upstream, number>();
 
   private constructor(private readonly options: UpstreamTableOptions) {}
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -9,6 +9,7 @@
   "utf-8-validate",
   "msgpackr-extract",
 ];
+/** Stands for each of them in the bundle. */
 const ABSENT = "./tools/absent_module.cjs";
 
 /** Leaves out the translations of zod's messages. */
@@ -20,8 +21,8 @@
   },
 };
 
-/** Leaves out modules that are never called, for what they load costs a start tens of milliseconds: HTTP/2 of the client,
- * and sending and default values of the metrics. */
+/** Leaves out modules that are never called, for what they load costs a start tens of milliseconds: HTTP/2 of the
+ * client, and sending and default values of the metrics. */
 const neverCalled: Plugin = {
   name: "never-called",
   setup: (building) => {
