--- a/src/forward/call_server.ts
+++ b/src/forward/call_server.ts
@@ -6,6 +6,7 @@
 } from "node:http";
 import { once } from "node:events";
 import type { Duplex } from "node:stream";
+import { splitAddress } from "../addresses/split_address.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
 import { Failure } from "../errors/failure.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -50,8 +51,8 @@
     }, onRequest);
     const opened = new CallServer(server, logger);
     server.on("clientError", (error, socket) => opened.refuse(error, socket));
-    const [host, port] = address.split(":");
-    server.listen(Number(port), host);
+    const { host, port } = splitAddress(address);
+    server.listen(port, host);
     await once(server, "listening");
     return opened;
   }
@@ -86,7 +87,7 @@
     }
     const kind = KIND_BY_CODE[error.code ?? ""] ?? "malformed_request";
     const failure = Failure.create(kind, error.message);
-    this.logger.info({ kind, reason: error.message }, "request_malformed");
+    this.logger.info({ kind, detail: error.message }, "request_malformed");
     const body = JSON.stringify(failure.body);
     const headers = Object.entries(failure.headers).map(([name, value]) =>
       `${name}: ${value}\r\n`
--- a/src/forward/caller_headers.ts
+++ b/src/forward/caller_headers.ts
@@ -12,10 +12,6 @@
   parts: readonly PromptPart[];
   /** Tokens of the whole prompt. */
   promptTokens: number;
-  /** Most tokens of the answer. */
-  maxAnswerTokens: number;
-  /** The caller's guess of the answer's tokens, where it gives one. */
-  expectedAnswerTokens: number | undefined;
 }
 
 /** What the headers of a caller's request say. */
@@ -57,7 +53,6 @@
 export interface ReportedLoad {
   running: number;
   waiting: number;
-  slots: number;
 }
 
 /** What the headers of an upstream's answer say. */
@@ -71,6 +66,7 @@
   /** Whether the upstream's proof is there, without which an answer is not a success. */
   hasProof: boolean;
   isEventStream: boolean;
+  /** Undefined where the upstream does not tell. */
   load: ReportedLoad | undefined;
   /** Whether the upstream will close the connection. */
   isClosing: boolean;
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -19,10 +19,9 @@
 const RELAYED_ENTRIES = 6;
 /** Rounds between two in which other hosts are told, where all hosts hear each other directly. */
 const ROUNDS_PER_RELAY = 10;
-/** Rounds between two attempts to reach hosts that are not heard, and seeds that are not known. */
+/** Rounds between two attempts to reach hosts that are not heard, and the seeds: 0.8 seconds. */
 const ROUNDS_PER_ATTEMPT = 4;
-
-/** Rounds after a start in which hosts not heard are tried each time, for all hosts may be starting. */
+/** Rounds after a start in which hosts not heard are tried each time, for all hosts may be starting: two seconds. */
 const STARTING_ROUNDS = 10;
 
 /** What gossip needs and whom it tells. */
@@ -208,7 +207,7 @@
     else this.liveBefore.delete(id);
     const silentMs = Math.round(now - host.heardAt);
     this.options.logger.info(
-      { host: id, phase, silentMs },
+      { peer: id, phase, silentMs },
       live ? "host_heard" : "host_lost",
     );
   }
--- a/src/upstreams/load_counts.ts
+++ b/src/upstreams/load_counts.ts
@@ -7,7 +7,7 @@
 const REPORT_USED_FOR_MS = 400;
 
 /** An upstream's short name, and the requests that a host has running there. */
-export type LoadCount = [key: number, requests: number];
+export type LoadCount = [upstream: number, requests: number];
 
 interface HostCounts {
   at: number;
@@ -16,7 +16,9 @@
 
 /** The requests on each upstream: exact for this process, and for other hosts as they last told. */
 export class LoadCounts {
+  /** By id of the host, what it last told. */
   private readonly hosts = new Map<string, HostCounts>();
+  /** By short name of the upstream, the requests of all other hosts. */
   private foreign = new Map<number, number>();
 
   private constructor() {}
@@ -38,7 +40,8 @@
   /** Requests on an upstream from all hosts: as hosts told, or where that is more as it told itself just now.
    * @param upstream The upstream. */
   getTotal(upstream: Upstream): number {
-    const told = upstream.ownRequests + (this.foreign.get(upstream.key) ?? 0);
+    const foreign = this.foreign.get(upstream.shortName) ?? 0;
+    const told = upstream.ownRequests + foreign;
     const report = upstream.reported;
     const isNew = report !== undefined &&
       performance.now() - report.at <= REPORT_USED_FOR_MS;
@@ -49,8 +52,8 @@
    * @param upstreams All upstreams. */
   getOwn(upstreams: Iterable<Upstream>): LoadCount[] {
     const counts: LoadCount[] = [];
-    for (const { key, ownRequests } of upstreams) {
-      if (ownRequests > 0) counts.push([key, ownRequests]);
+    for (const { shortName, ownRequests } of upstreams) {
+      if (ownRequests > 0) counts.push([shortName, ownRequests]);
     }
     return counts;
   }
@@ -62,8 +65,8 @@
         this.hosts.delete(hostId);
         continue;
       }
-      for (const [key, requests] of counts) {
-        sums.set(key, (sums.get(key) ?? 0) + requests);
+      for (const [shortName, requests] of counts) {
+        sums.set(shortName, (sums.get(shortName) ?? 0) + requests);
       }
     }
     this.foreign = sums;
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -5,8 +5,8 @@
 /** Part of the time in which a leaving upstream may get work for which one that disappeared just after an outage of the
  * platform is still used: entries that lapsed meanwhile come back within two seconds. */
 const LAPSE_GRACE_PART = 0.8;
-/** Time for which an upstream that is gone from the list is still taken to be there, in milliseconds: leaving ones serve
- * on for a little longer than the two seconds that they have to get no new work. */
+/** Time for which an upstream that is gone from the list is still taken to be there, in milliseconds: leaving ones
+ * serve on for a little longer than the two seconds after which they get no new work. */
 const DEPARTED_KEPT_MS = 3_000;
 
 /** What the table needs. */
@@ -22,6 +22,7 @@
 export class UpstreamTable {
   private readonly byId = new Map<string, Upstream>();
   private readonly byService = new Map<string, Upstream[]>();
+  /** Upstreams gone from the list, with the monotonic milliseconds at which they went. */
   private readonly departed = new Map<Upstream, number>();
 
   private constructor(private readonly options: UpstreamTableOptions) {}
@@ -32,15 +33,6 @@
     return new UpstreamTable(options);
   }
 
-  private get lapseGraceMs(): number {
-    return this.options.leaveWithinMs * LAPSE_GRACE_PART;
-  }
-
-  /** Number of upstreams. */
-  get size(): number {
-    return this.byId.size;
-  }
-
   /** All upstreams. */
   getAll(): Iterable<Upstream> {
     return this.byId.values();
@@ -68,14 +60,6 @@
     return [...this.byService.get(service) ?? [], ...departed];
   }
 
-  /** Whether an upstream may get a new request at this moment.
-   * @param upstream The upstream. */
-  mayServe(upstream: Upstream): boolean {
-    if (upstream.published.isLeaving) return false;
-    if (upstream.goneAt === undefined) return true;
-    return performance.now() < upstream.goneAt + this.lapseGraceMs;
-  }
-
   /** Takes over changes.
    * @param changes The changes. */
   apply(changes: readonly UpstreamChange[]): void {
@@ -100,6 +84,18 @@
     for (const upstream of this.byId.values()) upstream.close();
   }
 
+  /** Time for which an upstream that may only have lapsed is still used, in milliseconds. */
+  private get lapseGraceMs(): number {
+    return this.options.leaveWithinMs * LAPSE_GRACE_PART;
+  }
+
+  /** Whether an upstream may get a new request at this moment. */
+  private mayServe(upstream: Upstream): boolean {
+    if (upstream.published.isLeaving) return false;
+    if (upstream.goneAt === undefined) return true;
+    return performance.now() < upstream.goneAt + this.lapseGraceMs;
+  }
+
   private put(fresh: Upstream): void {
     const known = this.byId.get(fresh.id);
     if (known) this.departed.delete(known);
--- a/tests/platform/header_codec_test.ts
+++ b/tests/platform/header_codec_test.ts
@@ -111,3 +111,11 @@
   t.false(read(503, {}));
   t.false(read(429, {}));
 });
+
+test("an upstream's own word of its load is read, and nothing made of one that is none", (t) => {
+  const read = (load: string) =>
+    platformHeaders.readAnswer(200, { "x-beechkeel-server-load": load }).load;
+  t.deepEqual(read("3,1,8"), { running: 3, waiting: 1 });
+  t.is(read("many"), undefined);
+  t.is(read(""), undefined);
+});
