--- a/src/forward/call_run_context.ts
+++ b/src/forward/call_run_context.ts
@@ -15,10 +15,8 @@
   attempts: number;
 }
 
-/** What a run needs of the rest of the process. */
-export interface CallRunContext {
-  logger: Logger;
-  codec: HeaderCodec;
+/** What a run needs of those who know the upstreams. */
+export interface UpstreamAccess {
   /** Chooses an upstream for a call, leaving out those tried. */
   choose: (
     call: RoutedCall,
@@ -36,6 +34,12 @@
   noteHealth: (upstream: Upstream, sign: HealthSign) => void;
   /** Told that an upstream's address belongs to another now. */
   noteMoved: (upstream: Upstream) => void;
+}
+
+/** What a run needs of the rest of the process. */
+export interface CallRunContext extends UpstreamAccess {
+  logger: Logger;
+  codec: HeaderCodec;
   /** Told when the run is over. */
   onEnd: (run: CallRun, outcome: CallOutcome) => void;
 }
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -6,7 +6,7 @@
 import { CallRun } from "../forward/call_run.ts";
 import type {
   CallOutcome,
-  CallRunContext,
+  UpstreamAccess,
 } from "../forward/call_run_context.ts";
 import { CallerAnswer } from "../forward/caller_answer.ts";
 import type { CallerHeaders, HeaderCodec } from "../forward/caller_headers.ts";
@@ -44,7 +44,7 @@
   isLeaving: () => boolean;
   /** Told of each request that is sent on for the first time. */
   onFirstSend: (service: string) => void;
-  run: Omit<CallRunContext, "onEnd" | "logger" | "codec">;
+  upstreamAccess: UpstreamAccess;
 }
 
 /** Takes callers' requests from their heads to their runs. */
@@ -142,7 +142,7 @@
     const { logger, codec } = this.options;
     let isEnded = false;
     const run = CallRun.create(call, answer, {
-      ...this.options.run,
+      ...this.options.upstreamAccess,
       logger,
       codec,
       onEnd: (ended, outcome) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -215,7 +215,6 @@
   }
 
   private createHandler(): CallHandler {
-    const { chooser } = this;
     return CallHandler.create({
       logger: this.logger,
       metrics: this.metrics,
@@ -225,17 +224,8 @@
       mayHonourKeys: () => this.mayHonourKeys,
       getAgeMs: () => this.keeper.ageMs,
       isLeaving: () => this.stop.closesConnections,
-      onFirstSend: (service) => chooser.noteFirstSend(service),
-      run: {
-        choose: (call, tried) => chooser.choose(call, tried),
-        canChoose: (call, tried) => chooser.choose(call, tried) !== undefined,
-        findFetchSource: (call, target) =>
-          chooser.findFetchSource(call, target),
-        getLoad: (upstream) => chooser.loads.getTotal(upstream),
-        spendRetry: (service) => chooser.spendRetry(service),
-        noteHealth: (upstream, sign) => chooser.noteHealth(upstream, sign),
-        noteMoved: (upstream) => chooser.upstreams.drop(upstream),
-      },
+      onFirstSend: (service) => this.chooser.noteFirstSend(service),
+      upstreamAccess: this.chooser.createAccess(),
     });
   }
 
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "../logging/logger.ts";
+import type { UpstreamAccess } from "../forward/call_run_context.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
 import type { Service } from "../published/configuration_schema.ts";
 import { Random } from "../random/random.ts";
@@ -54,10 +55,49 @@
     return new UpstreamChooser(options);
   }
 
+  /** What requests' runs need of the upstreams. */
+  createAccess(): UpstreamAccess {
+    return {
+      choose: (call, tried) => this.choose(call, tried),
+      canChoose: (call, tried) => this.choose(call, tried) !== undefined,
+      findFetchSource: (call, target) => this.findFetchSource(call, target),
+      getLoad: (upstream) => this.loads.getTotal(upstream),
+      spendRetry: (service) => this.spendRetry(service),
+      noteHealth: (upstream, sign) => this.noteHealth(upstream, sign),
+      noteMoved: (upstream) => this.upstreams.drop(upstream),
+    };
+  }
+
+  /** Engines of the services that can take from each other what they keep. */
+  getFetchingEngines(): Upstream[] {
+    return [...this.upstreams.getAll()].filter((upstream) =>
+      this.options.getService(upstream.published.service)?.canFetch
+    );
+  }
+
+  /** Counts a call that is sent for the first time, from which its service's retries grow.
+   * @param service Name of the service. */
+  noteFirstSend(service: string): void {
+    this.getRetryShare(service).noteRequest(performance.now());
+  }
+
+  /** Begins the counts of retries anew, for the settings they follow have changed. */
+  resetRetries(): void {
+    this.retryShares.clear();
+  }
+
+  /** Closes the connections to all upstreams. */
+  close(): void {
+    this.upstreams.close();
+  }
+
   /** Chooses an upstream for a call, or nothing where none is left.
    * @param call The call.
    * @param tried Ids of the upstreams that the call was sent to before. */
-  choose(call: RoutedCall, tried: ReadonlySet<string>): Upstream | undefined {
+  private choose(
+    call: RoutedCall,
+    tried: ReadonlySet<string>,
+  ): Upstream | undefined {
     const { boundMultiple, hall } = this.options.getSettings();
     return chooseUpstream({
       candidates: this.getCandidates(call.service),
@@ -77,7 +117,10 @@
    * that the prompt is sent.
    * @param call The call.
    * @param target The engine that is to run it. */
-  findFetchSource(call: RoutedCall, target: Upstream): string | undefined {
+  private findFetchSource(
+    call: RoutedCall,
+    target: Upstream,
+  ): string | undefined {
     const { sharedParts, service } = call;
     if (sharedParts.length === 0) return undefined;
     const now = performance.now();
@@ -93,17 +136,10 @@
     return source?.published.address;
   }
 
-  /** Engines of the services that can take from each other what they keep. */
-  getFetchingEngines(): Upstream[] {
-    return [...this.upstreams.getAll()].filter((upstream) =>
-      this.options.getService(upstream.published.service)?.canFetch
-    );
-  }
-
   /** Records how an attempt at an upstream ended.
    * @param upstream The upstream.
    * @param sign What the attempt says of its health. */
-  noteHealth(upstream: Upstream, sign: HealthSign): void {
+  private noteHealth(upstream: Upstream, sign: HealthSign): void {
     this.options.onSign(sign);
     const ejectedMs = upstream.health.note(sign, performance.now());
     if (ejectedMs === 0) return;
@@ -113,28 +149,12 @@
     );
   }
 
-  /** Counts a call that is sent for the first time, from which its service's retries grow.
-   * @param service Name of the service. */
-  noteFirstSend(service: string): void {
-    this.getRetryShare(service).noteRequest(performance.now());
-  }
-
   /** Takes a retry of a service; returns whether there was one left.
    * @param service Name of the service. */
-  spendRetry(service: string): boolean {
+  private spendRetry(service: string): boolean {
     return this.getRetryShare(service).spend(performance.now());
   }
 
-  /** Begins the counts of retries anew, for the settings they follow have changed. */
-  resetRetries(): void {
-    this.retryShares.clear();
-  }
-
-  /** Closes the connections to all upstreams. */
-  close(): void {
-    this.upstreams.close();
-  }
-
   /** Upstreams of a service that may get a request, but for those on which this host has used its share of their
    * connections. */
   private getCandidates(service: string): Upstream[] {
