--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -37,6 +37,7 @@
   private isSent = false;
   private isOver = false;
   private isReusable = true;
+  private hasPaused = false;
   private controller: { pause(): void; resume(): void } | undefined;
 
   private constructor(
@@ -75,13 +76,20 @@
     if (this.finish()) this.channel.close();
   }
 
+  /** Whether this side has stopped reading, for the caller takes no more; silence then says nothing of the upstream. */
+  get isPaused(): boolean {
+    return this.hasPaused;
+  }
+
   /** Stops reading the answer until `resume`. */
   pause(): void {
+    this.hasPaused = true;
     this.controller?.pause();
   }
 
   /** Goes on reading the answer. */
   resume(): void {
+    this.hasPaused = false;
     if (!this.isOver) this.controller?.resume();
   }
 
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -177,15 +177,17 @@
   /** A silent upstream counts as unsound; where it is likely stuck a request that may run again goes elsewhere, any
    * other waits on. */
   private takeSilence(upstream: Upstream, silence: Silence): void {
-    if (this.isOver) return;
+    if (this.isOver || this.attempt?.isPaused) return;
     const detail = `silent for ${Math.round(silence.silentMs)} ms`;
     this.log.noteTrouble(upstream, detail, this.tried.size);
     this.context.noteHealth(upstream, "silent");
     if (!silence.isLikelyStuck || !this.budget.allowsRun(1)) return;
     if (!this.context.canChoose(this.call, this.tried)) return;
     if (!this.budget.spendRetry()) return;
+    const wasSent = this.attempt?.wasSent ?? false;
     this.attempt?.abandon();
-    this.budget.noteRan();
+    if (wasSent) this.budget.noteRan();
+    else this.budget.noteUnrun();
     this.next(detail);
   }
 
--- a/src/forward/event_splitter.ts
+++ b/src/forward/event_splitter.ts
@@ -1,5 +1,5 @@
-/** End of an event: an empty line. */
-const EVENT_END = Buffer.from("\n\n");
+/** Ends of an event, an empty line, with either end of line. */
+const EVENT_ENDS = [Buffer.from("\n\n"), Buffer.from("\r\n\r\n")];
 /** Begins the line of an event that holds its id. */
 const ID_FIELD = "id:";
 
@@ -33,18 +33,26 @@
       ? bytes
       : Buffer.concat([this.rest, bytes]);
     const events: StreamEvent[] = [];
-    let end = pending.indexOf(EVENT_END);
-    while (end >= 0) {
-      const event = pending.subarray(0, end + EVENT_END.length);
+    let end = findEventEnd(pending);
+    while (end !== undefined) {
+      const event = pending.subarray(0, end);
       events.push({ bytes: event, id: readId(event) });
-      pending = pending.subarray(end + EVENT_END.length);
-      end = pending.indexOf(EVENT_END);
+      pending = pending.subarray(end);
+      end = findEventEnd(pending);
     }
     this.rest = pending;
     return events;
   }
 }
 
+/** Place after the first whole event, or nothing. */
+function findEventEnd(bytes: Buffer): number | undefined {
+  const places = EVENT_ENDS.map((mark) => ({ mark, at: bytes.indexOf(mark) }))
+    .filter(({ at }) => at >= 0)
+    .map(({ mark, at }) => at + mark.length);
+  return places.length === 0 ? undefined : Math.min(...places);
+}
+
 function readId(event: Buffer): string | undefined {
   const line = event.toString("latin1").split("\n").find((one) =>
     one.startsWith(ID_FIELD)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -94,7 +94,7 @@
   reload(settings: GatewaySettings): void {
     const { seedAddresses } = settings;
     this.logger.info({ seeds: seedAddresses.join(",") }, "settings_reloaded");
-    this.settings = settings;
+    this.settings = { ...settings, ...pickFixed(this.settings) };
     this.chooser.resetRetries();
   }
 
@@ -170,7 +170,7 @@
       getSettings: () => this.settings,
       getService: (name) => this.keeper.routes?.getService(name),
       countHosts: () => 1 + this.getLiveHosts().length,
-      mayHaveLapsed: () => this.watch?.mayHaveLapsed ?? false,
+      mayHaveLapsed: () => this.keeper.mayHaveLapsed,
       onFacts: () => this.gossip?.announce(),
       onSign: (sign) => this.metrics.noteAttempt(sign),
     });
@@ -293,3 +293,27 @@
     }
   }
 }
+
+/** What a process keeps until its next start: its name, and where it listens. */
+function pickFixed(settings: GatewaySettings): Partial<GatewaySettings> {
+  const {
+    id,
+    callerAddress,
+    readinessAddress,
+    locateAddress,
+    peerAddress,
+    gossipAddress,
+    metricsAddress,
+    platformAddress,
+  } = settings;
+  return {
+    id,
+    callerAddress,
+    readinessAddress,
+    locateAddress,
+    peerAddress,
+    gossipAddress,
+    metricsAddress,
+    platformAddress,
+  };
+}
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -16,12 +16,6 @@
 const RETRY_MS = 200;
 /** Interval at which a host that does not watch looks whether it should, in milliseconds. */
 const IDLE_CHECK_MS = 100;
-/** Outage of the platform from which entries may have lapsed, in milliseconds. */
-const LAPSE_OUTAGE_MS = 800;
-/** Time after an outage in which a missing entry may only have lapsed, in milliseconds: the two seconds in which lapsed
- * entries come back, and a little. */
-const LAPSE_WINDOW_MS = 2_200;
-
 /** What the watch needs of the gateway. */
 export interface PublicationWatchOptions {
   logger: Logger;
@@ -33,10 +27,9 @@
   getLiveHosts: () => readonly KnownHost[];
 }
 
-/** A host's part in watching the platform: whether it is one of the hosts that watch, and how an outage ended. */
+/** A host's part in watching the platform: whether it is one of the hosts that watch. */
 export class PublicationWatch {
   private readonly watcher: FeedWatcher;
-  private regainedAt = -Infinity;
 
   private constructor(private readonly options: PublicationWatchOptions) {
     const { feed, keeper, logger } = options;
@@ -48,9 +41,6 @@
       retryMs: RETRY_MS,
       idleCheckMs: IDLE_CHECK_MS,
       isNeeded: () => this.isNeeded(),
-      onRegained: (outageMs) => {
-        if (outageMs >= LAPSE_OUTAGE_MS) this.regainedAt = performance.now();
-      },
     });
   }
 
@@ -60,11 +50,6 @@
     return new PublicationWatch(options);
   }
 
-  /** Whether the platform has come back so lately that missing entries may only have lapsed. */
-  get mayHaveLapsed(): boolean {
-    return performance.now() - this.regainedAt < LAPSE_WINDOW_MS;
-  }
-
   /** Ends the watch after the call under way. */
   close(): void {
     this.watcher.close();
--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -18,8 +18,6 @@
   idleCheckMs: number;
   /** Whether this process is to watch now, rather than hear from peers. */
   isNeeded: () => boolean;
-  /** Told when the platform answers again, with the time since its last answer before, in milliseconds. */
-  onRegained: (outageMs: number) => void;
 }
 
 /** Repeats long polls of what is published while this process is to watch. */
@@ -101,7 +99,6 @@
     if (this.failedSince !== undefined) {
       const outageMs = Math.round(now - this.answeredAt);
       this.options.logger.info({ outageMs }, "platform_regained");
-      this.options.onRegained(outageMs);
     }
     this.failedSince = undefined;
     this.answeredAt = now;
--- a/src/published/publication_keeper.ts
+++ b/src/published/publication_keeper.ts
@@ -9,6 +9,13 @@
 } from "./publication_feed.ts";
 import { RouteTable } from "./route_table.ts";
 
+/** Age of what is known from which an outage of the platform lies behind it, in milliseconds: beyond what it reaches
+ * while a host of the fleet reads the platform, and below the three missed heartbeats after which entries lapse. */
+const OUTAGE_AGE_MS = 2_200;
+/** Time after an outage in which a missing entry may only have lapsed, in milliseconds: the two seconds in which lapsed
+ * entries come back, and a little. */
+const LAPSE_WINDOW_MS = 2_200;
+
 /** What the keeper needs and whom it tells. */
 export interface PublicationKeeperOptions {
   logger: Logger;
@@ -31,6 +38,7 @@
   private readonly publication = Publication.create();
   private readonly freshness = Freshness.create();
   private table: RouteTable | undefined;
+  private regainedAt = -Infinity;
 
   private constructor(private readonly options: PublicationKeeperOptions) {}
 
@@ -60,6 +68,11 @@
     return this.freshness.getAge(performance.now());
   }
 
+  /** Whether the platform has come back so lately that missing entries may only have lapsed. */
+  get mayHaveLapsed(): boolean {
+    return performance.now() - this.regainedAt < LAPSE_WINDOW_MS;
+  }
+
   /** Everything known, for a peer. */
   getState(): PublicationState {
     return {
@@ -74,6 +87,7 @@
    * @param askedAt Monotonic milliseconds at which it was asked for. */
   takeSnapshot(snapshot: PublicationSnapshot, askedAt: number): void {
     const { revision, configuration, upstreams } = snapshot;
+    this.noteRegained(askedAt);
     const now = performance.now();
     this.apply(
       this.publication.mergeSnapshot(revision, configuration, upstreams, now),
@@ -87,6 +101,7 @@
    * @param knownUpTo Monotonic milliseconds up to which the watch is sure to have brought every change. */
   takeChanges(changes: PublicationChanges, knownUpTo: number): void {
     const { configuration, upstreams } = changes;
+    this.noteRegained(knownUpTo);
     this.apply(
       this.publication.merge(configuration, upstreams, performance.now()),
       "watch",
@@ -99,6 +114,7 @@
    * @param peerId The peer.
    * @param askedAt Monotonic milliseconds at which it was asked. */
   takeState(state: PublicationState, peerId: string, askedAt: number): void {
+    this.noteRegained(askedAt - state.ageMs);
     this.apply(
       this.publication.merge(
         state.configuration,
@@ -114,7 +130,22 @@
    * @param digest The peer's digest.
    * @param moment Monotonic milliseconds of this process up to which the peer knows everything. */
   takeConfirmation(digest: number, moment: number): void {
-    if (digest === this.digest) this.freshness.confirm(moment);
+    if (digest !== this.digest) return;
+    this.noteRegained(moment);
+    this.freshness.confirm(moment);
+  }
+
+  /** Notes the end of an outage, where what comes in is new and what was known is old.
+   * @param moment Monotonic milliseconds up to which everything is known now. */
+  private noteRegained(moment: number): void {
+    const { ageMs } = this;
+    const isNew = performance.now() - moment < OUTAGE_AGE_MS;
+    if (!isNew || ageMs < OUTAGE_AGE_MS || !Number.isFinite(ageMs)) return;
+    this.regainedAt = performance.now();
+    this.options.logger.info(
+      { ageMs: Math.round(ageMs) },
+      "publication_regained",
+    );
   }
 
   private apply(result: MergeResult, source: string): void {
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -115,15 +115,21 @@
   private remove(id: string): void {
     const known = this.byId.get(id);
     if (!known) return;
-    this.departed.set(known, performance.now());
-    if (!this.options.mayHaveLapsed()) return this.drop(known);
-    known.goneAt = performance.now();
+    if (!this.options.mayHaveLapsed()) return this.depart(known);
+    const goneAt = performance.now();
+    known.goneAt = goneAt;
     const timer = setTimeout(() => {
-      if (known.goneAt !== undefined) this.drop(known);
+      if (known.goneAt === goneAt) this.depart(known);
     }, this.lapseGraceMs);
     timer.unref();
   }
 
+  /** Takes an upstream out that is gone from the list, and remembers it a little. */
+  private depart(upstream: Upstream): void {
+    this.departed.set(upstream, performance.now());
+    this.drop(upstream);
+  }
+
   private rebuild(service: string): void {
     const serving = [...this.byId.values()].filter((upstream) =>
       upstream.published.service === service
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -99,6 +99,7 @@
 async function runCall(
   behaviours: readonly Behaviour[],
   changes: Partial<Route> = {},
+  onStart: (run: CallRun, route: Route) => void = () => undefined,
 ): Promise<Received & { requests: IncomingMessage[] }> {
   const requests: IncomingMessage[] = [];
   const servers = behaviours.map((behaviour) =>
@@ -112,7 +113,7 @@
   for (const server of servers) {
     upstreams.push(createUpstream(upstreams.length, await listen(server)));
   }
-  const received = await callThrough(upstreams, buildRoute(changes));
+  const received = await callThrough(upstreams, buildRoute(changes), onStart);
   for (const upstream of upstreams) upstream.close();
   for (const server of servers) {
     server.close();
@@ -142,11 +143,12 @@
 async function callThrough(
   upstreams: readonly Upstream[],
   route: Route,
+  onStart: (run: CallRun, route: Route) => void,
 ): Promise<Received> {
   const ended = createDeferred<CallOutcome>();
   const front = createServer((_request, response) => {
     const answer = CallerAnswer.create(response, () => false);
-    CallRun.create(buildCall(route), answer, {
+    const run = CallRun.create(buildCall(route), answer, {
       logger: pino({ level: "silent" }),
       codec: platformHeaders,
       choose: (_call, tried) =>
@@ -159,6 +161,7 @@
       noteMoved: () => undefined,
       onEnd: (_run, outcome) => ended.resolve(outcome),
     });
+    onStart(run, route);
   });
   const port = await listen(front);
   const response = await fetch(`http://127.0.0.1:${port}/`);
@@ -175,8 +178,18 @@
 }
 
 test("a request that was sent and not answered in time is not called not run", async (t) => {
-  const received = await runCall([silent], { timeoutMs: 60, kind: "once" });
+  const sent = createDeferred<void>();
+  const received = await runCall(
+    [() => sent.resolve()],
+    {
+      timeoutMs: 60_000,
+      kind: "once",
+    },
+    (run, route) =>
+      void sent.promise.then(() => run.applyRoute({ ...route, timeoutMs: 1 })),
+  );
   t.is(received.status, 504);
+  t.is(received.requests.length, 1);
 });
 
 test("a request that nobody took in time is refused as not run, with a time to come back", async (t) => {
--- /dev/null
+++ b/tests/forward/event_splitter_test.ts
@@ -0,0 +1,31 @@
+import fc from "fast-check";
+import test from "ava";
+import { EventSplitter } from "../../src/forward/event_splitter.ts";
+
+const END_BY_KIND = { unix: "\n", network: "\r\n" };
+
+for (const [kind, end] of Object.entries(END_BY_KIND)) {
+  test(`events are the same however their bytes are cut, with ${kind} ends of lines`, (t) => {
+    const events = [1, 2, 3].map((id) =>
+      `id: ${id}${end}data: x${id}${end}${end}`
+    );
+    const bytes = Buffer.from(events.join("") + `id: 4${end}da`);
+    const keeps = fc.property(
+      fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }),
+      (sizes) => {
+        const splitter = EventSplitter.create();
+        const found: (string | undefined)[] = [];
+        let at = 0;
+        for (let index = 0; at < bytes.length; index++) {
+          const next = at + sizes[index % sizes.length]!;
+          for (const event of splitter.push(bytes.subarray(at, next))) {
+            found.push(event.id);
+          }
+          at = next;
+        }
+        return found.join() === "1,2,3" && splitter.hasRest;
+      },
+    );
+    t.notThrows(() => fc.assert(keeps, { seed: 2, numRuns: 300 }));
+  });
+}
--- /dev/null
+++ b/tests/upstreams/upstream_table_test.ts
@@ -0,0 +1,39 @@
+import { pino } from "pino";
+import test from "ava";
+import { UpstreamTable } from "../../src/upstreams/upstream_table.ts";
+import { buildUpstream } from "../published/build_published.ts";
+
+const LISTED = { id: "u", revision: 1, upstream: buildUpstream({ id: "u" }) };
+const GONE = { id: "u", revision: 2, upstream: undefined };
+
+function createTable(mayHaveLapsed: boolean): UpstreamTable {
+  return UpstreamTable.create({
+    logger: pino({ level: "silent" }),
+    mayHaveLapsed: () => mayHaveLapsed,
+    leaveWithinMs: 60_000,
+  });
+}
+
+test("an upstream gone from the list gets nothing new, and still gives others what it keeps", (t) => {
+  const table = createTable(false);
+  table.apply([LISTED]);
+  table.apply([GONE]);
+  t.is(table.getServing("s").length, 0);
+  t.is(table.getPresent("s").length, 1);
+});
+
+test("one that may only have lapsed in an outage is used on, and is listed once", (t) => {
+  const table = createTable(true);
+  table.apply([LISTED]);
+  table.apply([GONE]);
+  t.is(table.getServing("s").length, 1);
+  t.is(table.getPresent("s").length, 1);
+});
+
+test("one that leaves gets nothing new", (t) => {
+  const table = createTable(false);
+  const leaving = buildUpstream({ id: "u", isLeaving: true });
+  table.apply([LISTED]);
+  table.apply([{ id: "u", revision: 2, upstream: leaving }]);
+  t.is(table.getServing("s").length, 0);
+});
