Let gateway tests wait until the gateway serves

Cause: four tests called right after the start; beside load the first configuration can come later than the 250 ms for which a request waits. Found by reading; no failure was seen.

--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -18,11 +18,21 @@
   );
 }
 
+/** Waits until a gateway has its first configuration, for it names itself only then. */
+async function waitUntilServing(gateway: TestGateway): Promise<void> {
+  await waitUntil(
+    "the gateway serves",
+    async () =>
+      (await locate(gateway)).includes(gateway.settings.callerAddress),
+  );
+}
+
 test("a request reaches a worker of its route's service unchanged, and its answer comes back", async (t) => {
   await withGateways(async (fleet) => {
     const worker = await fleet.startWorker("s");
     fleet.publishConfiguration(3, [KEY]);
     const gateway = await fleet.startGateway();
+    await waitUntilServing(gateway);
     const answer = await call(gateway, KEY, {
       headers: { "x-beechkeel-tenant": "forged", "x-mine": "kept" },
     });
@@ -43,6 +53,7 @@
     const worker = await fleet.startWorker("s");
     fleet.publishConfiguration(3, [KEY]);
     const gateway = await fleet.startGateway();
+    await waitUntilServing(gateway);
     t.is((await call(gateway, "other")).status, 401);
     t.is((await call(gateway, KEY, { path: "/b/" })).status, 404);
     const headers = { "x-beechkeel-attempt-id": "" };
@@ -174,6 +185,7 @@
     fleet.store.remove(`servers/${taken.id}`);
     fleet.publishConfiguration(1, [KEY]);
     const gateway = await fleet.startGateway();
+    await waitUntilServing(gateway);
     for (let index = 0; index < 12; index++) {
       t.is((await call(gateway, KEY)).body, sound.id);
     }
@@ -218,6 +230,7 @@
       slo_ms: 60_000,
     });
     const gateway = await fleet.startGateway();
+    await waitUntilServing(gateway);
     const pending = call(gateway, KEY);
     await waitUntil("the request arrived", () => worker.arrivals.length === 1);
     fleet.publishConfiguration(2, [KEY], { timeout_ms: 50, slo_ms: 60_000 });
