A router that wakes takes no work for an upstream before it has reported anew

Ruled out: the mean (load_book_test), for the three other tests of it passed in the same run. Before -> after: owned_upstream_test fails on the code before (load 1 of 4), passes now.

--- a/src/owner/foreign_load.ts
+++ b/src/owner/foreign_load.ts
@@ -60,6 +60,13 @@
     this.foreign = Math.max(this.foreign, told);
   }
 
+  /** Begins anew after a pause of this process, in which another router may have owned the upstream: all that reports
+   * show is foreign for a while, for the own load from before the pause may explain none of it.
+   * @param now Monotonic milliseconds. */
+  startAfterPause(now: number): void {
+    this.takeoverEndsAt = now + TAKEOVER_MS;
+  }
+
   /** Counts one foreign request as own from now on. */
   resumeOne(): void {
     this.foreign = Math.max(0, this.foreign - 1);
--- a/src/owner/owned_upstream.ts
+++ b/src/owner/owned_upstream.ts
@@ -25,6 +25,8 @@
   /** The last report, where one was read. */
   report: UpstreamReport | undefined;
   private missedReports = 0;
+  private pauses = 0;
+  private needsReport = false;
 
   private constructor(
     /** The upstream as last listed. */
@@ -69,6 +71,25 @@
     return this.missedReports < MISSED_REPORTS;
   }
 
+  /** Whether what is known of its load is from before a pause of this process. */
+  get isLoadUnknown(): boolean {
+    return this.needsReport;
+  }
+
+  /** Pauses of this process so far; a report that was asked for before the last of them says nothing of now. */
+  get pauseCount(): number {
+    return this.pauses;
+  }
+
+  /** Notes that this process was paused: another router may own the upstream by now and have started requests there.
+   * @param now Monotonic milliseconds. */
+  notePause(now: number): void {
+    this.pauses += 1;
+    this.needsReport = true;
+    this.isOwned = false;
+    this.foreign.startAfterPause(now);
+  }
+
   /** Takes a report.
    * @param report The report, or nothing where it could not be read.
    * @param now Monotonic milliseconds. */
@@ -78,6 +99,7 @@
       return;
     }
     this.missedReports = 0;
+    this.needsReport = false;
     this.report = report;
     const resumed = [...this.running].filter((job) => job.offer.resumes).length;
     this.foreign.recordReport(report.inFlight, resumed, now);
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -144,6 +144,11 @@
     }));
   }
 
+  /** Notes that this process was paused; what it knew of its upstreams' loads is no longer used. */
+  notePause(): void {
+    this.registry.notePause();
+  }
+
   /** Declines all further offers; what was taken goes on. */
   stopAccepting(): void {
     this.isStopping = true;
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -94,9 +94,17 @@
     return isOther && !frame.avoids.includes(owner) ? owner : undefined;
   }
 
+  /** Notes that this process was paused; each upstream takes work again once it has reported. */
+  notePause(): void {
+    const now = performance.now();
+    for (const upstream of this.upstreams.values()) upstream.notePause(now);
+    this.readReports();
+  }
+
   /** Whether one more request may be started on an upstream.
    * @param upstream The upstream. */
   hasRoom(upstream: OwnedUpstream): boolean {
+    if (upstream.isLoadUnknown) return false;
     if (!this.isBounded) return upstream.load < upstream.host.slots;
     const load = { own: upstream.running.size, foreign: upstream.foreign.load };
     return hasRoom(this.getBound(upstream), load);
@@ -191,7 +199,9 @@
   }
 
   private async readReport(upstream: OwnedUpstream): Promise<void> {
+    const { pauseCount } = upstream;
     const report = await upstream.client.readReport().catch(() => undefined);
+    if (upstream.pauseCount !== pauseCount) return;
     this.options.onReport(upstream, report);
   }
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -279,6 +279,7 @@
 
   private onPause(gapMs: number): void {
     this.membership?.forgetProbes();
+    this.owner.notePause();
     this.logger.warn({ gapMs: Math.round(gapMs) }, "process_was_paused");
   }
 
--- /dev/null
+++ b/tests/owner/owned_upstream_test.ts
@@ -0,0 +1,59 @@
+import test from "ava";
+import type { Host } from "../../src/configuration_service/host_schema.ts";
+import type { Job } from "../../src/owner/job.ts";
+import { OwnedUpstream } from "../../src/owner/owned_upstream.ts";
+
+const HOST: Host = {
+  id: "e-0",
+  role: "engine",
+  partner: "kilima",
+  region: "dar",
+  hall: "temeke",
+  address: "127.0.0.1",
+  port: 1,
+  state: "live",
+  models: [],
+  slots: 8,
+  checksFence: false,
+};
+
+function buildReport(inFlight: number) {
+  return { inFlight, leaving: false, fence: 0 };
+}
+
+function startJobs(upstream: OwnedUpstream, count: number, now: number): Job[] {
+  return Array.from({ length: count }, (_, index) => {
+    const job = {
+      customer: `c-${index}`,
+      offer: { resumes: false },
+    } as unknown as Job;
+    upstream.add(job, now);
+    return job;
+  });
+}
+
+test("requests from before a pause do not hide those that another router started meanwhile", (t) => {
+  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  const jobs = startJobs(upstream, 3, 0);
+  upstream.takeReport(buildReport(3), 500);
+  t.is(upstream.load, 3);
+
+  const wokeAt = 5_000;
+  upstream.notePause(wokeAt);
+  for (const job of jobs) upstream.delete(job, wokeAt);
+  upstream.takeReport(buildReport(4), wokeAt + 10);
+  t.is(upstream.load, 4);
+});
+
+test("after a pause the load is unknown until a report comes", (t) => {
+  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  upstream.isOwned = true;
+  upstream.takeReport(buildReport(0), 0);
+  upstream.notePause(5_000);
+  t.true(upstream.isLoadUnknown);
+  t.false(upstream.isOwned);
+  upstream.takeReport(undefined, 5_010);
+  t.true(upstream.isLoadUnknown);
+  upstream.takeReport(buildReport(2), 5_020);
+  t.false(upstream.isLoadUnknown);
+});
