A soak of the gateways as processes: random faults from outside, judged by what callers and workers saw

New: soak/ (gateways as processes on loopback addresses of their own, each behind a proxy to the store; workers behind proxies; thirteen kinds of fault, three streams side by side; nine promises about answers and five about time). The process part of RouterProcess is shared now. Ruled out: clocks and storage as faults, for a gateway reads the time of day for log lines only and has no disk; parting gateways from each other, for hosts announce their own address (freezes stand in).

--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -12,6 +12,8 @@
   | "pass"
   /** Old connections end, and new ones end at once. */
   | "cut"
+  /** As `cut`, by resets. */
+  | "reset"
   /** Nothing passes, and nobody is told. */
   | "freeze"
   /** Nothing passes towards the server. */
@@ -32,7 +34,7 @@
   private readonly udpLinks = new Map<string, UdpSocket>();
 
   private constructor(
-    private readonly target: number,
+    private target: number,
     private readonly server: Server,
     private readonly udp: UdpSocket,
     /** Port it listens on. */
@@ -66,6 +68,13 @@
     for (const link of this.links) this.apply(link);
   }
 
+  /** Changes where new connections go, as when another server takes over the address; old ones end.
+   * @param target Port of the server on the loopback address. */
+  setTarget(target: number): void {
+    this.target = target;
+    for (const link of this.links) this.end(link, "cut");
+  }
+
   /** Ends the proxy. */
   close(): void {
     this.mode = "cut";
@@ -109,10 +118,8 @@
   }
 
   private apply(link: Link): void {
-    if (this.mode === "cut") {
-      link.client.destroy();
-      link.server.destroy();
-      return;
+    if (this.mode === "cut" || this.mode === "reset") {
+      return this.end(link, this.mode);
     }
     const stopsRequests = this.mode === "freeze" ||
       this.mode === "freeze_requests";
@@ -124,9 +131,16 @@
     else link.server.resume();
   }
 
+  private end(link: Link, how: "cut" | "reset"): void {
+    for (const socket of [link.client, link.server]) {
+      if (how === "reset") socket.resetAndDestroy();
+      else socket.destroy();
+    }
+  }
+
   private forward(datagram: Buffer, clientPort: number): void {
     if (
-      this.mode === "cut" || this.mode === "freeze" ||
+      this.mode === "cut" || this.mode === "reset" || this.mode === "freeze" ||
       this.mode === "freeze_requests"
     ) return;
     const link = this.udpLinks.get(String(clientPort)) ??
@@ -139,8 +153,8 @@
     link.on("error", () => undefined);
     link.on("message", (datagram) => {
       if (
-        this.mode === "cut" || this.mode === "freeze" ||
-        this.mode === "freeze_answers"
+        this.mode === "cut" || this.mode === "reset" ||
+        this.mode === "freeze" || this.mode === "freeze_answers"
       ) return;
       this.udp.send(datagram, clientPort, "127.0.0.1", () => undefined);
     });
--- /dev/null
+++ b/soak/run_seed.ts
@@ -0,0 +1,194 @@
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { setTimeout as delay } from "node:timers/promises";
+import { Random } from "../src/random/random.ts";
+import type { CallerAttempt } from "./caller_attempt.ts";
+import type { Evidence } from "./evidence.ts";
+import { ANSWER_JUDGES, type Judge } from "./judge_answers.ts";
+import { TIME_JUDGES } from "./judge_times.ts";
+import { SoakCaller } from "./soak_caller.ts";
+import { SOAK_FAULTS } from "./soak_faults.ts";
+import { SoakFleet } from "./soak_fleet.ts";
+
+/** What one run is made of. */
+export interface SeedOptions {
+  seed: number;
+  /** Time in which faults begin, in milliseconds. */
+  faultsMs: number;
+  /** Whether promises about time are judged too; not beside other load. */
+  judgesTimes: boolean;
+  /** Gateways, workers and callers, as a multiple of the usual. */
+  size: number;
+  /** Faults that may come; all where none are named. */
+  faults: readonly string[];
+}
+
+/** How one run ended. */
+export interface SeedResult {
+  seed: number;
+  /** Breaches of promises, a line each. */
+  breaches: string[];
+  attempts: number;
+  /** How many requests of each kind ended in which way. */
+  endings: Record<string, number>;
+  faults: string[];
+  /** What each gateway logged. */
+  logs: Record<string, readonly string[]>;
+}
+
+/** Fault streams that run side by side, so that faults meet. */
+const FAULT_STREAMS = 3;
+/** Longest pause of a stream between two faults, in milliseconds. */
+const FAULT_PAUSE_MS = 900;
+/** Usual sizes. */
+const USUAL = { gateways: 4, engines: 4, plain: 3, callers: 14 };
+/** Longest pause of a caller between two requests in milliseconds, usually and in a burst. */
+const CALLER_PAUSE_MS = 90;
+const BURST_PAUSE_MS = 8;
+/** A burst's share of the time: the first part of each period, in milliseconds. */
+const BURST_PERIOD_MS = 6_000;
+const BURST_MS = 900;
+/** Time after the last fault in which the fleet has to come to serve again, in milliseconds. */
+const SETTLE_MS = 12_000;
+const SETTLE_STEP_MS = 200;
+/** Calm requests of a kind in a row that show that it does. */
+const CALM_REQUESTS = 8;
+
+/** Runs a fleet under random faults, and judges what callers and workers saw.
+ * @param options What the run is made of. */
+export async function runSeed(options: SeedOptions): Promise<SeedResult> {
+  const fleet = await SoakFleet.create({
+    seed: options.seed,
+    gateways: USUAL.gateways * options.size,
+    engines: USUAL.engines * options.size,
+    plain: USUAL.plain * options.size,
+  });
+  const lag = monitorEventLoopDelay();
+  lag.enable();
+  try {
+    const attempts: CallerAttempt[] = [];
+    const random = Random.create(options.seed);
+    await runFaults(fleet, random, attempts, options);
+    const unsettled = await settle(fleet, random, attempts);
+    const evidence = { ...fleet, attempts, lagMs: lag.max / 1e6 };
+    const judges = {
+      ...ANSWER_JUDGES,
+      ...(options.judgesTimes ? TIME_JUDGES : {}),
+    };
+    return describe(fleet, evidence, options.seed, [
+      ...unsettled,
+      ...judge(evidence, judges),
+    ]);
+  } finally {
+    lag.disable();
+    await fleet.close();
+  }
+}
+
+async function runFaults(
+  fleet: SoakFleet,
+  random: Random,
+  attempts: CallerAttempt[],
+  options: SeedOptions,
+): Promise<void> {
+  let isOver = false;
+  const callers = Array.from(
+    { length: USUAL.callers * options.size },
+    (_, index) =>
+      SoakCaller.create(
+        `s${options.seed}-c${index}`,
+        fleet,
+        Random.create(random.integer(1, 0x3fffffff)),
+        attempts,
+        index % 2 === 0,
+      ).run(() => isOver, getPauseMs),
+  );
+  const endsAt = performance.now() + options.faultsMs;
+  const streams = Array.from(
+    { length: FAULT_STREAMS },
+    () =>
+      runStream(
+        fleet,
+        Random.create(random.integer(1, 0x3fffffff)),
+        endsAt,
+        options.faults,
+      ),
+  );
+  await Promise.all(streams);
+  isOver = true;
+  await Promise.all(callers);
+}
+
+function getPauseMs(): number {
+  const isBurst = performance.now() % BURST_PERIOD_MS < BURST_MS;
+  return isBurst ? BURST_PAUSE_MS : CALLER_PAUSE_MS;
+}
+
+async function runStream(
+  fleet: SoakFleet,
+  random: Random,
+  endsAt: number,
+  chosen: readonly string[],
+): Promise<void> {
+  const names = chosen.length > 0 ? chosen : Object.keys(SOAK_FAULTS);
+  while (performance.now() < endsAt) {
+    await delay(random.integer(1, FAULT_PAUSE_MS));
+    const name = names[random.integer(0, names.length - 1)]!;
+    await SOAK_FAULTS[name]!(fleet, random);
+  }
+}
+
+/** Waits until calm requests of each kind are served; returns a line where they are not in time. */
+async function settle(
+  fleet: SoakFleet,
+  random: Random,
+  attempts: CallerAttempt[],
+): Promise<string[]> {
+  const caller = SoakCaller.create("settle", fleet, random, attempts, false);
+  const endsAt = performance.now() + SETTLE_MS;
+  let inRow = 0;
+  while (inRow < CALM_REQUESTS) {
+    if (performance.now() > endsAt) return ["the fleet does not serve again"];
+    const look = await caller.sendCalmly("look");
+    const chat = await caller.sendCalmly("chat");
+    const isServed = look?.status === 200 && chat?.isWhole === true;
+    inRow = isServed ? inRow + 1 : 0;
+    if (!isServed) await delay(SETTLE_STEP_MS);
+  }
+  return [];
+}
+
+function judge(
+  evidence: Evidence,
+  judges: Readonly<Record<string, Judge>>,
+): string[] {
+  return Object.entries(judges).flatMap(([promise, find]) =>
+    find(evidence).map((breach) => `${promise}: ${breach}`)
+  );
+}
+
+function describe(
+  fleet: SoakFleet,
+  { attempts }: Evidence,
+  seed: number,
+  breaches: string[],
+): SeedResult {
+  const faults = fleet.faults.windows.map(({ name, targets, from, to }) =>
+    `${Math.round(from)}-${Math.round(to ?? Infinity)} ${name} ${targets}`
+  );
+  const endings: Record<string, number> = {};
+  for (const attempt of attempts) {
+    const ending = `${attempt.kind}/${getEnding(attempt)}`;
+    endings[ending] = (endings[ending] ?? 0) + 1;
+  }
+  const logs = Object.fromEntries(
+    fleet.gateways.map((gateway) => [gateway.id, gateway.program.log]),
+  );
+  const count = attempts.length;
+  return { seed, breaches, attempts: count, endings, faults, logs };
+}
+
+function getEnding({ gaveUpAt, status, isWhole }: CallerAttempt): string {
+  if (gaveUpAt !== undefined) return "given_up";
+  if (status === undefined) return "no_answer";
+  return isWhole ? String(status) : `${status}_broken`;
+}
--- /dev/null
+++ b/soak/soak_faults.ts
@@ -0,0 +1,224 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type { ProxyMode } from "../fakes/fault_proxy.ts";
+import type { Random } from "../src/random/random.ts";
+import { AFTERMATH_MS, BOUNDS } from "./bounds.ts";
+import type { GatewayProcess } from "./gateway_process.ts";
+import type { SoakFleet } from "./soak_fleet.ts";
+import type { SoakWorker, WorkerFault } from "./soak_worker.ts";
+
+/** Injects one fault and takes it back; ends when it is over. */
+export type SoakFault = (fleet: SoakFleet, random: Random) => Promise<void>;
+
+/** Time after which the entry of a worker that crashed goes, in milliseconds: three heartbeats. */
+const ENTRY_LAPSES_MS = 1_200;
+/** Time for which a worker serves on after it may get no new work, in milliseconds. */
+const LINGER_MS = 1_000;
+
+const CUTS: readonly ProxyMode[] = [
+  "cut",
+  "reset",
+  "freeze",
+  "freeze_requests",
+  "freeze_answers",
+];
+const WORKER_FAULTS: readonly WorkerFault[] = [
+  "errors",
+  "full",
+  "reset",
+  "mute",
+  "cut_short",
+  "surplus",
+  "crossed",
+  "slow",
+];
+
+async function killGateway(fleet: SoakFleet, random: Random): Promise<void> {
+  await killAll(fleet, [pick(fleet.gateways, random)], random);
+}
+
+async function killManyGateways(
+  fleet: SoakFleet,
+  random: Random,
+): Promise<void> {
+  const hit = fleet.gateways.filter(() => random.fraction() < 0.7);
+  await killAll(fleet, hit, random);
+}
+
+async function killAll(
+  fleet: SoakFleet,
+  hit: readonly GatewayProcess[],
+  random: Random,
+): Promise<void> {
+  const window = fleet.faults.begin("kill", hit.map((gateway) => gateway.id));
+  await Promise.all(hit.map((gateway) => gateway.program.kill()));
+  await delay(random.integer(50, 1_200));
+  for (const gateway of hit) gateway.program.start();
+  await delay(AFTERMATH_MS);
+  fleet.faults.end(window);
+}
+
+async function stopGateway(fleet: SoakFleet, random: Random): Promise<void> {
+  await stop(fleet, pick(fleet.gateways, random));
+}
+
+/** Stops gateways in turn, each some time after the one before, whether that has ended or not. */
+async function stopInTurn(fleet: SoakFleet, random: Random): Promise<void> {
+  const gapMs = random.integer(200, 2_500);
+  const stops = random.shuffle(fleet.gateways).map(async (gateway, index) => {
+    await delay(index * gapMs);
+    await stop(fleet, gateway);
+  });
+  await Promise.all(stops);
+}
+
+async function stop(fleet: SoakFleet, gateway: GatewayProcess): Promise<void> {
+  const { program, id } = gateway;
+  if (!program.isAlive) return;
+  const life = program.starts;
+  const window = fleet.faults.begin("stop", [id], true);
+  fleet.stops.push({ gateway: id, life, at: performance.now() });
+  program.signal("SIGTERM");
+  const isOver = program.waitForExit().then(() => true);
+  const limit = delay(BOUNDS.stopWithinMs, false, { ref: false });
+  const hasEnded = await Promise.race([isOver, limit]);
+  if (!hasEnded && program.starts === life) await program.kill();
+  program.start();
+  fleet.faults.end(window);
+}
+
+async function reloadGateway(fleet: SoakFleet, random: Random): Promise<void> {
+  const gateway = pick(fleet.gateways, random);
+  const window = fleet.faults.begin("reload", [gateway.id], true);
+  const seeds = random.shuffle(fleet.gatewayIps).slice(0, 2);
+  gateway.rewriteSettings(seeds);
+  const hasSignal = random.fraction() < 0.7;
+  if (hasSignal && gateway.program.isAlive) gateway.program.signal("SIGHUP");
+  await delay(random.integer(50, 400));
+  fleet.faults.end(window);
+}
+
+async function freezeGateway(fleet: SoakFleet, random: Random): Promise<void> {
+  const gateway = pick(fleet.gateways, random);
+  const window = fleet.faults.begin("freeze", [gateway.id]);
+  gateway.program.signal("SIGSTOP");
+  await delay(random.integer(200, 6_000));
+  gateway.program.signal("SIGCONT");
+  await delay(AFTERMATH_MS);
+  fleet.faults.end(window);
+}
+
+async function troubleStore(fleet: SoakFleet, random: Random): Promise<void> {
+  const behaviours = ["unavailable", "silent", "history_lost"] as const;
+  const window = fleet.faults.begin("store", ["store"]);
+  fleet.store.behaviour = pick(behaviours, random);
+  await delay(random.integer(300, 7_000));
+  fleet.store.behaviour = "well";
+  fleet.faults.end(window);
+}
+
+async function cutFromStore(fleet: SoakFleet, random: Random): Promise<void> {
+  const hit = fleet.gateways.filter(() => random.fraction() < 0.4);
+  const mode = pick([...CUTS, "pass"] as const, random);
+  const delayMs = random.integer(0, 900);
+  const window = fleet.faults.begin(`store ${mode}`, ["store"]);
+  for (const gateway of hit) gateway.storeProxy.setMode(mode, delayMs);
+  await delay(random.integer(300, 7_000));
+  for (const gateway of hit) gateway.storeProxy.setMode("pass");
+  fleet.faults.end(window);
+}
+
+async function cutWorker(fleet: SoakFleet, random: Random): Promise<void> {
+  const worker = pick(fleet.workers, random);
+  const mode = pick([...CUTS, "pass"] as const, random);
+  const window = fleet.faults.begin(`worker ${mode}`, [worker.id]);
+  worker.proxy.setMode(mode, random.integer(0, 300));
+  await delay(random.integer(100, 3_000));
+  worker.proxy.setMode("pass");
+  await delay(AFTERMATH_MS);
+  fleet.faults.end(window);
+}
+
+async function misbehaveWorker(
+  fleet: SoakFleet,
+  random: Random,
+): Promise<void> {
+  const worker = pick(fleet.workers, random);
+  const fault = pick(WORKER_FAULTS, random);
+  const window = fleet.faults.begin(fault, [worker.id]);
+  worker.fault = fault;
+  await delay(random.integer(300, 4_000));
+  worker.fault = "none";
+  await delay(AFTERMATH_MS);
+  fleet.faults.end(window);
+}
+
+/** A worker crashes; its address may go to one of another service at once. */
+async function crashWorker(fleet: SoakFleet, random: Random): Promise<void> {
+  const worker = pick(fleet.workers, random);
+  if (!mayGo(fleet, worker)) return;
+  const window = fleet.faults.begin("crash", [worker.id]);
+  fleet.forgetWorker(worker);
+  await worker.crash();
+  const isReused = random.fraction() < 0.5;
+  if (isReused) {
+    const other = worker.service === "plain" ? "engine" : "plain";
+    await fleet.addWorker(other, worker.proxy);
+  }
+  await delay(ENTRY_LAPSES_MS);
+  fleet.store.remove(`servers/${worker.id}`);
+  if (!isReused) worker.proxy.close();
+  await fleet.addWorker(worker.service);
+  fleet.faults.end(window);
+}
+
+/** A worker is replaced: the new one comes first, the old one says that it leaves and serves on for a while. */
+async function replaceWorker(fleet: SoakFleet, random: Random): Promise<void> {
+  const worker = pick(fleet.workers, random);
+  if (!mayGo(fleet, worker)) return;
+  fleet.forgetWorker(worker);
+  await fleet.addWorker(worker.service);
+  fleet.publishLeaving(worker);
+  await delay(BOUNDS.leaveWithinMs + LINGER_MS);
+  fleet.store.remove(`servers/${worker.id}`);
+  const window = fleet.faults.begin("end", [worker.id]);
+  await worker.close();
+  fleet.faults.end(window);
+}
+
+async function changeConfiguration(
+  fleet: SoakFleet,
+  random: Random,
+): Promise<void> {
+  const changes = random.integer(1, 5);
+  for (let count = 0; count < changes; count++) {
+    fleet.publishNextVersion();
+    await delay(random.integer(20, 600));
+  }
+}
+
+/** Whether a worker may go, so that two of its service are left. */
+function mayGo(fleet: SoakFleet, worker: SoakWorker): boolean {
+  const { service } = worker;
+  return fleet.workers.filter((one) => one.service === service).length > 2;
+}
+
+function pick<T>(items: readonly T[], random: Random): T {
+  return items[random.integer(0, items.length - 1)]!;
+}
+
+/** The faults by name. */
+export const SOAK_FAULTS: Readonly<Record<string, SoakFault>> = {
+  killGateway,
+  killManyGateways,
+  stopGateway,
+  stopInTurn,
+  reloadGateway,
+  freezeGateway,
+  troubleStore,
+  cutFromStore,
+  cutWorker,
+  misbehaveWorker,
+  crashWorker,
+  replaceWorker,
+  changeConfiguration,
+};
--- /dev/null
+++ b/soak/soak_fleet.ts
@@ -0,0 +1,207 @@
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import process from "node:process";
+import { setTimeout as delay } from "node:timers/promises";
+import { FakeStore } from "../fakes/fake_store.ts";
+import type { FaultProxy } from "../fakes/fault_proxy.ts";
+import { Random } from "../src/random/random.ts";
+import { KIND_RULES, type RequestKind } from "./caller_attempt.ts";
+import type { Leaving, PublishedVersion, Stop } from "./evidence.ts";
+import { FaultLog } from "./fault_log.ts";
+import { GatewayProcess } from "./gateway_process.ts";
+import { SoakWorker } from "./soak_worker.ts";
+import type { WorkerRun } from "./worker_run.ts";
+
+/** Key that every version of the configuration holds. */
+export const LASTING_KEY = "key-lasting";
+/** Customer that holds all keys. */
+export const CUSTOMER = "customer-1";
+/** Host that requests name. */
+export const HOST = "soak.example";
+
+/** Longest time for the first start of a fleet, in milliseconds. */
+const START_TIMEOUT_MS = 30_000;
+const POLL_MS = 50;
+
+/** What a fleet is made of. */
+export interface SoakFleetOptions {
+  seed: number;
+  gateways: number;
+  engines: number;
+  plain: number;
+}
+
+/** A store and workers as stand-ins in this process, and gateways as processes, with what each saw. */
+export class SoakFleet {
+  readonly gateways: GatewayProcess[] = [];
+  readonly workers: SoakWorker[] = [];
+  readonly runs: WorkerRun[] = [];
+  readonly versions: PublishedVersion[] = [];
+  readonly leavings: Leaving[] = [];
+  readonly stops: Stop[] = [];
+  readonly faults = FaultLog.create();
+  private readonly folder = mkdtempSync(`${tmpdir()}/beechkeel-soak-`);
+  private readonly random: Random;
+  private workerCount = 0;
+
+  private constructor(
+    readonly store: FakeStore,
+    private readonly options: SoakFleetOptions,
+  ) {
+    this.random = Random.create(options.seed);
+  }
+
+  /** Starts a fleet and waits until every gateway serves.
+   * @param options What it is made of. */
+  static async create(options: SoakFleetOptions): Promise<SoakFleet> {
+    const fleet = new SoakFleet(await FakeStore.create(), options);
+    fleet.publishNextVersion();
+    for (let count = 0; count < options.engines; count++) {
+      await fleet.addWorker("engine");
+    }
+    for (let count = 0; count < options.plain; count++) {
+      await fleet.addWorker("plain");
+    }
+    for (let index = 0; index < options.gateways; index++) {
+      await fleet.addGateway(index);
+    }
+    await fleet.waitUntilServing();
+    return fleet;
+  }
+
+  /** The newest version of the configuration. */
+  get newest(): PublishedVersion {
+    return this.versions.at(-1)!;
+  }
+
+  /** Publishes a version with a route and a key that only it holds, and all that last. */
+  publishNextVersion(): void {
+    const version = (this.versions.at(-1)?.version ?? 0) + 3;
+    const key = `key-${version}`;
+    this.store.put("op/config", buildConfiguration(version, key));
+    this.versions.push({ version, key, at: performance.now() });
+  }
+
+  /** Starts a worker and publishes it.
+   * @param service Service it belongs to.
+   * @param proxy Proxy of a worker that is gone, whose address this one takes over. */
+  async addWorker(service: string, proxy?: FaultProxy): Promise<SoakWorker> {
+    this.workerCount += 1;
+    const worker = await SoakWorker.create(
+      `w-${this.workerCount}`,
+      service,
+      this.runs,
+      Random.create(this.random.integer(1, 0x3fffffff)),
+      proxy,
+    );
+    this.workers.push(worker);
+    this.store.put(`servers/${worker.id}`, worker.describe("ready"));
+    return worker;
+  }
+
+  /** Lets a worker say that it leaves.
+   * @param worker The worker. */
+  publishLeaving(worker: SoakWorker): void {
+    this.store.put(`servers/${worker.id}`, worker.describe("draining"));
+    this.leavings.push({ worker: worker.id, at: performance.now() });
+  }
+
+  /** Takes a worker off the list of those that faults may hit.
+   * @param worker The worker. */
+  forgetWorker(worker: SoakWorker): void {
+    const index = this.workers.indexOf(worker);
+    if (index >= 0) this.workers.splice(index, 1);
+  }
+
+  /** Loopback addresses of all gateways. */
+  get gatewayIps(): string[] {
+    return Array.from(
+      { length: this.options.gateways },
+      (_, index) => this.getIp(index),
+    );
+  }
+
+  /** Waits until each gateway names all of them. */
+  async waitUntilServing(): Promise<void> {
+    const endsAt = performance.now() + START_TIMEOUT_MS;
+    for (const gateway of this.gateways) {
+      while ((await locate(gateway)).length < this.gateways.length) {
+        if (performance.now() > endsAt) {
+          throw new Error(`${gateway.id} does not name all gateways`);
+        }
+        await delay(POLL_MS);
+      }
+    }
+  }
+
+  /** Ends everything. */
+  async close(): Promise<void> {
+    await Promise.all(this.gateways.map((gateway) => gateway.close()));
+    await Promise.all(this.workers.map((worker) => worker.close()));
+    await this.store.close();
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  private async addGateway(index: number): Promise<void> {
+    const [firstSeed] = this.gatewayIps;
+    this.gateways.push(
+      await GatewayProcess.create({
+        id: `g-${index}`,
+        ip: this.getIp(index),
+        seeds: [firstSeed!],
+        storePort: this.store.port,
+        folder: this.folder,
+      }),
+    );
+  }
+
+  /** An address that no other run on this machine uses at the same time, for it holds the process's number. */
+  private getIp(index: number): string {
+    const { pid } = process;
+    return `127.${100 + (pid >> 8) % 100}.${pid & 0xff}.${index + 1}`;
+  }
+}
+
+/** Asks a gateway which addresses to use; none where it does not answer.
+ * @param gateway The gateway. */
+export async function locate(gateway: GatewayProcess): Promise<string[]> {
+  try {
+    const url = `http://${gateway.locateAddress}/lookup?name=${HOST}`;
+    const response = await fetch(url, { signal: AbortSignal.timeout(1_000) });
+    const { addresses } = await response.json() as { addresses: string[] };
+    return addresses;
+  } catch {
+    return [];
+  }
+}
+
+function buildConfiguration(version: number, key: string) {
+  const kinds = Object.keys(KIND_RULES) as RequestKind[];
+  return {
+    version,
+    routes: kinds.map((kind) => buildRoute(kind, version)),
+    services: [
+      { name: "plain", max_conns: 200 },
+      { name: "engine", max_conns: 200, engine: { moves: false } },
+    ],
+    tenants: [{ name: CUSTOMER, api_keys: [LASTING_KEY, key] }],
+  };
+}
+
+function buildRoute(kind: RequestKind, version: number) {
+  const rules = KIND_RULES[kind];
+  const unstreamed = rules.mayRepeat ? "idempotent" : "non_idempotent";
+  return {
+    name: kind,
+    host: HOST,
+    path_prefix: kind === "version" ? `/version/${version}/` : `/${kind}/`,
+    route_kind: rules.isStream ? "streaming" : unstreamed,
+    timeout_ms: rules.timeoutMs,
+    slo_ms: rules.isStream ? 400 : 120,
+    service: rules.service,
+    max_attempts: rules.maxAttempts,
+    resumable: rules.isStream && rules.mayRepeat,
+    sticky: rules.isStream,
+    gap_target_ms: rules.isStream ? 400 : undefined,
+  };
+}
--- a/tools/router_process.ts
+++ b/tools/router_process.ts
@@ -1,26 +1,17 @@
-import process from "node:process";
-import { type ChildProcess, spawn } from "node:child_process";
 import { writeFileSync } from "node:fs";
 import { request } from "undici";
-import { BUNDLE } from "./bundle_path.ts";
 import type { RouterStatus } from "../src/router/router_status.ts";
+import { BUNDLED_PROGRAM, ProgramProcess } from "./program_process.ts";
 
 const POLL_MS = 30;
 
 /** A router that runs as a process of its own. */
 export class RouterProcess {
-  /** Lines the process logged. */
-  readonly log: string[] = [];
-  private isRunning = false;
-  private child: ChildProcess | undefined;
-  private exited: Promise<number | null> = Promise.resolve(null);
-
   private constructor(
     readonly id: string,
     readonly httpPort: number,
     readonly peerPort: number,
-    private readonly settingsPath: string,
-    private readonly command: readonly [string, ...string[]],
+    private readonly program: ProgramProcess,
   ) {}
 
   /** Starts a router.
@@ -30,19 +21,18 @@
   static create(
     settings: { id: string; http: { port: number }; peer: { port: number } },
     folder: string,
-    command: readonly [string, ...string[]] = [process.execPath, BUNDLE],
+    command: readonly [string, ...string[]] = BUNDLED_PROGRAM,
   ): RouterProcess {
-    const path = `${folder}/${settings.id}.json`;
+    const { id, http, peer } = settings;
+    const path = `${folder}/${id}.json`;
     writeFileSync(path, JSON.stringify(settings));
-    const router = new RouterProcess(
-      settings.id,
-      settings.http.port,
-      settings.peer.port,
-      path,
-      command,
-    );
-    router.start();
-    return router;
+    const program = ProgramProcess.create([...command, "serve", path]);
+    return new RouterProcess(id, http.port, peer.port, program);
+  }
+
+  /** Lines the process logged. */
+  get log(): string[] {
+    return this.program.log;
   }
 
   /** Address for callers. */
@@ -52,41 +42,23 @@
 
   /** Starts the process again, unless it runs. */
   start(): void {
-    if (this.isRunning) return;
-    this.isRunning = true;
-    const [program, ...before] = this.command;
-    const child = spawn(program, [...before, "serve", this.settingsPath], {
-      stdio: ["ignore", "ignore", "pipe"],
-    });
-    child.stderr?.setEncoding("utf8").on(
-      "data",
-      (text: string) => this.log.push(...text.trimEnd().split("\n")),
-    );
-    this.exited = new Promise((resolve) => {
-      child.once("exit", (code) => {
-        this.isRunning = false;
-        resolve(code);
-      });
-    });
-    this.child = child;
+    this.program.start();
   }
 
   /** Sends a signal to the process.
    * @param name Name of the signal. */
   signal(name: NodeJS.Signals): void {
-    this.child?.kill(name);
+    this.program.signal(name);
   }
 
   /** Waits for the process to end; returns its exit code, or null after a signal. */
   async waitForExit(): Promise<number | null> {
-    return await this.exited;
+    return await this.program.waitForExit();
   }
 
   /** Kills the process at once. */
   async kill(): Promise<void> {
-    this.signal("SIGCONT");
-    this.signal("SIGKILL");
-    await this.exited;
+    await this.program.kill();
   }
 
   /** Returns the router's status, or nothing where it does not answer. */
