A second SIGTERM no longer ends a program that is stopping

The handler was registered for one signal only, so that the second one ended the process by its default; with a lasting handler the second drain would have returned at once and ended it too. SIGTERM and SIGHUP that come while a gateway starts had their defaults as well; they wait for the start now. Test: tests/platform/signals_test (failed with exit code null, passes).

--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -98,13 +98,16 @@
       client,
       () => this.mode === "freeze" || this.mode === "freeze_answers",
     );
-    const end = () => {
+    const end = (how: "cut" | "reset") => {
       this.links.delete(link);
-      client.destroy();
-      server.destroy();
+      this.end(link, how);
     };
     for (const socket of [client, server]) {
-      socket.on("error", end).on("close", end);
+      socket.on("error", () => end("reset")).on("close", () => end("cut"));
+      // A reset that comes together with the last bytes is reported as a plain end, but the other side has no address.
+      socket.prependOnceListener("end", () => {
+        if (socket.remoteAddress === undefined) end("reset");
+      });
     }
     this.apply(link);
   }
--- a/soak/run_seed.ts
+++ b/soak/run_seed.ts
@@ -31,6 +31,8 @@
   /** How many requests of each kind ended in which way. */
   endings: Record<string, number>;
   faults: string[];
+  /** The requests that breaches name, as callers and workers saw them. */
+  evidence: unknown[];
   /** What each gateway logged. */
   logs: Record<string, readonly string[]>;
 }
@@ -168,7 +170,7 @@
 
 function describe(
   fleet: SoakFleet,
-  { attempts }: Evidence,
+  { attempts, runs }: Evidence,
   seed: number,
   breaches: string[],
 ): SeedResult {
@@ -183,8 +185,19 @@
   const logs = Object.fromEntries(
     fleet.gateways.map((gateway) => [gateway.id, gateway.program.log]),
   );
-  const count = attempts.length;
-  return { seed, breaches, attempts: count, endings, faults, logs };
+  const isNamed = ({ requestId }: { requestId: string }) =>
+    breaches.some((breach) =>
+      breach.includes(`${requestId}:`) || breach.includes(`${requestId} `)
+    );
+  return {
+    seed,
+    breaches,
+    attempts: attempts.length,
+    endings,
+    faults,
+    evidence: [...attempts, ...runs].filter(isNamed),
+    logs,
+  };
 }
 
 function getEnding({ gaveUpAt, status, isWhole }: CallerAttempt): string {
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -22,6 +22,9 @@
 /** Longest time for the first start of a fleet, in milliseconds. */
 const START_TIMEOUT_MS = 30_000;
 const POLL_MS = 50;
+/** Most gateways of a fleet, and fleets that one process may run at the same time. */
+const MAX_GATEWAYS = 60;
+const MAX_FLEETS = 4;
 
 /** What a fleet is made of. */
 export interface SoakFleetOptions {
@@ -42,6 +45,7 @@
   readonly faults = FaultLog.create();
   private readonly folder = mkdtempSync(`${tmpdir()}/beechkeel-soak-`);
   private readonly random: Random;
+  private readonly number = nextFleet();
   private workerCount = 0;
 
   private constructor(
@@ -155,13 +159,23 @@
     );
   }
 
-  /** An address that no other run on this machine uses at the same time, for it holds the process's number. */
+  /** An address that no other fleet on this machine uses at the same time, for it holds the numbers of the process and
+   * of the fleet in it. */
   private getIp(index: number): string {
     const { pid } = process;
-    return `127.${100 + (pid >> 8) % 100}.${pid & 0xff}.${index + 1}`;
+    const last = this.number * MAX_GATEWAYS + index + 1;
+    return `127.${100 + (pid >> 8) % 100}.${pid & 0xff}.${last}`;
   }
 }
 
+let fleetCount = 0;
+
+/** Number of a new fleet among those that this process may run at the same time. */
+function nextFleet(): number {
+  fleetCount += 1;
+  return fleetCount % MAX_FLEETS;
+}
+
 /** Asks a gateway which addresses to use; none where it does not answer.
  * @param gateway The gateway. */
 export async function locate(gateway: GatewayProcess): Promise<string[]> {
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -25,6 +25,8 @@
 const EVENT_PAUSE_MS = [2, 18] as const;
 /** Work of a slow worker, as a multiple of the usual. */
 const SLOW_FACTOR = 12;
+/** Part of its whole answers that end with their connection rather than by a length. */
+const UNFRAMED_SHARE = 0.1;
 /** Part of its requests with which a faulty worker does wrong. */
 const FAULT_SHARE = 0.5;
 
@@ -179,7 +181,9 @@
     fault: WorkerFault,
   ): void {
     const text = writeWholeAnswer(run.requestId, this.id);
-    const isUnframed = this.random.fraction() < 0.1;
+    // What follows an answer without a length would be part of it.
+    const isUnframed = fault !== "surplus" &&
+      this.random.fraction() < UNFRAMED_SHARE;
     if (isUnframed) response.shouldKeepAlive = false;
     response.useChunkedEncodingByDefault = !isUnframed;
     response.writeHead(200, headers);
--- a/src/cli/serve_command.ts
+++ b/src/cli/serve_command.ts
@@ -3,6 +3,7 @@
 import { Router } from "../router/router.ts";
 import { loadSettings } from "../settings/load_settings.ts";
 import { EXIT_CODE } from "./exit_code.ts";
+import { handleStopSignals } from "./handle_stop_signals.ts";
 
 /** `beechkeel serve`: runs a router until it is told to stop. */
 export const serveCommand = command({
@@ -22,14 +23,8 @@
       process.exitCode = EXIT_CODE.refused;
       return;
     }
-    const router = await Router.start(settings.value);
-    process.once(
-      "SIGTERM",
-      () => void router.drain().then(() => process.exit(EXIT_CODE.ok)),
-    );
-    process.once(
-      "SIGINT",
-      () => void router.close().then(() => process.exit(EXIT_CODE.ok)),
-    );
+    const starting = Router.start(settings.value);
+    handleStopSignals(starting);
+    await starting;
   },
 });
--- /dev/null
+++ b/tests/platform/signals_test.ts
@@ -0,0 +1,57 @@
+import test from "ava";
+import { Random } from "../../src/random/random.ts";
+import type { CallerAttempt } from "../../soak/caller_attempt.ts";
+import { SoakCaller } from "../../soak/soak_caller.ts";
+import { SoakFleet } from "../../soak/soak_fleet.ts";
+import { waitUntil } from "../system/with_fleet.ts";
+
+const SEED = 7;
+
+/** Starts one gateway before one engine, and a stream through it that is under way when the body runs. */
+async function withStream(
+  body: (fleet: SoakFleet) => Promise<void>,
+): Promise<CallerAttempt> {
+  const fleet = await SoakFleet.create({
+    seed: SEED,
+    gateways: 1,
+    engines: 1,
+    plain: 0,
+  });
+  try {
+    const attempts: CallerAttempt[] = [];
+    const random = Random.create(SEED);
+    const caller = SoakCaller.create("c", fleet, random, attempts, false);
+    const sending = caller.sendCalmly("talk");
+    await waitUntil("the stream runs", () => fleet.runs.length === 1);
+    await body(fleet);
+    await sending;
+    return attempts[0]!;
+  } finally {
+    await fleet.close();
+  }
+}
+
+test.serial("a second SIGTERM while a gateway stops cuts nothing off", async (t) => {
+  const attempt = await withStream(async (fleet) => {
+    const { program } = fleet.gateways[0]!;
+    program.signal("SIGTERM");
+    await waitUntil(
+      "the stop has begun",
+      () => program.log.some((line) => line.includes("stop_started")),
+    );
+    program.signal("SIGTERM");
+    t.is(await program.waitForExit(), 0);
+  });
+  t.true(attempt.isWhole);
+});
+
+test.serial("settings that change while a gateway stops cut nothing off", async (t) => {
+  const attempt = await withStream(async (fleet) => {
+    const { program } = fleet.gateways[0]!;
+    program.signal("SIGTERM");
+    fleet.gateways[0]!.rewriteSettings([]);
+    program.signal("SIGHUP");
+    t.is(await program.waitForExit(), 0);
+  });
+  t.true(attempt.isWhole);
+});
