Log with each sending what the engine is taken to keep of the prompt

Cause: shared parts read again are the largest price on every site, and the log did not say which sendings they come from. The line now names the deepest shared part, its tokens and those believed kept.

--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -9,7 +9,18 @@
   remainingMs: number;
   /** Requests on the upstream from all hosts, as far as is known. */
   load: number;
-  /** Address of the engine from which the upstream fetches what it lacks of the prompt. */
+  /** What the upstream is taken to keep of the prompt; undefined where the request shares none. */
+  prompt: PromptPlace | undefined;
+}
+
+/** What an upstream is taken to keep of a prompt when it is sent there. */
+export interface PromptPlace {
+  /** Short name of the deepest part that requests share. */
+  part: number;
+  /** Tokens of the shared parts, and of those the ones that the upstream is taken to keep. */
+  sharedTokens: number;
+  keptTokens: number;
+  /** Address of the engine from which the upstream fetches what it lacks. */
   fetchFrom: string | undefined;
 }
 
@@ -30,7 +41,7 @@
   /** Writes that the request is sent to an upstream, with what decided it.
    * @param send The sending. */
   noteSent(send: LoggedSend): void {
-    const { upstream, reason, remainingMs, load, fetchFrom } = send;
+    const { upstream, reason, remainingMs, load, prompt } = send;
     this.logger.info({
       request: this.requestId,
       upstream: upstream.id,
@@ -38,7 +49,7 @@
       remainingMs: Math.round(remainingMs),
       load,
       failureRate: roundRate(upstream),
-      fetchFrom,
+      ...prompt,
     }, "request_sent");
   }
 
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -105,10 +105,13 @@
     const remainingMs = this.endsAt - performance.now();
     if (remainingMs < LEAST_REMAINING_MS) return this.giveUp("no time left");
     this.watchForSilence(upstream);
-    const fetchFrom = context.findFetchSource(call, upstream);
+    const prompt = context.placePrompt(call, upstream);
     const load = context.getLoad(upstream);
-    this.log.noteSent({ upstream, reason, remainingMs, load, fetchFrom });
-    this.send(upstream, this.buildRequest(upstream, remainingMs, fetchFrom));
+    this.log.noteSent({ upstream, reason, remainingMs, load, prompt });
+    this.send(
+      upstream,
+      this.buildRequest(upstream, remainingMs, prompt?.fetchFrom),
+    );
   }
 
   private watchForSilence(upstream: Upstream): void {
--- a/src/forward/call_run_context.ts
+++ b/src/forward/call_run_context.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { HealthSign } from "../upstreams/upstream_health.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
+import type { PromptPlace } from "./call_log.ts";
 import type { CallRun } from "./call_run.ts";
 import type { HeaderCodec } from "./caller_headers.ts";
 import type { RoutedCall } from "./routed_call.ts";
@@ -24,8 +25,8 @@
   ) => Upstream | undefined;
   /** Whether there is an upstream left for a call. */
   canChoose: (call: RoutedCall, tried: ReadonlySet<string>) => boolean;
-  /** Address of the engine from which another should fetch what it lacks of a call's prompt. */
-  findFetchSource: (call: RoutedCall, target: Upstream) => string | undefined;
+  /** What an engine keeps of a call's prompt, and from where it should fetch the rest; records that it is sent there. */
+  placePrompt: (call: RoutedCall, target: Upstream) => PromptPlace | undefined;
   /** Requests on an upstream from all hosts, as far as is known. */
   getLoad: (upstream: Upstream) => number;
   /** Takes a retry from the budget of a service; returns whether there was one. */
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,12 +1,13 @@
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamAccess } from "../forward/call_run_context.ts";
+import type { PromptPlace } from "../forward/call_log.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
 import type { Service } from "../published/configuration_schema.ts";
 import { Random } from "../random/random.ts";
 import { chooseUpstream } from "../upstreams/choose_upstream.ts";
 import { findFetchSource } from "../upstreams/find_fetch_source.ts";
 import { LoadCounts } from "../upstreams/load_counts.ts";
-import { PrefixIndex } from "../upstreams/prefix_index.ts";
+import { PrefixIndex, type SentPart } from "../upstreams/prefix_index.ts";
 import { RetryShare } from "../upstreams/retry_share.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { HealthSign } from "../upstreams/upstream_health.ts";
@@ -60,7 +61,7 @@
     return {
       choose: (call, tried) => this.choose(call, tried),
       canChoose: (call, tried) => this.choose(call, tried) !== undefined,
-      findFetchSource: (call, target) => this.findFetchSource(call, target),
+      placePrompt: (call, target) => this.placePrompt(call, target),
       getLoad: (upstream) => this.loads.getTotal(upstream),
       spendRetry: (service) => this.spendRetry(service),
       noteHealth: (upstream, sign) => this.noteHealth(upstream, sign),
@@ -113,27 +114,44 @@
     });
   }
 
-  /** Address of the engine from which the chosen one should fetch what it lacks of a call's prompt, or nothing; records
-   * that the prompt is sent.
+  /** What an engine keeps of a call's prompt, and from where it should fetch the rest, or nothing where the call shares no
+   * prompt; records that the prompt is sent.
    * @param call The call.
    * @param target The engine that is to run it. */
-  private findFetchSource(
+  private placePrompt(
     call: RoutedCall,
     target: Upstream,
-  ): string | undefined {
+  ): PromptPlace | undefined {
     const { sharedParts, service } = call;
-    if (sharedParts.length === 0) return undefined;
+    const deepest = sharedParts.at(-1);
+    if (!deepest) return undefined;
     const now = performance.now();
-    const engines = this.upstreams.getPresent(service).filter((engine) =>
-      engine.health.isWithinReach(now)
+    const kept = sharedParts.filter(({ name }) =>
+      this.prefixes.isKept(name, target.shortName, now)
     );
-    const source = this.options.getService(service)?.canFetch
-      ? findFetchSource(sharedParts, target, engines, this.prefixes, now)
-      : undefined;
+    const source = this.findSource(sharedParts, service, target, now);
     const isFetched = source !== undefined;
     this.prefixes.noteSent(sharedParts, target.shortName, isFetched, now);
     if (this.prefixes.hasUntold) this.options.onFacts();
-    return source?.published.address;
+    return {
+      part: deepest.name,
+      sharedTokens: sumTokens(sharedParts),
+      keptTokens: sumTokens(kept),
+      fetchFrom: source?.published.address,
+    };
+  }
+
+  private findSource(
+    parts: readonly SentPart[],
+    service: string,
+    target: Upstream,
+    now: number,
+  ): Upstream | undefined {
+    if (!this.options.getService(service)?.canFetch) return undefined;
+    const engines = this.upstreams.getPresent(service).filter((engine) =>
+      engine.health.isWithinReach(now)
+    );
+    return findFetchSource(parts, target, engines, this.prefixes, now);
   }
 
   /** Records how an attempt at an upstream ended.
@@ -179,3 +197,7 @@
     return share;
   }
 }
+
+function sumTokens(parts: readonly SentPart[]): number {
+  return parts.reduce((sum, { tokens }) => sum + tokens, 0);
+}
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -154,7 +154,7 @@
       choose: (_call, tried) =>
         upstreams.find((upstream) => !tried.has(upstream.id)),
       canChoose: (_call, tried) => tried.size < upstreams.length,
-      findFetchSource: () => undefined,
+      placePrompt: () => undefined,
       getLoad: () => 0,
       spendRetry: () => true,
       noteHealth: () => undefined,
