--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,8 @@
 import type { Logger } from "../logging/logger.ts";
 import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
-import type { KnownHost } from "../peers/host_table.ts";
+import { type KnownHost, SMALL_FLEET } from "../peers/host_table.ts";
+import type { PublicationWord } from "../peers/publication_word.ts";
 import type { PublicationFeed } from "../published/publication_feed.ts";
 import { PublicationKeeper } from "../published/publication_keeper.ts";
 import type { RouteTable } from "../published/route_table.ts";
@@ -188,6 +189,8 @@
       onFacts: (facts) => this.chooser.prefixes.learn(facts, performance.now()),
       onEntry: (entry, heardAt, askedAt) =>
         this.takeEntry(entry, heardAt, askedAt),
+      getSources: () => this.getSources(),
+      onWord: (host, word, askedAt) => this.takeWord(host, word, askedAt),
     });
   }
 
@@ -280,18 +283,39 @@
 
   private takeEntry(entry: PeerEntry, heardAt: number, askedAt?: number): void {
     this.chooser.loads.record(entry.id, entry.loads, heardAt);
-    if (askedAt === undefined || entry.publicationAgeMs < 0) return;
-    if (entry.digest === this.keeper.digest) {
-      const moment = askedAt - entry.publicationAgeMs;
-      this.keeper.takeConfirmation(entry.digest, moment);
+    if (askedAt !== undefined) this.takeWord(entry, entry, askedAt);
+  }
+
+  /** Takes what another host says of the publication: where it knows the same, what it knows is as new here as there,
+   * and where it knows more it is asked for that. */
+  private takeWord(
+    host: PeerEntry,
+    word: PublicationWord,
+    askedAt: number,
+  ): void {
+    const { digest, revision, publicationAgeMs } = word;
+    if (publicationAgeMs < 0) return;
+    if (digest === this.keeper.digest) {
+      this.keeper.takeConfirmation(digest, askedAt - publicationAgeMs);
       return;
     }
-    const isFresher = entry.publicationAgeMs < this.keeper.ageMs ||
-      entry.revision > this.keeper.revision;
+    const isFresher = publicationAgeMs < this.keeper.ageMs ||
+      revision > this.keeper.revision;
     if (isFresher) {
-      void this.publicationExchange.ask(entry.id, entry.peerAddress);
+      void this.publicationExchange.ask(host.id, host.peerAddress);
     }
   }
+
+  /** Hosts to ask how old what they know is; in a small fleet each datagram tells it. */
+  private getSources(): string[] {
+    const live = this.getLiveHosts();
+    if (live.length <= SMALL_FLEET) return [];
+    const addresses = new Map(
+      live.map(({ entry }) => [entry.id, entry.gossipAddress]),
+    );
+    const sources = this.watch?.getSources() ?? [];
+    return sources.flatMap((id) => addresses.get(id) ?? []);
+  }
 }
 
 /** What a process keeps until its next start: its name, and where it listens. */
--- a/src/gateway/prefix_recovery.ts
+++ b/src/gateway/prefix_recovery.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { EngineInventory } from "../upstreams/engine_inventory.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
+import { SMALL_FLEET } from "../peers/host_table.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { PrefixExchange } from "./prefix_exchange.ts";
@@ -10,6 +11,10 @@
 /** Time after the first configuration in which other hosts may be heard, in milliseconds: a round of gossip and a
  * little. */
 const WAIT_FOR_HOSTS_MS = 260;
+/** Time in which no further host is heard once all are, in milliseconds. */
+const HOSTS_STEADY_MS = 130;
+/** Longest wait until that is so, in milliseconds. */
+const MAX_WAIT_FOR_HOSTS_MS = 2_000;
 /** Time in which other hosts tell what they learned from their engines, in milliseconds; before, this one knows only a
  * part and does not answer others. */
 const WAIT_FOR_FACTS_MS = 1_500;
@@ -30,7 +35,8 @@
 }
 
 /** Learns after a start which engines keep which parts: from another host, or where all were restarted at once and
- * nobody is left to tell, from the engines, each of which is asked once, by the first host in its order. */
+ * nobody is left to tell, from the engines, each of which is asked once, by the first host in its order. In a large fleet
+ * engines are not asked: what one host learns would reach few others, and each prompt has an engine by its own order. */
 export class PrefixRecovery {
   private constructor(private readonly options: PrefixRecoveryOptions) {}
 
@@ -42,16 +48,29 @@
 
   /** Learns what is to be known. */
   async run(): Promise<void> {
-    await delay(WAIT_FOR_HOSTS_MS);
-    const hosts = this.options.getHosts();
+    const hosts = await this.waitForHosts();
     const isKnown = await this.askHosts(hosts);
-    if (!isKnown) {
+    if (!isKnown && hosts.length <= SMALL_FLEET) {
       await this.askEngines(hosts.map((host) => host.id));
       await delay(WAIT_FOR_FACTS_MS);
     }
     this.options.prefixes.markComplete();
   }
 
+  /** Waits until no further host is heard: one that believes itself alone would ask engines that others ask too. */
+  private async waitForHosts(): Promise<readonly PeerEntry[]> {
+    const endsAt = performance.now() + MAX_WAIT_FOR_HOSTS_MS;
+    await delay(WAIT_FOR_HOSTS_MS);
+    let hosts = this.options.getHosts();
+    while (performance.now() < endsAt) {
+      await delay(HOSTS_STEADY_MS);
+      const later = this.options.getHosts();
+      if (later.length === hosts.length) return later;
+      hosts = later;
+    }
+    return hosts;
+  }
+
   private async askHosts(hosts: readonly PeerEntry[]): Promise<boolean> {
     const { exchange } = this.options;
     const asked = hosts.slice(0, MAX_HOSTS_ASKED).map((host) =>
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -2,7 +2,11 @@
 import { z } from "zod";
 import type { Logger } from "../logging/logger.ts";
 import { answerPacked, PackedClient } from "../peers/packed_client.ts";
-import { configurationSchema } from "../published/configuration_schema.ts";
+import type { PublishedConfiguration } from "../published/configuration_schema.ts";
+import {
+  packConfiguration,
+  unpackConfiguration,
+} from "../published/pack_configuration.ts";
 import type { PublicationKeeper } from "../published/publication_keeper.ts";
 import { upstreamSchema } from "../published/upstream_schema.ts";
 
@@ -11,11 +15,13 @@
 
 /** Version that a host names while it has no configuration. */
 const NO_VERSION = "none";
-/** Time for a host's answer in milliseconds; others can be asked after it. */
-const ANSWER_TIMEOUT_MS = 800;
+/** Time for a host's answer in milliseconds, and others can be asked after it: several hosts may read a configuration of
+ * some thousand routes at a time over a link of some megabits. */
+const ANSWER_TIMEOUT_MS = 1_500;
 
 const stateSchema = z.object({
-  configuration: configurationSchema.optional(),
+  /** The configuration as `packConfiguration` writes it. */
+  configuration: z.instanceof(Uint8Array).optional(),
   changes: z.array(z.object({
     id: z.string(),
     revision: z.number(),
@@ -29,6 +35,7 @@
 export class PublicationExchange {
   private readonly client = PackedClient.create(ANSWER_TIMEOUT_MS);
   private isAsking = false;
+  private packed: { version: number; bytes: Buffer } | undefined;
 
   private constructor(
     private readonly keeper: PublicationKeeper,
@@ -49,12 +56,15 @@
    * @param response Where the answer is written.
    * @param query With `version`, that of the configuration which the host has. */
   answer(response: ServerResponse, query: URLSearchParams): void {
-    const { ageMs, ...state } = this.keeper.getState();
-    const age = Number.isFinite(ageMs) ? { ageMs } : {};
-    const isKnown = String(state.configuration?.version) ===
-      query.get("version");
-    if (isKnown) state.configuration = undefined;
-    answerPacked(response, { ...state, ...age });
+    const { ageMs, changes, configuration } = this.keeper.getState();
+    const isKnown = String(configuration?.version) === query.get("version");
+    answerPacked(response, {
+      configuration: configuration && !isKnown
+        ? this.pack(configuration)
+        : undefined,
+      changes,
+      ageMs: Number.isFinite(ageMs) ? ageMs : undefined,
+    });
   }
 
   /** Asks a host for everything it knows, unless another is being asked: all would send the same.
@@ -80,6 +90,15 @@
     await this.client.close();
   }
 
+  /** The configuration as other hosts read it; made once for each version, for many ask at the same time. */
+  private pack(configuration: PublishedConfiguration): Buffer {
+    const { version } = configuration;
+    if (this.packed?.version !== version) {
+      this.packed = { version, bytes: packConfiguration(configuration) };
+    }
+    return this.packed.bytes;
+  }
+
   private async take(
     peerId: string,
     address: string,
@@ -90,7 +109,8 @@
     const state = stateSchema.parse(await this.client.ask(address, path));
     this.keeper.takeState(
       {
-        configuration: state.configuration,
+        configuration: state.configuration &&
+          unpackConfiguration(state.configuration),
         changes: state.changes.map((change) => ({
           id: change.id,
           revision: change.revision,
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -1,19 +1,18 @@
-import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { KnownHost } from "../peers/host_table.ts";
 import { FeedWatcher } from "../published/feed_watcher.ts";
 import type { PublicationFeed } from "../published/publication_feed.ts";
 import type { PublicationKeeper } from "../published/publication_keeper.ts";
+import { WatchOrder } from "./watch_order.ts";
 
-/** Hosts of a fleet that watch the platform; the others hear from them. */
-const WATCHERS = 3;
 /** Longest wait of one watch, in milliseconds; what is known looks as old as that where nothing changes. */
 const WATCH_MS = 1_000;
-/** Age of what is known at which a host watches although others are to, in milliseconds: beyond what a watcher's word
- * has on its way, two waits and two rounds of gossip. */
-const SELF_WATCH_AGE_MS = 2_600;
-/** Pause after a failed read of the platform, in milliseconds; drawn between half and one and a half of it. */
-const RETRY_MS = 200;
+/** Pause after a failed read of the platform, in milliseconds; drawn between half and one and a half of it. Hosts that
+ * only help out pause for longer, for every call has its price, also one that is refused. */
+const WATCHER_RETRY_MS = 200;
+const HELPER_RETRY_MS = 1_000;
+/** Time for which the order of the hosts is used before it is worked out anew, in milliseconds: two rounds of gossip. */
+const ORDER_USED_FOR_MS = 400;
 /** Interval at which a host that does not watch looks whether it should, in milliseconds. */
 const IDLE_CHECK_MS = 100;
 /** What the watch needs of the gateway. */
@@ -30,15 +29,19 @@
 /** A host's part in watching the platform: whether it is one of the hosts that watch. */
 export class PublicationWatch {
   private readonly watcher: FeedWatcher;
+  private orderedAt = performance.now();
+  private lastOrder: WatchOrder;
 
   private constructor(private readonly options: PublicationWatchOptions) {
     const { feed, keeper, logger } = options;
+    this.lastOrder = this.buildOrder();
     this.watcher = FeedWatcher.create({
       feed,
       keeper,
       logger,
       watchMs: WATCH_MS,
-      retryMs: RETRY_MS,
+      getRetryMs: () =>
+        this.order.isWatcher ? WATCHER_RETRY_MS : HELPER_RETRY_MS,
       idleCheckMs: IDLE_CHECK_MS,
       isNeeded: () => this.isNeeded(),
     });
@@ -55,14 +58,28 @@
     this.watcher.close();
   }
 
+  /** Hosts that this one asks for the age of what they know, none where it watches itself. */
+  getSources(): string[] {
+    return this.order.getSources();
+  }
+
   private isNeeded(): boolean {
-    const { keeper, getLiveHosts } = this.options;
-    if (keeper.ageMs > SELF_WATCH_AGE_MS) return true;
-    const hostId = this.options.getHostId();
-    const staying = getLiveHosts().filter((host) =>
+    return this.order.isNeeded(this.options.keeper.ageMs);
+  }
+
+  private get order(): WatchOrder {
+    const now = performance.now();
+    if (now - this.orderedAt > ORDER_USED_FOR_MS) {
+      this.orderedAt = now;
+      this.lastOrder = this.buildOrder();
+    }
+    return this.lastOrder;
+  }
+
+  private buildOrder(): WatchOrder {
+    const staying = this.options.getLiveHosts().filter((host) =>
       host.entry.phase !== "draining"
     ).map((host) => host.entry.id);
-    const ranked = rankByRendezvous("watcher", [...staying, hostId]);
-    return ranked.indexOf(hostId) < WATCHERS;
+    return WatchOrder.create(this.options.getHostId(), staying);
   }
 }
--- a/src/peers/gossip_codec.ts
+++ b/src/peers/gossip_codec.ts
@@ -1,4 +1,3 @@
-import { pack, unpack } from "msgpackr";
 import { z } from "zod";
 import {
   type GossipMessage,
@@ -31,22 +30,22 @@
   z.array(z.tuple([packedEntrySchema, z.number()])),
 ]);
 
-/** Writes a message as a datagram.
+/** Writes a message as lists.
  * @param message The message. */
-export function encodeGossip(message: GossipMessage): Buffer {
-  return pack([
+export function packGossip(message: GossipMessage): unknown[] {
+  return [
     packEntry(message.sender),
     message.sentAt,
     message.echo ?? null,
     message.facts,
     message.others.map(({ entry, agoMs }) => [packEntry(entry), agoMs]),
-  ]);
+  ];
 }
 
-/** Reads a datagram; one that is no message is undefined.
- * @param bytes The datagram. */
-export function decodeGossip(bytes: Buffer): GossipMessage | undefined {
-  const packed = packedMessageSchema.safeParse(tryUnpack(bytes));
+/** Reads a message from its lists; what is none is undefined.
+ * @param body The lists. */
+export function unpackGossip(body: unknown): GossipMessage | undefined {
+  const packed = packedMessageSchema.safeParse(body);
   if (!packed.success) return undefined;
   const [sender, sentAt, echo, facts, others] = packed.data;
   const message = gossipSchema.safeParse({
@@ -109,12 +108,3 @@
     loads,
   };
 }
-
-/** Unpacks bytes; what can't be unpacked is undefined, which the schema then refuses. */
-function tryUnpack(bytes: Buffer): unknown {
-  try {
-    return unpack(bytes);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/peers/gossip_socket.ts
+++ b/src/peers/gossip_socket.ts
@@ -2,8 +2,11 @@
 import { once } from "node:events";
 import { splitAddress } from "../addresses/split_address.ts";
 import type { Logger } from "../logging/logger.ts";
-import { decodeGossip, encodeGossip } from "./gossip_codec.ts";
-import type { GossipMessage } from "./gossip_schema.ts";
+import {
+  type Datagram,
+  decodeDatagram,
+  encodeDatagram,
+} from "./datagram_codec.ts";
 
 /** The socket over which hosts tell each other of themselves. */
 export class GossipSocket {
@@ -17,18 +20,22 @@
   /** Opens the socket.
    * @param address Where to listen, as ip:port.
    * @param logger Where bad datagrams are written.
-   * @param onMessage Told of each well-formed datagram. */
+   * @param onDatagram Told of each well-formed datagram and of its sender, as ip:port. */
   static async create(
     address: string,
     logger: Logger,
-    onMessage: (message: GossipMessage) => void,
+    onDatagram: (datagram: Datagram, sender: string) => void,
   ): Promise<GossipSocket> {
     const socket = createSocket("udp4");
     const { host, port } = splitAddress(address);
     socket.bind(port, host);
     await once(socket, "listening");
     const opened = new GossipSocket(socket, logger);
-    socket.on("message", (bytes) => opened.receive(bytes, onMessage));
+    socket.on("message", (bytes, from) => {
+      const datagram = decodeDatagram(bytes);
+      if (datagram) onDatagram(datagram, `${from.address}:${from.port}`);
+      else logger.warn({ bytes: bytes.length }, "gossip_malformed");
+    });
     socket.on(
       "error",
       (error) => logger.warn({ reason: error.message }, "gossip_socket_failed"),
@@ -36,13 +43,13 @@
     return opened;
   }
 
-  /** Sends a message; datagrams may be lost.
+  /** Sends a datagram, which may be lost.
    * @param address Receiver, as ip:port.
-   * @param message The message. */
-  send(address: string, message: GossipMessage): void {
+   * @param datagram What it holds. */
+  send(address: string, datagram: Datagram): void {
     if (this.isClosed) return;
     const { host, port } = splitAddress(address);
-    this.socket.send(encodeGossip(message), port, host, (error) => {
+    this.socket.send(encodeDatagram(datagram), port, host, (error) => {
       if (error) {
         this.logger.debug({ address, reason: error.message }, "gossip_unsent");
       }
@@ -55,13 +62,4 @@
     this.isClosed = true;
     this.socket.close();
   }
-
-  private receive(
-    bytes: Buffer,
-    onMessage: (message: GossipMessage) => void,
-  ): void {
-    const message = decodeGossip(bytes);
-    if (message) onMessage(message);
-    else this.logger.warn({ bytes: bytes.length }, "gossip_malformed");
-  }
 }
--- a/src/peers/packed_client.ts
+++ b/src/peers/packed_client.ts
@@ -2,16 +2,20 @@
 import { pack, unpack } from "msgpackr";
 import { Agent, request } from "undici";
 
+/** Time for a connection to another host, in milliseconds: some times the way there and back; a silent host holds up no
+ * question to another for longer. */
+const CONNECT_TIMEOUT_MS = 300;
+
 /** Asks other hosts over HTTP for what they know; the bodies are msgpack. */
 export class PackedClient {
   private readonly agent: Agent;
 
   private constructor(private readonly timeoutMs: number) {
-    this.agent = new Agent({ connect: { timeout: timeoutMs } });
+    this.agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
   }
 
   /** Creates a client.
-   * @param timeoutMs Time for a connection, and for a whole answer, in milliseconds. */
+   * @param timeoutMs Time for a whole answer, in milliseconds. */
   static create(timeoutMs: number): PackedClient {
     return new PackedClient(timeoutMs);
   }
--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -13,7 +13,7 @@
   /** Longest wait of one watch in milliseconds; it bounds how old an unchanged state may look. */
   watchMs: number;
   /** Pause after a failure in milliseconds, drawn between half and one and a half of it. */
-  retryMs: number;
+  getRetryMs: () => number;
   /** Interval of the check whether to watch, in milliseconds. */
   idleCheckMs: number;
   /** Whether this process is to watch now, rather than hear from peers. */
@@ -53,7 +53,7 @@
       const hasWorked = await this.tryStep();
       if (!hasWorked) {
         const factor = 0.5 + this.random.fraction();
-        await this.pause(this.options.retryMs * factor);
+        await this.pause(this.options.getRetryMs() * factor);
       }
     }
   }
--- /dev/null
+++ b/tests/peers/build_entry.ts
@@ -0,0 +1,21 @@
+import type { PeerEntry } from "../../src/peers/gossip_schema.ts";
+
+/** Builds what a host tells of itself.
+ * @param changes What differs from a host that is ready. */
+export function buildEntry(changes: Partial<PeerEntry> = {}): PeerEntry {
+  return {
+    id: "g",
+    incarnation: 1,
+    sequence: 1,
+    gossipAddress: "127.0.0.1:1",
+    peerAddress: "127.0.0.1:2",
+    callerAddress: "127.0.0.1:3",
+    hall: "h",
+    phase: "ready",
+    digest: 1,
+    revision: 1,
+    publicationAgeMs: 10,
+    loads: [],
+    ...changes,
+  };
+}
--- /dev/null
+++ b/tests/peers/datagram_codec_test.ts
@@ -0,0 +1,48 @@
+import test from "ava";
+import { pack } from "msgpackr";
+import {
+  type Datagram,
+  decodeDatagram,
+  encodeDatagram,
+} from "../../src/peers/datagram_codec.ts";
+import { buildEntry } from "./build_entry.ts";
+
+const DATAGRAMS: Record<string, Datagram> = {
+  gossip: {
+    type: "gossip",
+    message: {
+      sender: buildEntry({ id: "g-1", loads: [[7, 2]] }),
+      sentAt: 12.5,
+      echo: 3.25,
+      facts: [[1, 2, 300]],
+      others: [{ entry: buildEntry({ id: "g-2" }), agoMs: 40 }],
+    },
+  },
+  question: { type: "question", askedAt: 99.5 },
+  answer: {
+    type: "answer",
+    askedAt: 99.5,
+    word: { digest: 5, revision: 6, publicationAgeMs: 700 },
+  },
+};
+
+for (const [name, datagram] of Object.entries(DATAGRAMS)) {
+  test(`a datagram comes out as it went in: ${name}`, (t) => {
+    t.deepEqual(decodeDatagram(encodeDatagram(datagram)), datagram);
+  });
+}
+
+const MALFORMED: Record<string, Buffer> = {
+  "no msgpack": Buffer.from([0xc1]),
+  "no list": pack("text"),
+  "an unknown type": pack([9, 1]),
+  "a question without a time": pack([1]),
+  "an answer with text for a digest": pack([2, 1, "x", 2, 3]),
+  "gossip without a sender": pack([0, [1, 2, 3]]),
+};
+
+for (const [name, bytes] of Object.entries(MALFORMED)) {
+  test(`a malformed datagram is left out: ${name}`, (t) => {
+    t.is(decodeDatagram(bytes), undefined);
+  });
+}
