--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -97,9 +97,13 @@
 
   /** Sends the request to the next upstream, or refuses it where there is none. */
   private next(reason: string): void {
+    const upstream = this.context.choose(this.call, this.tried);
+    if (upstream) this.sendTo(upstream, reason);
+    else this.giveUp(`no upstream left after ${reason}`);
+  }
+
+  private sendTo(upstream: Upstream, reason: string): void {
     const { call, context } = this;
-    const upstream = context.choose(call, this.tried);
-    if (!upstream) return this.giveUp(`no upstream left after ${reason}`);
     this.tried.add(upstream.id);
     this.relay.startAttempt();
     const remainingMs = this.endsAt - performance.now();
@@ -185,13 +189,13 @@
     this.log.noteTrouble(upstream, detail, this.tried.size);
     this.context.noteHealth(upstream, "silent");
     if (!silence.isLikelyStuck || !this.budget.allowsRun(1)) return;
-    if (!this.context.canChoose(this.call, this.tried)) return;
-    if (!this.budget.spendRetry()) return;
+    const other = this.context.choose(this.call, this.tried);
+    if (!other || !this.budget.spendRetry()) return;
     const wasSent = this.attempt?.wasSent ?? false;
     this.attempt?.abandon();
     if (wasSent) this.budget.noteRan();
     else this.budget.noteUnrun();
-    this.next(detail);
+    this.sendTo(other, detail);
   }
 
   private takeBytes(bytes: Buffer): void {
--- a/src/forward/call_run_context.ts
+++ b/src/forward/call_run_context.ts
@@ -23,8 +23,6 @@
     call: RoutedCall,
     tried: ReadonlySet<string>,
   ) => Upstream | undefined;
-  /** Whether there is an upstream left for a call. */
-  canChoose: (call: RoutedCall, tried: ReadonlySet<string>) => boolean;
   /** What an engine keeps of a call's prompt, and from where it should fetch the rest; records that it is sent there. */
   placePrompt: (call: RoutedCall, target: Upstream) => PromptPlace | undefined;
   /** Requests on an upstream from all hosts, as far as is known. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -319,25 +319,19 @@
 }
 
 /** What a process keeps until its next start: its name, and where it listens. */
+const FIXED_FIELDS = [
+  "id",
+  "callerAddress",
+  "readinessAddress",
+  "locateAddress",
+  "peerAddress",
+  "gossipAddress",
+  "metricsAddress",
+  "platformAddress",
+] as const satisfies readonly (keyof GatewaySettings)[];
+
 function pickFixed(settings: GatewaySettings): Partial<GatewaySettings> {
-  const {
-    id,
-    callerAddress,
-    readinessAddress,
-    locateAddress,
-    peerAddress,
-    gossipAddress,
-    metricsAddress,
-    platformAddress,
-  } = settings;
-  return {
-    id,
-    callerAddress,
-    readinessAddress,
-    locateAddress,
-    peerAddress,
-    gossipAddress,
-    metricsAddress,
-    platformAddress,
-  };
+  return Object.fromEntries(
+    FIXED_FIELDS.map((field) => [field, settings[field]]),
+  );
 }
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -60,7 +60,6 @@
   createAccess(): UpstreamAccess {
     return {
       choose: (call, tried) => this.choose(call, tried),
-      canChoose: (call, tried) => this.choose(call, tried) !== undefined,
       placePrompt: (call, target) => this.placePrompt(call, target),
       getLoad: (upstream) => this.loads.getTotal(upstream),
       spendRetry: (service) => this.spendRetry(service),
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -118,9 +118,10 @@
 
   private tellChosen(): void {
     const now = performance.now();
+    const sender = this.describeSelf();
     const facts = this.options.takeFacts();
     for (const address of this.chooseTargets(now)) {
-      this.tell(address, now, facts);
+      this.tell(address, sender, now, facts);
     }
     if (this.options.hasFacts()) this.announce();
   }
@@ -156,11 +157,12 @@
 
   private tell(
     address: string,
+    sender: PeerEntry,
     now: number,
     facts: readonly PrefixFact[],
   ): void {
     const message: GossipMessage = {
-      sender: this.describeSelf(),
+      sender,
       sentAt: now,
       echo: this.hosts.getHost(address)?.lastSentAt,
       facts: [...facts],
--- a/src/published/configuration_schema.ts
+++ b/src/published/configuration_schema.ts
@@ -28,7 +28,6 @@
   /** Whether requests need no key. */
   isAnonymous: z.boolean(),
   /** Whether requests name the parts of their prompt. */
-  isSticky: z.boolean(),
   /** Whether a stream may go on at another upstream after its last event. */
   isResumable: z.boolean(),
   /** Longest pause between two events that is in time, in milliseconds. */
@@ -44,7 +43,6 @@
   /** Connections an upstream of the service takes from all callers together. */
   maxConnections: z.number().int().positive(),
   /** Whether the upstreams are model engines. */
-  isEngine: z.boolean(),
   /** Whether an engine can take from another what that keeps of a prompt. */
   canFetch: z.boolean(),
 });
--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -1,6 +1,5 @@
-import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "../logging/logger.ts";
-import { Random } from "../random/random.ts";
+import { PollLoop, type PollTurn } from "../polling/poll_loop.ts";
 import { FeedError } from "./feed_error.ts";
 import type { PublicationFeed } from "./publication_feed.ts";
 import type { PublicationKeeper } from "./publication_keeper.ts";
@@ -14,7 +13,7 @@
   watchMs: number;
   /** Pause after a failure in milliseconds, drawn between half and one and a half of it. */
   getRetryMs: () => number;
-  /** Interval of the check whether to watch, in milliseconds. */
+  /** Mean interval of the check whether to watch, in milliseconds. */
   idleCheckMs: number;
   /** Whether this process is to watch now, rather than hear from peers. */
   isNeeded: () => boolean;
@@ -22,51 +21,36 @@
 
 /** Repeats long polls of what is published while this process is to watch. */
 export class FeedWatcher {
-  private readonly abort = new AbortController();
-  private readonly random = Random.create();
+  private readonly loop: PollLoop;
   private revision: number | undefined;
   private failedSince: number | undefined;
   private answeredAt = performance.now();
 
-  private constructor(private readonly options: FeedWatcherOptions) {}
+  private constructor(private readonly options: FeedWatcherOptions) {
+    this.loop = PollLoop.create({
+      step: () => this.step(),
+      isActive: options.isNeeded,
+      getPauseMs: (turn) =>
+        turn === "idle" ? options.idleCheckMs : options.getRetryMs(),
+      onTurn: (turn, error) => this.noteTurn(turn, error),
+    });
+  }
 
   /** Creates a watcher and starts it.
    * @param options What it needs. */
   static create(options: FeedWatcherOptions): FeedWatcher {
-    const watcher = new FeedWatcher(options);
-    void watcher.run();
-    return watcher;
+    return new FeedWatcher(options);
   }
 
   /** Ends the watch after the call under way. */
   close(): void {
-    this.abort.abort();
-  }
-
-  private async run(): Promise<void> {
-    while (!this.abort.signal.aborted) {
-      if (!this.options.isNeeded()) {
-        this.revision = undefined;
-        await this.pause(this.options.idleCheckMs);
-        continue;
-      }
-      const hasWorked = await this.tryStep();
-      if (!hasWorked) {
-        const factor = 0.5 + this.random.fraction();
-        await this.pause(this.options.getRetryMs() * factor);
-      }
-    }
+    this.loop.close();
   }
 
-  private async tryStep(): Promise<boolean> {
-    try {
-      await this.step();
-      this.noteSuccess();
-      return true;
-    } catch (error) {
-      this.noteFailure(error);
-      return false;
-    }
+  private noteTurn(turn: PollTurn, error: unknown): void {
+    if (turn === "idle") this.revision = undefined;
+    if (turn === "worked") this.noteSuccess();
+    if (turn === "failed") this.noteFailure(error);
   }
 
   private async step(): Promise<void> {
@@ -83,7 +67,8 @@
     const isEmpty = changes.upstreams.length === 0 &&
       changes.configuration === undefined;
     // An empty answer was held for the whole wait, so there was no change up to the wait's end.
-    keeper.takeChanges(changes, isEmpty ? askedAt + watchMs : askedAt);
+    const heldUntil = Math.min(performance.now(), askedAt + watchMs);
+    keeper.takeChanges(changes, isEmpty ? heldUntil : askedAt);
     this.logProblems(changes.problems);
     this.revision = changes.revision;
   }
@@ -105,7 +90,6 @@
   }
 
   private noteFailure(error: unknown): void {
-    if (this.abort.signal.aborted) return;
     if (error instanceof FeedError && error.failure.kind === "history_lost") {
       this.options.logger.info(
         { revision: this.revision },
@@ -121,10 +105,4 @@
       "platform_lost",
     );
   }
-
-  private async pause(milliseconds: number): Promise<void> {
-    await delay(milliseconds, undefined, { signal: this.abort.signal }).catch(
-      () => undefined,
-    );
-  }
 }
--- a/src/router/platform_watch.ts
+++ b/src/router/platform_watch.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { Membership } from "../membership/membership.ts";
 import { PlatformClient } from "../configuration_service/platform_client.ts";
-import { WatchLoop } from "../configuration_service/watch_loop.ts";
+import { PollLoop, type PollTurn } from "../polling/poll_loop.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 
 /** Time after which other routers of a hall watch. */
@@ -20,25 +20,29 @@
 /** Watches the platform's documents and host list, while it is this router's turn. */
 export class PlatformWatch {
   private readonly client: PlatformClient;
-  private readonly loops: WatchLoop[];
+  private readonly loops: PollLoop[];
   private revision = 0;
   private version = 0;
   private hasRead = false;
+  private readonly failing = new Set<string>();
 
   private constructor(private readonly options: PlatformWatchOptions) {
     const { url, watchMs, retryMs } = options.settings.platform;
     this.client = PlatformClient.create(url);
-    const shared = { isActive: () => this.isWatcher(), retryMs };
+    const shared = {
+      isActive: () => this.isWatcher(),
+      getPauseMs: () => retryMs,
+    };
     this.loops = [
-      WatchLoop.create({
+      PollLoop.create({
         ...shared,
         step: () => this.readDocuments(this.hasRead ? watchMs : 0),
-        onReachable: (reachable) => this.logReachable("documents", reachable),
+        onTurn: (turn) => this.logTurn("documents", turn),
       }),
-      WatchLoop.create({
+      PollLoop.create({
         ...shared,
         step: () => this.readHosts(this.version === 0 ? 0 : watchMs),
-        onReachable: (reachable) => this.logReachable("hosts", reachable),
+        onTurn: (turn) => this.logTurn("hosts", turn),
       }),
     ];
   }
@@ -92,7 +96,15 @@
       platform.watchersPerHall;
   }
 
-  private logReachable(what: string, reachable: boolean): void {
-    this.options.logger.info({ what, reachable }, "platform_reachable");
+  /** Logs each change between failing and working. */
+  private logTurn(what: "documents" | "hosts", turn: PollTurn): void {
+    const hasFailed = turn === "failed";
+    if (turn === "idle" || hasFailed === this.failing.has(what)) return;
+    if (hasFailed) this.failing.add(what);
+    else this.failing.delete(what);
+    this.options.logger.info(
+      { what, reachable: !hasFailed },
+      "platform_reachable",
+    );
   }
 }
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -153,7 +153,6 @@
       codec: platformHeaders,
       choose: (_call, tried) =>
         upstreams.find((upstream) => !tried.has(upstream.id)),
-      canChoose: (_call, tried) => tried.size < upstreams.length,
       placePrompt: () => undefined,
       getLoad: () => 0,
       spendRetry: () => true,
--- a/tests/published/build_published.ts
+++ b/tests/published/build_published.ts
@@ -18,7 +18,6 @@
     shares: [{ service: "s", weight: 1 }],
     maxAttempts: 2,
     isAnonymous: true,
-    isSticky: false,
     isResumable: false,
     ...changes,
   };
@@ -33,7 +32,7 @@
     version: 1,
     routes: [buildRoute()],
     services: [
-      { name: "s", maxConnections: 100, isEngine: false, canFetch: false },
+      { name: "s", maxConnections: 100, canFetch: false },
     ],
     limits: {
       maxHeaderBytes: 16_384,
--- /dev/null
+++ b/tests/soak/judge_test.ts
@@ -0,0 +1,203 @@
+import test from "ava";
+import type { CallerAttempt } from "../../soak/caller_attempt.ts";
+import type { Evidence } from "../../soak/evidence.ts";
+import { FaultLog } from "../../soak/fault_log.ts";
+import { ANSWER_JUDGES } from "../../soak/judge_answers.ts";
+import { TIME_JUDGES } from "../../soak/judge_times.ts";
+import { CUSTOMER, LASTING_KEY } from "../../soak/soak_fleet.ts";
+import {
+  countEvents,
+  writeEvent,
+  writeWholeAnswer,
+} from "../../soak/stream_text.ts";
+import type { WorkerRun } from "../../soak/worker_run.ts";
+
+const ID = "c-1";
+const JUDGES = { ...ANSWER_JUDGES, ...TIME_JUDGES };
+
+function buildAttempt(changes: Partial<CallerAttempt> = {}): CallerAttempt {
+  return {
+    requestId: ID,
+    kind: "book",
+    path: "/book/c-1",
+    body: "b",
+    prompt: "||",
+    key: LASTING_KEY,
+    version: undefined,
+    afterEvent: 0,
+    gateway: "g-0",
+    life: 1,
+    sentAt: 1_000,
+    endedAt: 1_030,
+    status: 200,
+    seal: "proof",
+    text: writeWholeAnswer(ID, "w-1"),
+    isWhole: true,
+    gaveUpAt: undefined,
+    ...changes,
+  };
+}
+
+function buildRun(changes: Partial<WorkerRun> = {}): WorkerRun {
+  return {
+    requestId: ID,
+    worker: "w-1",
+    service: "plain",
+    method: "POST",
+    path: "/book/c-1",
+    body: "b",
+    prompt: "||",
+    customer: CUSTOMER,
+    afterEvent: 0,
+    startedAt: 1_005,
+    endedAt: 1_025,
+    status: 200,
+    isWhole: true,
+    wasCancelled: false,
+    ...changes,
+  };
+}
+
+function buildEvidence(changes: Partial<Evidence> = {}): Evidence {
+  return {
+    attempts: [buildAttempt()],
+    runs: [buildRun()],
+    versions: [],
+    leavings: [],
+    stops: [],
+    faults: FaultLog.create(),
+    lagMs: 0,
+    ...changes,
+  };
+}
+
+function buildStream(events: number[]): CallerAttempt {
+  const path = "/chat/c-1";
+  return buildAttempt({
+    kind: "chat",
+    path,
+    text: events.map((event) => writeEvent(ID, event, path)).join(""),
+  });
+}
+
+const ALL_EVENTS = Array.from(
+  { length: countEvents("/chat/c-1") },
+  (_, index) => index + 1,
+);
+
+test("sound evidence shows no breach", (t) => {
+  for (const find of Object.values(JUDGES)) {
+    t.deepEqual(find(buildEvidence()), []);
+    t.deepEqual(
+      find(buildEvidence({ attempts: [buildStream(ALL_EVENTS)], runs: [] })),
+      [],
+    );
+  }
+});
+
+const repeatable = { kind: "look", path: "/look/1", body: "" } as const;
+
+/** For each promise, evidence that breaks it. */
+const BREACHES: Record<string, Evidence[]> = {
+  "an answer is that of its own request, and whole": [
+    buildEvidence({ attempts: [buildAttempt({ seal: undefined })] }),
+    buildEvidence({
+      attempts: [buildAttempt({ text: writeWholeAnswer("c-2", "w-1") })],
+    }),
+    buildEvidence({
+      attempts: [
+        buildAttempt({ text: writeWholeAnswer(ID, "w-1").slice(0, 50) }),
+      ],
+    }),
+    buildEvidence({ attempts: [buildStream(ALL_EVENTS.slice(0, -1))] }),
+    buildEvidence({ attempts: [buildStream([1, 1, ...ALL_EVENTS.slice(1)])] }),
+  ],
+  "a failure with a worker's seal is the worker's": [
+    buildEvidence({ attempts: [buildAttempt({ status: 502 })] }),
+  ],
+  "what may run once runs once": [
+    buildEvidence({ runs: [buildRun(), buildRun({ worker: "w-2" })] }),
+  ],
+  "what is said not to have run has not": [
+    buildEvidence({
+      attempts: [buildAttempt({ status: 503, seal: undefined })],
+    }),
+  ],
+  "a worker runs what a caller sent": [
+    buildEvidence({ runs: [buildRun({ requestId: "c-9" })] }),
+    buildEvidence({ runs: [buildRun({ body: "other" })] }),
+    buildEvidence({ runs: [buildRun({ customer: "forged" })] }),
+  ],
+  "no request reaches more workers than its route allows": [
+    buildEvidence({ runs: [buildRun(), buildRun({ worker: "w-2" })] }),
+  ],
+  "a configuration never goes back": [
+    buildEvidence({
+      attempts: [
+        buildAttempt({ kind: "version", version: 9 }),
+        buildAttempt({ kind: "version", version: 6, sentAt: 2_000 }),
+      ],
+    }),
+  ],
+  "a sound worker's answer reaches its caller": [
+    buildEvidence({ attempts: [buildAttempt({ isWhole: false })] }),
+  ],
+  "nothing proper is denied": [
+    buildEvidence({ attempts: [buildAttempt({ status: 404 })] }),
+  ],
+  "a leaving worker gets no new work": [
+    buildEvidence({
+      leavings: [{ worker: "w-1", at: 1_000 }],
+      runs: [buildRun({ startedAt: 3_500 })],
+    }),
+  ],
+  "a key that was taken away is not honoured": [
+    buildEvidence({
+      versions: [{ version: 1, key: "k", at: 0 }, {
+        version: 2,
+        key: "l",
+        at: 1_000,
+      }],
+      attempts: [buildAttempt({ key: "k", sentAt: 6_000 })],
+    }),
+  ],
+  "a final answer comes by the route's time-out": [
+    buildEvidence({ attempts: [buildAttempt({ endedAt: 9_000 })] }),
+    buildEvidence({ attempts: [buildAttempt({ endedAt: undefined })] }),
+  ],
+  "work ends when its caller has left": [
+    buildEvidence({
+      attempts: [buildAttempt({ ...repeatable, gaveUpAt: 1_010 })],
+      runs: [buildRun({ endedAt: 9_000 })],
+    }),
+  ],
+  "retries keep to the budget": [
+    buildEvidence({
+      runs: Array.from({ length: 80 }, () => buildRun()),
+    }),
+  ],
+};
+
+for (const [promise, find] of Object.entries(JUDGES)) {
+  test(`a judge sees the breach: ${promise}`, (t) => {
+    const cases = BREACHES[promise] ?? [];
+    t.true(cases.length > 0);
+    for (const evidence of cases) t.true(find(evidence).length > 0);
+  });
+}
+
+test("an answer that a fault of its gateway or worker cut off is no breach", (t) => {
+  const find = JUDGES["a sound worker's answer reaches its caller"]!;
+  for (const target of ["g-0", "w-1"]) {
+    const faults = FaultLog.create();
+    faults.windows.push({
+      name: "kill",
+      targets: [target],
+      isPlanned: false,
+      from: 1_010,
+      to: 1_500,
+    });
+    const attempts = [buildAttempt({ isWhole: false })];
+    t.deepEqual(find(buildEvidence({ attempts, faults })), []);
+  }
+});
