Large fleets: two hosts know of each prompt part, and whoever does not know asks them

Change: a ring of hosts; two keepers of each part are told by datagram and asked for 15 ms at most before a request whose part is not known is placed; gossip no longer carries facts in large fleets. Hosts that start at the same moment draw from different seeds now. FleetLink holds what hosts tell each other; gossip, questions and directory share one socket.

--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -44,6 +44,8 @@
   isLeaving: () => boolean;
   /** Told of each request that is sent on for the first time. */
   onFirstSend: (service: string) => void;
+  /** Finds out which engines keep a part of a prompt; nothing where there is nobody to ask. */
+  learnPart: (part: number) => Promise<void> | undefined;
   upstreamAccess: UpstreamAccess;
 }
 
@@ -98,7 +100,10 @@
       const limits = this.options.getRoutes()?.limits ?? FIRST_LIMITS;
       checkHeaderSize(request, limits);
       const admitted = this.admit(request, headers, receivedAt);
+      const deepest = admitted.sharedParts.at(-1);
+      const learning = deepest && this.options.learnPart(deepest.name);
       const body = await readBody(request, limits.maxBodyBytes);
+      if (learning) await learning;
       if (response.destroyed) return;
       this.start(admitted, body, answer, response);
     } catch (thrown) {
--- /dev/null
+++ b/src/gateway/fleet_link.ts
@@ -0,0 +1,182 @@
+import type { Logger } from "../logging/logger.ts";
+import { AgeQuestions } from "../peers/age_questions.ts";
+import { DatagramSocket } from "../peers/datagram_socket.ts";
+import { Gossip } from "../peers/gossip.ts";
+import type { PeerEntry } from "../peers/gossip_schema.ts";
+import { type KnownHost, SMALL_FLEET } from "../peers/host_table.ts";
+import { PrefixDirectory } from "../peers/prefix_directory.ts";
+import type { PublicationWord } from "../peers/publication_word.ts";
+import type { PublicationKeeper } from "../published/publication_keeper.ts";
+import type { GatewaySettings } from "./gateway_settings.ts";
+import type { PublicationExchange } from "./publication_exchange.ts";
+import type { UpstreamChooser } from "./upstream_chooser.ts";
+
+/** What the link needs of the gateway. */
+export interface FleetLinkOptions {
+  logger: Logger;
+  /** The settings in force; the address to listen on is read once. */
+  getSettings: () => GatewaySettings;
+  keeper: PublicationKeeper;
+  chooser: UpstreamChooser;
+  publicationExchange: PublicationExchange;
+  /** What this host is doing. */
+  getPhase: () => PeerEntry["phase"];
+  /** Ids of the hosts to ask how old what they know of the publication is. */
+  getSourceIds: () => readonly string[];
+}
+
+/** What this host and the others tell and ask each other by datagrams. In a small fleet every host hears all others in
+ * each round; in a large one hosts hear few at a time, and ask those that know. */
+export class FleetLink {
+  private readonly gossip: Gossip;
+  private readonly questions: AgeQuestions;
+  private readonly directory: PrefixDirectory;
+
+  private constructor(
+    private readonly options: FleetLinkOptions,
+    private readonly socket: DatagramSocket,
+  ) {
+    const { gossipAddress } = options.getSettings();
+    this.gossip = this.createGossip(gossipAddress);
+    this.questions = AgeQuestions.create({
+      socket,
+      getSources: () => this.getSources(),
+      getWord: () => this.getWord(),
+      onWord: (sender, word, askedAt) => {
+        const host = this.gossip.hosts.getHost(sender);
+        if (host) this.takeWord(host.entry, word, askedAt);
+      },
+    });
+    this.directory = PrefixDirectory.create({
+      socket,
+      prefixes: options.chooser.prefixes,
+      ownAddress: gossipAddress,
+      getHosts: () => this.getStayingAddresses(),
+    });
+  }
+
+  /** Opens the link.
+   * @param options What it needs.
+   * @throws The system's error where its address can't be listened on. */
+  static async create(options: FleetLinkOptions): Promise<FleetLink> {
+    const { logger, getSettings } = options;
+    const { gossipAddress } = getSettings();
+    const socket = await DatagramSocket.create(gossipAddress, logger);
+    return new FleetLink(options, socket);
+  }
+
+  /** The other hosts that are heard. */
+  getLiveHosts(): KnownHost[] {
+    return this.gossip.hosts.getLive(performance.now());
+  }
+
+  /** Tells other hosts soon how this one is. */
+  announce(): void {
+    this.gossip.announce();
+  }
+
+  /** Tells other hosts soon which engines were sent which parts of prompts. */
+  tellFacts(): void {
+    if (this.isLarge) {
+      this.directory.tell(this.options.chooser.prefixes.takeFacts());
+    } else this.gossip.announce();
+  }
+
+  /** In a large fleet, finds out which engines keep a part that is not known of here; nothing where nobody is asked.
+   * @param part Short name of the part. */
+  learnPart(part: number): Promise<void> | undefined {
+    return this.isLarge ? this.directory.learn(part) : undefined;
+  }
+
+  /** Ends the link. */
+  close(): void {
+    this.gossip.close();
+    this.questions.close();
+    this.directory.close();
+    this.socket.close();
+  }
+
+  private get isLarge(): boolean {
+    return this.getLiveHosts().length > SMALL_FLEET;
+  }
+
+  private createGossip(address: string): Gossip {
+    const { logger, getSettings, chooser } = this.options;
+    const { prefixes } = chooser;
+    return Gossip.create({
+      logger,
+      socket: this.socket,
+      address,
+      hall: getSettings().hall,
+      getSeeds: () => getSettings().seedAddresses,
+      describeSelf: () => this.describeSelf(),
+      takeFacts: () => prefixes.takeFacts(),
+      hasFacts: () => prefixes.hasUntold,
+      onFacts: (facts) => prefixes.learn(facts, performance.now()),
+      onEntry: (entry, heardAt, askedAt) =>
+        this.takeEntry(entry, heardAt, askedAt),
+    });
+  }
+
+  private getWord(): PublicationWord {
+    const { ageMs, digest, revision } = this.options.keeper;
+    const publicationAgeMs = Number.isFinite(ageMs) ? ageMs : -1;
+    return { digest, revision, publicationAgeMs };
+  }
+
+  private describeSelf(): Omit<PeerEntry, "incarnation" | "sequence"> {
+    const { getSettings, chooser, getPhase } = this.options;
+    const { id, gossipAddress, peerAddress, callerAddress, hall } =
+      getSettings();
+    return {
+      id,
+      gossipAddress,
+      peerAddress,
+      callerAddress,
+      hall,
+      phase: getPhase(),
+      ...this.getWord(),
+      loads: chooser.loads.getOwn(chooser.upstreams.getAll()),
+    };
+  }
+
+  private takeEntry(entry: PeerEntry, heardAt: number, askedAt?: number): void {
+    this.options.chooser.loads.record(entry.id, entry.loads, heardAt);
+    if (askedAt !== undefined) this.takeWord(entry, entry, askedAt);
+  }
+
+  /** Takes what another host says of the publication: where it knows the same, what it knows is as new here as there,
+   * and where it knows more it is asked for that. */
+  private takeWord(
+    host: PeerEntry,
+    word: PublicationWord,
+    askedAt: number,
+  ): void {
+    const { keeper, publicationExchange } = this.options;
+    const { digest, revision, publicationAgeMs } = word;
+    if (publicationAgeMs < 0) return;
+    if (digest === keeper.digest) {
+      keeper.takeConfirmation(digest, askedAt - publicationAgeMs);
+      return;
+    }
+    const isFresher = publicationAgeMs < keeper.ageMs ||
+      revision > keeper.revision;
+    if (isFresher) void publicationExchange.ask(host.id, host.peerAddress);
+  }
+
+  /** Hosts to ask how old what they know is; in a small fleet each datagram tells it. */
+  private getSources(): string[] {
+    if (!this.isLarge) return [];
+    const addresses = new Map(
+      this.getLiveHosts().map((
+        { entry },
+      ) => [entry.id, entry.gossipAddress]),
+    );
+    return this.options.getSourceIds().flatMap((id) => addresses.get(id) ?? []);
+  }
+
+  private getStayingAddresses(): string[] {
+    return this.getLiveHosts().filter(({ entry }) => entry.phase !== "draining")
+      .map(({ entry }) => entry.gossipAddress);
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,16 +1,15 @@
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { CallServer } from "../forward/call_server.ts";
 import type { Logger } from "../logging/logger.ts";
-import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
-import { type KnownHost, SMALL_FLEET } from "../peers/host_table.ts";
-import type { PublicationWord } from "../peers/publication_word.ts";
+import type { KnownHost } from "../peers/host_table.ts";
 import type { PublicationFeed } from "../published/publication_feed.ts";
 import { PublicationKeeper } from "../published/publication_keeper.ts";
 import type { RouteTable } from "../published/route_table.ts";
 import type { EngineInventory } from "../upstreams/engine_inventory.ts";
 import type { CallerSurface } from "./caller_surface.ts";
 import { CallHandler } from "./call_handler.ts";
+import { FleetLink } from "./fleet_link.ts";
 import { GatewayEndpoints } from "./gateway_endpoints.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -48,7 +47,7 @@
   private readonly firstRoutes = new Promise<void>((resolve) =>
     this.resolveFirstRoutes = resolve
   );
-  private gossip: Gossip | undefined;
+  private link: FleetLink | undefined;
   private watch: PublicationWatch | undefined;
   private endpoints: GatewayEndpoints | undefined;
   private server: CallServer | undefined;
@@ -64,7 +63,7 @@
       onConfiguration: (routes) => this.applyConfiguration(routes),
       onUpstreams: (changes) => {
         this.chooser.upstreams.apply(changes);
-        this.gossip?.announce();
+        this.link?.announce();
       },
     });
     this.publicationExchange = PublicationExchange.create(
@@ -105,7 +104,7 @@
     if (this.stop.hasStarted) return;
     this.stop.start();
     this.logger.info({ openCalls: this.handler.openCalls }, "stop_started");
-    this.gossip?.announce();
+    this.link?.announce();
     await this.stop.waitForCalls(
       this.settings.stopWithinMs,
       () => this.handler.openCalls,
@@ -119,7 +118,7 @@
   /** Stops at once. */
   async close(): Promise<void> {
     this.watch?.close();
-    this.gossip?.close();
+    this.link?.close();
     this.server?.close();
     this.chooser.close();
     this.endpoints?.close();
@@ -132,17 +131,17 @@
   private async open(): Promise<void> {
     const { settings, logger } = this;
     this.watch = this.createWatch();
-    const [server, gossip, endpoints] = await Promise.all([
+    const [server, link, endpoints] = await Promise.all([
       CallServer.create(
         settings.callerAddress,
         logger,
         (request, response) => this.handler.handle(request, response),
       ),
-      this.createGossip(),
+      this.createLink(),
       this.createEndpoints(),
     ]);
     this.server = server;
-    this.gossip = gossip;
+    this.link = link;
     this.endpoints = endpoints;
     if (this.keeper.routes) server.applyLimits(this.keeper.routes.limits);
     if (settings.isFirstStart) this.chooser.prefixes.markComplete();
@@ -162,7 +161,7 @@
       getEngines: () => this.chooser.getFetchingEngines(),
     });
     await recovery.run();
-    this.gossip?.announce();
+    this.link?.announce();
   }
 
   private createChooser(): UpstreamChooser {
@@ -172,25 +171,20 @@
       getService: (name) => this.keeper.routes?.getService(name),
       countHosts: () => 1 + this.getLiveHosts().length,
       mayHaveLapsed: () => this.keeper.mayHaveLapsed,
-      onFacts: () => this.gossip?.announce(),
+      onFacts: () => this.link?.tellFacts(),
       onSign: (sign) => this.metrics.noteAttempt(sign),
     });
   }
 
-  private createGossip(): Promise<Gossip> {
-    return Gossip.create({
+  private createLink(): Promise<FleetLink> {
+    return FleetLink.create({
       logger: this.logger,
-      address: this.settings.gossipAddress,
-      hall: this.settings.hall,
-      getSeeds: () => this.settings.seedAddresses,
-      describeSelf: () => this.describeSelf(),
-      takeFacts: () => this.chooser.prefixes.takeFacts(),
-      hasFacts: () => this.chooser.prefixes.hasUntold,
-      onFacts: (facts) => this.chooser.prefixes.learn(facts, performance.now()),
-      onEntry: (entry, heardAt, askedAt) =>
-        this.takeEntry(entry, heardAt, askedAt),
-      getSources: () => this.getSources(),
-      onWord: (host, word, askedAt) => this.takeWord(host, word, askedAt),
+      getSettings: () => this.settings,
+      keeper: this.keeper,
+      chooser: this.chooser,
+      publicationExchange: this.publicationExchange,
+      getPhase: () => this.phase,
+      getSourceIds: () => this.watch?.getSources() ?? [],
     });
   }
 
@@ -229,6 +223,7 @@
       getAgeMs: () => this.keeper.ageMs,
       isLeaving: () => this.stop.closesConnections,
       onFirstSend: (service) => this.chooser.noteFirstSend(service),
+      learnPart: (part) => this.link?.learnPart(part),
       upstreamAccess: this.chooser.createAccess(),
     });
   }
@@ -257,64 +252,11 @@
     this.server?.applyLimits(routes.limits);
     this.handler.applyRoutes(routes);
     this.resolveFirstRoutes();
-    this.gossip?.announce();
+    this.link?.announce();
   }
 
   private getLiveHosts(): KnownHost[] {
-    return this.gossip?.hosts.getLive(performance.now()) ?? [];
-  }
-
-  private describeSelf(): Omit<PeerEntry, "incarnation" | "sequence"> {
-    const { settings, keeper, chooser } = this;
-    const ageMs = keeper.ageMs;
-    return {
-      id: settings.id,
-      gossipAddress: settings.gossipAddress,
-      peerAddress: settings.peerAddress,
-      callerAddress: settings.callerAddress,
-      hall: settings.hall,
-      phase: this.phase,
-      digest: keeper.digest,
-      revision: keeper.revision,
-      publicationAgeMs: Number.isFinite(ageMs) ? ageMs : -1,
-      loads: chooser.loads.getOwn(chooser.upstreams.getAll()),
-    };
-  }
-
-  private takeEntry(entry: PeerEntry, heardAt: number, askedAt?: number): void {
-    this.chooser.loads.record(entry.id, entry.loads, heardAt);
-    if (askedAt !== undefined) this.takeWord(entry, entry, askedAt);
-  }
-
-  /** Takes what another host says of the publication: where it knows the same, what it knows is as new here as there,
-   * and where it knows more it is asked for that. */
-  private takeWord(
-    host: PeerEntry,
-    word: PublicationWord,
-    askedAt: number,
-  ): void {
-    const { digest, revision, publicationAgeMs } = word;
-    if (publicationAgeMs < 0) return;
-    if (digest === this.keeper.digest) {
-      this.keeper.takeConfirmation(digest, askedAt - publicationAgeMs);
-      return;
-    }
-    const isFresher = publicationAgeMs < this.keeper.ageMs ||
-      revision > this.keeper.revision;
-    if (isFresher) {
-      void this.publicationExchange.ask(host.id, host.peerAddress);
-    }
-  }
-
-  /** Hosts to ask how old what they know is; in a small fleet each datagram tells it. */
-  private getSources(): string[] {
-    const live = this.getLiveHosts();
-    if (live.length <= SMALL_FLEET) return [];
-    const addresses = new Map(
-      live.map(({ entry }) => [entry.id, entry.gossipAddress]),
-    );
-    const sources = this.watch?.getSources() ?? [];
-    return sources.flatMap((id) => addresses.get(id) ?? []);
+    return this.link?.getLiveHosts() ?? [];
   }
 }
 
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -1,5 +1,6 @@
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
+import type { PrefixFact, PrefixSighting } from "../upstreams/prefix_index.ts";
 import { packGossip, unpackGossip } from "./gossip_codec.ts";
 import type { GossipMessage } from "./gossip_schema.ts";
 import type { PublicationWord } from "./publication_word.ts";
@@ -8,30 +9,119 @@
 export type Datagram =
   | { type: "gossip"; message: GossipMessage }
   /** Asks what the receiver knows of the publication; `askedAt` is the asking host's clock. */
-  | { type: "question"; askedAt: number }
-  /** Answers a question, with its `askedAt`. */
-  | { type: "answer"; askedAt: number; word: PublicationWord };
+  | { type: "age_question"; askedAt: number }
+  /** Answers such a question, with its `askedAt`. */
+  | { type: "age_answer"; askedAt: number; word: PublicationWord }
+  /** Tells which engines were sent which parts of prompts. */
+  | { type: "prefix_facts"; facts: readonly PrefixFact[] }
+  /** Asks which engines keep a part of a prompt; the number tells answers apart. */
+  | { type: "prefix_question"; number: number; part: number }
+  /** Answers such a question, with its number. */
+  | {
+    type: "prefix_answer";
+    number: number;
+    sightings: readonly PrefixSighting[];
+  };
 
-/** Numbers of the types on the wire. */
-const NUMBERS = { gossip: 0, question: 1, answer: 2 } as const;
+/** Type of a datagram. */
+export type DatagramType = Datagram["type"];
 
-const packedSchema = z.tuple([z.number()]).rest(z.unknown());
-const questionSchema = z.tuple([z.number()]);
-const answerSchema = z.tuple([z.number(), z.number(), z.number(), z.number()]);
+/** A datagram of one type. */
+export type DatagramOf<Type extends DatagramType> = Extract<
+  Datagram,
+  { type: Type }
+>;
+
+/** How the body of one type is written and read. */
+interface BodyCodec<Type extends DatagramType> {
+  /** Number of the type on the wire. */
+  number: number;
+  pack: (datagram: DatagramOf<Type>) => unknown[];
+  /** Reads a body; one that is malformed is undefined. */
+  unpack: (body: unknown[]) => DatagramOf<Type> | undefined;
+}
 
-/** Reads what follows the type's number; a body that is malformed is undefined. */
-type Decoder = (body: unknown[]) => Datagram | undefined;
+const packedSchema = z.tuple([z.number()]).rest(z.unknown());
+const oneNumber = z.tuple([z.number()]);
+const twoNumbers = z.tuple([z.number(), z.number()]);
+const fourNumbers = z.tuple([z.number(), z.number(), z.number(), z.number()]);
+const factsSchema = z.tuple([
+  z.array(z.tuple([z.number(), z.number(), z.number()])),
+]);
+const sightingsSchema = z.tuple([z.number(), z.array(twoNumbers)]);
 
-const DECODERS: Readonly<Record<number, Decoder>> = {
-  [NUMBERS.gossip]: decodeGossip,
-  [NUMBERS.question]: decodeQuestion,
-  [NUMBERS.answer]: decodeAnswer,
+const CODECS: { readonly [Type in DatagramType]: BodyCodec<Type> } = {
+  gossip: {
+    number: 0,
+    pack: ({ message }) => [packGossip(message)],
+    unpack: ([body]) => {
+      const message = unpackGossip(body);
+      return message && { type: "gossip", message };
+    },
+  },
+  age_question: {
+    number: 1,
+    pack: ({ askedAt }) => [askedAt],
+    unpack: (body) => {
+      const parsed = oneNumber.safeParse(body).data;
+      return parsed && { type: "age_question", askedAt: parsed[0] };
+    },
+  },
+  age_answer: {
+    number: 2,
+    pack: ({ askedAt, word }) => [
+      askedAt,
+      word.digest,
+      word.revision,
+      Math.round(word.publicationAgeMs),
+    ],
+    unpack: (body) => {
+      const parsed = fourNumbers.safeParse(body).data;
+      if (!parsed) return undefined;
+      const [askedAt, digest, revision, publicationAgeMs] = parsed;
+      const word = { digest, revision, publicationAgeMs };
+      return { type: "age_answer", askedAt, word };
+    },
+  },
+  prefix_facts: {
+    number: 3,
+    pack: ({ facts }) => [facts],
+    unpack: (body) => {
+      const parsed = factsSchema.safeParse(body).data;
+      return parsed && { type: "prefix_facts", facts: parsed[0] };
+    },
+  },
+  prefix_question: {
+    number: 4,
+    pack: ({ number, part }) => [number, part],
+    unpack: (body) => {
+      const parsed = twoNumbers.safeParse(body).data;
+      if (!parsed) return undefined;
+      const [number, part] = parsed;
+      return { type: "prefix_question", number, part };
+    },
+  },
+  prefix_answer: {
+    number: 5,
+    pack: ({ number, sightings }) => [number, sightings],
+    unpack: (body) => {
+      const parsed = sightingsSchema.safeParse(body).data;
+      if (!parsed) return undefined;
+      const [number, sightings] = parsed;
+      return { type: "prefix_answer", number, sightings };
+    },
+  },
 };
 
+const CODEC_BY_NUMBER = new Map(
+  Object.values(CODECS).map((codec) => [codec.number, codec]),
+);
+
 /** Writes a datagram.
  * @param datagram What it holds. */
 export function encodeDatagram(datagram: Datagram): Buffer {
-  return pack([NUMBERS[datagram.type], ...packBody(datagram)]);
+  const codec = CODECS[datagram.type] as BodyCodec<DatagramType>;
+  return pack([codec.number, ...codec.pack(datagram)]);
 }
 
 /** Reads a datagram; one that is malformed is undefined.
@@ -40,34 +130,7 @@
   const packed = packedSchema.safeParse(tryUnpack(bytes));
   if (!packed.success) return undefined;
   const [number, ...body] = packed.data;
-  return DECODERS[number]?.(body);
-}
-
-function packBody(datagram: Datagram): unknown[] {
-  if (datagram.type === "gossip") return [packGossip(datagram.message)];
-  if (datagram.type === "question") return [datagram.askedAt];
-  const { digest, revision, publicationAgeMs } = datagram.word;
-  return [datagram.askedAt, digest, revision, Math.round(publicationAgeMs)];
-}
-
-function decodeGossip([body]: unknown[]): Datagram | undefined {
-  const message = unpackGossip(body);
-  return message && { type: "gossip", message };
-}
-
-function decodeQuestion(body: unknown[]): Datagram | undefined {
-  const parsed = questionSchema.safeParse(body);
-  return parsed.success
-    ? { type: "question", askedAt: parsed.data[0] }
-    : undefined;
-}
-
-function decodeAnswer(body: unknown[]): Datagram | undefined {
-  const parsed = answerSchema.safeParse(body);
-  if (!parsed.success) return undefined;
-  const [askedAt, digest, revision, publicationAgeMs] = parsed.data;
-  const word = { digest, revision, publicationAgeMs };
-  return { type: "answer", askedAt, word };
+  return CODEC_BY_NUMBER.get(number)?.unpack(body);
 }
 
 /** Unpacks bytes; what can't be unpacked is undefined, which the schema then refuses. */
--- /dev/null
+++ b/src/peers/datagram_socket.ts
@@ -0,0 +1,97 @@
+import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
+import { splitAddress } from "../addresses/split_address.ts";
+import type { Logger } from "../logging/logger.ts";
+import {
+  type Datagram,
+  type DatagramOf,
+  type DatagramType,
+  decodeDatagram,
+  encodeDatagram,
+} from "./datagram_codec.ts";
+
+/** Takes the datagrams of one type.
+ * @param datagram What came.
+ * @param sender Who sent it, as ip:port. */
+type DatagramHandler<Type extends DatagramType> = (
+  datagram: DatagramOf<Type>,
+  sender: string,
+) => void;
+
+/** The socket over which hosts send each other datagrams. */
+export class DatagramSocket {
+  private readonly handlers: {
+    [Type in DatagramType]?: DatagramHandler<Type>;
+  } = {};
+  private isClosed = false;
+
+  private constructor(
+    private readonly socket: Socket,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Opens the socket.
+   * @param address Where to listen, as ip:port.
+   * @param logger Where bad datagrams are written.
+   * @throws The system's error where the address can't be listened on. */
+  static async create(
+    address: string,
+    logger: Logger,
+  ): Promise<DatagramSocket> {
+    const socket = createSocket("udp4");
+    const { host, port } = splitAddress(address);
+    socket.bind(port, host);
+    await once(socket, "listening");
+    const opened = new DatagramSocket(socket, logger);
+    socket.on(
+      "message",
+      (bytes, from) => opened.take(bytes, `${from.address}:${from.port}`),
+    );
+    socket.on(
+      "error",
+      (error) => logger.warn({ reason: error.message }, "datagrams_failed"),
+    );
+    return opened;
+  }
+
+  /** Sets who takes the datagrams of a type; those of a type without a taker are left out.
+   * @param type The type.
+   * @param handler Takes them. */
+  handle<Type extends DatagramType>(
+    type: Type,
+    handler: DatagramHandler<Type>,
+  ): void {
+    Object.assign(this.handlers, { [type]: handler });
+  }
+
+  /** Sends a datagram, which may be lost.
+   * @param address Receiver, as ip:port.
+   * @param datagram What it holds. */
+  send(address: string, datagram: Datagram): void {
+    if (this.isClosed) return;
+    const { host, port } = splitAddress(address);
+    this.socket.send(encodeDatagram(datagram), port, host, (error) => {
+      if (!error) return;
+      this.logger.debug({ address, reason: error.message }, "datagram_unsent");
+    });
+  }
+
+  /** Closes the socket. */
+  close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.socket.close();
+  }
+
+  private take(bytes: Buffer, sender: string): void {
+    const datagram = decodeDatagram(bytes);
+    if (!datagram) {
+      this.logger.warn({ sender, bytes: bytes.length }, "datagram_malformed");
+      return;
+    }
+    const handler = this.handlers[datagram.type] as
+      | DatagramHandler<DatagramType>
+      | undefined;
+    handler?.(datagram, sender);
+  }
+}
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -1,11 +1,9 @@
 import type { Logger } from "../logging/logger.ts";
 import { Random } from "../random/random.ts";
 import type { PrefixFact } from "../upstreams/prefix_index.ts";
-import type { Datagram } from "./datagram_codec.ts";
 import type { GossipMessage, PeerEntry } from "./gossip_schema.ts";
-import { GossipSocket } from "./gossip_socket.ts";
+import type { DatagramSocket } from "./datagram_socket.ts";
 import { HostTable, type KnownHost, SMALL_FLEET } from "./host_table.ts";
-import type { PublicationWord } from "./publication_word.ts";
 
 /** Interval at which a host tells of itself, in milliseconds; loads known to others are late by about as much. */
 const ROUND_MS = 200;
@@ -23,22 +21,14 @@
 const ROUNDS_PER_RELAY = 10;
 /** Rounds between two attempts to reach hosts that are not heard, and the seeds: 0.8 seconds. */
 const ROUNDS_PER_ATTEMPT = 4;
-/** Rounds between two questions for the age of what another host knows: 0.4 seconds. */
-const ROUNDS_PER_QUESTION = 2;
 /** Rounds after a start in which hosts not heard are tried each time, for all hosts may be starting: two seconds. */
 const STARTING_ROUNDS = 10;
 
-/** One taker for each type of datagram. */
-type DatagramTakers = {
-  [Type in Datagram["type"]]: (
-    datagram: Extract<Datagram, { type: Type }>,
-  ) => void;
-};
-
 /** What gossip needs and whom it tells. */
 export interface GossipOptions {
   logger: Logger;
-  /** Where to listen, as ip:port. */
+  socket: DatagramSocket;
+  /** Gossip address of this host, as ip:port. */
   address: string;
   /** Hall of this host; in a large fleet its hosts are told most. */
   hall: string;
@@ -52,10 +42,6 @@
   hasFacts: () => boolean;
   /** Told of another host's facts about prompts. */
   onFacts: (facts: readonly PrefixFact[]) => void;
-  /** Gossip addresses of the hosts that this one asks for the age of what they know; none where all hear each other. */
-  getSources: () => readonly string[];
-  /** Told what a host answered to a question that was sent at `askedAt`. */
-  onWord: (host: PeerEntry, word: PublicationWord, askedAt: number) => void;
   /** Told of each host's word; `askedAt` is this host's clock after which the host composed it, where that is known. */
   onEntry: (entry: PeerEntry, heardAt: number, askedAt?: number) => void;
 }
@@ -66,8 +52,7 @@
   readonly hosts: HostTable;
   private readonly random = Random.create();
   private readonly incarnation = this.random.integer(1, 0x3fffffff);
-  private socket: GossipSocket | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly timer: NodeJS.Timeout;
   private announcement: NodeJS.Timeout | undefined;
   private sequence = 0;
   private round = 0;
@@ -75,18 +60,14 @@
 
   private constructor(private readonly options: GossipOptions) {
     this.hosts = HostTable.create(options.address);
+    options.socket.handle("gossip", ({ message }) => this.receive(message));
+    this.timer = setInterval(() => this.runRound(), ROUND_MS);
   }
 
-  /** Opens the socket and starts the rounds.
+  /** Starts the rounds.
    * @param options What gossip needs. */
-  static async create(options: GossipOptions): Promise<Gossip> {
+  static create(options: GossipOptions): Gossip {
     const gossip = new Gossip(options);
-    gossip.socket = await GossipSocket.create(
-      options.address,
-      options.logger,
-      (datagram, sender) => gossip.take(datagram, sender),
-    );
-    gossip.timer = setInterval(() => gossip.runRound(), ROUND_MS);
     gossip.runRound();
     return gossip;
   }
@@ -99,11 +80,10 @@
     }, ANNOUNCE_DELAY_MS);
   }
 
-  /** Stops the rounds and closes the socket. */
+  /** Stops the rounds. */
   close(): void {
     clearInterval(this.timer);
     clearTimeout(this.announcement);
-    this.socket?.close();
   }
 
   private runRound(): void {
@@ -113,7 +93,6 @@
     this.hosts.forget(now);
     this.logChanges(now);
     this.tellChosen();
-    if (this.round % ROUNDS_PER_QUESTION === 0) this.ask(now);
   }
 
   private tellChosen(): void {
@@ -168,7 +147,7 @@
       facts: [...facts],
       others: this.chooseRelayed(address, now),
     };
-    this.socket?.send(address, { type: "gossip", message });
+    this.options.socket.send(address, { type: "gossip", message });
   }
 
   private describeSelf(): PeerEntry {
@@ -197,38 +176,6 @@
     });
   }
 
-  private take(datagram: Datagram, sender: string): void {
-    const takers: DatagramTakers = {
-      gossip: ({ message }) => this.receive(message),
-      question: ({ askedAt }) => this.answer(sender, askedAt),
-      answer: ({ askedAt, word }) => this.takeAnswer(sender, askedAt, word),
-    };
-    takers[datagram.type](datagram as never);
-  }
-
-  /** Asks one of the hosts that hear of the publication first how old what it knows is. */
-  private ask(now: number): void {
-    const sources = this.options.getSources();
-    const asked = sources[this.round % Math.max(1, sources.length)];
-    if (asked) this.socket?.send(asked, { type: "question", askedAt: now });
-  }
-
-  private answer(sender: string, askedAt: number): void {
-    const { digest, revision, publicationAgeMs } = this.options.describeSelf();
-    const word = { digest, revision, publicationAgeMs };
-    this.socket?.send(sender, { type: "answer", askedAt, word });
-  }
-
-  private takeAnswer(
-    sender: string,
-    askedAt: number,
-    word: PublicationWord,
-  ): void {
-    const host = this.hosts.getHost(sender);
-    const isOwnClock = askedAt <= performance.now();
-    if (host && isOwnClock) this.options.onWord(host.entry, word, askedAt);
-  }
-
   private receive(message: GossipMessage): void {
     const now = performance.now();
     const { sender, sentAt, echo, facts, others } = message;
--- a/src/random/random.ts
+++ b/src/random/random.ts
@@ -1,6 +1,10 @@
+import { randomInt } from "node:crypto";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
+/** Seeds are below this. */
+const MAX_SEED = 0x7fffffff;
+
 /** A source of random numbers; seeded, so that a run can be repeated. */
 export class Random {
   private constructor(
@@ -8,8 +12,8 @@
   ) {}
 
   /** Creates a source.
-   * @param seed Any integer; the clock by default. */
-  static create(seed: number = Date.now() & 0x7fffffff): Random {
+   * @param seed Any integer; a random one by default, for hosts that start at the same moment must not choose alike. */
+  static create(seed: number = randomInt(MAX_SEED)): Random {
     return new Random(xoroshiro128plus(seed));
   }
 
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -16,6 +16,9 @@
  * engine had to read for it, 0 where it kept the part or fetched it. */
 export type PrefixFact = [part: number, engine: number, readTokens: number];
 
+/** That an engine keeps a part: short name of the engine, and milliseconds since it was last sent the part. */
+export type PrefixSighting = [engine: number, agoMs: number];
+
 /** A part of a prompt that is sent. */
 export interface SentPart {
   /** Short name of the part. */
@@ -123,6 +126,38 @@
     return at !== undefined && now - at < KEPT_FOR_MS;
   }
 
+  /** Whether any engine is taken to keep a part.
+   * @param part Short name of the part.
+   * @param now Monotonic milliseconds. */
+  isKeptAnywhere(part: number, now: number): boolean {
+    return this.getSightings(part, now).length > 0;
+  }
+
+  /** The engines that are taken to keep a part.
+   * @param part Short name of the part.
+   * @param now Monotonic milliseconds. */
+  getSightings(part: number, now: number): PrefixSighting[] {
+    return [...this.engines.get(part) ?? []].filter(([, usedAt]) =>
+      now - usedAt < KEPT_FOR_MS
+    ).map(([engine, usedAt]) => [engine, Math.round(now - usedAt)]);
+  }
+
+  /** Records what another host said of a part; what is known here to be later stays.
+   * @param part Short name of the part.
+   * @param sightings What the other host said.
+   * @param now Monotonic milliseconds. */
+  recall(
+    part: number,
+    sightings: readonly PrefixSighting[],
+    now: number,
+  ): void {
+    for (const [engine, agoMs] of sightings) {
+      const usedAt = now - Math.max(0, agoMs);
+      const known = this.engines.get(part)?.get(engine) ?? -Infinity;
+      if (usedAt > known) this.put([part, engine, 0], usedAt);
+    }
+  }
+
   private put([part, engine, readTokens]: PrefixFact, now: number): void {
     if (readTokens > 0) {
       const startsAt = Math.max(now, this.readyAt.get(engine) ?? now);
--- /dev/null
+++ b/tests/peers/age_questions_test.ts
@@ -0,0 +1,53 @@
+import test from "ava";
+import { AgeQuestions } from "../../src/peers/age_questions.ts";
+import type { PublicationWord } from "../../src/peers/publication_word.ts";
+import { withSockets } from "./start_hosts.ts";
+
+const WORD: PublicationWord = { digest: 5, revision: 6, publicationAgeMs: 321 };
+
+test("a host that asks another is told the age of what that knows, by its own clock", async (t) => {
+  await withSockets(2, async ([source, asking]) => {
+    const startedAt = performance.now();
+    const answering = AgeQuestions.create({
+      socket: source!.socket,
+      getSources: () => [],
+      getWord: () => WORD,
+      onWord: () => undefined,
+    });
+    await new Promise<void>((resolve) => {
+      const questions = AgeQuestions.create({
+        socket: asking!.socket,
+        getSources: () => [source!.address],
+        getWord: () => WORD,
+        onWord: (sender, word, askedAt) => {
+          t.is(sender, source!.address);
+          t.deepEqual(word, WORD);
+          t.true(askedAt >= startedAt && askedAt <= performance.now());
+          questions.close();
+          resolve();
+        },
+      });
+    });
+    answering.close();
+  });
+});
+
+test("an answer to a question that this host's clock has not reached is left out", async (t) => {
+  await withSockets(2, async ([forger, asking]) => {
+    const taken: number[] = [];
+    const questions = AgeQuestions.create({
+      socket: asking!.socket,
+      getSources: () => [],
+      getWord: () => WORD,
+      onWord: (_sender, _word, askedAt) => taken.push(askedAt),
+    });
+    const later = performance.now() + 1e9;
+    for (const askedAt of [later, 1]) {
+      const answer = { type: "age_answer", askedAt, word: WORD } as const;
+      forger!.socket.send(asking!.address, answer);
+    }
+    while (taken.length === 0) await new Promise(setImmediate);
+    t.deepEqual(taken, [1]);
+    questions.close();
+  });
+});
--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -18,12 +18,22 @@
       others: [{ entry: buildEntry({ id: "g-2" }), agoMs: 40 }],
     },
   },
-  question: { type: "question", askedAt: 99.5 },
+  question: { type: "age_question", askedAt: 99.5 },
   answer: {
-    type: "answer",
+    type: "age_answer",
     askedAt: 99.5,
     word: { digest: 5, revision: 6, publicationAgeMs: 700 },
   },
+  "facts of prompts": {
+    type: "prefix_facts",
+    facts: [[1, 2, 3], [4, 5, 0]],
+  },
+  "question for a part": { type: "prefix_question", number: 3, part: 77 },
+  "answer for a part": {
+    type: "prefix_answer",
+    number: 3,
+    sightings: [[9, 120]],
+  },
 };
 
 for (const [name, datagram] of Object.entries(DATAGRAMS)) {
--- /dev/null
+++ b/tests/peers/prefix_directory_test.ts
@@ -0,0 +1,81 @@
+import test from "ava";
+import { PrefixDirectory } from "../../src/peers/prefix_directory.ts";
+import { PrefixIndex } from "../../src/upstreams/prefix_index.ts";
+import { waitUntil } from "../system/with_fleet.ts";
+import { type TestSocket, withSockets } from "./start_hosts.ts";
+
+const HOSTS = 14;
+const PART = PrefixIndex.nameOf("c0ffee");
+const ENGINE = 4711;
+
+interface TestHost {
+  directory: PrefixDirectory;
+  prefixes: PrefixIndex;
+}
+
+function startHosts(sockets: readonly TestSocket[]): TestHost[] {
+  return sockets.map(({ socket, address }) => {
+    const prefixes = PrefixIndex.create();
+    const directory = PrefixDirectory.create({
+      socket,
+      prefixes,
+      ownAddress: address,
+      getHosts: () =>
+        sockets.map((other) => other.address).filter((other) =>
+          other !== address
+        ),
+    });
+    return { directory, prefixes };
+  });
+}
+
+function countKnowing(hosts: readonly TestHost[]): number {
+  const now = performance.now();
+  return hosts.filter(({ prefixes }) => prefixes.isKept(PART, ENGINE, now))
+    .length;
+}
+
+test("two hosts are told of a part, and any other finds out where it is kept by asking", async (t) => {
+  await withSockets(HOSTS, async (sockets) => {
+    const hosts = startHosts(sockets);
+    const [teller] = hosts;
+    teller!.directory.tell([[PART, ENGINE, 100]]);
+    const others = hosts.slice(1);
+    await waitUntil("a keeper knows", () => countKnowing(others) > 0);
+    t.true(countKnowing(others) <= 2);
+    for (const { directory, prefixes } of others) {
+      await waitUntil("the host knows", async () => {
+        await directory.learn(PART);
+        return prefixes.isKept(PART, ENGINE, performance.now());
+      });
+    }
+    t.is(countKnowing(others), HOSTS - 1);
+    for (const { directory } of hosts) directory.close();
+  });
+});
+
+test("a host that knows of a part, or is alone, asks nobody", async (t) => {
+  await withSockets(1, async (sockets) => {
+    const [host] = startHosts(sockets);
+    t.is(host!.directory.learn(PART), undefined);
+    host!.prefixes.learn([[PART, ENGINE, 0]], performance.now());
+    t.is(host!.directory.learn(PART), undefined);
+    host!.directory.close();
+    await Promise.resolve();
+  });
+});
+
+test("a question that nobody answers ends", async (t) => {
+  await withSockets(2, async (sockets) => {
+    const [asking] = startHosts(sockets.slice(0, 1));
+    const directory = PrefixDirectory.create({
+      socket: sockets[0]!.socket,
+      prefixes: asking!.prefixes,
+      ownAddress: sockets[0]!.address,
+      getHosts: () => [sockets[1]!.address],
+    });
+    await directory.learn(PART);
+    t.false(asking!.prefixes.isKeptAnywhere(PART, performance.now()));
+    directory.close();
+  });
+});
