--- a/soak/gateway_process.ts
+++ b/soak/gateway_process.ts
@@ -5,6 +5,8 @@
 
 /** Ports of a gateway on the address of its own. */
 const PORTS = { caller: 8_101, ready: 8_102, peer: 8_103, locate: 8_104 };
+/** Port of the metrics, as the deploy file names it. */
+const METRICS_PORT = 9_464;
 const GOSSIP_PORTS = "8110,8119";
 
 /** What a gateway is started with. */
@@ -60,6 +62,11 @@
     return `${this.options.ip}:${PORTS.locate}`;
   }
 
+  /** Where its counters are served. */
+  get metricsAddress(): string {
+    return `${this.options.ip}:${METRICS_PORT}`;
+  }
+
   /** Writes its settings anew, as the platform does before a SIGHUP and before another start.
    * @param seeds Loopback addresses of the gateways it is to know. */
   rewriteSettings(seeds: readonly string[]): void {
--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -7,6 +7,7 @@
 import { PrefixDirectory } from "../peers/prefix_directory.ts";
 import type { PublicationWord } from "../peers/publication_word.ts";
 import type { PublicationKeeper } from "../published/publication_keeper.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { PublicationExchange } from "./publication_exchange.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
@@ -19,6 +20,7 @@
   keeper: PublicationKeeper;
   chooser: UpstreamChooser;
   publicationExchange: PublicationExchange;
+  metrics: GatewayMetrics;
   /** What this host is doing. */
   getPhase: () => PeerEntry["phase"];
   /** Ids of the hosts to ask how old what they know of the publication is. */
@@ -59,9 +61,13 @@
    * @param options What it needs.
    * @throws The system's error where its address can't be listened on. */
   static async create(options: FleetLinkOptions): Promise<FleetLink> {
-    const { logger, getSettings } = options;
+    const { logger, metrics, getSettings } = options;
     const { gossipAddress } = getSettings();
-    const socket = await DatagramSocket.create(gossipAddress, logger);
+    const socket = await DatagramSocket.create(
+      gossipAddress,
+      logger,
+      (direction, bytes) => metrics.noteDatagram(direction, bytes),
+    );
     return new FleetLink(options, socket);
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -183,6 +183,7 @@
       keeper: this.keeper,
       chooser: this.chooser,
       publicationExchange: this.publicationExchange,
+      metrics: this.metrics,
       getPhase: () => this.phase,
       getSourceIds: () => this.watch?.getSources() ?? [],
     });
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { DatagramDirection } from "../peers/datagram_socket.ts";
 
 /** Bounds of the histogram of a request's time, in seconds. */
 const DURATION_BOUNDS_S = [
@@ -42,6 +43,12 @@
     buckets: DURATION_BOUNDS_S,
     registers: [this.registry],
   });
+  private readonly datagramBytes = new Counter({
+    name: "beechkeel_datagram_bytes_total",
+    help: "Bytes of datagrams that hosts sent each other, without headers.",
+    labelNames: ["direction"],
+    registers: [this.registry],
+  });
   private readonly age = new Gauge({
     name: "beechkeel_publication_age_seconds",
     help: "Age of what this host knows of the configuration and upstreams.",
@@ -76,6 +83,13 @@
     this.refusals.inc({ kind });
   }
 
+  /** Counts a datagram.
+   * @param direction Whether this host sent or received it.
+   * @param bytes Its length. */
+  noteDatagram(direction: DatagramDirection, bytes: number): void {
+    this.datagramBytes.inc({ direction }, bytes);
+  }
+
   /** Returns all metrics as text.
    * @param ageMs Age of what is published, in milliseconds. */
   async getText(ageMs: number): Promise<string> {
--- a/src/peers/datagram_socket.ts
+++ b/src/peers/datagram_socket.ts
@@ -10,6 +10,12 @@
   encodeDatagram,
 } from "./datagram_codec.ts";
 
+/** Whether a datagram left this host or came in. */
+export type DatagramDirection = "sent" | "received";
+
+/** Told of each datagram with its length in bytes. */
+export type OnDatagram = (direction: DatagramDirection, bytes: number) => void;
+
 /** Takes the datagrams of one type.
  * @param datagram What came.
  * @param sender Who sent it, as ip:port. */
@@ -28,21 +34,24 @@
   private constructor(
     private readonly socket: Socket,
     private readonly logger: Logger,
+    private readonly onDatagram: OnDatagram,
   ) {}
 
   /** Opens the socket.
    * @param address Where to listen, as ip:port.
    * @param logger Where bad datagrams are written.
+   * @param onDatagram Told of each datagram.
    * @throws The system's error where the address can't be listened on. */
   static async create(
     address: string,
     logger: Logger,
+    onDatagram: OnDatagram = () => undefined,
   ): Promise<DatagramSocket> {
     const socket = createSocket("udp4");
     const { host, port } = splitAddress(address);
     socket.bind(port, host);
     await once(socket, "listening");
-    const opened = new DatagramSocket(socket, logger);
+    const opened = new DatagramSocket(socket, logger, onDatagram);
     socket.on(
       "message",
       (bytes, from) => opened.take(bytes, `${from.address}:${from.port}`),
@@ -70,7 +79,9 @@
   send(address: string, datagram: Datagram): void {
     if (this.isClosed) return;
     const { host, port } = splitAddress(address);
-    this.socket.send(encodeDatagram(datagram), port, host, (error) => {
+    const bytes = encodeDatagram(datagram);
+    this.onDatagram("sent", bytes.length);
+    this.socket.send(bytes, port, host, (error) => {
       if (!error) return;
       this.logger.debug({ address, reason: error.message }, "datagram_unsent");
     });
@@ -84,6 +95,7 @@
   }
 
   private take(bytes: Buffer, sender: string): void {
+    this.onDatagram("received", bytes.length);
     const datagram = decodeDatagram(bytes);
     if (!datagram) {
       this.logger.warn({ sender, bytes: bytes.length }, "datagram_malformed");
--- a/tools/program_process.ts
+++ b/tools/program_process.ts
@@ -32,6 +32,11 @@
     return this.startCount;
   }
 
+  /** Id of the process that runs, or ran last. */
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
   /** Whether it has been started and has not ended. */
   get isAlive(): boolean {
     return this.isRunning;
