Hosts ask for the entries they lack; configuration's version among the metrics

Cause: with 55 processes and one seed, some did not know all others after 30 s (bench_gateways), for the entries of hosts heard last circulated and others came late. A question now names up to ten hosts of the last answer that are not known, and half of what gossip relays is drawn from all.

--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -50,6 +50,7 @@
       getWord: () => this.getWord(),
       getPhase: options.getPhase,
       hosts: this.gossip.hosts,
+      tellEntries: (asker, names) => this.gossip.tellEntries(asker, names),
       onWord: (sender, word, askedAt) => {
         const host = this.gossip.hosts.getHost(sender);
         if (host) this.takeWord(host.entry, word, askedAt);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -252,6 +252,7 @@
   private applyConfiguration(routes: RouteTable): void {
     this.server?.applyLimits(routes.limits);
     this.handler.applyRoutes(routes);
+    this.metrics.noteConfiguration(routes.version);
     this.resolveFirstRoutes();
     this.link?.announce();
   }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -55,6 +55,12 @@
     registers: [this.registry],
   });
 
+  private readonly version = new Gauge({
+    name: "beechkeel_configuration_version",
+    help: "Version of the configuration in force; 0 before the first.",
+    registers: [this.registry],
+  });
+
   private constructor() {}
 
   /** Creates metrics at zero. */
@@ -90,6 +96,12 @@
     this.datagramBytes.inc({ direction }, bytes);
   }
 
+  /** Notes the configuration that came in force.
+   * @param version Its version. */
+  noteConfiguration(version: number): void {
+    this.version.set(version);
+  }
+
   /** Returns all metrics as text.
    * @param ageMs Age of what is published, in milliseconds. */
   async getText(ageMs: number): Promise<string> {
--- a/src/peers/age_questions.ts
+++ b/src/peers/age_questions.ts
@@ -9,6 +9,9 @@
 /** Hosts named in one answer, so that it fits into one packet. */
 const MAX_SIGHTINGS = 120;
 
+/** Hosts whose entries are asked for at a time, so that they fit into one packet. */
+const MAX_UNKNOWN = 10;
+
 /** What the questions need. */
 export interface AgeQuestionsOptions {
   socket: DatagramSocket;
@@ -20,6 +23,10 @@
   getPhase: () => PeerEntry["phase"];
   /** The other hosts; questions and answers tell whom to take for live. */
   hosts: HostTable;
+  /** Tells a host what others tell of themselves.
+   * @param asker The host, by its gossip address.
+   * @param names Short names of the others. */
+  tellEntries: (asker: string, names: readonly number[]) => void;
   /** Told what a host answered to a question that was sent at `askedAt`. */
   onWord: (sender: string, word: PublicationWord, askedAt: number) => void;
 }
@@ -29,16 +36,18 @@
 export class AgeQuestions {
   private readonly timer: NodeJS.Timeout;
   private asked = 0;
+  private unknown: readonly number[] = [];
 
   private constructor(private readonly options: AgeQuestionsOptions) {
     const { socket, hosts } = options;
-    socket.handle("age_question", ({ askedAt, phase }, sender) => {
+    socket.handle("age_question", ({ askedAt, phase, unknown }, sender) => {
       hosts.noteHeard(sender, phase, performance.now());
       this.answer(sender, askedAt);
+      if (unknown.length > 0) options.tellEntries(sender, unknown);
     });
     socket.handle("age_answer", (answer, sender) => {
       if (answer.askedAt > performance.now()) return;
-      hosts.takeSightings(answer.hosts, answer.askedAt);
+      this.unknown = hosts.takeSightings(answer.hosts, answer.askedAt);
       options.onWord(sender, answer.word, answer.askedAt);
     });
     this.timer = setInterval(() => this.ask(), QUESTION_INTERVAL_MS);
@@ -62,7 +71,13 @@
     const source = sources[this.asked % sources.length]!;
     const askedAt = performance.now();
     const phase = HOST_PHASES.indexOf(this.options.getPhase());
-    this.options.socket.send(source, { type: "age_question", askedAt, phase });
+    const unknown = this.unknown.slice(0, MAX_UNKNOWN);
+    this.options.socket.send(source, {
+      type: "age_question",
+      askedAt,
+      phase,
+      unknown,
+    });
   }
 
   private answer(asker: string, askedAt: number): void {
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -10,8 +10,13 @@
 export type Datagram =
   | { type: "gossip"; message: GossipMessage }
   /** Asks what the receiver knows of the publication and of other hosts; `askedAt` is the asking host's clock, and
-   * `phase` the index of what it is doing. */
-  | { type: "age_question"; askedAt: number; phase: number }
+   * `phase` the index of what it is doing; `unknown` are short names of hosts whose entries it lacks. */
+  | {
+    type: "age_question";
+    askedAt: number;
+    phase: number;
+    unknown: readonly number[];
+  }
   /** Answers such a question, with its `askedAt`. */
   | {
     type: "age_answer";
@@ -50,6 +55,11 @@
 
 const packedSchema = z.tuple([z.number()]).rest(z.unknown());
 const twoNumbers = z.tuple([z.number(), z.number()]);
+const ageQuestionSchema = z.tuple([
+  z.number(),
+  z.number(),
+  z.array(z.number()),
+]);
 const ageAnswerSchema = z.tuple([
   z.number(),
   z.number(),
@@ -73,12 +83,12 @@
   },
   age_question: {
     number: 1,
-    pack: ({ askedAt, phase }) => [askedAt, phase],
+    pack: ({ askedAt, phase, unknown }) => [askedAt, phase, unknown],
     unpack: (body) => {
-      const parsed = twoNumbers.safeParse(body).data;
+      const parsed = ageQuestionSchema.safeParse(body).data;
       if (!parsed) return undefined;
-      const [askedAt, phase] = parsed;
-      return { type: "age_question", askedAt, phase };
+      const [askedAt, phase, unknown] = parsed;
+      return { type: "age_question", askedAt, phase, unknown };
     },
   },
   age_answer: {
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -107,7 +107,7 @@
     const sender = this.describeSelf();
     const facts = this.options.takeFacts();
     for (const address of this.chooseTargets(now)) {
-      this.tell(address, sender, now, facts);
+      this.tell(address, sender, facts, this.chooseRelayed(address, now));
     }
     if (this.options.hasFacts()) this.announce();
   }
@@ -141,18 +141,30 @@
     return chosen.map((host) => host.entry.gossipAddress);
   }
 
+  /** Tells a host what others tell of themselves.
+   * @param address The host.
+   * @param names Short names of the others. */
+  tellEntries(address: string, names: readonly number[]): void {
+    const hosts = this.hosts.getByNames(names).slice(0, RELAYED_ENTRIES);
+    this.tell(address, this.describeSelf(), [], hosts);
+  }
+
   private tell(
     address: string,
     sender: PeerEntry,
-    now: number,
     facts: readonly PrefixFact[],
+    others: readonly KnownHost[],
   ): void {
+    const now = performance.now();
     const message: GossipMessage = {
       sender,
       sentAt: now,
       echo: this.hosts.getHost(address)?.lastSentAt,
       facts: [...facts],
-      others: this.chooseRelayed(address, now),
+      others: others.map(({ entry, heardAt }) => ({
+        entry,
+        agoMs: now - heardAt,
+      })),
     };
     this.options.socket.send(address, { type: "gossip", message });
   }
@@ -165,11 +177,8 @@
     };
   }
 
-  /** The live hosts heard last, for a receiver: the newest word is news to most, and spreads by all who have it. */
-  private chooseRelayed(
-    address: string,
-    now: number,
-  ): GossipMessage["others"] {
+  /** Other hosts for a receiver: half of them those heard last, whose word is news to most, half any others. */
+  private chooseRelayed(address: string, now: number): KnownHost[] {
     const live = this.hosts.getLive(now).filter((host) =>
       host.entry.gossipAddress !== address
     );
@@ -177,10 +186,9 @@
       this.round % ROUNDS_PER_RELAY === 0;
     if (live.length < SMALL_FLEET && !isDue) return [];
     live.sort((a, b) => b.heardAt - a.heardAt);
-    return live.slice(0, RELAYED_ENTRIES).map(({ entry, heardAt }) => ({
-      entry,
-      agoMs: now - heardAt,
-    }));
+    const newest = live.splice(0, RELAYED_ENTRIES / 2);
+    const any = this.random.shuffle(live);
+    return [...newest, ...any].slice(0, RELAYED_ENTRIES);
   }
 
   private receive(message: GossipMessage): void {
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -132,17 +132,28 @@
     ]);
   }
 
-  /** Takes another host's word on whom it heard; hosts that are not known here are left to gossip.
+  /** Takes another host's word on whom it heard; returns the short names of those that are not known here.
    * @param sightings What it heard.
    * @param now Monotonic milliseconds at which it can't have told this later. */
-  takeSightings(sightings: readonly HostSighting[], now: number): void {
-    const byName = new Map(
-      [...this.hosts.keys()].map((address) => [hashText(address), address]),
-    );
+  takeSightings(sightings: readonly HostSighting[], now: number): number[] {
+    const byName = this.getAddressesByName();
+    const ownName = hashText(this.ownAddress);
     for (const [name, agoMs, phase] of sightings) {
       const address = byName.get(name);
       if (address) this.noteHeard(address, phase, now - Math.max(0, agoMs));
     }
+    return sightings.map(([name]) => name).filter((name) =>
+      name !== ownName && !byName.has(name)
+    );
+  }
+
+  /** The hosts with some short names, as far as they are known.
+   * @param names The short names. */
+  getByNames(names: readonly number[]): KnownHost[] {
+    const byName = this.getAddressesByName();
+    return names.flatMap((name) =>
+      this.hosts.get(byName.get(name) ?? "") ?? []
+    );
   }
 
   /** Forgets the hosts that have not been heard for long.
@@ -152,6 +163,12 @@
       if (now - heardAt > REMEMBERED_MS) this.hosts.delete(address);
     }
   }
+
+  private getAddressesByName(): Map<number, string> {
+    return new Map(
+      [...this.hosts.keys()].map((address) => [hashText(address), address]),
+    );
+  }
 }
 
 function isNewer(
--- a/tests/peers/age_questions_test.ts
+++ b/tests/peers/age_questions_test.ts
@@ -4,7 +4,10 @@
 import type { PublicationWord } from "../../src/peers/publication_word.ts";
 import { withSockets } from "./start_hosts.ts";
 
-const PHASES = { getPhase: () => "ready" as const };
+const OPTIONS = {
+  getPhase: () => "ready" as const,
+  tellEntries: () => undefined,
+};
 const WORD: PublicationWord = { digest: 5, revision: 6, publicationAgeMs: 321 };
 
 test("a host that asks another is told the age of what that knows, by its own clock", async (t) => {
@@ -14,7 +17,7 @@
       socket: source!.socket,
       getSources: () => [],
       getWord: () => WORD,
-      ...PHASES,
+      ...OPTIONS,
       hosts: HostTable.create("127.0.0.1:1"),
       onWord: () => undefined,
     });
@@ -23,7 +26,7 @@
         socket: asking!.socket,
         getSources: () => [source!.address],
         getWord: () => WORD,
-        ...PHASES,
+        ...OPTIONS,
         hosts: HostTable.create("127.0.0.1:1"),
         onWord: (sender, word, askedAt) => {
           t.is(sender, source!.address);
@@ -45,7 +48,7 @@
       socket: asking!.socket,
       getSources: () => [],
       getWord: () => WORD,
-      ...PHASES,
+      ...OPTIONS,
       hosts: HostTable.create("127.0.0.1:1"),
       onWord: (_sender, _word, askedAt) => taken.push(askedAt),
     });
--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -18,7 +18,7 @@
       others: [{ entry: buildEntry({ id: "g-2" }), agoMs: 40 }],
     },
   },
-  question: { type: "age_question", askedAt: 99.5, phase: 1 },
+  question: { type: "age_question", askedAt: 99.5, phase: 1, unknown: [5] },
   answer: {
     type: "age_answer",
     askedAt: 99.5,
--- a/tests/peers/host_table_test.ts
+++ b/tests/peers/host_table_test.ts
@@ -28,7 +28,7 @@
   const table = createTable(500);
   const teller = createTable(400);
   table.takeSightings(teller.getSightings(10, 500), 500);
-  table.takeSightings([[1234, 0, 1]], 500);
+  t.deepEqual(table.takeSightings([[1234, 0, 1]], 500), [1234]);
   t.is(table.getAll().length, 1);
   t.is(table.getHost(OTHER)?.heardAt, 500);
   t.is(table.getHost(OTHER)?.entry.phase, "ready");
--- a/tools/bench_gateways.ts
+++ b/tools/bench_gateways.ts
@@ -10,7 +10,7 @@
 const RUN_MS = 10_000;
 /** Ticks of the processor's clock in a second, as Linux counts them for every process. */
 const TICKS_PER_SECOND = 100;
-const POLL_MS = 5;
+const POLL_MS = 20;
 
 interface Reading {
   sentBytes: number;
@@ -19,9 +19,13 @@
   memoryMegabytes: number;
 }
 
-async function read(gateway: GatewayProcess): Promise<Reading> {
+async function readText(gateway: GatewayProcess): Promise<string> {
   const response = await fetch(`http://${gateway.metricsAddress}/metrics`);
-  const text = await response.text();
+  return await response.text();
+}
+
+async function read(gateway: GatewayProcess): Promise<Reading> {
+  const text = await readText(gateway);
   const count = (direction: string) => {
     const pattern = new RegExp(`direction="${direction}"} (\\d+)`);
     return Number(pattern.exec(text)?.[1] ?? 0);
@@ -37,16 +41,15 @@
   };
 }
 
-/** Publishes a version and waits until every gateway has it; returns the milliseconds that took. */
+/** Publishes a version and waits until it is in force on every gateway; returns the milliseconds that took. */
 async function measureInForce(fleet: SoakFleet): Promise<number> {
   fleet.publishNextVersion();
   const startedAt = performance.now();
-  const line = `version=${fleet.newest.version} `;
-  const has = (gateway: GatewayProcess) =>
-    gateway.program.log.some((one) =>
-      one.includes(line) && one.includes("configuration_in_force")
-    );
-  while (!fleet.gateways.every(has)) await delay(POLL_MS);
+  const line = `beechkeel_configuration_version ${fleet.newest.version}\n`;
+  const wait = async (gateway: GatewayProcess) => {
+    while (!(await readText(gateway)).includes(line)) await delay(POLL_MS);
+  };
+  await Promise.all(fleet.gateways.map(wait));
   return performance.now() - startedAt;
 }
 
