--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -59,17 +59,12 @@
    * @param options What it is made of. */
   static async create(options: SoakFleetOptions): Promise<SoakFleet> {
     const fleet = new SoakFleet(await FakeStore.create(), options);
-    fleet.publishNextVersion();
-    for (let count = 0; count < options.engines; count++) {
-      await fleet.addWorker("engine");
-    }
-    for (let count = 0; count < options.plain; count++) {
-      await fleet.addWorker("plain");
+    try {
+      await fleet.start();
+    } catch (error) {
+      await fleet.close();
+      throw error;
     }
-    for (let index = 0; index < options.gateways; index++) {
-      await fleet.addGateway(index);
-    }
-    await fleet.waitUntilServing();
     return fleet;
   }
 
@@ -146,6 +141,21 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  private async start(): Promise<void> {
+    const { options } = this;
+    this.publishNextVersion();
+    for (let count = 0; count < options.engines; count++) {
+      await this.addWorker("engine");
+    }
+    for (let count = 0; count < options.plain; count++) {
+      await this.addWorker("plain");
+    }
+    for (let index = 0; index < options.gateways; index++) {
+      await this.addGateway(index);
+    }
+    await this.waitUntilServing();
+  }
+
   private async addGateway(index: number): Promise<void> {
     const [firstSeed] = this.gatewayIps;
     this.gateways.push(
--- a/tools/program_process.ts
+++ b/tools/program_process.ts
@@ -62,6 +62,7 @@
       });
     });
     this.child = child;
+    endWithThisProcess(child);
   }
 
   /** Sends a signal to the process.
@@ -82,3 +83,23 @@
     await this.exited;
   }
 }
+
+const running = new Set<ChildProcess>();
+let isWatching = false;
+
+/** Kills a process when this one ends, also where a signal ends it: a run that was broken off leaves nothing behind. */
+function endWithThisProcess(child: ChildProcess): void {
+  if (!isWatching) {
+    isWatching = true;
+    process.once("exit", killRunning);
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+      process.once(signal, () => process.exit(1));
+    }
+  }
+  running.add(child);
+  child.once("exit", () => running.delete(child));
+}
+
+function killRunning(): void {
+  for (const child of running) child.kill("SIGKILL");
+}
