--- a/src/gateway/prefix_recovery.ts
+++ b/src/gateway/prefix_recovery.ts
@@ -3,7 +3,6 @@
 import type { Logger } from "../logging/logger.ts";
 import type { EngineInventory } from "../upstreams/engine_inventory.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
-import { SMALL_FLEET } from "../peers/host_table.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { PrefixExchange } from "./prefix_exchange.ts";
@@ -18,6 +17,9 @@
 /** Time in which other hosts tell what they learned from their engines, in milliseconds; before, this one knows only a
  * part and does not answer others. */
 const WAIT_FOR_FACTS_MS = 1_500;
+/** Engines up to which they are asked for their lists, each of which holds up its engine and has its price. Their number is
+ * known at once, while a host that has just started hears few of the others. */
+const MAX_ENGINES_ASKED = 24;
 /** Hosts that are asked at most. */
 const MAX_HOSTS_ASKED = 3;
 
@@ -35,8 +37,8 @@
 }
 
 /** Learns after a start which engines keep which parts: from another host, or where all were restarted at once and
- * nobody is left to tell, from the engines, each of which is asked once, by the first host in its order. In a large fleet
- * engines are not asked: what one host learns would reach few others, and each prompt has an engine by its own order. */
+ * nobody is left to tell, from the engines, each of which is asked once, by the first host in its order. Where there are
+ * many engines they are not asked: what a host learns would reach few others, and each prompt has an engine by its order. */
 export class PrefixRecovery {
   private constructor(private readonly options: PrefixRecoveryOptions) {}
 
@@ -50,7 +52,8 @@
   async run(): Promise<void> {
     const hosts = await this.waitForHosts();
     const isKnown = await this.askHosts(hosts);
-    if (!isKnown && hosts.length <= SMALL_FLEET) {
+    const isWorthIt = this.options.getEngines().length <= MAX_ENGINES_ASKED;
+    if (!isKnown && isWorthIt) {
       await this.askEngines(hosts.map((host) => host.id));
       await delay(WAIT_FOR_FACTS_MS);
     }
