An older word of a host does not make it look silent, nor bring its phase back

Cause, by reading: a relayed entry with a higher sequence replaced the moment and the phase of a later sighting, so that a host that drains could be named to callers again. Test: host_table_test, fails on the code before.

--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -97,12 +97,12 @@
     if (entry.gossipAddress === this.ownAddress) return false;
     const known = this.hosts.get(entry.gossipAddress);
     if (known && !isNewer(entry, heardAt, known)) return false;
+    const isSameStart = known?.entry.incarnation === entry.incarnation;
     this.hosts.set(entry.gossipAddress, {
-      entry,
-      heardAt,
-      lastSentAt: known?.entry.incarnation === entry.incarnation
-        ? known.lastSentAt
-        : undefined,
+      ...(known && isSameStart
+        ? mergeOlder(entry, heardAt, known)
+        : { entry, heardAt }),
+      lastSentAt: isSameStart ? known.lastSentAt : undefined,
     });
     return true;
   }
@@ -181,3 +181,15 @@
   }
   return heardAt > known.heardAt + RELAYED_START_MS;
 }
+
+/** Another's word on the same start of a host: it may have more to tell than what is known here, and yet be older than
+ * the last sighting, which then decides when the host was heard and in which phase. */
+function mergeOlder(
+  entry: PeerEntry,
+  heardAt: number,
+  known: KnownHost,
+): Pick<KnownHost, "entry" | "heardAt"> {
+  if (heardAt >= known.heardAt) return { entry, heardAt };
+  const { phase } = known.entry;
+  return { entry: { ...entry, phase }, heardAt: known.heardAt };
+}
--- a/tests/peers/host_table_test.ts
+++ b/tests/peers/host_table_test.ts
@@ -33,3 +33,14 @@
   t.is(table.getHost(OTHER)?.heardAt, 500);
   t.is(table.getHost(OTHER)?.entry.phase, "ready");
 });
+
+test("an older word that tells more neither makes a host look silent nor brings its phase back", (t) => {
+  const table = createTable(0);
+  table.noteHeard(OTHER, 2, 900);
+  const entry = buildEntry({ id: "g-2", gossipAddress: OTHER, sequence: 5 });
+  t.true(table.hearOf({ ...entry, revision: 77 }, 400));
+  const host = table.getHost(OTHER);
+  t.is(host?.heardAt, 900);
+  t.is(host?.entry.phase, "draining");
+  t.is(host?.entry.revision, 77);
+});
