--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -170,7 +170,7 @@
       getSettings: () => this.settings,
       getService: (name) => this.keeper.routes?.getService(name),
       countHosts: () => 1 + this.getLiveHosts().length,
-      mayHaveLapsed: () => this.keeper.mayHaveLapsed,
+      getLapseEndsAt: () => this.keeper.lapseEndsAt,
       onFacts: () => this.link?.tellFacts(),
       onSign: (sign) => this.metrics.noteAttempt(sign),
     });
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -23,8 +23,8 @@
   getService: (name: string) => Service | undefined;
   /** Hosts that are heard, this one too. */
   countHosts: () => number;
-  /** Whether the platform has come back so lately that missing entries may only have lapsed. */
-  mayHaveLapsed: () => boolean;
+  /** Monotonic milliseconds up to which a missing entry may only have lapsed. */
+  getLapseEndsAt: () => number;
   /** Told when there are facts about prompts for other hosts. */
   onFacts: () => void;
   /** Told of each sign of an upstream's health. */
@@ -45,7 +45,7 @@
   private constructor(private readonly options: UpstreamChooserOptions) {
     this.upstreams = UpstreamTable.create({
       logger: options.logger,
-      mayHaveLapsed: options.mayHaveLapsed,
+      getLapseEndsAt: options.getLapseEndsAt,
       leaveWithinMs: options.getSettings().leaveWithinMs,
     });
   }
--- a/src/published/publication_keeper.ts
+++ b/src/published/publication_keeper.ts
@@ -70,9 +70,9 @@
     return this.freshness.getAge(performance.now());
   }
 
-  /** Whether the platform has come back so lately that missing entries may only have lapsed. */
-  get mayHaveLapsed(): boolean {
-    return performance.now() - this.regainedAt < LAPSE_WINDOW_MS;
+  /** Monotonic milliseconds up to which a missing entry may only have lapsed while the platform was away. */
+  get lapseEndsAt(): number {
+    return this.regainedAt + LAPSE_WINDOW_MS;
   }
 
   /** Revision up to which no change is missing here. */
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -19,8 +19,8 @@
   reported: { requests: number; at: number } | undefined;
   /** Monotonic milliseconds until which it said that it is full. */
   fullUntil = -Infinity;
-  /** Monotonic milliseconds at which it became known that it is gone; undefined while it is listed. */
-  goneAt: number | undefined;
+  /** Monotonic milliseconds up to which it is used although its entry is missing; undefined while it is listed. */
+  usedUntil: number | undefined;
 
   private constructor(
     /** What it last published. */
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -3,7 +3,7 @@
 import { Upstream } from "./upstream.ts";
 
 /** Part of the time in which a leaving upstream may get work for which one that disappeared just after an outage of the
- * platform is still used: entries that lapsed meanwhile come back within two seconds. */
+ * platform is still used at most: entries that lapsed meanwhile come back within two seconds. */
 const LAPSE_GRACE_PART = 0.8;
 /** Time for which an upstream that is gone from the list is still taken to be there, in milliseconds: leaving ones
  * serve on for a little longer than the two seconds after which they get no new work. */
@@ -12,8 +12,9 @@
 /** What the table needs. */
 export interface UpstreamTableOptions {
   logger: Logger;
-  /** Whether the platform has come back so lately that missing entries may only have lapsed. */
-  mayHaveLapsed: () => boolean;
+  /** Monotonic milliseconds up to which a missing entry may only have lapsed while the platform was away; in the past
+   * where it was not away lately. */
+  getLapseEndsAt: () => number;
   /** Time after which a leaving upstream may get no new work, in milliseconds. */
   leaveWithinMs: number;
 }
@@ -84,16 +85,11 @@
     for (const upstream of this.byId.values()) upstream.close();
   }
 
-  /** Time for which an upstream that may only have lapsed is still used, in milliseconds. */
-  private get lapseGraceMs(): number {
-    return this.options.leaveWithinMs * LAPSE_GRACE_PART;
-  }
-
   /** Whether an upstream may get a new request at this moment. */
   private mayServe(upstream: Upstream): boolean {
     if (upstream.published.isLeaving) return false;
-    if (upstream.goneAt === undefined) return true;
-    return performance.now() < upstream.goneAt + this.lapseGraceMs;
+    if (upstream.usedUntil === undefined) return true;
+    return performance.now() < upstream.usedUntil;
   }
 
   private put(fresh: Upstream): void {
@@ -103,7 +99,7 @@
       known.published.service === fresh.published.service;
     if (known && isSame) {
       known.published = fresh.published;
-      known.goneAt = undefined;
+      known.usedUntil = undefined;
       return;
     }
     known?.close();
@@ -115,12 +111,14 @@
   private remove(id: string): void {
     const known = this.byId.get(id);
     if (!known) return;
-    if (!this.options.mayHaveLapsed()) return this.depart(known);
-    const goneAt = performance.now();
-    known.goneAt = goneAt;
+    const now = performance.now();
+    const longest = now + this.options.leaveWithinMs * LAPSE_GRACE_PART;
+    const usedUntil = Math.min(longest, this.options.getLapseEndsAt());
+    if (usedUntil <= now) return this.depart(known);
+    known.usedUntil = usedUntil;
     const timer = setTimeout(() => {
-      if (known.goneAt === goneAt) this.depart(known);
-    }, this.lapseGraceMs);
+      if (known.usedUntil === usedUntil) this.depart(known);
+    }, usedUntil - now);
     timer.unref();
   }
 
--- a/tests/published/publication_keeper_test.ts
+++ b/tests/published/publication_keeper_test.ts
@@ -46,7 +46,7 @@
 test("after an outage entries may have lapsed, also where a peer tells of its end, and not after a first start", (t) => {
   const keeper = createKeeper();
   takeSnapshot(keeper, performance.now() - LONG_AGO_MS);
-  t.false(keeper.mayHaveLapsed);
+  t.true(keeper.lapseEndsAt < performance.now());
   keeper.takeConfirmation(keeper.digest, performance.now());
-  t.true(keeper.mayHaveLapsed);
+  t.true(keeper.lapseEndsAt > performance.now());
 });
