--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -3,7 +3,7 @@
 import { Upstream } from "./upstream.ts";
 
 /** Part of the time in which a leaving upstream may get work for which one that disappeared just after an outage of the
- * platform is still used at most: entries that lapsed meanwhile come back within two seconds. */
+ * platform is used at most: entries that lapsed meanwhile come back within two seconds. */
 const LAPSE_GRACE_PART = 0.8;
 /** Time for which an upstream that is gone from the list is still taken to be there, in milliseconds: leaving ones
  * serve on for a little longer than the two seconds after which they get no new work. */
