Read each datagram by one schema; shapes of told lists in one place

What: the codecs of datagrams hold a schema that gives the datagram, rather than a schema beside a function that reads; the lists of facts, sightings and counts, which were written out in three files, are in told_schemas.ts; gossip_codec.ts, which only packs now, is pack_gossip.ts. Why: the same shapes and the same three lines stood in several places. No behaviour changes: the bytes are those of before, and what was refused is refused.

--- a/src/gateway/prefix_exchange.ts
+++ b/src/gateway/prefix_exchange.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
-import { z } from "zod";
 import type { Logger } from "../logging/logger.ts";
 import { answerPacked, PackedClient } from "../peers/packed_client.ts";
+import { prefixFactsSchema } from "../peers/told_schemas.ts";
 import type { PrefixIndex } from "../upstreams/prefix_index.ts";
 
 /** Path under which a host tells another which engines keep which parts. */
@@ -12,8 +12,6 @@
 /** Time for a host's answer in milliseconds; the first requests after a start do not wait longer. */
 const ANSWER_TIMEOUT_MS = 300;
 
-const factsSchema = z.array(z.tuple([z.number(), z.number(), z.number()]));
-
 /** Asks other hosts which engines keep which parts of prompts, and answers them. */
 export class PrefixExchange {
   private readonly client = PackedClient.create(ANSWER_TIMEOUT_MS);
@@ -47,7 +45,7 @@
     try {
       const answer = await this.client.ask(address, PREFIXES_PATH);
       if (answer === undefined) return false;
-      const facts = factsSchema.parse(answer);
+      const facts = prefixFactsSchema.parse(answer);
       this.prefixes.learn(facts, performance.now());
       this.logger.info({ address, facts: facts.length }, "prefixes_learned");
       return true;
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -1,9 +1,14 @@
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
 import type { PrefixFact, PrefixSighting } from "../upstreams/prefix_index.ts";
-import { packGossip, unpackGossip } from "./gossip_codec.ts";
-import type { GossipMessage } from "./gossip_schema.ts";
+import { packGossip } from "./pack_gossip.ts";
+import { type GossipMessage, gossipSchema } from "./gossip_schema.ts";
 import type { HostSighting } from "./host_table.ts";
+import {
+  hostSightingsSchema,
+  prefixFactsSchema,
+  prefixSightingsSchema,
+} from "./told_schemas.ts";
 import type { PublicationWord } from "./publication_word.ts";
 
 /** What hosts send each other in one datagram. */
@@ -49,47 +54,26 @@
   /** Number of the type on the wire. */
   number: number;
   pack: (datagram: DatagramOf<Type>) => unknown[];
-  /** Reads a body; one that is malformed is undefined. */
-  unpack: (body: unknown[]) => DatagramOf<Type> | undefined;
+  /** Reads a body. */
+  schema: z.ZodType<DatagramOf<Type>>;
 }
 
 const packedSchema = z.tuple([z.number()]).rest(z.unknown());
-const twoNumbers = z.tuple([z.number(), z.number()]);
-const ageQuestionSchema = z.tuple([
-  z.number(),
-  z.number(),
-  z.array(z.number()),
-]);
-const ageAnswerSchema = z.tuple([
-  z.number(),
-  z.number(),
-  z.number(),
-  z.number(),
-  z.array(z.tuple([z.number(), z.number(), z.number()])),
-]);
-const factsSchema = z.tuple([
-  z.array(z.tuple([z.number(), z.number(), z.number()])),
-]);
-const sightingsSchema = z.tuple([z.number(), z.array(twoNumbers)]);
 
 const CODECS: { readonly [Type in DatagramType]: BodyCodec<Type> } = {
   gossip: {
     number: 0,
     pack: ({ message }) => [packGossip(message)],
-    unpack: ([body]) => {
-      const message = unpackGossip(body);
-      return message && { type: "gossip", message };
-    },
+    schema: z.tuple([gossipSchema]).rest(z.unknown())
+      .transform(([message]) => ({ type: "gossip", message })),
   },
   age_question: {
     number: 1,
     pack: ({ askedAt, phase, unknown }) => [askedAt, phase, unknown],
-    unpack: (body) => {
-      const parsed = ageQuestionSchema.safeParse(body).data;
-      if (!parsed) return undefined;
-      const [askedAt, phase, unknown] = parsed;
-      return { type: "age_question", askedAt, phase, unknown };
-    },
+    schema: z.tuple([z.number(), z.number(), z.array(z.number())])
+      .transform(([askedAt, phase, unknown]) => (
+        { type: "age_question", askedAt, phase, unknown }
+      )),
   },
   age_answer: {
     number: 2,
@@ -100,46 +84,47 @@
       Math.round(word.publicationAgeMs),
       hosts,
     ],
-    unpack: (body) => {
-      const parsed = ageAnswerSchema.safeParse(body).data;
-      if (!parsed) return undefined;
-      const [askedAt, digest, revision, publicationAgeMs, hosts] = parsed;
+    schema: z.tuple([
+      z.number(),
+      z.number(),
+      z.number(),
+      z.number(),
+      hostSightingsSchema,
+    ]).transform(([askedAt, digest, revision, publicationAgeMs, hosts]) => {
       const word = { digest, revision, publicationAgeMs };
       return { type: "age_answer", askedAt, word, hosts };
-    },
+    }),
   },
   prefix_facts: {
     number: 3,
     pack: ({ facts }) => [facts],
-    unpack: (body) => {
-      const parsed = factsSchema.safeParse(body).data;
-      return parsed && { type: "prefix_facts", facts: parsed[0] };
-    },
+    schema: z.tuple([prefixFactsSchema])
+      .transform(([facts]) => ({ type: "prefix_facts", facts })),
   },
   prefix_question: {
     number: 4,
     pack: ({ number, part }) => [number, part],
-    unpack: (body) => {
-      const parsed = twoNumbers.safeParse(body).data;
-      if (!parsed) return undefined;
-      const [number, part] = parsed;
-      return { type: "prefix_question", number, part };
-    },
+    schema: z.tuple([z.number(), z.number()])
+      .transform(([number, part]) => ({
+        type: "prefix_question",
+        number,
+        part,
+      })),
   },
   prefix_answer: {
     number: 5,
     pack: ({ number, sightings }) => [number, sightings],
-    unpack: (body) => {
-      const parsed = sightingsSchema.safeParse(body).data;
-      if (!parsed) return undefined;
-      const [number, sightings] = parsed;
-      return { type: "prefix_answer", number, sightings };
-    },
+    schema: z.tuple([z.number(), prefixSightingsSchema])
+      .transform(([number, sightings]) => ({
+        type: "prefix_answer",
+        number,
+        sightings,
+      })),
   },
 };
 
-const CODEC_BY_NUMBER = new Map(
-  Object.values(CODECS).map((codec) => [codec.number, codec]),
+const SCHEMA_BY_NUMBER = new Map<number, z.ZodType<Datagram>>(
+  Object.values(CODECS).map(({ number, schema }) => [number, schema]),
 );
 
 /** Writes a datagram.
@@ -155,7 +140,7 @@
   const packed = packedSchema.safeParse(tryUnpack(bytes));
   if (!packed.success) return undefined;
   const [number, ...body] = packed.data;
-  return CODEC_BY_NUMBER.get(number)?.unpack(body);
+  return SCHEMA_BY_NUMBER.get(number)?.safeParse(body).data;
 }
 
 /** Unpacks bytes; what can't be unpacked is undefined, which the schema then refuses. */
--- a/src/peers/gossip_schema.ts
+++ b/src/peers/gossip_schema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { loadCountsSchema, prefixFactsSchema } from "./told_schemas.ts";
 
 /** What a host is doing: it takes requests only in `ready`. */
 export const HOST_PHASES = ["starting", "ready", "draining"] as const;
@@ -16,7 +17,7 @@
   z.number(),
   z.number(),
   z.number(),
-  z.array(z.tuple([z.number(), z.number()])),
+  loadCountsSchema,
 ]).transform((list) => ({
   id: list[0],
   /** Differs for each start of the host's process. */
@@ -49,7 +50,7 @@
   peerEntrySchema,
   z.number(),
   z.number().nullable(),
-  z.array(z.tuple([z.number(), z.number(), z.number()])),
+  prefixFactsSchema,
   z.array(z.tuple([peerEntrySchema, z.number()])),
 ]).transform(([sender, sentAt, echo, facts, others]) => ({
   sender,
--- a/src/peers/gossip_codec.ts
+++ b/src/peers/pack_gossip.ts
@@ -1,7 +1,7 @@
 import type { z } from "zod";
 import {
   type GossipMessage,
-  gossipSchema,
+  type gossipSchema,
   HOST_PHASES,
   type PeerEntry,
   type peerEntrySchema,
@@ -24,12 +24,6 @@
   ];
 }
 
-/** Reads a message from its lists; what is none is undefined.
- * @param body The lists. */
-export function unpackGossip(body: unknown): GossipMessage | undefined {
-  return gossipSchema.safeParse(body).data;
-}
-
 function packEntry(entry: PeerEntry): z.input<typeof peerEntrySchema> {
   return [
     entry.id,
--- /dev/null
+++ b/src/peers/told_schemas.ts
@@ -0,0 +1,20 @@
+/** Lists of numbers in which hosts tell each other many facts of one kind. */
+import { z } from "zod";
+
+/** Requests that a host has running: each a `LoadCount`. */
+export const loadCountsSchema = z.array(z.tuple([z.number(), z.number()]));
+
+/** Which engines were sent which parts of prompts: each a `PrefixFact`. */
+export const prefixFactsSchema = z.array(
+  z.tuple([z.number(), z.number(), z.number()]),
+);
+
+/** Which engines keep a part: each a `PrefixSighting`. */
+export const prefixSightingsSchema = z.array(
+  z.tuple([z.number(), z.number()]),
+);
+
+/** Which hosts were heard: each a `HostSighting`. */
+export const hostSightingsSchema = z.array(
+  z.tuple([z.number(), z.number(), z.number()]),
+);
