Put members and constants in the order in which they are read

What: public members stand before private ones and getters before methods in the classes of peers, published, upstreams and the watch; the size of a small fleet stands before what is counted from it; a moment that was called `now` and is not has its own name; an answer with what is published is turned into a state by its schema rather than field by field. Why: a reader met members in the order in which they had been added. No behaviour changes.

--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -183,9 +183,7 @@
   private getSources(): string[] {
     if (!this.isLarge) return [];
     const addresses = new Map(
-      this.getLiveHosts().map((
-        { entry },
-      ) => [entry.id, entry.gossipAddress]),
+      this.getLiveHosts().map(({ entry }) => [entry.id, entry.gossipAddress]),
     );
     return this.options.getSourceIds().flatMap((id) => addresses.get(id) ?? []);
   }
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -22,16 +22,18 @@
 const stateSchema = z.object({
   /** The configuration as `packConfiguration` writes it. */
   configuration: z.instanceof(Uint8Array).optional(),
-  changes: z.array(z.object({
-    id: z.string(),
-    revision: z.number(),
-    upstream: upstreamSchema.optional(),
-  })),
+  changes: z.array(
+    z.object({
+      id: z.string(),
+      revision: z.number(),
+      upstream: upstreamSchema.optional(),
+    }).transform(({ upstream, ...change }) => ({ ...change, upstream })),
+  ),
   completeUpTo: z.number(),
   /** Digest of all that the host knows. */
   digest: z.number(),
-  /** Undefined where the host knows nothing yet. */
-  ageMs: z.number().optional(),
+  /** Missing where the host knows nothing yet. */
+  ageMs: z.number().default(Infinity),
 });
 
 /** Asks other hosts for what is published, and answers them. */
@@ -114,23 +116,15 @@
     const version = this.keeper.routes?.version ?? NO_VERSION;
     const after = this.needsAll ? 0 : this.keeper.completeUpTo;
     const path = `${PUBLICATION_PATH}?version=${version}&after=${after}`;
-    const state = stateSchema.parse(await this.client.ask(address, path));
-    this.keeper.takeState(
-      {
-        configuration: state.configuration &&
-          unpackConfiguration(state.configuration),
-        changes: state.changes.map((change) => ({
-          id: change.id,
-          revision: change.revision,
-          upstream: change.upstream,
-        })),
-        completeUpTo: state.completeUpTo,
-        ageMs: state.ageMs ?? Infinity,
-      },
-      peerId,
-      askedAt,
+    const { configuration, digest, ...rest } = stateSchema.parse(
+      await this.client.ask(address, path),
     );
+    const state = {
+      ...rest,
+      configuration: configuration && unpackConfiguration(configuration),
+    };
+    this.keeper.takeState(state, peerId, askedAt);
     // Where the two still differ, more may be missing here than is believed; the next answer is to hold everything.
-    this.needsAll = state.digest !== this.keeper.digest;
+    this.needsAll = digest !== this.keeper.digest;
   }
 }
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -21,6 +21,7 @@
 const ORDER_USED_FOR_MS = 400;
 /** Interval at which a host that does not watch looks whether it should, in milliseconds. */
 const IDLE_CHECK_MS = 100;
+
 /** What the watch needs of the gateway. */
 export interface PublicationWatchOptions {
   logger: Logger;
@@ -71,14 +72,6 @@
     return this.order.getSources();
   }
 
-  private isNeeded(): boolean {
-    const { ageMs } = this.options.keeper;
-    const isStarting = performance.now() - this.startedAt < STARTING_MS;
-    const hearsOthers = this.options.getLiveHosts().length > 0;
-    if (isStarting && hearsOthers && ageMs < STARTING_MS) return false;
-    return this.order.isNeeded(ageMs);
-  }
-
   private get order(): WatchOrder {
     const now = performance.now();
     if (now - this.orderedAt > ORDER_USED_FOR_MS) {
@@ -88,6 +81,14 @@
     return this.lastOrder;
   }
 
+  private isNeeded(): boolean {
+    const { ageMs } = this.options.keeper;
+    const isStarting = performance.now() - this.startedAt < STARTING_MS;
+    const hearsOthers = this.options.getLiveHosts().length > 0;
+    if (isStarting && hearsOthers && ageMs < STARTING_MS) return false;
+    return this.order.isNeeded(ageMs);
+  }
+
   private buildOrder(): WatchOrder {
     const staying = this.options.getLiveHosts().filter((host) =>
       host.entry.phase !== "draining"
--- a/src/gateway/watch_order.ts
+++ b/src/gateway/watch_order.ts
@@ -46,6 +46,7 @@
   /** Hosts that this one asks for the age of what they know: watchers, or in a large fleet hosts that ask them. */
   getSources(): string[] {
     if (this.isWatcher) return [];
+    // The hosts asked are `size` ones from `begin` on: the watchers for the next part of the order, those for the one after.
     let begin = 0;
     let size = WATCHERS;
     while (this.rank >= begin + size + size * ASKERS_PER_HOST) {
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -1,8 +1,8 @@
 import type { Logger } from "../logging/logger.ts";
 import { Random } from "../random/random.ts";
 import type { PrefixFact } from "../upstreams/prefix_index.ts";
-import type { GossipMessage, PeerEntry } from "./gossip_schema.ts";
 import type { DatagramSocket } from "./datagram_socket.ts";
+import type { GossipMessage, PeerEntry } from "./gossip_schema.ts";
 import { HostTable, type KnownHost, SMALL_FLEET } from "./host_table.ts";
 
 /** Interval at which a host tells of itself, in milliseconds; loads known to others are late by about as much. */
@@ -58,6 +58,7 @@
   private announcement: NodeJS.Timeout | undefined;
   private sequence = 0;
   private round = 0;
+  /** Ids of the hosts that were heard in the last round. */
   private readonly liveBefore = new Set<string>();
 
   private constructor(private readonly options: GossipOptions) {
@@ -82,6 +83,14 @@
     }, ANNOUNCE_DELAY_MS);
   }
 
+  /** Tells a host what others tell of themselves.
+   * @param address The host.
+   * @param names Short names of the others. */
+  tellEntries(address: string, names: readonly number[]): void {
+    const hosts = this.hosts.getByNames(names).slice(0, RELAYED_ENTRIES);
+    this.tell(address, this.describeSelf(), [], hosts);
+  }
+
   /** Stops the rounds. */
   close(): void {
     clearInterval(this.timer);
@@ -118,8 +127,7 @@
     if (!isStarting && this.round % ROUNDS_PER_ATTEMPT !== 0) return chosen;
     const silent = this.hosts.getAll().filter((host) =>
       !this.hosts.isLive(host, now)
-    )
-      .map((host) => host.entry.gossipAddress);
+    ).map((host) => host.entry.gossipAddress);
     const seeds = this.options.getSeeds().filter((seed) =>
       seed !== this.options.address
     );
@@ -141,14 +149,6 @@
     return chosen.map((host) => host.entry.gossipAddress);
   }
 
-  /** Tells a host what others tell of themselves.
-   * @param address The host.
-   * @param names Short names of the others. */
-  tellEntries(address: string, names: readonly number[]): void {
-    const hosts = this.hosts.getByNames(names).slice(0, RELAYED_ENTRIES);
-    this.tell(address, this.describeSelf(), [], hosts);
-  }
-
   private tell(
     address: string,
     sender: PeerEntry,
@@ -213,14 +213,14 @@
 
   private logChange(host: KnownHost, now: number): void {
     const { id, phase } = host.entry;
-    const live = this.hosts.isLive(host, now);
-    if (live === this.liveBefore.has(id)) return;
-    if (live) this.liveBefore.add(id);
+    const isLive = this.hosts.isLive(host, now);
+    if (isLive === this.liveBefore.has(id)) return;
+    if (isLive) this.liveBefore.add(id);
     else this.liveBefore.delete(id);
     const silentMs = Math.round(now - host.heardAt);
     this.options.logger.info(
       { peer: id, phase, silentMs },
-      live ? "host_heard" : "host_lost",
+      isLive ? "host_heard" : "host_lost",
     );
   }
 }
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -1,14 +1,15 @@
 import { hashText } from "../hashing/hasher.ts";
 import { HOST_PHASES, type PeerEntry } from "./gossip_schema.ts";
 
+/** Hosts up to which all hear each other in each round. */
+export const SMALL_FLEET = 12;
+
 /** Time after which a host that is not heard is no longer told to callers, in milliseconds: three rounds of gossip and a
  * little. */
 const LIVE_FOR_MS = 700;
 /** Time by which that is longer for each host of a fleet that is too large for all to hear each other in each round, in
  * milliseconds: word of a host then comes by others, about as often as one in twenty rounds. */
 const LIVE_FOR_MS_PER_HOST = 32;
-/** Hosts up to which all hear each other in each round. */
-export const SMALL_FLEET = 12;
 /** Longest such time, in milliseconds. */
 const MAX_LIVE_FOR_MS = 3_000;
 /** Time after which a host that is not heard is forgotten, in milliseconds: longer than a host takes to come back. */
@@ -134,13 +135,17 @@
 
   /** Takes another host's word on whom it heard; returns the short names of those that are not known here.
    * @param sightings What it heard.
-   * @param now Monotonic milliseconds at which it can't have told this later. */
-  takeSightings(sightings: readonly HostSighting[], now: number): number[] {
+   * @param toldAfter Monotonic milliseconds of a moment before it told this. */
+  takeSightings(
+    sightings: readonly HostSighting[],
+    toldAfter: number,
+  ): number[] {
     const byName = this.getAddressesByName();
     const ownName = hashText(this.ownAddress);
     for (const [name, agoMs, phase] of sightings) {
       const address = byName.get(name);
-      if (address) this.noteHeard(address, phase, now - Math.max(0, agoMs));
+      if (!address) continue;
+      this.noteHeard(address, phase, toldAfter - Math.max(0, agoMs));
     }
     return sightings.map(([name]) => name).filter((name) =>
       name !== ownName && !byName.has(name)
--- a/src/published/publication.ts
+++ b/src/published/publication.ts
@@ -53,17 +53,17 @@
     return this.knownUpTo;
   }
 
+  /** A number that is equal on two processes that know the same. */
+  get digest(): number {
+    return (this.digestSum + (this.current?.version ?? 0)) >>> 0;
+  }
+
   /** Notes that no change up to a revision is missing.
    * @param revision The revision. */
   noteComplete(revision: number): void {
     this.knownUpTo = Math.max(this.knownUpTo, revision);
   }
 
-  /** A number that is equal on two processes that know the same. */
-  get digest(): number {
-    return (this.digestSum + (this.current?.version ?? 0)) >>> 0;
-  }
-
   /** Merges a configuration and changes of upstreams.
    * @param configuration The configuration, where there is one.
    * @param changes The changes, in any order.
--- a/src/published/publication_keeper.ts
+++ b/src/published/publication_keeper.ts
@@ -60,6 +60,11 @@
     return this.publication.revision;
   }
 
+  /** Revision up to which no change is missing here. */
+  get completeUpTo(): number {
+    return this.publication.completeUpTo;
+  }
+
   /** A number that is equal on two processes that know the same. */
   get digest(): number {
     return this.publication.digest;
@@ -75,11 +80,6 @@
     return this.regainedAt + LAPSE_WINDOW_MS;
   }
 
-  /** Revision up to which no change is missing here. */
-  get completeUpTo(): number {
-    return this.publication.completeUpTo;
-  }
-
   /** What is known, for a peer.
    * @param after Revision up to which the peer misses nothing; 0 for all. */
   getState(after = 0): PublicationState {
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -50,6 +50,16 @@
     return hashText(partId);
   }
 
+  /** Whether this holds all that is to be known, rather than what came up since a start. */
+  get isComplete(): boolean {
+    return this.isWhole;
+  }
+
+  /** Whether there are facts that were not told; where many came at once, more than one telling is needed. */
+  get hasUntold(): boolean {
+    return this.untold.length > 0;
+  }
+
   /** Records that this host sends parts to an engine.
    * @param parts The parts.
    * @param engine Short name of the engine.
@@ -76,11 +86,6 @@
     return Math.max(0, (this.readyAt.get(engine) ?? now) - now);
   }
 
-  /** Whether this holds all that is to be known, rather than what came up since a start. */
-  get isComplete(): boolean {
-    return this.isWhole;
-  }
-
   /** Declares that all that is to be known was learned. */
   markComplete(): void {
     this.isWhole = true;
@@ -112,11 +117,6 @@
     return facts.slice(0, limit);
   }
 
-  /** Whether there are facts that were not told; where many came at once, more than one telling is needed. */
-  get hasUntold(): boolean {
-    return this.untold.length > 0;
-  }
-
   /** Whether an engine is taken to keep a part.
    * @param part Short name of the part.
    * @param engine Short name of the engine.
