Pick an item and fork a source by methods of Random

Numbers that were written out are named. Why: doubled logic, and a bound without a name. No behaviour changes: the same numbers are drawn in the same order, so that a seed means the same run.

--- a/soak/run_seed.ts
+++ b/soak/run_seed.ts
@@ -99,7 +99,7 @@
       SoakCaller.create(
         `s${options.seed}-c${index}`,
         fleet,
-        Random.create(random.integer(1, 0x3fffffff)),
+        random.fork(),
         attempts,
         index % 2 === 0,
       ).run(() => isOver, getPauseMs),
@@ -110,7 +110,7 @@
     () =>
       runStream(
         fleet,
-        Random.create(random.integer(1, 0x3fffffff)),
+        random.fork(),
         endsAt,
         options.faults,
       ),
@@ -134,7 +134,7 @@
   const names = chosen.length > 0 ? chosen : Object.keys(SOAK_FAULTS);
   while (performance.now() < endsAt) {
     await delay(random.integer(1, FAULT_PAUSE_MS));
-    const name = names[random.integer(0, names.length - 1)]!;
+    const name = random.pick(names);
     await SOAK_FAULTS[name]!(fleet, random);
   }
 }
--- a/soak/soak_caller.ts
+++ b/soak/soak_caller.ts
@@ -88,7 +88,7 @@
   private async sendOne(): Promise<void> {
     const gateway = await this.chooseGateway();
     if (!gateway) return;
-    const kind = this.pick(KINDS);
+    const kind = this.random.pick(KINDS);
     const hasNewKey = this.random.fraction() < NEW_KEY_SHARE;
     const key = hasNewKey ? this.fleet.newest.key : LASTING_KEY;
     const givesUp = this.random.fraction() < GIVE_UP_SHARE;
@@ -112,7 +112,7 @@
   private async chooseGateway(): Promise<GatewayProcess | undefined> {
     if (performance.now() - this.askedAt > KEEP_ADDRESSES_MS) {
       this.askedAt = performance.now();
-      const asked = await locate(this.pick(this.fleet.gateways));
+      const asked = await locate(this.random.pick(this.fleet.gateways));
       if (asked.length > 0) this.addresses = asked;
     }
     const named = this.fleet.gateways.filter((gateway) =>
@@ -122,7 +122,7 @@
       this.clients.has(gateway.callerAddress)
     );
     const usable = this.isStubborn ? [...named, ...open] : named;
-    return usable.length === 0 ? undefined : this.pick(usable);
+    return usable.length === 0 ? undefined : this.random.pick(usable);
   }
 
   private build(
@@ -214,10 +214,6 @@
     if (this.clients.get(address) === client) this.clients.delete(address);
     void client.destroy();
   }
-
-  private pick<T>(items: readonly T[]): T {
-    return items[this.random.integer(0, items.length - 1)]!;
-  }
 }
 
 /** Events that a caller has of a stream, whole ones only.
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -33,7 +33,7 @@
 ];
 
 async function killGateway(fleet: SoakFleet, random: Random): Promise<void> {
-  await killAll(fleet, [pick(fleet.gateways, random)], random);
+  await killAll(fleet, [random.pick(fleet.gateways)], random);
 }
 
 async function killManyGateways(
@@ -58,7 +58,7 @@
 }
 
 async function stopGateway(fleet: SoakFleet, random: Random): Promise<void> {
-  await stop(fleet, pick(fleet.gateways, random));
+  await stop(fleet, random.pick(fleet.gateways));
 }
 
 /** Stops gateways in turn, each some time after the one before, whether that has ended or not. */
@@ -87,7 +87,7 @@
 }
 
 async function reloadGateway(fleet: SoakFleet, random: Random): Promise<void> {
-  const gateway = pick(fleet.gateways, random);
+  const gateway = random.pick(fleet.gateways);
   const window = fleet.faults.begin("reload", [gateway.id], true);
   const seeds = random.shuffle(fleet.gatewayIps).slice(0, 2);
   gateway.rewriteSettings(seeds);
@@ -98,7 +98,7 @@
 }
 
 async function freezeGateway(fleet: SoakFleet, random: Random): Promise<void> {
-  const gateway = pick(fleet.gateways, random);
+  const gateway = random.pick(fleet.gateways);
   const window = fleet.faults.begin("freeze", [gateway.id]);
   gateway.program.signal("SIGSTOP");
   await delay(random.integer(200, 6_000));
@@ -110,7 +110,7 @@
 async function troubleStore(fleet: SoakFleet, random: Random): Promise<void> {
   const behaviours = ["unavailable", "silent", "history_lost"] as const;
   const window = fleet.faults.begin("store", ["store"]);
-  fleet.store.behaviour = pick(behaviours, random);
+  fleet.store.behaviour = random.pick(behaviours);
   await delay(random.integer(300, 7_000));
   fleet.store.behaviour = "well";
   fleet.faults.end(window);
@@ -118,7 +118,7 @@
 
 async function cutFromStore(fleet: SoakFleet, random: Random): Promise<void> {
   const hit = fleet.gateways.filter(() => random.fraction() < 0.4);
-  const mode = pick([...CUTS, "pass"] as const, random);
+  const mode = random.pick([...CUTS, "pass"] as const);
   const delayMs = random.integer(0, 900);
   const window = fleet.faults.begin(`store ${mode}`, ["store"]);
   for (const gateway of hit) gateway.storeProxy.setMode(mode, delayMs);
@@ -128,8 +128,8 @@
 }
 
 async function cutWorker(fleet: SoakFleet, random: Random): Promise<void> {
-  const worker = pick(fleet.workers, random);
-  const mode = pick([...CUTS, "pass"] as const, random);
+  const worker = random.pick(fleet.workers);
+  const mode = random.pick([...CUTS, "pass"] as const);
   const window = fleet.faults.begin(`worker ${mode}`, [worker.id]);
   worker.proxy.setMode(mode, random.integer(0, 300));
   await delay(random.integer(100, 3_000));
@@ -142,8 +142,8 @@
   fleet: SoakFleet,
   random: Random,
 ): Promise<void> {
-  const worker = pick(fleet.workers, random);
-  const fault = pick(WORKER_FAULTS, random);
+  const worker = random.pick(fleet.workers);
+  const fault = random.pick(WORKER_FAULTS);
   const window = fleet.faults.begin(fault, [worker.id]);
   worker.fault = fault;
   await delay(random.integer(300, 4_000));
@@ -154,7 +154,7 @@
 
 /** A worker crashes; its address may go to one of another service at once. */
 async function crashWorker(fleet: SoakFleet, random: Random): Promise<void> {
-  const worker = pick(fleet.workers, random);
+  const worker = random.pick(fleet.workers);
   if (!mayGo(fleet, worker)) return;
   const window = fleet.faults.begin("crash", [worker.id]);
   fleet.forgetWorker(worker);
@@ -173,7 +173,7 @@
 
 /** A worker is replaced: the new one comes first, the old one says that it leaves and serves on for a while. */
 async function replaceWorker(fleet: SoakFleet, random: Random): Promise<void> {
-  const worker = pick(fleet.workers, random);
+  const worker = random.pick(fleet.workers);
   if (!mayGo(fleet, worker)) return;
   fleet.forgetWorker(worker);
   await fleet.addWorker(worker.service);
@@ -202,10 +202,6 @@
   return fleet.workers.filter((one) => one.service === service).length > 2;
 }
 
-function pick<T>(items: readonly T[], random: Random): T {
-  return items[random.integer(0, items.length - 1)]!;
-}
-
 /** The faults by name. */
 export const SOAK_FAULTS: Readonly<Record<string, SoakFault>> = {
   killGateway,
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -90,7 +90,7 @@
       `w-${this.workerCount}`,
       service,
       this.runs,
-      Random.create(this.random.integer(1, 0x3fffffff)),
+      this.random.fork(),
       proxy,
     );
     this.workers.push(worker);
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -25,6 +25,8 @@
 const ROUNDS_PER_ATTEMPT = 4;
 /** Rounds after a start in which hosts not heard are tried each time, for all hosts may be starting: two seconds. */
 const STARTING_ROUNDS = 10;
+/** Greatest number that is drawn for a start of a host. */
+const MAX_INCARNATION = 0x3fffffff;
 
 /** What gossip needs and whom it tells. */
 export interface GossipOptions {
@@ -53,7 +55,7 @@
   /** The other hosts. */
   readonly hosts: HostTable;
   private readonly random = Random.create();
-  private readonly incarnation = this.random.integer(1, 0x3fffffff);
+  private readonly incarnation = this.random.integer(1, MAX_INCARNATION);
   private readonly timer: NodeJS.Timeout;
   private announcement: NodeJS.Timeout | undefined;
   private sequence = 0;
--- a/src/random/random.ts
+++ b/src/random/random.ts
@@ -4,6 +4,8 @@
 
 /** Seeds are below this. */
 const MAX_SEED = 0x7fffffff;
+/** Greatest seed of a source that another draws. */
+const MAX_DRAWN_SEED = 0x3fffffff;
 
 /** A source of random numbers; seeded, so that a run can be repeated. */
 export class Random {
@@ -29,6 +31,17 @@
     return this.integer(0, 0x3fffffff) / 0x40000000;
   }
 
+  /** Returns one of some items.
+   * @param items The items, at least one. */
+  pick<T>(items: readonly T[]): T {
+    return items[this.integer(0, items.length - 1)]!;
+  }
+
+  /** Returns another source, whose seed this one draws. */
+  fork(): Random {
+    return Random.create(this.integer(1, MAX_DRAWN_SEED));
+  }
+
   /** Returns the items in a random order.
    * @param items The items; left as they are. */
   shuffle<T>(items: readonly T[]): T[] {
--- a/tools/chaos.ts
+++ b/tools/chaos.ts
@@ -27,7 +27,7 @@
   const names = Object.keys(FAULTS);
   const stream = async () => {
     while (performance.now() < endsAt) {
-      const name = names[random.integer(0, names.length - 1)]!;
+      const name = random.pick(names);
       log.push(await FAULTS[name]!(fleet, random));
       await delay(random.integer(100, 1_500));
     }
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -6,12 +6,8 @@
 /** Injects one fault, waits, and mends it; returns what it did. */
 export type Fault = (fleet: Fleet, random: Random) => Promise<string>;
 
-function pick<T>(items: readonly T[], random: Random): T {
-  return items[random.integer(0, items.length - 1)]!;
-}
-
 async function killRouter(fleet: Fleet, random: Random): Promise<string> {
-  const router = pick(fleet.routers, random);
+  const router = random.pick(fleet.routers);
   await router.kill();
   await delay(random.integer(100, 2_000));
   router.start();
@@ -19,7 +15,7 @@
 }
 
 async function freezeRouter(fleet: Fleet, random: Random): Promise<string> {
-  const router = pick(fleet.routers, random);
+  const router = random.pick(fleet.routers);
   const milliseconds = random.integer(300, 6_000);
   router.signal("SIGSTOP");
   await delay(milliseconds);
@@ -28,7 +24,7 @@
 }
 
 async function drainRouter(fleet: Fleet, random: Random): Promise<string> {
-  const router = pick(fleet.routers, random);
+  const router = random.pick(fleet.routers);
   router.signal("SIGTERM");
   const code = await router.waitForExit();
   router.start();
@@ -39,9 +35,8 @@
   const ids = random.shuffle(fleet.routers.map((router) => router.id));
   const size = random.integer(1, ids.length - 1);
   const [left, right] = [ids.slice(0, size), ids.slice(size)];
-  const mode = pick(
+  const mode = random.pick(
     ["cut", "freeze", "freeze_requests", "freeze_answers"] as const,
-    random,
   );
   const milliseconds = random.integer(500, 5_000);
   fleet.mesh.part(left, right, mode);
@@ -52,11 +47,11 @@
 
 async function cutUpstream(fleet: Fleet, random: Random): Promise<string> {
   const upstream =
-    pick([...fleet.engines, ...fleet.services], random).options.id;
+    random.pick([...fleet.engines, ...fleet.services]).options.id;
   const readers = fleet.routers.map((router) => router.id).filter(() =>
     random.fraction() < 0.6
   );
-  const mode = pick(["cut", "freeze", "freeze_answers"] as const, random);
+  const mode = random.pick(["cut", "freeze", "freeze_answers"] as const);
   const milliseconds = random.integer(300, 3_000);
   fleet.mesh.setMode(readers, [upstream], mode);
   await delay(milliseconds);
@@ -76,8 +71,8 @@
 }
 
 async function misbehaveEngine(fleet: Fleet, random: Random): Promise<string> {
-  const engine = pick(fleet.engines, random);
-  engine.fault = pick(["crossed", "truncated", "silent"] as const, random);
+  const engine = random.pick(fleet.engines);
+  engine.fault = random.pick(["crossed", "truncated", "silent"] as const);
   const { fault } = engine;
   await delay(random.integer(100, 1_000));
   engine.fault = "none";
@@ -85,7 +80,7 @@
 }
 
 async function leaveUpstream(fleet: Fleet, random: Random): Promise<string> {
-  const id = pick([...fleet.engines, ...fleet.services], random).options.id;
+  const id = random.pick([...fleet.engines, ...fleet.services]).options.id;
   await fleet.setState(id, "leaving");
   await delay(random.integer(500, 3_000));
   await fleet.setState(id, "live");
@@ -93,7 +88,7 @@
 }
 
 async function stopPlatform(fleet: Fleet, random: Random): Promise<string> {
-  const mode = pick(["down", "stale"] as const, random);
+  const mode = random.pick(["down", "stale"] as const);
   fleet.platform.freezeStale();
   fleet.platform.setMode(mode);
   await delay(random.integer(500, 5_000));
--- a/tools/load.ts
+++ b/tools/load.ts
@@ -194,8 +194,7 @@
     for (const router of known.slice(0, 3)) {
       const found = await this.caller.locate(router);
       if (found.addresses.length === 0) continue;
-      kept.address = found
-        .addresses[random.integer(0, found.addresses.length - 1)]!;
+      kept.address = random.pick(found.addresses);
       kept.until = performance.now() + found.lifetimeMs;
       return kept.address;
     }
