Soak: rules said once, long functions split, constants and fields described

Why: the same six fields stood five times, and functions had more than thirty lines. No behaviour changes: promises, bounds, settings files and the numbers drawn are those of before.

--- a/soak/bounds.ts
+++ b/soak/bounds.ts
@@ -1,4 +1,4 @@
-/** The bounds that the soak's gateways get in their settings. */
+/** The bounds that the soak's gateways get in their settings, times in milliseconds. */
 export const BOUNDS = {
   /** Time after which a leaving worker may get no new work. */
   leaveWithinMs: 1_500,
@@ -6,6 +6,7 @@
   stopWithinMs: 5_000,
   /** Time after which a key that was taken away is no longer honoured. */
   keyBeliefMs: 4_000,
+  /** Retries of a service allowed in a window, as a part of its requests there and beyond that part. */
   retryRatio: 0.2,
   retryWindowMs: 10_000,
   retryExtra: 60,
--- a/soak/caller_attempt.ts
+++ b/soak/caller_attempt.ts
@@ -11,48 +11,26 @@
   timeoutMs: number;
 }
 
+const PLAIN = {
+  service: "plain",
+  isStream: false,
+  timeoutMs: 2_000,
+} as const;
+const ENGINE = {
+  service: "engine",
+  isStream: true,
+  timeoutMs: 3_000,
+} as const;
+const REPEATABLE = { mayRepeat: true, maxAttempts: 2 } as const;
+const ONCE = { mayRepeat: false, maxAttempts: 1 } as const;
+
 /** The rules of each kind. */
 export const KIND_RULES: Readonly<Record<RequestKind, KindRules>> = {
-  look: {
-    method: "GET",
-    service: "plain",
-    isStream: false,
-    mayRepeat: true,
-    maxAttempts: 2,
-    timeoutMs: 2_000,
-  },
-  book: {
-    method: "POST",
-    service: "plain",
-    isStream: false,
-    mayRepeat: false,
-    maxAttempts: 1,
-    timeoutMs: 2_000,
-  },
-  chat: {
-    method: "POST",
-    service: "engine",
-    isStream: true,
-    mayRepeat: true,
-    maxAttempts: 2,
-    timeoutMs: 3_000,
-  },
-  talk: {
-    method: "POST",
-    service: "engine",
-    isStream: true,
-    mayRepeat: false,
-    maxAttempts: 1,
-    timeoutMs: 3_000,
-  },
-  version: {
-    method: "GET",
-    service: "plain",
-    isStream: false,
-    mayRepeat: true,
-    maxAttempts: 2,
-    timeoutMs: 2_000,
-  },
+  look: { method: "GET", ...PLAIN, ...REPEATABLE },
+  book: { method: "POST", ...PLAIN, ...ONCE },
+  chat: { method: "POST", ...ENGINE, ...REPEATABLE },
+  talk: { method: "POST", ...ENGINE, ...ONCE },
+  version: { method: "GET", ...PLAIN, ...REPEATABLE },
 };
 
 /** One sending of a request by a caller, and what came back; times are monotonic milliseconds of the soak's process. */
@@ -66,6 +44,7 @@
   key: string;
   /** Version of the configuration that the path is about, for requests of that kind. */
   version: number | undefined;
+  /** Last event that the caller has, 0 where the stream starts at its beginning. */
   afterEvent: number;
   gateway: string;
   /** Number of the start of the gateway's process to which the connection goes. */
@@ -73,6 +52,7 @@
   sentAt: number;
   endedAt: number | undefined;
   status: number | undefined;
+  /** Worker's seal on the answer, where it has one. */
   seal: string | undefined;
   text: string;
   /** Whether the answer came to a proper end. */
@@ -80,3 +60,13 @@
   /** When the caller closed its connection by itself. */
   gaveUpAt: number | undefined;
 }
+
+/** What an attempt holds of its answer before one came. */
+export const NO_ANSWER = {
+  endedAt: undefined,
+  status: undefined,
+  seal: undefined,
+  text: "",
+  isWhole: false,
+  gaveUpAt: undefined,
+} as const;
--- a/soak/gateway_process.ts
+++ b/soak/gateway_process.ts
@@ -7,7 +7,18 @@
 const PORTS = { caller: 8_101, ready: 8_102, peer: 8_103, locate: 8_104 };
 /** Port of the metrics, as the deploy file names it. */
 const METRICS_PORT = 9_464;
+/** First and last port for what gateways tell each other. */
 const GOSSIP_PORTS = "8110,8119";
+/** The bounds as a settings file names them, with one that gateways do not know yet. */
+const BOUND_FIELDS = {
+  "bounds.drain_ms": BOUNDS.leaveWithinMs,
+  "bounds.grace_s": BOUNDS.stopWithinMs / 1_000,
+  "bounds.revoke_ms": BOUNDS.keyBeliefMs,
+  "bounds.retry_ratio": BOUNDS.retryRatio,
+  "bounds.retry_window_s": BOUNDS.retryWindowMs / 1_000,
+  "bounds.retry_extra": BOUNDS.retryExtra,
+  "bounds.a_later_field": "skipped",
+};
 
 /** What a gateway is started with. */
 export interface GatewayProcessOptions {
@@ -90,8 +101,20 @@
   storePort: number,
   isFirstStart: boolean,
 ): void {
-  const { id, ip, seeds } = options;
-  const lines = {
+  const fields = {
+    ...describeHost(options),
+    bootstrap: isFirstStart,
+    "platform.address": `127.0.0.1:${storePort}`,
+    ...BOUND_FIELDS,
+  };
+  const lines = Object.entries(fields).map(([name, value]) =>
+    `${name}=${value}\n`
+  );
+  writeFileSync(getSettingsPath(options), lines.join(""));
+}
+
+function describeHost({ id, ip, seeds }: GatewayProcessOptions) {
+  return {
     node_name: id,
     ip,
     zone: "h",
@@ -102,16 +125,5 @@
     "listen.directory": `${ip}:${PORTS.locate}`,
     port_range: GOSSIP_PORTS,
     seeds: seeds.map((seed) => `${seed}:${PORTS.peer}`).join(","),
-    bootstrap: isFirstStart,
-    "platform.address": `127.0.0.1:${storePort}`,
-    "bounds.drain_ms": BOUNDS.leaveWithinMs,
-    "bounds.grace_s": BOUNDS.stopWithinMs / 1_000,
-    "bounds.revoke_ms": BOUNDS.keyBeliefMs,
-    "bounds.retry_ratio": BOUNDS.retryRatio,
-    "bounds.retry_window_s": BOUNDS.retryWindowMs / 1_000,
-    "bounds.retry_extra": BOUNDS.retryExtra,
-    "bounds.a_later_field": "skipped",
   };
-  const text = Object.entries(lines).map(([name, value]) => `${name}=${value}`);
-  writeFileSync(getSettingsPath(options), `${text.join("\n")}\n`);
 }
--- a/soak/run_seed.ts
+++ b/soak/run_seed.ts
@@ -3,8 +3,9 @@
 import { Random } from "../src/random/random.ts";
 import type { CallerAttempt } from "./caller_attempt.ts";
 import type { Evidence } from "./evidence.ts";
-import { ANSWER_JUDGES, type Judge } from "./judge_answers.ts";
+import { ANSWER_JUDGES } from "./judge_answers.ts";
 import { TIME_JUDGES } from "./judge_times.ts";
+import { describeResult, type SeedResult } from "./seed_result.ts";
 import { SoakCaller } from "./soak_caller.ts";
 import { SOAK_FAULTS } from "./soak_faults.ts";
 import { SoakFleet } from "./soak_fleet.ts";
@@ -22,35 +23,23 @@
   faults: readonly string[];
 }
 
-/** How one run ended. */
-export interface SeedResult {
-  seed: number;
-  /** Breaches of promises, a line each. */
-  breaches: string[];
-  attempts: number;
-  /** How many requests of each kind ended in which way. */
-  endings: Record<string, number>;
-  faults: string[];
-  /** The requests that breaches name, as callers and workers saw them. */
-  evidence: unknown[];
-  /** What each gateway logged. */
-  logs: Record<string, readonly string[]>;
-}
-
 /** Fault streams that run side by side, so that faults meet. */
 const FAULT_STREAMS = 3;
 /** Longest pause of a stream between two faults, in milliseconds. */
 const FAULT_PAUSE_MS = 900;
 /** Usual sizes. */
 const USUAL = { gateways: 4, engines: 4, plain: 3, callers: 14 };
-/** Longest pause of a caller between two requests in milliseconds, usually and in a burst. */
+/** Longest pause of a caller between two requests, in milliseconds. */
 const CALLER_PAUSE_MS = 90;
+/** Longest such pause in a burst, in milliseconds. */
 const BURST_PAUSE_MS = 8;
-/** A burst's share of the time: the first part of each period, in milliseconds. */
+/** Time from the begin of one burst to that of the next, in milliseconds. */
 const BURST_PERIOD_MS = 6_000;
+/** Length of a burst, in milliseconds. */
 const BURST_MS = 900;
 /** Time after the last fault in which the fleet has to come to serve again, in milliseconds. */
 const SETTLE_MS = 12_000;
+/** Pause after a calm request that was not served, in milliseconds. */
 const SETTLE_STEP_MS = 200;
 /** Calm requests of a kind in a row that show that it does. */
 const CALM_REQUESTS = 8;
@@ -72,14 +61,8 @@
     await runFaults(fleet, random, attempts, options);
     const unsettled = await settle(fleet, random, attempts);
     const evidence = { ...fleet, attempts, lagMs: lag.max / 1e6 };
-    const judges = {
-      ...ANSWER_JUDGES,
-      ...(options.judgesTimes ? TIME_JUDGES : {}),
-    };
-    return describe(fleet, evidence, options.seed, [
-      ...unsettled,
-      ...judge(evidence, judges),
-    ]);
+    const breaches = [...unsettled, ...judge(evidence, options.judgesTimes)];
+    return describeResult(options.seed, fleet, evidence, breaches);
   } finally {
     lag.disable();
     await fleet.close();
@@ -93,31 +76,29 @@
   options: SeedOptions,
 ): Promise<void> {
   let isOver = false;
-  const callers = Array.from(
-    { length: USUAL.callers * options.size },
-    (_, index) =>
-      SoakCaller.create(
-        `s${options.seed}-c${index}`,
-        fleet,
-        random.fork(),
-        attempts,
-        index % 2 === 0,
-      ).run(() => isOver, getPauseMs),
-  );
+  const callers = createCallers(fleet, random, attempts, options);
+  const calling = callers.map((caller) => caller.run(() => isOver, getPauseMs));
   const endsAt = performance.now() + options.faultsMs;
   const streams = Array.from(
     { length: FAULT_STREAMS },
-    () =>
-      runStream(
-        fleet,
-        random.fork(),
-        endsAt,
-        options.faults,
-      ),
+    () => runStream(fleet, random.fork(), endsAt, options.faults),
   );
   await Promise.all(streams);
   isOver = true;
-  await Promise.all(callers);
+  await Promise.all(calling);
+}
+
+function createCallers(
+  fleet: SoakFleet,
+  random: Random,
+  attempts: CallerAttempt[],
+  { seed, size }: SeedOptions,
+): SoakCaller[] {
+  return Array.from({ length: USUAL.callers * size }, (_, index) => {
+    const name = `s${seed}-c${index}`;
+    const isStubborn = index % 2 === 0;
+    return SoakCaller.create(name, fleet, random.fork(), attempts, isStubborn);
+  });
 }
 
 function getPauseMs(): number {
@@ -159,49 +140,9 @@
   return [];
 }
 
-function judge(
-  evidence: Evidence,
-  judges: Readonly<Record<string, Judge>>,
-): string[] {
+function judge(evidence: Evidence, judgesTimes: boolean): string[] {
+  const judges = { ...ANSWER_JUDGES, ...(judgesTimes ? TIME_JUDGES : {}) };
   return Object.entries(judges).flatMap(([promise, find]) =>
     find(evidence).map((breach) => `${promise}: ${breach}`)
   );
 }
-
-function describe(
-  fleet: SoakFleet,
-  { attempts, runs }: Evidence,
-  seed: number,
-  breaches: string[],
-): SeedResult {
-  const faults = fleet.faults.windows.map(({ name, targets, from, to }) =>
-    `${Math.round(from)}-${Math.round(to ?? Infinity)} ${name} ${targets}`
-  );
-  const endings: Record<string, number> = {};
-  for (const attempt of attempts) {
-    const ending = `${attempt.kind}/${getEnding(attempt)}`;
-    endings[ending] = (endings[ending] ?? 0) + 1;
-  }
-  const logs = Object.fromEntries(
-    fleet.gateways.map((gateway) => [gateway.id, gateway.program.log]),
-  );
-  const isNamed = ({ requestId }: { requestId: string }) =>
-    breaches.some((breach) =>
-      breach.includes(`${requestId}:`) || breach.includes(`${requestId} `)
-    );
-  return {
-    seed,
-    breaches,
-    attempts: attempts.length,
-    endings,
-    faults,
-    evidence: [...attempts, ...runs].filter(isNamed),
-    logs,
-  };
-}
-
-function getEnding({ gaveUpAt, status, isWhole }: CallerAttempt): string {
-  if (gaveUpAt !== undefined) return "given_up";
-  if (status === undefined) return "no_answer";
-  return isWhole ? String(status) : `${status}_broken`;
-}
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -11,7 +11,8 @@
   run,
   string,
 } from "cmd-ts";
-import { runSeed, type SeedResult } from "./run_seed.ts";
+import { runSeed } from "./run_seed.ts";
+import type { SeedResult } from "./seed_result.ts";
 
 /** Folder for the logs of seeds that failed. */
 const REPORTS = "reports/soak";
--- a/soak/soak_caller.ts
+++ b/soak/soak_caller.ts
@@ -4,6 +4,7 @@
 import {
   type CallerAttempt,
   KIND_RULES,
+  NO_ANSWER,
   type RequestKind,
 } from "./caller_attempt.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
@@ -22,15 +23,18 @@
 ];
 /** Time for which a caller keeps an answer with addresses, in milliseconds. */
 const KEEP_ADDRESSES_MS = 500;
-/** Part of the requests that carry the key of the newest version, and of those that callers give up. */
+/** Part of the requests that carry the key of the newest version. */
 const NEW_KEY_SHARE = 0.3;
+/** Part of the requests that callers give up. */
 const GIVE_UP_SHARE = 0.06;
-/** Time after which a caller gives up, in milliseconds. */
+/** Least and most time after which a caller gives up, in milliseconds. */
 const GIVE_UP_MS = [5, 250] as const;
 /** Most time that a caller waits beyond a route's time-out, in milliseconds. */
 const PATIENCE_MS = 4_000;
 /** Chats that callers return to. */
 const CHATS = 24;
+/** Time for a connection to a gateway, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1_000;
 
 /** One caller: sends one request after the other and keeps its connections. */
 export class SoakCaller {
@@ -105,7 +109,7 @@
     if (!gateway) return;
     const attempt = this.build("chat", broken.key, gateway);
     attempt.path = broken.path;
-    attempt.afterEvent = countWholeEvents(broken);
+    attempt.afterEvent = getLastEvent(broken);
     if (attempt.afterEvent > 0) await this.send(attempt, gateway, undefined);
   }
 
@@ -135,17 +139,11 @@
     const { version } = this.fleet.newest;
     const { isStream, method } = KIND_RULES[kind];
     const chat = this.random.integer(1, CHATS);
-    const paths: Record<RequestKind, string> = {
-      look: `/look/${requestId}?a=1`,
-      book: `/book/${requestId}`,
-      chat: `/chat/${requestId}`,
-      talk: `/talk/${requestId}`,
-      version: `/version/${version}/x`,
-    };
     return {
+      ...NO_ANSWER,
       requestId,
       kind,
-      path: paths[kind],
+      path: buildPath(kind, requestId, version),
       body: method === "POST" ? `body of ${requestId}` : "",
       prompt: isStream ? `m|900,50|c0ffee:600,${chat}a:250` : "||",
       key,
@@ -154,12 +152,6 @@
       gateway: gateway.id,
       life: gateway.program.starts,
       sentAt: performance.now(),
-      endedAt: undefined,
-      status: undefined,
-      seal: undefined,
-      text: "",
-      isWhole: false,
-      gaveUpAt: undefined,
     };
   }
 
@@ -170,24 +162,14 @@
   ): Promise<void> {
     const client = this.getClient(gateway.callerAddress);
     this.attempts.push(attempt);
-    const { timeoutMs, method } = KIND_RULES[attempt.kind];
+    const { timeoutMs } = KIND_RULES[attempt.kind];
     const patienceMs = giveUpMs ?? timeoutMs + PATIENCE_MS;
     const timer = setTimeout(() => {
       attempt.gaveUpAt = performance.now();
       this.drop(gateway.callerAddress, client);
     }, patienceMs);
     try {
-      const answer = await client.request({
-        method,
-        path: attempt.path,
-        headers: buildHeaders(attempt, timeoutMs),
-        body: attempt.body === "" ? null : attempt.body,
-      });
-      attempt.status = answer.statusCode;
-      const seal = answer.headers["x-beechkeel-response-seal"];
-      attempt.seal = seal === undefined ? undefined : String(seal);
-      for await (const part of answer.body) attempt.text += String(part);
-      attempt.isWhole = true;
+      await exchange(attempt, client);
     } catch {
       // A broken answer is what the judges look at; nothing more is known of it than the attempt holds.
       this.drop(gateway.callerAddress, client);
@@ -203,7 +185,7 @@
     const client = new Client(`http://${address}`, {
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: { timeout: 1_000 },
+      connect: { timeout: CONNECT_TIMEOUT_MS },
     });
     client.on("disconnect", () => this.drop(address, client));
     this.clients.set(address, client);
@@ -216,9 +198,33 @@
   }
 }
 
-/** Events that a caller has of a stream, whole ones only.
- * @param attempt The attempt. */
-export function countWholeEvents(attempt: CallerAttempt): number {
+/** Sends a request and takes its answer into the attempt, as far as it comes. */
+async function exchange(attempt: CallerAttempt, client: Client): Promise<void> {
+  const { method, timeoutMs } = KIND_RULES[attempt.kind];
+  const answer = await client.request({
+    method,
+    path: attempt.path,
+    headers: buildHeaders(attempt, timeoutMs),
+    body: attempt.body === "" ? null : attempt.body,
+  });
+  attempt.status = answer.statusCode;
+  const seal = answer.headers["x-beechkeel-response-seal"];
+  attempt.seal = seal === undefined ? undefined : String(seal);
+  for await (const part of answer.body) attempt.text += String(part);
+  attempt.isWhole = true;
+}
+
+function buildPath(
+  kind: RequestKind,
+  requestId: string,
+  version: number,
+): string {
+  if (kind === "version") return `/version/${version}/x`;
+  return kind === "look" ? `/look/${requestId}?a=1` : `/${kind}/${requestId}`;
+}
+
+/** Number of the last whole event that an attempt brought, 0 where it brought none. */
+function getLastEvent(attempt: CallerAttempt): number {
   const whole = attempt.text.split("\n\n").length - 1;
   return whole === 0 ? 0 : attempt.afterEvent + whole;
 }
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -14,6 +14,7 @@
 /** Time for which a worker serves on after it may get no new work, in milliseconds. */
 const LINGER_MS = 1_000;
 
+/** Ways in which a connection breaks. */
 const CUTS: readonly ProxyMode[] = [
   "cut",
   "reset",
@@ -21,6 +22,7 @@
   "freeze_requests",
   "freeze_answers",
 ];
+/** What workers do wrong. */
 const WORKER_FAULTS: readonly WorkerFault[] = [
   "errors",
   "full",
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -21,9 +21,11 @@
 
 /** Longest time for the first start of a fleet, in milliseconds. */
 const START_TIMEOUT_MS = 30_000;
+/** Interval at which it is looked whether the fleet has started, in milliseconds. */
 const POLL_MS = 50;
-/** Most gateways of a fleet, and fleets that one process may run at the same time. */
+/** Most gateways of a fleet. */
 const MAX_GATEWAYS = 60;
+/** Most fleets that one process may run at the same time. */
 const MAX_FLEETS = 4;
 
 /** What a fleet is made of. */
@@ -36,12 +38,19 @@
 
 /** A store and workers as stand-ins in this process, and gateways as processes, with what each saw. */
 export class SoakFleet {
+  /** The gateways. */
   readonly gateways: GatewayProcess[] = [];
+  /** The workers that faults may hit. */
   readonly workers: SoakWorker[] = [];
+  /** What workers ran, over all their starts. */
   readonly runs: WorkerRun[] = [];
+  /** Versions of the configuration so far. */
   readonly versions: PublishedVersion[] = [];
+  /** Words of workers that they leave. */
   readonly leavings: Leaving[] = [];
+  /** Planned stops of gateways. */
   readonly stops: Stop[] = [];
+  /** Faults so far. */
   readonly faults = FaultLog.create();
   private readonly folder = mkdtempSync(`${tmpdir()}/beechkeel-soak-`);
   private readonly random: Random;
@@ -49,6 +58,7 @@
   private workerCount = 0;
 
   private constructor(
+    /** What the platform publishes. */
     readonly store: FakeStore,
     private readonly options: SoakFleetOptions,
   ) {
@@ -73,6 +83,14 @@
     return this.versions.at(-1)!;
   }
 
+  /** Loopback addresses of all gateways. */
+  get gatewayIps(): string[] {
+    return Array.from(
+      { length: this.options.gateways },
+      (_, index) => this.getIp(index),
+    );
+  }
+
   /** Publishes a version with a route and a key that only it holds, and all that last. */
   publishNextVersion(): void {
     const version = (this.versions.at(-1)?.version ?? 0) + 3;
@@ -112,14 +130,6 @@
     if (index >= 0) this.workers.splice(index, 1);
   }
 
-  /** Loopback addresses of all gateways. */
-  get gatewayIps(): string[] {
-    return Array.from(
-      { length: this.options.gateways },
-      (_, index) => this.getIp(index),
-    );
-  }
-
   /** Waits until each gateway names all of them. */
   async waitUntilServing(): Promise<void> {
     const endsAt = performance.now() + START_TIMEOUT_MS;
@@ -157,12 +167,12 @@
   }
 
   private async addGateway(index: number): Promise<void> {
-    const [firstSeed] = this.gatewayIps;
+    const [firstIp] = this.gatewayIps;
     this.gateways.push(
       await GatewayProcess.create({
         id: `g-${index}`,
         ip: this.getIp(index),
-        seeds: [firstSeed!],
+        seeds: [firstIp!],
         storePort: this.store.port,
         folder: this.folder,
       }),
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -20,8 +20,9 @@
 
 /** Requests a worker takes at once. */
 const SLOTS = 12;
-/** Least and most work on a request, and pause between two events, in milliseconds. */
+/** Least and most work on a request, in milliseconds. */
 const WORK_MS = [3, 25] as const;
+/** Least and most pause between two events, in milliseconds. */
 const EVENT_PAUSE_MS = [2, 18] as const;
 /** Work of a slow worker, as a multiple of the usual. */
 const SLOW_FACTOR = 12;
@@ -34,7 +35,6 @@
 export class SoakWorker {
   /** What it does wrong. */
   fault: WorkerFault = "none";
-  /** Requests running. */
   private running = 0;
 
   private constructor(
--- a/soak/stream_text.ts
+++ b/soak/stream_text.ts
@@ -1,7 +1,8 @@
 import { hashText } from "../src/hashing/hasher.ts";
 
-/** Least and most events of a stream. */
+/** Least events of a stream. */
 const LEAST_EVENTS = 2;
+/** Different numbers of events that streams have. */
 const EVENT_SPREAD = 24;
 
 /** Number of events in the stream for a path.
