--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -26,9 +26,29 @@
   server: Socket;
 }
 
+/** How connections end. */
+type Ending = "cut" | "reset";
+
+/** What a mode stops. */
+interface Stops {
+  /** How connections end, where they do. */
+  ending?: Ending;
+  requests?: true;
+  answers?: true;
+}
+
+const STOPS: Readonly<Record<ProxyMode, Stops>> = {
+  pass: {},
+  cut: { ending: "cut" },
+  reset: { ending: "reset" },
+  freeze: { requests: true, answers: true },
+  freeze_requests: { requests: true },
+  freeze_answers: { answers: true },
+};
+
 /** A small proxy before one TCP and UDP port, which injects faults. */
 export class FaultProxy {
-  private mode: ProxyMode = "pass";
+  private stops: Stops = STOPS.pass;
   private delayMs = 0;
   private readonly links = new Set<Link>();
   private readonly udpLinks = new Map<string, UdpSocket>();
@@ -63,7 +83,7 @@
    * @param mode What to do.
    * @param delayMs Time by which everything is held up. */
   setMode(mode: ProxyMode, delayMs = 0): void {
-    this.mode = mode;
+    this.stops = STOPS[mode];
     this.delayMs = delayMs;
     for (const link of this.links) this.apply(link);
   }
@@ -77,7 +97,7 @@
 
   /** Ends the proxy. */
   close(): void {
-    this.mode = "cut";
+    this.stops = STOPS.cut;
     for (const link of this.links) this.apply(link);
     for (const socket of this.udpLinks.values()) socket.close();
     this.udp.close();
@@ -88,17 +108,9 @@
     const server = connect(this.target, "127.0.0.1");
     const link = { client, server };
     this.links.add(link);
-    this.pipe(
-      client,
-      server,
-      () => this.mode === "freeze" || this.mode === "freeze_requests",
-    );
-    this.pipe(
-      server,
-      client,
-      () => this.mode === "freeze" || this.mode === "freeze_answers",
-    );
-    const end = (how: "cut" | "reset") => {
+    this.pipe(client, server, () => this.stops.requests === true);
+    this.pipe(server, client, () => this.stops.answers === true);
+    const end = (how: Ending) => {
       this.links.delete(link);
       this.end(link, how);
     };
@@ -121,20 +133,15 @@
   }
 
   private apply(link: Link): void {
-    if (this.mode === "cut" || this.mode === "reset") {
-      return this.end(link, this.mode);
-    }
-    const stopsRequests = this.mode === "freeze" ||
-      this.mode === "freeze_requests";
-    const stopsAnswers = this.mode === "freeze" ||
-      this.mode === "freeze_answers";
-    if (stopsRequests) link.client.pause();
+    const { ending, requests, answers } = this.stops;
+    if (ending) return this.end(link, ending);
+    if (requests) link.client.pause();
     else link.client.resume();
-    if (stopsAnswers) link.server.pause();
+    if (answers) link.server.pause();
     else link.server.resume();
   }
 
-  private end(link: Link, how: "cut" | "reset"): void {
+  private end(link: Link, how: Ending): void {
     for (const socket of [link.client, link.server]) {
       if (how === "reset") socket.resetAndDestroy();
       else socket.destroy();
@@ -142,10 +149,7 @@
   }
 
   private forward(datagram: Buffer, clientPort: number): void {
-    if (
-      this.mode === "cut" || this.mode === "reset" || this.mode === "freeze" ||
-      this.mode === "freeze_requests"
-    ) return;
+    if (this.stops.ending || this.stops.requests) return;
     const link = this.udpLinks.get(String(clientPort)) ??
       this.openUdp(clientPort);
     link.send(datagram, this.target, "127.0.0.1", () => undefined);
@@ -155,10 +159,7 @@
     const link = createSocket("udp4");
     link.on("error", () => undefined);
     link.on("message", (datagram) => {
-      if (
-        this.mode === "cut" || this.mode === "reset" ||
-        this.mode === "freeze" || this.mode === "freeze_answers"
-      ) return;
+      if (this.stops.ending || this.stops.answers) return;
       this.udp.send(datagram, clientPort, "127.0.0.1", () => undefined);
     });
     this.udpLinks.set(String(clientPort), link);
