--- a/tests/peers/age_questions_test.ts
+++ b/tests/peers/age_questions_test.ts
@@ -1,33 +1,38 @@
 import test from "ava";
-import { AgeQuestions } from "../../src/peers/age_questions.ts";
+import {
+  AgeQuestions,
+  type AgeQuestionsOptions,
+} from "../../src/peers/age_questions.ts";
 import { HostTable } from "../../src/peers/host_table.ts";
 import type { PublicationWord } from "../../src/peers/publication_word.ts";
-import { withSockets } from "./start_hosts.ts";
+import { type TestSocket, withSockets } from "./with_sockets.ts";
 
-const OPTIONS = {
-  getPhase: () => "ready" as const,
-  tellEntries: () => undefined,
-};
 const WORD: PublicationWord = { digest: 5, revision: 6, publicationAgeMs: 321 };
 
+/** Starts the questions of a host that knows no other; by default it asks nobody. */
+function startQuestions(
+  { socket }: TestSocket,
+  options: Partial<AgeQuestionsOptions>,
+): AgeQuestions {
+  return AgeQuestions.create({
+    socket,
+    getSources: () => [],
+    getWord: () => WORD,
+    getPhase: () => "ready",
+    tellEntries: () => undefined,
+    hosts: HostTable.create("127.0.0.1:1"),
+    onWord: () => undefined,
+    ...options,
+  });
+}
+
 test("a host that asks another is told the age of what that knows, by its own clock", async (t) => {
   await withSockets(2, async ([source, asking]) => {
     const startedAt = performance.now();
-    const answering = AgeQuestions.create({
-      socket: source!.socket,
-      getSources: () => [],
-      getWord: () => WORD,
-      ...OPTIONS,
-      hosts: HostTable.create("127.0.0.1:1"),
-      onWord: () => undefined,
-    });
+    const answering = startQuestions(source!, {});
     await new Promise<void>((resolve) => {
-      const questions = AgeQuestions.create({
-        socket: asking!.socket,
+      const questions = startQuestions(asking!, {
         getSources: () => [source!.address],
-        getWord: () => WORD,
-        ...OPTIONS,
-        hosts: HostTable.create("127.0.0.1:1"),
         onWord: (sender, word, askedAt) => {
           t.is(sender, source!.address);
           t.deepEqual(word, WORD);
@@ -44,12 +49,7 @@
 test("an answer to a question that this host's clock has not reached is left out", async (t) => {
   await withSockets(2, async ([forger, asking]) => {
     const taken: number[] = [];
-    const questions = AgeQuestions.create({
-      socket: asking!.socket,
-      getSources: () => [],
-      getWord: () => WORD,
-      ...OPTIONS,
-      hosts: HostTable.create("127.0.0.1:1"),
+    const questions = startQuestions(asking!, {
       onWord: (_sender, _word, askedAt) => taken.push(askedAt),
     });
     const later = performance.now() + 1e9;
--- a/tests/peers/prefix_directory_test.ts
+++ b/tests/peers/prefix_directory_test.ts
@@ -2,7 +2,7 @@
 import { PrefixDirectory } from "../../src/peers/prefix_directory.ts";
 import { PrefixIndex } from "../../src/upstreams/prefix_index.ts";
 import { waitUntil } from "../system/with_fleet.ts";
-import { type TestSocket, withSockets } from "./start_hosts.ts";
+import { type TestSocket, withSockets } from "./with_sockets.ts";
 
 const HOSTS = 14;
 const PART = PrefixIndex.nameOf("c0ffee");
