Types of datagrams beside their codec; the judge of retries in two functions

What: what hosts send each other stands in datagram.ts, how it is written in datagram_codec.ts; judgeRetries leaves the windows to findExcess; constants that shared a sentence have their own. Why: the socket and the tests need the types only, and a judge that nobody can read proves little. No behaviour changes.

--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -37,6 +37,7 @@
   answers?: true;
 }
 
+/** What each mode stops. */
 const STOPS: Readonly<Record<ProxyMode, Stops>> = {
   pass: {},
   cut: { ending: "cut" },
--- a/soak/caller_attempt.ts
+++ b/soak/caller_attempt.ts
@@ -11,17 +11,21 @@
   timeoutMs: number;
 }
 
+/** What services that are no engines answer. */
 const PLAIN = {
   service: "plain",
   isStream: false,
   timeoutMs: 2_000,
 } as const;
+/** What engines answer. */
 const ENGINE = {
   service: "engine",
   isStream: true,
   timeoutMs: 3_000,
 } as const;
+/** What may be sent again after an attempt that may have run. */
 const REPEATABLE = { mayRepeat: true, maxAttempts: 2 } as const;
+/** What may not. */
 const ONCE = { mayRepeat: false, maxAttempts: 1 } as const;
 
 /** The rules of each kind. */
--- a/soak/judge_times.ts
+++ b/soak/judge_times.ts
@@ -113,23 +113,29 @@
       KIND_RULES[attempt.kind].service,
     ]),
   );
-  const services = new Set(serviceOf.values());
-  return [...services].flatMap((service) => {
-    const sent = attempts.filter((attempt) =>
-      serviceOf.get(attempt.requestId) === service
-    ).map((attempt) => attempt.sentAt);
-    const repeats = [...groupRuns(runs).values()].flatMap((ofRequest) =>
-      ofRequest.slice(1)
-    ).filter((run) => serviceOf.get(run.requestId) === service);
-    return repeats.flatMap(({ startedAt }) => {
-      const from = startedAt - BOUNDS.retryWindowMs;
-      const isInside = (at: number) => at > from && at <= startedAt;
-      const requests = sent.filter(isInside).length;
-      const count = repeats.filter((run) => isInside(run.startedAt)).length;
-      const most = BOUNDS.retryRatio * requests + BOUNDS.retryExtra;
-      return count > most
-        ? [`${service}: ${count} repeats in a window, ${most} allowed`]
-        : [];
-    });
+  const repeats = [...groupRuns(runs).values()].flatMap((ofRequest) =>
+    ofRequest.slice(1)
+  );
+  return [...new Set(serviceOf.values())].flatMap((service) => {
+    const isOwn = ({ requestId }: { requestId: string }) =>
+      serviceOf.get(requestId) === service;
+    return findExcess(
+      attempts.filter(isOwn).map((attempt) => attempt.sentAt),
+      repeats.filter(isOwn).map((run) => run.startedAt),
+    ).map((excess) => `${service}: ${excess}`);
+  });
+}
+
+/** The windows with more repeats than the requests in them allow; both are given by their times. */
+function findExcess(sent: number[], repeated: number[]): string[] {
+  return repeated.flatMap((end) => {
+    const from = end - BOUNDS.retryWindowMs;
+    const countInside = (times: number[]) =>
+      times.filter((at) => at > from && at <= end).length;
+    const count = countInside(repeated);
+    const most = BOUNDS.retryRatio * countInside(sent) + BOUNDS.retryExtra;
+    return count > most
+      ? [`${count} repeats in a window, ${most} allowed`]
+      : [];
   });
 }
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -13,9 +13,9 @@
 /** Time after a start in which a host that hears others leaves watching to them, in milliseconds: it does not know yet
  * who is to watch. */
 const STARTING_MS = 1_000;
-/** Pause after a failed read of the platform, in milliseconds; drawn between half and one and a half of it. Hosts that
- * only help out pause for longer, for every call has its price, also one that is refused. */
+/** Pause after a failed read of the platform, in milliseconds; drawn between half and one and a half of it. */
 const WATCHER_RETRY_MS = 200;
+/** The same for hosts that only help out, which is longer, for every call has its price, also one that is refused. */
 const HELPER_RETRY_MS = 1_000;
 /** Time for which the order of the hosts is used before it is worked out anew, in milliseconds: two rounds of gossip. */
 const ORDER_USED_FOR_MS = 400;
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -1,53 +1,13 @@
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
-import type { PrefixFact, PrefixSighting } from "../upstreams/prefix_index.ts";
+import type { Datagram, DatagramOf, DatagramType } from "./datagram.ts";
 import { packGossip } from "./pack_gossip.ts";
-import { type GossipMessage, gossipSchema } from "./gossip_schema.ts";
-import type { HostSighting } from "./host_table.ts";
+import { gossipSchema } from "./gossip_schema.ts";
 import {
   hostSightingsSchema,
   prefixFactsSchema,
   prefixSightingsSchema,
 } from "./told_schemas.ts";
-import type { PublicationWord } from "./publication_word.ts";
-
-/** What hosts send each other in one datagram. */
-export type Datagram =
-  | { type: "gossip"; message: GossipMessage }
-  /** Asks what the receiver knows of the publication and of other hosts; `askedAt` is the asking host's clock, and
-   * `phase` the index of what it is doing; `unknown` are short names of hosts whose entries it lacks. */
-  | {
-    type: "age_question";
-    askedAt: number;
-    phase: number;
-    unknown: readonly number[];
-  }
-  /** Answers such a question, with its `askedAt`. */
-  | {
-    type: "age_answer";
-    askedAt: number;
-    word: PublicationWord;
-    hosts: readonly HostSighting[];
-  }
-  /** Tells which engines were sent which parts of prompts. */
-  | { type: "prefix_facts"; facts: readonly PrefixFact[] }
-  /** Asks which engines keep a part of a prompt; the number tells answers apart. */
-  | { type: "prefix_question"; number: number; part: number }
-  /** Answers such a question, with its number. */
-  | {
-    type: "prefix_answer";
-    number: number;
-    sightings: readonly PrefixSighting[];
-  };
-
-/** Type of a datagram. */
-export type DatagramType = Datagram["type"];
-
-/** A datagram of one type. */
-export type DatagramOf<Type extends DatagramType> = Extract<
-  Datagram,
-  { type: Type }
->;
 
 /** How the body of one type is written and read. */
 interface BodyCodec<Type extends DatagramType> {
@@ -58,8 +18,10 @@
   schema: z.ZodType<DatagramOf<Type>>;
 }
 
+/** A datagram: the number of its type, and its body. */
 const packedSchema = z.tuple([z.number()]).rest(z.unknown());
 
+/** How each type is written and read. */
 const CODECS: { readonly [Type in DatagramType]: BodyCodec<Type> } = {
   gossip: {
     number: 0,
@@ -123,6 +85,7 @@
   },
 };
 
+/** By the number of a type on the wire, how its body is read. */
 const SCHEMA_BY_NUMBER = new Map<number, z.ZodType<Datagram>>(
   Object.values(CODECS).map(({ number, schema }) => [number, schema]),
 );
--- a/src/peers/datagram_socket.ts
+++ b/src/peers/datagram_socket.ts
@@ -2,13 +2,8 @@
 import { once } from "node:events";
 import { splitAddress } from "../addresses/split_address.ts";
 import type { Logger } from "../logging/logger.ts";
-import {
-  type Datagram,
-  type DatagramOf,
-  type DatagramType,
-  decodeDatagram,
-  encodeDatagram,
-} from "./datagram_codec.ts";
+import type { Datagram, DatagramOf, DatagramType } from "./datagram.ts";
+import { decodeDatagram, encodeDatagram } from "./datagram_codec.ts";
 
 /** Whether a datagram left this host or came in. */
 export type DatagramDirection = "sent" | "received";
--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { pack } from "msgpackr";
+import type { Datagram } from "../../src/peers/datagram.ts";
 import {
-  type Datagram,
   decodeDatagram,
   encodeDatagram,
 } from "../../src/peers/datagram_codec.ts";
