Name the state that the log gives an upstream, and the handlers that end programs

What: the nested choice of a state is a function; isWatching, which told nothing of the handlers it stands for, is hasHandlers. Why: house style, and a name that said something else. No behaviour changes: the log's event and fields are those of before.

--- a/src/published/publication_keeper.ts
+++ b/src/published/publication_keeper.ts
@@ -8,6 +8,7 @@
   UpstreamChange,
 } from "./publication_feed.ts";
 import { RouteTable } from "./route_table.ts";
+import type { PublishedUpstream } from "./upstream_schema.ts";
 
 /** Age of what is known from which an outage of the platform lies behind it, in milliseconds: beyond what it reaches
  * while a host of the fleet reads the platform, and below the three missed heartbeats after which entries lapse. */
@@ -164,11 +165,7 @@
     if (result.isConfigurationNew) this.applyConfiguration(source);
     if (result.changes.length === 0) return;
     for (const { id, revision, upstream } of result.changes) {
-      const state = !upstream
-        ? "gone"
-        : upstream.isLeaving
-        ? "leaving"
-        : "live";
+      const state = nameState(upstream);
       const address = upstream?.address ?? "";
       const service = upstream?.service ?? "";
       this.options.logger.info(
@@ -190,3 +187,11 @@
     this.options.onConfiguration(this.table);
   }
 }
+
+/** What the log calls the state of an upstream as it is published. */
+function nameState(
+  upstream: PublishedUpstream | undefined,
+): "gone" | "leaving" | "live" {
+  if (!upstream) return "gone";
+  return upstream.isLeaving ? "leaving" : "live";
+}
--- a/tools/program_process.ts
+++ b/tools/program_process.ts
@@ -84,13 +84,15 @@
   }
 }
 
+/** The processes that run. */
 const running = new Set<ChildProcess>();
-let isWatching = false;
+/** Whether the end of this process ends them. */
+let hasHandlers = false;
 
 /** Kills a process when this one ends, also where a signal ends it: a run that was broken off leaves nothing behind. */
 function endWithThisProcess(child: ChildProcess): void {
-  if (!isWatching) {
-    isWatching = true;
+  if (!hasHandlers) {
+    hasHandlers = true;
     process.once("exit", killRunning);
     for (const signal of ["SIGTERM", "SIGINT"] as const) {
       process.once(signal, () => process.exit(1));
