In a large fleet all facts about prompts go to their keepers

Cause, found by the tidying read: tellFacts took at most 80 of them, and gossip then took the rest to three hosts that are not the parts' keepers. Only bursts of more than 80 were hit. Test: prefix_index_test.

--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -91,7 +91,7 @@
   /** Tells other hosts soon which engines were sent which parts of prompts. */
   tellFacts(): void {
     if (this.isLarge) {
-      this.directory.tell(this.options.chooser.prefixes.takeFacts());
+      this.directory.tell(this.options.chooser.prefixes.takeAllFacts());
     } else this.gossip.announce();
   }
 
@@ -123,8 +123,8 @@
       hall: getSettings().hall,
       getSeeds: () => getSettings().seedAddresses,
       describeSelf: () => this.describeSelf(),
-      takeFacts: () => prefixes.takeFacts(),
-      hasFacts: () => prefixes.hasUntold,
+      takeFacts: () => this.isLarge ? [] : prefixes.takeFacts(),
+      hasFacts: () => !this.isLarge && prefixes.hasUntold,
       onFacts: (facts) => prefixes.learn(facts, performance.now()),
       onEntry: (entry, heardAt, askedAt) =>
         this.takeEntry(entry, heardAt, askedAt),
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -98,11 +98,16 @@
     for (const fact of facts) this.put(fact, now);
   }
 
-  /** The facts to tell other hosts in this round; each is given once. */
+  /** The facts to tell other hosts in one datagram; each is given once. */
   takeFacts(): PrefixFact[] {
     return this.untold.splice(0, MAX_FACTS);
   }
 
+  /** All facts to tell other hosts; each is given once. */
+  takeAllFacts(): PrefixFact[] {
+    return this.untold.splice(0);
+  }
+
   /** The facts used last, for a host that has just started.
    * @param limit Most facts.
    * @param now Monotonic milliseconds. */
--- /dev/null
+++ b/tests/upstreams/prefix_index_test.ts
@@ -0,0 +1,28 @@
+import test from "ava";
+import { PrefixIndex } from "../../src/upstreams/prefix_index.ts";
+
+const ENGINE = 7;
+/** More facts than go into one datagram. */
+const PARTS = Array.from(
+  { length: 200 },
+  (_, index) => ({ name: index + 1, tokens: 10 }),
+);
+
+test("facts are told once, by datagrams or all at a time", (t) => {
+  const prefixes = PrefixIndex.create();
+  prefixes.noteSent(PARTS, ENGINE, false, 0);
+  const first = prefixes.takeFacts();
+  t.true(first.length > 0 && first.length < PARTS.length);
+  t.is(first.length + prefixes.takeAllFacts().length, PARTS.length);
+  t.false(prefixes.hasUntold);
+});
+
+test("another's sighting is taken over with its age, and what is known to be later stays", (t) => {
+  const prefixes = PrefixIndex.create();
+  prefixes.recall(1, [[ENGINE, 20_000]], 20_000);
+  t.true(prefixes.isKept(1, ENGINE, 20_000));
+  t.false(prefixes.isKept(1, ENGINE, 40_000));
+  prefixes.learn([[1, ENGINE, 0]], 30_000);
+  prefixes.recall(1, [[ENGINE, 25_000]], 30_000);
+  t.true(prefixes.isKept(1, ENGINE, 40_000));
+});
