--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -3,7 +3,7 @@
 import { DatagramSocket } from "../peers/datagram_socket.ts";
 import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
-import { type KnownHost, SMALL_FLEET } from "../peers/host_table.ts";
+import type { KnownHost } from "../peers/host_table.ts";
 import { PrefixDirectory } from "../peers/prefix_directory.ts";
 import type { PublicationWord } from "../peers/publication_word.ts";
 import type { PublicationKeeper } from "../published/publication_keeper.ts";
@@ -90,7 +90,7 @@
 
   /** Tells other hosts soon which engines were sent which parts of prompts. */
   tellFacts(): void {
-    if (this.isLarge) {
+    if (this.gossip.isLargeFleet) {
       this.directory.tell(this.options.chooser.prefixes.takeAllFacts());
     } else this.gossip.announce();
   }
@@ -98,7 +98,7 @@
   /** In a large fleet, finds out which engines keep a part that is not known of here; nothing where nobody is asked.
    * @param part Short name of the part. */
   learnPart(part: number): Promise<void> | undefined {
-    return this.isLarge ? this.directory.learn(part) : undefined;
+    return this.gossip.isLargeFleet ? this.directory.learn(part) : undefined;
   }
 
   /** Ends the link. */
@@ -109,10 +109,6 @@
     this.socket.close();
   }
 
-  private get isLarge(): boolean {
-    return this.getLiveHosts().length > SMALL_FLEET;
-  }
-
   private createGossip(address: string): Gossip {
     const { logger, getSettings, chooser } = this.options;
     const { prefixes } = chooser;
@@ -123,8 +119,8 @@
       hall: getSettings().hall,
       getSeeds: () => getSettings().seedAddresses,
       describeSelf: () => this.describeSelf(),
-      takeFacts: () => this.isLarge ? [] : prefixes.takeFacts(),
-      hasFacts: () => !this.isLarge && prefixes.hasUntold,
+      takeFacts: () => prefixes.takeFacts(),
+      hasFacts: () => prefixes.hasUntold,
       onFacts: (facts) => prefixes.learn(facts, performance.now()),
       onEntry: (entry, heardAt, askedAt) =>
         this.takeEntry(entry, heardAt, askedAt),
@@ -154,7 +150,8 @@
   }
 
   private takeEntry(entry: PeerEntry, heardAt: number, askedAt?: number): void {
-    const usedForMs = LOADS_USED_FOR_MS[this.isLarge ? "large" : "small"];
+    const usedForMs =
+      LOADS_USED_FOR_MS[this.gossip.isLargeFleet ? "large" : "small"];
     const { loads } = this.options.chooser;
     loads.record(entry.id, entry.loads, heardAt + usedForMs);
     if (askedAt !== undefined) this.takeWord(entry, entry, askedAt);
@@ -181,7 +178,7 @@
 
   /** Hosts to ask how old what they know is; in a small fleet each datagram tells it. */
   private getSources(): string[] {
-    if (!this.isLarge) return [];
+    if (!this.gossip.isLargeFleet) return [];
     const addresses = new Map(
       this.getLiveHosts().map(({ entry }) => [entry.id, entry.gossipAddress]),
     );
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -40,7 +40,7 @@
   getSeeds: () => readonly string[];
   /** What this host tells of itself, but for the fields that gossip itself fills in. */
   describeSelf: () => Omit<PeerEntry, "incarnation" | "sequence">;
-  /** Facts about prompts to tell in a round; each is given once. */
+  /** Facts about prompts to tell in a round of a small fleet; each is given once. */
   takeFacts: () => PrefixFact[];
   /** Whether facts are left to tell. */
   hasFacts: () => boolean;
@@ -77,6 +77,11 @@
     return gossip;
   }
 
+  /** Whether there are too many hosts for each to tell all others in every round. */
+  get isLargeFleet(): boolean {
+    return this.hosts.getLive(performance.now()).length > SMALL_FLEET;
+  }
+
   /** Tells hosts soon, rather than with the next round; what comes up meanwhile is told along. */
   announce(): void {
     this.announcement ??= setTimeout(() => {
@@ -105,22 +110,19 @@
     this.sequence += 1;
     this.hosts.forget(now);
     this.logChanges(now);
-    if (this.isTelling(now)) this.tellChosen();
-  }
-
-  private isTelling(now: number): boolean {
-    const isLarge = this.hosts.getLive(now).length > SMALL_FLEET;
-    return !isLarge || this.round % ROUNDS_PER_TELLING === 0;
+    const isDue = this.round % ROUNDS_PER_TELLING === 0;
+    if (isDue || !this.isLargeFleet) this.tellChosen();
   }
 
   private tellChosen(): void {
     const now = performance.now();
     const sender = this.describeSelf();
-    const facts = this.options.takeFacts();
+    const isLarge = this.isLargeFleet;
+    const facts = isLarge ? [] : this.options.takeFacts();
     for (const address of this.chooseTargets(now)) {
       this.tell(address, sender, facts, this.chooseRelayed(address, now));
     }
-    if (this.options.hasFacts()) this.announce();
+    if (!isLarge && this.options.hasFacts()) this.announce();
   }
 
   private chooseTargets(now: number): string[] {
