--- a/tests/platform/signals_test.ts
+++ b/tests/platform/signals_test.ts
@@ -1,14 +1,10 @@
-import process from "node:process";
-import test, { registerCompletionHandler } from "ava";
+import test from "ava";
 import { Random } from "../../src/random/random.ts";
 import type { CallerAttempt } from "../../soak/caller_attempt.ts";
 import { SoakCaller } from "../../soak/soak_caller.ts";
 import { SoakFleet } from "../../soak/soak_fleet.ts";
 import { waitUntil } from "../system/with_fleet.ts";
 
-// Connections that a killed process leaves half open must not keep the file from ending.
-registerCompletionHandler(() => process.exit());
-
 const SEED = 7;
 
 /** Starts one gateway before one engine, and a stream through it that is under way when the body runs. */
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -1,11 +1,7 @@
-import process from "node:process";
-import test, { registerCompletionHandler } from "ava";
+import test from "ava";
 import { REGRESSION_SEEDS } from "../../soak/regression_seeds.ts";
 import { runSeed } from "../../soak/run_seed.ts";
 
-// Connections that a killed process leaves half open must not keep the file from ending.
-registerCompletionHandler(() => process.exit());
-
 /** The short run that is no regression. */
 const SHORT_RUN = { seed: 1, seconds: 8, cause: "none; the short run of CI" };
 
