A new owner counts what the lost one may have started and not told

Cause: on a takeover the new owner counted the load that was last told, and its first report, which lags by 300 ms, replaced that; requests that the lost owner had started since (growth was told in steps of 1.2 x and 2 over the sum of all its upstreams, so one upstream's growth could hide behind another's fall) were counted by nobody. Ruled out by reading: the mean (load_book_test), the pause of a woken owner. Change: growth is told for each upstream (ToldLoads), what may be untold is a stated budget (getMostUntold), and the new owner counts told plus budget for 1 s, in which reports may still lack it.

--- a/src/owner/foreign_load.ts
+++ b/src/owner/foreign_load.ts
@@ -1,3 +1,5 @@
+import { getMostUntold } from "./told_loads.ts";
+
 /** Time over which the own load is remembered: the lag of reports and their interval. */
 const WINDOW_MS = 2_000;
 
@@ -8,6 +10,9 @@
 
 /** Time after a takeover in which reports may show requests of the former owner. */
 const TAKEOVER_MS = 3_000;
+/** Time after a takeover in which reports may still lack requests of the former owner, in milliseconds: three times the
+ * usual lag of a report, for it may be read late too. */
+const REPORTS_LACK_MS = 1_000;
 
 /** Works out what an upstream carries for other routers, from its lagging report.
  * What the report shows beyond the most that this router had running during the lag is foreign.
@@ -18,6 +23,9 @@
   private foreign = 0;
   private leastForeign = 0;
   private takeoverEndsAt = -1;
+  private reportsLackUntil = -1;
+  /** Requests that the former owner may have left running, but for those that were taken over since. */
+  private leftBehind = 0;
 
   private constructor() {}
 
@@ -49,15 +57,21 @@
     this.foreign = now < this.takeoverEndsAt
       ? Math.max(0, inFlight - resumed)
       : this.leastForeign;
+    if (now < this.reportsLackUntil) {
+      this.foreign = Math.max(this.foreign, this.leftBehind);
+    }
   }
 
-  /** Begins a takeover: what the former owner last told is foreign until a report says otherwise.
+  /** Begins a takeover: what the former owner last told, and what it may have started since, is foreign until reports
+   * can't lack it any more.
    * @param told Load that the former owner last told.
    * @param now Monotonic milliseconds. */
   takeOver(told: number, now: number): void {
-    if (told <= 0) return;
+    if (told < 0) return;
     this.takeoverEndsAt = now + TAKEOVER_MS;
-    this.foreign = Math.max(this.foreign, told);
+    this.reportsLackUntil = now + REPORTS_LACK_MS;
+    this.leftBehind = told + getMostUntold(told);
+    this.foreign = Math.max(this.foreign, this.leftBehind);
   }
 
   /** Begins anew after a pause of this process, in which another router may have owned the upstream: all that reports
@@ -70,6 +84,7 @@
   /** Counts one foreign request as own from now on. */
   resumeOne(): void {
     this.foreign = Math.max(0, this.foreign - 1);
+    this.leftBehind = Math.max(0, this.leftBehind - 1);
   }
 
   /** Requests that other routers have running at least; the mean is made of these, for it must not be too high. */
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -12,6 +12,7 @@
 import { JobTable } from "./job_table.ts";
 import type { LoadBook } from "./load_book.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
+import { ToldLoads } from "./told_loads.ts";
 import { UpstreamRegistry } from "./upstream_registry.ts";
 import type { UpstreamStatus } from "./upstream_status.ts";
 import { cancelOnEngine, workOn } from "./work_on.ts";
@@ -20,9 +21,6 @@
 const CLAIM_TIMEOUT_MS = 2_000;
 /** Time after which an upstream that is neither owned nor used is forgotten. */
 const SWEEP_INTERVAL_MS = 250;
-/** Growth of the own load since peers were told, above which they are told at once. */
-const PUSH_GROWTH = 1.2;
-const PUSH_STEP = 2;
 
 /** What the owner needs of the rest of the router. */
 export interface OwnerOptions {
@@ -57,7 +55,7 @@
   private readonly jobs = JobTable.create();
   private readonly actor: Actor<OwnerMessages>;
   private readonly timers: NodeJS.Timeout[];
-  private toldLoad = 0;
+  private readonly toldLoads = ToldLoads.create();
   private isStopping = false;
 
   private constructor(private readonly options: OwnerOptions) {
@@ -324,11 +322,10 @@
   }
 
   private noteGrowth(): void {
-    let load = 0;
-    for (const upstream of this.registry.getAll()) load += upstream.load;
-    if (load > this.toldLoad * PUSH_GROWTH + PUSH_STEP) {
-      this.options.onLoadGrew();
-    } else if (load >= this.toldLoad) return;
-    this.toldLoad = load;
+    const loads = this.registry.getAll().map(({ host, load }) => ({
+      upstreamId: host.id,
+      load,
+    }));
+    if (this.toldLoads.note(loads)) this.options.onLoadGrew();
   }
 }
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -190,7 +190,7 @@
       now,
       REMEMBERED_MS,
     );
-    upstream.foreign.takeOver(told ?? 0, now);
+    if (told !== undefined) upstream.foreign.takeOver(told, now);
   }
 
   private isOwner(host: Host): boolean {
--- a/tests/owner/owned_upstream_test.ts
+++ b/tests/owner/owned_upstream_test.ts
@@ -57,3 +57,28 @@
   upstream.takeReport(buildReport(2), 5_020);
   t.false(upstream.isLoadUnknown);
 });
+
+test("a router that takes over counts what the lost owner started and did not tell, though reports lack it", (t) => {
+  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  const told = 3;
+  const running = 4;
+  upstream.foreign.takeOver(told, 0);
+  t.true(upstream.load >= running);
+  upstream.takeReport(buildReport(2), 50);
+  t.true(upstream.load >= running);
+  upstream.takeReport(buildReport(running), 1_500);
+  t.is(upstream.load, running);
+});
+
+test("a request that is taken over is not counted twice", (t) => {
+  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  upstream.foreign.takeOver(3, 0);
+  const before = upstream.load;
+  const job = {
+    customer: "c",
+    offer: { resumes: true },
+  } as unknown as Job;
+  upstream.add(job, 10);
+  upstream.takeReport(buildReport(3), 50);
+  t.is(upstream.load, before);
+});
