An engine that lost one answer is a source of prompts again once it is heard

Cause: an upstream on which a connection broke was left out as a source of prompts for 3 s. Change: it is out of reach until any of its answers brings bytes again, 3 s at most; a crashed one brings none. Ruled out: leaving the sign out altogether, for a fetch from a dead engine holds its request up.

--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -148,7 +148,7 @@
   ): Upstream | undefined {
     if (!this.options.getService(service)?.canFetch) return undefined;
     const engines = this.upstreams.getPresent(service).filter((engine) =>
-      engine.health.isWithinReach(now)
+      engine.isWithinReach(now)
     );
     return findFetchSource(parts, target, engines, this.prefixes, now);
   }
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -41,6 +41,12 @@
     return this.published.id;
   }
 
+  /** Whether it is likely there, so that other upstreams can fetch from it.
+   * @param now Monotonic milliseconds. */
+  isWithinReach(now: number): boolean {
+    return this.health.isWithinReach(this.heardAt, now);
+  }
+
   /** Closes the idle connections; those in use close with their request. */
   close(): void {
     this.channels.close();
--- a/src/upstreams/upstream_health.ts
+++ b/src/upstreams/upstream_health.ts
@@ -4,7 +4,8 @@
 const FAULT_EJECTION_RATE = 0.33;
 /** Rate of error answers above which an upstream is left out; well above what a request's own content causes. */
 const ERROR_EJECTION_RATE = 0.5;
-/** Time after a broken connection for which an upstream is not taken to be within reach, in milliseconds. */
+/** Time after a broken connection for which an upstream that was not heard since is not taken to be within reach, in
+ * milliseconds. */
 const OUT_OF_REACH_MS = 3_000;
 /** First time for which an upstream is left out, in milliseconds; it doubles while failures go on. */
 const FIRST_EJECTION_MS = 1_000;
@@ -41,7 +42,7 @@
   private errorRate = 0;
   private ejections = 0;
   private ejectedUntil = -Infinity;
-  private outOfReachUntil = -Infinity;
+  private brokenAt = -Infinity;
 
   private constructor() {}
 
@@ -66,10 +67,12 @@
     return now < this.ejectedUntil;
   }
 
-  /** Whether connections to the upstream held lately.
+  /** Whether the upstream is likely there: no connection to it broke lately, or it was heard since. One that loses single
+   * answers still gives others what it keeps.
+   * @param heardAt Monotonic milliseconds at which any of its answers last brought bytes.
    * @param now Monotonic milliseconds. */
-  isWithinReach(now: number): boolean {
-    return now >= this.outOfReachUntil;
+  isWithinReach(heardAt: number, now: number): boolean {
+    return heardAt > this.brokenAt || now - this.brokenAt >= OUT_OF_REACH_MS;
   }
 
   /** Records how an attempt ended.
@@ -83,7 +86,7 @@
     this.faultRate += fault * (Number(isFault) - this.faultRate);
     this.errorRate += error * (Number(isError) - this.errorRate);
     if (sign === "unreachable" || sign === "broken") {
-      this.outOfReachUntil = now + OUT_OF_REACH_MS;
+      this.brokenAt = now;
     }
     if (sign === "good" && !this.isSuspect) this.ejections = 0;
     if (sign === "good" || this.isEjected(now)) return 0;
