A request whose first answer is overdue goes elsewhere, whoever else its upstream answers

Cause: a silent request that may run again went to another upstream only where its own answered nobody or had failed lately. Change: after 0.6 of the objective a first answer is overdue; the request is sent elsewhere if it may run again and the budget has a retry. call_run_test fails on the code before (504) and passes now.

--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -123,7 +123,10 @@
     this.silence = SilenceWatch.create(
       upstream,
       this.call.route,
-      (silence) => this.takeSilence(upstream, silence),
+      {
+        onOverdue: ({ silentMs }) => this.sendElsewhere(upstream, silentMs),
+        onSilence: (silence) => this.takeSilence(upstream, silence),
+      },
     );
   }
 
@@ -181,21 +184,26 @@
     this.retryUnrun(`declined with ${status}`);
   }
 
-  /** A silent upstream counts as unsound; where it is likely stuck a request that may run again goes elsewhere, any
-   * other waits on. */
+  /** A silent upstream counts as unsound; where it is likely stuck the request goes elsewhere. */
   private takeSilence(upstream: Upstream, silence: Silence): void {
     if (this.isOver || this.attempt?.isPaused) return;
-    const detail = `silent for ${Math.round(silence.silentMs)} ms`;
-    this.log.noteTrouble(upstream, detail, this.tried.size);
+    const { silentMs, isLikelyStuck } = silence;
+    this.log.noteTrouble(upstream, describeSilence(silentMs), this.tried.size);
     this.context.noteHealth(upstream, "silent");
-    if (!silence.isLikelyStuck || !this.budget.allowsRun(1)) return;
+    if (isLikelyStuck) this.sendElsewhere(upstream, silentMs);
+  }
+
+  /** Gives an attempt up for one at another upstream, where the request may run again and there is one; else it waits on. */
+  private sendElsewhere(upstream: Upstream, silentMs: number): void {
+    const isUnderWay = !this.isOver && this.attempt?.upstream === upstream;
+    if (!isUnderWay || !this.budget.allowsRun(1)) return;
     const other = this.context.choose(this.call, this.tried);
     if (!other || !this.budget.spendRetry()) return;
     const wasSent = this.attempt?.wasSent ?? false;
     this.attempt?.abandon();
     if (wasSent) this.budget.noteRan();
     else this.budget.noteUnrun();
-    this.sendTo(other, detail);
+    this.sendTo(other, describeSilence(silentMs));
   }
 
   private takeBytes(bytes: Buffer): void {
@@ -277,3 +285,7 @@
     this.context.onEnd(this, { result, detail, durationMs, attempts });
   }
 }
+
+function describeSilence(silentMs: number): string {
+  return `silent for ${Math.round(silentMs)} ms`;
+}
--- a/src/forward/silence_watch.ts
+++ b/src/forward/silence_watch.ts
@@ -5,6 +5,9 @@
 const SUSPECT_PART = 0.5;
 /** Part of a route's objective after which it is missed from any other, which may only be busy with a long prompt. */
 const SOUND_PART = 1;
+/** Part of a route's objective after which a first answer is overdue, whoever else the upstream answers: single answers get
+ * lost, and what is left lets a request that may run again still be in time elsewhere. */
+const OVERDUE_PART = 0.6;
 /** Least time after which a first answer is missed, in milliseconds: some times what a sound upstream takes for its
  * shortest work. */
 const LEAST_SILENCE_MS = 60;
@@ -21,36 +24,50 @@
   isLikelyStuck: boolean;
 }
 
+/** Told of an attempt's silences. */
+export interface SilenceListener {
+  /** The first answer is overdue, which says little of the upstream; told once at most. */
+  onOverdue(silence: Silence): void;
+  /** The upstream is silent; told again where that goes on as long. */
+  onSilence(silence: Silence): void;
+}
+
 /** Notices when an attempt has been silent for too long. */
 export class SilenceWatch {
   private timer: NodeJS.Timeout | undefined;
   private isClosed = false;
   private heardAt = performance.now();
+  private overdueTimer: NodeJS.Timeout | undefined;
 
   private constructor(
     private readonly upstream: Upstream,
     private readonly route: Route,
-    private readonly onSilence: (silence: Silence) => void,
+    private readonly listener: SilenceListener,
   ) {}
 
   /** Starts to watch an attempt that is being sent.
    * @param upstream Where it is sent.
    * @param route The request's route.
-   * @param onSilence Told of each silence, and again where it goes on as long. */
+   * @param listener Told of silences. */
   static create(
     upstream: Upstream,
     route: Route,
-    onSilence: (silence: Silence) => void,
+    listener: SilenceListener,
   ): SilenceWatch {
-    const watch = new SilenceWatch(upstream, route, onSilence);
+    const watch = new SilenceWatch(upstream, route, listener);
     const part = upstream.health.isSuspect ? SUSPECT_PART : SOUND_PART;
     watch.arm(Math.max(LEAST_SILENCE_MS, route.objectiveMs * part));
+    watch.overdueTimer = setTimeout(
+      () => listener.onOverdue(watch.describe()),
+      Math.max(LEAST_SILENCE_MS, route.objectiveMs * OVERDUE_PART),
+    );
     return watch;
   }
 
   /** Notes that bytes of the answer came. */
   noteBytes(): void {
     this.heardAt = performance.now();
+    clearTimeout(this.overdueTimer);
     this.arm((this.route.gapObjectiveMs ?? DEFAULT_GAP_MS) * STALL_PART);
   }
 
@@ -58,6 +75,7 @@
   close(): void {
     this.isClosed = true;
     clearTimeout(this.timer);
+    clearTimeout(this.overdueTimer);
   }
 
   private arm(milliseconds: number): void {
@@ -67,10 +85,14 @@
   }
 
   private tell(milliseconds: number): void {
+    const silence = this.describe();
+    this.arm(milliseconds);
+    this.listener.onSilence(silence);
+  }
+
+  private describe(): Silence {
     const isLikelyStuck = this.upstream.health.isSuspect ||
       this.upstream.heardAt <= this.heardAt;
-    const silentMs = performance.now() - this.heardAt;
-    this.arm(milliseconds);
-    this.onSilence({ silentMs, isLikelyStuck });
+    return { silentMs: performance.now() - this.heardAt, isLikelyStuck };
   }
 }
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -100,6 +100,7 @@
   behaviours: readonly Behaviour[],
   changes: Partial<Route> = {},
   onStart: (run: CallRun, route: Route) => void = () => undefined,
+  prepare: (upstreams: readonly Upstream[]) => void = () => undefined,
 ): Promise<Received & { requests: IncomingMessage[] }> {
   const requests: IncomingMessage[] = [];
   const servers = behaviours.map((behaviour) =>
@@ -113,6 +114,7 @@
   for (const server of servers) {
     upstreams.push(createUpstream(upstreams.length, await listen(server)));
   }
+  prepare(upstreams);
   const received = await callThrough(upstreams, buildRoute(changes), onStart);
   for (const upstream of upstreams) upstream.close();
   for (const server of servers) {
@@ -264,6 +266,17 @@
   t.is(received.outcome.attempts, 2);
 });
 
+test("a repeatable request whose answer is lost goes elsewhere though its upstream answers others", async (t) => {
+  const received = await runCall(
+    [silent, answered],
+    { objectiveMs: 100 },
+    undefined,
+    ([first]) => first!.heardAt = Infinity,
+  );
+  t.is(received.status, 200);
+  t.is(received.outcome.attempts, 2);
+});
+
 test("a request that may run once waits for a silent upstream", async (t) => {
   const slow: Behaviour = (_request, response) =>
     void setTimeout(() => {
