--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -100,10 +100,11 @@
     tried: ReadonlySet<string>,
   ): Upstream | undefined {
     const { boundMultiple, hall } = this.options.getSettings();
+    const otherHosts = this.options.countHosts() - 1;
     return chooseUpstream({
       candidates: this.getCandidates(call.service),
       boundMultiple,
-      countAge: this.options.countHosts() <= SMALL_FLEET ? "fresh" : "late",
+      countAge: otherHosts <= SMALL_FLEET ? "fresh" : "late",
       tried,
       isCautious: !mayRunAgain(call),
       sharedParts: call.sharedParts,
--- a/src/owner/told_loads.ts
+++ b/src/owner/told_loads.ts
@@ -18,7 +18,7 @@
 
 /** What peers were told of the loads of a router's upstreams, to tell them again before one has grown too much. */
 export class ToldLoads {
-  private readonly told = new Map<string, number>();
+  private told: ReadonlyMap<string, number> = new Map();
 
   private constructor() {}
 
@@ -32,10 +32,12 @@
    * @returns Whether peers are to be told of them now; they then count as told. */
   note(loads: readonly OwnLoad[]): boolean {
     const hasGrown = loads.some((one) => this.hasGrown(one));
-    for (const { upstreamId, load } of loads) {
-      const told = this.told.get(upstreamId) ?? 0;
-      if (hasGrown || load < told) this.told.set(upstreamId, load);
-    }
+    this.told = new Map(
+      loads.map(({ upstreamId, load }) => {
+        const told = this.told.get(upstreamId) ?? 0;
+        return [upstreamId, hasGrown ? load : Math.min(told, load)];
+      }),
+    );
     return hasGrown;
   }
 
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -13,8 +13,7 @@
 }
 
 /** By how late other hosts' counts are, up to which load a chat goes to an engine that keeps its context; the rest is for
- * what those hosts sent since. With counts of the last round the closer limit leaves 0.84 of the bytes of prompts that the
- * wider one has engines move (380 to 321 GB over five played days). */
+ * what those hosts sent since. A limit that is too far below the bound has engines copy prompts that a sound one keeps. */
 const KEEPING_LIMITS: Readonly<Record<CountAge, KeepingLimit>> = {
   fresh: { part: 0.92, extra: 2.2 },
   late: { part: 0.8, extra: 2.2 },
