Cheaper choice among many engines, and one timer for a stream's pauses

Each request ranked all engines by a hash, and each event of a stream made a timer. Change: all engines are ranked only where none that keeps the prompt has room; the timer of pauses is set back.

--- a/src/forward/silence_watch.ts
+++ b/src/forward/silence_watch.ts
@@ -35,6 +35,7 @@
 /** Notices when an attempt has been silent for too long. */
 export class SilenceWatch {
   private timer: NodeJS.Timeout | undefined;
+  private armedForMs = 0;
   private isClosed = false;
   private heardAt = performance.now();
   private overdueTimer: NodeJS.Timeout | undefined;
@@ -78,15 +79,21 @@
     clearTimeout(this.overdueTimer);
   }
 
+  /** Arms the timer; with the same time again it is only set back, for this is done with each event of a stream. */
   private arm(milliseconds: number): void {
-    clearTimeout(this.timer);
     if (this.isClosed) return;
-    this.timer = setTimeout(() => this.tell(milliseconds), milliseconds);
+    if (this.timer && milliseconds === this.armedForMs) {
+      this.timer.refresh();
+      return;
+    }
+    clearTimeout(this.timer);
+    this.armedForMs = milliseconds;
+    this.timer = setTimeout(() => this.tell(), milliseconds);
   }
 
-  private tell(milliseconds: number): void {
+  private tell(): void {
     const silence = this.describe();
-    this.arm(milliseconds);
+    this.timer?.refresh();
     this.listener.onSilence(silence);
   }
 
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -79,23 +79,42 @@
 ): Upstream {
   const { sharedParts, prefixes, loads, now } = options;
   const lastPart = sharedParts.at(-1)!.name;
-  const total = usable.reduce((sum, one) => sum + loads.getTotal(one), 0);
-  const { part, extra } = KEEPING_LIMITS[options.countAge];
-  const multiple = options.boundMultiple * part;
-  const limit = multiple * total / usable.length + extra;
-  const byId = new Map(usable.map((upstream) => [upstream.id, upstream]));
-  const ranked = rankByRendezvous(String(lastPart), [...byId.keys()])
-    .map((id) => byId.get(id)!);
-  const keeping = ranked.filter((upstream) =>
+  const limit = computeLimit(usable, options);
+  const hasRoom = (upstream: Upstream) => loads.getTotal(upstream) < limit;
+  const keeping = usable.filter((upstream) =>
     prefixes.isKept(lastPart, upstream.shortName, now)
   );
-  const idle = ranked.filter((upstream) =>
+  // All are ranked only where none that keeps the prompt has room: that costs a hash for each of them.
+  return rankForPart(lastPart, keeping).find(hasRoom) ??
+    findPlace(rankForPart(lastPart, usable).filter(hasRoom), options) ??
+    chooseLeastLoaded(usable, options);
+}
+
+/** Requests below which an engine may get a chat. */
+function computeLimit(
+  usable: readonly Upstream[],
+  { loads, boundMultiple, countAge }: ChoiceOptions,
+): number {
+  const { part, extra } = KEEPING_LIMITS[countAge];
+  const total = usable.reduce((sum, one) => sum + loads.getTotal(one), 0);
+  return boundMultiple * part * total / usable.length + extra;
+}
+
+/** Engines in the order in which a part of a prompt goes to them. */
+function rankForPart(part: number, engines: readonly Upstream[]): Upstream[] {
+  const byId = new Map(engines.map((engine) => [engine.id, engine]));
+  return rankByRendezvous(String(part), [...byId.keys()])
+    .map((id) => byId.get(id)!);
+}
+
+/** The first engine that is not reading far ahead, else the first. */
+function findPlace(
+  ranked: readonly Upstream[],
+  { prefixes, now }: ChoiceOptions,
+): Upstream | undefined {
+  return ranked.find((upstream) =>
     prefixes.getReadingMs(upstream.shortName, now) < BUSY_READING_MS
-  );
-  const chosen = [...keeping, ...idle, ...ranked].find((upstream) =>
-    loads.getTotal(upstream) < limit
-  );
-  return chosen ?? chooseLeastLoaded(usable, options);
+  ) ?? ranked[0];
 }
 
 function chooseLeastLoaded(
