An overdue request waits on where its prompt is dear to read again

Change: an overdue request goes elsewhere only if reading its shared parts takes up to a tenth of the objective.

--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -1,6 +1,7 @@
 import { Failure } from "../errors/failure.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
 import type { Route } from "../published/configuration_schema.ts";
+import { estimateReadingMs } from "../upstreams/prefix_index.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import {
@@ -21,6 +22,10 @@
 /** Least time left in which sending once more makes sense, in milliseconds. */
 const LEAST_REMAINING_MS = 15;
 
+/** Part of a route's objective up to which reading a prompt's shared parts may take for the request to be sent elsewhere
+ * when it is overdue: some are only slow, and a long prompt that is read twice costs more than the answer in time. */
+const REREAD_PART = 0.1;
+
 /** One request on its way: attempts at upstreams until one gives the answer, or time or retries are used up. */
 export class CallRun {
   private readonly tried = new Set<string>();
@@ -124,7 +129,7 @@
       upstream,
       this.call.route,
       {
-        onOverdue: ({ silentMs }) => this.sendElsewhere(upstream, silentMs),
+        onOverdue: ({ silentMs }) => this.takeOverdue(upstream, silentMs),
         onSilence: (silence) => this.takeSilence(upstream, silence),
       },
     );
@@ -193,6 +198,14 @@
     if (isLikelyStuck) this.sendElsewhere(upstream, silentMs);
   }
 
+  /** Sends a request whose answer may be lost elsewhere, unless its prompt is dear to read a second time. */
+  private takeOverdue(upstream: Upstream, silentMs: number): void {
+    const { sharedParts, route } = this.call;
+    const readingMs = estimateReadingMs(sharedParts);
+    if (readingMs > route.objectiveMs * REREAD_PART) return;
+    this.sendElsewhere(upstream, silentMs);
+  }
+
   /** Gives an attempt up for one at another upstream, where the request may run again and there is one; else it waits on. */
   private sendElsewhere(upstream: Upstream, silentMs: number): void {
     const isUnderWay = !this.isOver && this.attempt?.upstream === upstream;
--- a/src/upstreams/prefix_index.ts
+++ b/src/upstreams/prefix_index.ts
@@ -26,6 +26,15 @@
   tokens: number;
 }
 
+/** Time that an engine takes to read a prompt's parts, in milliseconds.
+ * @param parts The parts. */
+export function estimateReadingMs(parts: readonly SentPart[]): number {
+  return parts.reduce(
+    (sum, { tokens }) => sum + tokens * READING_MS_PER_TOKEN,
+    0,
+  );
+}
+
 /** Which engines keep which parts of prompts, from what this host and others sent there. */
 export class PrefixIndex {
   /** By part, the engines with the monotonic milliseconds of the last request. */
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -10,6 +10,7 @@
 import { CallerAnswer } from "../../src/forward/caller_answer.ts";
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
 import type { Route } from "../../src/published/configuration_schema.ts";
+import type { SentPart } from "../../src/upstreams/prefix_index.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
 import { buildRoute } from "../published/build_published.ts";
 
@@ -65,7 +66,10 @@
   };
 }
 
-function buildCall(route: Route): RoutedCall {
+function buildCall(
+  route: Route,
+  sharedParts: readonly SentPart[],
+): RoutedCall {
   const rawHeaders = [
     "Host",
     "a.example",
@@ -83,7 +87,7 @@
     service: "s",
     customer: "c",
     urgency: 0,
-    sharedParts: [],
+    sharedParts,
     receivedAt,
     callerEndsAt: receivedAt + 10_000,
   };
@@ -101,6 +105,7 @@
   changes: Partial<Route> = {},
   onStart: (run: CallRun, route: Route) => void = () => undefined,
   prepare: (upstreams: readonly Upstream[]) => void = () => undefined,
+  sharedParts: readonly SentPart[] = [],
 ): Promise<Received & { requests: IncomingMessage[] }> {
   const requests: IncomingMessage[] = [];
   const servers = behaviours.map((behaviour) =>
@@ -115,7 +120,8 @@
     upstreams.push(createUpstream(upstreams.length, await listen(server)));
   }
   prepare(upstreams);
-  const received = await callThrough(upstreams, buildRoute(changes), onStart);
+  const call = buildCall(buildRoute(changes), sharedParts);
+  const received = await callThrough(upstreams, call, onStart);
   for (const upstream of upstreams) upstream.close();
   for (const server of servers) {
     server.close();
@@ -144,13 +150,13 @@
 
 async function callThrough(
   upstreams: readonly Upstream[],
-  route: Route,
+  call: RoutedCall,
   onStart: (run: CallRun, route: Route) => void,
 ): Promise<Received> {
   const ended = createDeferred<CallOutcome>();
   const front = createServer((_request, response) => {
     const answer = CallerAnswer.create(response, () => false);
-    const run = CallRun.create(buildCall(route), answer, {
+    const run = CallRun.create(call, answer, {
       logger: pino({ level: "silent" }),
       codec: platformHeaders,
       choose: (_call, tried) =>
@@ -162,7 +168,7 @@
       noteMoved: () => undefined,
       onEnd: (_run, outcome) => ended.resolve(outcome),
     });
-    onStart(run, route);
+    onStart(run, call.route);
   });
   const port = await listen(front);
   const response = await fetch(`http://127.0.0.1:${port}/`);
@@ -277,6 +283,23 @@
   t.is(received.outcome.attempts, 2);
 });
 
+test("an overdue request whose prompt is dear to read again waits on", async (t) => {
+  const slow: Behaviour = (_request, response) =>
+    void setTimeout(() => {
+      response.writeHead(200, proven());
+      response.end("late");
+    }, 90);
+  const received = await runCall(
+    [slow, answered],
+    { objectiveMs: 100 },
+    undefined,
+    ([first]) => first!.heardAt = Infinity,
+    [{ name: 1, tokens: 10_000 }],
+  );
+  t.is(received.body, "late");
+  t.is(received.outcome.attempts, 1);
+});
+
 test("a request that may run once waits for a silent upstream", async (t) => {
   const slow: Behaviour = (_request, response) =>
     void setTimeout(() => {
