--- /dev/null
+++ b/tests/forward/run_call.ts
@@ -0,0 +1,150 @@
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
+import { pino } from "pino";
+import { platformHeaders } from "../../platform/header_codec.ts";
+import { CallRun } from "../../src/forward/call_run.ts";
+import type { CallOutcome } from "../../src/forward/call_run_context.ts";
+import { CallerAnswer } from "../../src/forward/caller_answer.ts";
+import type { RoutedCall } from "../../src/forward/routed_call.ts";
+import type { Route } from "../../src/published/configuration_schema.ts";
+import type { SentPart } from "../../src/upstreams/prefix_index.ts";
+import { Upstream } from "../../src/upstreams/upstream.ts";
+import { buildRoute } from "../published/build_published.ts";
+import { type Behaviour, REQUEST_ID } from "./upstream_behaviours.ts";
+
+/** What a caller of a test received. */
+export interface Received {
+  status: number;
+  headers: Headers;
+  body: string;
+  /** Whether the answer broke off. */
+  isBroken: boolean;
+  outcome: CallOutcome;
+}
+/** What differs from the usual run. */
+export interface RunCallOptions {
+  /** Told of the run when it has started. */
+  onStart?: (run: CallRun, route: Route) => void;
+  /** Told of the upstreams before the call. */
+  prepare?: (upstreams: readonly Upstream[]) => void;
+  /** Parts of the call's prompt. */
+  sharedParts?: readonly SentPart[];
+}
+
+function buildCall(
+  route: Route,
+  sharedParts: readonly SentPart[],
+): RoutedCall {
+  const rawHeaders = [
+    "Host",
+    "a.example",
+    "X-Beechkeel-Attempt-Id",
+    REQUEST_ID,
+  ];
+  const receivedAt = performance.now();
+  return {
+    requestId: REQUEST_ID,
+    method: "POST",
+    path: "/a/b",
+    headers: platformHeaders.readCaller(rawHeaders),
+    body: Buffer.from("body"),
+    route,
+    service: "s",
+    customer: "c",
+    urgency: 0,
+    sharedParts,
+    receivedAt,
+    callerEndsAt: receivedAt + 10_000,
+  };
+}
+
+async function listen(server: Server): Promise<number> {
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  return (server.address() as AddressInfo).port;
+}
+
+/** Runs one call against upstreams with the given behaviours, tried in this order. */
+export async function runCall(
+  behaviours: readonly Behaviour[],
+  changes: Partial<Route> = {},
+  options: RunCallOptions = {},
+): Promise<Received & { requests: IncomingMessage[] }> {
+  const requests: IncomingMessage[] = [];
+  const servers = behaviours.map((behaviour) =>
+    createServer((request, response) => {
+      requests.push(request);
+      request.resume();
+      behaviour(request, response);
+    })
+  );
+  const upstreams: Upstream[] = [];
+  for (const server of servers) {
+    upstreams.push(createUpstream(upstreams.length, await listen(server)));
+  }
+  options.prepare?.(upstreams);
+  const call = buildCall(buildRoute(changes), options.sharedParts ?? []);
+  const received = await callThrough(upstreams, call, options.onStart);
+  for (const upstream of upstreams) upstream.close();
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+  return { ...received, requests };
+}
+
+function createUpstream(index: number, port: number): Upstream {
+  return Upstream.create({
+    id: `u-${index}`,
+    service: "s",
+    address: `127.0.0.1:${port}`,
+    hall: "h",
+    slots: 4,
+    arrival: index,
+    isLeaving: false,
+  });
+}
+
+/** A promise with the function that resolves it. */
+export function createDeferred<T>() {
+  let resolve: (value: T) => void = () => undefined;
+  const promise = new Promise<T>((done) => resolve = done);
+  return { promise, resolve };
+}
+
+async function callThrough(
+  upstreams: readonly Upstream[],
+  call: RoutedCall,
+  onStart: RunCallOptions["onStart"],
+): Promise<Received> {
+  const ended = createDeferred<CallOutcome>();
+  const front = createServer((_request, response) => {
+    const answer = CallerAnswer.create(response, () => false);
+    const run = CallRun.create(call, answer, {
+      logger: pino({ level: "silent" }),
+      codec: platformHeaders,
+      choose: (_call, tried) =>
+        upstreams.find((upstream) => !tried.has(upstream.id)),
+      placePrompt: () => undefined,
+      getLoad: () => 0,
+      spendRetry: () => true,
+      noteHealth: () => undefined,
+      noteMoved: () => undefined,
+      onEnd: (_run, outcome) => ended.resolve(outcome),
+    });
+    onStart?.(run, call.route);
+  });
+  const port = await listen(front);
+  const response = await fetch(`http://127.0.0.1:${port}/`);
+  let isBroken = false;
+  const body = await response.text().catch(() => {
+    isBroken = true;
+    return "";
+  });
+  const outcome = await ended.promise;
+  front.close();
+  front.closeAllConnections();
+  const { status, headers } = response;
+  return { status, headers, body, isBroken, outcome };
+}
