--- a/src/gateway/watch_order.ts
+++ b/src/gateway/watch_order.ts
@@ -2,7 +2,7 @@
 
 /** Hosts of a fleet that watch the platform; the others hear from them. */
 const WATCHERS = 3;
-/** Hosts that ask one and the same host for the age of what it knows; some 80 short datagrams a second there. */
+/** Hosts that ask one and the same host for the age of what it knows; some 53 short datagrams a second there. */
 const ASKERS_PER_HOST = 32;
 /** Hosts that one host asks in turn, so that one that is lost delays it only. */
 const SOURCES = 3;
