An idle upstream is used at once after a change of owner

Change: the budget holds where the old owner had told of requests. Where it told none it has one at most (told_loads_test), for which the bound keeps a place.

--- a/src/owner/foreign_load.ts
+++ b/src/owner/foreign_load.ts
@@ -63,11 +63,12 @@
   }
 
   /** Begins a takeover: what the former owner last told, and what it may have started since, is foreign until reports
-   * can't lack it any more.
+   * can't lack it any more. Where it told of none it has at most one, for which the bound keeps a place; to hold back more
+   * would leave idle upstreams unused for a second after each change of owner.
    * @param told Load that the former owner last told.
    * @param now Monotonic milliseconds. */
   takeOver(told: number, now: number): void {
-    if (told < 0) return;
+    if (told <= 0) return;
     this.takeoverEndsAt = now + TAKEOVER_MS;
     this.reportsLackUntil = now + REPORTS_LACK_MS;
     this.leftBehind = told + getMostUntold(told);
--- a/tests/owner/owned_upstream_test.ts
+++ b/tests/owner/owned_upstream_test.ts
@@ -85,3 +85,9 @@
   upstream.takeReport(buildReport(3), 50);
   t.is(upstream.load, before);
 });
+
+test("an upstream of which the lost owner told no request is used at once", (t) => {
+  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  upstream.foreign.takeOver(0, 0);
+  t.is(upstream.load, 0);
+});
