Sight: log lines tell the same request, sent again, and how far it had come

request_sent carries a fingerprint of method, host, path, customer and body, and the body's length; attempt_failed carries the events that the caller had. Without these the incident's hypotheses can't be told apart: ids differ with each try.

So bystanders rarely come back under a fingerprint, and a fingerprint that comes often is a sign by itself.

--- a/src/forward/admit_call.ts
+++ b/src/forward/admit_call.ts
@@ -26,8 +26,8 @@
   mayHonourKeys: boolean;
 }
 
-/** A call but for its body, which is read once the call is allowed. */
-export type AdmittedCall = Omit<RoutedCall, "body">;
+/** A call but for its body, and what follows from that, which is read once the call is allowed. */
+export type AdmittedCall = Omit<RoutedCall, "body" | "fingerprint">;
 
 /** Matches a request with its route and customer, or says why it is refused.
  * @param options What the decision is made from. */
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -1,4 +1,6 @@
 import type { Logger } from "../logging/logger.ts";
+import { describeFingerprint } from "./request_fingerprint.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 
 /** One sending of a request, as it is logged. */
@@ -24,18 +26,26 @@
   fetchFrom: string | undefined;
 }
 
+/** How far an attempt had come when it met trouble. */
+export interface AttemptProgress {
+  /** Number of the attempt, from 1. */
+  attempt: number;
+  /** Events of the answer that the caller had by then, from all attempts. */
+  events: number;
+}
+
 /** Writes the log lines of one request's attempts. */
 export class CallLog {
   private constructor(
     private readonly logger: Logger,
-    private readonly requestId: string,
+    private readonly call: RoutedCall,
   ) {}
 
   /** Creates the log of a request.
    * @param logger Where the lines are written.
-   * @param requestId Id of the request. */
-  static create(logger: Logger, requestId: string): CallLog {
-    return new CallLog(logger, requestId);
+   * @param call The request. */
+  static create(logger: Logger, call: RoutedCall): CallLog {
+    return new CallLog(logger, call);
   }
 
   /** Writes that the request is sent to an upstream, with what decided it.
@@ -43,7 +53,9 @@
   noteSent(send: LoggedSend): void {
     const { upstream, reason, remainingMs, load, prompt } = send;
     this.logger.info({
-      request: this.requestId,
+      request: this.call.requestId,
+      fingerprint: describeFingerprint(this.call.fingerprint),
+      bodyBytes: this.call.body?.length ?? 0,
       upstream: upstream.id,
       reason,
       remainingMs: Math.round(remainingMs),
@@ -56,13 +68,17 @@
   /** Writes that an attempt failed, was declined or is silent.
    * @param upstream Upstream of the attempt.
    * @param detail What happened.
-   * @param attempt Number of the attempt, from 1. */
-  noteTrouble(upstream: Upstream, detail: string, attempt: number): void {
+   * @param progress How far it had come. */
+  noteTrouble(
+    upstream: Upstream,
+    detail: string,
+    progress: AttemptProgress,
+  ): void {
     this.logger.info({
-      request: this.requestId,
+      request: this.call.requestId,
       upstream: upstream.id,
       detail,
-      attempt,
+      ...progress,
       failureRate: roundRate(upstream),
     }, "attempt_failed");
   }
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -10,7 +10,7 @@
   type AttemptRequest,
 } from "./attempt.ts";
 import { AttemptBudget } from "./attempt_budget.ts";
-import { CallLog } from "./call_log.ts";
+import { type AttemptProgress, CallLog } from "./call_log.ts";
 import type { CallOutcome, CallRunContext } from "./call_run_context.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { AnswerHeaders } from "./caller_headers.ts";
@@ -46,7 +46,7 @@
   ) {
     this.timeoutMs = call.route.timeoutMs;
     this.budget = AttemptBudget.create(call, context.spendRetry);
-    this.log = CallLog.create(context.logger, call.requestId);
+    this.log = CallLog.create(context.logger, call);
     this.relay = AnswerRelay.create(answer, call.headers.lastEventId);
   }
 
@@ -100,6 +100,10 @@
     return this.budget.mayHaveRun || (this.attempt?.wasSent ?? false);
   }
 
+  private get progress(): AttemptProgress {
+    return { attempt: this.tried.size, events: this.relay.eventsGiven };
+  }
+
   /** Sends the request to the next upstream, or refuses it where there is none. */
   private next(reason: string): void {
     const upstream = this.context.choose(this.call, this.tried);
@@ -185,7 +189,7 @@
     this.budget.noteUnrun();
     if (answer.isOtherUpstream) this.context.noteMoved(upstream);
     else upstream.fullUntil = performance.now() + FULL_FOR_MS;
-    this.log.noteTrouble(upstream, `declined with ${status}`, this.tried.size);
+    this.log.noteTrouble(upstream, `declined with ${status}`, this.progress);
     this.retryUnrun(`declined with ${status}`);
   }
 
@@ -193,7 +197,7 @@
   private takeSilence(upstream: Upstream, silence: Silence): void {
     if (this.isOver || this.attempt?.isPaused) return;
     const { silentMs, isLikelyStuck } = silence;
-    this.log.noteTrouble(upstream, describeSilence(silentMs), this.tried.size);
+    this.log.noteTrouble(upstream, describeSilence(silentMs), this.progress);
     this.context.noteHealth(upstream, "silent");
     if (isLikelyStuck) this.sendElsewhere(upstream, silentMs);
   }
@@ -252,7 +256,7 @@
 
   private takeFailure(failure: AttemptFailure, detail: string): void {
     const upstream = this.attempt!.upstream;
-    this.log.noteTrouble(upstream, detail, this.tried.size);
+    this.log.noteTrouble(upstream, detail, this.progress);
     if (failure === "not_sent") {
       this.budget.noteUnrun();
       this.context.noteHealth(upstream, "unreachable");
--- a/src/forward/routed_call.ts
+++ b/src/forward/routed_call.ts
@@ -10,6 +10,8 @@
   path: string;
   headers: CallerHeaders;
   body: Buffer | undefined;
+  /** Equal for requests that ask the same for the same customer. */
+  fingerprint: number;
   /** The route as it was when the request came. */
   route: Route;
   /** Service chosen among the route's. */
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -10,6 +10,7 @@
 } from "../forward/call_run_context.ts";
 import { CallerAnswer } from "../forward/caller_answer.ts";
 import type { CallerHeaders, HeaderCodec } from "../forward/caller_headers.ts";
+import { fingerprintRequest } from "../forward/request_fingerprint.ts";
 import type { RoutedCall } from "../forward/routed_call.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../published/configuration_schema.ts";
@@ -142,7 +143,7 @@
     answer: CallerAnswer,
     response: ServerResponse,
   ): void {
-    const call = { ...admitted, body: body.length > 0 ? body : undefined };
+    const call = completeCall(admitted, body);
     this.options.onFirstSend(call.service);
     const { logger, codec } = this.options;
     let isEnded = false;
@@ -198,6 +199,13 @@
   }
 }
 
+function completeCall(admitted: AdmittedCall, read: Buffer): RoutedCall {
+  const body = read.length > 0 ? read : undefined;
+  const { method, path, customer, headers: { host } } = admitted;
+  const identity = { method, host, path, customer, body };
+  return { ...admitted, body, fingerprint: fingerprintRequest(identity) };
+}
+
 function checkHeaderSize(request: IncomingMessage, limits: CallerLimits): void {
   const bytes = request.rawHeaders.reduce(
     (sum, part) => sum + part.length + 2,
--- a/tests/forward/run_call.ts
+++ b/tests/forward/run_call.ts
@@ -49,6 +49,7 @@
     path: "/a/b",
     headers: platformHeaders.readCaller(rawHeaders),
     body: Buffer.from("body"),
+    fingerprint: 1,
     route,
     service: "s",
     customer: "c",
