--- a/fakes/fake_worker.ts
+++ b/fakes/fake_worker.ts
@@ -22,6 +22,8 @@
   readonly arrivals: WorkerArrival[] = [];
   /** What it does with requests. */
   behaviour: WorkerBehaviour = answerWell;
+  /** Whether it has crashed. */
+  hasCrashed = false;
 
   private constructor(
     /** Id under which it is published. */
@@ -52,6 +54,13 @@
     };
   }
 
+  /** Ends as a process does that crashes: all connections close and no new one is taken. */
+  crash(): void {
+    if (this.hasCrashed) return;
+    this.hasCrashed = true;
+    void closeHttp(this.server);
+  }
+
   /** Ends the worker. */
   async close(): Promise<void> {
     await closeHttp(this.server);
