Hold back a request that was under way on upstreams when they crashed

Cause: what a host knew of a request ended with its answer, and was keyed by an id that each try has anew; so every try of a request that crashes engines was judged as new, on every host, and cost one more engine and all that ran on it.

Now a fingerprint (method, host, path, customer, body) is blamed for a crash under way; a crash is told from a cut by a connection of its own to the address; blame is told to all hosts at once and reminded of; two unanswered crashes hold the request for 30 s, three for an hour; tries under way end; a request that is served is cleared, and one that was served within the last minute is never blamed.

Ruled out: our own attempts multiply it (each named try had one attempt); engines that end by themselves (all crashes share the request).

--- a/src/errors/answer_table.ts
+++ b/src/errors/answer_table.ts
@@ -86,6 +86,13 @@
     ran: "no",
     retryAfterSeconds: 2,
   },
+  crashes_upstreams: {
+    status: 503,
+    message:
+      "This request was under way on several upstreams when they crashed; it was not run.",
+    ran: "no",
+    retryAfterSeconds: 30,
+  },
   starting: {
     status: 503,
     message: "The router has no configuration yet.",
--- a/src/errors/error_kind.ts
+++ b/src/errors/error_kind.ts
@@ -14,6 +14,7 @@
   "too_many_requests",
   "overloaded",
   "no_upstream",
+  "crashes_upstreams",
   "starting",
   "belief_too_old",
   "draining",
--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -18,22 +18,28 @@
     readonly kind: ErrorKind,
     /** What exactly was wrong, naming the field where there is one. */
     readonly detail: string,
+    private readonly retryAfterSeconds: number | undefined,
   ) {
     super(`${kind}: ${detail}`);
   }
 
   /** Creates a failure.
    * @param kind The error kind.
-   * @param detail What exactly was wrong. */
-  static create(kind: ErrorKind, detail: string): Failure {
-    return new Failure(kind, detail);
+   * @param detail What exactly was wrong.
+   * @param retryAfterSeconds Seconds after which a new attempt makes sense; by default those of the answer table. */
+  static create(
+    kind: ErrorKind,
+    detail: string,
+    retryAfterSeconds = ANSWER_TABLE[kind].retryAfterSeconds,
+  ): Failure {
+    return new Failure(kind, detail, retryAfterSeconds);
   }
 
   /** Turns anything thrown into a failure; what is not one becomes `internal`.
    * @param thrown The value that was thrown. */
   static from(thrown: unknown): Failure {
     if (thrown instanceof Failure) return thrown;
-    return new Failure(
+    return Failure.create(
       "internal",
       thrown instanceof Error ? thrown.message : String(thrown),
     );
@@ -51,7 +57,7 @@
 
   /** Headers that tell the caller the kind and when to come back. */
   get headers(): Record<string, string> {
-    const retryAfter = ANSWER_TABLE[this.kind].retryAfterSeconds;
+    const retryAfter = this.retryAfterSeconds;
     const headers: Record<string, string> = {
       "content-type": "application/json",
       "x-beechkeel-error": this.kind,
--- a/src/forward/answer_relay.ts
+++ b/src/forward/answer_relay.ts
@@ -21,6 +21,7 @@
   private splitter: EventSplitter | undefined;
   private eventId: string | undefined;
   private events = 0;
+  private eventsBefore = 0;
 
   private constructor(
     private readonly answer: CallerAnswer,
@@ -64,11 +65,17 @@
     return this.events;
   }
 
+  /** Whether the attempt under way has brought an event that was passed on. */
+  get isAnsweredInPart(): boolean {
+    return this.events > this.eventsBefore;
+  }
+
   /** Forgets what another attempt brought and was not passed on. */
   startAttempt(): void {
     this.currentHead = undefined;
     this.body = [];
     this.splitter = undefined;
+    this.eventsBefore = this.events;
   }
 
   /** Takes the head of an answer.
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -73,6 +73,12 @@
     this.armTimer();
   }
 
+  /** Ends the run where nothing was answered yet, for the request is held back: it is on its way to crash one more. */
+  holdBack(): void {
+    if (this.relay.isAnsweredInPart) return;
+    this.refuseHeld("held while under way");
+  }
+
   /** Ends the run, for the caller is gone. */
   abandon(): void {
     this.finish("caller_gone", "the caller closed its connection");
@@ -104,13 +110,19 @@
     return { attempt: this.tried.size, events: this.relay.eventsGiven };
   }
 
-  /** Sends the request to the next upstream, or refuses it where there is none. */
+  /** Sends the request to the next upstream, or refuses it where there is none or it is likely to crash that too. */
   private next(reason: string): void {
+    if (!this.maySend) return this.refuseHeld(`held after ${reason}`);
     const upstream = this.context.choose(this.call, this.tried);
     if (upstream) this.sendTo(upstream, reason);
     else this.giveUp(`no upstream left after ${reason}`);
   }
 
+  private get maySend(): boolean {
+    const { fingerprint } = this.call;
+    return this.context.crashes.maySendAgain(fingerprint);
+  }
+
   private sendTo(upstream: Upstream, reason: string): void {
     const { call, context } = this;
     this.tried.add(upstream.id);
@@ -213,7 +225,7 @@
   /** Gives an attempt up for one at another upstream, where the request may run again and there is one; else it waits on. */
   private sendElsewhere(upstream: Upstream, silentMs: number): void {
     const isUnderWay = !this.isOver && this.attempt?.upstream === upstream;
-    if (!isUnderWay || !this.budget.allowsRun(1)) return;
+    if (!isUnderWay || !this.budget.allowsRun(1) || !this.maySend) return;
     const other = this.context.choose(this.call, this.tried);
     if (!other || !this.budget.spendRetry()) return;
     const wasSent = this.attempt?.wasSent ?? false;
@@ -234,6 +246,7 @@
     if (!head) return this.takeFailure("broken", "an end without a head");
     if (this.relay.isStream) return this.takeStreamEnd(upstream);
     const { status } = head;
+    this.context.crashes.noteServed(this.call.fingerprint);
     if (status >= 500) {
       this.context.noteHealth(upstream, "error_answer");
       this.budget.noteRan();
@@ -250,6 +263,7 @@
       return this.takeFailure("broken", "the stream ended within an event");
     }
     this.context.noteHealth(upstream, "good");
+    this.context.crashes.noteServed(this.call.fingerprint);
     this.relay.endStream();
     this.finish("answered", `${this.relay.eventsGiven} events`);
   }
@@ -263,6 +277,11 @@
       return this.retryUnrun(detail);
     }
     this.context.noteHealth(upstream, "broken");
+    this.context.crashes.noteBroken(
+      upstream,
+      this.call.fingerprint,
+      this.relay.isAnsweredInPart,
+    );
     this.budget.noteRan();
     if (this.budget.spendAfterRun()) return this.next(detail);
     this.refuse("upstream_failed", detail);
@@ -282,6 +301,14 @@
     );
   }
 
+  /** Refuses a request that likely crashes upstreams: as not run where that is certain. */
+  private refuseHeld(detail: string): void {
+    this.refuse(
+      this.mayHaveRun ? "upstream_failed" : "crashes_upstreams",
+      detail,
+    );
+  }
+
   private refuse(kind: ErrorKind, detail: string): void {
     if (this.isOver) return;
     this.answer.refuse(Failure.create(kind, detail));
--- a/src/forward/call_run_context.ts
+++ b/src/forward/call_run_context.ts
@@ -35,10 +35,25 @@
   noteMoved: (upstream: Upstream) => void;
 }
 
+/** What a run tells and asks of the crashes that a request may cause. */
+export interface CrashAccess {
+  /** Whether a request that failed may be sent to another upstream. */
+  maySendAgain: (fingerprint: number) => boolean;
+  /** Told of an attempt whose connection ended before its answer did. */
+  noteBroken: (
+    upstream: Upstream,
+    fingerprint: number,
+    isAnsweredInPart: boolean,
+  ) => void;
+  /** Told of a request that an upstream ran to its end, whatever the answer. */
+  noteServed: (fingerprint: number) => void;
+}
+
 /** What a run needs of the rest of the process. */
 export interface CallRunContext extends UpstreamAccess {
   logger: Logger;
   codec: HeaderCodec;
+  crashes: CrashAccess;
   /** Told when the run is over. */
   onEnd: (run: CallRun, outcome: CallOutcome) => void;
 }
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
+import type { CrashGuard } from "../crashes/crash_guard.ts";
 import { readBody } from "../entry/read_body.ts";
 import { Failure } from "../errors/failure.ts";
 import { admitCall, type AdmittedCall } from "../forward/admit_call.ts";
@@ -48,6 +49,7 @@
   /** Finds out which engines keep a part of a prompt; nothing where there is nobody to ask. */
   learnPart: (part: number) => Promise<void> | undefined;
   upstreamAccess: UpstreamAccess;
+  guard: CrashGuard;
 }
 
 /** Takes callers' requests from their heads to their runs. */
@@ -89,6 +91,14 @@
     }
   }
 
+  /** Ends the unanswered runs of a request that is held back from now on.
+   * @param fingerprint Its fingerprint. */
+  holdBack(fingerprint: number): void {
+    for (const run of [...this.runs]) {
+      if (run.call.fingerprint === fingerprint) run.holdBack();
+    }
+  }
+
   private async read(
     request: IncomingMessage,
     response: ServerResponse,
@@ -144,13 +154,15 @@
     response: ServerResponse,
   ): void {
     const call = completeCall(admitted, body);
+    this.options.guard.checkMaySend(call.fingerprint);
     this.options.onFirstSend(call.service);
-    const { logger, codec } = this.options;
+    const { logger, codec, guard } = this.options;
     let isEnded = false;
     const run = CallRun.create(call, answer, {
       ...this.options.upstreamAccess,
       logger,
       codec,
+      crashes: guard,
       onEnd: (ended, outcome) => {
         isEnded = true;
         this.runs.delete(ended);
--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -1,5 +1,7 @@
+import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { Logger } from "../logging/logger.ts";
 import { AgeQuestions } from "../peers/age_questions.ts";
+import { CrashGossip } from "../peers/crash_gossip.ts";
 import { DatagramSocket } from "../peers/datagram_socket.ts";
 import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
@@ -25,6 +27,7 @@
   chooser: UpstreamChooser;
   publicationExchange: PublicationExchange;
   metrics: GatewayMetrics;
+  guard: CrashGuard;
   /** What this host is doing. */
   getPhase: () => PeerEntry["phase"];
   /** Ids of the hosts to ask how old what they know of the publication is. */
@@ -37,6 +40,7 @@
   private readonly gossip: Gossip;
   private readonly questions: AgeQuestions;
   private readonly directory: PrefixDirectory;
+  private readonly crashGossip: CrashGossip;
 
   private constructor(
     private readonly options: FleetLinkOptions,
@@ -62,6 +66,12 @@
       ownAddress: gossipAddress,
       getHosts: () => this.getStayingAddresses(),
     });
+    this.crashGossip = CrashGossip.create({
+      socket,
+      memory: options.guard.memory,
+      getHosts: () =>
+        this.getLiveHosts().map(({ entry }) => entry.gossipAddress),
+    });
   }
 
   /** Opens the link.
@@ -88,6 +98,11 @@
     this.gossip.announce();
   }
 
+  /** Tells other hosts soon which requests were under way on upstreams that crashed. */
+  tellCrashes(): void {
+    this.crashGossip.announce();
+  }
+
   /** Tells other hosts soon which engines were sent which parts of prompts. */
   tellFacts(): void {
     if (this.gossip.isLargeFleet) {
@@ -106,6 +121,7 @@
     this.gossip.close();
     this.questions.close();
     this.directory.close();
+    this.crashGossip.close();
     this.socket.close();
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,6 @@
+import { CrashGuard } from "../crashes/crash_guard.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
+import { describeFingerprint } from "../forward/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
@@ -41,6 +43,7 @@
   private readonly keeper: PublicationKeeper;
   private readonly chooser: UpstreamChooser;
   private readonly handler: CallHandler;
+  private readonly guard: CrashGuard;
   private readonly publicationExchange: PublicationExchange;
   private readonly prefixExchange: PrefixExchange;
   private resolveFirstRoutes: () => void = () => undefined;
@@ -57,6 +60,7 @@
     private readonly parts: GatewayParts,
   ) {
     this.logger = parts.logger;
+    this.guard = this.createGuard();
     this.chooser = this.createChooser();
     this.keeper = PublicationKeeper.create({
       logger: this.logger,
@@ -121,6 +125,7 @@
     this.link?.close();
     this.server?.close();
     this.chooser.close();
+    this.guard.close();
     this.endpoints?.close();
     await this.publicationExchange.close();
     await this.prefixExchange.close();
@@ -164,6 +169,16 @@
     this.link?.announce();
   }
 
+  private createGuard(): CrashGuard {
+    return CrashGuard.create({
+      logger: this.logger,
+      describe: describeFingerprint,
+      onNews: () => this.link?.tellCrashes(),
+      onHeld: (fingerprint) => this.handler.holdBack(fingerprint),
+      onCrash: () => this.metrics.noteCrash(),
+    });
+  }
+
   private createChooser(): UpstreamChooser {
     return UpstreamChooser.create({
       logger: this.logger,
@@ -172,6 +187,7 @@
       countHosts: () => 1 + this.getLiveHosts().length,
       getLapseEndsAt: () => this.keeper.lapseEndsAt,
       onFacts: () => this.link?.tellFacts(),
+      onDrop: ({ shortName }) => this.guard.noteGone(shortName),
       onSign: (sign) => this.metrics.noteAttempt(sign),
     });
   }
@@ -184,6 +200,7 @@
       chooser: this.chooser,
       publicationExchange: this.publicationExchange,
       metrics: this.metrics,
+      guard: this.guard,
       getPhase: () => this.phase,
       getSourceIds: () => this.watch?.getSources() ?? [],
     });
@@ -226,6 +243,7 @@
       onFirstSend: (service) => this.chooser.noteFirstSend(service),
       learnPart: (part) => this.link?.learnPart(part),
       upstreamAccess: this.chooser.createAccess(),
+      guard: this.guard,
     });
   }
 
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -36,6 +36,11 @@
     labelNames: ["kind"],
     registers: [this.registry],
   });
+  private readonly crashes = new Counter({
+    name: "beechkeel_upstream_crashes_total",
+    help: "Upstreams that crashed while requests of this host were on them.",
+    registers: [this.registry],
+  });
   private readonly durations = new Histogram({
     name: "beechkeel_request_seconds",
     help: "Time from a request's arrival to the end of its answer.",
@@ -89,6 +94,11 @@
     this.refusals.inc({ kind });
   }
 
+  /** Counts an upstream that crashed. */
+  noteCrash(): void {
+    this.crashes.inc();
+  }
+
   /** Counts a datagram.
    * @param direction Whether this host sent or received it.
    * @param bytes Its length. */
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -28,6 +28,8 @@
   getLapseEndsAt: () => number;
   /** Told when there are facts about prompts for other hosts. */
   onFacts: () => void;
+  /** Told of each upstream that is taken out. */
+  onDrop: (upstream: Upstream) => void;
   /** Told of each sign of an upstream's health. */
   onSign: (sign: HealthSign) => void;
 }
@@ -48,6 +50,7 @@
       logger: options.logger,
       getLapseEndsAt: options.getLapseEndsAt,
       leaveWithinMs: options.getSettings().leaveWithinMs,
+      onDrop: options.onDrop,
     });
   }
 
--- a/src/peers/datagram.ts
+++ b/src/peers/datagram.ts
@@ -1,3 +1,4 @@
+import type { CrashWord } from "../crashes/crash_word.ts";
 import type { PrefixFact, PrefixSighting } from "../upstreams/prefix_index.ts";
 import type { GossipMessage } from "./gossip_schema.ts";
 import type { HostSighting } from "./host_table.ts";
@@ -30,7 +31,9 @@
     type: "prefix_answer";
     number: number;
     sightings: readonly PrefixSighting[];
-  };
+  }
+  /** Tells which requests were under way on upstreams that crashed. */
+  | { type: "crash_words"; words: readonly CrashWord[] };
 
 /** Type of a datagram. */
 export type DatagramType = Datagram["type"];
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -1,5 +1,6 @@
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
+import { crashWordSchema, packCrashWord } from "../crashes/crash_word.ts";
 import type { Datagram, DatagramOf, DatagramType } from "./datagram.ts";
 import { packGossip } from "./pack_gossip.ts";
 import { gossipSchema } from "./gossip_schema.ts";
@@ -83,6 +84,12 @@
         sightings,
       })),
   },
+  crash_words: {
+    number: 6,
+    pack: ({ words }) => [words.map(packCrashWord)],
+    schema: z.tuple([z.array(crashWordSchema)])
+      .transform(([words]) => ({ type: "crash_words", words })),
+  },
 };
 
 /** By the number of a type on the wire, how its body is read. */
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -21,6 +21,8 @@
   fullUntil = -Infinity;
   /** Monotonic milliseconds up to which it is used although its entry is missing; undefined while it is listed. */
   usedUntil: number | undefined;
+  /** Whether it is gone from the list, or another has its address. */
+  isDropped = false;
 
   private constructor(
     /** What it last published. */
@@ -41,6 +43,16 @@
     return this.published.id;
   }
 
+  /** Address as ip:port. */
+  get address(): string {
+    return this.published.address;
+  }
+
+  /** Whether its end is no surprise: it has said that it leaves, or is gone from the list. */
+  get isEndExpected(): boolean {
+    return this.published.isLeaving || this.isDropped;
+  }
+
   /** Whether it is likely there, so that other upstreams can fetch from it.
    * @param now Monotonic milliseconds. */
   isWithinReach(now: number): boolean {
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -17,6 +17,8 @@
   getLapseEndsAt: () => number;
   /** Time after which a leaving upstream may get no new work, in milliseconds. */
   leaveWithinMs: number;
+  /** Told of each upstream that is taken out. */
+  onDrop: (upstream: Upstream) => void;
 }
 
 /** The upstreams that are known, by service. */
@@ -76,8 +78,10 @@
     if (this.byId.get(upstream.id) !== upstream) return;
     this.byId.delete(upstream.id);
     this.rebuild(upstream.published.service);
+    upstream.isDropped = true;
     upstream.close();
     this.options.logger.info({ upstream: upstream.id }, "upstream_dropped");
+    this.options.onDrop(upstream);
   }
 
   /** Closes all connections. */
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -161,3 +161,44 @@
   });
   t.is(received.body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
 });
+
+/** Access that takes a request whose connection broke once for one that crashes upstreams, and keeps what it was told. */
+function createCrashAccess() {
+  const told: string[] = [];
+  return {
+    told,
+    maySendAgain: () => told.length === 0,
+    noteBroken: (upstream: { id: string }, _request: number, part: boolean) =>
+      void told.push(`${upstream.id} ${part}`),
+    noteServed: () => void told.push("served"),
+  };
+}
+
+test("a request that likely crashes upstreams is not sent to another after its connection broke", async (t) => {
+  const crashes = createCrashAccess();
+  const received = await runCall([cut, answered], { maxAttempts: 3 }, {
+    crashes,
+  });
+  t.is(received.status, 502);
+  t.is(received.requests.length, 1);
+  t.deepEqual(crashes.told, ["u-0 false"]);
+});
+
+test("a broken stream is told with whether it had been answered in part, a whole answer as served", async (t) => {
+  const crashes = createCrashAccess();
+  crashes.maySendAgain = () => true;
+  await runCall(
+    [streams([1], "", true), cut, streams([2])],
+    { kind: "stream", isResumable: true, maxAttempts: 3 },
+    { crashes },
+  );
+  t.deepEqual(crashes.told, ["u-0 true", "u-1 false", "served"]);
+});
+
+test("a request that is held while it is under way unanswered ends at once, and is not called not run", async (t) => {
+  const arrived = createDeferred<void>();
+  const received = await runCall([() => arrived.resolve()], {}, {
+    onStart: (run) => void arrived.promise.then(() => run.holdBack()),
+  });
+  t.is(received.status, 502);
+});
--- a/tests/forward/run_call.ts
+++ b/tests/forward/run_call.ts
@@ -4,7 +4,10 @@
 import { pino } from "pino";
 import { platformHeaders } from "../../platform/header_codec.ts";
 import { CallRun } from "../../src/forward/call_run.ts";
-import type { CallOutcome } from "../../src/forward/call_run_context.ts";
+import type {
+  CallOutcome,
+  CrashAccess,
+} from "../../src/forward/call_run_context.ts";
 import { CallerAnswer } from "../../src/forward/caller_answer.ts";
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
 import type { Route } from "../../src/published/configuration_schema.ts";
@@ -30,6 +33,8 @@
   prepare?: (upstreams: readonly Upstream[]) => void;
   /** Parts of the call's prompt. */
   sharedParts?: readonly SentPart[];
+  /** What the run tells and asks of crashes. */
+  crashes?: Partial<CrashAccess>;
 }
 
 function buildCall(
@@ -86,7 +91,7 @@
   }
   options.prepare?.(upstreams);
   const call = buildCall(buildRoute(changes), options.sharedParts ?? []);
-  const received = await callThrough(upstreams, call, options.onStart);
+  const received = await callThrough(upstreams, call, options);
   for (const upstream of upstreams) upstream.close();
   for (const server of servers) {
     server.close();
@@ -117,7 +122,7 @@
 async function callThrough(
   upstreams: readonly Upstream[],
   call: RoutedCall,
-  onStart: RunCallOptions["onStart"],
+  { onStart, crashes }: RunCallOptions,
 ): Promise<Received> {
   const ended = createDeferred<CallOutcome>();
   const front = createServer((_request, response) => {
@@ -132,6 +137,12 @@
       spendRetry: () => true,
       noteHealth: () => undefined,
       noteMoved: () => undefined,
+      crashes: {
+        maySendAgain: () => true,
+        noteBroken: () => undefined,
+        noteServed: () => undefined,
+        ...crashes,
+      },
       onEnd: (_run, outcome) => ended.resolve(outcome),
     });
     onStart?.(run, call.route);
--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -35,6 +35,15 @@
     number: 3,
     sightings: [[9, 120]],
   },
+  "words on crashes": {
+    type: "crash_words",
+    words: [{
+      fingerprint: 2 ** 48 - 1,
+      agoMs: 12,
+      crashes: [[7, 2], [8, 1]],
+      excused: [7],
+    }],
+  },
 };
 
 for (const [name, datagram] of Object.entries(DATAGRAMS)) {
@@ -49,6 +58,7 @@
   "an unknown type": pack([9, 1]),
   "a question without a time": pack([1]),
   "an answer with text for a digest": pack([2, 1, "x", 2, 3]),
+  "a crash without points": pack([6, [[1, 2, [[3]], []]]]),
   "gossip without a sender": pack([0, [1, 2, 3]]),
 };
 
--- a/tests/upstreams/upstream_table_test.ts
+++ b/tests/upstreams/upstream_table_test.ts
@@ -15,6 +15,7 @@
     logger: pino({ level: "silent" }),
     getLapseEndsAt: () => lapseEndsAt,
     leaveWithinMs: 60_000,
+    onDrop: () => undefined,
   });
 }
 
