--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -36,6 +36,10 @@
   readonly cache: PrefixCache;
   fault: EngineFault = "none";
   leaving = false;
+  /** Text of a request that crashes the engine as it begins; "" where none does. */
+  crashingText = "";
+  /** Whether it has crashed. */
+  hasCrashed = false;
   /** Factor on all service times; above 1 is slower. */
   slowness = 1;
   private readonly streams = new Map<string, Stream>();
@@ -95,6 +99,10 @@
     body: string,
   ): Promise<void> | void {
     const path = request.url ?? "";
+    if (path === "/v1/chat/completions" && this.isCrashing(body)) {
+      this.hasCrashed = true;
+      return this.close();
+    }
     if (path === "/v1/chat/completions") {
       return this.chat(request, response, body);
     }
@@ -110,6 +118,10 @@
     reply(response, {});
   }
 
+  private isCrashing(body: string): boolean {
+    return this.crashingText !== "" && body.includes(this.crashingText);
+  }
+
   private report(response: ServerResponse): void {
     const asOf = Date.now() - this.options.reportLagMs;
     const lagged = this.ledger.loads.findLast(([at]) => at <= asOf)?.[1] ?? 0;
