Routers hold back a chat that crashes engines, by the same memory as gateways

The same cause as in gateways: each attempt and each try began without knowing of those before. The guard, its memory, detector and gossip are one copy; routers tell each other over their peer connections, gateways by datagrams. One function hashes what makes two requests the same, for this and for idempotency keys.

--- a/src/peers/crash_gossip.ts
+++ b/src/crashes/crash_gossip.ts
@@ -1,8 +1,7 @@
-import type { CrashMemory } from "../crashes/crash_memory.ts";
-import type { CrashWord } from "../crashes/crash_word.ts";
+import { SMALL_FLEET } from "../peers/host_table.ts";
 import { Random } from "../random/random.ts";
-import type { DatagramSocket } from "./datagram_socket.ts";
-import { SMALL_FLEET } from "./host_table.ts";
+import type { CrashMemory } from "./crash_memory.ts";
+import type { CrashWord } from "./crash_word.ts";
 
 /** Time in which news is gathered before it is told, in milliseconds. */
 const GATHER_MS = 15;
@@ -20,10 +19,11 @@
 
 /** What the task needs. */
 export interface CrashGossipOptions {
-  socket: DatagramSocket;
   memory: CrashMemory;
-  /** Gossip addresses of the other hosts that are heard. */
+  /** The other hosts that are heard, by what `send` takes. */
   getHosts: () => readonly string[];
+  /** Sends words to one host; they may be lost. */
+  send: (host: string, words: readonly CrashWord[]) => void;
 }
 
 /** The task by which hosts tell each other which requests were under way on upstreams that crashed. News goes to all hosts
@@ -34,10 +34,6 @@
   private telling: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: CrashGossipOptions) {
-    options.socket.handle(
-      "crash_words",
-      ({ words }) => options.memory.learn(words, performance.now()),
-    );
     this.reminders = setInterval(() => this.remind(), REMINDER_MS);
   }
 
@@ -83,6 +79,6 @@
 
   private send(host: string, words: readonly CrashWord[]): void {
     if (words.length === 0) return;
-    this.options.socket.send(host, { type: "crash_words", words });
+    this.options.send(host, words);
   }
 }
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -47,14 +47,14 @@
     return new CrashGuard(options);
   }
 
-  /** Refuses a request that is held, as not run; throws nothing where it may be sent.
-   * @param fingerprint Its fingerprint.
-   * @throws {Failure} `crashes_upstreams`, with the time until it may be sent again. */
-  checkMaySend(fingerprint: number): void {
+  /** The refusal of a request that is held, as not run, with the time until it may be sent again; nothing where it may be
+   * sent.
+   * @param fingerprint Its fingerprint. */
+  findRefusal(fingerprint: number): Failure | undefined {
     const hold = this.memory.getHold(fingerprint, performance.now());
-    if (!hold) return;
+    if (!hold) return undefined;
     const { points, remainingMs } = hold;
-    throw Failure.create(
+    return Failure.create(
       "crashes_upstreams",
       `${this.options.describe(fingerprint)} has ${points} points`,
       Math.ceil(remainingMs / 1_000),
--- a/src/entry/dispatch_progress.ts
+++ b/src/entry/dispatch_progress.ts
@@ -1,9 +1,10 @@
 import { ANSWER_TABLE } from "../errors/answer_table.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
 import { Failure } from "../errors/failure.ts";
+import { fingerprintRequest } from "../hashing/request_fingerprint.ts";
 import type { AnswerSink } from "./answer_sink.ts";
 import type { AttemptOutcome } from "./attempt.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import { identify, type RoutedRequest } from "./routed_request.ts";
 import { SendGrant } from "./send_grant.ts";
 
 /** Silent routers named in an offer. */
@@ -18,6 +19,8 @@
 /** What is known of a request while it is dispatched. */
 export interface Progress {
   request: RoutedRequest;
+  /** Equal for requests that ask the same for the same customer. */
+  fingerprint: number;
   sink: AnswerSink;
   grant: SendGrant;
   callerGone: AbortSignal;
@@ -114,6 +117,7 @@
 ): Progress {
   return {
     request,
+    fingerprint: fingerprintRequest(identify(request)),
     sink,
     grant: SendGrant.create(),
     callerGone,
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -1,3 +1,5 @@
+import type { CrashGuard } from "../crashes/crash_guard.ts";
+import { toCheckedUpstream } from "../crashes/to_checked_upstream.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { LoadBook } from "../owner/load_book.ts";
@@ -29,6 +31,7 @@
   logger: Logger;
   directory: PeerDirectory;
   loads: LoadBook;
+  crashGuard: CrashGuard;
   getView: () => FleetView;
   getPlacement: () => PlacementTable;
   /** Told of a router that did not answer. */
@@ -68,7 +71,7 @@
   ): Promise<DispatchEnd> {
     this.budget.earn();
     const progress = createProgress(request, sink, callerGone);
-    const end = await this.tryAll(progress);
+    const end = this.refuseHeld(progress) ?? await this.tryAll(progress);
     if (end.type === "done") sink.end();
     if (end.type === "refused") sink.fail(end.failure);
     return end;
@@ -91,6 +94,11 @@
     });
   }
 
+  private refuseHeld({ fingerprint }: Progress): DispatchEnd | undefined {
+    const failure = this.options.crashGuard.findRefusal(fingerprint);
+    return failure && { type: "refused", failure, mayHaveRun: false };
+  }
+
   private async tryAll(progress: Progress): Promise<DispatchEnd> {
     const order = this.order(progress.request);
     if (order.length === 0) {
@@ -127,12 +135,14 @@
     for (let tries = 0; tries < OWNERS_PER_UPSTREAM; tries++) {
       const ownerId = this.chooseOwner(upstreamId, progress);
       if (!ownerId) return undefined;
+      const eventsBefore = progress.events;
       const outcome = await this.attempt(
         progress,
         upstreamId,
         ownerId,
         mayQueue,
       );
+      this.noteCrashes(progress, upstreamId, outcome, eventsBefore);
       if (outcome.type === "declined") declines.push(outcome.reason);
       if (outcome.type === "declined" && outcome.owner !== "") {
         progress.namedOwners.set(upstreamId, outcome.owner);
@@ -147,6 +157,26 @@
     return undefined;
   }
 
+  /** Tells the guard of an attempt that the upstream ended, or ran to its end. */
+  private noteCrashes(
+    { fingerprint, events }: Progress,
+    upstreamId: string,
+    outcome: AttemptOutcome,
+    eventsBefore: number,
+  ): void {
+    const { crashGuard, getView } = this.options;
+    if (outcome.type === "done") crashGuard.noteServed(fingerprint);
+    const isBroken = outcome.type === "failed" && outcome.ran === "unknown";
+    const host = isBroken ? getView().getUpstream(upstreamId) : undefined;
+    if (!host) return;
+    const isAnsweredInPart = events > eventsBefore;
+    crashGuard.noteBroken(
+      toCheckedUpstream(host),
+      fingerprint,
+      isAnsweredInPart,
+    );
+  }
+
   /** The owner that another router named, or else the first in this router's own view that is not silent. */
   private chooseOwner(
     upstreamId: string,
@@ -257,6 +287,12 @@
     if (progress.grant.taken) {
       return { type: "end", end: refuse(progress, "outcome_unknown", detail) };
     }
+    if (!this.options.crashGuard.maySendAgain(progress.fingerprint)) {
+      return {
+        type: "end",
+        end: refuse(progress, "crashes_upstreams", `held after ${detail}`),
+      };
+    }
     if (this.budget.spend()) return next;
     return {
       type: "end",
--- a/src/entry/routed_request.ts
+++ b/src/entry/routed_request.ts
@@ -1,4 +1,5 @@
 import type { Customer } from "../configuration/customer.ts";
+import type { RequestIdentity } from "../hashing/request_fingerprint.ts";
 import type { Requirement } from "../placement/placement_table.ts";
 
 /** A caller's request after all checks. */
@@ -20,3 +21,10 @@
   /** Monotonic milliseconds at which the caller no longer waits. */
   deadlineAt: number;
 }
+
+/** What makes a request the same as another, sent again.
+ * @param request The request. */
+export function identify(request: RoutedRequest): RequestIdentity {
+  const { method, path, customer, body } = request;
+  return { method, path, customer: customer.id, body };
+}
--- a/src/entry/run_request.ts
+++ b/src/entry/run_request.ts
@@ -1,13 +1,13 @@
-import { createHash } from "node:crypto";
 import type { ServerResponse } from "node:http";
 import { Failure } from "../errors/failure.ts";
+import { hashRequest } from "../hashing/request_fingerprint.ts";
 import { KeyClaim } from "../witness/key_claim.ts";
 import { readKeyTime } from "../witness/key_time.ts";
 import type { KeyRecord } from "../witness/key_record.ts";
 import { signalWhenGone } from "./caller_checks.ts";
 import type { EntryContext } from "./entry_context.ts";
 import type { KeptAnswer, Outcome } from "./outcome_store.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import { identify, type RoutedRequest } from "./routed_request.ts";
 import { StreamSink } from "./stream_sink.ts";
 import { WholeSink } from "./whole_sink.ts";
 
@@ -168,10 +168,8 @@
 }
 
 function fingerprint(request: RoutedRequest): string {
-  const hash = createHash("sha256");
-  hash.update(`${request.customer.id}\n${request.method}\n${request.path}\n`)
-    .update(request.body);
-  return hash.digest("hex").slice(0, FINGERPRINT_LENGTH);
+  return hashRequest(identify(request)).toString("hex")
+    .slice(0, FINGERPRINT_LENGTH);
 }
 
 function createClaim(
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "../logging/logger.ts";
-import { describeFingerprint } from "./request_fingerprint.ts";
+import { describeFingerprint } from "../hashing/request_fingerprint.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -11,7 +11,7 @@
 } from "../forward/call_run_context.ts";
 import { CallerAnswer } from "../forward/caller_answer.ts";
 import type { CallerHeaders, HeaderCodec } from "../forward/caller_headers.ts";
-import { fingerprintRequest } from "../forward/request_fingerprint.ts";
+import { fingerprintRequest } from "../hashing/request_fingerprint.ts";
 import type { RoutedCall } from "../forward/routed_call.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../published/configuration_schema.ts";
@@ -154,7 +154,8 @@
     response: ServerResponse,
   ): void {
     const call = completeCall(admitted, body);
-    this.options.guard.checkMaySend(call.fingerprint);
+    const refusal = this.options.guard.findRefusal(call.fingerprint);
+    if (refusal) throw refusal;
     this.options.onFirstSend(call.service);
     const { logger, codec, guard } = this.options;
     let isEnded = false;
--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -1,7 +1,7 @@
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { Logger } from "../logging/logger.ts";
 import { AgeQuestions } from "../peers/age_questions.ts";
-import { CrashGossip } from "../peers/crash_gossip.ts";
+import { CrashGossip } from "../crashes/crash_gossip.ts";
 import { DatagramSocket } from "../peers/datagram_socket.ts";
 import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
@@ -66,12 +66,7 @@
       ownAddress: gossipAddress,
       getHosts: () => this.getStayingAddresses(),
     });
-    this.crashGossip = CrashGossip.create({
-      socket,
-      memory: options.guard.memory,
-      getHosts: () =>
-        this.getLiveHosts().map(({ entry }) => entry.gossipAddress),
-    });
+    this.crashGossip = this.createCrashGossip();
   }
 
   /** Opens the link.
@@ -143,6 +138,20 @@
     });
   }
 
+  private createCrashGossip(): CrashGossip {
+    const { socket, options: { guard: { memory } } } = this;
+    socket.handle(
+      "crash_words",
+      ({ words }) => memory.learn(words, performance.now()),
+    );
+    return CrashGossip.create({
+      memory,
+      getHosts: () =>
+        this.getLiveHosts().map(({ entry }) => entry.gossipAddress),
+      send: (host, words) => socket.send(host, { type: "crash_words", words }),
+    });
+  }
+
   private getWord(): PublicationWord {
     const { ageMs, digest, revision } = this.options.keeper;
     const publicationAgeMs = Number.isFinite(ageMs) ? ageMs : -1;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,6 @@
 import { CrashGuard } from "../crashes/crash_guard.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
-import { describeFingerprint } from "../forward/request_fingerprint.ts";
+import { describeFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
--- a/src/peer/frame_schema.ts
+++ b/src/peer/frame_schema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { crashWordSchema } from "../crashes/crash_word.ts";
 import { hostListSchema } from "../configuration_service/host_schema.ts";
 import { publishedValueSchema } from "../configuration/document_schema.ts";
 
@@ -158,6 +159,12 @@
   z.object({ type: z.literal("pull_hosts"), exchange }),
   /** The list of hosts, as the peer last read it. */
   z.object({ type: z.literal("hosts"), exchange, list: hostListSchema }),
+  /** Tells which requests were under way on upstreams that crashed; belongs to no exchange. */
+  z.object({
+    type: z.literal("crash_words"),
+    exchange,
+    words: z.array(crashWordSchema),
+  }),
 ] as const;
 
 /** A frame between two routers. */
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -1,6 +1,6 @@
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
-import { crashWordSchema, packCrashWord } from "../crashes/crash_word.ts";
+import { crashWordListSchema, packCrashWord } from "../crashes/crash_word.ts";
 import type { Datagram, DatagramOf, DatagramType } from "./datagram.ts";
 import { packGossip } from "./pack_gossip.ts";
 import { gossipSchema } from "./gossip_schema.ts";
@@ -87,7 +87,7 @@
   crash_words: {
     number: 6,
     pack: ({ words }) => [words.map(packCrashWord)],
-    schema: z.tuple([z.array(crashWordSchema)])
+    schema: z.tuple([z.array(crashWordListSchema)])
       .transform(([words]) => ({ type: "crash_words", words })),
   },
 };
--- a/src/router/frame_handlers.ts
+++ b/src/router/frame_handlers.ts
@@ -4,6 +4,7 @@
 import type { FramePort } from "../peer/frame_port.ts";
 import type { Frame, FrameOf } from "../peer/frame_schema.ts";
 import type { HostList } from "../configuration_service/host_schema.ts";
+import type { RouterCrashes } from "./router_crashes.ts";
 import type { Witness } from "../witness/witness.ts";
 
 /** The parts of a router that answer other routers. */
@@ -12,6 +13,7 @@
   witness: Witness;
   configuration: ConfigurationKeeper;
   outcomes: OutcomeStore;
+  crashes: RouterCrashes;
   /** The list of hosts in use. */
   getHosts: () => HostList;
 }
@@ -23,7 +25,7 @@
 /** Builds the table from type of frame to what is done with it.
  * @param receivers The parts that answer. */
 function createFrameHandlers(receivers: FrameReceivers): FrameHandlers {
-  const { owner, witness, configuration, outcomes } = receivers;
+  const { owner, witness, configuration, outcomes, crashes } = receivers;
   return {
     offer: (port, frame) => owner.offer(port, frame),
     grant: (port, frame) => owner.reply(port, frame),
@@ -34,6 +36,7 @@
     release: (_port, frame) => witness.offerRelease(frame),
     record: (_port, frame) => witness.offerRecord(frame),
     pull_records: (port, frame) => witness.offerPull(port, frame),
+    crash_words: (_port, frame) => crashes.learn(frame.words),
     outcome: (port, frame) => void answerOutcome(outcomes, port, frame),
     pull_hosts: (port, frame) =>
       port.send({
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -30,6 +30,7 @@
 import { HostListPull } from "./host_list_pull.ts";
 import { PlatformWatch } from "./platform_watch.ts";
 import type { RouterStatus } from "./router_status.ts";
+import { RouterCrashes } from "./router_crashes.ts";
 import { readProcess } from "./read_process.ts";
 import { VERSION } from "./version.ts";
 
@@ -60,6 +61,8 @@
   readonly owner: Owner;
   /** @internal */
   readonly witness: Witness;
+  /** @internal */
+  readonly crashes: RouterCrashes;
   private readonly dispatcher: Dispatcher;
   private readonly hostListPull: HostListPull;
   private membership: Membership | undefined;
@@ -104,9 +107,15 @@
       () => this.getHosts().version,
       (list) => this.membership?.offerHostList(list),
     );
+    this.crashes = RouterCrashes.create({
+      ...shared,
+      metrics: this.metrics,
+      directory: this.directory,
+    });
     this.dispatcher = Dispatcher.create({
       ...shared,
       directory: this.directory,
+      crashGuard: this.crashes.guard,
     });
   }
 
@@ -154,6 +163,7 @@
     await this.peers?.close();
     await this.owner.close();
     this.witness.close();
+    this.crashes.close();
     this.configuration.close();
     this.guard.close();
     this.metrics.close();
@@ -271,6 +281,7 @@
   }
 
   private takeView(view: FleetView): void {
+    this.crashes.takeView(this.view, view);
     this.view = view;
     this.placement = PlacementTable.create(view, this.settings.region);
     this.directory.dropLost(view);
--- a/tests/peers/crash_gossip_test.ts
+++ b/tests/crashes/crash_gossip_test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
 import { CrashMemory } from "../../src/crashes/crash_memory.ts";
-import { CrashGossip } from "../../src/peers/crash_gossip.ts";
+import { CrashGossip } from "../../src/crashes/crash_gossip.ts";
 import { waitUntil } from "../system/with_fleet.ts";
-import { type TestSocket, withSockets } from "./with_sockets.ts";
+import { type TestSocket, withSockets } from "../peers/with_sockets.ts";
 
 const REQUEST = 0xc0ffee123456;
 
@@ -20,9 +20,13 @@
     onNews: () => gossip?.announce(),
     onHeld: () => undefined,
   });
+  socket.handle(
+    "crash_words",
+    ({ words }) => memory.learn(words, performance.now()),
+  );
   gossip = CrashGossip.create({
-    socket,
     memory,
+    send: (host, words) => socket.send(host, { type: "crash_words", words }),
     getHosts: () =>
       sockets.map((other) => other.address).filter((other) =>
         other !== address
--- a/tests/forward/request_fingerprint_test.ts
+++ b/tests/hashing/request_fingerprint_test.ts
@@ -3,7 +3,7 @@
   describeFingerprint,
   fingerprintRequest,
   type RequestIdentity,
-} from "../../src/forward/request_fingerprint.ts";
+} from "../../src/hashing/request_fingerprint.ts";
 
 const IDENTITY: RequestIdentity = {
   method: "POST",
