Soak: requests that crash workers, and a judge of what may reach more of them

A fault sends one request 24 times at any gateway, each under another id; workers crash as they begin it and come back at their address. The judge allows three workers more, three seconds after the third.

A test holds the border.

--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -97,6 +97,19 @@
     for (const link of this.links) this.end(link, "cut");
   }
 
+  /** Refuses new connections, as an address does where nothing listens; old ones end. */
+  async stopListening(): Promise<void> {
+    for (const link of this.links) this.end(link, "cut");
+    await new Promise<void>((resolve) => this.server.close(() => resolve()));
+  }
+
+  /** Takes connections again at the same port. */
+  async listenAgain(): Promise<void> {
+    await new Promise<void>((resolve) =>
+      this.server.listen(this.port, "127.0.0.1", resolve)
+    );
+  }
+
   /** Ends the proxy. */
   close(): void {
     this.stops = STOPS.cut;
--- a/soak/judge_answers.ts
+++ b/soak/judge_answers.ts
@@ -1,5 +1,6 @@
 import { AFTERMATH_MS, BOUNDS } from "./bounds.ts";
 import { type CallerAttempt, KIND_RULES } from "./caller_attempt.ts";
+import { judgeCrashingRequests } from "./crashing_requests.ts";
 import type { Evidence } from "./evidence.ts";
 import { CUSTOMER, LASTING_KEY } from "./soak_fleet.ts";
 import { countEvents, getEventData } from "./stream_text.ts";
@@ -12,6 +13,9 @@
 const NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Statuses that refuse what the configuration does not allow. */
 const DENIED: ReadonlySet<number> = new Set([400, 401, 403, 404, 413]);
+/** Time after the end of a worker's answer in which its last bytes may not have left it, in milliseconds: one that ended by
+ * its own account was lost with a worker that crashed 0.2 and 0.9 ms later. */
+const LAST_BYTES_MS = 5;
 /** Closing part of a planned stop in which what still runs may be broken off. */
 const STOP_PART = 0.83;
 
@@ -26,6 +30,8 @@
   "a configuration never goes back": judgeRollback,
   "a sound worker's answer reaches its caller": judgeLost,
   "nothing proper is denied": judgeDenied,
+  "a request that crashed three workers reaches few more":
+    judgeCrashingRequests,
 };
 
 function judgeWholeness({ attempts }: Evidence): string[] {
@@ -153,9 +159,9 @@
 
 /** Whether the worker gave its whole answer and nothing was in the way. */
 function isSoundRun(run: WorkerRun, { faults }: Evidence): boolean {
-  const endedAt = run.endedAt ?? Infinity;
+  const leftAt = (run.endedAt ?? Infinity) + LAST_BYTES_MS;
   return run.isWhole && !run.wasCancelled &&
-    !faults.wasHit(run.worker, run.startedAt - AFTERMATH_MS, endedAt);
+    !faults.wasHit(run.worker, run.startedAt - AFTERMATH_MS, leftAt);
 }
 
 /** Whether nothing but planned work befell the gateway, which had the time for it. */
--- a/soak/run_seed.ts
+++ b/soak/run_seed.ts
@@ -1,7 +1,6 @@
 import { monitorEventLoopDelay } from "node:perf_hooks";
 import { setTimeout as delay } from "node:timers/promises";
 import { Random } from "../src/random/random.ts";
-import type { CallerAttempt } from "./caller_attempt.ts";
 import type { Evidence } from "./evidence.ts";
 import { ANSWER_JUDGES } from "./judge_answers.ts";
 import { TIME_JUDGES } from "./judge_times.ts";
@@ -56,11 +55,10 @@
   const lag = monitorEventLoopDelay();
   lag.enable();
   try {
-    const attempts: CallerAttempt[] = [];
     const random = Random.create(options.seed);
-    await runFaults(fleet, random, attempts, options);
-    const unsettled = await settle(fleet, random, attempts);
-    const evidence = { ...fleet, attempts, lagMs: lag.max / 1e6 };
+    await runFaults(fleet, random, options);
+    const unsettled = await settle(fleet, random);
+    const evidence = { ...fleet, lagMs: lag.max / 1e6 };
     const breaches = [...unsettled, ...judge(evidence, options.judgesTimes)];
     return describeResult(options.seed, fleet, evidence, breaches);
   } finally {
@@ -72,11 +70,10 @@
 async function runFaults(
   fleet: SoakFleet,
   random: Random,
-  attempts: CallerAttempt[],
   options: SeedOptions,
 ): Promise<void> {
   let isOver = false;
-  const callers = createCallers(fleet, random, attempts, options);
+  const callers = createCallers(fleet, random, options);
   const calling = callers.map((caller) => caller.run(() => isOver, getPauseMs));
   const endsAt = performance.now() + options.faultsMs;
   const streams = Array.from(
@@ -91,13 +88,12 @@
 function createCallers(
   fleet: SoakFleet,
   random: Random,
-  attempts: CallerAttempt[],
   { seed, size }: SeedOptions,
 ): SoakCaller[] {
   return Array.from({ length: USUAL.callers * size }, (_, index) => {
     const name = `s${seed}-c${index}`;
     const isStubborn = index % 2 === 0;
-    return SoakCaller.create(name, fleet, random.fork(), attempts, isStubborn);
+    return SoakCaller.create(name, fleet, random.fork(), isStubborn);
   });
 }
 
@@ -124,9 +120,8 @@
 async function settle(
   fleet: SoakFleet,
   random: Random,
-  attempts: CallerAttempt[],
 ): Promise<string[]> {
-  const caller = SoakCaller.create("settle", fleet, random, attempts, false);
+  const caller = SoakCaller.create("settle", fleet, random, false);
   const endsAt = performance.now() + SETTLE_MS;
   let inRow = 0;
   while (inRow < CALM_REQUESTS) {
--- a/soak/seed_result.ts
+++ b/soak/seed_result.ts
@@ -1,4 +1,5 @@
 import type { CallerAttempt } from "./caller_attempt.ts";
+import { type CrashSummary, summarizeCrashes } from "./crashing_requests.ts";
 import type { Evidence } from "./evidence.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 
@@ -10,6 +11,8 @@
   attempts: number;
   /** How many requests of each kind ended in which way. */
   endings: Record<string, number>;
+  /** What requests that crash workers did. */
+  crashes: CrashSummary;
   faults: string[];
   /** The requests that breaches name, as callers and workers saw them. */
   evidence: unknown[];
@@ -34,6 +37,7 @@
     breaches,
     attempts: attempts.length,
     endings: countEndings(attempts),
+    crashes: summarizeCrashes(attempts, runs),
     faults: fleet.faults.windows.map(({ name, targets, from, to }) =>
       `${Math.round(from)}-${Math.round(to ?? Infinity)} ${name} ${targets}`
     ),
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -55,7 +55,7 @@
 });
 
 function print(result: SeedResult): void {
-  const { seed, attempts, endings, faults, breaches } = result;
+  const { seed, attempts, endings, faults, crashes, breaches } = result;
   console.log(
     `seed ${seed}: ${attempts} requests, ${faults.length} faults, ${breaches.length} breaches`,
   );
@@ -63,6 +63,9 @@
     `${ending} ${count}`
   );
   console.log(`  ${counts.join(", ")}`);
+  console.log(
+    `  ${crashes.requests} crashing requests ended ${crashes.crashes} workers; ${crashes.innocentRefused} tries of others were refused like them`,
+  );
   for (const breach of breaches.slice(0, 12)) console.log(`  ${breach}`);
 }
 
--- a/soak/soak_caller.ts
+++ b/soak/soak_caller.ts
@@ -47,7 +47,6 @@
     private readonly name: string,
     private readonly fleet: SoakFleet,
     private readonly random: Random,
-    private readonly attempts: CallerAttempt[],
     private readonly isStubborn: boolean,
   ) {}
 
@@ -55,17 +54,15 @@
    * @param name Its name, the beginning of its requests' ids.
    * @param fleet The fleet.
    * @param random Source of its requests.
-   * @param attempts Where its attempts are written.
    * @param isStubborn Whether it uses open connections until the process is gone, rather than until it is no longer
    * named. */
   static create(
     name: string,
     fleet: SoakFleet,
     random: Random,
-    attempts: CallerAttempt[],
     isStubborn: boolean,
   ): SoakCaller {
-    return new SoakCaller(name, fleet, random, attempts, isStubborn);
+    return new SoakCaller(name, fleet, random, isStubborn);
   }
 
   /** Sends requests until it is told to stop.
@@ -76,9 +73,26 @@
       await this.sendOne();
       await delay(this.random.integer(1, getPauseMs()));
     }
+    await this.close();
+  }
+
+  /** Closes its connections. */
+  async close(): Promise<void> {
     for (const client of this.clients.values()) await client.destroy();
   }
 
+  /** Sends a request that is the same for each call with the same name, but for its id.
+   * @param kind The kind.
+   * @param name The last part of its path, and its body. */
+  async sendAs(kind: RequestKind, name: string): Promise<void> {
+    const gateway = await this.chooseGateway();
+    if (!gateway) return;
+    const attempt = this.build(kind, LASTING_KEY, gateway);
+    attempt.path = `/${kind}/${name}`;
+    if (attempt.body !== "") attempt.body = name;
+    await this.send(attempt, gateway, undefined);
+  }
+
   /** Sends one request of a kind with the key that lasts, and does not give it up; returns the attempt.
    * @param kind The kind. */
   async sendCalmly(kind: RequestKind): Promise<CallerAttempt | undefined> {
@@ -161,7 +175,7 @@
     giveUpMs: number | undefined,
   ): Promise<void> {
     const client = this.getClient(gateway.callerAddress);
-    this.attempts.push(attempt);
+    this.fleet.attempts.push(attempt);
     const { timeoutMs } = KIND_RULES[attempt.kind];
     const patienceMs = giveUpMs ?? timeoutMs + PATIENCE_MS;
     const timer = setTimeout(() => {
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -2,6 +2,7 @@
 import type { ProxyMode } from "../fakes/fault_proxy.ts";
 import type { Random } from "../src/random/random.ts";
 import { AFTERMATH_MS, BOUNDS } from "./bounds.ts";
+import { ENTRY_LAPSES_MS, sendCrashingRequest } from "./crashing_requests.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import type { SoakWorker, WorkerFault } from "./soak_worker.ts";
@@ -9,8 +10,6 @@
 /** Injects one fault and takes it back; ends when it is over. */
 export type SoakFault = (fleet: SoakFleet, random: Random) => Promise<void>;
 
-/** Time after which the entry of a worker that crashed goes, in milliseconds: three heartbeats. */
-const ENTRY_LAPSES_MS = 1_200;
 /** Time for which a worker serves on after it may get no new work, in milliseconds. */
 const LINGER_MS = 1_000;
 
@@ -219,4 +218,5 @@
   crashWorker,
   replaceWorker,
   changeConfiguration,
+  sendCrashingRequest,
 };
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -5,7 +5,12 @@
 import { FakeStore } from "../fakes/fake_store.ts";
 import type { FaultProxy } from "../fakes/fault_proxy.ts";
 import { Random } from "../src/random/random.ts";
-import { KIND_RULES, type RequestKind } from "./caller_attempt.ts";
+import {
+  type CallerAttempt,
+  KIND_RULES,
+  type RequestKind,
+} from "./caller_attempt.ts";
+import { crashForAWhile } from "./crashing_requests.ts";
 import type { Leaving, PublishedVersion, Stop } from "./evidence.ts";
 import { FaultLog } from "./fault_log.ts";
 import { GatewayProcess } from "./gateway_process.ts";
@@ -42,6 +47,8 @@
   readonly gateways: GatewayProcess[] = [];
   /** The workers that faults may hit. */
   readonly workers: SoakWorker[] = [];
+  /** What callers sent, and what came back. */
+  readonly attempts: CallerAttempt[] = [];
   /** What workers ran, over all their starts. */
   readonly runs: WorkerRun[] = [];
   /** Versions of the configuration so far. */
@@ -111,6 +118,8 @@
       this.random.fork(),
       proxy,
     );
+    worker.onCrashing = () =>
+      void crashForAWhile(this, worker, this.random.fork());
     this.workers.push(worker);
     this.store.put(`servers/${worker.id}`, worker.describe("ready"));
     return worker;
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -4,6 +4,7 @@
 import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { resetSocket } from "../fakes/reset_socket.ts";
 import type { Random } from "../src/random/random.ts";
+import { isCrashingPath } from "./crashing_requests.ts";
 import { countEvents, writeEvent, writeWholeAnswer } from "./stream_text.ts";
 import type { WorkerRun } from "./worker_run.ts";
 
@@ -36,6 +37,8 @@
 export class SoakWorker {
   /** What it does wrong. */
   fault: WorkerFault = "none";
+  /** Told when a request begins that crashes the worker. */
+  onCrashing: () => void = () => undefined;
   private running = 0;
 
   private constructor(
@@ -153,6 +156,7 @@
     if (fault === "mute") return;
     await this.work(WORK_MS, fault);
     if (response.destroyed) return;
+    if (isCrashingPath(run.path)) return this.onCrashing();
     if (fault === "reset") return resetSocket(request.socket);
     if (fault === "errors") return this.answerError(request, response, run);
     const headers = this.worker.prove(request);
--- a/tests/soak/judge_test.ts
+++ b/tests/soak/judge_test.ts
@@ -145,6 +145,13 @@
   "nothing proper is denied": [
     buildEvidence({ attempts: [buildAttempt({ status: 404 })] }),
   ],
+  "a request that crashed three workers reaches few more": [
+    buildEvidence({
+      runs: [1, 2, 3, 5_000, 5_001, 5_002, 5_003].map((startedAt) =>
+        buildRun({ path: "/book/crash-1", startedAt })
+      ),
+    }),
+  ],
   "a leaving worker gets no new work": [
     buildEvidence({
       leavings: [{ worker: "w-1", at: 1_000 }],
@@ -186,6 +193,26 @@
   });
 }
 
+test("an answer that ended just before its worker crashed may be lost with it, one well before may not", (t) => {
+  const find = JUDGES["a sound worker's answer reaches its caller"]!;
+  for (const [afterMs, breaches] of [[1, 0], [50, 1]] as const) {
+    const faults = FaultLog.create();
+    const from = buildRun().endedAt! + afterMs;
+    const crash = { name: "crash", targets: ["w-1"], isPlanned: false };
+    faults.windows.push({ ...crash, from, to: from + 500 });
+    const attempts = [buildAttempt({ isWhole: false })];
+    t.is(find(buildEvidence({ attempts, faults })).length, breaches);
+  }
+});
+
+test("tries of a crashing request before all can have heard of it are no breach", (t) => {
+  const find = JUDGES["a request that crashed three workers reaches few more"]!;
+  const runs = [1, 2, 3, 2_900, 2_950, 2_990, 3_000, 5_000].map((startedAt) =>
+    buildRun({ path: "/book/crash-1", startedAt })
+  );
+  t.deepEqual(find(buildEvidence({ runs })), []);
+});
+
 test("an answer that a fault of its gateway or worker cut off is no breach", (t) => {
   const find = JUDGES["a sound worker's answer reaches its caller"]!;
   for (const target of ["g-0", "w-1"]) {
