Several tries of a request on one upstream count once while its break is not understood

Cause: the points that would count were summed over all attempts, so that four callers of the same request on one upstream were refused as held when one connection broke. Found by the test of an upstream that starts again; the detector's test holds it.

--- a/src/crashes/crash_detector.ts
+++ b/src/crashes/crash_detector.ts
@@ -66,13 +66,13 @@
     else this.start(upstream, suspect);
   }
 
-  /** Points that would count against a request if the breaks that are not yet understood were crashes.
+  /** Points that would count against a request if the breaks that are not yet understood were crashes; several tries of it
+   * on one upstream count once.
    * @param fingerprint Its fingerprint. */
   getPendingPoints(fingerprint: number): number {
     return [...this.suspicions.values()].filter((one) => !one.hasCrashed)
-      .flatMap((one) => one.suspects)
-      .filter((one) => one.fingerprint === fingerprint)
-      .reduce((sum, one) => sum + one.points, 0);
+      .map((one) => getPoints(one.suspects, fingerprint))
+      .reduce((sum, points) => sum + points, 0);
   }
 
   /** Takes word that a start of an upstream has ended.
@@ -145,3 +145,8 @@
     suspicion.timer.unref();
   }
 }
+
+function getPoints(suspects: readonly Suspect[], fingerprint: number): number {
+  const same = suspects.filter((one) => one.fingerprint === fingerprint);
+  return Math.max(0, ...same.map((one) => one.points));
+}
--- a/tests/crashes/crash_detector_test.ts
+++ b/tests/crashes/crash_detector_test.ts
@@ -48,13 +48,14 @@
   const { detector, blamed, answer } = createDetector();
   detector.noteBroken(UPSTREAM, suspect(1));
   detector.noteBroken(UPSTREAM, suspect(2));
+  detector.noteBroken(UPSTREAM, suspect(2));
   t.deepEqual(blamed, []);
   t.is(detector.getPendingPoints(2), 2);
   await answer("refused");
-  t.deepEqual(blamed, [1, 2]);
+  t.deepEqual(blamed, [1, 2, 2]);
   t.is(detector.getPendingPoints(2), 0);
   detector.noteBroken(UPSTREAM, suspect(3));
-  t.deepEqual(blamed, [1, 2, 3]);
+  t.deepEqual(blamed, [1, 2, 2, 3]);
   detector.close();
 });
 
