--- a/fakes/fake_worker.ts
+++ b/fakes/fake_worker.ts
@@ -22,6 +22,8 @@
   readonly arrivals: WorkerArrival[] = [];
   /** What it does with requests. */
   behaviour: WorkerBehaviour = answerWell;
+  /** Unix milliseconds of its start, as it tells them. */
+  startedAt = Date.now();
   /** Whether it has crashed. */
   hasCrashed = false;
 
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -3,6 +3,7 @@
 import { FakeWorker } from "../fakes/fake_worker.ts";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { resetSocket } from "../fakes/reset_socket.ts";
+import { buildWorkerEntry } from "../fakes/worker_entry.ts";
 import type { Random } from "../src/random/random.ts";
 import { isCrashingPath } from "./crashing_requests.ts";
 import { countEvents, writeEvent, writeWholeAnswer } from "./stream_text.ts";
@@ -82,14 +83,13 @@
   /** What it publishes of itself.
    * @param state `ready` or `draining`. */
   describe(state: "ready" | "draining") {
-    return {
+    return buildWorkerEntry({
       service: this.service,
       address: `127.0.0.1:${this.proxy.port}`,
-      zone: "h",
-      version: "1",
       slots: SLOTS,
       state,
-    };
+      startedAt: this.worker.startedAt,
+    });
   }
 
   /** Ends the worker as a crash does; its proxy stays for another at the same address. */
--- a/src/published/upstream_schema.ts
+++ b/src/published/upstream_schema.ts
@@ -1,7 +1,8 @@
 import { z } from "zod";
 
-/** What an upstream publishes of itself; each start of an upstream is a new one with an id of its own. */
+/** What an upstream publishes of itself. */
 export const upstreamSchema = z.object({
+  /** Id under which it may start again. */
   id: z.string(),
   service: z.string(),
   /** IP number and port, as `ip:port`. */
@@ -13,6 +14,8 @@
   arrival: z.number(),
   /** Whether it has said that it will leave. */
   isLeaving: z.boolean(),
+  /** Unix milliseconds of its start, which tells two starts under one id apart; undefined where none are told. */
+  startedAt: z.number().int().optional(),
 });
 
 /** One published upstream. */
--- a/tests/gateway/with_gateways.ts
+++ b/tests/gateway/with_gateways.ts
@@ -1,6 +1,7 @@
 import { pino } from "pino";
 import { FakeStore } from "../../fakes/fake_store.ts";
 import { FakeWorker } from "../../fakes/fake_worker.ts";
+import { buildWorkerEntry } from "../../fakes/worker_entry.ts";
 import { platformSurface } from "../../platform/caller_surface.ts";
 import { EngineClient } from "../../platform/engine_client.ts";
 import { platformHeaders } from "../../platform/header_codec.ts";
@@ -12,6 +13,9 @@
 /** Bound on old keys in these tests, in milliseconds; many times a watch. */
 const KEY_BELIEF_MS = 5_000;
 
+/** Requests that a worker of these tests takes at once. */
+const SLOTS = 8;
+
 /** One gateway of a test with its settings. */
 export interface TestGateway {
   gateway: Gateway;
@@ -64,15 +68,16 @@
    * @param worker The worker.
    * @param service Service it belongs to.
    * @param state `ready` or `draining`. */
-  publishWorker(worker: FakeWorker, service: string, state: string): void {
-    const { address, id } = worker;
-    this.store.put(`servers/${id}`, {
-      service,
-      address,
-      zone: "h",
-      slots: 8,
-      state,
-    });
+  publishWorker(
+    worker: FakeWorker,
+    service: string,
+    state: "ready" | "draining",
+  ): void {
+    const { address, id, startedAt } = worker;
+    this.store.put(
+      `servers/${id}`,
+      buildWorkerEntry({ service, address, state, slots: SLOTS, startedAt }),
+    );
   }
 
   /** Publishes a configuration with one route to service `s` under `/a/`.
