An upstream that starts again under its id is another upstream

Cause: an upstream was known by its id and address, so what was known of a start (health, loads, kept prompts, connections, crashes) was taken for that of the next. Now its name in what hosts tell each other holds the start, a new start replaces the old with all that is known of it, and attempts under way on the old one fail at once and count as on a crash. Where no start is told the id alone names it, as before.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -71,6 +71,11 @@
     return this.isSent;
   }
 
+  /** Whether its end has not come. */
+  get isUnderWay(): boolean {
+    return !this.isOver;
+  }
+
   /** Breaks the attempt off; the upstream sees its connection close, and the listener hears no more. */
   abandon(): void {
     if (this.finish()) this.channel.close();
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -79,6 +79,15 @@
     this.refuseHeld("held while under way");
   }
 
+  /** Fails the attempt on a start of an upstream that is no more, for nobody may end its connection.
+   * @param upstream The start. */
+  loseUpstream(upstream: Upstream): void {
+    if (this.isOver || this.attempt?.upstream !== upstream) return;
+    if (!this.attempt.isUnderWay) return;
+    this.attempt.abandon();
+    this.takeFailure("broken", "its upstream has started again");
+  }
+
   /** Ends the run, for the caller is gone. */
   abandon(): void {
     this.finish("caller_gone", "the caller closed its connection");
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -16,6 +16,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../published/configuration_schema.ts";
 import type { RouteTable } from "../published/route_table.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 
 /** Time for which a request waits at most for the first configuration after a start, in milliseconds: below a quarter
@@ -99,6 +100,12 @@
     }
   }
 
+  /** Fails the attempts on a start of an upstream that is no more.
+   * @param upstream The start. */
+  loseUpstream(upstream: Upstream): void {
+    for (const run of [...this.runs]) run.loseUpstream(upstream);
+  }
+
   private async read(
     request: IncomingMessage,
     response: ServerResponse,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -187,6 +187,7 @@
       countHosts: () => 1 + this.getLiveHosts().length,
       getLapseEndsAt: () => this.keeper.lapseEndsAt,
       onFacts: () => this.link?.tellFacts(),
+      onRestart: (before) => this.handler.loseUpstream(before),
       onDrop: ({ shortName }) => this.guard.noteGone(shortName),
       onSign: (sign) => this.metrics.noteAttempt(sign),
     });
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -28,6 +28,8 @@
   getLapseEndsAt: () => number;
   /** Told when there are facts about prompts for other hosts. */
   onFacts: () => void;
+  /** Told of an upstream that has started again under its id. */
+  onRestart: (before: Upstream) => void;
   /** Told of each upstream that is taken out. */
   onDrop: (upstream: Upstream) => void;
   /** Told of each sign of an upstream's health. */
@@ -50,6 +52,7 @@
       logger: options.logger,
       getLapseEndsAt: options.getLapseEndsAt,
       leaveWithinMs: options.getSettings().leaveWithinMs,
+      onRestart: options.onRestart,
       onDrop: options.onDrop,
     });
   }
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -9,7 +9,8 @@
   readonly channels: ChannelPool;
   /** What its answers say of its health. */
   readonly health = UpstreamHealth.create();
-  /** Short name of the upstream in what hosts tell each other. */
+  /** Short name of this start of the upstream in what hosts tell each other, so that word of another start is not taken
+   * for its own. */
   readonly shortName: number;
   /** Requests that this process has running there. */
   ownRequests = 0;
@@ -29,7 +30,7 @@
     public published: PublishedUpstream,
   ) {
     this.channels = ChannelPool.create(published.address);
-    this.shortName = hashText(published.id);
+    this.shortName = hashText(nameStart(published));
   }
 
   /** Creates an upstream.
@@ -64,3 +65,7 @@
     this.channels.close();
   }
 }
+
+function nameStart({ id, startedAt }: PublishedUpstream): string {
+  return startedAt === undefined ? id : `${id}@${startedAt}`;
+}
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -17,6 +17,9 @@
   getLapseEndsAt: () => number;
   /** Time after which a leaving upstream may get no new work, in milliseconds. */
   leaveWithinMs: number;
+  /** Told of an upstream that has started again under its id, before it is taken out: what was under way on the start
+   * before is lost. */
+  onRestart: (before: Upstream) => void;
   /** Told of each upstream that is taken out. */
   onDrop: (upstream: Upstream) => void;
 }
@@ -99,17 +102,27 @@
   private put(fresh: Upstream): void {
     const known = this.byId.get(fresh.id);
     if (known) this.departed.delete(known);
-    const isSame = known?.published.address === fresh.published.address &&
-      known.published.service === fresh.published.service;
-    if (known && isSame) {
+    if (known && isSameStart(known, fresh)) {
       known.published = fresh.published;
       known.usedUntil = undefined;
       return;
     }
-    known?.close();
+    if (known) this.replace(known, fresh);
     this.byId.set(fresh.id, fresh);
     this.rebuild(fresh.published.service);
-    if (known) this.rebuild(known.published.service);
+  }
+
+  /** Takes out an upstream whose id another has now, with all that is known of it. */
+  private replace(known: Upstream, fresh: Upstream): void {
+    if (known.published.startedAt !== fresh.published.startedAt) {
+      const { startedAt } = fresh.published;
+      this.options.logger.info(
+        { upstream: known.id, startedAt },
+        "upstream_started_again",
+      );
+      this.options.onRestart(known);
+    }
+    this.drop(known);
   }
 
   private remove(id: string): void {
@@ -139,3 +152,11 @@
     this.byService.set(service, serving);
   }
 }
+
+/** Whether two entries under one id are of the same start of the same upstream. */
+function isSameStart(known: Upstream, fresh: Upstream): boolean {
+  const { address, service, startedAt } = fresh.published;
+  return known.published.address === address &&
+    known.published.service === service &&
+    known.published.startedAt === startedAt;
+}
--- a/tests/upstreams/upstream_table_test.ts
+++ b/tests/upstreams/upstream_table_test.ts
@@ -1,5 +1,6 @@
 import { pino } from "pino";
 import test from "ava";
+import type { Upstream } from "../../src/upstreams/upstream.ts";
 import { UpstreamTable } from "../../src/upstreams/upstream_table.ts";
 import { waitUntil } from "../system/with_fleet.ts";
 import { buildUpstream } from "../published/build_published.ts";
@@ -9,12 +10,16 @@
 
 /** Creates a table.
  * @param lapsesForMs Time left in which missing entries may only have lapsed. */
-function createTable(lapsesForMs: number): UpstreamTable {
+function createTable(
+  lapsesForMs: number,
+  restarted: Upstream[] = [],
+): UpstreamTable {
   const lapseEndsAt = performance.now() + lapsesForMs;
   return UpstreamTable.create({
     logger: pino({ level: "silent" }),
     getLapseEndsAt: () => lapseEndsAt,
     leaveWithinMs: 60_000,
+    onRestart: (before) => restarted.push(before),
     onDrop: () => undefined,
   });
 }
@@ -50,3 +55,31 @@
   await waitUntil("the time is over", () => table.getServing("s").length === 0);
   t.is(table.getPresent("s").length, 1);
 });
+
+test("a new start under the same id and address is another upstream, of which nothing is known", (t) => {
+  const restarted: Upstream[] = [];
+  const table = createTable(-1, restarted);
+  const list = (revision: number, startedAt?: number) =>
+    table.apply([{
+      id: "u",
+      revision,
+      upstream: buildUpstream({ id: "u", startedAt }),
+    }]);
+  const getOnly = () => {
+    const [only, ...others] = table.getServing("s");
+    t.deepEqual(others, []);
+    return only!;
+  };
+  list(1, 5);
+  const first = getOnly();
+  first.health.note("unreachable", performance.now());
+  list(2, 5);
+  t.is(getOnly(), first);
+  list(3, 9);
+  const second = getOnly();
+  t.not(second, first);
+  t.not(second.shortName, first.shortName);
+  t.false(second.health.isSuspect);
+  t.true(first.isDropped);
+  t.deepEqual(restarted, [first]);
+});
