One clock, which counts the time for which a machine was suspended

Cause: all ages were read from the steady clock, which stands still in a suspension; a host that slept took what it knew of keys for as fresh as before, and honoured keys that were taken away meanwhile.

Now src/clock/clock.ts owns time: a jump of the time of day forward against the steady clock counts as time that has passed, seen with the first reading after it. A step of the time of day can't be told from a suspension: it makes beliefs older for one round of hearing; a step back changes nothing. Timers stay on the steady clock, so that a step ends no request.

--- a/src/clock/pause_guard.ts
+++ b/src/clock/pause_guard.ts
@@ -1,8 +1,9 @@
+import { readClock } from "./clock.ts";
 const TICK_MS = 50;
 
 /** Notices that this process did not run for a while, so that nothing is decided on old beliefs. */
 export class PauseGuard {
-  private lastTick = performance.now();
+  private lastTick = readClock();
   private stale = false;
   private readonly timer: NodeJS.Timeout;
 
@@ -41,7 +42,7 @@
   }
 
   private tick(): void {
-    const now = performance.now();
+    const now = readClock();
     const gap = now - this.lastTick;
     this.lastTick = now;
     if (gap < this.thresholdMs) return;
--- a/src/configuration/configuration_keeper.ts
+++ b/src/configuration/configuration_keeper.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { Actor, type ActorSystem } from "../actors/actor.ts";
 import type { AuditTrail } from "../audit/audit_trail.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -155,7 +156,7 @@
 
   private comparePeer(peerId: string, digest: number, revision: number): void {
     if (digest === this.store.digest || revision < this.store.revision) return;
-    const now = performance.now();
+    const now = readClock();
     if (
       now - (this.pulledAt.get(peerId) ?? -PULL_INTERVAL_MS) < PULL_INTERVAL_MS
     ) return;
--- a/src/crashes/crash_gossip.ts
+++ b/src/crashes/crash_gossip.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { SMALL_FLEET } from "../peers/host_table.ts";
 import { Random } from "../random/random.ts";
 import type { CrashMemory } from "./crash_memory.ts";
@@ -57,7 +58,7 @@
   private tell(): void {
     this.telling = undefined;
     const { memory, getHosts } = this.options;
-    const words = memory.takeNews(MAX_WORDS, performance.now());
+    const words = memory.takeNews(MAX_WORDS, readClock());
     const hosts = this.random.shuffle(getHosts());
     const told = hosts.length <= SMALL_FLEET
       ? hosts
@@ -73,7 +74,7 @@
     if (memory.isEmpty) return;
     const [host] = this.random.shuffle(getHosts());
     if (host === undefined) return;
-    const words = this.random.shuffle(memory.getAll(performance.now()));
+    const words = this.random.shuffle(memory.getAll(readClock()));
     this.send(host, words.slice(0, MAX_WORDS));
   }
 
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { Failure } from "../errors/failure.ts";
 import type { Logger } from "../logging/logger.ts";
 import { CrashDetector } from "./crash_detector.ts";
@@ -34,7 +35,7 @@
       onCrash: (upstream, suspects) => {
         options.onCrash();
         for (const { fingerprint, points } of suspects) {
-          const now = performance.now();
+          const now = readClock();
           this.memory.noteCrash(fingerprint, upstream.shortName, points, now);
         }
       },
@@ -51,7 +52,7 @@
    * sent.
    * @param fingerprint Its fingerprint. */
   findRefusal(fingerprint: number): Failure | undefined {
-    const hold = this.memory.getHold(fingerprint, performance.now());
+    const hold = this.memory.getHold(fingerprint, readClock());
     if (!hold) return undefined;
     const { points, remainingMs } = hold;
     return Failure.create(
@@ -87,7 +88,7 @@
   /** Takes a request that an upstream ran to its end, whatever the answer.
    * @param fingerprint Its fingerprint. */
   noteServed(fingerprint: number): void {
-    this.memory.noteServed(fingerprint, performance.now());
+    this.memory.noteServed(fingerprint, readClock());
   }
 
   /** Takes word that a start of an upstream has ended.
--- a/src/entry/caller_checks.ts
+++ b/src/entry/caller_checks.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Customer } from "../configuration/customer.ts";
 import { Failure } from "../errors/failure.ts";
@@ -46,7 +47,7 @@
       "header x-beechkeel-timeout-ms: must be a positive number",
     );
   }
-  return performance.now() + milliseconds;
+  return readClock() + milliseconds;
 }
 
 /** Returns the idempotency key of a request, or nothing.
--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import {
   createServer,
   type IncomingMessage,
@@ -83,7 +84,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const startedAt = performance.now();
+    const startedAt = readClock();
     this.openCount += 1;
     response.on("error", () => response.destroy());
     if (this.isDraining) response.setHeader("connection", "close");
@@ -103,7 +104,7 @@
       this.refuse(request, response, Failure.from(thrown));
     } finally {
       this.openCount -= 1;
-      this.context.metrics.time("request", performance.now() - startedAt);
+      this.context.metrics.time("request", readClock() - startedAt);
     }
   }
 
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import { toCheckedUpstream } from "../crashes/to_checked_upstream.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -86,7 +87,7 @@
       request.need,
       request.placementKey,
     );
-    const now = performance.now();
+    const now = readClock();
     const getLoad = (id: string) => this.options.loads.getLoad(id, now) ?? 0;
     return POLICIES[this.options.settings.routing.policy].order(candidates, {
       random: this.random,
@@ -119,7 +120,7 @@
 
   /** The upstreams to wait for: the least loaded of the nearest candidates, then the first choice. */
   private orderForQueue(order: readonly string[]): string[] {
-    const now = performance.now();
+    const now = readClock();
     const getLoad = (id: string) => this.options.loads.getLoad(id, now) ?? 0;
     const near = order.slice(0, this.options.settings.routing.candidateLimit);
     const least = [...near].sort((a, b) => getLoad(a) - getLoad(b));
@@ -199,7 +200,7 @@
     mayQueue: boolean,
   ): Promise<AttemptOutcome> {
     const { request, sink, grant, callerGone } = progress;
-    const remainingMs = request.deadlineAt - performance.now();
+    const remainingMs = request.deadlineAt - readClock();
     if (remainingMs <= 0) return { type: "expired" };
     if (callerGone.aborted) return { type: "abandoned" };
     const client = await this.options.directory.getClient(ownerId);
--- a/src/entry/run_request.ts
+++ b/src/entry/run_request.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { ServerResponse } from "node:http";
 import { Failure } from "../errors/failure.ts";
 import { hashRequest } from "../hashing/request_fingerprint.ts";
@@ -198,7 +199,7 @@
       "header idempotency-key: another request had it",
     );
   }
-  const waitMs = Math.max(1, request.deadlineAt - performance.now());
+  const waitMs = Math.max(1, request.deadlineAt - readClock());
   const build = (exchange: number) =>
     ({ type: "outcome", exchange, attempt: record.attempt, waitMs }) as const;
   const answer = await context.directory.ask(
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { Channel } from "../upstreams/channel.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { AnswerHeaders, HeaderCodec } from "./caller_headers.ts";
@@ -111,7 +112,7 @@
           onResponseStart: (_controller, status, answerHeaders) =>
             this.takeHead(status, answerHeaders, requestId),
           onResponseData: (_controller, bytes) => {
-            this.upstream.heardAt = performance.now();
+            this.upstream.heardAt = readClock();
             if (!this.isOver) this.listener.onBytes(bytes);
           },
           onResponseEnd: () => this.takeEnd(),
@@ -128,12 +129,12 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
     requestId: string,
   ): void {
-    this.upstream.heardAt = performance.now();
+    this.upstream.heardAt = readClock();
     if (status < 200 || this.isOver) return;
     const answer = this.codec.readAnswer(status, headers);
     if (answer.load) {
       const requests = answer.load.running + answer.load.waiting;
-      this.upstream.reported = { requests, at: performance.now() };
+      this.upstream.reported = { requests, at: readClock() };
     }
     if (answer.isClosing) this.isReusable = false;
     if (answer.requestId !== undefined && answer.requestId !== requestId) {
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { Failure } from "../errors/failure.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
 import type { Route } from "../published/configuration_schema.ts";
@@ -100,12 +101,12 @@
 
   private armTimer(): void {
     clearTimeout(this.timer);
-    const remainingMs = Math.max(0, this.endsAt - performance.now());
+    const remainingMs = Math.max(0, this.endsAt - readClock());
     this.timer = setTimeout(() => this.expire(), remainingMs);
   }
 
   private expire(): void {
-    const durationMs = performance.now() - this.call.receivedAt;
+    const durationMs = readClock() - this.call.receivedAt;
     const detail = `no answer within ${Math.round(durationMs)} ms`;
     this.refuse(this.mayHaveRun ? "timed_out" : "overloaded", detail);
   }
@@ -136,7 +137,7 @@
     const { call, context } = this;
     this.tried.add(upstream.id);
     this.relay.startAttempt();
-    const remainingMs = this.endsAt - performance.now();
+    const remainingMs = this.endsAt - readClock();
     if (remainingMs < LEAST_REMAINING_MS) return this.giveUp("no time left");
     this.watchForSilence(upstream);
     const prompt = context.placePrompt(call, upstream);
@@ -209,7 +210,7 @@
     this.attempt = undefined;
     this.budget.noteUnrun();
     if (answer.isOtherUpstream) this.context.noteMoved(upstream);
-    else upstream.fullUntil = performance.now() + FULL_FOR_MS;
+    else upstream.fullUntil = readClock() + FULL_FOR_MS;
     this.log.noteTrouble(upstream, `declined with ${status}`, this.progress);
     this.retryUnrun(`declined with ${status}`);
   }
@@ -333,7 +334,7 @@
     clearTimeout(this.timer);
     this.silence?.close();
     this.attempt?.abandon();
-    const durationMs = performance.now() - this.call.receivedAt;
+    const durationMs = readClock() - this.call.receivedAt;
     const attempts = this.tried.size;
     this.context.onEnd(this, { result, detail, durationMs, attempts });
   }
--- a/src/forward/silence_watch.ts
+++ b/src/forward/silence_watch.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { Route } from "../published/configuration_schema.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 
@@ -37,7 +38,7 @@
   private timer: NodeJS.Timeout | undefined;
   private armedForMs = 0;
   private isClosed = false;
-  private heardAt = performance.now();
+  private heardAt = readClock();
   private overdueTimer: NodeJS.Timeout | undefined;
 
   private constructor(
@@ -67,7 +68,7 @@
 
   /** Notes that bytes of the answer came. */
   noteBytes(): void {
-    this.heardAt = performance.now();
+    this.heardAt = readClock();
     clearTimeout(this.overdueTimer);
     this.arm((this.route.gapObjectiveMs ?? DEFAULT_GAP_MS) * STALL_PART);
   }
@@ -100,6 +101,6 @@
   private describe(): Silence {
     const isLikelyStuck = this.upstream.health.isSuspect ||
       this.upstream.heardAt <= this.heardAt;
-    return { silentMs: performance.now() - this.heardAt, isLikelyStuck };
+    return { silentMs: readClock() - this.heardAt, isLikelyStuck };
   }
 }
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
@@ -75,7 +76,7 @@
    * @param request The request.
    * @param response Where its answer is written. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    const receivedAt = performance.now();
+    const receivedAt = readClock();
     const headers = this.options.codec.readCaller(request.rawHeaders);
     const answer = CallerAnswer.create(response, this.options.isLeaving);
     this.reading += 1;
--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { Logger } from "../logging/logger.ts";
 import { AgeQuestions } from "../peers/age_questions.ts";
@@ -85,7 +86,7 @@
 
   /** The other hosts that are heard. */
   getLiveHosts(): KnownHost[] {
-    return this.gossip.hosts.getLive(performance.now());
+    return this.gossip.hosts.getLive(readClock());
   }
 
   /** Tells other hosts soon how this one is. */
@@ -132,7 +133,7 @@
       describeSelf: () => this.describeSelf(),
       takeFacts: () => prefixes.takeFacts(),
       hasFacts: () => prefixes.hasUntold,
-      onFacts: (facts) => prefixes.learn(facts, performance.now()),
+      onFacts: (facts) => prefixes.learn(facts, readClock()),
       onEntry: (entry, heardAt, askedAt) =>
         this.takeEntry(entry, heardAt, askedAt),
     });
@@ -142,7 +143,7 @@
     const { socket, options: { guard: { memory } } } = this;
     socket.handle(
       "crash_words",
-      ({ words }) => memory.learn(words, performance.now()),
+      ({ words }) => memory.learn(words, readClock()),
     );
     return CrashGossip.create({
       memory,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,5 @@
 import { CrashGuard } from "../crashes/crash_guard.ts";
+import { watchClock } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { describeFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
@@ -54,6 +55,10 @@
   private watch: PublicationWatch | undefined;
   private endpoints: GatewayEndpoints | undefined;
   private server: CallServer | undefined;
+  private readonly unwatchClock = watchClock((jumpMs) => {
+    const { ageMs } = this.keeper;
+    this.logger.warn({ jumpMs, ageMs: Math.round(ageMs) }, "time_jumped");
+  });
 
   private constructor(
     private settings: GatewaySettings,
@@ -121,6 +126,7 @@
 
   /** Stops at once. */
   async close(): Promise<void> {
+    this.unwatchClock();
     this.watch?.close();
     this.link?.close();
     this.server?.close();
--- a/src/gateway/planned_stop.ts
+++ b/src/gateway/planned_stop.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 
 /** Time from the start of a planned stop after which answers close their connections, in milliseconds: three lifetimes of
@@ -30,12 +31,12 @@
   /** Whether connections of callers are to be closed after their answer. */
   get closesConnections(): boolean {
     return this.startedAt !== undefined &&
-      performance.now() - this.startedAt > CLOSE_CONNECTIONS_AFTER_MS;
+      readClock() - this.startedAt > CLOSE_CONNECTIONS_AFTER_MS;
   }
 
   /** Starts the stop, where it has not started. */
   start(): void {
-    this.startedAt ??= performance.now();
+    this.startedAt ??= readClock();
   }
 
   /** Waits until callers use other hosts and no call is open, or until the time is used up.
@@ -45,11 +46,11 @@
     limitMs: number,
     countOpenCalls: () => number,
   ): Promise<void> {
-    const startedAt = this.startedAt ?? performance.now();
+    const startedAt = this.startedAt ?? readClock();
     const endsAt = startedAt + limitMs * STOP_PART;
     const lingersUntil = Math.min(startedAt + LINGER_MS, endsAt);
-    while (performance.now() < endsAt) {
-      const isLate = performance.now() >= lingersUntil;
+    while (readClock() < endsAt) {
+      const isLate = readClock() >= lingersUntil;
       if (isLate && countOpenCalls() === 0) break;
       await delay(STOP_CHECK_MS);
     }
--- a/src/gateway/prefix_exchange.ts
+++ b/src/gateway/prefix_exchange.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { ServerResponse } from "node:http";
 import type { Logger } from "../logging/logger.ts";
 import { answerPacked, PackedClient } from "../peers/packed_client.ts";
@@ -35,7 +36,7 @@
       response.writeHead(204).end();
       return;
     }
-    const facts = this.prefixes.getRecent(MAX_FACTS, performance.now());
+    const facts = this.prefixes.getRecent(MAX_FACTS, readClock());
     answerPacked(response, facts);
   }
 
@@ -46,7 +47,7 @@
       const answer = await this.client.ask(address, PREFIXES_PATH);
       if (answer === undefined) return false;
       const facts = prefixFactsSchema.parse(answer);
-      this.prefixes.learn(facts, performance.now());
+      this.prefixes.learn(facts, readClock());
       this.logger.info({ address, facts: facts.length }, "prefixes_learned");
       return true;
     } catch (error) {
--- a/src/gateway/prefix_recovery.ts
+++ b/src/gateway/prefix_recovery.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -62,10 +63,10 @@
 
   /** Waits until no further host is heard: one that believes itself alone would ask engines that others ask too. */
   private async waitForHosts(): Promise<readonly PeerEntry[]> {
-    const endsAt = performance.now() + MAX_WAIT_FOR_HOSTS_MS;
+    const endsAt = readClock() + MAX_WAIT_FOR_HOSTS_MS;
     await delay(WAIT_FOR_HOSTS_MS);
     let hosts = this.options.getHosts();
-    while (performance.now() < endsAt) {
+    while (readClock() < endsAt) {
       await delay(HOSTS_STEADY_MS);
       const later = this.options.getHosts();
       if (later.length === hosts.length) return later;
@@ -98,7 +99,7 @@
         name: PrefixIndex.nameOf(id),
         tokens: 0,
       }));
-      prefixes.noteSent(sent, engine.shortName, true, performance.now());
+      prefixes.noteSent(sent, engine.shortName, true, readClock());
       logger.info(
         { upstream: engine.id, parts: parts.length },
         "prefixes_recovered",
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { ServerResponse } from "node:http";
 import { z } from "zod";
 import type { Logger } from "../logging/logger.ts";
@@ -83,7 +84,7 @@
     if (this.isAsking) return;
     this.isAsking = true;
     try {
-      await this.take(peerId, address, performance.now());
+      await this.take(peerId, address, readClock());
     } catch (error) {
       this.logger.info(
         { peer: peerId, reason: (error as Error).message },
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { KnownHost } from "../peers/host_table.ts";
 import { FeedWatcher } from "../published/feed_watcher.ts";
@@ -36,8 +37,8 @@
 /** A host's part in watching the platform: whether it is one of the hosts that watch. */
 export class PublicationWatch {
   private readonly watcher: FeedWatcher;
-  private readonly startedAt = performance.now();
-  private orderedAt = performance.now();
+  private readonly startedAt = readClock();
+  private orderedAt = readClock();
   private lastOrder: WatchOrder;
 
   private constructor(private readonly options: PublicationWatchOptions) {
@@ -73,7 +74,7 @@
   }
 
   private get order(): WatchOrder {
-    const now = performance.now();
+    const now = readClock();
     if (now - this.orderedAt > ORDER_USED_FOR_MS) {
       this.orderedAt = now;
       this.lastOrder = this.buildOrder();
@@ -83,7 +84,7 @@
 
   private isNeeded(): boolean {
     const { ageMs } = this.options.keeper;
-    const isStarting = performance.now() - this.startedAt < STARTING_MS;
+    const isStarting = readClock() - this.startedAt < STARTING_MS;
     const hearsOthers = this.options.getLiveHosts().length > 0;
     if (isStarting && hearsOthers && ageMs < STARTING_MS) return false;
     return this.order.isNeeded(ageMs);
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamAccess } from "../forward/call_run_context.ts";
 import type { PromptPlace } from "../forward/call_log.ts";
@@ -85,7 +86,7 @@
   /** Counts a call that is sent for the first time, from which its service's retries grow.
    * @param service Name of the service. */
   noteFirstSend(service: string): void {
-    this.getRetryShare(service).noteRequest(performance.now());
+    this.getRetryShare(service).noteRequest(readClock());
   }
 
   /** Begins the counts of retries anew, for the settings they follow have changed. */
@@ -118,7 +119,7 @@
       loads: this.loads,
       hall,
       random: this.random,
-      now: performance.now(),
+      now: readClock(),
     });
   }
 
@@ -133,7 +134,7 @@
     const { sharedParts, service } = call;
     const deepest = sharedParts.at(-1);
     if (!deepest) return undefined;
-    const now = performance.now();
+    const now = readClock();
     const kept = sharedParts.filter(({ name }) =>
       this.prefixes.isKept(name, target.shortName, now)
     );
@@ -167,7 +168,7 @@
    * @param sign What the attempt says of its health. */
   private noteHealth(upstream: Upstream, sign: HealthSign): void {
     this.options.onSign(sign);
-    const ejectedMs = upstream.health.note(sign, performance.now());
+    const ejectedMs = upstream.health.note(sign, readClock());
     if (ejectedMs === 0) return;
     this.options.logger.warn(
       { upstream: upstream.id, sign, ejectedMs },
@@ -178,7 +179,7 @@
   /** Takes a retry of a service; returns whether there was one left.
    * @param service Name of the service. */
   private spendRetry(service: string): boolean {
-    return this.getRetryShare(service).spend(performance.now());
+    return this.getRetryShare(service).spend(readClock());
   }
 
   /** Upstreams of a service that may get a request, but for those on which this host has used its share of their
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { Actor, type ActorSystem } from "../actors/actor.ts";
 import type { PauseGuard } from "../clock/pause_guard.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -166,7 +167,7 @@
   }
 
   private receive(message: ProbeMessage, from: DatagramAddress): void {
-    const now = performance.now();
+    const now = readClock();
     this.table.markHeard({
       id: message.from,
       incarnation: message.incarnation,
@@ -219,7 +220,7 @@
     if (list.version <= this.hostList.version) return;
     this.hostList = list;
     const routers = list.hosts.filter((host) => host.role === "router");
-    this.table.applyList(routers.map((host) => host.id), performance.now());
+    this.table.applyList(routers.map((host) => host.id), readClock());
     this.peerAddresses = new Map(
       routers.map((
         host,
@@ -231,7 +232,7 @@
 
   private probe(): void {
     this.options.guard.isFresh();
-    this.table.expireSuspicions(performance.now());
+    this.table.expireSuspicions(readClock());
     if (this.table.getMembers().every((member) => member.status !== "alive")) {
       this.options.guard.markHeard();
     }
@@ -268,7 +269,7 @@
 
   private suspect(id: string): void {
     if (!this.options.guard.isFresh()) return;
-    this.table.markSilent(id, performance.now());
+    this.table.markSilent(id, readClock());
     this.publish();
   }
 
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { Actor, type ActorSystem } from "../actors/actor.ts";
 import type { AuditTrail } from "../audit/audit_trail.ts";
 import type { PauseGuard } from "../clock/pause_guard.ts";
@@ -166,7 +167,7 @@
     const job = Job.create(
       port,
       frame,
-      performance.now(),
+      readClock(),
       this.options.settings.limits.streamWindowBytes,
     );
     const upstream = this.registry.getUpstream(frame.upstreamId);
@@ -204,7 +205,7 @@
   }
 
   private begin(upstream: OwnedUpstream, job: Job): void {
-    upstream.add(job, performance.now());
+    upstream.add(job, readClock());
     this.noteGrowth();
     if (job.offer.repeatable) return this.run(upstream, job);
     job.state = "claiming";
@@ -266,7 +267,7 @@
   private finish(upstream: OwnedUpstream, job: Job): void {
     if (job.state === "over") return;
     job.state = "over";
-    upstream.delete(job, performance.now());
+    upstream.delete(job, readClock());
     this.jobs.delete(job);
     this.pump(upstream);
   }
@@ -280,7 +281,7 @@
         ? upstream.queue.take(this.registry.getCap(upstream))
         : undefined;
       if (!job) return;
-      if (performance.now() < job.deadlineAt) this.begin(upstream, job);
+      if (readClock() < job.deadlineAt) this.begin(upstream, job);
       else this.decline(upstream, job, "deadline");
     }
   }
@@ -302,7 +303,7 @@
   }
 
   private sweep(): void {
-    const now = performance.now();
+    const now = readClock();
     this.registry.refresh();
     for (const upstream of this.registry.getAll()) {
       for (const job of [...upstream.queue.items]) {
@@ -317,7 +318,7 @@
     upstream: OwnedUpstream,
     report: UpstreamReport | undefined,
   ): void {
-    upstream.takeReport(report, performance.now());
+    upstream.takeReport(report, readClock());
     this.pump(upstream);
   }
 
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { AuditTrail } from "../audit/audit_trail.ts";
 import { hashText } from "../hashing/hasher.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
@@ -96,7 +97,7 @@
 
   /** Notes that this process was paused; each upstream takes work again once it has reported. */
   notePause(): void {
-    const now = performance.now();
+    const now = readClock();
     for (const upstream of this.upstreams.values()) upstream.notePause(now);
     this.readReports();
   }
@@ -138,7 +139,7 @@
 
   private getBound(upstream: OwnedUpstream): LoadBoundStructure {
     const { boundMultiple, minimumCap } = this.options.settings.routing;
-    const now = performance.now();
+    const now = readClock();
     this.options.loads.record(this.getLoads(), now);
     const pool = this.options.getPlacement().getPool(upstream.host);
     const mean = this.options.loads.getMean(pool, now);
@@ -184,7 +185,7 @@
     const wasOwned = upstream.isOwned;
     upstream.isOwned = this.isOwner(upstream.host);
     if (wasOwned) return;
-    const now = performance.now();
+    const now = readClock();
     const told = this.options.loads.getLoad(
       upstream.host.id,
       now,
--- a/src/peers/age_questions.ts
+++ b/src/peers/age_questions.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { DatagramSocket } from "./datagram_socket.ts";
 import { HOST_PHASES, type PeerEntry } from "./gossip_schema.ts";
 import type { HostTable } from "./host_table.ts";
@@ -42,12 +43,12 @@
   private constructor(private readonly options: AgeQuestionsOptions) {
     const { socket, hosts } = options;
     socket.handle("age_question", ({ askedAt, phase, unknown }, sender) => {
-      hosts.noteHeard(sender, phase, performance.now());
+      hosts.noteHeard(sender, phase, readClock());
       this.answer(sender, askedAt);
       if (unknown.length > 0) options.tellEntries(sender, unknown);
     });
     socket.handle("age_answer", (answer, sender) => {
-      if (answer.askedAt > performance.now()) return;
+      if (answer.askedAt > readClock()) return;
       this.unknown = hosts.takeSightings(answer.hosts, answer.askedAt);
       options.onWord(sender, answer.word, answer.askedAt);
     });
@@ -70,7 +71,7 @@
     if (sources.length === 0) return;
     this.asked += 1;
     const source = sources[this.asked % sources.length]!;
-    const askedAt = performance.now();
+    const askedAt = readClock();
     const phase = HOST_PHASES.indexOf(this.options.getPhase());
     const unknown = this.unknown.slice(0, MAX_UNKNOWN);
     this.options.socket.send(source, {
@@ -87,7 +88,7 @@
       type: "age_answer",
       askedAt,
       word: getWord(),
-      hosts: hosts.getSightings(MAX_SIGHTINGS, performance.now()),
+      hosts: hosts.getSightings(MAX_SIGHTINGS, readClock()),
     });
   }
 }
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
 import { Random } from "../random/random.ts";
 import type { PrefixFact } from "../upstreams/prefix_index.ts";
@@ -109,7 +110,7 @@
   }
 
   private runRound(): void {
-    const now = performance.now();
+    const now = readClock();
     this.round += 1;
     this.sequence += 1;
     this.hosts.forget(now);
@@ -120,7 +121,7 @@
   }
 
   private tellChosen(): void {
-    const now = performance.now();
+    const now = readClock();
     const sender = this.describeSelf();
     const facts = this.isLarge ? [] : this.options.takeFacts();
     for (const address of this.chooseTargets(now)) {
@@ -164,7 +165,7 @@
     facts: readonly PrefixFact[],
     others: readonly KnownHost[],
   ): void {
-    const now = performance.now();
+    const now = readClock();
     const message: GossipMessage = {
       sender,
       sentAt: now,
@@ -201,7 +202,7 @@
   }
 
   private receive(message: GossipMessage): void {
-    const now = performance.now();
+    const now = readClock();
     const { sender, sentAt, echo, facts, others } = message;
     if (facts.length > 0) this.options.onFacts(facts);
     if (this.hosts.hear(sender, sentAt, now)) {
--- a/src/peers/prefix_directory.ts
+++ b/src/peers/prefix_directory.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { HostRing } from "../hashing/host_ring.ts";
 import type { PrefixFact, PrefixIndex } from "../upstreams/prefix_index.ts";
 import type { DatagramSocket } from "./datagram_socket.ts";
@@ -45,16 +46,16 @@
     const { socket, prefixes } = options;
     socket.handle(
       "prefix_facts",
-      ({ facts }) => prefixes.learn(facts, performance.now()),
+      ({ facts }) => prefixes.learn(facts, readClock()),
     );
     socket.handle("prefix_question", ({ number, part }, sender) => {
-      const sightings = prefixes.getSightings(part, performance.now());
+      const sightings = prefixes.getSightings(part, readClock());
       socket.send(sender, { type: "prefix_answer", number, sightings });
     });
     socket.handle("prefix_answer", ({ number, sightings }) => {
       const question = this.waiting.get(number);
       if (!question) return;
-      prefixes.recall(question.part, sightings, performance.now());
+      prefixes.recall(question.part, sightings, readClock());
       question.answersLeft -= 1;
       const isDone = sightings.length > 0 || question.answersLeft === 0;
       if (isDone) question.resolve();
@@ -84,7 +85,7 @@
    * late. Nothing is returned where nobody is asked.
    * @param part Short name of the part. */
   learn(part: number): Promise<void> | undefined {
-    if (this.options.prefixes.isKeptAnywhere(part, performance.now())) {
+    if (this.options.prefixes.isKeptAnywhere(part, readClock())) {
       return undefined;
     }
     const keepers = this.getKeepers(part);
@@ -132,7 +133,7 @@
   /** Gossip addresses of the hosts that keep the facts of a part, but for this one. */
   private getKeepers(part: number): string[] {
     const { ownAddress, getHosts } = this.options;
-    const now = performance.now();
+    const now = readClock();
     if (now - this.ringBuiltAt > RING_USED_FOR_MS) {
       this.ring = HostRing.create([...getHosts(), ownAddress]);
       this.ringBuiltAt = now;
--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "../logging/logger.ts";
 import { PollLoop, type PollTurn } from "../polling/poll_loop.ts";
@@ -27,7 +28,7 @@
   private readonly loop: PollLoop;
   private revision: number | undefined;
   private failedSince: number | undefined;
-  private answeredAt = performance.now();
+  private answeredAt = readClock();
 
   private constructor(private readonly options: FeedWatcherOptions) {
     this.loop = PollLoop.create({
@@ -57,7 +58,7 @@
   }
 
   private async step(): Promise<void> {
-    const askedAt = performance.now();
+    const askedAt = readClock();
     if (this.revision === undefined) {
       const snapshot = await this.options.feed.readSnapshot();
       this.options.keeper.takeSnapshot(snapshot, askedAt);
@@ -70,7 +71,7 @@
     const isEmpty = changes.upstreams.length === 0 &&
       changes.configuration === undefined;
     // An empty answer was held for the whole wait, so there was no change up to the wait's end.
-    const heldUntil = Math.min(performance.now(), askedAt + watchMs);
+    const heldUntil = Math.min(readClock(), askedAt + watchMs);
     keeper.takeChanges(changes, isEmpty ? heldUntil : askedAt);
     this.logProblems(changes.problems);
     this.revision = changes.revision;
@@ -84,7 +85,7 @@
   }
 
   private noteSuccess(): void {
-    const now = performance.now();
+    const now = readClock();
     if (this.failedSince !== undefined) {
       const outageMs = Math.round(now - this.answeredAt);
       this.options.logger.info({ outageMs }, "platform_regained");
@@ -103,7 +104,7 @@
       return;
     }
     if (this.failedSince !== undefined) return;
-    this.failedSince = performance.now();
+    this.failedSince = readClock();
     this.options.logger.warn(
       { reason: String(error), ageMs: Math.round(this.options.keeper.ageMs) },
       "platform_lost",
--- a/src/published/publication_keeper.ts
+++ b/src/published/publication_keeper.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { PublishedConfiguration } from "./configuration_schema.ts";
 import { Freshness } from "./freshness.ts";
@@ -73,7 +74,7 @@
 
   /** Age in milliseconds of what is known: nothing published before that is missing here. */
   get ageMs(): number {
-    return this.freshness.getAge(performance.now());
+    return this.freshness.getAge(readClock());
   }
 
   /** Monotonic milliseconds up to which a missing entry may only have lapsed while the platform was away. */
@@ -98,7 +99,7 @@
   takeSnapshot(snapshot: PublicationSnapshot, askedAt: number): void {
     const { revision, configuration, upstreams } = snapshot;
     this.noteRegained(askedAt);
-    const now = performance.now();
+    const now = readClock();
     this.apply(
       this.publication.mergeSnapshot(revision, configuration, upstreams, now),
       "snapshot",
@@ -114,7 +115,7 @@
     const { configuration, upstreams } = changes;
     this.noteRegained(knownUpTo);
     this.apply(
-      this.publication.merge(configuration, upstreams, performance.now()),
+      this.publication.merge(configuration, upstreams, readClock()),
       "watch",
     );
     this.publication.noteComplete(changes.revision);
@@ -131,7 +132,7 @@
       this.publication.merge(
         state.configuration,
         state.changes,
-        performance.now(),
+        readClock(),
       ),
       `peer ${peerId}`,
     );
@@ -152,9 +153,9 @@
    * @param moment Monotonic milliseconds up to which everything is known now. */
   private noteRegained(moment: number): void {
     const { ageMs } = this;
-    const isNew = performance.now() - moment < OUTAGE_AGE_MS;
+    const isNew = readClock() - moment < OUTAGE_AGE_MS;
     if (!isNew || ageMs < OUTAGE_AGE_MS || !Number.isFinite(ageMs)) return;
-    this.regainedAt = performance.now();
+    this.regainedAt = readClock();
     this.options.logger.info(
       { ageMs: Math.round(ageMs) },
       "publication_regained",
--- a/src/router/host_list_pull.ts
+++ b/src/router/host_list_pull.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { HostList } from "../configuration_service/host_schema.ts";
 import type { PeerDirectory } from "../peer/peer_directory.ts";
 
@@ -32,7 +33,7 @@
    * @param peerId The peer.
    * @param version Version of its list. */
   notice(peerId: string, version: number): void {
-    const now = performance.now();
+    const now = readClock();
     this.newerSince ??= now;
     if (this.isPulling || now - this.newerSince < PATIENCE_MS) return;
     this.newerSince = undefined;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import {
   type ActorSystem,
@@ -130,7 +131,7 @@
   /** Stops as planned: leaves the answers to callers, serves on for their lifetime, finishes what is under way. */
   async drain(): Promise<void> {
     if (this.phase === "draining" || this.phase === "closing") return;
-    const endsAt = performance.now() + this.settings.drain.limitMs;
+    const endsAt = readClock() + this.settings.drain.limitMs;
     this.phase = "draining";
     this.logger.info(
       { openRequests: this.callers?.openRequests },
@@ -142,7 +143,7 @@
     this.callers?.startDraining();
     this.callers?.stopListening();
     this.owner.stopAccepting();
-    while (this.isBusy && performance.now() < endsAt) {
+    while (this.isBusy && readClock() < endsAt) {
       await delay(CHECK_INTERVAL_MS);
     }
     await this.witness.drain();
@@ -209,7 +210,7 @@
       getLoads: () => this.owner.getLoads(),
       onPeerConfiguration: (id, digest, revision) =>
         this.configuration.noticePeer(id, digest, revision),
-      onPeerLoads: (loads) => this.loads.record(loads, performance.now()),
+      onPeerLoads: (loads) => this.loads.record(loads, readClock()),
       onNewerHosts: (id, version) => this.hostListPull.notice(id, version),
       onView: (view) => this.takeView(view),
     });
--- a/src/router/router_crashes.ts
+++ b/src/router/router_crashes.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { CrashGossip } from "../crashes/crash_gossip.ts";
 import { CrashGuard } from "../crashes/crash_guard.ts";
 import type { CrashWord } from "../crashes/crash_word.ts";
@@ -47,7 +48,7 @@
   /** Takes over what another router tells.
    * @param words What it tells. */
   learn(words: readonly CrashWord[]): void {
-    this.guard.memory.learn(words, performance.now());
+    this.guard.memory.learn(words, readClock());
   }
 
   /** Takes a new view: upstreams that are gone from the list have ended.
--- a/src/upstreams/load_counts.ts
+++ b/src/upstreams/load_counts.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { Upstream } from "./upstream.ts";
 
 /** Age up to which an upstream's own word of its load is used, in milliseconds. */
@@ -47,7 +48,7 @@
   /** Requests on an upstream from all hosts: as hosts told, or where that is more as it told itself just now.
    * @param upstream The upstream. */
   getTotal(upstream: Upstream): number {
-    const now = performance.now();
+    const now = readClock();
     if (now >= this.summedUntil) this.sumUp(now);
     const foreign = this.foreign.get(upstream.shortName) ?? 0;
     const told = upstream.ownRequests + foreign;
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamChange } from "../published/publication_feed.ts";
 import { Upstream } from "./upstream.ts";
@@ -56,7 +57,7 @@
    * lately that they still answer other upstreams.
    * @param service Name of the service. */
   getPresent(service: string): readonly Upstream[] {
-    const now = performance.now();
+    const now = readClock();
     for (const [upstream, goneAt] of this.departed) {
       if (now - goneAt > DEPARTED_KEPT_MS) this.departed.delete(upstream);
     }
@@ -96,7 +97,7 @@
   private mayServe(upstream: Upstream): boolean {
     if (upstream.published.isLeaving) return false;
     if (upstream.usedUntil === undefined) return true;
-    return performance.now() < upstream.usedUntil;
+    return readClock() < upstream.usedUntil;
   }
 
   private put(fresh: Upstream): void {
@@ -128,7 +129,7 @@
   private remove(id: string): void {
     const known = this.byId.get(id);
     if (!known) return;
-    const now = performance.now();
+    const now = readClock();
     const longest = now + this.options.leaveWithinMs * LAPSE_GRACE_PART;
     const usedUntil = Math.min(longest, this.options.getLapseEndsAt());
     if (usedUntil <= now) return this.depart(known);
@@ -141,7 +142,7 @@
 
   /** Takes an upstream out that is gone from the list, and remembers it a little. */
   private depart(upstream: Upstream): void {
-    this.departed.set(upstream, performance.now());
+    this.departed.set(upstream, readClock());
     this.drop(upstream);
   }
 
