--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -186,6 +186,35 @@
   fleet.faults.end(window);
 }
 
+/** A worker crashes and starts again at once under its id and address; nobody but its entry tells. */
+async function restartWorker(fleet: SoakFleet, random: Random): Promise<void> {
+  const worker = random.pick(fleet.workers);
+  if (!mayGo(fleet, worker)) return;
+  const window = fleet.faults.begin("restart", [worker.id]);
+  fleet.forgetWorker(worker);
+  await worker.crash();
+  await delay(random.integer(0, 800));
+  await fleet.addWorker(worker.service, worker.proxy, worker.id);
+  await delay(AFTERMATH_MS);
+  fleet.faults.end(window);
+}
+
+/** Another writer spoils the entry of a worker, which works on, and it writes its own again after a while. */
+async function spoilEntry(fleet: SoakFleet, random: Random): Promise<void> {
+  const worker = random.pick(fleet.workers);
+  if (!mayGo(fleet, worker)) return;
+  fleet.forgetWorker(worker);
+  const { sequence: _, ...unsound } = worker.describe("ready");
+  const texts = ["\u0000", "{", JSON.stringify(unsound), "null"];
+  fleet.store.putText(`servers/${worker.id}`, random.pick(texts));
+  fleet.leavings.push({ worker: worker.id, at: performance.now() });
+  await delay(BOUNDS.leaveWithinMs + random.integer(500, 2_500));
+  const again = await fleet.addWorker(worker.service, worker.proxy);
+  fleet.faults.end(fleet.faults.begin("taken over", [worker.id, again.id]));
+  fleet.store.remove(`servers/${worker.id}`);
+  await worker.crash();
+}
+
 async function changeConfiguration(
   fleet: SoakFleet,
   random: Random,
@@ -219,4 +248,6 @@
   replaceWorker,
   changeConfiguration,
   sendCrashingRequest,
+  restartWorker,
+  spoilEntry,
 };
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -108,11 +108,16 @@
 
   /** Starts a worker and publishes it.
    * @param service Service it belongs to.
-   * @param proxy Proxy of a worker that is gone, whose address this one takes over. */
-  async addWorker(service: string, proxy?: FaultProxy): Promise<SoakWorker> {
+   * @param proxy Proxy of a worker that is gone, whose address this one takes over.
+   * @param id Id of a worker that starts again; a new one by default. */
+  async addWorker(
+    service: string,
+    proxy?: FaultProxy,
+    id?: string,
+  ): Promise<SoakWorker> {
     this.workerCount += 1;
     const worker = await SoakWorker.create(
-      `w-${this.workerCount}`,
+      id ?? `w-${this.workerCount}`,
       service,
       this.runs,
       this.random.fork(),
