--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -1,6 +1,5 @@
 import { readClock } from "../clock/clock.ts";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
-import { toCheckedUpstream } from "../crashes/to_checked_upstream.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { LoadBook } from "../owner/load_book.ts";
@@ -11,6 +10,7 @@
 import type { Settings } from "../settings/settings_schema.ts";
 import type { AnswerSink } from "./answer_sink.ts";
 import { Attempt, type AttemptOutcome } from "./attempt.ts";
+import { noteAttempt } from "./note_attempt.ts";
 import {
   buildOffer,
   createProgress,
@@ -143,7 +143,12 @@
         ownerId,
         mayQueue,
       );
-      this.noteCrashes(progress, upstreamId, outcome, eventsBefore);
+      noteAttempt(this.options.crashGuard, {
+        fingerprint: progress.fingerprint,
+        upstream: this.options.getView().getUpstream(upstreamId),
+        outcome,
+        isAnsweredInPart: progress.events > eventsBefore,
+      });
       if (outcome.type === "declined") declines.push(outcome.reason);
       if (outcome.type === "declined" && outcome.owner !== "") {
         progress.namedOwners.set(upstreamId, outcome.owner);
@@ -158,26 +163,6 @@
     return undefined;
   }
 
-  /** Tells the guard of an attempt that the upstream ended, or ran to its end. */
-  private noteCrashes(
-    { fingerprint, events }: Progress,
-    upstreamId: string,
-    outcome: AttemptOutcome,
-    eventsBefore: number,
-  ): void {
-    const { crashGuard, getView } = this.options;
-    if (outcome.type === "done") crashGuard.noteServed(fingerprint);
-    const isBroken = outcome.type === "failed" && outcome.ran === "unknown";
-    const host = isBroken ? getView().getUpstream(upstreamId) : undefined;
-    if (!host) return;
-    const isAnsweredInPart = events > eventsBefore;
-    crashGuard.noteBroken(
-      toCheckedUpstream(host),
-      fingerprint,
-      isAnsweredInPart,
-    );
-  }
-
   /** The owner that another router named, or else the first in this router's own view that is not silent. */
   private chooseOwner(
     upstreamId: string,
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -12,9 +12,11 @@
 } from "./attempt.ts";
 import { AttemptBudget } from "./attempt_budget.ts";
 import { type AttemptProgress, CallLog } from "./call_log.ts";
+import { CallDeadline } from "./call_deadline.ts";
 import type { CallOutcome, CallRunContext } from "./call_run_context.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { AnswerHeaders } from "./caller_headers.ts";
+import { buildAttemptRequest } from "./build_attempt_request.ts";
 import { type Silence, SilenceWatch } from "./silence_watch.ts";
 import type { RoutedCall } from "./routed_call.ts";
 
@@ -35,9 +37,8 @@
   private readonly log: CallLog;
   private attempt: Attempt | undefined;
   private isOver = false;
-  private timer: NodeJS.Timeout | undefined;
   private silence: SilenceWatch | undefined;
-  private timeoutMs: number;
+  private readonly deadline: CallDeadline;
 
   private constructor(
     /** The request. */
@@ -45,7 +46,7 @@
     private readonly answer: CallerAnswer,
     private readonly context: CallRunContext,
   ) {
-    this.timeoutMs = call.route.timeoutMs;
+    this.deadline = CallDeadline.create(call, () => this.expire());
     this.budget = AttemptBudget.create(call, context.spendRetry);
     this.log = CallLog.create(context.logger, call);
     this.relay = AnswerRelay.create(answer, call.headers.lastEventId);
@@ -61,7 +62,6 @@
     context: CallRunContext,
   ): CallRun {
     const run = new CallRun(call, answer, context);
-    run.armTimer();
     run.next("first");
     return run;
   }
@@ -69,9 +69,7 @@
   /** Takes over a changed route; a shorter time-out holds for requests under way.
    * @param route The route as it is now; undefined where it is gone. */
   applyRoute(route: Route | undefined): void {
-    if (this.isOver || !route || route.timeoutMs === this.timeoutMs) return;
-    this.timeoutMs = route.timeoutMs;
-    this.armTimer();
+    if (!this.isOver && route) this.deadline.change(route.timeoutMs);
   }
 
   /** Ends the run where nothing was answered yet, for the request is held back: it is on its way to crash one more. */
@@ -94,17 +92,6 @@
     this.finish("caller_gone", "the caller closed its connection");
   }
 
-  private get endsAt(): number {
-    const { receivedAt, callerEndsAt } = this.call;
-    return Math.min(callerEndsAt, receivedAt + this.timeoutMs);
-  }
-
-  private armTimer(): void {
-    clearTimeout(this.timer);
-    const remainingMs = Math.max(0, this.endsAt - readClock());
-    this.timer = setTimeout(() => this.expire(), remainingMs);
-  }
-
   private expire(): void {
     const durationMs = readClock() - this.call.receivedAt;
     const detail = `no answer within ${Math.round(durationMs)} ms`;
@@ -137,16 +124,21 @@
     const { call, context } = this;
     this.tried.add(upstream.id);
     this.relay.startAttempt();
-    const remainingMs = this.endsAt - readClock();
+    const { remainingMs } = this.deadline;
     if (remainingMs < LEAST_REMAINING_MS) return this.giveUp("no time left");
     this.watchForSilence(upstream);
     const prompt = context.placePrompt(call, upstream);
     const load = context.getLoad(upstream);
     this.log.noteSent({ upstream, reason, remainingMs, load, prompt });
-    this.send(
-      upstream,
-      this.buildRequest(upstream, remainingMs, prompt?.fetchFrom),
-    );
+    const { lastEventId } = this.relay;
+    const fetchFrom = prompt?.fetchFrom;
+    const own = {
+      upstreamId: upstream.id,
+      remainingMs,
+      lastEventId,
+      fetchFrom,
+    };
+    this.send(upstream, buildAttemptRequest(call, own, context.codec));
   }
 
   private watchForSilence(upstream: Upstream): void {
@@ -170,24 +162,6 @@
     });
   }
 
-  private buildRequest(
-    upstream: Upstream,
-    remainingMs: number,
-    fetchFrom: string | undefined,
-  ): AttemptRequest {
-    const { call, context } = this;
-    const headers = context.codec.writeUpstream(call.headers, {
-      upstreamId: upstream.id,
-      remainingMs,
-      customer: call.customer,
-      urgency: call.headers.prompt ? call.urgency : undefined,
-      lastEventId: this.relay.lastEventId,
-      fetchFrom,
-    });
-    const { method, path, body, requestId } = call;
-    return { method, path, body, requestId, headers };
-  }
-
   private takeHead(status: number, answer: AnswerHeaders): void {
     const upstream = this.attempt!.upstream;
     if (answer.isNotRun) return this.takeDecline(upstream, answer, status);
@@ -331,7 +305,7 @@
   private finish(result: CallOutcome["result"], detail: string): void {
     if (this.isOver) return;
     this.isOver = true;
-    clearTimeout(this.timer);
+    this.deadline.close();
     this.silence?.close();
     this.attempt?.abandon();
     const durationMs = readClock() - this.call.receivedAt;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,7 +15,7 @@
 import { FleetLink } from "./fleet_link.ts";
 import { GatewayEndpoints } from "./gateway_endpoints.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
-import type { GatewaySettings } from "./gateway_settings.ts";
+import { type GatewaySettings, pickFixed } from "./gateway_settings.ts";
 import { PlannedStop } from "./planned_stop.ts";
 import { PrefixExchange } from "./prefix_exchange.ts";
 import { PrefixRecovery } from "./prefix_recovery.ts";
@@ -286,21 +286,3 @@
     return this.link?.getLiveHosts() ?? [];
   }
 }
-
-/** What a process keeps until its next start: its name, and where it listens. */
-const FIXED_FIELDS = [
-  "id",
-  "callerAddress",
-  "readinessAddress",
-  "locateAddress",
-  "peerAddress",
-  "gossipAddress",
-  "metricsAddress",
-  "platformAddress",
-] as const satisfies readonly (keyof GatewaySettings)[];
-
-function pickFixed(settings: GatewaySettings): Partial<GatewaySettings> {
-  return Object.fromEntries(
-    FIXED_FIELDS.map((field) => [field, settings[field]]),
-  );
-}
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -44,3 +44,25 @@
 
 /** Settings of a gateway. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
+
+/** What a process keeps until its next start: its name, and where it listens. */
+const FIXED_FIELDS = [
+  "id",
+  "callerAddress",
+  "readinessAddress",
+  "locateAddress",
+  "peerAddress",
+  "gossipAddress",
+  "metricsAddress",
+  "platformAddress",
+] as const satisfies readonly (keyof GatewaySettings)[];
+
+/** What of the settings holds until the next start.
+ * @param settings The settings. */
+export function pickFixed(
+  settings: GatewaySettings,
+): Partial<GatewaySettings> {
+  return Object.fromEntries(
+    FIXED_FIELDS.map((field) => [field, settings[field]]),
+  );
+}
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -22,7 +22,6 @@
 import { FleetSecret } from "../peer/fleet_secret.ts";
 import { PeerDirectory } from "../peer/peer_directory.ts";
 import { PeerServer } from "../peer/peer_server.ts";
-import { controlTraffic } from "../peer/socket_port.ts";
 import { PlacementTable } from "../placement/placement_table.ts";
 import type { HostList } from "../configuration_service/host_schema.ts";
 import type { Settings } from "../settings/settings_schema.ts";
@@ -30,9 +29,9 @@
 import { attachPort } from "./frame_handlers.ts";
 import { HostListPull } from "./host_list_pull.ts";
 import { PlatformWatch } from "./platform_watch.ts";
+import { describeRouter } from "./describe_router.ts";
 import type { RouterStatus } from "./router_status.ts";
 import { RouterCrashes } from "./router_crashes.ts";
-import { readProcess } from "./read_process.ts";
 import { VERSION } from "./version.ts";
 
 /** Room in a frame beside the largest body. */
@@ -303,30 +302,18 @@
   }
 
   private describe(): RouterStatus {
-    const traffic = getOrThrow(this.membership, "membership").traffic;
-    return {
+    return describeRouter({
       id: this.settings.id,
-      version: VERSION,
       phase: this.phase,
       configuration: {
         ...this.getConfigurationDigest(),
         customers: this.configuration.customers.size,
       },
-      hostListVersion: this.view.version,
-      routers: this.view.routers.map(({ host, heard, unavailable }) => ({
-        id: host.id,
-        heard,
-        unavailable,
-      })),
+      view: this.view,
       upstreams: this.owner.describe(),
       openRequests: this.callers?.openRequests ?? 0,
       witness: this.witness.describe(),
-      control: {
-        probeBytes: traffic.bytes,
-        probeMessages: traffic.messages,
-        ...controlTraffic,
-      },
-      process: readProcess(),
-    };
+      probes: getOrThrow(this.membership, "membership").traffic,
+    });
   }
 }
