A resend after a connection that was refused takes nothing from the retry budget

Cause: with many engines gone and not yet known so, each request that met a refused connection drew on the fleet's budget of repeats, though nothing had arrived anywhere; when this host's share was used up the next were refused as overloaded while sound engines stood idle.

--- a/src/forward/attempt_budget.ts
+++ b/src/forward/attempt_budget.ts
@@ -50,6 +50,12 @@
     return this.allowsRun() && this.spendRetry();
   }
 
+  /** Takes another attempt after one that reached no upstream; returns whether there may be one. The next is the first to
+   * arrive, so that the service's budget, which is of arrivals beyond the first, isn't touched. */
+  spendAfterUnsent(): boolean {
+    return this.unrunAttempts < MAX_UNRUN_ATTEMPTS;
+  }
+
   /** Takes another attempt after one that certainly did not run; returns whether there may be one. */
   spendAfterUnrun(): boolean {
     return this.unrunAttempts < MAX_UNRUN_ATTEMPTS && this.spendRetry();
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -258,7 +258,8 @@
     if (failure === "not_sent") {
       this.budget.noteUnrun();
       this.context.noteHealth(upstream, "unreachable");
-      return this.retryUnrun(detail);
+      if (this.budget.spendAfterUnsent()) return this.next(detail);
+      return this.giveUp(detail);
     }
     this.context.noteHealth(upstream, "broken");
     this.context.crashes.noteBroken(
