Hosts hear of an upstream that crashed, and leave it out at once

Cause: each host learned of a crash by its own broken or refused connection, a request each, and tried the address again after one second although its entry stays for more than three. Now the word that blames requests also names the crashed start; a host that hears it checks the address by a connection of its own, for the teller may only be cut off, and leaves the start out for 3 s, as does the host that saw the crash.

--- a/src/crashes/crash_detector.ts
+++ b/src/crashes/crash_detector.ts
@@ -63,7 +63,7 @@
     const known = this.suspicions.get(upstream.shortName);
     if (known?.hasCrashed) return this.options.onCrash(upstream, [suspect]);
     if (known) known.suspects.push(suspect);
-    else this.start(upstream, suspect);
+    else this.start(upstream, [suspect]);
   }
 
   /** Points that would count against a request if the breaks that are not yet understood were crashes; several tries of it
@@ -75,6 +75,14 @@
       .reduce((sum, points) => sum + points, 0);
   }
 
+  /** Takes another host's word that an upstream has crashed; believed where nothing listens there, for that host may only be
+   * cut off from it.
+   * @param upstream The upstream. */
+  noteRumour(upstream: CheckedUpstream): void {
+    if (upstream.isEndExpected) return;
+    if (!this.suspicions.has(upstream.shortName)) this.start(upstream, []);
+  }
+
   /** Takes word that a start of an upstream has ended.
    * @param upstream Short name of the start. */
   noteGone(upstream: number): void {
@@ -88,10 +96,10 @@
     this.suspicions.clear();
   }
 
-  private start(upstream: CheckedUpstream, suspect: Suspect): void {
+  private start(upstream: CheckedUpstream, suspects: Suspect[]): void {
     const suspicion: Suspicion = {
       upstream,
-      suspects: [suspect],
+      suspects,
       hasCrashed: false,
       timer: undefined,
     };
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -15,8 +15,10 @@
   onNews: () => void;
   /** Told of a request that is held from now on; tries of it that are under way unanswered are to end. */
   onHeld: (fingerprint: number) => void;
-  /** Told of each crash. */
-  onCrash: () => void;
+  /** Told of each upstream that crashed, by its short name, once nothing listens at its address any more. */
+  onCrash: (upstream: number) => void;
+  /** Told that another host says so of one. */
+  onRumour: (upstream: number) => void;
 }
 
 /** Keeps requests that crash upstreams from crashing more of them. */
@@ -28,12 +30,13 @@
   private constructor(private readonly options: CrashGuardOptions) {
     this.memory = CrashMemory.create({
       onNews: options.onNews,
+      onCrashHeard: options.onRumour,
       onHeld: (fingerprint, hold) => this.takeHold(fingerprint, hold),
     });
     this.detector = CrashDetector.create({
       logger: options.logger,
       onCrash: (upstream, suspects) => {
-        options.onCrash();
+        options.onCrash(upstream.shortName);
         for (const { fingerprint, points } of suspects) {
           const now = readClock();
           this.memory.noteCrash(fingerprint, upstream.shortName, points, now);
@@ -85,6 +88,12 @@
     this.detector.noteBroken(upstream, { fingerprint, points });
   }
 
+  /** Takes another host's word that an upstream has crashed.
+   * @param upstream The upstream. */
+  noteRumour(upstream: CheckedUpstream): void {
+    this.detector.noteRumour(upstream);
+  }
+
   /** Takes a request that an upstream ran to its end, whatever the answer.
    * @param fingerprint Its fingerprint. */
   noteServed(fingerprint: number): void {
--- a/src/crashes/crash_memory.ts
+++ b/src/crashes/crash_memory.ts
@@ -5,6 +5,8 @@
 const MAX_REQUESTS = 4_096;
 /** Time after the last crash in which a request is remembered, in milliseconds: the longest hold, and a day more. */
 const REMEMBERED_MS = 2 * 24 * 3_600_000;
+/** Time after a crash in which word of it says that its upstream is likely still gone, in milliseconds. */
+const NEWS_MS = 1_000;
 /** Requests remembered that were served to their end; such a request is not blamed for a crash beside it. */
 const MAX_SERVED = 4_096;
 /** Time in which a request that was served is not blamed, in milliseconds. */
@@ -20,6 +22,8 @@
 
 /** Told of changes of what is remembered. */
 export interface CrashMemoryListener {
+  /** Another host told of the crash of a start of an upstream, by its short name. */
+  onCrashHeard(upstream: number): void;
   /** There is news for other hosts. */
   onNews(): void;
   /** A request is held from now on, or for longer. */
@@ -102,7 +106,12 @@
    * @param now Monotonic milliseconds. */
   learn(words: readonly CrashWord[], now: number): void {
     for (const word of words) {
-      if (word.agoMs < REMEMBERED_MS) this.take(word, now);
+      if (word.agoMs >= REMEMBERED_MS) continue;
+      const isNew = this.take(word, now);
+      if (!isNew || word.agoMs > NEWS_MS) continue;
+      for (const [upstream] of word.crashes) {
+        this.listener.onCrashHeard(upstream);
+      }
     }
   }
 
@@ -125,18 +134,20 @@
       .reverse();
   }
 
-  private take(word: CrashWord, now: number): void {
+  /** Takes over a word; returns whether it was news. */
+  private take(word: CrashWord, now: number): boolean {
     const { fingerprint } = word;
     const record = this.records.get(fingerprint) ??
       CrashRecord.create(fingerprint);
     const before = record.heldUntil;
-    if (!record.merge(word, now)) return;
+    if (!record.merge(word, now)) return false;
     this.records.delete(fingerprint);
     this.records.set(fingerprint, record);
     if (this.records.size > MAX_REQUESTS) this.dropOldest(now);
     this.addNews(fingerprint);
-    if (record.heldUntil <= Math.max(before, now)) return;
+    if (record.heldUntil <= Math.max(before, now)) return true;
     this.listener.onHeld(fingerprint, this.getHold(fingerprint, now)!);
+    return true;
   }
 
   private addNews(fingerprint: number): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -181,7 +181,14 @@
       describe: describeFingerprint,
       onNews: () => this.link?.tellCrashes(),
       onHeld: (fingerprint) => this.handler.holdBack(fingerprint),
-      onCrash: () => this.metrics.noteCrash(),
+      onCrash: (upstream) => {
+        this.metrics.noteCrash();
+        this.chooser.noteCrashed(upstream);
+      },
+      onRumour: (upstream) => {
+        const known = this.chooser.upstreams.findByShortName(upstream);
+        if (known) this.guard.noteRumour(known);
+      },
     });
   }
 
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -94,6 +94,15 @@
     this.retryShares.clear();
   }
 
+  /** Takes that an upstream has crashed: it gets nothing for a while, and gives others nothing of what it kept.
+   * @param shortName Short name of the start. */
+  noteCrashed(shortName: number): void {
+    const upstream = this.upstreams.findByShortName(shortName);
+    if (!upstream) return;
+    upstream.crashedAt = readClock();
+    this.noteHealth(upstream, "unreachable");
+  }
+
   /** Closes the connections to all upstreams. */
   close(): void {
     this.upstreams.close();
--- a/src/router/router_crashes.ts
+++ b/src/router/router_crashes.ts
@@ -31,6 +31,7 @@
       onNews: () => this.gossip.announce(),
       onHeld: () => undefined,
       onCrash: () => metrics.count("upstream_crashes"),
+      onRumour: () => undefined,
     });
     this.gossip = CrashGossip.create({
       memory: this.guard.memory,
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -22,6 +22,8 @@
   fullUntil = -Infinity;
   /** Monotonic milliseconds up to which it is used although its entry is missing; undefined while it is listed. */
   usedUntil: number | undefined;
+  /** Monotonic milliseconds at which this start was found to have crashed. */
+  crashedAt = -Infinity;
   /** Whether it is gone from the list, or another has its address. */
   isDropped = false;
 
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -10,6 +10,10 @@
  * serve on for a little longer than the two seconds after which they get no new work. */
 const DEPARTED_KEPT_MS = 3_000;
 
+/** Time for which an upstream that crashed gets nothing, in milliseconds: about as long as its entry stays, and a start
+ * takes. */
+const CRASHED_FOR_MS = 3_000;
+
 /** What the table needs. */
 export interface UpstreamTableOptions {
   logger: Logger;
@@ -45,6 +49,12 @@
     return this.byId.values();
   }
 
+  /** Returns an upstream, or nothing.
+   * @param shortName Short name of the start. */
+  findByShortName(shortName: number): Upstream | undefined {
+    return [...this.byId.values()].find((one) => one.shortName === shortName);
+  }
+
   /** The upstreams of a service that new requests may go to.
    * @param service Name of the service. */
   getServing(service: string): Upstream[] {
@@ -96,6 +106,7 @@
   /** Whether an upstream may get a new request at this moment. */
   private mayServe(upstream: Upstream): boolean {
     if (upstream.published.isLeaving) return false;
+    if (readClock() - upstream.crashedAt < CRASHED_FOR_MS) return false;
     if (upstream.usedUntil === undefined) return true;
     return readClock() < upstream.usedUntil;
   }
--- a/tests/crashes/crash_detector_test.ts
+++ b/tests/crashes/crash_detector_test.ts
@@ -102,3 +102,19 @@
   );
   t.pass();
 });
+
+test("another host's word of a crash is believed where nothing listens, and blames nobody", async (t) => {
+  for (const [result, crashes] of [["refused", 1], ["taken", 0]] as const) {
+    const told: number[] = [];
+    const detector = CrashDetector.create({
+      logger: pino({ level: "silent" }),
+      onCrash: (_upstream, suspects) => told.push(suspects.length),
+      check: () => Promise.resolve(result),
+    });
+    detector.noteRumour(UPSTREAM);
+    detector.noteRumour(UPSTREAM);
+    await new Promise((resolve) => setImmediate(resolve));
+    t.deepEqual(told, Array.from({ length: crashes }, () => 0));
+    detector.close();
+  }
+});
--- a/tests/crashes/crash_gossip_test.ts
+++ b/tests/crashes/crash_gossip_test.ts
@@ -17,6 +17,7 @@
 ): TestHost {
   let gossip: CrashGossip | undefined = undefined;
   const memory = CrashMemory.create({
+    onCrashHeard: () => undefined,
     onNews: () => gossip?.announce(),
     onHeld: () => undefined,
   });
--- a/tests/crashes/crash_memory_test.ts
+++ b/tests/crashes/crash_memory_test.ts
@@ -7,13 +7,15 @@
 const SECOND_MS = 1_000;
 const HOUR_MS = 3_600 * SECOND_MS;
 
-function createMemory(): { memory: CrashMemory; held: number[] } {
+function createMemory() {
   const held: number[] = [];
+  const heard: number[] = [];
   const memory = CrashMemory.create({
+    onCrashHeard: (upstream) => heard.push(upstream),
     onNews: () => undefined,
     onHeld: (fingerprint) => held.push(fingerprint),
   });
-  return { memory, held };
+  return { memory, held, heard };
 }
 
 /** A memory in which a request was unanswered on some starts of upstreams that crashed, at the moment 0. */
@@ -76,6 +78,15 @@
   t.is(other.memory.getHold(REQUEST, 0), undefined);
 });
 
+test("word of a crash is passed on once, and only while it is new", (t) => {
+  const { memory, heard } = createMemory();
+  const word = { fingerprint: REQUEST, agoMs: 10, excused: [] };
+  memory.learn([{ ...word, crashes: [[1, 2]] }], 0);
+  memory.learn([{ ...word, crashes: [[1, 2]] }], 0);
+  memory.learn([{ ...word, crashes: [[2, 2]], agoMs: 60 * SECOND_MS }], 0);
+  t.deepEqual(heard, [1]);
+});
+
 test("what is told ages by what its word says, so that nothing is remembered for ever", (t) => {
   const { memory } = createMemory();
   const word = { fingerprint: REQUEST, crashes: [], excused: [] };
--- a/tests/upstreams/upstream_table_test.ts
+++ b/tests/upstreams/upstream_table_test.ts
@@ -83,3 +83,14 @@
   t.true(first.isDropped);
   t.deepEqual(restarted, [first]);
 });
+
+test("one that has crashed gets nothing new while its entry is still there", (t) => {
+  const table = createTable(-1);
+  table.apply([LISTED]);
+  const [only] = table.getServing("s");
+  t.is(table.findByShortName(only!.shortName), only);
+  only!.crashedAt = performance.now();
+  t.deepEqual(table.getServing("s"), []);
+  only!.crashedAt = performance.now() - 3_001;
+  t.deepEqual(table.getServing("s"), [only]);
+});
