A proxy of the stand-ins keeps the order of what it holds up

Soak seed 8019 (12 s, kept as a regression): a stream of 21 events came as 1 to 16, 21, 17, 18. Traced: the proxy before its worker was set from a delay to none, and what came after overtook what it still held up; the gateway passed on what it got. No fault of the product. fault_proxy_test fails on the code before and passes now.

--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -137,10 +137,22 @@
   }
 
   private pipe(from: Socket, to: Socket, isFrozen: () => boolean): void {
+    const held: { data: Buffer; at: number }[] = [];
+    const release = () => {
+      const [next] = held;
+      if (!next) return;
+      const waitMs = next.at - performance.now();
+      if (waitMs > 0) return void setTimeout(release, waitMs);
+      to.write(next.data);
+      held.shift();
+      release();
+    };
     from.on("data", (data) => {
       if (isFrozen()) return from.pause(), from.unshift(data);
-      if (this.delayMs === 0) to.write(data);
-      else setTimeout(() => to.write(data), this.delayMs);
+      // Nothing overtakes what is held up, also once the delay has ended: bytes of a connection stay in their order.
+      if (this.delayMs === 0 && held.length === 0) return void to.write(data);
+      held.push({ data, at: performance.now() + this.delayMs });
+      if (held.length === 1) release();
     });
   }
 
--- a/soak/regression_seeds.ts
+++ b/soak/regression_seeds.ts
@@ -26,6 +26,14 @@
   "changeConfiguration",
 ];
 
+/** The faults that there were then, and those of workers that start again. */
+const LATER_FAULTS: readonly string[] = [
+  ...FIRST_FAULTS,
+  "sendCrashingRequest",
+  "restartWorker",
+  "spoilEntry",
+];
+
 /** Seeds that failed. */
 export const REGRESSION_SEEDS: readonly RegressionSeed[] = [
   {
@@ -36,4 +44,11 @@
       "a second SIGTERM ended a gateway that was stopping; and two faults of the stand-ins: the proxy passed resets on " +
       "as plain ends, and a worker sent surplus bytes after an answer without a length",
   },
+  {
+    seed: 8019,
+    seconds: 12,
+    faults: LATER_FAULTS,
+    cause:
+      "a fault of the stand-ins: bytes that the proxy passed after a delay had ended overtook those that it still held up",
+  },
 ];
