Reminders name what crashes upstreams before what only ran beside it

Now held ones go first, and the others are forgotten after an hour. crash_memory_test holds both; the first fails without the order.

--- a/src/crashes/crash_gossip.ts
+++ b/src/crashes/crash_gossip.ts
@@ -74,8 +74,7 @@
     if (memory.isEmpty) return;
     const [host] = this.random.shuffle(getHosts());
     if (host === undefined) return;
-    const words = this.random.shuffle(memory.getAll(readClock()));
-    this.send(host, words.slice(0, MAX_WORDS));
+    this.send(host, memory.getReminders(MAX_WORDS, readClock(), this.random));
   }
 
   private send(host: string, words: readonly CrashWord[]): void {
--- a/src/crashes/crash_memory.ts
+++ b/src/crashes/crash_memory.ts
@@ -1,10 +1,14 @@
+import type { Random } from "../random/random.ts";
 import { CrashRecord } from "./crash_record.ts";
 import type { CrashWord } from "./crash_word.ts";
 
 /** Requests remembered: some kilobytes each hundred. Beyond that the oldest that is not held gives way. */
 const MAX_REQUESTS = 4_096;
-/** Time after the last crash in which a request is remembered, in milliseconds: the longest hold, and a day more. */
-const REMEMBERED_MS = 2 * 24 * 3_600_000;
+/** Time after the last crash in which a request is remembered that was ever held, in milliseconds: the longest hold, and a
+ * day more. */
+const HELD_REMEMBERED_MS = 2 * 24 * 3_600_000;
+/** Time after the last crash in which any other is, in milliseconds: most of them only ran beside another. */
+const SUSPECT_REMEMBERED_MS = 3_600_000;
 /** Time after a crash in which word of it says that its upstream is likely still gone, in milliseconds. */
 const NEWS_MS = 1_000;
 /** Requests remembered that were served to their end; such a request is not blamed for a crash beside it. */
@@ -106,7 +110,7 @@
    * @param now Monotonic milliseconds. */
   learn(words: readonly CrashWord[], now: number): void {
     for (const word of words) {
-      if (word.agoMs >= REMEMBERED_MS) continue;
+      if (word.agoMs >= HELD_REMEMBERED_MS) continue;
       const isNew = this.take(word, now);
       if (!isNew || word.agoMs > NEWS_MS) continue;
       for (const [upstream] of word.crashes) {
@@ -126,12 +130,18 @@
     );
   }
 
-  /** All that is remembered, the newest first, for hosts that may have missed it.
-   * @param now Monotonic milliseconds. */
-  getAll(now: number): CrashWord[] {
+  /** Part of what is remembered, for a host that may have missed it: first the requests that crash upstreams, then those that
+   * are suspected.
+   * @param limit Most words.
+   * @param now Monotonic milliseconds.
+   * @param random Chooses where there are more. */
+  getReminders(limit: number, now: number, random: Random): CrashWord[] {
     this.forget(now);
-    return [...this.records.values()].map((record) => record.describe(now))
-      .reverse();
+    const records = random.shuffle([...this.records.values()]);
+    const guilty = records.filter((record) => record.isGuilty);
+    const others = records.filter((record) => !record.isGuilty);
+    return [...guilty, ...others].slice(0, limit)
+      .map((record) => record.describe(now));
   }
 
   /** Takes over a word; returns whether it was news. */
@@ -165,7 +175,10 @@
 
   private forget(now: number): void {
     for (const [fingerprint, record] of this.records) {
-      if (now - record.lastCrashAt < REMEMBERED_MS) continue;
+      const rememberedMs = record.isGuilty
+        ? HELD_REMEMBERED_MS
+        : SUSPECT_REMEMBERED_MS;
+      if (now - record.lastCrashAt < rememberedMs) continue;
       this.records.delete(fingerprint);
       this.untold.delete(fingerprint);
     }
--- a/src/crashes/crash_record.ts
+++ b/src/crashes/crash_record.ts
@@ -42,6 +42,11 @@
     );
   }
 
+  /** Whether the crashes are more than chance. */
+  get isGuilty(): boolean {
+    return this.points >= HOLDING_POINTS;
+  }
+
   /** Monotonic milliseconds of the last crash. */
   get lastCrashAt(): number {
     return this.crashedAt;
--- a/tests/crashes/crash_memory_test.ts
+++ b/tests/crashes/crash_memory_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
 import { CrashMemory } from "../../src/crashes/crash_memory.ts";
+import { Random } from "../../src/random/random.ts";
 import type { CrashWord } from "../../src/crashes/crash_word.ts";
 
 const REQUEST = 7;
@@ -18,6 +19,10 @@
   return { memory, held, heard };
 }
 
+function getAll(memory: CrashMemory, now: number): CrashWord[] {
+  return memory.getReminders(Infinity, now, Random.create(1));
+}
+
 /** A memory in which a request was unanswered on some starts of upstreams that crashed, at the moment 0. */
 function withCrashes(...upstreams: number[]) {
   const { memory, held } = createMemory();
@@ -56,7 +61,7 @@
 
 test("a request that is served to its end is cleared of the crashes before, also where others tell them again", (t) => {
   const { memory } = withCrashes(1, 2);
-  const told = memory.getAll(0);
+  const told = getAll(memory, 0);
   memory.noteServed(REQUEST, 0);
   t.is(memory.getHold(REQUEST, 0), undefined);
   memory.learn(told, 0);
@@ -93,18 +98,31 @@
   const crashes: CrashWord["crashes"] = [[1, 2], [2, 2]];
   memory.learn([{ ...word, crashes, agoMs: 31 * SECOND_MS }], 0);
   t.is(memory.getHold(REQUEST, 0), undefined);
-  t.is(memory.getAll(49 * HOUR_MS).length, 0);
+  t.is(getAll(memory, 49 * HOUR_MS).length, 0);
   memory.learn([{ ...word, crashes, agoMs: 49 * HOUR_MS }], 0);
   t.true(memory.isEmpty);
 });
 
+test("what crashes upstreams is reminded of before what only ran beside it, and remembered longer", (t) => {
+  const { memory } = withCrashes(1, 2);
+  for (let other = 100; other < 300; other++) {
+    memory.noteCrash(other, 1, 2, 0);
+  }
+  const [first] = memory.getReminders(1, 0, Random.create(1));
+  t.is(first?.fingerprint, REQUEST);
+  t.deepEqual(
+    getAll(memory, 2 * HOUR_MS).map(({ fingerprint }) => fingerprint),
+    [REQUEST],
+  );
+});
+
 test("a flood of crashing requests is bounded, and does not push out those that are held", (t) => {
   const { memory } = withCrashes(1, 2);
   for (let other = 100; other < 5_100; other++) {
     memory.noteCrash(other, 1, 2, 1);
   }
   t.truthy(memory.getHold(REQUEST, 1));
-  t.true(memory.getAll(1).length <= 4_096);
+  t.true(getAll(memory, 1).length <= 4_096);
 });
 
 const wordArbitrary: fc.Arbitrary<CrashWord> = fc.record({
