--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -2,7 +2,6 @@
 import { Failure } from "../errors/failure.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
 import type { Route } from "../published/configuration_schema.ts";
-import { estimateReadingMs } from "../upstreams/prefix_index.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import {
@@ -17,7 +16,12 @@
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { AnswerHeaders } from "./caller_headers.ts";
 import { buildAttemptRequest } from "./build_attempt_request.ts";
-import { type Silence, SilenceWatch } from "./silence_watch.ts";
+import { isDearToReread } from "./is_dear_to_reread.ts";
+import {
+  describeSilence,
+  type Silence,
+  SilenceWatch,
+} from "./silence_watch.ts";
 import type { RoutedCall } from "./routed_call.ts";
 
 /** Time for which an upstream that said it is full is left out, in milliseconds. */
@@ -25,10 +29,6 @@
 /** Least time left in which sending once more makes sense, in milliseconds. */
 const LEAST_REMAINING_MS = 15;
 
-/** Part of a route's objective up to which reading a prompt's shared parts may take for the request to be sent elsewhere
- * when it is overdue: some are only slow, and a long prompt that is read twice costs more than the answer in time. */
-const REREAD_PART = 0.1;
-
 /** One request on its way: attempts at upstreams until one gives the answer, or time or retries are used up. */
 export class CallRun {
   private readonly tried = new Set<string>();
@@ -103,6 +103,12 @@
     return this.budget.mayHaveRun || (this.attempt?.wasSent ?? false);
   }
 
+  /** Whether a request that failed may be sent to another upstream, for all that it is blamed for. */
+  private get maySendAgain(): boolean {
+    const { fingerprint } = this.call;
+    return this.context.crashes.maySendAgain(fingerprint);
+  }
+
   private get progress(): AttemptProgress {
     return { attempt: this.tried.size, events: this.relay.eventsGiven };
   }
@@ -117,11 +123,6 @@
     else this.giveUp(`no upstream left after ${reason}`);
   }
 
-  private get maySendAgain(): boolean {
-    const { fingerprint } = this.call;
-    return this.context.crashes.maySendAgain(fingerprint);
-  }
-
   private sendTo(upstream: Upstream, reason: string): void {
     const { call, context } = this;
     this.tried.add(upstream.id);
@@ -202,10 +203,7 @@
 
   /** Sends a request whose answer may be lost elsewhere, unless its prompt is dear to read a second time. */
   private takeOverdue(upstream: Upstream, silentMs: number): void {
-    const { sharedParts, route } = this.call;
-    const readingMs = estimateReadingMs(sharedParts);
-    if (readingMs > route.objectiveMs * REREAD_PART) return;
-    this.sendElsewhere(upstream, silentMs);
+    if (!isDearToReread(this.call)) this.sendElsewhere(upstream, silentMs);
   }
 
   /** Gives an attempt up for one at another upstream, where the request may run again and there is one; else it waits on. */
@@ -317,7 +315,3 @@
     this.context.onEnd(this, { result, detail, durationMs, attempts });
   }
 }
-
-function describeSilence(silentMs: number): string {
-  return `silent for ${Math.round(silentMs)} ms`;
-}
--- a/src/forward/silence_watch.ts
+++ b/src/forward/silence_watch.ts
@@ -104,3 +104,9 @@
     return { silentMs: readClock() - this.heardAt, isLikelyStuck };
   }
 }
+
+/** Writes the length of a silence for the log and as the reason of the next attempt.
+ * @param silentMs Its length in milliseconds. */
+export function describeSilence(silentMs: number): string {
+  return `silent for ${Math.round(silentMs)} ms`;
+}
