--- a/src/gateway/prefix_recovery.ts
+++ b/src/gateway/prefix_recovery.ts
@@ -94,7 +94,10 @@
   private async ask(engine: Upstream): Promise<void> {
     const { inventory, prefixes, logger } = this.options;
     try {
-      const parts = await inventory.listParts(engine.published.address);
+      const { parts, startedAt } = await inventory.listParts(engine.address);
+      if (engine.isOtherStart(startedAt)) {
+        throw new Error("another start of the engine has answered");
+      }
       const sent = parts.map((id) => ({
         name: PrefixIndex.nameOf(id),
         tokens: 0,
--- a/src/upstreams/engine_inventory.ts
+++ b/src/upstreams/engine_inventory.ts
@@ -1,9 +1,17 @@
+/** What an engine says that it keeps. */
+export interface EngineList {
+  /** Ids of the parts. */
+  parts: readonly string[];
+  /** Unix milliseconds of the engine's start; undefined where it tells none. */
+  startedAt: number | undefined;
+}
+
 /** Asks engines which parts of prompts they keep; an adapter implements it for one platform. */
 export interface EngineInventory {
-  /** Ids of the parts that an engine keeps. The engine's work waits while it lists them, so it is asked rarely.
+  /** Lists the parts that an engine keeps. The engine's work waits while it lists them, so it is asked rarely.
    * @param address Address of the engine, as ip:port.
    * @throws Error where the engine does not answer. */
-  listParts(address: string): Promise<string[]>;
+  listParts(address: string): Promise<EngineList>;
   /** Closes the connections. */
   close(): Promise<void>;
 }
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -56,6 +56,13 @@
     return this.published.isLeaving || this.isDropped;
   }
 
+  /** Whether a start that an answer tells is another than this one, as far as both are known.
+   * @param startedAt Unix milliseconds of the start; undefined where the answer tells none. */
+  isOtherStart(startedAt: number | undefined): boolean {
+    const own = this.published.startedAt;
+    return own !== undefined && startedAt !== undefined && own !== startedAt;
+  }
+
   /** Whether it is likely there, so that other upstreams can fetch from it.
    * @param now Monotonic milliseconds. */
   isWithinReach(now: number): boolean {
