One sample of gossip for the codec's tests, and a fault of the soak says what it does

The fuzz of datagrams had written the codec test's sample again; the comment of spoilEntry told another ending than its code has.

--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -199,7 +199,7 @@
   fleet.faults.end(window);
 }
 
-/** Another writer spoils the entry of a worker, which works on, and it writes its own again after a while. */
+/** Another writer spoils the entry of a worker, which works on until another takes over its address after a while. */
 async function spoilEntry(fleet: SoakFleet, random: Random): Promise<void> {
   const worker = random.pick(fleet.workers);
   if (!mayGo(fleet, worker)) return;
--- /dev/null
+++ b/tests/peers/build_gossip.ts
@@ -0,0 +1,16 @@
+import type { DatagramOf } from "../../src/peers/datagram.ts";
+import { buildEntry } from "./build_entry.ts";
+
+/** Builds what a host tells another of itself and of a third. */
+export function buildGossip(): DatagramOf<"gossip"> {
+  return {
+    type: "gossip",
+    message: {
+      sender: buildEntry({ id: "g-1", loads: [[7, 2]] }),
+      sentAt: 12.5,
+      echo: 3.25,
+      facts: [[1, 2, 300]],
+      others: [{ entry: buildEntry({ id: "g-2" }), agoMs: 40 }],
+    },
+  };
+}
--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -5,19 +5,10 @@
   decodeDatagram,
   encodeDatagram,
 } from "../../src/peers/datagram_codec.ts";
-import { buildEntry } from "./build_entry.ts";
+import { buildGossip } from "./build_gossip.ts";
 
 const DATAGRAMS: Record<string, Datagram> = {
-  gossip: {
-    type: "gossip",
-    message: {
-      sender: buildEntry({ id: "g-1", loads: [[7, 2]] }),
-      sentAt: 12.5,
-      echo: 3.25,
-      facts: [[1, 2, 300]],
-      others: [{ entry: buildEntry({ id: "g-2" }), agoMs: 40 }],
-    },
-  },
+  gossip: buildGossip(),
   question: { type: "age_question", askedAt: 99.5, phase: 1, unknown: [5] },
   answer: {
     type: "age_answer",
--- a/tests/peers/datagram_fuzz_test.ts
+++ b/tests/peers/datagram_fuzz_test.ts
@@ -5,18 +5,9 @@
   decodeDatagram,
   encodeDatagram,
 } from "../../src/peers/datagram_codec.ts";
-import { buildEntry } from "./build_entry.ts";
+import { buildGossip } from "./build_gossip.ts";
 
-const GOSSIP = encodeDatagram({
-  type: "gossip",
-  message: {
-    sender: buildEntry({ id: "g-1", loads: [[7, 2]] }),
-    sentAt: 12.5,
-    echo: 3.25,
-    facts: [[1, 2, 300]],
-    others: [{ entry: buildEntry({ id: "g-2" }), agoMs: 40 }],
-  },
-});
+const GOSSIP = encodeDatagram(buildGossip());
 const WORDS = encodeDatagram({
   type: "crash_words",
   words: [{ fingerprint: 5, agoMs: 1, crashes: [[7, 2]], excused: [] }],
