Sight: log lines tell what an upstream that turns a request away asks for, and what is left of it at each send

What an answer says of further requests, Retry-After and leaving, is decoded and kept, and used for no decision yet. request_sent has backoffMs and saysLeaving, attempt_declined the status and what was asked. Tells apart: a backoff that isn't heard (sends with backoffMs above 0 on first attempts) from one that is overridden by the last list of the choice (the same on late attempts only).

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -129,12 +129,14 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
     requestId: string,
   ): void {
-    this.upstream.heardAt = readClock();
+    const now = readClock();
+    this.upstream.heardAt = now;
     if (status < 200 || this.isOver) return;
     const answer = this.codec.readAnswer(status, headers);
+    this.upstream.availability.note(answer.availability, now);
     if (answer.load) {
       const requests = answer.load.running + answer.load.waiting;
-      this.upstream.reported = { requests, at: readClock() };
+      this.upstream.reported = { requests, at: now };
     }
     if (answer.isClosing) this.isReusable = false;
     if (answer.requestId !== undefined && answer.requestId !== requestId) {
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "../logging/logger.ts";
 import { describeFingerprint } from "../hashing/request_fingerprint.ts";
+import type { AvailabilityNotice } from "../upstreams/availability_notice.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 
@@ -11,6 +12,8 @@
   remainingMs: number;
   /** Requests on the upstream from all hosts, as far as is known. */
   load: number;
+  /** Time that is left of the backoff that the upstream asked for, in milliseconds, or 0. */
+  backoffMs: number;
   /** What the upstream is taken to keep of the prompt; undefined where the request shares none. */
   prompt: PromptPlace | undefined;
 }
@@ -51,7 +54,7 @@
   /** Writes that the request is sent to an upstream, with what decided it.
    * @param send The sending. */
   noteSent(send: LoggedSend): void {
-    const { upstream, reason, remainingMs, load, prompt } = send;
+    const { upstream, reason, remainingMs, load, backoffMs, prompt } = send;
     this.logger.info({
       request: this.call.requestId,
       fingerprint: describeFingerprint(this.call.fingerprint),
@@ -60,12 +63,35 @@
       reason,
       remainingMs: Math.round(remainingMs),
       load,
+      backoffMs: Math.round(backoffMs),
+      saysLeaving: upstream.availability.isLeaving,
       failureRate: roundRate(upstream),
       ...prompt,
     }, "request_sent");
   }
 
-  /** Writes that an attempt failed, was declined or is silent.
+  /** Writes that an upstream turned the request away, with what it asked for.
+   * @param upstream The upstream.
+   * @param status Status code of its answer.
+   * @param availability What the answer says of further requests.
+   * @param progress How far the attempt had come. */
+  noteDeclined(
+    upstream: Upstream,
+    status: number,
+    availability: AvailabilityNotice,
+    progress: AttemptProgress,
+  ): void {
+    this.logger.info({
+      request: this.call.requestId,
+      upstream: upstream.id,
+      status,
+      askedBackoffMs: availability.backoffMs,
+      saysLeaving: availability.isLeaving,
+      ...progress,
+    }, "attempt_declined");
+  }
+
+  /** Writes that an attempt failed or is silent.
    * @param upstream Upstream of the attempt.
    * @param detail What happened.
    * @param progress How far it had come. */
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -132,7 +132,15 @@
     this.watchForSilence(upstream);
     const prompt = context.placePrompt(call, upstream);
     const load = context.getLoad(upstream);
-    this.log.noteSent({ upstream, reason, remainingMs, load, prompt });
+    const backoffMs = upstream.availability.getBackoffMs(readClock());
+    this.log.noteSent({
+      upstream,
+      reason,
+      remainingMs,
+      load,
+      backoffMs,
+      prompt,
+    });
     const { lastEventId } = this.relay;
     const fetchFrom = prompt?.fetchFrom;
     const own = {
@@ -188,7 +196,8 @@
     this.budget.noteUnrun();
     if (answer.isOtherUpstream) this.context.noteMoved(upstream);
     else upstream.fullUntil = readClock() + FULL_FOR_MS;
-    this.log.noteTrouble(upstream, `declined with ${status}`, this.progress);
+    const { availability } = answer;
+    this.log.noteDeclined(upstream, status, availability, this.progress);
     this.retryUnrun(`declined with ${status}`);
   }
 
--- a/src/forward/caller_headers.ts
+++ b/src/forward/caller_headers.ts
@@ -1,3 +1,5 @@
+import type { AvailabilityNotice } from "../upstreams/availability_notice.ts";
+
 /** One part of a prompt that other requests may share. */
 export interface PromptPart {
   /** Equal for equal parts. */
@@ -68,6 +70,8 @@
   isEventStream: boolean;
   /** Undefined where the upstream does not tell. */
   load: ReportedLoad | undefined;
+  /** What it says of whether the upstream takes further requests. */
+  availability: AvailabilityNotice;
   /** Whether the upstream will close the connection. */
   isClosing: boolean;
   /** Headers for the caller, as name and value by turns. */
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -1,5 +1,6 @@
 import { hashText } from "../hashing/hasher.ts";
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
+import { Availability } from "./availability.ts";
 import { ChannelPool } from "./channel_pool.ts";
 import { UpstreamHealth } from "./upstream_health.ts";
 
@@ -9,6 +10,8 @@
   readonly channels: ChannelPool;
   /** What its answers say of its health. */
   readonly health = UpstreamHealth.create();
+  /** What its answers say of whether it takes requests. */
+  readonly availability = Availability.create();
   /** Short name of this start of the upstream in what hosts tell each other, so that word of another start is not taken
    * for its own. */
   readonly shortName: number;
