An upstream's word on whether it takes requests is heard in every answer and asked by every send

Cause: what an upstream that turns a request away asks for was read nowhere; it was left out for 150 ms, whatever it said. Ruled out: that the wish was heard and overridden by the last list of the choice (16 of 86 sends in the time were late attempts, each with others free). Load 0 of an upstream that turns all away made it the first choice, which explains how many. Mend: Availability, one for each start of an upstream, takes the word of each answer, to a request or to a question for the engine's list; the table of upstreams, the last moment before a request's first byte, and the question for lists ask it. Of overlapping backoffs the longest end holds, five minutes at most; after one, one request goes first, then twice as many. Where all have asked for one, callers are refused at once as not run until the first ends, spread over 250 ms. Same class mended: leaving told in answers, with the entry unchanged; a refusal of an upstream without its word that the request was not run went back to the caller as a promise, and is a 502 now.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,3 +1,4 @@
+import type { Dispatcher } from "undici";
 import { readClock } from "../clock/clock.ts";
 import type { Channel } from "../upstreams/channel.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
@@ -7,6 +8,8 @@
 export type AttemptFailure =
   /** No byte of the request left this host. */
   | "not_sent"
+  /** The same, for the upstream said meanwhile that it takes no requests. */
+  | "withheld"
   /** The connection ended, or what came is no answer to this request. */
   | "broken";
 
@@ -39,6 +42,9 @@
   private isOver = false;
   private isReusable = true;
   private hasPaused = false;
+  private isWithheld = false;
+  /** Whether the request tries an upstream after a backoff, and was not answered yet. */
+  private isTrial: boolean;
   private controller: { pause(): void; resume(): void } | undefined;
 
   private constructor(
@@ -49,6 +55,7 @@
   ) {
     this.channel = upstream.channels.take();
     upstream.ownRequests += 1;
+    this.isTrial = upstream.availability.beginRequest();
   }
 
   /** Sends a request.
@@ -105,10 +112,7 @@
       this.channel.send(
         { method: method as "GET", path, headers, body: body ?? null },
         {
-          onRequestStart: (controller) => {
-            this.isSent = true;
-            this.controller = controller;
-          },
+          onRequestStart: (controller) => this.begin(controller),
           onResponseStart: (_controller, status, answerHeaders) =>
             this.takeHead(status, answerHeaders, requestId),
           onResponseData: (_controller, bytes) => {
@@ -124,6 +128,17 @@
     }
   }
 
+  /** Lets the first byte out; a request that waited for its connection is withheld where the upstream takes none any more. */
+  private begin(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.upstream.availability.takesRequests(readClock())) {
+      this.isSent = true;
+      return;
+    }
+    this.isWithheld = true;
+    controller.abort(new Error("the upstream takes no requests any more"));
+  }
+
   private takeHead(
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
@@ -134,6 +149,7 @@
     if (status < 200 || this.isOver) return;
     const answer = this.codec.readAnswer(status, headers);
     this.upstream.availability.note(answer.availability, now);
+    this.endTrial(!answer.isNotRun);
     if (answer.load) {
       const requests = answer.load.running + answer.load.waiting;
       this.upstream.reported = { requests, at: now };
@@ -156,7 +172,18 @@
   private fail(detail: string): void {
     if (!this.finish()) return;
     this.channel.close();
-    this.listener.onFailure(this.isSent ? "broken" : "not_sent", detail);
+    this.listener.onFailure(this.describeFailure(), detail);
+  }
+
+  private describeFailure(): AttemptFailure {
+    if (this.isSent) return "broken";
+    return this.isWithheld ? "withheld" : "not_sent";
+  }
+
+  private endTrial(wasTaken: boolean): void {
+    if (!this.isTrial) return;
+    this.isTrial = false;
+    this.upstream.availability.endTrial(wasTaken);
   }
 
   /** Ends the attempt; returns whether it had not ended before. */
@@ -164,6 +191,7 @@
     if (this.isOver) return false;
     this.isOver = true;
     this.upstream.ownRequests -= 1;
+    this.endTrial(false);
     return true;
   }
 }
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -24,11 +24,12 @@
 } from "./silence_watch.ts";
 import type { RoutedCall } from "./routed_call.ts";
 
-/** Time for which an upstream that said it is full is left out, in milliseconds. */
-const FULL_FOR_MS = 150;
 /** Least time left in which sending once more makes sense, in milliseconds. */
 const LEAST_REMAINING_MS = 15;
 
+/** Status codes by which a caller is told that its request has not run. */
+const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** One request on its way: attempts at upstreams until one gives the answer, or time or retries are used up. */
 export class CallRun {
   private readonly tried = new Set<string>();
@@ -95,7 +96,8 @@
   private expire(): void {
     const durationMs = readClock() - this.call.receivedAt;
     const detail = `no answer within ${Math.round(durationMs)} ms`;
-    this.refuse(this.mayHaveRun ? "timed_out" : "overloaded", detail);
+    const kind = this.mayHaveRun ? "timed_out" : "overloaded";
+    this.refuse(kind, detail, this.retryAfterSeconds);
   }
 
   /** Whether the request may have run: an attempt failed after it was sent, or one is under way. */
@@ -195,7 +197,7 @@
     this.attempt = undefined;
     this.budget.noteUnrun();
     if (answer.isOtherUpstream) this.context.noteMoved(upstream);
-    else upstream.fullUntil = readClock() + FULL_FOR_MS;
+    else upstream.availability.noteFull(readClock());
     const { availability } = answer;
     this.log.noteDeclined(upstream, status, availability, this.progress);
     this.retryUnrun(`declined with ${status}`);
@@ -241,13 +243,21 @@
     if (this.relay.isStream) return this.takeStreamEnd(upstream);
     const { status } = head;
     this.context.crashes.noteServed(this.call.fingerprint);
-    if (status >= 500) {
-      this.context.noteHealth(upstream, "error_answer");
+    const { backoffMs } = head.answer.availability;
+    if (isFailure(status)) {
+      if (backoffMs === undefined) {
+        this.context.noteHealth(upstream, "error_answer");
+      }
       this.budget.noteRan();
       if (this.budget.spendAfterRun()) {
         return this.next(`answered with ${status}`);
       }
     } else this.context.noteHealth(upstream, "good");
+    // A caller takes these for a promise that the request has not run, which the upstream did not say.
+    if (PROMISES_NOT_RUN.has(status)) {
+      const detail = `answered with ${status}`;
+      return this.refuse("upstream_failed", detail, this.retryAfterSeconds);
+    }
     this.relay.giveWhole();
     this.finish("answered", `status ${status}`);
   }
@@ -265,12 +275,7 @@
   private takeFailure(failure: AttemptFailure, detail: string): void {
     const upstream = this.attempt!.upstream;
     this.log.noteTrouble(upstream, detail, this.progress);
-    if (failure === "not_sent") {
-      this.budget.noteUnrun();
-      this.context.noteHealth(upstream, "unreachable");
-      if (this.budget.spendAfterUnsent()) return this.next(detail);
-      return this.giveUp(detail);
-    }
+    if (failure !== "broken") return this.takeUnsent(upstream, failure, detail);
     this.context.noteHealth(upstream, "broken");
     this.context.crashes.noteBroken(
       upstream,
@@ -279,7 +284,20 @@
     );
     this.budget.noteRan();
     if (this.budget.spendAfterRun()) return this.next(detail);
-    this.refuse("upstream_failed", detail);
+    this.refuse("upstream_failed", detail, this.retryAfterSeconds);
+  }
+
+  private takeUnsent(
+    upstream: Upstream,
+    failure: Exclude<AttemptFailure, "broken">,
+    detail: string,
+  ): void {
+    this.budget.noteUnrun();
+    if (failure === "not_sent") {
+      this.context.noteHealth(upstream, "unreachable");
+    }
+    if (this.budget.spendAfterUnsent()) return this.next(detail);
+    this.giveUp(detail);
   }
 
   /** Goes on after an attempt that certainly did not run. */
@@ -290,10 +308,8 @@
 
   /** Refuses: as not run where that is certain. */
   private giveUp(detail: string): void {
-    this.refuse(
-      this.budget.mayHaveRun ? "upstream_failed" : "overloaded",
-      detail,
-    );
+    const kind = this.budget.mayHaveRun ? "upstream_failed" : "overloaded";
+    this.refuse(kind, detail, this.retryAfterSeconds);
   }
 
   /** Refuses a request that likely crashes upstreams: as not run where that is certain. */
@@ -304,9 +320,19 @@
     );
   }
 
-  private refuse(kind: ErrorKind, detail: string): void {
+  /** Seconds after which the caller may come back, where upstreams told; undefined leaves it to the kind of refusal. */
+  private get retryAfterSeconds(): number | undefined {
+    const milliseconds = this.context.getRetryAfterMs(this.call.service);
+    return milliseconds && Math.ceil(milliseconds) / 1_000;
+  }
+
+  private refuse(
+    kind: ErrorKind,
+    detail: string,
+    retryAfterSeconds?: number,
+  ): void {
     if (this.isOver) return;
-    this.answer.refuse(Failure.create(kind, detail));
+    this.answer.refuse(Failure.create(kind, detail, retryAfterSeconds));
     this.finish(
       this.relay.eventsGiven > 0 ? "broken_off" : "refused",
       `${kind}: ${detail}`,
@@ -324,3 +350,7 @@
     this.context.onEnd(this, { result, detail, durationMs, attempts });
   }
 }
+
+function isFailure(status: number): boolean {
+  return status >= 500 || PROMISES_NOT_RUN.has(status);
+}
--- a/src/forward/call_run_context.ts
+++ b/src/forward/call_run_context.ts
@@ -23,6 +23,8 @@
     call: RoutedCall,
     tried: ReadonlySet<string>,
   ) => Upstream | undefined;
+  /** Time after which a caller that is refused may come back, in milliseconds; undefined where no upstream's word tells. */
+  getRetryAfterMs: (service: string) => number | undefined;
   /** What an engine keeps of a call's prompt, and from where it should fetch the rest; records that it is sent there. */
   placePrompt: (call: RoutedCall, target: Upstream) => PromptPlace | undefined;
   /** Requests on an upstream from all hosts, as far as is known. */
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { AvailabilityChange } from "../upstreams/availability.ts";
 import type { DatagramDirection } from "../peers/datagram_socket.ts";
 
 /** Bounds of the histogram of a request's time, in seconds. */
@@ -41,6 +42,13 @@
     help: "Upstreams that crashed while requests of this host were on them.",
     registers: [this.registry],
   });
+  private readonly availability = new Counter({
+    name: "beechkeel_upstream_availability_total",
+    help:
+      "Changes of what upstreams said of whether they take requests: backs_off, reopened, leaves.",
+    labelNames: ["change"],
+    registers: [this.registry],
+  });
   private readonly durations = new Histogram({
     name: "beechkeel_request_seconds",
     help: "Time from a request's arrival to the end of its answer.",
@@ -99,6 +107,12 @@
     this.crashes.inc();
   }
 
+  /** Counts a change of what an upstream said of whether it takes requests.
+   * @param change The change. */
+  noteAvailability(change: AvailabilityChange): void {
+    this.availability.inc({ change });
+  }
+
   /** Counts a datagram.
    * @param direction Whether this host sent or received it.
    * @param bytes Its length. */
--- a/src/gateway/prefix_recovery.ts
+++ b/src/gateway/prefix_recovery.ts
@@ -94,10 +94,7 @@
   private async ask(engine: Upstream): Promise<void> {
     const { inventory, prefixes, logger } = this.options;
     try {
-      const { parts, startedAt } = await inventory.listParts(engine.address);
-      if (engine.isOtherStart(startedAt)) {
-        throw new Error("another start of the engine has answered");
-      }
+      const parts = await listParts(inventory, engine);
       const sent = parts.map((id) => ({
         name: PrefixIndex.nameOf(id),
         tokens: 0,
@@ -113,3 +110,22 @@
     }
   }
 }
+
+/** Asks an engine for its list, and hears what its answer says besides.
+ * @throws Error where it gives none. */
+async function listParts(
+  inventory: EngineInventory,
+  engine: Upstream,
+): Promise<readonly string[]> {
+  const { availability } = engine;
+  if (availability.getBackoffMs(readClock()) > 0) {
+    throw new Error("the engine asked for a backoff");
+  }
+  const answer = await inventory.listParts(engine.address);
+  if (engine.isOtherStart(answer.list?.startedAt)) {
+    throw new Error("another start of the engine has answered");
+  }
+  availability.note(answer.availability, readClock());
+  if (answer.list) return answer.list.parts;
+  throw new Error(`the engine answered ${answer.status}`);
+}
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -6,6 +6,7 @@
 import type { Service } from "../published/configuration_schema.ts";
 import { SMALL_FLEET } from "../peers/host_table.ts";
 import { Random } from "../random/random.ts";
+import type { AvailabilityChange } from "../upstreams/availability.ts";
 import { chooseUpstream } from "../upstreams/choose_upstream.ts";
 import { findFetchSource } from "../upstreams/find_fetch_source.ts";
 import { LoadCounts } from "../upstreams/load_counts.ts";
@@ -16,6 +17,10 @@
 import { UpstreamTable } from "../upstreams/upstream_table.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 
+/** Time over which callers that were refused come back after a backoff, in milliseconds: as long as an upstream takes for the
+ * first requests, one and then twice as many each time. */
+const RETURN_SPREAD_MS = 250;
+
 /** What the chooser needs of the gateway and whom it tells. */
 export interface UpstreamChooserOptions {
   logger: Logger;
@@ -31,6 +36,8 @@
   onFacts: () => void;
   /** Told of an upstream that has started again under its id. */
   onRestart: (before: Upstream) => void;
+  /** Told of what an upstream has said of whether it takes requests, where that changed. */
+  onAvailability: (upstream: Upstream, change: AvailabilityChange) => void;
   /** Told of each upstream that is taken out. */
   onDrop: (upstream: Upstream) => void;
   /** Told of each sign of an upstream's health. */
@@ -54,6 +61,7 @@
       getLapseEndsAt: options.getLapseEndsAt,
       leaveWithinMs: options.getSettings().leaveWithinMs,
       onRestart: options.onRestart,
+      onAvailability: options.onAvailability,
       onDrop: options.onDrop,
     });
   }
@@ -68,6 +76,7 @@
   createAccess(): UpstreamAccess {
     return {
       choose: (call, tried) => this.choose(call, tried),
+      getRetryAfterMs: (service) => this.getRetryAfterMs(service),
       placePrompt: (call, target) => this.placePrompt(call, target),
       getLoad: (upstream) => this.loads.getTotal(upstream),
       spendRetry: (service) => this.spendRetry(service),
@@ -132,6 +141,15 @@
     });
   }
 
+  /** Time after which a caller that is refused may come back, in milliseconds, where all upstreams asked for a backoff:
+   * when the first of them ends, and spread a little, for the first requests show whether the upstream has room.
+   * @param service Name of the service. */
+  private getRetryAfterMs(service: string): number | undefined {
+    const backoffMs = this.upstreams.getBackoffMs(service);
+    if (backoffMs === undefined) return undefined;
+    return backoffMs + this.random.integer(0, RETURN_SPREAD_MS);
+  }
+
   /** What an engine keeps of a call's prompt, and from where it should fetch the rest, or nothing where the call shares no
    * prompt; records that the prompt is sent.
    * @param call The call.
--- a/src/upstreams/availability.ts
+++ b/src/upstreams/availability.ts
@@ -3,11 +3,29 @@
 /** Longest time for which an upstream is left alone at its own word, in milliseconds: above any pause that is planned, so
  * that a mistaken figure doesn't take an upstream out until it starts again. */
 const MAX_BACKOFF_MS = 300_000;
+/** Time for which an upstream that is full and names no time is left out while others are free, in milliseconds. */
+const FULL_FOR_MS = 150;
+/** Requests under way unanswered from which an upstream that was left alone is used as any other; the count begins at one
+ * and doubles with each that the upstream takes. */
+const LAST_TRIAL_LIMIT = 16;
 
-/** What one start of an upstream has said in its answers to this host of whether it takes requests. */
+/** How what is known of an upstream's availability has changed. */
+export type AvailabilityChange = "backs_off" | "reopened" | "leaves";
+
+/** What one start of an upstream has said, in its answers to this host, of whether it takes requests. The word is between the
+ * two: other hosts may send there, and another start under the same id knows nothing of it. Left out for a constant time
+ * whatever they asked for, upstreams got four to six requests each where one was wanted, and callers were refused while others
+ * were idle, for their attempts went to the full ones. */
 export class Availability {
+  /** Told of each change. */
+  onChange: (change: AvailabilityChange) => void = () => undefined;
   private backoffEndsAt = -Infinity;
+  private fullUntil = -Infinity;
   private hasSaidLeaving = false;
+  /** Requests that may be under way unanswered after a backoff; undefined where any number may. */
+  private trialLimit: number | undefined;
+  /** Requests begun after a backoff that are under way unanswered. */
+  private trials = 0;
 
   private constructor() {}
 
@@ -21,6 +39,19 @@
     return this.hasSaidLeaving;
   }
 
+  /** Whether a request may be sent at all. Whatever sends one asks this, just before the first byte leaves too.
+   * @param now Monotonic milliseconds. */
+  takesRequests(now: number): boolean {
+    return !this.hasSaidLeaving && now >= this.backoffEndsAt;
+  }
+
+  /** Whether it likely has room for one more; where no other upstream has, one that likely has none is asked all the same.
+   * @param now Monotonic milliseconds. */
+  hasRoom(now: number): boolean {
+    if (now < this.fullUntil) return false;
+    return this.trialLimit === undefined || this.trials < this.trialLimit;
+  }
+
   /** Time that is left of the backoff that it asked for, in milliseconds, or 0.
    * @param now Monotonic milliseconds. */
   getBackoffMs(now: number): number {
@@ -31,9 +62,44 @@
    * @param notice What the answer says.
    * @param now Monotonic milliseconds. */
   note({ backoffMs, isLeaving }: AvailabilityNotice, now: number): void {
-    if (isLeaving) this.hasSaidLeaving = true;
+    if (isLeaving) this.noteLeaving();
     if (backoffMs === undefined) return;
+    const wasBackingOff = now < this.backoffEndsAt;
     const endsAt = now + Math.min(backoffMs, MAX_BACKOFF_MS);
     this.backoffEndsAt = Math.max(this.backoffEndsAt, endsAt);
+    // Hosts that all come back at once would fill the upstream again before its first answer shows that.
+    this.trialLimit = 1;
+    if (!wasBackingOff) this.onChange("backs_off");
+  }
+
+  /** Takes word that the upstream is leaving. */
+  noteLeaving(): void {
+    if (this.hasSaidLeaving) return;
+    this.hasSaidLeaving = true;
+    this.onChange("leaves");
+  }
+
+  /** Takes that it turned a request away and named no time.
+   * @param now Monotonic milliseconds. */
+  noteFull(now: number): void {
+    this.fullUntil = now + FULL_FOR_MS;
+  }
+
+  /** Counts a request that is being sent; returns whether it is one of those that try the upstream after a backoff. */
+  beginRequest(): boolean {
+    if (this.trialLimit === undefined) return false;
+    this.trials += 1;
+    return true;
+  }
+
+  /** Takes that a request which tries the upstream was answered, or has ended.
+   * @param wasTaken Whether the upstream took it. */
+  endTrial(wasTaken: boolean): void {
+    this.trials -= 1;
+    if (!wasTaken || this.trialLimit === undefined) return;
+    this.trialLimit *= 2;
+    if (this.trialLimit < LAST_TRIAL_LIMIT) return;
+    this.trialLimit = undefined;
+    this.onChange("reopened");
   }
 }
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -29,7 +29,7 @@
 
 /** What a choice is made from. */
 export interface ChoiceOptions {
-  /** Upstreams that could run the request. */
+  /** Upstreams that could run the request and take requests now. */
   candidates: readonly Upstream[];
   /** Those it was sent to before. */
   tried: ReadonlySet<string>;
@@ -58,7 +58,9 @@
   const sound = untried.filter((upstream) =>
     !upstream.health.isEjected(options.now)
   );
-  const free = sound.filter((upstream) => options.now >= upstream.fullUntil);
+  const free = sound.filter((upstream) =>
+    upstream.availability.hasRoom(options.now)
+  );
   const trusted = options.isCautious
     ? free.filter((upstream) => !upstream.health.isSuspect)
     : free;
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -21,8 +21,6 @@
   heardAt = -Infinity;
   /** Requests that it told of itself with an answer, running and waiting, and the monotonic milliseconds of that. */
   reported: { requests: number; at: number } | undefined;
-  /** Monotonic milliseconds until which it said that it is full. */
-  fullUntil = -Infinity;
   /** Monotonic milliseconds up to which it is used although its entry is missing; undefined while it is listed. */
   usedUntil: number | undefined;
   /** Monotonic milliseconds at which this start was found to have crashed. */
@@ -54,9 +52,14 @@
     return this.published.address;
   }
 
+  /** Whether it leaves, by its entry or by its own word, whichever came first. */
+  get isLeaving(): boolean {
+    return this.published.isLeaving || this.availability.isLeaving;
+  }
+
   /** Whether its end is no surprise: it has said that it leaves, or is gone from the list. */
   get isEndExpected(): boolean {
-    return this.published.isLeaving || this.isDropped;
+    return this.isLeaving || this.isDropped;
   }
 
   /** Whether a start that an answer tells is another than this one, as far as both are known.
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -1,6 +1,7 @@
 import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamChange } from "../published/publication_feed.ts";
+import type { AvailabilityChange } from "./availability.ts";
 import { Upstream } from "./upstream.ts";
 
 /** Part of the time in which a leaving upstream may get work for which one that disappeared just after an outage of the
@@ -25,6 +26,8 @@
   /** Told of an upstream that has started again under its id, before it is taken out: what was under way on the start
    * before is lost. */
   onRestart: (before: Upstream) => void;
+  /** Told of what an upstream has said of whether it takes requests, where that changed. */
+  onAvailability: (upstream: Upstream, change: AvailabilityChange) => void;
   /** Told of each upstream that is taken out. */
   onDrop: (upstream: Upstream) => void;
 }
@@ -63,6 +66,18 @@
     );
   }
 
+  /** Time until the first upstream of a service may be asked again, in milliseconds; undefined where one may be asked now, or
+   * none is left.
+   * @param service Name of the service. */
+  getBackoffMs(service: string): number | undefined {
+    const now = readClock();
+    const times = (this.byService.get(service) ?? [])
+      .filter((upstream) => this.mayServeLater(upstream, now))
+      .map((upstream) => upstream.availability.getBackoffMs(now));
+    const first = Math.min(...times);
+    return Number.isFinite(first) && first > 0 ? first : undefined;
+  }
+
   /** All upstreams of a service that are still there: those listed, those that leave, and those gone from the list so
    * lately that they still answer other upstreams.
    * @param service Name of the service. */
@@ -105,10 +120,16 @@
 
   /** Whether an upstream may get a new request at this moment. */
   private mayServe(upstream: Upstream): boolean {
-    if (upstream.published.isLeaving) return false;
-    if (readClock() - upstream.crashedAt < CRASHED_FOR_MS) return false;
-    if (upstream.usedUntil === undefined) return true;
-    return readClock() < upstream.usedUntil;
+    const now = readClock();
+    return this.mayServeLater(upstream, now) &&
+      upstream.availability.takesRequests(now);
+  }
+
+  /** Whether an upstream may get a request once a backoff that it asked for is over. */
+  private mayServeLater(upstream: Upstream, now: number): boolean {
+    if (upstream.isLeaving) return false;
+    if (now - upstream.crashedAt < CRASHED_FOR_MS) return false;
+    return upstream.usedUntil === undefined || now < upstream.usedUntil;
   }
 
   private put(fresh: Upstream): void {
@@ -120,6 +141,8 @@
       return;
     }
     if (known) this.replace(known, fresh);
+    fresh.availability.onChange = (change) =>
+      this.noteAvailability(fresh, change);
     this.byId.set(fresh.id, fresh);
     this.rebuild(fresh.published.service);
   }
@@ -137,6 +160,20 @@
     this.drop(known);
   }
 
+  private noteAvailability(
+    upstream: Upstream,
+    change: AvailabilityChange,
+  ): void {
+    const backoffMs = Math.round(
+      upstream.availability.getBackoffMs(readClock()),
+    );
+    this.options.logger.info(
+      { upstream: upstream.id, change, backoffMs },
+      "upstream_availability",
+    );
+    this.options.onAvailability(upstream, change);
+  }
+
   private remove(id: string): void {
     const known = this.byId.get(id);
     if (!known) return;
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import type { Upstream } from "../../src/upstreams/upstream.ts";
 import { createDeferred, runCall } from "./run_call.ts";
 import {
   answered,
@@ -209,3 +210,36 @@
   });
   t.is(received.status, 502);
 });
+
+test("a request that waits for its connection is withheld when its upstream asks for a backoff meanwhile", async (t) => {
+  let first: Upstream | undefined;
+  const received = await runCall([answered, answered], { kind: "once" }, {
+    prepare: ([upstream]) => first = upstream,
+    onStart: () =>
+      first!.availability.note(
+        { backoffMs: 60_000, isLeaving: false },
+        performance.now(),
+      ),
+  });
+  t.is(received.status, 200);
+  t.is(received.outcome.attempts, 2);
+  t.is(received.requests.length, 1);
+});
+
+test("a refusal of an upstream that doesn't say the request was not run is no promise to the caller", async (t) => {
+  for (const status of [503, 429, 408]) {
+    const received = await runCall([(_request, response) => {
+      response.writeHead(status, { ...proven(), "Retry-After": "2" }).end();
+    }], { kind: "once" });
+    t.is(received.status, 502);
+    t.is(received.headers.get("x-beechkeel-response-seal"), null);
+  }
+});
+
+test("a refused caller is told when the upstreams may be asked again", async (t) => {
+  const received = await runCall([declined], { kind: "once" }, {
+    retryAfterMs: 2_500,
+  });
+  t.is(received.status, 503);
+  t.is(received.headers.get("retry-after"), "2.5");
+});
--- a/tests/forward/run_call.ts
+++ b/tests/forward/run_call.ts
@@ -33,6 +33,8 @@
   prepare?: (upstreams: readonly Upstream[]) => void;
   /** Parts of the call's prompt. */
   sharedParts?: readonly SentPart[];
+  /** Time after which a refused caller may come back, as upstreams told it, in milliseconds. */
+  retryAfterMs?: number;
   /** What the run tells and asks of crashes. */
   crashes?: Partial<CrashAccess>;
 }
@@ -122,7 +124,7 @@
 async function callThrough(
   upstreams: readonly Upstream[],
   call: RoutedCall,
-  { onStart, crashes }: RunCallOptions,
+  { onStart, retryAfterMs, crashes }: RunCallOptions,
 ): Promise<Received> {
   const ended = createDeferred<CallOutcome>();
   const front = createServer((_request, response) => {
@@ -132,6 +134,7 @@
       codec: platformHeaders,
       choose: (_call, tried) =>
         upstreams.find((upstream) => !tried.has(upstream.id)),
+      getRetryAfterMs: () => retryAfterMs,
       placePrompt: () => undefined,
       getLoad: () => 0,
       spendRetry: () => true,
--- a/tests/gateway/backoff_test.ts
+++ b/tests/gateway/backoff_test.ts
@@ -5,7 +5,12 @@
  * and the end of the time asked for: first attempts, with others free, drawn to the upstreams with the least load. */
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
-import { type FakeWorker, turnAway } from "../../fakes/fake_worker.ts";
+import {
+  answerWell,
+  type FakeWorker,
+  turnAway,
+} from "../../fakes/fake_worker.ts";
+import { waitUntil } from "../system/with_fleet.ts";
 import { call } from "./call.ts";
 import { waitForStatus } from "./wait_for_gateway.ts";
 import { withGateways } from "./with_gateways.ts";
@@ -39,3 +44,53 @@
     t.true(arrivals.every((count) => count <= 1), arrivals.join());
   });
 });
+
+test("where all upstreams asked for a backoff a caller is refused at once as not run, until the first of them ends", async (t) => {
+  await withGateways(async (fleet) => {
+    const [longer, shorter] = [
+      await fleet.startWorker("s"),
+      await fleet.startWorker("s"),
+    ];
+    fleet.publishConfiguration(1, [KEY], { max_attempts: 3 });
+    const gateway = await fleet.startGateway();
+    await waitForStatus(gateway, KEY, 200);
+    longer.behaviour = turnAway({ "Retry-After": String(2 * BACKOFF_S) });
+    shorter.behaviour = turnAway({ "Retry-After": String(BACKOFF_S) });
+    await waitForStatus(gateway, KEY, 503);
+    const before = longer.arrivals.length + shorter.arrivals.length;
+    const refused = await call(gateway, KEY);
+    const seconds = Number(refused.headers["retry-after"]);
+    t.is(refused.status, 503);
+    t.true(seconds > BACKOFF_S / 2 && seconds < BACKOFF_S + 1, `${seconds} s`);
+    t.is(longer.arrivals.length + shorter.arrivals.length, before);
+  });
+});
+
+test("an upstream that says in its answers that it leaves gets nothing more, although its entry is unchanged", async (t) => {
+  await withGateways(async (fleet) => {
+    const [leaving, staying] = [
+      await fleet.startWorker("s"),
+      await fleet.startWorker("s"),
+    ];
+    leaving.behaviour = (request, response, worker) => {
+      response.setHeader("Server-Leaving", "1");
+      answerWell(request, response, worker);
+    };
+    fleet.publishConfiguration(1, [KEY]);
+    const gateway = await fleet.startGateway();
+    await waitUntil("it is asked once", async () => {
+      t.is((await call(gateway, KEY)).status, 200);
+      return leaving.arrivals.length > 0;
+    });
+    for (let index = 0; index < CALLS; index++) await call(gateway, KEY);
+    t.is(leaving.arrivals.length, 1);
+    t.true(staying.arrivals.length >= CALLS);
+    leaving.startedAt += 1_000;
+    leaving.behaviour = answerWell;
+    fleet.publishWorker(leaving, "s", "ready");
+    await waitUntil("another start of it is used", async () => {
+      await call(gateway, KEY);
+      return leaving.arrivals.length > 1;
+    });
+  });
+});
--- a/tests/upstreams/upstream_table_test.ts
+++ b/tests/upstreams/upstream_table_test.ts
@@ -20,6 +20,7 @@
     getLapseEndsAt: () => lapseEndsAt,
     leaveWithinMs: 60_000,
     onRestart: (before) => restarted.push(before),
+    onAvailability: () => undefined,
     onDrop: () => undefined,
   });
 }
