--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -10,6 +10,7 @@
 import { closeHttp, listenHttp, reply } from "./http_fake.ts";
 import { Ledger, type LedgerRun } from "./ledger.ts";
 import { PrefixCache } from "./prefix_cache.ts";
+import { sayWord, type UpstreamWord } from "./upstream_word.ts";
 
 /** A fault that an engine shows on request. */
 export type EngineFault = "none" | "crossed" | "truncated" | "silent";
@@ -19,11 +20,15 @@
 const DEFAULT_COMPLETION = 20;
 
 /** A stand-in for a model engine: batches, caches prefixes, streams, resumes, cancels, reports late, keeps a ledger. */
-export class FakeEngine {
+export class FakeEngine implements UpstreamWord {
   readonly ledger = Ledger.create();
   readonly cache: PrefixCache;
   fault: EngineFault = "none";
   leaving = false;
+  backoffSeconds: number | undefined;
+  saysLeaving = false;
+  /** Requests of all kinds that it got. */
+  requests = 0;
   /** Text of a request that crashes the engine as it begins; "" where none does. */
   crashingText = "";
   /** Whether it has crashed. */
@@ -87,6 +92,11 @@
     body: string,
   ): Promise<void> | void {
     const path = request.url ?? "";
+    this.requests += 1;
+    if (sayWord(response, this)) {
+      this.ledger.refusedAt.push(Date.now());
+      return reply(response, { error: "full" }, 503);
+    }
     if (path === "/v1/chat/completions" && this.isCrashing(body)) {
       this.hasCrashed = true;
       return this.close();
--- a/fakes/fake_service.ts
+++ b/fakes/fake_service.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { closeHttp, listenHttp, reply } from "./http_fake.ts";
 import { Ledger } from "./ledger.ts";
+import { sayWord, type UpstreamWord } from "./upstream_word.ts";
 
 /** How a stand-in service behaves. */
 export interface FakeServiceOptions {
@@ -16,10 +17,12 @@
 export type ServiceFault = "none" | "crossed" | "silent";
 
 /** A stand-in for a plain service, such as one that takes bookings; keeps a ledger of every run. */
-export class FakeService {
+export class FakeService implements UpstreamWord {
   readonly ledger = Ledger.create();
   fault: ServiceFault = "none";
   leaving = false;
+  backoffSeconds: number | undefined;
+  saysLeaving = false;
   private inFlight = 0;
   private server: Server | undefined;
   private listeningPort = 0;
@@ -60,6 +63,11 @@
     response: ServerResponse,
     body: string,
   ): Promise<void> {
+    const isTurnedAway = sayWord(response, this);
+    if (isTurnedAway) {
+      this.ledger.refusedAt.push(Date.now());
+      return reply(response, { error: "full" }, 503);
+    }
     if (request.url === "/report") {
       return reply(response, {
         inFlight: this.inFlight,
--- /dev/null
+++ b/tests/system/backoff_test.ts
@@ -0,0 +1,103 @@
+/** Routers had the fault that gateways had: nothing in them read how long an upstream that turns a request away wants none.
+ * Each owner went on sending, asked the upstream for its report every half second, and followed each refusal with a request
+ * to cancel what had not begun. */
+import test from "ava";
+import { setTimeout as delay } from "node:timers/promises";
+import { waitUntil, withFleet } from "./with_fleet.ts";
+
+const CUSTOMER = "rodar/dispatch";
+/** Backoff that upstreams ask for, in seconds; longer than a test takes. */
+const BACKOFF_S = 60;
+const BOOKINGS = 30;
+/** Interval of reports that is longer than a test takes, in milliseconds: the word of answers alone is heard. */
+const NO_REPORTS_MS = 60_000;
+
+test.serial("services that ask for a backoff get nothing in it, and callers are served by the others", async (t) => {
+  await withFleet({ services: 4 }, async (fleet, caller) => {
+    const full = fleet.services.slice(0, 2);
+    const send = (index: number) => {
+      const router = fleet.routers[index % fleet.routers.length]!.address;
+      return caller.book({ customer: CUSTOMER, router }, `shift ${index}`);
+    };
+    await waitUntil("bookings run", async () => (await send(0)).whole);
+    for (const service of full) service.backoffSeconds = BACKOFF_S;
+    for (let index = 0; index < BOOKINGS; index++) {
+      const answer = await send(index);
+      t.true(answer.whole, answer.kind);
+    }
+    const asked = full.map((service) => service.ledger.refusedAt.length);
+    t.true(asked.every((count) => count <= 2), asked.join());
+  });
+});
+
+test.serial("where all services asked for a backoff a booking is refused at once as not run, until the first of them ends", async (t) => {
+  await withFleet({ services: 2 }, async (fleet, caller) => {
+    const send = () => {
+      const router = fleet.routers[0]!.address;
+      return caller.book({ customer: CUSTOMER, router }, "shift");
+    };
+    await waitUntil("bookings run", async () => (await send()).whole);
+    const [longer, shorter] = fleet.services;
+    longer!.backoffSeconds = 2 * BACKOFF_S;
+    shorter!.backoffSeconds = BACKOFF_S;
+    const countRefusals = () =>
+      longer!.ledger.refusedAt.length + shorter!.ledger.refusedAt.length;
+    await waitUntil("both have turned one away", async () => {
+      await send();
+      return countRefusals() >= 2;
+    });
+    const before = countRefusals();
+    const refused = await send();
+    const seconds = Number(refused.retryAfter);
+    t.is(refused.ran, "no");
+    t.true(seconds > BACKOFF_S / 2 && seconds <= BACKOFF_S, `${seconds} s`);
+    t.is(countRefusals(), before);
+  });
+});
+
+test.serial("an engine that asked for a backoff gets no request to cancel or report either", async (t) => {
+  const options = {
+    engines: 2,
+    settings: { routing: { reportIntervalMs: 50 } },
+  };
+  await withFleet(options, async (fleet, caller) => {
+    const [full, other] = fleet.engines;
+    const send = (chat: string) => {
+      const router = fleet.routers[0]!.address;
+      return caller.chat({ customer: "kilima/rosters", router }, chat, ["a"]);
+    };
+    await waitUntil("chats run", async () => (await send("c")).whole);
+    full!.backoffSeconds = BACKOFF_S;
+    let chats = 0;
+    await waitUntil("it has turned one away", async () => {
+      await send(`c-${chats++}`);
+      return full!.ledger.refusedAt.length > 0;
+    });
+    await delay(100);
+    const before = full!.requests;
+    for (let index = 0; index < BOOKINGS; index++) {
+      t.true((await send(`d-${index}`)).whole);
+    }
+    t.is(full!.requests, before);
+    t.true(other!.ledger.runs.length >= BOOKINGS);
+  });
+});
+
+test.serial("a service that says in its answers that it leaves gets nothing more, before its next report", async (t) => {
+  const settings = { routing: { reportIntervalMs: NO_REPORTS_MS } };
+  await withFleet({ services: 2, settings }, async (fleet, caller) => {
+    const send = (index: number) => {
+      const router = fleet.routers[index % fleet.routers.length]!.address;
+      return caller.book({ customer: CUSTOMER, router }, `shift ${index}`);
+    };
+    const [leaving, staying] = fleet.services;
+    await waitUntil("bookings run", async () => (await send(0)).whole);
+    leaving!.saysLeaving = true;
+    const before = leaving!.ledger.runs.length;
+    for (let index = 0; index < BOOKINGS; index++) {
+      t.true((await send(index)).whole);
+    }
+    t.true(leaving!.ledger.runs.length <= before + 1);
+    t.true(staying!.ledger.runs.length >= BOOKINGS - 1);
+  });
+});
