Routers hear what upstreams say of whether they take requests, and leave them alone as asked

Every answer of an upstream is heard now, to requests, orders, cancellations and reports; owners decline offers for a time that is told to the entry, which tells it to the caller; reports are not read meanwhile; a request that was turned away is not cancelled. A report that was asked for after the word of leaving, and does not say so, is of another start. No retry left after a request that certainly did not run is told as not run.

--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -59,7 +59,7 @@
     return Failure.create(
       "crashes_upstreams",
       `${this.options.describe(fingerprint)} has ${points} points`,
-      Math.ceil(remainingMs / 1_000),
+      remainingMs,
     );
   }
 
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -12,7 +12,13 @@
 /** How one attempt ended. */
 export type AttemptOutcome =
   | { type: "done" }
-  | { type: "declined"; reason: FrameOf<"declined">["reason"]; owner: string }
+  | {
+    type: "declined";
+    reason: FrameOf<"declined">["reason"];
+    owner: string;
+    /** Time until the upstream may be asked again, in milliseconds, where it told. */
+    backoffMs?: number;
+  }
   /** The owner was silent or its connection ended. */
   | { type: "unreachable"; detail: string; wasAccepted: boolean }
   | { type: "failed"; ran: "no" | "unknown"; detail: string }
@@ -113,6 +119,7 @@
         type: "declined",
         reason: frame.reason,
         owner: frame.owner,
+        backoffMs: frame.backoffMs,
       }),
     claim: () => this.answerClaim(),
     head: (frame) => this.options.sink.head(frame.status, frame.headers),
--- a/src/entry/dispatch_progress.ts
+++ b/src/entry/dispatch_progress.ts
@@ -85,18 +85,23 @@
     : progress.grant.taken;
 }
 
-/** Refuses a request; a kind that promises "not run" is replaced where that is not certain. */
+/** Refuses a request; a kind that promises "not run" is replaced where that is not certain.
+ * @param progress The request and what is known of it.
+ * @param kind Why.
+ * @param detail What exactly.
+ * @param retryAfterMs Time after which the caller may come back, in milliseconds, where upstreams told one. */
 export function refuse(
   progress: Progress,
   kind: ErrorKind,
   detail: string,
+  retryAfterMs?: number,
 ): DispatchEnd {
   const isDoubtful = mayHaveRun(progress);
   const isPromise = ANSWER_TABLE[kind].ran === "no";
   const actual = isDoubtful && isPromise ? replaceKind(progress, kind) : kind;
   return {
     type: "refused",
-    failure: Failure.create(actual, detail),
+    failure: Failure.create(actual, detail, retryAfterMs),
     mayHaveRun: isDoubtful,
   };
 }
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -39,6 +39,9 @@
   onUnreachable: (routerId: string) => void;
 }
 
+/** By upstream, how it last declined a request. */
+type Declines = Map<string, Extract<AttemptOutcome, { type: "declined" }>>;
+
 /** What follows from an attempt's outcome. */
 type NextStep =
   | { type: "end"; end: DispatchEnd }
@@ -106,7 +109,7 @@
       return refuse(progress, "no_upstream", "no live upstream serves this");
     }
     const { candidateLimit } = this.options.settings.routing;
-    const declines: string[] = [];
+    const declines: Declines = new Map();
     for (const upstreamId of order.slice(0, candidateLimit)) {
       const end = await this.tryUpstream(progress, upstreamId, false, declines);
       if (end) return end;
@@ -131,7 +134,7 @@
     progress: Progress,
     upstreamId: string,
     mayQueue: boolean,
-    declines: string[],
+    declines: Declines,
   ): Promise<DispatchEnd | undefined> {
     for (let tries = 0; tries < OWNERS_PER_UPSTREAM; tries++) {
       const ownerId = this.chooseOwner(upstreamId, progress);
@@ -149,7 +152,7 @@
         outcome,
         isAnsweredInPart: progress.events > eventsBefore,
       });
-      if (outcome.type === "declined") declines.push(outcome.reason);
+      if (outcome.type === "declined") declines.set(upstreamId, outcome);
       if (outcome.type === "declined" && outcome.owner !== "") {
         progress.namedOwners.set(upstreamId, outcome.owner);
       }
@@ -282,23 +285,29 @@
     if (this.budget.spend()) return next;
     return {
       type: "end",
-      end: refuse(progress, "upstream_failed", `no retry left: ${detail}`),
+      end: refuse(
+        progress,
+        mayHaveRun(progress) ? "upstream_failed" : "no_upstream",
+        `no retry left: ${detail}`,
+      ),
     };
   }
 
-  private giveUp(progress: Progress, declines: readonly string[]): DispatchEnd {
+  private giveUp(progress: Progress, declines: Declines): DispatchEnd {
     if (progress.events > 0) {
       return refuse(progress, "stream_broken", progress.lastDetail);
     }
-    if (declines.includes("share")) {
+    const reasons = [...declines.values()].map(({ reason }) => reason);
+    if (reasons.includes("share")) {
       return refuse(
         progress,
         "too_many_requests",
         "the customer's queue is full",
       );
     }
-    if (declines.includes("full")) {
-      return refuse(progress, "overloaded", "all candidates are full");
+    if (reasons.includes("full")) {
+      const detail = "all candidates are full";
+      return refuse(progress, "overloaded", detail, getFirstBackoff(declines));
     }
     return refuse(
       progress,
@@ -307,3 +316,10 @@
     );
   }
 }
+
+/** Time until the first upstream may be asked again, in milliseconds; undefined where one is full and named no time. */
+function getFirstBackoff(declines: Declines): number | undefined {
+  const full = [...declines.values()].filter(({ reason }) => reason === "full");
+  const first = Math.min(...full.map(({ backoffMs }) => backoffMs ?? 0));
+  return first > 0 ? first : undefined;
+}
--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -26,13 +26,16 @@
   /** Creates a failure.
    * @param kind The error kind.
    * @param detail What exactly was wrong.
-   * @param retryAfterSeconds Seconds after which a new attempt makes sense; by default those of the answer table. */
+   * @param retryAfterMs Milliseconds after which a new attempt makes sense; by default the time of the answer table. */
   static create(
     kind: ErrorKind,
     detail: string,
-    retryAfterSeconds = ANSWER_TABLE[kind].retryAfterSeconds,
+    retryAfterMs?: number,
   ): Failure {
-    return new Failure(kind, detail, retryAfterSeconds);
+    const seconds = retryAfterMs === undefined
+      ? ANSWER_TABLE[kind].retryAfterSeconds
+      : Math.ceil(retryAfterMs) / 1_000;
+    return new Failure(kind, detail, seconds);
   }
 
   /** Turns anything thrown into a failure; what is not one becomes `internal`.
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -97,7 +97,7 @@
     const durationMs = readClock() - this.call.receivedAt;
     const detail = `no answer within ${Math.round(durationMs)} ms`;
     const kind = this.mayHaveRun ? "timed_out" : "overloaded";
-    this.refuse(kind, detail, this.retryAfterSeconds);
+    this.refuse(kind, detail, this.retryAfterMs);
   }
 
   /** Whether the request may have run: an attempt failed after it was sent, or one is under way. */
@@ -256,7 +256,7 @@
     // A caller takes these for a promise that the request has not run, which the upstream did not say.
     if (PROMISES_NOT_RUN.has(status)) {
       const detail = `answered with ${status}`;
-      return this.refuse("upstream_failed", detail, this.retryAfterSeconds);
+      return this.refuse("upstream_failed", detail, this.retryAfterMs);
     }
     this.relay.giveWhole();
     this.finish("answered", `status ${status}`);
@@ -284,7 +284,7 @@
     );
     this.budget.noteRan();
     if (this.budget.spendAfterRun()) return this.next(detail);
-    this.refuse("upstream_failed", detail, this.retryAfterSeconds);
+    this.refuse("upstream_failed", detail, this.retryAfterMs);
   }
 
   private takeUnsent(
@@ -309,7 +309,7 @@
   /** Refuses: as not run where that is certain. */
   private giveUp(detail: string): void {
     const kind = this.budget.mayHaveRun ? "upstream_failed" : "overloaded";
-    this.refuse(kind, detail, this.retryAfterSeconds);
+    this.refuse(kind, detail, this.retryAfterMs);
   }
 
   /** Refuses a request that likely crashes upstreams: as not run where that is certain. */
@@ -320,19 +320,18 @@
     );
   }
 
-  /** Seconds after which the caller may come back, where upstreams told; undefined leaves it to the kind of refusal. */
-  private get retryAfterSeconds(): number | undefined {
-    const milliseconds = this.context.getRetryAfterMs(this.call.service);
-    return milliseconds && Math.ceil(milliseconds) / 1_000;
+  /** Time after which the caller may come back, in milliseconds; undefined leaves it to the kind of refusal. */
+  private get retryAfterMs(): number | undefined {
+    return this.context.getRetryAfterMs(this.call.service);
   }
 
   private refuse(
     kind: ErrorKind,
     detail: string,
-    retryAfterSeconds?: number,
+    retryAfterMs?: number,
   ): void {
     if (this.isOver) return;
-    this.answer.refuse(Failure.create(kind, detail, retryAfterSeconds));
+    this.answer.refuse(Failure.create(kind, detail, retryAfterMs));
     this.finish(
       this.relay.eventsGiven > 0 ? "broken_off" : "refused",
       `${kind}: ${detail}`,
--- a/src/owner/owned_upstream.ts
+++ b/src/owner/owned_upstream.ts
@@ -3,6 +3,7 @@
   UpstreamClient,
   type UpstreamReport,
 } from "../upstream/upstream_client.ts";
+import { readClock } from "../clock/clock.ts";
 import { FairQueue } from "./fair_queue.ts";
 import { ForeignLoad, REPORTS_LACK_MS } from "./foreign_load.ts";
 import type { Job } from "./job.ts";
@@ -61,10 +62,20 @@
     return this.running.size + this.foreign.leastLoad;
   }
 
-  /** Whether new work may go to it: listed as live, not leaving by its own word, and answering. */
+  /** Whether new work may go to it: listed as live, not leaving by its own word, answering, and not to be left alone. */
   get takesWork(): boolean {
+    return this.isServing && this.backoffMs === 0;
+  }
+
+  /** Whether new work may go to it once a backoff that it asked for is over. */
+  get isServing(): boolean {
     return this.host.state === "live" && this.report?.leaving !== true &&
-      this.isReachable;
+      !this.client.availability.isLeaving && this.isReachable;
+  }
+
+  /** Time that is left of the backoff that it asked for, in milliseconds, or 0. */
+  get backoffMs(): number {
+    return this.client.availability.getBackoffMs(readClock());
   }
 
   /** Whether it answers reports. */
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -37,6 +37,9 @@
   onLoadGrew: () => void;
 }
 
+/** Why an offer is not taken, as the entry is told. */
+type Decline = Omit<FrameOf<"declined">, "type" | "exchange">;
+
 /** Answers an entry may give on an exchange under way. */
 type ReplyFrame = FrameOf<"grant"> | FrameOf<"withhold"> | FrameOf<"cancel">;
 
@@ -179,7 +182,7 @@
       return job.send({ type: "declined", reason: "stale", owner: "" });
     }
     if (!upstream?.takesWork) {
-      return job.send({ type: "declined", reason: "gone", owner: "" });
+      return job.send({ type: "declined", ...describeDecline(upstream) });
     }
     const mayStart = upstream.queue.length === 0 &&
       this.registry.hasRoom(upstream);
@@ -258,7 +261,7 @@
   private stopJob(upstream: OwnedUpstream, job: Job): void {
     const wasRunning = job.state === "running";
     if (wasRunning && !job.offer.repeatable) return;
-    if (!wasRunning) return this.decline(upstream, job, "deadline");
+    if (!wasRunning) return this.decline(upstream, job);
     job.abort();
     cancelOnEngine(upstream, job);
     this.finish(upstream, job);
@@ -282,16 +285,16 @@
         : undefined;
       if (!job) return;
       if (readClock() < job.deadlineAt) this.begin(upstream, job);
-      else this.decline(upstream, job, "deadline");
+      else this.decline(upstream, job);
     }
   }
 
   private decline(
     upstream: OwnedUpstream,
     job: Job,
-    reason: "gone" | "deadline",
+    decline: Decline = { reason: "deadline", owner: "" },
   ): void {
-    job.send({ type: "declined", reason, owner: "" });
+    job.send({ type: "declined", ...decline });
     upstream.queue.remove(job);
     this.finish(upstream, job);
   }
@@ -307,8 +310,10 @@
     this.registry.refresh();
     for (const upstream of this.registry.getAll()) {
       for (const job of [...upstream.queue.items]) {
-        if (now >= job.deadlineAt) this.decline(upstream, job, "deadline");
-        else if (!upstream.takesWork) this.decline(upstream, job, "gone");
+        if (now >= job.deadlineAt) this.decline(upstream, job);
+        else if (!upstream.takesWork) {
+          this.decline(upstream, job, describeDecline(upstream));
+        }
       }
       this.pump(upstream);
     }
@@ -330,3 +335,11 @@
     if (this.toldLoads.note(loads)) this.options.onLoadGrew();
   }
 }
+
+/** Why an upstream takes no work: it is gone, or wants none for a time. */
+function describeDecline(upstream: OwnedUpstream | undefined): Decline {
+  const { backoffMs = 0, isServing = false } = upstream ?? {};
+  return isServing && backoffMs > 0
+    ? { reason: "full", owner: "", backoffMs }
+    : { reason: "gone", owner: "" };
+}
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -1,6 +1,7 @@
 import { readClock } from "../clock/clock.ts";
 import type { AuditTrail } from "../audit/audit_trail.ts";
 import { hashText } from "../hashing/hasher.ts";
+import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { FrameOf } from "../peer/frame_schema.ts";
 import type { PlacementTable } from "../placement/placement_table.ts";
@@ -16,6 +17,7 @@
 /** What the registry needs of the rest of the router. */
 export interface UpstreamRegistryOptions {
   settings: Settings;
+  logger: Logger;
   audit: AuditTrail;
   loads: LoadBook;
   getView: () => FleetView;
@@ -106,6 +108,7 @@
    * @param upstream The upstream. */
   hasRoom(upstream: OwnedUpstream): boolean {
     if (upstream.isLoadUnknown) return false;
+    if (!upstream.client.availability.hasRoom(readClock())) return false;
     if (!this.isBounded) return upstream.load < upstream.host.slots;
     const load = { own: upstream.running.size, foreign: upstream.foreign.load };
     return hasRoom(this.getBound(upstream), load);
@@ -165,6 +168,15 @@
   private takeOver(host: Host): OwnedUpstream {
     const { queueLimit, stallTimeoutMs } = this.options.settings.routing;
     const upstream = OwnedUpstream.create(host, queueLimit, stallTimeoutMs);
+    upstream.client.onAvailability = (change) =>
+      this.options.logger.info(
+        {
+          upstream: host.id,
+          change,
+          backoffMs: Math.round(upstream.backoffMs),
+        },
+        "upstream_availability",
+      );
     this.upstreams.set(host.id, upstream);
     const who = this.options.settings.id;
     this.options.audit.add({
@@ -201,8 +213,9 @@
 
   private async readReport(upstream: OwnedUpstream): Promise<void> {
     const { pauseCount } = upstream;
+    if (upstream.backoffMs > 0) return;
     const report = await upstream.client.readReport().catch(() => undefined);
-    if (upstream.pauseCount !== pauseCount) return;
+    if (upstream.pauseCount !== pauseCount || upstream.backoffMs > 0) return;
     this.options.onReport(upstream, report);
   }
 }
--- a/src/owner/work_on.ts
+++ b/src/owner/work_on.ts
@@ -19,7 +19,7 @@
   } catch (thrown) {
     const error = UpstreamError.from(thrown);
     if (job.signal.aborted) return;
-    cancelOnEngine(upstream, job);
+    if (error.ran !== "no") cancelOnEngine(upstream, job);
     const { requestId } = job.offer;
     logger.warn({
       upstream: upstream.host.id,
--- a/src/peer/frame_schema.ts
+++ b/src/peer/frame_schema.ts
@@ -58,6 +58,8 @@
     reason: z.enum(["full", "share", "gone", "stale", "deadline", "moved"]),
     /** Where the reason is `moved`: the router that owns the upstream. */
     owner: z.string(),
+    /** Where the reason is `full`: time for which the upstream asked for no requests, in milliseconds. */
+    backoffMs: z.number().optional(),
   }),
   /** The owner is about to send and asks for the grant. */
   z.object({ type: z.literal("claim"), exchange }),
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -1,6 +1,12 @@
 import { Agent, type Dispatcher, request } from "undici";
 import { z } from "zod";
 import type { Host } from "../configuration_service/host_schema.ts";
+import { readClock } from "../clock/clock.ts";
+import {
+  Availability,
+  type AvailabilityChange,
+} from "../upstreams/availability.ts";
+import { readAvailabilityNotice } from "../upstreams/read_availability_notice.ts";
 import { EventStreamParser, type ParsedEvents } from "./event_stream_parser.ts";
 import { UpstreamError } from "./upstream_error.ts";
 
@@ -37,6 +43,8 @@
   body: Buffer;
 }
 
+/** In every answer of an upstream that leaves. */
+const LEAVING = { name: "x-leaving", value: "true" };
 const CONNECT_TIMEOUT_MS = 1_000;
 const REPORT_TIMEOUT_MS = 1_000;
 const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
@@ -45,6 +53,10 @@
 export class UpstreamClient {
   private readonly agent: Agent;
   private readonly url: string;
+  /** Told of what the upstream said of whether it takes requests, where that changed. */
+  onAvailability: (change: AvailabilityChange) => void = () => undefined;
+  private said = this.createAvailability();
+  private leavingSaidAt = -Infinity;
 
   private constructor(host: Host, private readonly stallTimeoutMs: number) {
     this.url = `http://${host.address}:${host.port}`;
@@ -62,14 +74,29 @@
     return new UpstreamClient(host, stallTimeoutMs);
   }
 
-  /** Reads the upstream's report. */
+  /** What the upstream said in its answers of whether it takes requests. */
+  get availability(): Availability {
+    return this.said;
+  }
+
+  /** Reads the upstream's report. A report that was asked for after the upstream said it leaves, and doesn't say so, is of
+   * another start of it, which knows nothing of what the one before said.
+   * @throws UpstreamError where it is turned away. */
   async readReport(): Promise<UpstreamReport> {
+    const askedAt = readClock();
     const response = await request(`${this.url}/report`, {
       dispatcher: this.agent,
       headersTimeout: REPORT_TIMEOUT_MS,
       bodyTimeout: REPORT_TIMEOUT_MS,
     });
-    return reportSchema.parse(await response.body.json());
+    this.hear(response);
+    if (response.statusCode !== 200) throw await this.refused(response);
+    const report = reportSchema.parse(await response.body.json());
+    const isOtherStart = this.said.isLeaving && !report.leaving &&
+      response.headers[LEAVING.name] === undefined &&
+      askedAt > this.leavingSaidAt;
+    if (isOtherStart) this.said = this.createAvailability();
+    return report;
   }
 
   /** Gives a fenced order; returns whether the upstream took it.
@@ -83,6 +110,7 @@
       body: JSON.stringify({ fence, models }),
       headersTimeout: REPORT_TIMEOUT_MS,
     });
+    this.hear(response);
     await response.body.dump();
     return response.statusCode === 200;
   }
@@ -100,7 +128,10 @@
       headers: { "x-attempt": attempt },
       headersTimeout: REPORT_TIMEOUT_MS,
     })
-      .then((response) => response.body.dump(), () => undefined);
+      .then((response) => {
+        this.hear(response);
+        return response.body.dump();
+      }, () => undefined);
   }
 
   /** Runs a chat and yields its events as they come; ends only after the engine's end marker.
@@ -152,6 +183,40 @@
   private async send(
     work: UpstreamRequest,
     dispatcher: Dispatcher,
+  ): Promise<Dispatcher.ResponseData> {
+    const { said } = this;
+    if (!said.takesRequests(readClock())) {
+      throw UpstreamError.create("no", "the upstream takes no requests");
+    }
+    const isTrial = said.beginRequest();
+    let wasTaken = false;
+    try {
+      const response = await this.request(work, dispatcher);
+      this.hear(response);
+      wasTaken = response.headers["x-not-run"] !== "true";
+      return response;
+    } finally {
+      if (isTrial) said.endTrial(wasTaken);
+    }
+  }
+
+  private createAvailability(): Availability {
+    const availability = Availability.create();
+    availability.onChange = (change) => this.onAvailability(change);
+    return availability;
+  }
+
+  /** Takes what an answer says beside what it answers. */
+  private hear({ statusCode, headers }: Dispatcher.ResponseData): void {
+    const now = readClock();
+    const notice = readAvailabilityNotice(statusCode, headers, LEAVING);
+    if (notice.isLeaving) this.leavingSaidAt = now;
+    this.said.note(notice, now);
+  }
+
+  private async request(
+    work: UpstreamRequest,
+    dispatcher: Dispatcher,
   ): Promise<Dispatcher.ResponseData> {
     return await request(this.url + work.path, {
       method: work.method as Dispatcher.HttpMethod,
