What a start of an upstream said outlasts its entry's absence and a router's ownership

Class: knowledge kept under a name that does not last as long as what it is about. Gateways dropped an upstream's word with its entry, which may lapse while the store is away; routers with an ownership that moved for a moment, as the logs of two routers in a fleet that was starting beside load show: s1 was taken over twice within 0.7 s.

--- a/src/owner/owned_upstream.ts
+++ b/src/owner/owned_upstream.ts
@@ -73,6 +73,11 @@
       !this.client.availability.isLeaving && this.isReachable;
   }
 
+  /** Whether it said in its answers that it wants no requests, for a time or as long as this start lasts. */
+  get isLeftAlone(): boolean {
+    return !this.client.availability.takesRequests(readClock());
+  }
+
   /** Time that is left of the backoff that it asked for, in milliseconds, or 0. */
   get backoffMs(): number {
     return this.client.availability.getBackoffMs(readClock());
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -160,7 +160,8 @@
     const isUsed = upstream.running.size > 0 || upstream.queue.length > 0;
     const isListed =
       this.options.getView().getUpstream(upstream.host.id) !== undefined;
-    if (isUsed || (isListed && this.isOwner(upstream.host))) return;
+    const isKept = this.isOwner(upstream.host) || upstream.isLeftAlone;
+    if (isUsed || (isListed && isKept)) return;
     this.upstreams.delete(upstream.host.id);
     void upstream.client.close();
   }
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -11,7 +11,7 @@
   /** What its answers say of its health. */
   readonly health = UpstreamHealth.create();
   /** What its answers say of whether it takes requests. */
-  readonly availability = Availability.create();
+  readonly availability: Availability;
   /** Short name of this start of the upstream in what hosts tell each other, so that word of another start is not taken
    * for its own. */
   readonly shortName: number;
@@ -31,15 +31,21 @@
   private constructor(
     /** What it last published. */
     public published: PublishedUpstream,
+    availability: Availability,
   ) {
+    this.availability = availability;
     this.channels = ChannelPool.create(published.address);
     this.shortName = hashText(nameStart(published));
   }
 
   /** Creates an upstream.
-   * @param published What it published. */
-  static create(published: PublishedUpstream): Upstream {
-    return new Upstream(published);
+   * @param published What it published.
+   * @param availability What this start has said before, where it is known. */
+  static create(
+    published: PublishedUpstream,
+    availability = Availability.create(),
+  ): Upstream {
+    return new Upstream(published, availability);
   }
 
   /** Its id. */
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -1,7 +1,8 @@
 import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamChange } from "../published/publication_feed.ts";
-import type { AvailabilityChange } from "./availability.ts";
+import type { PublishedUpstream } from "../published/upstream_schema.ts";
+import type { Availability, AvailabilityChange } from "./availability.ts";
 import { Upstream } from "./upstream.ts";
 
 /** Part of the time in which a leaving upstream may get work for which one that disappeared just after an outage of the
@@ -15,6 +16,9 @@
  * takes. */
 const CRASHED_FOR_MS = 3_000;
 
+/** Starts that are remembered after they were taken out; above what lapses at once in the largest fleet. */
+const MAX_DROPPED = 10_000;
+
 /** What the table needs. */
 export interface UpstreamTableOptions {
   logger: Logger;
@@ -38,6 +42,8 @@
   private readonly byService = new Map<string, Upstream[]>();
   /** Upstreams gone from the list, with the monotonic milliseconds at which they went. */
   private readonly departed = new Map<Upstream, number>();
+  /** By id, starts that were taken out although they said to be left alone: their entries may come back. */
+  private readonly dropped = new Map<string, Upstream>();
 
   private constructor(private readonly options: UpstreamTableOptions) {}
 
@@ -97,7 +103,7 @@
   apply(changes: readonly UpstreamChange[]): void {
     for (const { id, upstream } of changes) {
       if (upstream === undefined) this.remove(id);
-      else this.put(Upstream.create(upstream));
+      else this.put(upstream);
     }
   }
 
@@ -108,6 +114,7 @@
     this.byId.delete(upstream.id);
     this.rebuild(upstream.published.service);
     upstream.isDropped = true;
+    this.rememberWord(upstream);
     upstream.close();
     this.options.logger.info({ upstream: upstream.id }, "upstream_dropped");
     this.options.onDrop(upstream);
@@ -132,25 +139,45 @@
     return upstream.usedUntil === undefined || now < upstream.usedUntil;
   }
 
-  private put(fresh: Upstream): void {
-    const known = this.byId.get(fresh.id);
+  private put(published: PublishedUpstream): void {
+    const known = this.byId.get(published.id);
     if (known) this.departed.delete(known);
-    if (known && isSameStart(known, fresh)) {
-      known.published = fresh.published;
+    if (known && isSameStart(known, published)) {
+      known.published = published;
       known.usedUntil = undefined;
       return;
     }
-    if (known) this.replace(known, fresh);
+    if (known) this.replace(known, published);
+    const fresh = Upstream.create(published, this.recallWord(published));
     fresh.availability.onChange = (change) =>
       this.noteAvailability(fresh, change);
     this.byId.set(fresh.id, fresh);
-    this.rebuild(fresh.published.service);
+    this.rebuild(published.service);
+  }
+
+  /** What a start that is listed again said before its entry was missing; undefined where that is nothing. */
+  private recallWord(published: PublishedUpstream): Availability | undefined {
+    const before = this.dropped.get(published.id);
+    this.dropped.delete(published.id);
+    return before && isSameStart(before, published)
+      ? before.availability
+      : undefined;
+  }
+
+  /** Remembers a start that is taken out, as long as what it said may count. */
+  private rememberWord(upstream: Upstream): void {
+    if (upstream.availability.takesRequests(readClock())) return;
+    this.dropped.delete(upstream.id);
+    this.dropped.set(upstream.id, upstream);
+    if (this.dropped.size <= MAX_DROPPED) return;
+    const [oldest] = this.dropped.keys();
+    this.dropped.delete(oldest!);
   }
 
   /** Takes out an upstream whose id another has now, with all that is known of it. */
-  private replace(known: Upstream, fresh: Upstream): void {
-    if (known.published.startedAt !== fresh.published.startedAt) {
-      const { startedAt } = fresh.published;
+  private replace(known: Upstream, fresh: PublishedUpstream): void {
+    const { startedAt } = fresh;
+    if (known.published.startedAt !== startedAt) {
       this.options.logger.info(
         { upstream: known.id, startedAt },
         "upstream_started_again",
@@ -203,8 +230,8 @@
 }
 
 /** Whether two entries under one id are of the same start of the same upstream. */
-function isSameStart(known: Upstream, fresh: Upstream): boolean {
-  const { address, service, startedAt } = fresh.published;
+function isSameStart(known: Upstream, fresh: PublishedUpstream): boolean {
+  const { address, service, startedAt } = fresh;
   return known.published.address === address &&
     known.published.service === service &&
     known.published.startedAt === startedAt;
--- a/tests/upstreams/upstream_table_test.ts
+++ b/tests/upstreams/upstream_table_test.ts
@@ -95,3 +95,21 @@
   only!.crashedAt = performance.now() - 3_001;
   t.deepEqual(table.getServing("s"), [only]);
 });
+
+test("an upstream whose entry was missing for a while is held to what it said before, another start of it is not", (t) => {
+  const table = createTable(-1);
+  const list = (revision: number, startedAt: number) =>
+    table.apply([{
+      id: "u",
+      revision,
+      upstream: buildUpstream({ id: "u", startedAt }),
+    }]);
+  list(1, 5);
+  table.getServing("s")[0]!.availability.noteLeaving();
+  table.apply([GONE]);
+  list(3, 5);
+  t.is(table.getServing("s").length, 0);
+  table.apply([GONE]);
+  list(5, 6);
+  t.is(table.getServing("s").length, 1);
+});
