Soak: workers that turn requests away with a backoff, and that leave by their answers only

Two faults, two judges that count as the users do (more than two requests from a host between half a second and the end; a request sent later than the bound after its host passed the word on), and the judge of retries counts arrivals that are turned away.

--- a/soak/evidence.ts
+++ b/soak/evidence.ts
@@ -1,5 +1,6 @@
 import type { CallerAttempt } from "./caller_attempt.ts";
 import type { FaultLog } from "./fault_log.ts";
+import type { WorkerDecline } from "./worker_decline.ts";
 import type { WorkerRun } from "./worker_run.ts";
 
 /** A version of the configuration, and when the store took it. */
@@ -27,6 +28,7 @@
 export interface Evidence {
   attempts: readonly CallerAttempt[];
   runs: readonly WorkerRun[];
+  declines: readonly WorkerDecline[];
   versions: readonly PublishedVersion[];
   leavings: readonly Leaving[];
   stops: readonly Stop[];
--- a/soak/judge_answers.ts
+++ b/soak/judge_answers.ts
@@ -1,3 +1,4 @@
+import { judgeBackoffs, judgeLeavingAnswers } from "./availability.ts";
 import { AFTERMATH_MS, BOUNDS } from "./bounds.ts";
 import { type CallerAttempt, KIND_RULES } from "./caller_attempt.ts";
 import { judgeCrashingRequests } from "./crashing_requests.ts";
@@ -32,6 +33,9 @@
   "nothing proper is denied": judgeDenied,
   "a request that crashed three workers reaches few more":
     judgeCrashingRequests,
+  "a worker that asked for a backoff gets few requests in it": judgeBackoffs,
+  "a worker that says it leaves gets no new work from who passed that on":
+    judgeLeavingAnswers,
 };
 
 function judgeWholeness({ attempts }: Evidence): string[] {
--- a/soak/judge_times.ts
+++ b/soak/judge_times.ts
@@ -106,22 +106,29 @@
     : [];
 }
 
-function judgeRetries({ attempts, runs }: Evidence): string[] {
+function judgeRetries({ attempts, runs, declines }: Evidence): string[] {
   const serviceOf = new Map(
     attempts.map((attempt) => [
       attempt.requestId,
       KIND_RULES[attempt.kind].service,
     ]),
   );
-  const repeats = [...groupRuns(runs).values()].flatMap((ofRequest) =>
-    ofRequest.slice(1)
-  );
+  const arrivals = [
+    ...runs.map(({ requestId, startedAt: at }) => ({ requestId, at })),
+    ...declines,
+  ].sort((a, b) => a.at - b.at);
+  const first = new Set<string>();
+  const repeats = arrivals.filter(({ requestId }) => {
+    const isRepeat = first.has(requestId);
+    first.add(requestId);
+    return isRepeat;
+  });
   return [...new Set(serviceOf.values())].flatMap((service) => {
     const isOwn = ({ requestId }: { requestId: string }) =>
       serviceOf.get(requestId) === service;
     return findExcess(
       attempts.filter(isOwn).map((attempt) => attempt.sentAt),
-      repeats.filter(isOwn).map((run) => run.startedAt),
+      repeats.filter(isOwn).map(({ at }) => at),
     ).map((excess) => `${service}: ${excess}`);
   });
 }
--- a/soak/regression_seeds.ts
+++ b/soak/regression_seeds.ts
@@ -34,6 +34,14 @@
   "spoilEntry",
 ];
 
+/** Faults of workers that say whether they take requests. */
+export const AVAILABILITY_FAULTS: readonly string[] = [
+  "turnAway",
+  "leaveByAnswers",
+  "misbehaveWorker",
+  "restartWorker",
+];
+
 /** Seeds that failed. */
 export const REGRESSION_SEEDS: readonly RegressionSeed[] = [
   {
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -1,11 +1,12 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { ProxyMode } from "../fakes/fault_proxy.ts";
 import type { Random } from "../src/random/random.ts";
+import { leaveByAnswers, mayGo, turnAway } from "./availability.ts";
 import { AFTERMATH_MS, BOUNDS } from "./bounds.ts";
 import { ENTRY_LAPSES_MS, sendCrashingRequest } from "./crashing_requests.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
-import type { SoakWorker, WorkerFault } from "./soak_worker.ts";
+import type { WorkerFault } from "./soak_worker.ts";
 
 /** Injects one fault and takes it back; ends when it is over. */
 export type SoakFault = (fleet: SoakFleet, random: Random) => Promise<void>;
@@ -226,12 +227,6 @@
   }
 }
 
-/** Whether a worker may go, so that two of its service are left. */
-function mayGo(fleet: SoakFleet, worker: SoakWorker): boolean {
-  const { service } = worker;
-  return fleet.workers.filter((one) => one.service === service).length > 2;
-}
-
 /** The faults by name. */
 export const SOAK_FAULTS: Readonly<Record<string, SoakFault>> = {
   killGateway,
@@ -250,4 +245,6 @@
   sendCrashingRequest,
   restartWorker,
   spoilEntry,
+  turnAway,
+  leaveByAnswers,
 };
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -15,6 +15,7 @@
 import { FaultLog } from "./fault_log.ts";
 import { GatewayProcess } from "./gateway_process.ts";
 import { SoakWorker } from "./soak_worker.ts";
+import type { WorkerDecline } from "./worker_decline.ts";
 import type { WorkerRun } from "./worker_run.ts";
 
 /** Key that every version of the configuration holds. */
@@ -51,6 +52,8 @@
   readonly attempts: CallerAttempt[] = [];
   /** What workers ran, over all their starts. */
   readonly runs: WorkerRun[] = [];
+  /** What workers turned away. */
+  readonly declines: WorkerDecline[] = [];
   /** Versions of the configuration so far. */
   readonly versions: PublishedVersion[] = [];
   /** Words of workers that they leave. */
@@ -119,7 +122,7 @@
     const worker = await SoakWorker.create(
       id ?? `w-${this.workerCount}`,
       service,
-      this.runs,
+      this,
       this.random.fork(),
       proxy,
     );
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -7,6 +7,7 @@
 import type { Random } from "../src/random/random.ts";
 import { isCrashingPath } from "./crashing_requests.ts";
 import { countEvents, writeEvent, writeWholeAnswer } from "./stream_text.ts";
+import type { WorkerLedger } from "./worker_ledger.ts";
 import type { WorkerRun } from "./worker_run.ts";
 
 /** What a worker does wrong with part of its requests. */
@@ -38,6 +39,10 @@
 export class SoakWorker {
   /** What it does wrong. */
   fault: WorkerFault = "none";
+  /** Time without requests that it asks for while it turns all away, in milliseconds; undefined where it takes them. */
+  backoffMs: number | undefined;
+  /** Whether its answers say that it leaves. */
+  saysLeaving = false;
   /** Told when a request begins that crashes the worker. */
   onCrashing: () => void = () => undefined;
   private running = 0;
@@ -48,20 +53,20 @@
     readonly proxy: FaultProxy,
     /** Service it belongs to. */
     readonly service: string,
-    private readonly ledger: WorkerRun[],
+    private readonly ledger: WorkerLedger,
     private readonly random: Random,
   ) {}
 
   /** Starts a worker.
    * @param id Id of this start.
    * @param service Service it belongs to.
-   * @param ledger Where its runs are written.
+   * @param ledger Where it writes what it does with requests.
    * @param random Source of its work and faults.
    * @param proxy Proxy of a worker that is gone, whose address this one takes over. */
   static async create(
     id: string,
     service: string,
-    ledger: WorkerRun[],
+    ledger: WorkerLedger,
     random: Random,
     proxy?: FaultProxy,
   ): Promise<SoakWorker> {
@@ -109,9 +114,11 @@
   ): Promise<void> {
     const requestId = getHeader(request, "x-beechkeel-attempt-id");
     if (requestId === "") return decline(response, 400);
+    if (this.saysLeaving) response.setHeader("Server-Leaving", "1");
     const fault = this.random.fraction() < FAULT_SHARE ? this.fault : "none";
-    if (this.running >= SLOTS || fault === "full") {
-      return decline(response, 503);
+    const isFull = this.running >= SLOTS || fault === "full";
+    if (isFull || this.backoffMs !== undefined) {
+      return this.turnAway(response, requestId);
     }
     const run = this.startRun(request, requestId);
     this.running += 1;
@@ -123,6 +130,16 @@
     await this.answer(request, response, run, fault);
   }
 
+  private turnAway(response: ServerResponse, requestId: string): void {
+    const { id: worker, backoffMs, worker: { startedAt: start } } = this;
+    const at = performance.now();
+    this.ledger.declines.push({ requestId, worker, start, at, backoffMs });
+    if (backoffMs !== undefined) {
+      response.setHeader("Retry-After", String(backoffMs / 1_000));
+    }
+    decline(response, 503);
+  }
+
   private startRun(request: IncomingMessage, requestId: string): WorkerRun {
     const arrival = this.worker.arrivals.findLast((one) =>
       one.headers === request.headers
@@ -142,8 +159,9 @@
       status: undefined,
       isWhole: false,
       wasCancelled: false,
+      saidLeaving: this.saysLeaving,
     };
-    this.ledger.push(run);
+    this.ledger.runs.push(run);
     return run;
   }
 
--- a/soak/worker_run.ts
+++ b/soak/worker_run.ts
@@ -18,6 +18,8 @@
   status: number | undefined;
   /** Whether the worker wrote its whole answer, and nothing but that. */
   isWhole: boolean;
+  /** Whether its answer said that the worker leaves. */
+  saidLeaving: boolean;
   /** Whether the other side closed the connection before the worker was done. */
   wasCancelled: boolean;
 }
--- a/tests/soak/judge_test.ts
+++ b/tests/soak/judge_test.ts
@@ -54,6 +54,7 @@
     status: 200,
     isWhole: true,
     wasCancelled: false,
+    saidLeaving: false,
     ...changes,
   };
 }
@@ -62,6 +63,7 @@
   return {
     attempts: [buildAttempt()],
     runs: [buildRun()],
+    declines: [],
     versions: [],
     leavings: [],
     stops: [],
@@ -152,6 +154,30 @@
       ),
     }),
   ],
+  "a worker that asked for a backoff gets few requests in it": [
+    buildEvidence({
+      declines: [0, 600, 700, 800].map((at) => ({
+        requestId: ID,
+        worker: "w-1",
+        start: 1,
+        at,
+        backoffMs: 3_000,
+      })),
+      runs: [],
+    }),
+  ],
+  "a worker that says it leaves gets no new work from who passed that on": [
+    buildEvidence({
+      attempts: [
+        buildAttempt(),
+        buildAttempt({ requestId: "c-2", sentAt: 9_000, endedAt: 9_030 }),
+      ],
+      runs: [
+        buildRun({ saidLeaving: true }),
+        buildRun({ requestId: "c-2", startedAt: 9_005 }),
+      ],
+    }),
+  ],
   "a leaving worker gets no new work": [
     buildEvidence({
       leavings: [{ worker: "w-1", at: 1_000 }],
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import {
+  AVAILABILITY_FAULTS,
   FIRST_FAULTS,
   REGRESSION_SEEDS,
   type RegressionSeed,
@@ -20,6 +21,12 @@
     faults: ["sendCrashingRequest", "killGateway"],
     cause: "none; requests that crash workers, beside kills",
   },
+  {
+    seed: 3,
+    seconds: 6,
+    faults: AVAILABILITY_FAULTS,
+    cause: "none; workers that say whether they take requests",
+  },
 ];
 
 for (
