An upstream that is found full again and again is tried ever more rarely, first by one request

Hypothesis: of callers refused while others are idle, those are left whose attempts go to upstreams that turn all away and name no time; each host tries them every 150 ms, with a retry of its budget each time. Change: 150 ms doubles up to 2.4 s while no request is taken, and one request goes first after it.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -43,7 +43,7 @@
   private isReusable = true;
   private hasPaused = false;
   private isWithheld = false;
-  /** Whether the request tries an upstream after a backoff, and was not answered yet. */
+  /** Whether the request tries an upstream that was left out, and was not answered yet. */
   private isTrial: boolean;
   private controller: { pause(): void; resume(): void } | undefined;
 
@@ -149,6 +149,7 @@
     if (status < 200 || this.isOver) return;
     const answer = this.codec.readAnswer(status, headers);
     this.upstream.availability.note(answer.availability, now);
+    if (!answer.isNotRun) this.upstream.availability.noteTaken();
     this.endTrial(!answer.isNotRun);
     if (answer.load) {
       const requests = answer.load.running + answer.load.waiting;
--- a/src/upstreams/availability.ts
+++ b/src/upstreams/availability.ts
@@ -3,8 +3,12 @@
 /** Longest time for which an upstream is left alone at its own word, in milliseconds: above any pause that is planned, so
  * that a mistaken figure doesn't take an upstream out until it starts again. */
 const MAX_BACKOFF_MS = 300_000;
-/** Time for which an upstream that is full and names no time is left out while others are free, in milliseconds. */
-const FULL_FOR_MS = 150;
+/** First time for which an upstream that is full and names no time is left out while others are free, in milliseconds; it
+ * doubles with each try that is turned away, for attempts at upstreams that turn all away use up the retries of requests which
+ * others could serve. */
+const FIRST_FULL_MS = 150;
+/** Longest such time, in milliseconds. */
+const MAX_FULL_MS = 2_400;
 /** Requests under way unanswered from which an upstream that was left alone is used as any other; the count begins at one
  * and doubles with each that the upstream takes. */
 const LAST_TRIAL_LIMIT = 16;
@@ -21,10 +25,12 @@
   onChange: (change: AvailabilityChange) => void = () => undefined;
   private backoffEndsAt = -Infinity;
   private fullUntil = -Infinity;
+  /** Times in a row that it was found full. */
+  private timesFull = 0;
   private hasSaidLeaving = false;
-  /** Requests that may be under way unanswered after a backoff; undefined where any number may. */
+  /** Requests that may be under way unanswered after it was left out; undefined where any number may. */
   private trialLimit: number | undefined;
-  /** Requests begun after a backoff that are under way unanswered. */
+  /** Requests begun after it was left out that are under way unanswered. */
   private trials = 0;
 
   private constructor() {}
@@ -79,13 +85,22 @@
     this.onChange("leaves");
   }
 
-  /** Takes that it turned a request away and named no time.
+  /** Takes that it turned a request away and named no time. What was under way beside the first counts once.
    * @param now Monotonic milliseconds. */
   noteFull(now: number): void {
-    this.fullUntil = now + FULL_FOR_MS;
+    if (now < this.fullUntil) return;
+    const fullForMs = FIRST_FULL_MS * 2 ** this.timesFull;
+    this.fullUntil = now + Math.min(MAX_FULL_MS, fullForMs);
+    this.timesFull += 1;
+    this.trialLimit = 1;
+  }
+
+  /** Takes that it took a request. */
+  noteTaken(): void {
+    this.timesFull = 0;
   }
 
-  /** Counts a request that is being sent; returns whether it is one of those that try the upstream after a backoff. */
+  /** Counts a request that is being sent; returns whether it is one of those that try the upstream after it was left out. */
   beginRequest(): boolean {
     if (this.trialLimit === undefined) return false;
     this.trials += 1;
--- a/tests/gateway/backoff_test.ts
+++ b/tests/gateway/backoff_test.ts
@@ -21,6 +21,8 @@
 const CALLS = 60;
 /** Pause between calls, in milliseconds; all calls take several times as long as a full upstream is left out by itself. */
 const PAUSE_MS = 10;
+/** Part of callers that may be refused while others are free, until it is known which are not. */
+const MOST_REFUSED_SHARE = 0.02;
 
 test("upstreams that ask for a backoff get no further request in it, and callers are served by the others", async (t) => {
   await withGateways(async (fleet) => {
@@ -94,3 +96,23 @@
     });
   });
 });
+
+test("upstreams that turn all away and name no time cost few callers their retries while others are free", async (t) => {
+  await withGateways(async (fleet) => {
+    const workers: FakeWorker[] = [];
+    for (let index = 0; index < 8; index++) {
+      workers.push(await fleet.startWorker("s"));
+    }
+    fleet.publishConfiguration(1, [KEY], { max_attempts: 3 });
+    const gateway = await fleet.startGateway({ retryExtra: 20 });
+    await waitForStatus(gateway, KEY, 200);
+    const full = workers.slice(0, 6);
+    for (const worker of full) worker.behaviour = turnAway();
+    let refused = 0;
+    for (let index = 0; index < 4 * CALLS; index++) {
+      if ((await call(gateway, KEY)).status !== 200) refused += 1;
+      await delay(PAUSE_MS);
+    }
+    t.true(refused <= 4 * CALLS * MOST_REFUSED_SHARE, `${refused} refused`);
+  });
+});
--- a/tests/upstreams/availability_test.ts
+++ b/tests/upstreams/availability_test.ts
@@ -75,3 +75,23 @@
   t.false(availability.takesRequests(HOUR_MS));
   t.deepEqual(changes, ["leaves"]);
 });
+
+test("an upstream that is found full again and again is tried ever more rarely, until it takes a request", (t) => {
+  const { availability } = create();
+  let now = 0;
+  const findFullMs = () => {
+    availability.noteFull(now);
+    availability.noteFull(now + 1);
+    const from = now;
+    while (!availability.hasRoom(now)) now += 10;
+    return now - from;
+  };
+  t.deepEqual(
+    Array.from({ length: 6 }, findFullMs),
+    [150, 300, 600, 1_200, 2_400, 2_400],
+  );
+  t.true(availability.beginRequest());
+  availability.noteTaken();
+  availability.endTrial(true);
+  t.is(findFullMs(), 150);
+});
