Failing test: what waits at a router that owns an upstream no more is started there

Traced by a line for each start, with what runs, what others run and the bound (request_started): after a router that was frozen woke, e5 got three requests from it and two from the router that had owned it meanwhile (isOwned=false), 5 where 4 are allowed.

--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -209,6 +209,7 @@
 
   private begin(upstream: OwnedUpstream, job: Job): void {
     upstream.add(job, readClock());
+    this.logStart(upstream, job);
     this.noteGrowth();
     if (job.offer.repeatable) return this.run(upstream, job);
     job.state = "claiming";
@@ -217,6 +218,19 @@
       .unref();
   }
 
+  private logStart(upstream: OwnedUpstream, job: Job): void {
+    const { mean, cap } = this.registry.describeBound(upstream);
+    this.options.logger.info({
+      request: job.offer.requestId,
+      upstream: upstream.host.id,
+      running: upstream.running.size,
+      foreign: upstream.foreign.load,
+      mean: Number(mean.toFixed(2)),
+      cap,
+      isOwned: upstream.isOwned,
+    }, "request_started");
+  }
+
   private run(upstream: OwnedUpstream, job: Job): void {
     job.state = "running";
     void workOn(upstream, job, this.options.logger).finally(() =>
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -122,6 +122,13 @@
       : upstream.host.slots;
   }
 
+  /** What bounds an upstream now: the mean of its pool as it is known here, and the requests that it may carry.
+   * @param upstream The upstream. */
+  describeBound(upstream: OwnedUpstream): { mean: number; cap: number } {
+    const { mean } = this.getBound(upstream);
+    return { mean, cap: this.getCap(upstream) };
+  }
+
   /** Reads the reports of all upstreams. */
   readReports(): void {
     for (const upstream of this.upstreams.values()) {
--- /dev/null
+++ b/tests/owner/build_fleet.ts
@@ -0,0 +1,65 @@
+import type { Host } from "../../src/configuration_service/host_schema.ts";
+import { FleetView, type RouterView } from "../../src/membership/fleet_view.ts";
+import {
+  type Settings,
+  settingsSchema,
+} from "../../src/settings/settings_schema.ts";
+
+/** Id of the router of these tests. */
+export const OWN_ID = "r-0";
+/** Routers beside which that router is not the first for the upstream `s-0`. */
+export const OTHERS: readonly string[] = Array.from(
+  { length: 20 },
+  (_, index) => `r-${index + 1}`,
+);
+
+/** Builds a service with one place that is listed as live.
+ * @param port Port that it listens on. */
+export function buildService(port: number): Host {
+  return {
+    id: "s-0",
+    role: "service",
+    service: "bookings",
+    partner: "kilima",
+    region: "dar",
+    hall: "temeke",
+    address: "127.0.0.1",
+    port,
+    state: "live",
+    models: [],
+    slots: 8,
+    checksFence: false,
+  };
+}
+
+/** Builds the view of a router that hears others.
+ * @param version Version of the host list.
+ * @param upstream The only upstream.
+ * @param others Ids of the other routers. */
+export function buildView(
+  version: number,
+  upstream: Host,
+  others: readonly string[],
+): FleetView {
+  const routers = [OWN_ID, ...others].map((id): RouterView => ({
+    host: { ...upstream, id, role: "router", service: undefined },
+    heard: true,
+    lost: false,
+    unavailable: false,
+  }));
+  return FleetView.create(OWN_ID, version, routers, [upstream]);
+}
+
+/** Settings of that router, with the defaults where a test needs no others. */
+export function buildSettings(): Settings {
+  return settingsSchema.parse({
+    id: OWN_ID,
+    partner: "kilima",
+    region: "dar",
+    hall: "temeke",
+    http: { port: 1 },
+    peer: { port: 2 },
+    platform: { url: "http://127.0.0.1:3" },
+    fleetSecret: "a secret of some length, for tests only",
+  });
+}
--- /dev/null
+++ b/tests/owner/owner_test.ts
@@ -0,0 +1,124 @@
+/** An engine carried five requests where four are allowed, after a router that had owned it was frozen and woke: three were
+ * started by the router that owned it again, and two by the one that had owned it meanwhile, from its queue, for it asked
+ * who the owner is only as an offer came. Its lines say `running=2 foreign=0 cap=3 isOwned=false`. */
+import { start } from "nact";
+import { pino } from "pino";
+import test from "ava";
+import { FakeService } from "../../fakes/fake_service.ts";
+import { AuditTrail } from "../../src/audit/audit_trail.ts";
+import { PauseGuard } from "../../src/clock/pause_guard.ts";
+import type { Host } from "../../src/configuration_service/host_schema.ts";
+import { LoadBook } from "../../src/owner/load_book.ts";
+import { Owner } from "../../src/owner/owner.ts";
+import type { FramePort } from "../../src/peer/frame_port.ts";
+import type { Frame, FrameOf } from "../../src/peer/frame_schema.ts";
+import { PlacementTable } from "../../src/placement/placement_table.ts";
+import { waitUntil } from "../system/with_fleet.ts";
+import {
+  buildService,
+  buildSettings,
+  buildView,
+  OTHERS,
+} from "./build_fleet.ts";
+
+/** Longer than this test takes, in milliseconds. */
+const LONG_MS = 60_000;
+/** Requests that the upstream takes at once. */
+const PLACES = 2;
+/** Offers; more than that. */
+const OFFERS = 6;
+
+function buildOffer(exchange: number): FrameOf<"offer"> {
+  return {
+    type: "offer",
+    exchange,
+    requestId: `request-${exchange}`,
+    upstreamId: "s-0",
+    work: "call",
+    method: "GET",
+    path: "/",
+    headers: {},
+    body: new Uint8Array(),
+    customer: `c-${exchange}`,
+    partner: "kilima",
+    priority: 1,
+    capacityShare: 1,
+    repeatable: true,
+    mayQueue: true,
+    avoids: [],
+    resumes: false,
+    resumeFrom: 0,
+    remainingMs: LONG_MS,
+  };
+}
+
+/** The entry's end of a connection; keeps what the owner sends. */
+function createPort() {
+  const frames: Frame[] = [];
+  const port: FramePort = {
+    peerId: "r-9",
+    bufferedBytes: 0,
+    send: (frame) => void frames.push(frame),
+    onFrame: () => undefined,
+    onClose: () => undefined,
+    close: () => undefined,
+  };
+  const getAll = <T extends Frame["type"]>(type: T) =>
+    frames.filter((frame): frame is FrameOf<T> => frame.type === type);
+  return { port, getAll };
+}
+
+/** An owner that sees the routers it is told. */
+function createOwner(upstream: Host) {
+  const logger = pino({ level: "silent" });
+  let view = buildView(1, upstream, []);
+  const guard = PauseGuard.create(LONG_MS, () => undefined);
+  guard.markHeard();
+  const owner = Owner.create({
+    settings: buildSettings(),
+    system: start(),
+    guard,
+    logger,
+    audit: AuditTrail.create(10, logger),
+    loads: LoadBook.create(),
+    getView: () => view,
+    getPlacement: () => PlacementTable.create(view, "dar"),
+    onLoadGrew: () => undefined,
+  });
+  const see = (others: readonly string[]) =>
+    view = buildView(view.version + 1, upstream, others);
+  const close = async () => {
+    guard.close();
+    await owner.close();
+  };
+  return { owner, see, close };
+}
+
+test("what waits at a router that owns the upstream no more goes to the one that does", async (t) => {
+  const service = await FakeService.create({ callMs: LONG_MS });
+  const { owner, see, close } = createOwner({
+    ...buildService(service.port),
+    slots: PLACES,
+  });
+  const { port, getAll } = createPort();
+  for (let exchange = 0; exchange < OFFERS; exchange++) {
+    owner.offer(port, buildOffer(exchange));
+  }
+  await waitUntil(
+    "all are accepted",
+    () => getAll("accepted").length === OFFERS,
+  );
+  const waiting = getAll("accepted").filter(({ queued }) => queued);
+  t.true(waiting.length > 0);
+  see(OTHERS);
+  await waitUntil(
+    "they are told",
+    () => getAll("declined").length === waiting.length,
+  );
+  for (const { reason, owner: other } of getAll("declined")) {
+    t.is(reason, "moved");
+    t.true(OTHERS.includes(other));
+  }
+  await close();
+  await service.close();
+});
