--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -148,7 +148,10 @@
     this.upstream.heardAt = now;
     if (status < 200 || this.isOver) return;
     const answer = this.codec.readAnswer(status, headers);
-    this.upstream.availability.note(answer.availability, now);
+    // Another upstream at the address speaks for itself only.
+    if (!answer.isOtherUpstream) {
+      this.upstream.availability.note(answer.availability, now);
+    }
     if (!answer.isNotRun) this.upstream.availability.noteTaken();
     this.endTrial(!answer.isNotRun);
     if (answer.load) {
--- a/tests/forward/call_run_test.ts
+++ b/tests/forward/call_run_test.ts
@@ -243,3 +243,14 @@
   t.is(received.status, 503);
   t.is(received.headers.get("retry-after"), "2.5");
 });
+
+test("what another upstream at the address says is not taken for the word of the one that was meant", async (t) => {
+  let meant: Upstream | undefined;
+  const moved: Behaviour = (_request, response) => {
+    response.writeHead(421, { "Server-Leaving": "1" }).end();
+  };
+  await runCall([moved, answered], {}, {
+    prepare: ([first]) => meant = first,
+  });
+  t.false(meant!.isLeaving);
+});
