--- a/fakes/fake_engine.ts
+++ b/fakes/fake_engine.ts
@@ -93,10 +93,7 @@
   ): Promise<void> | void {
     const path = request.url ?? "";
     this.requests += 1;
-    if (sayWord(response, this)) {
-      this.ledger.refusedAt.push(Date.now());
-      return reply(response, { error: "full" }, 503);
-    }
+    if (sayWord(response, this)) return;
     if (path === "/v1/chat/completions" && this.isCrashing(body)) {
       this.hasCrashed = true;
       return this.close();
--- a/fakes/fake_service.ts
+++ b/fakes/fake_service.ts
@@ -63,11 +63,7 @@
     response: ServerResponse,
     body: string,
   ): Promise<void> {
-    const isTurnedAway = sayWord(response, this);
-    if (isTurnedAway) {
-      this.ledger.refusedAt.push(Date.now());
-      return reply(response, { error: "full" }, 503);
-    }
+    if (sayWord(response, this)) return;
     if (request.url === "/report") {
       return reply(response, {
         inFlight: this.inFlight,
--- a/soak/availability.ts
+++ b/soak/availability.ts
@@ -1,7 +1,7 @@
 /** Workers that say in their answers whether they take requests: the faults, and the judges of what hosts make of it. */
 import { setTimeout as delay } from "node:timers/promises";
 import type { Random } from "../src/random/random.ts";
-import { BOUNDS } from "./bounds.ts";
+import { BOUNDS, LINGER_MS } from "./bounds.ts";
 import type { Evidence } from "./evidence.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import type { SoakWorker } from "./soak_worker.ts";
@@ -14,8 +14,6 @@
 const UNDER_WAY_MS = 500;
 /** Requests that a host may send in the rest of a backoff. */
 const ALLOWED = 2;
-/** Time for which a worker that leaves serves on after the bound, in milliseconds. */
-const LINGER_MS = 1_000;
 
 /** Some workers, at times all of a service, turn requests away and ask for a backoff. */
 export async function turnAway(
--- a/soak/bounds.ts
+++ b/soak/bounds.ts
@@ -16,6 +16,8 @@
 export const FINAL_ANSWER_MS = 500;
 /** Time after a caller has left by which its work has to be over, in milliseconds. */
 export const CANCEL_MS = 500;
+/** Time for which a worker serves on after it may get no new work, in milliseconds. */
+export const LINGER_MS = 1_000;
 /** Time after a fault in which what it hit may still show it, in milliseconds: a lost connection is tried again after
  * some hundred milliseconds. */
 export const AFTERMATH_MS = 400;
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -2,7 +2,7 @@
 import type { ProxyMode } from "../fakes/fault_proxy.ts";
 import type { Random } from "../src/random/random.ts";
 import { leaveByAnswers, mayGo, turnAway } from "./availability.ts";
-import { AFTERMATH_MS, BOUNDS } from "./bounds.ts";
+import { AFTERMATH_MS, BOUNDS, LINGER_MS } from "./bounds.ts";
 import { ENTRY_LAPSES_MS, sendCrashingRequest } from "./crashing_requests.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
@@ -11,9 +11,6 @@
 /** Injects one fault and takes it back; ends when it is over. */
 export type SoakFault = (fleet: SoakFleet, random: Random) => Promise<void>;
 
-/** Time for which a worker serves on after it may get no new work, in milliseconds. */
-const LINGER_MS = 1_000;
-
 /** Ways in which a connection breaks. */
 const CUTS: readonly ProxyMode[] = [
   "cut",
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -131,9 +131,9 @@
   }
 
   private turnAway(response: ServerResponse, requestId: string): void {
-    const { id: worker, backoffMs, worker: { startedAt: start } } = this;
+    const { id: worker, backoffMs } = this;
     const at = performance.now();
-    this.ledger.declines.push({ requestId, worker, start, at, backoffMs });
+    this.ledger.declines.push({ requestId, worker, at, backoffMs });
     if (backoffMs !== undefined) {
       response.setHeader("Retry-After", String(backoffMs / 1_000));
     }
--- a/soak/worker_decline.ts
+++ b/soak/worker_decline.ts
@@ -2,8 +2,6 @@
 export interface WorkerDecline {
   requestId: string;
   worker: string;
-  /** Unix milliseconds of the worker's start. */
-  start: number;
   at: number;
   /** Time without requests that it asked for, in milliseconds; undefined where it named none. */
   backoffMs: number | undefined;
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -285,11 +285,7 @@
     if (this.budget.spend()) return next;
     return {
       type: "end",
-      end: refuse(
-        progress,
-        mayHaveRun(progress) ? "upstream_failed" : "no_upstream",
-        `no retry left: ${detail}`,
-      ),
+      end: refuse(progress, "no_upstream", `no retry left: ${detail}`),
     };
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -201,8 +201,7 @@
       getLapseEndsAt: () => this.keeper.lapseEndsAt,
       onFacts: () => this.link?.tellFacts(),
       onRestart: (before) => this.handler.loseUpstream(before),
-      onAvailability: (_upstream, change) =>
-        this.metrics.noteAvailability(change),
+      onAvailability: (change) => this.metrics.noteAvailability(change),
       onDrop: ({ shortName }) => this.guard.noteGone(shortName),
       onSign: (sign) => this.metrics.noteAttempt(sign),
     });
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -37,7 +37,7 @@
   /** Told of an upstream that has started again under its id. */
   onRestart: (before: Upstream) => void;
   /** Told of what an upstream has said of whether it takes requests, where that changed. */
-  onAvailability: (upstream: Upstream, change: AvailabilityChange) => void;
+  onAvailability: (change: AvailabilityChange) => void;
   /** Told of each upstream that is taken out. */
   onDrop: (upstream: Upstream) => void;
   /** Told of each sign of an upstream's health. */
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -8,6 +8,7 @@
 import { POLICIES } from "../placement/policies.ts";
 import type { Host } from "../configuration_service/host_schema.ts";
 import type { Settings } from "../settings/settings_schema.ts";
+import { logAvailability } from "../upstreams/log_availability.ts";
 import type { UpstreamReport } from "../upstream/upstream_client.ts";
 import { HeardShare } from "./heard_share.ts";
 import { computeCap, hasRoom, type LoadBoundStructure } from "./load_bound.ts";
@@ -117,16 +118,15 @@
   /** Requests an upstream may carry now.
    * @param upstream The upstream. */
   getCap(upstream: OwnedUpstream): number {
-    return this.isBounded
-      ? computeCap(this.getBound(upstream))
-      : upstream.host.slots;
+    return this.describeBound(upstream).cap;
   }
 
   /** What bounds an upstream now: the mean of its pool as it is known here, and the requests that it may carry.
    * @param upstream The upstream. */
   describeBound(upstream: OwnedUpstream): { mean: number; cap: number } {
-    const { mean } = this.getBound(upstream);
-    return { mean, cap: this.getCap(upstream) };
+    const bound = this.getBound(upstream);
+    const cap = this.isBounded ? computeCap(bound) : upstream.host.slots;
+    return { mean: bound.mean, cap };
   }
 
   /** Reads the reports of all upstreams. */
@@ -177,13 +177,11 @@
     const { queueLimit, stallTimeoutMs } = this.options.settings.routing;
     const upstream = OwnedUpstream.create(host, queueLimit, stallTimeoutMs);
     upstream.client.onAvailability = (change) =>
-      this.options.logger.info(
-        {
-          upstream: host.id,
-          change,
-          backoffMs: Math.round(upstream.backoffMs),
-        },
-        "upstream_availability",
+      logAvailability(
+        this.options.logger,
+        host.id,
+        change,
+        upstream.backoffMs,
       );
     this.upstreams.set(host.id, upstream);
     const who = this.options.settings.id;
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -191,7 +191,7 @@
     const isTrial = said.beginRequest();
     let wasTaken = false;
     try {
-      const response = await this.request(work, dispatcher);
+      const response = await this.dispatch(work, dispatcher);
       this.hear(response);
       wasTaken = response.headers["x-not-run"] !== "true";
       return response;
@@ -214,7 +214,7 @@
     this.said.note(notice, now);
   }
 
-  private async request(
+  private async dispatch(
     work: UpstreamRequest,
     dispatcher: Dispatcher,
   ): Promise<Dispatcher.ResponseData> {
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -3,6 +3,7 @@
 import type { UpstreamChange } from "../published/publication_feed.ts";
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
 import type { Availability, AvailabilityChange } from "./availability.ts";
+import { logAvailability } from "./log_availability.ts";
 import { Upstream } from "./upstream.ts";
 
 /** Part of the time in which a leaving upstream may get work for which one that disappeared just after an outage of the
@@ -31,7 +32,7 @@
    * before is lost. */
   onRestart: (before: Upstream) => void;
   /** Told of what an upstream has said of whether it takes requests, where that changed. */
-  onAvailability: (upstream: Upstream, change: AvailabilityChange) => void;
+  onAvailability: (change: AvailabilityChange) => void;
   /** Told of each upstream that is taken out. */
   onDrop: (upstream: Upstream) => void;
 }
@@ -191,14 +192,9 @@
     upstream: Upstream,
     change: AvailabilityChange,
   ): void {
-    const backoffMs = Math.round(
-      upstream.availability.getBackoffMs(readClock()),
-    );
-    this.options.logger.info(
-      { upstream: upstream.id, change, backoffMs },
-      "upstream_availability",
-    );
-    this.options.onAvailability(upstream, change);
+    const backoffMs = upstream.availability.getBackoffMs(readClock());
+    logAvailability(this.options.logger, upstream.id, change, backoffMs);
+    this.options.onAvailability(change);
   }
 
   private remove(id: string): void {
--- a/tests/cli/program_test.ts
+++ b/tests/cli/program_test.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from "node:os";
 import process from "node:process";
 import test from "ava";
+import { MINIMAL_SETTINGS } from "../settings/minimal_settings.ts";
 
 interface Ended {
   code: number;
@@ -24,17 +25,6 @@
   });
 }
 
-const SETTINGS = {
-  id: "r1",
-  partner: "kilima",
-  region: "dar",
-  hall: "temeke",
-  http: { port: 1 },
-  peer: { port: 2 },
-  platform: { url: "http://127.0.0.1:3" },
-  fleetSecret: "sixteen characters",
-};
-
 const CASES: {
   name: string;
   content: unknown;
@@ -42,17 +32,23 @@
   code: number;
   output: RegExp;
 }[] = [
-  { name: "good settings", content: SETTINGS, args: [], code: 0, output: /ok/ },
+  {
+    name: "good settings",
+    content: MINIMAL_SETTINGS,
+    args: [],
+    code: 0,
+    output: /ok/,
+  },
   {
     name: "an unknown field",
-    content: { ...SETTINGS, colour: 1 },
+    content: { ...MINIMAL_SETTINGS, colour: 1 },
     args: [],
     code: 1,
     output: /colour/,
   },
   {
     name: "a wrong type",
-    content: { ...SETTINGS, http: { port: "x" } },
+    content: { ...MINIMAL_SETTINGS, http: { port: "x" } },
     args: [],
     code: 1,
     output: /http\.port/,
--- a/tests/gateway/backoff_test.ts
+++ b/tests/gateway/backoff_test.ts
@@ -5,11 +5,7 @@
  * and the end of the time asked for: first attempts, with others free, drawn to the upstreams with the least load. */
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
-import {
-  answerWell,
-  type FakeWorker,
-  turnAway,
-} from "../../fakes/fake_worker.ts";
+import { answerWell, turnAway } from "../../fakes/fake_worker.ts";
 import { waitUntil } from "../system/with_fleet.ts";
 import { call } from "./call.ts";
 import { waitForStatus } from "./wait_for_gateway.ts";
@@ -33,10 +29,7 @@
 
 test("upstreams that ask for a backoff get no further request in it, and callers are served by the others", async (t) => {
   await withGateways(async (fleet) => {
-    const workers: FakeWorker[] = [];
-    for (let index = 0; index < 6; index++) {
-      workers.push(await fleet.startWorker("s"));
-    }
+    const workers = await fleet.startWorkers("s", 6);
     fleet.publishConfiguration(1, [KEY], { max_attempts: 3 });
     const gateway = await fleet.startGateway();
     await waitForStatus(gateway, KEY, 200);
@@ -107,10 +100,7 @@
 
 test("upstreams that turn all away and name no time are tried ever more rarely while others are free", async (t) => {
   await withGateways(async (fleet) => {
-    const workers: FakeWorker[] = [];
-    for (let index = 0; index < 8; index++) {
-      workers.push(await fleet.startWorker("s"));
-    }
+    const workers = await fleet.startWorkers("s", 8);
     fleet.publishConfiguration(1, [KEY], { max_attempts: 3 });
     const gateway = await fleet.startGateway();
     await waitForStatus(gateway, KEY, 200);
--- a/tests/gateway/crashing_request_test.ts
+++ b/tests/gateway/crashing_request_test.ts
@@ -25,15 +25,13 @@
 const MOST_CRASHES = 6;
 
 async function startWorkers(fleet: GatewayFleet): Promise<FakeWorker[]> {
-  const workers: FakeWorker[] = [];
-  for (let index = 0; index < WORKERS; index++) {
-    const worker = await fleet.startWorker("s");
+  const workers = await fleet.startWorkers("s", WORKERS);
+  for (const worker of workers) {
     worker.behaviour = (request, response, self) => {
       const isCrashing = self.arrivals.at(-1)?.body === CRASHING;
       if (isCrashing) self.crash();
       else answerWell(request, response, self);
     };
-    workers.push(worker);
   }
   return workers;
 }
--- a/tests/gateway/with_gateways.ts
+++ b/tests/gateway/with_gateways.ts
@@ -64,6 +64,17 @@
     return worker;
   }
 
+  /** Starts several workers of a service and publishes them.
+   * @param service Service they belong to.
+   * @param count How many. */
+  async startWorkers(service: string, count: number): Promise<FakeWorker[]> {
+    const workers: FakeWorker[] = [];
+    for (let index = 0; index < count; index++) {
+      workers.push(await this.startWorker(service));
+    }
+    return workers;
+  }
+
   /** Publishes a worker's state.
    * @param worker The worker.
    * @param service Service it belongs to.
--- a/tests/owner/build_fleet.ts
+++ b/tests/owner/build_fleet.ts
@@ -4,6 +4,7 @@
   type Settings,
   settingsSchema,
 } from "../../src/settings/settings_schema.ts";
+import { MINIMAL_SETTINGS } from "../settings/minimal_settings.ts";
 
 /** Id of the router of these tests. */
 export const OWN_ID = "r-0";
@@ -52,14 +53,5 @@
 
 /** Settings of that router, with the defaults where a test needs no others. */
 export function buildSettings(): Settings {
-  return settingsSchema.parse({
-    id: OWN_ID,
-    partner: "kilima",
-    region: "dar",
-    hall: "temeke",
-    http: { port: 1 },
-    peer: { port: 2 },
-    platform: { url: "http://127.0.0.1:3" },
-    fleetSecret: "a secret of some length, for tests only",
-  });
+  return settingsSchema.parse({ ...MINIMAL_SETTINGS, id: OWN_ID });
 }
--- a/tests/soak/judge_test.ts
+++ b/tests/soak/judge_test.ts
@@ -159,7 +159,6 @@
       declines: [0, 600, 700, 800].map((at) => ({
         requestId: ID,
         worker: "w-1",
-        start: 1,
         at,
         backoffMs: 3_000,
       })),
