Record declines that arrive after an attempt is abandoned

Cause: an abandoned attempt closed its connection at once, so a 503 with Retry-After that was already under way was never read. Evidence: the gateway's log has no attempt_declined for the abandoned request and backoffMs=0 at the next one. Ruled out: a backoff that is recorded and overridden (backoffMs would be above 0).

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,6 +1,7 @@
 import type { Dispatcher } from "undici";
 import { readClock } from "../clock/clock.ts";
 import type { Channel } from "../upstreams/channel.ts";
+import { closeAfterDeclineWindow } from "../upstreams/decline_window.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { AnswerHeaders, HeaderCodec } from "./caller_headers.ts";
 
@@ -33,12 +34,17 @@
   onEnd(): void;
   /** There will be no whole answer. */
   onFailure(failure: AttemptFailure, detail: string): void;
+  /** The upstream has declined the request after the attempt was abandoned. */
+  onLateDecline(status: number, answer: AnswerHeaders): void;
 }
 
 /** One sending of a request to one upstream, up to its end. */
 export class Attempt {
   private readonly channel: Channel;
-  private isSent = false;
+  /** Monotonic milliseconds at which the first byte left this host. */
+  private sentAt: number | undefined;
+  private hasHead = false;
+  private isAbandoned = false;
   private isOver = false;
   private isReusable = true;
   private hasPaused = false;
@@ -76,17 +82,21 @@
 
   /** Whether bytes of the request may have left this host. */
   get wasSent(): boolean {
-    return this.isSent;
+    return this.sentAt !== undefined;
   }
 
   /** Whether its end has not come. */
   get isUnderWay(): boolean {
-    return !this.isOver;
+    return !this.isOver && !this.isAbandoned;
   }
 
-  /** Breaks the attempt off; the upstream sees its connection close, and the listener hears no more. */
+  /** Breaks the attempt off; the listener is told of a late decline only. Before the head of the answer the connection
+   * stays open for a moment, since a decline that is under way also says when to send again. */
   abandon(): void {
-    if (this.finish()) this.channel.close();
+    if (!this.isUnderWay) return;
+    this.isAbandoned = true;
+    if (this.sentAt === undefined || this.hasHead) return this.close();
+    closeAfterDeclineWindow(this.sentAt, () => this.close());
   }
 
   /** Whether this side has stopped reading, for the caller takes no more; silence then says nothing of the upstream. */
@@ -132,7 +142,7 @@
   private begin(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     if (this.upstream.availability.takesRequests(readClock())) {
-      this.isSent = true;
+      this.sentAt = readClock();
       return;
     }
     this.isWithheld = true;
@@ -162,9 +172,16 @@
     if (answer.requestId !== undefined && answer.requestId !== requestId) {
       return this.fail(`answer to another request ${answer.requestId}`);
     }
+    this.hasHead = true;
+    if (this.isAbandoned) return this.takeLateHead(status, answer);
     this.listener.onHead(status, answer);
   }
 
+  private takeLateHead(status: number, answer: AnswerHeaders): void {
+    this.close();
+    if (answer.isNotRun) this.listener.onLateDecline(status, answer);
+  }
+
   private takeEnd(): void {
     if (this.channel.wasReset) return this.fail("reset within the answer");
     if (!this.finish()) return;
@@ -176,11 +193,12 @@
   private fail(detail: string): void {
     if (!this.finish()) return;
     this.channel.close();
+    if (this.isAbandoned) return;
     this.listener.onFailure(this.describeFailure(), detail);
   }
 
   private describeFailure(): AttemptFailure {
-    if (this.isSent) return "broken";
+    if (this.wasSent) return "broken";
     return this.isWithheld ? "withheld" : "not_sent";
   }
 
@@ -190,6 +208,10 @@
     this.upstream.availability.endTrial(wasTaken);
   }
 
+  private close(): void {
+    if (this.finish()) this.channel.close();
+  }
+
   /** Ends the attempt; returns whether it had not ended before. */
   private finish(): boolean {
     if (this.isOver) return false;
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -161,12 +161,14 @@
       onBytes: (bytes) => this.takeBytes(bytes),
       onEnd: () => this.takeEnd(),
       onFailure: (failure, detail) => this.takeFailure(failure, detail),
+      onLateDecline: (status, answer) =>
+        this.recordDecline(upstream, status, answer),
     });
   }
 
   private takeHead(status: number, answer: AnswerHeaders): void {
     const upstream = this.attempt!.upstream;
-    if (answer.isNotRun) return this.takeDecline(upstream, answer, status);
+    if (answer.isNotRun) return this.takeDecline(upstream, status, answer);
     const isSuccess = status >= 200 && status < 300;
     const isOwn = answer.requestId === this.call.requestId;
     if (isSuccess && !(answer.hasProof && isOwn)) {
@@ -179,17 +181,25 @@
 
   private takeDecline(
     upstream: Upstream,
-    answer: AnswerHeaders,
     status: number,
+    answer: AnswerHeaders,
   ): void {
     this.attempt!.abandon();
     this.attempt = undefined;
     this.budget.noteUnrun();
+    this.recordDecline(upstream, status, answer);
+    this.retryUnrun(`declined with ${status}`);
+  }
+
+  private recordDecline(
+    upstream: Upstream,
+    status: number,
+    answer: AnswerHeaders,
+  ): void {
     if (answer.isOtherUpstream) this.context.noteMoved(upstream);
     else upstream.availability.noteFull(readClock());
     const { availability } = answer;
     this.log.noteDeclined(upstream, status, availability, this.progress);
-    this.retryUnrun(`declined with ${status}`);
   }
 
   /** A silent upstream counts as unsound; where it is likely stuck the request goes elsewhere. */
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -7,6 +7,7 @@
   type AvailabilityChange,
 } from "../upstreams/availability.ts";
 import { readAvailabilityNotice } from "../upstreams/read_availability_notice.ts";
+import { DeferredAbort } from "./deferred_abort.ts";
 import { EventStreamParser, type ParsedEvents } from "./event_stream_parser.ts";
 import { UpstreamError } from "./upstream_error.ts";
 
@@ -194,6 +195,7 @@
       const response = await this.dispatch(work, dispatcher);
       this.hear(response);
       wasTaken = response.headers["x-not-run"] !== "true";
+      if (work.signal.aborted) throw discard(response);
       return response;
     } finally {
       if (isTrial) said.endTrial(wasTaken);
@@ -218,10 +220,12 @@
     work: UpstreamRequest,
     dispatcher: Dispatcher,
   ): Promise<Dispatcher.ResponseData> {
-    return await request(this.url + work.path, {
+    work.signal.throwIfAborted();
+    const abort = DeferredAbort.create(work.signal, readClock());
+    const response = await request(this.url + work.path, {
       method: work.method as Dispatcher.HttpMethod,
       dispatcher,
-      signal: work.signal,
+      signal: abort.signal,
       headers: {
         ...work.headers,
         "x-request-id": work.requestId,
@@ -233,6 +237,8 @@
       headersTimeout: this.stallTimeoutMs,
       bodyTimeout: this.stallTimeoutMs,
     });
+    abort.recordHead();
+    return response;
   }
 
   private async readAnswer(
@@ -267,3 +273,9 @@
     );
   }
 }
+
+/** Drops an answer that nobody waits for; returns the error to throw in its place. */
+function discard(response: Dispatcher.ResponseData): UpstreamError {
+  response.body.destroy();
+  return UpstreamError.create("unknown", "the request was aborted");
+}
--- a/tests/forward/attempt_test.ts
+++ b/tests/forward/attempt_test.ts
@@ -4,7 +4,9 @@
 import test from "ava";
 import { platformHeaders } from "../../platform/header_codec.ts";
 import { Attempt } from "../../src/forward/attempt.ts";
+import type { AnswerHeaders } from "../../src/forward/caller_headers.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
+import { createDeferred } from "./run_call.ts";
 
 const REQUEST_ID = "r-1";
 
@@ -41,6 +43,7 @@
         resolve({ type: "whole", body: Buffer.concat(parts).toString() }),
       onFailure: (failure, detail) =>
         resolve({ type: "failed", failure, detail }),
+      onLateDecline: () => undefined,
     });
   });
 }
@@ -127,3 +130,78 @@
   const ending = await attemptAt(createUpstream(port));
   t.is(ending.type === "failed" && ending.failure, "not_sent");
 });
+
+const DECLINE = "HTTP/1.1 503 Service Unavailable\r\n" +
+  `X-Beechkeel-Attempt-Id: ${REQUEST_ID}\r\nX-Beechkeel-Not-Executed: 1\r\n`;
+
+/** What an abandoned attempt comes to: a decline that it still hears, or the end of its connection. */
+type LateEnding =
+  | { type: "declined"; status: number; answer: AnswerHeaders }
+  | { type: "closed" };
+
+/** Sends a request, abandons it once the upstream has it, and answers it only then. */
+async function abandonAt(
+  answer: string,
+): Promise<{ upstream: Upstream; ending: LateEnding; told: string[] }> {
+  const told: string[] = [];
+  const { promise, resolve } = createDeferred<LateEnding>();
+  const server = await serveRaw((socket) => {
+    socket.once("close", () => resolve({ type: "closed" }));
+    attempt.abandon();
+    setImmediate(() => socket.write(answer));
+  });
+  const upstream = createUpstream((server.address() as AddressInfo).port);
+  const request = {
+    method: "GET",
+    path: "/a/",
+    headers: ["Host", "a.example"],
+    body: undefined,
+    requestId: REQUEST_ID,
+  };
+  const attempt = Attempt.create(upstream, request, platformHeaders, {
+    onHead: () => told.push("head"),
+    onBytes: () => told.push("bytes"),
+    onEnd: () => told.push("end"),
+    onFailure: () => told.push("failure"),
+    onLateDecline: (status, answer) =>
+      resolve({ type: "declined", status, answer }),
+  });
+  const ending = await promise;
+  upstream.close();
+  server.close();
+  return { upstream, ending, told };
+}
+
+// A caller that left closed the connection on which the upstream was asking for a backoff, and the next requests went there.
+test("an abandoned attempt still records the backoff of a decline", async (t) => {
+  const { upstream, ending, told } = await abandonAt(
+    `${DECLINE}Retry-After: 5\r\nContent-Length: 0\r\n\r\n`,
+  );
+  t.is(ending.type === "declined" && ending.status, 503);
+  t.false(upstream.availability.takesRequests(performance.now()));
+  t.is(upstream.ownRequests, 0);
+  t.deepEqual(told, []);
+});
+
+test("an abandoned attempt still records that its upstream is leaving", async (t) => {
+  const { upstream, ending } = await abandonAt(
+    `${DECLINE}Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n`,
+  );
+  t.is(ending.type, "declined");
+  t.true(upstream.isLeaving);
+});
+
+test("an abandoned attempt closes its connection once its answer begins", async (t) => {
+  const { upstream, ending, told } = await abandonAt(
+    `${HEAD}Content-Length: 100\r\n\r\nhalf`,
+  );
+  t.is(ending.type, "closed");
+  t.is(upstream.ownRequests, 0);
+  t.deepEqual(told, []);
+});
+
+test("an abandoned attempt closes its connection where no answer comes", async (t) => {
+  const { ending, told } = await abandonAt("");
+  t.is(ending.type, "closed");
+  t.deepEqual(told, []);
+});
