Keep live hosts of large fleets from being counted as lost

Callers saw answers with fewer addresses than there are hosts, and a soak of 24 gateways did not start within 30 s.

Cause: beyond 13 hosts word of a live host could be 4 to 12 s old, while a host counted as lost after 1.05 s (24 hosts). Evidence: a trial that printed who names whom showed counts that go up and down on 20 of 24 hosts; in virtual time, nothing lost, 14 % of pairs are missing at 24 hosts. Ruled out: hosts that are never learned (all were known), load as the cause (no load in virtual time).

Watchers ask each other, an answer counts as word of its sender, a new host is told of the others at once, and a host of a large fleet counts as lost after 2.4 s.

--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -33,6 +33,8 @@
   getPhase: () => PeerEntry["phase"];
   /** Ids of the hosts to ask how old what they know of the publication is. */
   getSourceIds: () => readonly string[];
+  /** Ids of the other hosts that watch the platform, where this one does too. */
+  getFellowWatcherIds: () => readonly string[];
 }
 
 /** What this host and the others tell and ask each other by datagrams. In a small fleet every host hears all others in
@@ -51,7 +53,8 @@
     this.gossip = this.createGossip(gossipAddress);
     this.questions = AgeQuestions.create({
       socket,
-      getSources: () => this.getSources(),
+      getSources: () => this.findAddresses(options.getSourceIds()),
+      getPartners: () => this.findAddresses(options.getFellowWatcherIds()),
       getWord: () => this.getWord(),
       getPhase: options.getPhase,
       hosts: this.gossip.hosts,
@@ -202,13 +205,13 @@
     if (isFresher) void publicationExchange.ask(host.id, host.peerAddress);
   }
 
-  /** Hosts to ask how old what they know is; in a small fleet each datagram tells it. */
-  private getSources(): string[] {
+  /** Gossip addresses of hosts to ask; none in a small fleet, where each datagram tells what they would answer. */
+  private findAddresses(ids: readonly string[]): string[] {
     if (!this.gossip.isLargeFleet) return [];
     const addresses = new Map(
       this.getLiveHosts().map(({ entry }) => [entry.id, entry.gossipAddress]),
     );
-    return this.options.getSourceIds().flatMap((id) => addresses.get(id) ?? []);
+    return ids.flatMap((id) => addresses.get(id) ?? []);
   }
 
   private getStayingAddresses(): string[] {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -218,6 +218,7 @@
       guard: this.guard,
       getPhase: () => this.phase,
       getSourceIds: () => this.watch?.getSources() ?? [],
+      getFellowWatcherIds: () => this.watch?.getFellowWatchers() ?? [],
     });
   }
 
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -73,6 +73,11 @@
     return this.order.getSources();
   }
 
+  /** The other hosts that watch, where this one watches too. */
+  getFellowWatchers(): string[] {
+    return this.order.getFellowWatchers();
+  }
+
   private get order(): WatchOrder {
     const now = readClock();
     if (now - this.orderedAt > ORDER_USED_FOR_MS) {
--- a/src/peers/age_questions.ts
+++ b/src/peers/age_questions.ts
@@ -1,5 +1,9 @@
-import { readClock } from "../clock/clock.ts";
-import type { DatagramSocket } from "./datagram_socket.ts";
+import {
+  processTimeline,
+  type StopTimer,
+  type Timeline,
+} from "../clock/timeline.ts";
+import type { DatagramPort } from "./datagram_socket.ts";
 import { HOST_PHASES, type PeerEntry } from "./gossip_schema.ts";
 import type { HostTable } from "./host_table.ts";
 import type { PublicationWord } from "./publication_word.ts";
@@ -16,9 +20,11 @@
 
 /** What the questions need. */
 export interface AgeQuestionsOptions {
-  socket: DatagramSocket;
+  socket: DatagramPort;
   /** Gossip addresses of the hosts to ask, one in turn; none where this host need not ask. */
   getSources: () => readonly string[];
+  /** Gossip addresses of the hosts to ask every time, so that watchers share whom they heard. */
+  getPartners: () => readonly string[];
   /** What this host knows of the publication. */
   getWord: () => PublicationWord;
   /** Phase of this host. */
@@ -31,28 +37,34 @@
   tellEntries: (asker: string, names: readonly number[]) => void;
   /** Told what a host answered to a question that was sent at `askedAt`. */
   onWord: (sender: string, word: PublicationWord, askedAt: number) => void;
+  /** The process's by default. */
+  timeline?: Timeline;
 }
 
 /** Asks hosts how old what they know of the publication is and whom they heard, and answers others. Ages are counted from
  * the question, by the asking host's own clock, so that no late datagram makes anything look newer than it is. */
 export class AgeQuestions {
-  private readonly timer: NodeJS.Timeout;
+  private readonly timeline: Timeline;
+  private readonly stopAsking: StopTimer;
   private asked = 0;
   private unknown: readonly number[] = [];
 
   private constructor(private readonly options: AgeQuestionsOptions) {
-    const { socket, hosts } = options;
+    const { socket, hosts, timeline = processTimeline } = options;
+    this.timeline = timeline;
     socket.handle("age_question", ({ askedAt, phase, unknown }, sender) => {
-      hosts.noteHeard(sender, phase, readClock());
+      hosts.noteHeard(sender, phase, timeline.read());
       this.answer(sender, askedAt);
       if (unknown.length > 0) options.tellEntries(sender, unknown);
     });
     socket.handle("age_answer", (answer, sender) => {
-      if (answer.askedAt > readClock()) return;
+      const now = timeline.read();
+      if (answer.askedAt > now) return;
+      hosts.noteHeard(sender, undefined, now);
       this.unknown = hosts.takeSightings(answer.hosts, answer.askedAt);
       options.onWord(sender, answer.word, answer.askedAt);
     });
-    this.timer = setInterval(() => this.ask(), QUESTION_INTERVAL_MS);
+    this.stopAsking = timeline.every(QUESTION_INTERVAL_MS, () => this.ask());
   }
 
   /** Starts asking and answering.
@@ -63,18 +75,23 @@
 
   /** Stops asking. */
   close(): void {
-    clearInterval(this.timer);
+    this.stopAsking();
   }
 
   private ask(): void {
-    const sources = this.options.getSources();
+    const { getSources, getPartners } = this.options;
+    for (const partner of getPartners()) this.askOne(partner);
+    const sources = getSources();
     if (sources.length === 0) return;
     this.asked += 1;
-    const source = sources[this.asked % sources.length]!;
-    const askedAt = readClock();
+    this.askOne(sources[this.asked % sources.length]!);
+  }
+
+  private askOne(address: string): void {
+    const askedAt = this.timeline.read();
     const phase = HOST_PHASES.indexOf(this.options.getPhase());
     const unknown = this.unknown.slice(0, MAX_UNKNOWN);
-    this.options.socket.send(source, {
+    this.options.socket.send(address, {
       type: "age_question",
       askedAt,
       phase,
@@ -88,7 +105,7 @@
       type: "age_answer",
       askedAt,
       word: getWord(),
-      hosts: hosts.getSightings(MAX_SIGHTINGS, readClock()),
+      hosts: hosts.getSightings(MAX_SIGHTINGS, this.timeline.read()),
     });
   }
 }
--- a/src/peers/datagram_socket.ts
+++ b/src/peers/datagram_socket.ts
@@ -14,13 +14,22 @@
 /** Takes the datagrams of one type.
  * @param datagram What came.
  * @param sender Who sent it, as ip:port. */
-type DatagramHandler<Type extends DatagramType> = (
+export type DatagramHandler<Type extends DatagramType> = (
   datagram: DatagramOf<Type>,
   sender: string,
 ) => void;
 
+/** Sends datagrams to other hosts and hands on those that come in. */
+export interface DatagramPort {
+  handle<Type extends DatagramType>(
+    type: Type,
+    handler: DatagramHandler<Type>,
+  ): void;
+  send(address: string, datagram: Datagram): void;
+}
+
 /** The socket over which hosts send each other datagrams. */
-export class DatagramSocket {
+export class DatagramSocket implements DatagramPort {
   private readonly handlers: {
     [Type in DatagramType]?: DatagramHandler<Type>;
   } = {};
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -1,8 +1,12 @@
-import { readClock } from "../clock/clock.ts";
+import {
+  processTimeline,
+  type StopTimer,
+  type Timeline,
+} from "../clock/timeline.ts";
 import type { Logger } from "../logging/logger.ts";
 import { Random } from "../random/random.ts";
 import type { PrefixFact } from "../upstreams/prefix_index.ts";
-import type { DatagramSocket } from "./datagram_socket.ts";
+import type { DatagramPort } from "./datagram_socket.ts";
 import type { GossipMessage, PeerEntry } from "./gossip_schema.ts";
 import { HostTable, type KnownHost, SMALL_FLEET } from "./host_table.ts";
 
@@ -21,6 +25,8 @@
 const MAX_ATTEMPTS = 10;
 /** Entries of other hosts in one datagram, so that it fits into one packet. */
 const RELAYED_ENTRIES = 10;
+/** Most entries of other hosts that a host which has just started is told at once. */
+const MAX_JOIN_ENTRIES = 60;
 /** Rounds between two in which other hosts are told, where all hosts hear each other directly. */
 const ROUNDS_PER_RELAY = 10;
 /** Rounds between two attempts to reach hosts that are not heard, and the seeds: 0.8 and 1.2 seconds, in a large fleet with
@@ -34,7 +40,7 @@
 /** What gossip needs and whom it tells. */
 export interface GossipOptions {
   logger: Logger;
-  socket: DatagramSocket;
+  socket: DatagramPort;
   /** Gossip address of this host, as ip:port. */
   address: string;
   /** Hall of this host; in a large fleet its hosts are told most. */
@@ -51,16 +57,21 @@
   onFacts: (facts: readonly PrefixFact[]) => void;
   /** Told of each host's word; `askedAt` is this host's clock after which the host composed it, where that is known. */
   onEntry: (entry: PeerEntry, heardAt: number, askedAt?: number) => void;
+  /** The process's by default. */
+  timeline?: Timeline;
+  /** Unseeded by default. */
+  random?: Random;
 }
 
 /** The task by which hosts find each other and tell each other how they are. */
 export class Gossip {
   /** The other hosts. */
   readonly hosts: HostTable;
-  private readonly random = Random.create();
-  private readonly incarnation = this.random.integer(1, MAX_INCARNATION);
-  private readonly timer: NodeJS.Timeout;
-  private announcement: NodeJS.Timeout | undefined;
+  private readonly timeline: Timeline;
+  private readonly random: Random;
+  private readonly incarnation: number;
+  private readonly stopRounds: StopTimer;
+  private stopAnnouncement: StopTimer | undefined;
   private sequence = 0;
   private round = 0;
   private isLarge = false;
@@ -68,9 +79,12 @@
   private readonly liveBefore = new Set<string>();
 
   private constructor(private readonly options: GossipOptions) {
+    this.timeline = options.timeline ?? processTimeline;
+    this.random = options.random ?? Random.create();
+    this.incarnation = this.random.integer(1, MAX_INCARNATION);
     this.hosts = HostTable.create(options.address);
     options.socket.handle("gossip", ({ message }) => this.receive(message));
-    this.timer = setInterval(() => this.runRound(), ROUND_MS);
+    this.stopRounds = this.timeline.every(ROUND_MS, () => this.runRound());
   }
 
   /** Starts the rounds.
@@ -89,10 +103,10 @@
 
   /** Tells hosts soon, rather than with the next round; what comes up meanwhile is told along. */
   announce(): void {
-    this.announcement ??= setTimeout(() => {
-      this.announcement = undefined;
+    this.stopAnnouncement ??= this.timeline.after(ANNOUNCE_DELAY_MS, () => {
+      this.stopAnnouncement = undefined;
       this.tellChosen();
-    }, ANNOUNCE_DELAY_MS);
+    });
   }
 
   /** Tells a host what others tell of themselves.
@@ -103,14 +117,25 @@
     this.tell(address, this.describeSelf(), [], hosts);
   }
 
+  /** Tells a host that has just started of the hosts that are heard. By the usual rounds alone it would learn of the last ones
+   * after many seconds in a large fleet. */
+  private tellNewcomer(address: string): void {
+    const live = this.hosts.getLive(this.timeline.read());
+    const told = this.random.shuffle(live).slice(0, MAX_JOIN_ENTRIES);
+    for (let begin = 0; begin < told.length; begin += RELAYED_ENTRIES) {
+      const some = told.slice(begin, begin + RELAYED_ENTRIES);
+      this.tell(address, this.describeSelf(), [], some);
+    }
+  }
+
   /** Stops the rounds. */
   close(): void {
-    clearInterval(this.timer);
-    clearTimeout(this.announcement);
+    this.stopRounds();
+    this.stopAnnouncement?.();
   }
 
   private runRound(): void {
-    const now = readClock();
+    const now = this.timeline.read();
     this.round += 1;
     this.sequence += 1;
     this.hosts.forget(now);
@@ -121,7 +146,7 @@
   }
 
   private tellChosen(): void {
-    const now = readClock();
+    const now = this.timeline.read();
     const sender = this.describeSelf();
     const facts = this.isLarge ? [] : this.options.takeFacts();
     for (const address of this.chooseTargets(now)) {
@@ -165,7 +190,7 @@
     facts: readonly PrefixFact[],
     others: readonly KnownHost[],
   ): void {
-    const now = readClock();
+    const now = this.timeline.read();
     const message: GossipMessage = {
       sender,
       sentAt: now,
@@ -202,9 +227,12 @@
   }
 
   private receive(message: GossipMessage): void {
-    const now = readClock();
+    const now = this.timeline.read();
     const { sender, sentAt, echo, facts, others } = message;
     if (facts.length > 0) this.options.onFacts(facts);
+    if (this.isLarge && this.isNewcomer(message)) {
+      this.tellNewcomer(sender.gossipAddress);
+    }
     if (this.hosts.hear(sender, sentAt, now)) {
       const isOwnClock = echo !== undefined && echo <= now;
       this.options.onEntry(sender, now, isOwnClock ? echo : undefined);
@@ -217,6 +245,13 @@
     }
   }
 
+  /** Whether the sender was not heard since its start, and has few others to tell of. */
+  private isNewcomer({ sender, others }: GossipMessage): boolean {
+    const known = this.hosts.getHost(sender.gossipAddress);
+    return known?.entry.incarnation !== sender.incarnation &&
+      others.length < RELAYED_ENTRIES;
+  }
+
   private logChanges(now: number): void {
     for (const host of this.hosts.getAll()) this.logChange(host, now);
   }
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -4,14 +4,11 @@
 /** Hosts up to which all hear each other in each round. */
 export const SMALL_FLEET = 12;
 
-/** Time after which a host that is not heard is no longer told to callers, in milliseconds: three rounds of gossip and a
- * little. */
+/** Time without word of a host after which it counts as lost in a small fleet, in milliseconds: three rounds of gossip. */
 const LIVE_FOR_MS = 700;
-/** Time by which that is longer for each host of a fleet that is too large for all to hear each other in each round, in
- * milliseconds: word of a host then comes by others, about as often as one in twenty rounds. */
-const LIVE_FOR_MS_PER_HOST = 32;
-/** Longest such time, in milliseconds. */
-const MAX_LIVE_FOR_MS = 3_000;
+/** The same in a large fleet, in milliseconds. Word of a host comes by at most three questions there, 0.6 seconds each, one of
+ * which may be lost. */
+const LARGE_LIVE_FOR_MS = 2_400;
 /** Time after which a host that is not heard is forgotten, in milliseconds: longer than a host takes to come back. */
 const REMEMBERED_MS = 60_000;
 /** Silence after which another's word on a new start of a host is believed, in milliseconds. */
@@ -62,9 +59,8 @@
    * @param host The host.
    * @param now Monotonic milliseconds. */
   isLive(host: KnownHost, now: number): boolean {
-    const beyond = Math.max(0, this.hosts.size - SMALL_FLEET);
-    const longerMs = beyond * LIVE_FOR_MS_PER_HOST;
-    const liveForMs = Math.min(MAX_LIVE_FOR_MS, LIVE_FOR_MS + longerMs);
+    const isLarge = this.hosts.size > SMALL_FLEET;
+    const liveForMs = isLarge ? LARGE_LIVE_FOR_MS : LIVE_FOR_MS;
     return now - host.heardAt <= liveForMs;
   }
 
@@ -110,13 +106,17 @@
 
   /** Notes that a known host was heard, without all that it tells of itself.
    * @param address Its gossip address.
-   * @param phase Index of its phase.
+   * @param phase Index of its phase; undefined where it did not tell.
    * @param heardAt Monotonic milliseconds at which it was heard. */
-  noteHeard(address: string, phase: number, heardAt: number): void {
+  noteHeard(
+    address: string,
+    phase: number | undefined,
+    heardAt: number,
+  ): void {
     const known = this.hosts.get(address);
     if (!known || known.heardAt >= heardAt) return;
     known.heardAt = heardAt;
-    const newPhase = HOST_PHASES[phase];
+    const newPhase = phase === undefined ? undefined : HOST_PHASES[phase];
     if (newPhase === undefined || newPhase === known.entry.phase) return;
     known.entry = { ...known.entry, phase: newPhase };
   }
--- a/tests/peers/age_questions_test.ts
+++ b/tests/peers/age_questions_test.ts
@@ -17,6 +17,7 @@
   return AgeQuestions.create({
     socket,
     getSources: () => [],
+    getPartners: () => [],
     getWord: () => WORD,
     getPhase: () => "ready",
     tellEntries: () => undefined,
