Log how a request came to the router that starts it

request_started says which routers the offer avoids, whether the request resumes one of a lost owner, and how long it waited. Without it a start by a router that is not the owner can't be told from one out of its queue.

--- a/src/owner/job.ts
+++ b/src/owner/job.ts
@@ -21,6 +21,8 @@
     readonly port: FramePort,
     /** The request. */
     readonly offer: FrameOf<"offer">,
+    /** Monotonic milliseconds at which the request was offered. */
+    readonly offeredAt: number,
     /** Monotonic milliseconds at which nobody waits any more. */
     readonly deadlineAt: number,
     private readonly windowBytes: number,
@@ -37,7 +39,7 @@
     now: number,
     windowBytes: number,
   ): Job {
-    return new Job(port, offer, now + offer.remainingMs, windowBytes);
+    return new Job(port, offer, now, now + offer.remainingMs, windowBytes);
   }
 
   /** Names this job among all that were offered for the request, so that only its own work is cancelled. */
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -203,9 +203,13 @@
 
   private logStart(upstream: OwnedUpstream, job: Job): void {
     const { mean, cap } = this.registry.describeBound(upstream);
+    const { requestId, avoids, resumes } = job.offer;
     this.options.logger.info({
-      request: job.offer.requestId,
+      request: requestId,
       upstream: upstream.host.id,
+      resumes,
+      avoids: avoids.join(","),
+      waitedMs: Math.round(readClock() - job.offeredAt),
       running: upstream.running.size,
       foreign: upstream.foreign.load,
       mean: Number(mean.toFixed(2)),
