Split job scheduling from the owner task and give it a timeline

JobScheduler holds the decisions of the owner as synchronous calls, so that several owners can be run in virtual time.

--- a/src/owner/decline.ts
+++ b/src/owner/decline.ts
@@ -1,4 +1,3 @@
-import { readClock } from "../clock/clock.ts";
 import type { FrameOf } from "../peer/frame_schema.ts";
 import type { Job } from "./job.ts";
 import type { OwnedUpstream } from "./owned_upstream.ts";
@@ -14,13 +13,15 @@
  * upstream: started here too, from what waited, requests were 5 on an engine that may carry 4.
  * @param upstream The upstream.
  * @param job The request.
- * @param registry Knows who owns the upstream. */
+ * @param registry Knows who owns the upstream.
+ * @param now Monotonic milliseconds. */
 export function findDecline(
   upstream: OwnedUpstream,
   { deadlineAt, offer }: Job,
   registry: UpstreamRegistry,
+  now: number,
 ): Decline | undefined {
-  if (readClock() >= deadlineAt) return DEADLINE_PASSED;
+  if (now >= deadlineAt) return DEADLINE_PASSED;
   const owner = registry.findOtherOwner(upstream, offer);
   if (owner) return { reason: "moved", owner };
   return upstream.takesWork ? undefined : describeDecline(upstream);
--- a/src/owner/owned_upstream.ts
+++ b/src/owner/owned_upstream.ts
@@ -3,7 +3,7 @@
   UpstreamClient,
   type UpstreamReport,
 } from "../upstream/upstream_client.ts";
-import { readClock } from "../clock/clock.ts";
+import { processTimeline, type Timeline } from "../clock/timeline.ts";
 import { FairQueue } from "./fair_queue.ts";
 import { ForeignLoad, REPORTS_LACK_MS } from "./foreign_load.ts";
 import type { Job } from "./job.ts";
@@ -11,6 +11,16 @@
 /** Reports that may fail in a row before an upstream counts as unreachable. */
 const MISSED_REPORTS = 2;
 
+/** What the state of an upstream is created with. */
+export interface OwnedUpstreamOptions {
+  /** Requests that may wait. */
+  queueLimit: number;
+  /** Silence of the upstream that counts as failure, in milliseconds. */
+  stallTimeoutMs: number;
+  /** The process's by default. */
+  timeline?: Timeline;
+}
+
 /** The state that the owner keeps of one upstream. */
 export class OwnedUpstream {
   /** Requests that wait. */
@@ -30,26 +40,23 @@
   private needsReport = false;
   private reportsLackUntil = -Infinity;
 
+  private readonly timeline: Timeline;
+
   private constructor(
     /** The upstream as last listed. */
     public host: Host,
-    queueLimit: number,
-    stallTimeoutMs: number,
+    options: OwnedUpstreamOptions,
   ) {
-    this.queue = FairQueue.create<Job>(queueLimit);
-    this.client = UpstreamClient.create(host, stallTimeoutMs);
+    this.queue = FairQueue.create<Job>(options.queueLimit);
+    this.client = UpstreamClient.create(host, options.stallTimeoutMs);
+    this.timeline = options.timeline ?? processTimeline;
   }
 
   /** Creates the state of an upstream.
    * @param host The upstream.
-   * @param queueLimit Requests that may wait.
-   * @param stallTimeoutMs Silence of the upstream that counts as failure. */
-  static create(
-    host: Host,
-    queueLimit: number,
-    stallTimeoutMs: number,
-  ): OwnedUpstream {
-    return new OwnedUpstream(host, queueLimit, stallTimeoutMs);
+   * @param options Its limits. */
+  static create(host: Host, options: OwnedUpstreamOptions): OwnedUpstream {
+    return new OwnedUpstream(host, options);
   }
 
   /** Requests the upstream is taken to carry. */
@@ -75,12 +82,12 @@
 
   /** Whether it said in its answers that it wants no requests, for a time or as long as this start lasts. */
   get isLeftAlone(): boolean {
-    return !this.client.availability.takesRequests(readClock());
+    return !this.client.availability.takesRequests(this.timeline.read());
   }
 
   /** Time that is left of the backoff that it asked for, in milliseconds, or 0. */
   get backoffMs(): number {
-    return this.client.availability.getBackoffMs(readClock());
+    return this.client.availability.getBackoffMs(this.timeline.read());
   }
 
   /** Whether it answers reports. */
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -1,4 +1,4 @@
-import { readClock } from "../clock/clock.ts";
+import { processTimeline, type Timeline } from "../clock/timeline.ts";
 import type { AuditTrail } from "../audit/audit_trail.ts";
 import { hashText } from "../hashing/hasher.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -9,7 +9,6 @@
 import type { Host } from "../configuration_service/host_schema.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 import { logAvailability } from "../upstreams/log_availability.ts";
-import type { UpstreamReport } from "../upstream/upstream_client.ts";
 import { HeardShare } from "./heard_share.ts";
 import { computeCap, hasRoom, type LoadBoundStructure } from "./load_bound.ts";
 import { type LoadBook, REMEMBERED_MS, UNREACHABLE_LOAD } from "./load_book.ts";
@@ -23,11 +22,10 @@
   loads: LoadBook;
   getView: () => FleetView;
   getPlacement: () => PlacementTable;
-  /** Told of each report that was read, or that could not be. */
-  onReport: (
-    upstream: OwnedUpstream,
-    report: UpstreamReport | undefined,
-  ) => void;
+  /** Asks an upstream for its report. */
+  requestReport: (upstream: OwnedUpstream) => void;
+  /** The process's by default. */
+  timeline?: Timeline;
 }
 
 /** The upstreams that a router owns or still has work on, with what bounds them. */
@@ -35,7 +33,11 @@
   private readonly upstreams = new Map<string, OwnedUpstream>();
   private readonly share = HeardShare.create();
 
-  private constructor(private readonly options: UpstreamRegistryOptions) {}
+  private readonly timeline: Timeline;
+
+  private constructor(private readonly options: UpstreamRegistryOptions) {
+    this.timeline = options.timeline ?? processTimeline;
+  }
 
   /** Creates an empty registry.
    * @param options What it needs. */
@@ -100,7 +102,7 @@
 
   /** Notes that this process was paused; each upstream takes work again once it has reported. */
   notePause(): void {
-    const now = readClock();
+    const now = this.timeline.read();
     for (const upstream of this.upstreams.values()) upstream.notePause(now);
     this.readReports();
   }
@@ -109,7 +111,9 @@
    * @param upstream The upstream. */
   hasRoom(upstream: OwnedUpstream): boolean {
     if (upstream.isLoadUnknown) return false;
-    if (!upstream.client.availability.hasRoom(readClock())) return false;
+    if (!upstream.client.availability.hasRoom(this.timeline.read())) {
+      return false;
+    }
     if (!this.isBounded) return upstream.load < upstream.host.slots;
     const load = { own: upstream.running.size, foreign: upstream.foreign.load };
     return hasRoom(this.getBound(upstream), load);
@@ -132,7 +136,7 @@
   /** Reads the reports of all upstreams. */
   readReports(): void {
     for (const upstream of this.upstreams.values()) {
-      void this.readReport(upstream);
+      this.options.requestReport(upstream);
     }
   }
 
@@ -149,7 +153,7 @@
 
   private getBound(upstream: OwnedUpstream): LoadBoundStructure {
     const { boundMultiple, minimumCap } = this.options.settings.routing;
-    const now = readClock();
+    const now = this.timeline.read();
     this.options.loads.record(this.getLoads(), now);
     const pool = this.options.getPlacement().getPool(upstream.host);
     const mean = this.options.loads.getMean(pool, now);
@@ -175,7 +179,11 @@
 
   private takeOver(host: Host): OwnedUpstream {
     const { queueLimit, stallTimeoutMs } = this.options.settings.routing;
-    const upstream = OwnedUpstream.create(host, queueLimit, stallTimeoutMs);
+    const upstream = OwnedUpstream.create(host, {
+      queueLimit,
+      stallTimeoutMs,
+      timeline: this.timeline,
+    });
     upstream.client.onAvailability = (change) =>
       logAvailability(
         this.options.logger,
@@ -193,7 +201,7 @@
       why: "first in its rendezvous order among the routers heard",
     });
     this.refreshOwnership(upstream);
-    void this.readReport(upstream);
+    this.options.requestReport(upstream);
     return upstream;
   }
 
@@ -203,7 +211,7 @@
     const wasOwned = upstream.isOwned;
     upstream.isOwned = this.isOwner(upstream.host);
     if (wasOwned) return;
-    const now = readClock();
+    const now = this.timeline.read();
     const told = this.options.loads.getLoad(
       upstream.host.id,
       now,
@@ -216,12 +224,4 @@
     return this.options.getPlacement().getOwners(host)[0] ===
       this.options.settings.id;
   }
-
-  private async readReport(upstream: OwnedUpstream): Promise<void> {
-    const { pauseCount } = upstream;
-    if (upstream.backoffMs > 0) return;
-    const report = await upstream.client.readReport().catch(() => undefined);
-    if (upstream.pauseCount !== pauseCount || upstream.backoffMs > 0) return;
-    this.options.onReport(upstream, report);
-  }
 }
--- a/tests/owner/owned_upstream_test.ts
+++ b/tests/owner/owned_upstream_test.ts
@@ -17,6 +17,8 @@
   checksFence: false,
 };
 
+const LIMITS = { queueLimit: 10, stallTimeoutMs: 1_000 };
+
 function buildReport(inFlight: number) {
   return { inFlight, leaving: false, fence: 0 };
 }
@@ -33,7 +35,7 @@
 }
 
 test("requests from before a pause do not hide those that another router started meanwhile", (t) => {
-  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  const upstream = OwnedUpstream.create(HOST, LIMITS);
   const jobs = startJobs(upstream, 3, 0);
   upstream.takeReport(buildReport(3), 500);
   t.is(upstream.load, 3);
@@ -46,7 +48,7 @@
 });
 
 test("after a pause the load is unknown until a report comes that can't lack what another router started", (t) => {
-  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  const upstream = OwnedUpstream.create(HOST, LIMITS);
   upstream.isOwned = true;
   upstream.takeReport(buildReport(0), 0);
   upstream.notePause(5_000);
@@ -62,7 +64,7 @@
 });
 
 test("a router that takes over counts what the lost owner started and did not tell, though reports lack it", (t) => {
-  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  const upstream = OwnedUpstream.create(HOST, LIMITS);
   const told = 3;
   const running = 4;
   upstream.foreign.takeOver(told, 0);
@@ -74,7 +76,7 @@
 });
 
 test("a request that is taken over is not counted twice", (t) => {
-  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  const upstream = OwnedUpstream.create(HOST, LIMITS);
   upstream.foreign.takeOver(3, 0);
   const before = upstream.load;
   const job = {
@@ -87,7 +89,7 @@
 });
 
 test("an upstream of which the lost owner told no request is used at once", (t) => {
-  const upstream = OwnedUpstream.create(HOST, 10, 1_000);
+  const upstream = OwnedUpstream.create(HOST, LIMITS);
   upstream.foreign.takeOver(0, 0);
   t.is(upstream.load, 0);
 });
--- a/tests/owner/upstream_registry_test.ts
+++ b/tests/owner/upstream_registry_test.ts
@@ -25,7 +25,7 @@
     loads: LoadBook.create(),
     getView: () => view,
     getPlacement: () => PlacementTable.create(view, "dar"),
-    onReport: () => undefined,
+    requestReport: () => undefined,
   });
   const see = (others: readonly string[]) => {
     view = buildView(view.version + 1, UPSTREAM, others);
