Hold a router's engines back until it knows what others started

Callers of an engine whose owner is restarted got it overloaded: the router that comes back started requests at once, while the one that had owned the engine meanwhile still ran up to three and heard of the return 5 to 200 ms later.

--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -16,6 +16,7 @@
   type LoadBoundStructure,
 } from "./load_bound.ts";
 import { type LoadBook, REMEMBERED_MS, UNREACHABLE_LOAD } from "./load_book.ts";
+import { REPORTS_LACK_MS } from "./foreign_load.ts";
 import { OwnedUpstream } from "./owned_upstream.ts";
 
 /** Rank in an upstream's order of the router that takes requests of entries which do not reach the owner. */
@@ -41,6 +42,8 @@
   private readonly share = HeardShare.create();
 
   private readonly timeline: Timeline;
+  /** Monotonic milliseconds at which this router first came to own an upstream. */
+  private firstOwnedAt: number | undefined;
 
   private constructor(private readonly options: UpstreamRegistryOptions) {
     this.timeline = options.timeline ?? processTimeline;
@@ -71,7 +74,7 @@
   /** Loads of the upstreams this router owns: hash of the id, and the number. */
   getLoads(): [number, number][] {
     const owned = [...this.upstreams.values()].filter((upstream) =>
-      upstream.isOwned
+      upstream.isOwned && !upstream.isLoadUnknown
     );
     return owned.map((upstream) => [
       hashText(upstream.host.id),
@@ -222,14 +225,28 @@
   private refreshOwnership(upstream: OwnedUpstream): void {
     const wasOwned = upstream.isOwned;
     upstream.isOwned = this.isOwner(upstream.host);
-    if (wasOwned) return;
     const now = this.timeline.read();
+    if (upstream.isOwned && !wasOwned) this.awaitFirstLoad(upstream, now);
+    if (wasOwned && !upstream.awaitsTold(now)) return;
     const told = this.options.loads.getLoad(
       upstream.host.id,
       now,
       REMEMBERED_MS,
     );
-    if (told !== undefined) upstream.foreign.takeOver(told, now);
+    if (told !== undefined) upstream.takeOver(told, now);
+  }
+
+  /** Holds an upstream back where this router has only just joined: the router that owned it until now may not have told of
+   * its load, and hears of this one a little later. */
+  private awaitFirstLoad(upstream: OwnedUpstream, now: number): void {
+    this.firstOwnedAt ??= now;
+    const isJoining = now - this.firstOwnedAt < REPORTS_LACK_MS;
+    if (isJoining && this.hearsOthers) upstream.awaitFirstLoad(now);
+  }
+
+  private get hearsOthers(): boolean {
+    const { routers, ownId } = this.options.getView();
+    return routers.some(({ heard, host }) => heard && host.id !== ownId);
   }
 
   private isOwner(host: Host): boolean {
--- a/tests/owner/owners_model_test.ts
+++ b/tests/owner/owners_model_test.ts
@@ -32,6 +32,10 @@
       () => fleet[fault](next!, random.integer(200, 3_000)),
     );
   },
+  "its owner is killed and comes back": (fleet) => {
+    const [owner] = fleet.ownersInOrder;
+    fleet.restart(owner!, fleet.random.integer(200, 5_000));
+  },
   "some routers miss its owner for a moment": (fleet) => {
     const { random, timeline, routers } = fleet;
     const [owner] = fleet.ownersInOrder;
