Order what is published by the platform's era and revision

After the store came back from an older copy, a worker that said it drains was sent requests on, and one that was removed was used on: its new revision was lower than the known one, so the change was dropped.

platform/ joins the header Store-Era and the revision into one position, and everything behind it compares positions only.

Not done: serve, whose platform has no eras.

--- a/fakes/fake_store.ts
+++ b/fakes/fake_store.ts
@@ -17,14 +17,22 @@
   answer: () => void;
 }
 
+/** A store's items at one moment, from which it can be restored. */
+export interface StoreCopy {
+  revision: number;
+  items: ReadonlyMap<string, Item>;
+}
+
 /** A small stand-in of the platform's metadata store: items with revisions, ranges, long polls and its troubles. */
 export class FakeStore {
   /** How it answers. */
   behaviour: StoreBehaviour = "well";
   /** Calls it got. */
   calls = 0;
+  /** Times that it was restored; told in all answers. Undefined where it tells none. */
+  era: number | undefined = 1;
   private revision = 0;
-  private readonly items = new Map<string, Item>();
+  private items = new Map<string, Item>();
   private readonly waiting = new Set<Waiting>();
 
   private constructor(
@@ -76,17 +84,50 @@
     this.wake();
   }
 
+  /** Copies everything that it holds. */
+  copy(): StoreCopy {
+    return { revision: this.revision, items: new Map(this.items) };
+  }
+
+  /** Comes back from a copy: what was written since is lost, and its revisions are given out again.
+   * @param copy The copy. */
+  restore(copy: StoreCopy): void {
+    this.revision = copy.revision;
+    this.items = new Map(copy.items);
+    this.era = (this.era ?? 0) + 1;
+    this.wake();
+  }
+
+  /** Writes again what was lost, as its writers do, but for what they have changed since.
+   * @param lost Everything that it held before it was restored.
+   * @param copy What it was restored from. */
+  rewriteLost(lost: StoreCopy, copy: StoreCopy): void {
+    for (const [key, { value, deleted }] of lost.items) {
+      const current = this.items.get(key);
+      const isChanged = (current?.revision ?? 0) > copy.revision;
+      if (isChanged || current?.value === value) continue;
+      if (deleted || value === undefined) this.remove(key);
+      else this.putText(key, Buffer.from(value, "base64").toString());
+    }
+  }
+
   /** Ends the store. */
   async close(): Promise<void> {
     await closeHttp(this.server);
   }
 
+  private tellEra(response: ServerResponse): void {
+    if (this.era === undefined) return;
+    response.setHeader("Store-Era", String(this.era));
+  }
+
   private wake(): void {
     for (const waiting of [...this.waiting]) waiting.answer();
   }
 
   private handle(request: IncomingMessage, response: ServerResponse): void {
     this.calls += 1;
+    this.tellEra(response);
     const url = new URL(request.url ?? "/", "http://store");
     if (this.behaviour === "silent") return;
     if (this.behaviour === "unavailable") return reply(response, {}, 503);
@@ -123,6 +164,7 @@
   private answerWatch(response: ServerResponse, query: URLSearchParams): void {
     if (this.behaviour === "history_lost") return reply(response, {}, 410);
     const after = Number(query.get("after"));
+    if (after > this.revision) return reply(response, {}, 410);
     const prefix = query.get("path_prefix") ?? "";
     const findEvents = () =>
       [...this.items.values()].filter((item) =>
@@ -131,6 +173,8 @@
     const answer = () => {
       clearTimeout(timer);
       this.waiting.delete(waiting);
+      this.tellEra(response);
+      if (after > this.revision) return reply(response, {}, 410);
       reply(response, { events: findEvents(), timestamp: this.revision });
     };
     const waiting = { after, answer };
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -115,6 +115,23 @@
   fleet.faults.end(window);
 }
 
+/** The store is away for a moment and comes back from a copy some seconds old; its writers write again what was lost. */
+async function restoreStore(fleet: SoakFleet, random: Random): Promise<void> {
+  const { store } = fleet;
+  const copy = store.copy();
+  await delay(random.integer(300, 4_000));
+  const window = fleet.faults.begin("restore", ["store copy"]);
+  store.behaviour = "unavailable";
+  await delay(random.integer(50, 600));
+  const lost = store.copy();
+  store.restore(copy);
+  store.behaviour = "well";
+  await delay(random.integer(0, 2_000));
+  store.rewriteLost(lost, copy);
+  await delay(AFTERMATH_MS);
+  fleet.faults.end(window);
+}
+
 async function cutFromStore(fleet: SoakFleet, random: Random): Promise<void> {
   const hit = fleet.gateways.filter(() => random.fraction() < 0.4);
   const mode = random.pick([...CUTS, "pass"] as const);
@@ -233,6 +250,7 @@
   reloadGateway,
   freezeGateway,
   troubleStore,
+  restoreStore,
   cutFromStore,
   cutWorker,
   misbehaveWorker,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -70,6 +70,7 @@
     this.keeper = PublicationKeeper.create({
       logger: this.logger,
       onConfiguration: (routes) => this.applyConfiguration(routes),
+      onEra: (era) => this.metrics.noteEra(era),
       onUpstreams: (changes) => {
         this.chooser.upstreams.apply(changes);
         this.link?.announce();
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -73,6 +73,11 @@
     help: "Version of the configuration in force; 0 before the first.",
     registers: [this.registry],
   });
+  private readonly era = new Gauge({
+    name: "beechkeel_publication_era",
+    help: "Number of restores of the platform from an older copy.",
+    registers: [this.registry],
+  });
 
   private constructor() {}
 
@@ -126,6 +131,12 @@
     this.version.set(version);
   }
 
+  /** Notes how often the platform was restored.
+   * @param era Its era. */
+  noteEra(era: number): void {
+    this.era.set(era);
+  }
+
   /** Returns all metrics as text.
    * @param ageMs Age of what is published, in milliseconds. */
   async getText(ageMs: number): Promise<string> {
--- a/src/published/publication.ts
+++ b/src/published/publication.ts
@@ -1,6 +1,8 @@
 import { hashText } from "../hashing/hasher.ts";
 import type { PublishedConfiguration } from "./configuration_schema.ts";
+import { correctPosition, getEra } from "./position.ts";
 import type { UpstreamChange } from "./publication_feed.ts";
+import { correctRestored } from "./restored_upstream.ts";
 import type { PublishedUpstream } from "./upstream_schema.ts";
 
 /** Time for which it is remembered that an upstream is gone, so that no peer brings it back. */
@@ -9,6 +11,8 @@
 interface Known {
   revision: number;
   upstream: PublishedUpstream | undefined;
+  /** The upstream as last published, also where it is gone since. */
+  last: PublishedUpstream | undefined;
   /** Monotonic milliseconds at which this became known here. */
   knownAt: number;
 }
@@ -22,7 +26,7 @@
 }
 
 /** Everything published that this process knows.
- * Of the configuration the highest version, and of each upstream the highest revision is kept, so that merging
+ * Of the configuration the highest version, and of each upstream the highest position is kept, so that merging
  * gives the same result in any order and never goes back. */
 export class Publication {
   private current: PublishedConfiguration | undefined;
@@ -43,11 +47,16 @@
     return this.current;
   }
 
-  /** Highest revision of any change that was merged. */
+  /** Highest position of any change that was merged. */
   get revision(): number {
     return this.highestRevision;
   }
 
+  /** Number of restores of the platform, as far as is known. */
+  get era(): number {
+    return getEra(this.knownUpTo);
+  }
+
   /** Revision up to which no change is missing here. */
   get completeUpTo(): number {
     return this.knownUpTo;
@@ -97,7 +106,31 @@
       known.upstream !== undefined && !listed.has(id) &&
       known.revision < revision
     ).map(([id]) => ({ id, revision, upstream: undefined }));
-    return this.merge(configuration, [...changes, ...gone], now);
+    const corrected = changes.map((change) => this.correct(change, true));
+    return this.merge(configuration, [...corrected, ...gone], now);
+  }
+
+  /** Merges what a peer knows. Of an era that is new here, what the peer doesn't list was not published in it.
+   * @param completeUpTo Position up to which the peer misses no change.
+   * @param configuration Its configuration.
+   * @param changes All changes after a position up to which none is missing here.
+   * @param now Monotonic milliseconds. */
+  mergeState(
+    completeUpTo: number,
+    configuration: PublishedConfiguration | undefined,
+    changes: readonly UpstreamChange[],
+    now: number,
+  ): MergeResult {
+    const era = getEra(completeUpTo);
+    if (era <= this.era) return this.merge(configuration, changes, now);
+    const listed = new Set(changes.map((change) => change.id));
+    const gone = [...this.known].filter(([id, known]) =>
+      known.upstream !== undefined && !listed.has(id) &&
+      getEra(known.revision) < era
+    ).map(([id]) => ({ id, revision: completeUpTo, upstream: undefined }));
+    // What is gone here may have been written again before the peer told it.
+    const corrected = changes.map((change) => this.correct(change, false));
+    return this.merge(configuration, [...corrected, ...gone], now);
   }
 
   /** All upstreams as they are known, with those lately gone.
@@ -108,13 +141,30 @@
     );
   }
 
+  /** Corrects a change of a newer era by what is known from the one before.
+   * @param change The change.
+   * @param isCopy Whether it is as the platform was restored, so that what is gone here had been there before. */
+  private correct(change: UpstreamChange, isCopy: boolean): UpstreamChange {
+    const { id, revision, upstream: copy } = change;
+    const before = this.known.get(id);
+    if (!copy || !before?.last) return change;
+    if (getEra(before.revision) >= getEra(revision)) return change;
+    const isGone = before.upstream === undefined;
+    if (isGone && !isCopy) return change;
+    const upstream = correctRestored({ last: before.last, isGone }, copy);
+    if (upstream === copy) return change;
+    return { id, revision: correctPosition(revision), upstream };
+  }
+
   private mergeChange(change: UpstreamChange, now: number): boolean {
+    if (getEra(change.revision) < this.era) return false;
     const before = this.known.get(change.id);
     if (before && before.revision >= change.revision) return false;
     if (before) this.addToDigest(change.id, before, -1);
     const known = {
       revision: change.revision,
       upstream: change.upstream,
+      last: change.upstream ?? before?.last,
       knownAt: now,
     };
     this.known.set(change.id, known);
@@ -134,7 +184,7 @@
   /** Adds or takes away an upstream's part of the digest; one that is gone has none. */
   private addToDigest(id: string, known: Known, sign: 1 | -1): void {
     if (known.upstream === undefined) return;
-    this.digestSum =
-      (this.digestSum + sign * hashText(id, known.revision >>> 0)) >>> 0;
+    const hash = hashText(`${id}@${known.revision}`);
+    this.digestSum = (this.digestSum + sign * hash) >>> 0;
   }
 }
--- a/src/published/publication_feed.ts
+++ b/src/published/publication_feed.ts
@@ -1,7 +1,7 @@
 import type { PublishedConfiguration } from "./configuration_schema.ts";
 import type { PublishedUpstream } from "./upstream_schema.ts";
 
-/** An upstream as it was published, or that it is gone. */
+/** An upstream as it was published, or that it is gone. All `revision`s here are positions (`createPosition`). */
 export type UpstreamChange =
   | { id: string; revision: number; upstream: PublishedUpstream }
   | { id: string; revision: number; upstream: undefined };
@@ -29,7 +29,7 @@
 
 /** Why a read of what is published failed. */
 export type FeedFailure =
-  /** Changes after the asked revision are no longer kept; a snapshot is needed. */
+  /** Changes after the asked position are no longer kept, or the platform was restored since; a snapshot is needed. */
   | { kind: "history_lost" }
   | { kind: "unavailable"; detail: string };
 
--- a/src/published/publication_keeper.ts
+++ b/src/published/publication_keeper.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { PublishedConfiguration } from "./configuration_schema.ts";
 import { Freshness } from "./freshness.ts";
+import { getEra, getRevision } from "./position.ts";
 import { type MergeResult, Publication } from "./publication.ts";
 import type {
   PublicationChanges,
@@ -23,6 +24,8 @@
   logger: Logger;
   /** Told of each newer configuration. */
   onConfiguration: (table: RouteTable) => void;
+  /** Told of each era of the platform that is new here. */
+  onEra: (era: number) => void;
   /** Told of each change of upstreams. */
   onUpstreams: (changes: readonly UpstreamChange[]) => void;
 }
@@ -99,6 +102,7 @@
   takeSnapshot(snapshot: PublicationSnapshot, askedAt: number): void {
     const { revision, configuration, upstreams } = snapshot;
     this.noteRegained(askedAt);
+    this.noteEra(revision, "snapshot");
     const now = readClock();
     this.apply(
       this.publication.mergeSnapshot(revision, configuration, upstreams, now),
@@ -128,8 +132,10 @@
    * @param askedAt Monotonic milliseconds at which it was asked. */
   takeState(state: PublicationState, peerId: string, askedAt: number): void {
     this.noteRegained(askedAt - state.ageMs);
+    this.noteEra(state.completeUpTo, `peer ${peerId}`);
     this.apply(
-      this.publication.merge(
+      this.publication.mergeState(
+        state.completeUpTo,
         state.configuration,
         state.changes,
         readClock(),
@@ -162,6 +168,23 @@
     );
   }
 
+  /** Notes a restore of the platform: entries that are missing may only wait to be written again. */
+  private noteEra(position: number, source: string): void {
+    const { era, completeUpTo } = this.publication;
+    const newEra = getEra(position);
+    if (newEra <= era) return;
+    this.options.onEra(newEra);
+    if (completeUpTo === 0) return;
+    this.regainedAt = readClock();
+    this.options.logger.warn({
+      era: newEra,
+      revision: getRevision(position),
+      eraBefore: era,
+      revisionBefore: getRevision(completeUpTo),
+      source,
+    }, "publication_restored");
+  }
+
   private apply(result: MergeResult, source: string): void {
     if (result.isConfigurationNew) this.applyConfiguration(source);
     if (result.changes.length === 0) return;
@@ -170,7 +193,15 @@
       const address = upstream?.address ?? "";
       const service = upstream?.service ?? "";
       this.options.logger.info(
-        { upstream: id, state, service, address, revision, source },
+        {
+          upstream: id,
+          state,
+          service,
+          address,
+          era: getEra(revision),
+          revision: getRevision(revision),
+          source,
+        },
         "upstream_published",
       );
     }
--- a/tests/platform/decode_upstreams_test.ts
+++ b/tests/platform/decode_upstreams_test.ts
@@ -23,7 +23,7 @@
 
 function decode(items: readonly unknown[]) {
   const problems: string[] = [];
-  const changes = UpstreamDecoder.create().decode(items, problems);
+  const changes = UpstreamDecoder.create().decode(items, 0, problems);
   return { changes, problems };
 }
 
--- a/tests/published/publication_keeper_test.ts
+++ b/tests/published/publication_keeper_test.ts
@@ -10,6 +10,7 @@
   return PublicationKeeper.create({
     logger: pino({ level: "silent" }),
     onConfiguration: () => undefined,
+    onEra: () => undefined,
     onUpstreams: () => undefined,
   });
 }
