Resume a lost owner's requests within the bound

Callers got slow answers from an engine with five requests where four are allowed, after its owner was frozen for so long that its connections were given up.

Cause: resumed requests were started beyond the bound for as many as the lost owner may have left running. Evidence: two traced breaches of bound_test with 'resumes=true running=7 foreign=2', on an engine that had carried nothing for 2.4 s. Ruled out: a second router (none started).

Only requests that the engine still reports count as carried. The new test of owners_model_test fails without the change.

--- a/src/owner/foreign_load.ts
+++ b/src/owner/foreign_load.ts
@@ -85,6 +85,7 @@
   /** Counts one foreign request as own from now on. */
   resumeOne(): void {
     this.foreign = Math.max(0, this.foreign - 1);
+    this.leastForeign = Math.max(0, this.leastForeign - 1);
     this.leftBehind = Math.max(0, this.leftBehind - 1);
   }
 
--- a/src/owner/job_scheduler.ts
+++ b/src/owner/job_scheduler.ts
@@ -104,12 +104,13 @@
     job.send({ type: "accepted", queued: true });
   }
 
-  /** Whether an offer is for a request that the upstream already carries for a lost owner; it takes no further room. */
+  /** Whether an offer is for a request that the upstream, by its own report, still carries for a lost owner; it takes no further
+   * room. What that owner may have left running is no proof: it may have ended since. */
   private isTakenOver(
     upstream: OwnedUpstream,
     frame: FrameOf<"offer">,
   ): boolean {
-    return frame.resumes && upstream.foreign.load > 0 &&
+    return frame.resumes && upstream.foreign.leastLoad > 0 &&
       this.options.guard.isFresh();
   }
 
--- a/tests/owner/owners_model_test.ts
+++ b/tests/owner/owners_model_test.ts
@@ -2,8 +2,14 @@
  * that are not the owner were limited to one request, an engine that may carry four got five after its owner was frozen:
  * `r-4 starts q51: own 2 foreign 0 not owner avoids r-1` beside three starts of the owner. */
 import test from "ava";
+import { hashText } from "../../src/hashing/hasher.ts";
 import { VirtualChats } from "./virtual_chats.ts";
-import { VirtualOwners } from "./virtual_owners.ts";
+import {
+  buildEngineOffer,
+  createPort,
+  ENGINE_ID,
+  VirtualOwners,
+} from "./virtual_owners.ts";
 
 /** Requests that an engine may carry while the others of its pool are idle. */
 const LIMIT = 4;
@@ -14,6 +20,10 @@
 const FAULT_AT_MS = [2_000, 3_000] as const;
 /** Time at which the run ends, in milliseconds. */
 const END_MS = 12_000;
+/** Load that a lost owner had told, and requests of it that are resumed. */
+const TOLD = 6;
+/** Time after which each router has noticed that the owner is silent, in milliseconds. */
+const NOTICED_MS = 2_200;
 /** Events that a failed test prints. */
 const PRINTED = 40;
 
@@ -62,3 +72,28 @@
     }
   });
 }
+
+// A router counted eight requests as left running by a lost owner, of which none ran any more, and started seven resumed ones for
+// them: `resumes=true running=7 foreign=2 cap=5` on an engine that may carry four.
+test("requests of a lost owner are resumed within the bound where the engine carries them no more", (t) => {
+  for (let seed = 0; seed < SEEDS; seed++) {
+    const fleet = VirtualOwners.create(seed, ROUTERS, LIMIT);
+    const [owner, next] = fleet.ownersInOrder;
+    fleet.timeline.runUntil(FAULT_AT_MS[0]);
+    fleet.pause(owner!, END_MS);
+    next!.loads.record([[hashText(ENGINE_ID), TOLD]], fleet.timeline.read());
+    fleet.timeline.runUntil(FAULT_AT_MS[0] + NOTICED_MS);
+    for (let exchange = 0; exchange < TOLD; exchange++) {
+      const port = createPort(owner!.id, () => undefined);
+      const offer = buildEngineOffer({
+        exchange,
+        requestId: `q${exchange}`,
+        avoids: [owner!.id],
+        resumes: true,
+      });
+      next!.scheduler.takeOffer(port, offer);
+    }
+    fleet.timeline.runUntil(END_MS);
+    t.deepEqual(fleet.breaches, [], `seed ${seed}`);
+  }
+});
--- a/tests/owner/virtual_owners.ts
+++ b/tests/owner/virtual_owners.ts
@@ -31,8 +31,8 @@
 const DELIVERY_MS = [1, 30] as const;
 /** Least and most time in which a silent router is suspected, in milliseconds. */
 const SUSPECT_MS = [300, 1_900] as const;
-/** Time after which connections to a silent router are given up, in milliseconds. */
-const LOST_MS = 3_500;
+/** Least and most time after which connections to a silent router are given up, in milliseconds. */
+const LOST_MS = [700, 3_500] as const;
 /** Least and most time in which a router that runs again is heard, in milliseconds. */
 const HEARD_MS = [5, 200] as const;
 /** Gap in a router's running from which it notices that it was paused, in milliseconds. */
@@ -362,9 +362,10 @@
         }
       });
     }
-    if (durationMs <= LOST_MS || router.state === "dead") return;
-    this.timeline.after(LOST_MS, () => {
-      if (router.state !== "paused") return;
+    const lostMs = this.random.integer(...LOST_MS);
+    if (durationMs <= lostMs || router.state === "dead") return;
+    this.timeline.after(lostMs, () => {
+      if (router.life !== life || router.state !== "paused") return;
       for (const close of [...router.onClosed]) close();
       router.onClosed.clear();
     });
