--- a/src/owner/load_book.ts
+++ b/src/owner/load_book.ts
@@ -22,8 +22,6 @@
 /** The loads of upstreams, as the routers that own them last told. */
 export class LoadBook {
   private readonly entries = new Map<number, Entry>();
-  /** Routers that told their loads since this one started. */
-  private readonly tellers = new Set<string>();
 
   private constructor() {}
 
@@ -41,25 +39,6 @@
     }
   }
 
-  /** Takes over all that a router tells of the upstreams it owns.
-   * @param routerId The router.
-   * @param loads Hash of an upstream's id, and its requests in flight.
-   * @param now Monotonic milliseconds. */
-  recordPeer(
-    routerId: string,
-    loads: readonly [number, number][],
-    now: number,
-  ): void {
-    this.tellers.add(routerId);
-    this.record(loads, now);
-  }
-
-  /** Whether a router has told its loads since this one started.
-   * @param routerId The router. */
-  hasHeardFrom(routerId: string): boolean {
-    return this.tellers.has(routerId);
-  }
-
   /** Returns an upstream's load, or nothing where none was told lately.
    * @param upstreamId The upstream.
    * @param now Monotonic milliseconds.
--- a/src/owner/owned_upstream.ts
+++ b/src/owner/owned_upstream.ts
@@ -8,10 +8,6 @@
 import { ForeignLoad, REPORTS_LACK_MS } from "./foreign_load.ts";
 import type { Job } from "./job.ts";
 
-/** Time after a router has joined in which routers that owned its upstreams may still start requests, in milliseconds: until
- * they hear it. */
-const JOINING_MS = 250;
-
 /** Reports that may fail in a row before an upstream counts as unreachable. */
 const MISSED_REPORTS = 2;
 
@@ -43,8 +39,6 @@
   private pauses = 0;
   private needsReport = false;
   private reportsLackUntil = -Infinity;
-  /** Monotonic milliseconds from which what the former owner told counts; undefined where nothing is awaited. */
-  private toldCountsFrom: number | undefined;
 
   private readonly timeline: Timeline;
 
@@ -117,35 +111,10 @@
     this.pauses += 1;
     this.needsReport = true;
     this.reportsLackUntil = now + REPORTS_LACK_MS;
-    this.toldCountsFrom = undefined;
     this.isOwned = false;
     this.foreign.startAfterPause(now);
   }
 
-  /** Starts nothing until the former owner has told its load, or a report can't lack what it started.
-   * @param now Monotonic milliseconds. */
-  awaitFirstLoad(now: number): void {
-    this.needsReport = true;
-    this.reportsLackUntil = now + REPORTS_LACK_MS;
-    this.toldCountsFrom = now + JOINING_MS;
-  }
-
-  /** Whether what the former owner tells is awaited, and counts by now.
-   * @param now Monotonic milliseconds. */
-  awaitsTold(now: number): boolean {
-    return this.toldCountsFrom !== undefined && now >= this.toldCountsFrom;
-  }
-
-  /** Takes over the load that the former owner told.
-   * @param told The load.
-   * @param now Monotonic milliseconds. */
-  takeOver(told: number, now: number): void {
-    this.foreign.takeOver(told, now);
-    if (!this.awaitsTold(now)) return;
-    this.toldCountsFrom = undefined;
-    this.needsReport = false;
-  }
-
   /** Takes a report.
    * @param report The report, or nothing where it could not be read.
    * @param now Monotonic milliseconds. */
@@ -155,10 +124,7 @@
       return;
     }
     this.missedReports = 0;
-    if (now >= this.reportsLackUntil) {
-      this.needsReport = false;
-      this.toldCountsFrom = undefined;
-    }
+    if (now >= this.reportsLackUntil) this.needsReport = false;
     this.report = report;
     const resumed = [...this.running].filter((job) => job.offer.resumes).length;
     this.foreign.recordReport(report.inFlight, resumed, now);
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -16,7 +16,6 @@
   type LoadBoundStructure,
 } from "./load_bound.ts";
 import { type LoadBook, REMEMBERED_MS, UNREACHABLE_LOAD } from "./load_book.ts";
-import { REPORTS_LACK_MS } from "./foreign_load.ts";
 import { OwnedUpstream } from "./owned_upstream.ts";
 
 /** Rank in an upstream's order of the router that takes requests of entries which do not reach the owner. */
@@ -42,8 +41,6 @@
   private readonly share = HeardShare.create();
 
   private readonly timeline: Timeline;
-  /** Monotonic milliseconds at which this router first came to own an upstream. */
-  private firstOwnedAt: number | undefined;
 
   private constructor(private readonly options: UpstreamRegistryOptions) {
     this.timeline = options.timeline ?? processTimeline;
@@ -76,7 +73,10 @@
     const owned = [...this.upstreams.values()].filter((upstream) =>
       upstream.isOwned
     );
-    return owned.map(describeLoad);
+    return owned.map((upstream) => [
+      hashText(upstream.host.id),
+      upstream.isReachable ? upstream.leastLoad : UNREACHABLE_LOAD,
+    ]);
   }
 
   /** Takes over the upstreams that this router came to own, and forgets those it has nothing to do with. */
@@ -166,7 +166,7 @@
   private getBound(upstream: OwnedUpstream): LoadBoundStructure {
     const { boundMultiple, minimumCap } = this.options.settings.routing;
     const now = this.timeline.read();
-    this.recordOwnLoads(now);
+    this.options.loads.record(this.getLoads(), now);
     const pool = this.options.getPlacement().getPool(upstream.host);
     const mean = this.options.loads.getMean(pool, now);
     const heardShare = this.share.get(this.options.getView().heardShare, now);
@@ -179,14 +179,6 @@
     };
   }
 
-  /** Records the own loads beside those that others told, but for those that still wait for what others told. */
-  private recordOwnLoads(now: number): void {
-    const known = [...this.upstreams.values()].filter((upstream) =>
-      upstream.isOwned && !upstream.isLoadUnknown
-    );
-    this.options.loads.record(known.map(describeLoad), now);
-  }
-
   private forgetUnused(upstream: OwnedUpstream): void {
     const isUsed = upstream.running.size > 0 || upstream.queue.length > 0;
     const isListed =
@@ -230,40 +222,14 @@
   private refreshOwnership(upstream: OwnedUpstream): void {
     const wasOwned = upstream.isOwned;
     upstream.isOwned = this.isOwner(upstream.host);
+    if (wasOwned) return;
     const now = this.timeline.read();
-    if (upstream.isOwned && !wasOwned) this.awaitFirstLoad(upstream, now);
-    if (wasOwned && !upstream.awaitsTold(now)) return;
     const told = this.options.loads.getLoad(
       upstream.host.id,
       now,
       REMEMBERED_MS,
     );
-    const isUntold = upstream.awaitsTold(now) && this.hasHeardAllLoads;
-    if (told !== undefined) upstream.takeOver(told, now);
-    else if (isUntold) upstream.takeOver(0, now);
-  }
-
-  /** Holds an upstream back where this router has only just joined: the router that owned it until now may not have told of
-   * its load, and hears of this one a little later. */
-  private awaitFirstLoad(upstream: OwnedUpstream, now: number): void {
-    this.firstOwnedAt ??= now;
-    const isJoining = now - this.firstOwnedAt < REPORTS_LACK_MS;
-    if (isJoining && this.hearsOthers) upstream.awaitFirstLoad(now);
-  }
-
-  private get hearsOthers(): boolean {
-    return this.heardOthers.length > 0;
-  }
-
-  /** Whether each router that is heard has told the loads of all that it owns. */
-  private get hasHeardAllLoads(): boolean {
-    return this.heardOthers.every((id) => this.options.loads.hasHeardFrom(id));
-  }
-
-  private get heardOthers(): string[] {
-    const { routers, ownId } = this.options.getView();
-    return routers.filter(({ heard, host }) => heard && host.id !== ownId)
-      .map(({ host }) => host.id);
+    if (told !== undefined) upstream.foreign.takeOver(told, now);
   }
 
   private isOwner(host: Host): boolean {
@@ -272,12 +238,6 @@
   }
 }
 
-/** Hash of an upstream's id, and its load as others are told. */
-function describeLoad(upstream: OwnedUpstream): [number, number] {
-  const load = upstream.isReachable ? upstream.leastLoad : UNREACHABLE_LOAD;
-  return [hashText(upstream.host.id), load];
-}
-
 /** Whether a router that is not the owner may start a request: one at a time, which the owner's bound leaves room for, since
  * neither of the two learns in time what the other starts. */
 function hasDeputyRoom({ running }: OwnedUpstream): boolean {
