--- a/tests/forward/attempt_test.ts
+++ b/tests/forward/attempt_test.ts
@@ -9,6 +9,13 @@
 import { createDeferred } from "./run_call.ts";
 
 const REQUEST_ID = "r-1";
+const REQUEST = {
+  method: "GET",
+  path: "/a/",
+  headers: ["Host", "a.example"],
+  body: undefined,
+  requestId: REQUEST_ID,
+};
 
 /** What became of an attempt. */
 type Ending =
@@ -29,14 +36,7 @@
 function attemptAt(upstream: Upstream): Promise<Ending> {
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
-    const request = {
-      method: "GET",
-      path: "/a/",
-      headers: ["Host", "a.example"],
-      body: undefined,
-      requestId: REQUEST_ID,
-    };
-    Attempt.create(upstream, request, platformHeaders, {
+    Attempt.create(upstream, REQUEST, platformHeaders, {
       onHead: () => undefined,
       onBytes: (bytes) => parts.push(bytes),
       onEnd: () =>
@@ -151,14 +151,7 @@
     setImmediate(() => socket.write(answer));
   });
   const upstream = createUpstream((server.address() as AddressInfo).port);
-  const request = {
-    method: "GET",
-    path: "/a/",
-    headers: ["Host", "a.example"],
-    body: undefined,
-    requestId: REQUEST_ID,
-  };
-  const attempt = Attempt.create(upstream, request, platformHeaders, {
+  const attempt = Attempt.create(upstream, REQUEST, platformHeaders, {
     onHead: () => told.push("head"),
     onBytes: () => told.push("bytes"),
     onEnd: () => told.push("end"),
