Log the load counts, their age, the limit and the basis of each send

request_sent named the sum of the load alone, so that late counts, a limit from another mean and a choice without a limit could not be told apart. It now names the host's own count, the others' with mean and greatest age and the number of hosts counted, the upstream's report with its age, the limit and what the choice rested on. Two metrics: sends by basis, and the age of the counts at a send.

The chooser takes clock and random source from outside.

--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -2,17 +2,19 @@
 import type { Logger } from "../logging/logger.ts";
 import { describeFingerprint } from "../hashing/request_fingerprint.ts";
 import type { AvailabilityNotice } from "../upstreams/availability_notice.ts";
+import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
+import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 
 /** One sending of a request, as it is logged. */
 export interface LoggedSend {
-  upstream: Upstream;
+  choice: UpstreamChoice;
   /** Why the request is sent: `first`, or how the attempt before ended. */
   reason: string;
   remainingMs: number;
-  /** Requests on the upstream from all hosts, as far as is known. */
-  load: number;
+  /** What was known of the requests on the upstream. */
+  load: LoadSnapshot;
   /** What the upstream is taken to keep of the prompt; undefined where the request shares none. */
   prompt: PromptPlace | undefined;
 }
@@ -53,7 +55,8 @@
   /** Writes that the request is sent to an upstream, with what decided it.
    * @param send The sending. */
   noteSent(send: LoggedSend): void {
-    const { upstream, reason, remainingMs, load, prompt } = send;
+    const { choice, reason, remainingMs, load, prompt } = send;
+    const { upstream, basis, limit } = choice;
     const { availability } = upstream;
     this.logger.info({
       request: this.call.requestId,
@@ -62,7 +65,16 @@
       upstream: upstream.id,
       reason,
       remainingMs: Math.round(remainingMs),
-      load,
+      hall: upstream.published.hall,
+      basis,
+      limit: limit === undefined ? undefined : roundTo(limit, 1),
+      ownLoad: load.own,
+      foreignLoad: load.foreign,
+      countedHosts: load.countedHosts,
+      countAgeMs: Math.round(load.countAgeMs),
+      oldestCountAgeMs: Math.round(load.oldestCountAgeMs),
+      reportedLoad: load.reported,
+      reportAgeMs: load.reportAgeMs && Math.round(load.reportAgeMs),
       backoffMs: Math.round(availability.getBackoffMs(readClock())),
       saysLeaving: availability.isLeaving,
       failureRate: roundRate(upstream),
@@ -111,5 +123,9 @@
 }
 
 function roundRate(upstream: Upstream): number {
-  return Number(upstream.health.rate.toFixed(2));
+  return roundTo(upstream.health.rate, 2);
+}
+
+function roundTo(value: number, digits: number): number {
+  return Number(value.toFixed(digits));
 }
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -2,6 +2,7 @@
 import { Failure } from "../errors/failure.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
 import type { Route } from "../published/configuration_schema.ts";
+import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import { isFailure, promisesNotRun } from "./answer_status.ts";
 import { AnswerRelay } from "./answer_relay.ts";
@@ -117,21 +118,22 @@
     if (this.tried.size > 0 && !this.maySendAgain) {
       return this.refuseHeld(`held after ${reason}`);
     }
-    const upstream = this.context.choose(this.call, this.tried);
-    if (upstream) this.sendTo(upstream, reason);
+    const choice = this.context.choose(this.call, this.tried);
+    if (choice) this.sendTo(choice, reason);
     else this.giveUp(`no upstream left after ${reason}`);
   }
 
-  private sendTo(upstream: Upstream, reason: string): void {
+  private sendTo(choice: UpstreamChoice, reason: string): void {
     const { call, context } = this;
+    const { upstream } = choice;
     this.tried.add(upstream.id);
     this.relay.startAttempt();
     const { remainingMs } = this.deadline;
     if (remainingMs < LEAST_REMAINING_MS) return this.giveUp("no time left");
     this.watchForSilence(upstream);
     const prompt = context.placePrompt(call, upstream);
-    const load = context.getLoad(upstream);
-    this.log.noteSent({ upstream, reason, remainingMs, load, prompt });
+    const load = context.noteSend(choice);
+    this.log.noteSent({ choice, reason, remainingMs, load, prompt });
     const { lastEventId } = this.relay;
     const fetchFrom = prompt?.fetchFrom;
     const own = {
--- a/src/forward/call_run_context.ts
+++ b/src/forward/call_run_context.ts
@@ -1,5 +1,7 @@
 import type { Logger } from "../logging/logger.ts";
 import type { HealthSign } from "../upstreams/upstream_health.ts";
+import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
+import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { PromptPlace } from "./call_log.ts";
 import type { CallRun } from "./call_run.ts";
@@ -22,13 +24,13 @@
   choose: (
     call: RoutedCall,
     tried: ReadonlySet<string>,
-  ) => Upstream | undefined;
+  ) => UpstreamChoice | undefined;
   /** Time after which a caller that is refused may come back, in milliseconds; undefined where no upstream's word tells. */
   getRetryAfterMs: (service: string) => number | undefined;
   /** What an engine keeps of a call's prompt, and from where it should fetch the rest; records that it is sent there. */
   placePrompt: (call: RoutedCall, target: Upstream) => PromptPlace | undefined;
-  /** Requests on an upstream from all hosts, as far as is known. */
-  getLoad: (upstream: Upstream) => number;
+  /** Told of each send; returns what was known of the requests on the upstream. */
+  noteSend: (choice: UpstreamChoice) => LoadSnapshot;
   /** Takes a retry from the budget of a service; returns whether there was one. */
   spendRetry: (service: string) => boolean;
   /** Told how an attempt ended, as far as the upstream's health goes. */
--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -17,7 +17,7 @@
 
 /** Time for which a host's counts of its requests are used, in milliseconds: some rounds of gossip, and in a large fleet
  * the time that word of a host takes by others. */
-const LOADS_USED_FOR_MS = { small: 1_200, large: 2_500 } as const;
+export const LOADS_USED_FOR_MS = { small: 1_200, large: 2_500 } as const;
 
 /** What the link needs of the gateway. */
 export interface FleetLinkOptions {
@@ -182,7 +182,11 @@
     const usedForMs =
       LOADS_USED_FOR_MS[this.gossip.isLargeFleet ? "large" : "small"];
     const { loads } = this.options.chooser;
-    loads.record(entry.id, entry.loads, heardAt + usedForMs);
+    loads.record(entry.id, {
+      toldAt: heardAt,
+      usedUntil: heardAt + usedForMs,
+      counts: entry.loads,
+    });
     if (askedAt !== undefined) this.takeWord(entry, entry, askedAt);
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -204,6 +204,8 @@
       onRestart: (before) => this.handler.loseUpstream(before),
       onAvailability: (change) => this.metrics.noteAvailability(change),
       onDrop: ({ shortName }) => this.guard.noteGone(shortName),
+      onSend: ({ basis }, { countAgeMs }) =>
+        this.metrics.noteSend(basis, countAgeMs),
       onSign: (sign) => this.metrics.noteAttempt(sign),
     });
   }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { AvailabilityChange } from "../upstreams/availability.ts";
+import type { ChoiceBasis } from "../upstreams/choose_upstream.ts";
 import type { DatagramDirection } from "../peers/datagram_socket.ts";
 
 /** Bounds of the histogram of a request's time, in seconds. */
@@ -16,6 +17,9 @@
   10,
 ];
 
+/** Bounds of the histogram of the age of counts, in seconds: from a round of gossip to the longest use of a count. */
+const COUNT_AGE_BOUNDS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 2.5];
+
 /** Counters and histograms of one gateway, served as text. */
 export class GatewayMetrics {
   private readonly registry = new Registry();
@@ -49,6 +53,19 @@
     labelNames: ["change"],
     registers: [this.registry],
   });
+  private readonly sends = new Counter({
+    name: "beechkeel_sends_total",
+    help:
+      "Sends to upstreams by what the choice rested on: kept_prompt, prompt_order, least_cost.",
+    labelNames: ["basis"],
+    registers: [this.registry],
+  });
+  private readonly countAges = new Histogram({
+    name: "beechkeel_load_count_age_seconds",
+    help: "Mean age of other hosts' counts of requests at a send.",
+    buckets: COUNT_AGE_BOUNDS_S,
+    registers: [this.registry],
+  });
   private readonly durations = new Histogram({
     name: "beechkeel_request_seconds",
     help: "Time from a request's arrival to the end of its answer.",
@@ -118,6 +135,14 @@
     this.availability.inc({ change });
   }
 
+  /** Counts a send to an upstream.
+   * @param basis What the choice of the upstream rested on.
+   * @param countAgeMs Mean age of other hosts' counts, in milliseconds. */
+  noteSend(basis: ChoiceBasis, countAgeMs: number): void {
+    this.sends.inc({ basis });
+    this.countAges.observe(countAgeMs / 1_000);
+  }
+
   /** Counts a datagram.
    * @param direction Whether this host sent or received it.
    * @param bytes Its length. */
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -7,9 +7,13 @@
 import { SMALL_FLEET } from "../peers/host_table.ts";
 import { Random } from "../random/random.ts";
 import type { AvailabilityChange } from "../upstreams/availability.ts";
-import { chooseUpstream } from "../upstreams/choose_upstream.ts";
+import {
+  chooseUpstream,
+  type UpstreamChoice,
+} from "../upstreams/choose_upstream.ts";
 import { findFetchSource } from "../upstreams/find_fetch_source.ts";
 import { LoadCounts } from "../upstreams/load_counts.ts";
+import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import { PrefixIndex, type SentPart } from "../upstreams/prefix_index.ts";
 import { RetryShare } from "../upstreams/retry_share.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
@@ -21,11 +25,22 @@
  * first requests, one and then twice as many each time. */
 const RETURN_SPREAD_MS = 250;
 
+/** The settings that choices follow. */
+export type ChooserSettings = Pick<
+  GatewaySettings,
+  | "boundMultiple"
+  | "hall"
+  | "leaveWithinMs"
+  | "retryExtra"
+  | "retryRatio"
+  | "retryWindowMs"
+>;
+
 /** What the chooser needs of the gateway and whom it tells. */
 export interface UpstreamChooserOptions {
   logger: Logger;
   /** The settings in force; read anew for each choice. */
-  getSettings: () => GatewaySettings;
+  getSettings: () => ChooserSettings;
   /** A service as it is published, or nothing. */
   getService: (name: string) => Service | undefined;
   /** Hosts that are heard, this one too. */
@@ -40,8 +55,14 @@
   onAvailability: (change: AvailabilityChange) => void;
   /** Told of each upstream that is taken out. */
   onDrop: (upstream: Upstream) => void;
+  /** Told of each send, with what was known of the requests on the upstream. */
+  onSend: (choice: UpstreamChoice, load: LoadSnapshot) => void;
   /** Told of each sign of an upstream's health. */
   onSign: (sign: HealthSign) => void;
+  /** Reads monotonic milliseconds; the process's clock by default. */
+  readNow?: () => number;
+  /** Unseeded by default. */
+  random?: Random;
 }
 
 /** Holds the upstreams with their loads, the prompts they keep and the retries left, and chooses among them. */
@@ -49,13 +70,17 @@
   /** The upstreams that are known. */
   readonly upstreams: UpstreamTable;
   /** Requests on each upstream. */
-  readonly loads = LoadCounts.create();
+  readonly loads: LoadCounts;
   /** Which engines keep which parts of prompts. */
   readonly prefixes = PrefixIndex.create();
-  private readonly random = Random.create();
+  private readonly readNow: () => number;
+  private readonly random: Random;
   private readonly retryShares = new Map<string, RetryShare>();
 
   private constructor(private readonly options: UpstreamChooserOptions) {
+    this.readNow = options.readNow ?? readClock;
+    this.random = options.random ?? Random.create();
+    this.loads = LoadCounts.create(this.readNow);
     this.upstreams = UpstreamTable.create({
       logger: options.logger,
       getLapseEndsAt: options.getLapseEndsAt,
@@ -78,7 +103,7 @@
       choose: (call, tried) => this.choose(call, tried),
       getRetryAfterMs: (service) => this.getRetryAfterMs(service),
       placePrompt: (call, target) => this.placePrompt(call, target),
-      getLoad: (upstream) => this.loads.getTotal(upstream),
+      noteSend: (choice) => this.noteSend(choice),
       spendRetry: (service) => this.spendRetry(service),
       noteHealth: (upstream, sign) => this.noteHealth(upstream, sign),
       noteMoved: (upstream) => this.upstreams.drop(upstream),
@@ -95,7 +120,7 @@
   /** Counts a call that is sent for the first time, from which its service's retries grow.
    * @param service Name of the service. */
   noteFirstSend(service: string): void {
-    this.getRetryShare(service).noteRequest(readClock());
+    this.getRetryShare(service).noteRequest(this.readNow());
   }
 
   /** Begins the counts of retries anew, for the settings they follow have changed. */
@@ -108,7 +133,7 @@
   noteCrashed(shortName: number): void {
     const upstream = this.upstreams.findByShortName(shortName);
     if (!upstream) return;
-    upstream.crashedAt = readClock();
+    upstream.crashedAt = this.readNow();
     this.noteHealth(upstream, "unreachable");
   }
 
@@ -123,7 +148,7 @@
   private choose(
     call: RoutedCall,
     tried: ReadonlySet<string>,
-  ): Upstream | undefined {
+  ): UpstreamChoice | undefined {
     const { boundMultiple, hall } = this.options.getSettings();
     const otherHosts = this.options.countHosts() - 1;
     return chooseUpstream({
@@ -137,7 +162,7 @@
       loads: this.loads,
       hall,
       random: this.random,
-      now: readClock(),
+      now: this.readNow(),
     });
   }
 
@@ -161,7 +186,7 @@
     const { sharedParts, service } = call;
     const deepest = sharedParts.at(-1);
     if (!deepest) return undefined;
-    const now = readClock();
+    const now = this.readNow();
     const kept = sharedParts.filter(({ name }) =>
       this.prefixes.isKept(name, target.shortName, now)
     );
@@ -190,12 +215,18 @@
     return findFetchSource(parts, target, engines, this.prefixes, now);
   }
 
+  private noteSend(choice: UpstreamChoice): LoadSnapshot {
+    const load = this.loads.getSnapshot(choice.upstream);
+    this.options.onSend(choice, load);
+    return load;
+  }
+
   /** Records how an attempt at an upstream ended.
    * @param upstream The upstream.
    * @param sign What the attempt says of its health. */
   private noteHealth(upstream: Upstream, sign: HealthSign): void {
     this.options.onSign(sign);
-    const ejectedMs = upstream.health.note(sign, readClock());
+    const ejectedMs = upstream.health.note(sign, this.readNow());
     if (ejectedMs === 0) return;
     this.options.logger.warn(
       { upstream: upstream.id, sign, ejectedMs },
@@ -206,7 +237,7 @@
   /** Takes a retry of a service; returns whether there was one left.
    * @param service Name of the service. */
   private spendRetry(service: string): boolean {
-    return this.getRetryShare(service).spend(readClock());
+    return this.getRetryShare(service).spend(this.readNow());
   }
 
   /** Upstreams of a service that may get a request, but for those on which this host has used its share of their
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -24,6 +24,17 @@
 /** What an upstream in another hall costs against one in this, as a part of an upstream's slots. */
 const COST_OF_OTHER_HALL = 0.15;
 
+/** What an upstream was chosen by: the prompt is kept there, the prompt's order of engines, or the least cost. */
+export type ChoiceBasis = "kept_prompt" | "prompt_order" | "least_cost";
+
+/** An upstream that was chosen, and what decided it. */
+export interface UpstreamChoice {
+  upstream: Upstream;
+  basis: ChoiceBasis;
+  /** Requests below which an engine may get a prompt; undefined where the request shares none. */
+  limit: number | undefined;
+}
+
 /** How old other hosts' counts of requests are: of the last round of gossip, or by way of others. */
 export type CountAge = "fresh" | "late";
 
@@ -51,7 +62,9 @@
 
 /** Chooses the upstream for a request, or nothing where none is left.
  * @param options What the choice is made from. */
-export function chooseUpstream(options: ChoiceOptions): Upstream | undefined {
+export function chooseUpstream(
+  options: ChoiceOptions,
+): UpstreamChoice | undefined {
   const untried = options.candidates.filter((upstream) =>
     !options.tried.has(upstream.id)
   );
@@ -69,7 +82,7 @@
   );
   if (usable === undefined) return undefined;
   return options.sharedParts.length === 0
-    ? chooseLeastLoaded(usable, options)
+    ? chooseLeastCost(usable, options)
     : chooseKeeping(usable, options);
 }
 
@@ -78,7 +91,7 @@
 function chooseKeeping(
   usable: readonly Upstream[],
   options: ChoiceOptions,
-): Upstream {
+): UpstreamChoice {
   const { sharedParts, prefixes, loads, now } = options;
   const lastPart = sharedParts.at(-1)!.name;
   const limit = computeLimit(usable, options);
@@ -87,9 +100,14 @@
     prefixes.isKept(lastPart, upstream.shortName, now)
   );
   // All are ranked only where none that keeps the prompt has room: that costs a hash for each of them.
-  return rankForPart(lastPart, keeping).find(hasRoom) ??
-    findPlace(rankForPart(lastPart, usable).filter(hasRoom), options) ??
-    chooseLeastLoaded(usable, options);
+  const kept = rankForPart(lastPart, keeping).find(hasRoom);
+  if (kept) return { upstream: kept, basis: "kept_prompt", limit };
+  const placed = findPlace(
+    rankForPart(lastPart, usable).filter(hasRoom),
+    options,
+  );
+  if (placed) return { upstream: placed, basis: "prompt_order", limit };
+  return { ...chooseLeastCost(usable, options), limit };
 }
 
 /** Requests below which an engine may get a chat. */
@@ -119,16 +137,17 @@
   ) ?? ranked[0];
 }
 
-function chooseLeastLoaded(
+function chooseLeastCost(
   usable: readonly Upstream[],
   options: ChoiceOptions,
-): Upstream {
+): UpstreamChoice {
   const costs = new Map(
     usable.map((upstream) => [upstream, estimateCost(upstream, options)]),
   );
-  return options.random.shuffle(usable).reduce((best, upstream) =>
-    costs.get(upstream)! < costs.get(best)! ? upstream : best
+  const upstream = options.random.shuffle(usable).reduce((best, one) =>
+    costs.get(one)! < costs.get(best)! ? one : best
   );
+  return { upstream, basis: "least_cost", limit: undefined };
 }
 
 /** Expected time of one more request, in units of an unloaded upstream's. */
--- a/src/upstreams/load_counts.ts
+++ b/src/upstreams/load_counts.ts
@@ -1,4 +1,5 @@
 import { readClock } from "../clock/clock.ts";
+import type { LoadSnapshot } from "./load_snapshot.ts";
 import type { Upstream } from "./upstream.ts";
 
 /** Age up to which an upstream's own word of its load is used, in milliseconds. */
@@ -11,9 +12,13 @@
 /** An upstream's short name, and the requests that a host has running there. */
 export type LoadCount = [upstream: number, requests: number];
 
-interface HostCounts {
+/** What a host told of its requests. */
+export interface HostCounts {
+  /** Monotonic milliseconds at which the host told this, as far as is known. */
+  toldAt: number;
   /** Monotonic milliseconds up to which the counts are used. */
   usedUntil: number;
+  /** Its requests; an upstream that is missing has none. */
   counts: readonly LoadCount[];
 }
 
@@ -25,39 +30,53 @@
   private foreign = new Map<number, number>();
   private summedUntil = -Infinity;
 
-  private constructor() {}
+  private constructor(private readonly readNow: () => number) {}
 
-  /** Creates counts without other hosts. */
-  static create(): LoadCounts {
-    return new LoadCounts();
+  /** Creates counts without other hosts.
+   * @param readNow Reads monotonic milliseconds. */
+  static create(readNow: () => number = readClock): LoadCounts {
+    return new LoadCounts(readNow);
   }
 
   /** Takes over what a host told.
    * @param hostId The host.
-   * @param counts Its counts; an upstream that is missing has none.
-   * @param usedUntil Monotonic milliseconds up to which they are used. */
-  record(
-    hostId: string,
-    counts: readonly LoadCount[],
-    usedUntil: number,
-  ): void {
-    this.hosts.set(hostId, { usedUntil, counts });
+   * @param told What it told. */
+  record(hostId: string, told: HostCounts): void {
+    this.hosts.set(hostId, told);
     this.summedUntil = -Infinity;
   }
 
   /** Requests on an upstream from all hosts: as hosts told, or where that is more as it told itself just now.
    * @param upstream The upstream. */
   getTotal(upstream: Upstream): number {
-    const now = readClock();
-    if (now >= this.summedUntil) this.sumUp(now);
-    const foreign = this.foreign.get(upstream.shortName) ?? 0;
-    const told = upstream.ownRequests + foreign;
+    const now = this.readNow();
+    const told = upstream.ownRequests + this.getForeign(upstream, now);
     const report = upstream.reported;
     const isNew = report !== undefined &&
       now - report.at <= REPORT_USED_FOR_MS;
     return isNew ? Math.max(told, report.requests) : told;
   }
 
+  /** What is known of the requests on an upstream, with its age.
+   * @param upstream The upstream. */
+  getSnapshot(upstream: Upstream): LoadSnapshot {
+    const now = this.readNow();
+    const ages = [...this.hosts.values()]
+      .filter(({ usedUntil }) => now <= usedUntil)
+      .map(({ toldAt }) => now - toldAt);
+    const { reported: report } = upstream;
+    return {
+      own: upstream.ownRequests,
+      foreign: this.getForeign(upstream, now),
+      countedHosts: ages.length,
+      countAgeMs: ages.reduce((sum, age) => sum + age, 0) /
+        Math.max(1, ages.length),
+      oldestCountAgeMs: Math.max(0, ...ages),
+      reported: report?.requests,
+      reportAgeMs: report && now - report.at,
+    };
+  }
+
   /** Counts of this process, for other hosts.
    * @param upstreams All upstreams. */
   getOwn(upstreams: Iterable<Upstream>): LoadCount[] {
@@ -68,6 +87,11 @@
     return counts;
   }
 
+  private getForeign(upstream: Upstream, now: number): number {
+    if (now >= this.summedUntil) this.sumUp(now);
+    return this.foreign.get(upstream.shortName) ?? 0;
+  }
+
   private sumUp(now: number): void {
     const sums = new Map<number, number>();
     for (const [hostId, { usedUntil, counts }] of this.hosts) {
--- a/tests/forward/run_call.ts
+++ b/tests/forward/run_call.ts
@@ -12,6 +12,7 @@
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
 import type { Route } from "../../src/published/configuration_schema.ts";
 import type { SentPart } from "../../src/upstreams/prefix_index.ts";
+import { LoadCounts } from "../../src/upstreams/load_counts.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
 import { buildRoute } from "../published/build_published.ts";
 import { type Behaviour, REQUEST_ID } from "./upstream_behaviours.ts";
@@ -127,16 +128,20 @@
   { onStart, retryAfterMs, crashes }: RunCallOptions,
 ): Promise<Received> {
   const ended = createDeferred<CallOutcome>();
+  const loads = LoadCounts.create();
   const front = createServer((_request, response) => {
     const answer = CallerAnswer.create(response, () => false);
     const run = CallRun.create(call, answer, {
       logger: pino({ level: "silent" }),
       codec: platformHeaders,
-      choose: (_call, tried) =>
-        upstreams.find((upstream) => !tried.has(upstream.id)),
+      choose: (_call, tried) => {
+        const upstream = upstreams.find((one) => !tried.has(one.id));
+        return upstream &&
+          { upstream, basis: "least_cost", limit: undefined };
+      },
       getRetryAfterMs: () => retryAfterMs,
       placePrompt: () => undefined,
-      getLoad: () => 0,
+      noteSend: ({ upstream }) => loads.getSnapshot(upstream),
       spendRetry: () => true,
       noteHealth: () => undefined,
       noteMoved: () => undefined,
--- a/tests/upstreams/choose_upstream_test.ts
+++ b/tests/upstreams/choose_upstream_test.ts
@@ -3,7 +3,7 @@
 import { Random } from "../../src/random/random.ts";
 import {
   type ChoiceOptions,
-  chooseUpstream,
+  chooseUpstream as chooseWithBasis,
 } from "../../src/upstreams/choose_upstream.ts";
 import { findFetchSource } from "../../src/upstreams/find_fetch_source.ts";
 import { LoadCounts } from "../../src/upstreams/load_counts.ts";
@@ -13,6 +13,10 @@
 
 const CHAT = [{ name: PrefixIndex.nameOf("chat"), tokens: 500 }];
 
+function chooseUpstream(options: ChoiceOptions): Upstream | undefined {
+  return chooseWithBasis(options)?.upstream;
+}
+
 function createUpstreams(count: number): Upstream[] {
   return Array.from(
     { length: count },
--- a/tests/upstreams/load_counts_test.ts
+++ b/tests/upstreams/load_counts_test.ts
@@ -8,16 +8,26 @@
   const loads = LoadCounts.create();
   const later = performance.now() + 60_000;
   upstream.ownRequests = 2;
-  loads.record("a", [[upstream.shortName, 5]], later);
-  loads.record("a", [[upstream.shortName, 3]], later);
-  loads.record("b", [[upstream.shortName, 1]], later);
+  const record = (hostId: string, requests: number) =>
+    loads.record(hostId, {
+      toldAt: performance.now(),
+      usedUntil: later,
+      counts: [[upstream.shortName, requests]],
+    });
+  record("a", 5);
+  record("a", 3);
+  record("b", 1);
   t.is(loads.getTotal(upstream), 6);
 });
 
 test("counts that are too old are left out", (t) => {
   const upstream = Upstream.create(buildUpstream());
   const loads = LoadCounts.create();
-  loads.record("a", [[upstream.shortName, 5]], performance.now() - 1);
+  loads.record("a", {
+    toldAt: performance.now() - 2,
+    usedUntil: performance.now() - 1,
+    counts: [[upstream.shortName, 5]],
+  });
   t.is(loads.getTotal(upstream), 0);
 });
 
