--- /dev/null
+++ b/tests/gateway/bound_ledger.ts
@@ -0,0 +1,64 @@
+/** Requests above the mean load that the promise allows beside its multiple. */
+const ALLOWED_EXTRA = 3;
+/** Time over which requests above the bound are counted, in milliseconds. */
+const WINDOW_MS = 5_000;
+
+/** The requests of one span of time, and those of them that reached an engine above the bound. */
+export interface BoundWindow {
+  requests: number;
+  above: number;
+}
+
+interface Arrival {
+  at: number;
+  /** Requests by which the engine was above the bound; 0 and less where it was not. */
+  excess: number;
+}
+
+/** What engines carried when requests reached them, against the load bound. */
+export class BoundLedger {
+  private readonly arrivals: Arrival[] = [];
+
+  private constructor(private readonly multiple: number) {}
+
+  /** Creates an empty ledger.
+   * @param multiple The promised multiple of the mean. */
+  static create(multiple: number): BoundLedger {
+    return new BoundLedger(multiple);
+  }
+
+  /** Records that a request reaches an engine.
+   * @param at Monotonic milliseconds.
+   * @param held Requests that the engine held before it.
+   * @param mean Mean of what all engines held. */
+  note(at: number, held: number, mean: number): void {
+    const excess = held - (this.multiple * mean + ALLOWED_EXTRA);
+    this.arrivals.push({ at, excess });
+  }
+
+  /** The span with the most requests above the bound. */
+  get worst(): BoundWindow {
+    let worst: BoundWindow = { requests: 0, above: 0 };
+    let first = 0;
+    let above = 0;
+    this.arrivals.forEach(({ at, excess }, index) => {
+      above += Number(excess > 0);
+      while (this.arrivals[first]!.at <= at - WINDOW_MS) {
+        above -= Number(this.arrivals[first]!.excess > 0);
+        first += 1;
+      }
+      if (above > worst.above) worst = { requests: index - first + 1, above };
+    });
+    return worst;
+  }
+
+  /** The most requests by which an engine was above the bound when one more reached it. */
+  get mostAbove(): number {
+    return Math.max(0, ...this.arrivals.map(({ excess }) => excess));
+  }
+
+  /** All requests so far. */
+  get requests(): number {
+    return this.arrivals.length;
+  }
+}
