Share the room below the load bound among hosts

What callers saw: engines that many hosts chose for the same prompt held up to tens of requests more than the load bound allows, so that each token of all of them came later.

Cause: each host compared its own exact count and the counts that others had told with a limit below the bound. The reserve was a constant part of the bound. What all hosts start before they hear of each other grows with their number, with the age of the counts and with the rate at which they want the engine, and nothing in the choice did.

Now a host works out the room of an engine from the bound, its own count, the others' counts and two standard deviations of what the others may have replaced since they told. It starts requests for popular prompts there with the probability at which all hosts, each taken to want the engine as often as this one, fill half of that room before they hear of each other. Others start wherever there is room, so that only popular prompts are spread over more engines. The last resort leaves out engines at their bound as long as one is below.

The test of late counts in choose_upstream_test named the two ages fresh and late; it now tells counts of 50 and 800 ms and asks for the same.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -85,6 +85,11 @@
     return this.sentAt !== undefined;
   }
 
+  /** Milliseconds since the first byte left this host; 0 where none did. */
+  get elapsedMs(): number {
+    return this.sentAt === undefined ? 0 : readClock() - this.sentAt;
+  }
+
   /** Whether its end has not come. */
   get isUnderWay(): boolean {
     return !this.isOver && !this.isAbandoned;
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -56,7 +56,7 @@
    * @param send The sending. */
   noteSent(send: LoggedSend): void {
     const { choice, reason, remainingMs, load, prompt } = send;
-    const { upstream, basis, limit } = choice;
+    const { upstream, basis, bound } = choice;
     const { availability } = upstream;
     this.logger.info({
       request: this.call.requestId,
@@ -67,7 +67,7 @@
       remainingMs: Math.round(remainingMs),
       hall: upstream.published.hall,
       basis,
-      limit: limit === undefined ? undefined : roundTo(limit, 1),
+      bound: roundTo(bound, 1),
       ownLoad: load.own,
       foreignLoad: load.foreign,
       countedHosts: load.countedHosts,
--- a/src/forward/call_run.ts
+++ b/src/forward/call_run.ts
@@ -243,6 +243,7 @@
     if (!head) return this.takeFailure("broken", "an end without a head");
     if (this.relay.isStream) return this.takeStreamEnd(upstream);
     const { status } = head;
+    this.context.noteCompleted(this.call, this.attempt!.elapsedMs);
     this.context.crashes.noteServed(this.call.fingerprint);
     const { backoffMs } = head.answer.availability;
     if (isFailure(status)) {
@@ -267,6 +268,7 @@
       return this.takeFailure("broken", "the stream ended within an event");
     }
     this.context.noteHealth(upstream, "good");
+    this.context.noteCompleted(this.call, this.attempt!.elapsedMs);
     this.context.crashes.noteServed(this.call.fingerprint);
     this.relay.endStream();
     this.finish("answered", `${this.relay.eventsGiven} events`);
--- a/src/forward/call_run_context.ts
+++ b/src/forward/call_run_context.ts
@@ -31,6 +31,8 @@
   placePrompt: (call: RoutedCall, target: Upstream) => PromptPlace | undefined;
   /** Told of each send; returns what was known of the requests on the upstream. */
   noteSend: (choice: UpstreamChoice) => LoadSnapshot;
+  /** Told of each whole answer, with the milliseconds since the request was sent. */
+  noteCompleted: (call: RoutedCall, durationMs: number) => void;
   /** Takes a retry from the budget of a service; returns whether there was one. */
   spendRetry: (service: string) => boolean;
   /** Told how an attempt ended, as far as the upstream's health goes. */
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,10 +1,10 @@
+import { StartAdmission } from "../admission/start_admission.ts";
 import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamAccess } from "../forward/call_run_context.ts";
 import type { PromptPlace } from "../forward/call_log.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
 import type { Service } from "../published/configuration_schema.ts";
-import { SMALL_FLEET } from "../peers/host_table.ts";
 import { Random } from "../random/random.ts";
 import type { AvailabilityChange } from "../upstreams/availability.ts";
 import {
@@ -75,12 +75,14 @@
   readonly prefixes = PrefixIndex.create();
   private readonly readNow: () => number;
   private readonly random: Random;
+  private readonly admission: StartAdmission;
   private readonly retryShares = new Map<string, RetryShare>();
 
   private constructor(private readonly options: UpstreamChooserOptions) {
     this.readNow = options.readNow ?? readClock;
     this.random = options.random ?? Random.create();
     this.loads = LoadCounts.create(this.readNow);
+    this.admission = StartAdmission.create(this.random);
     this.upstreams = UpstreamTable.create({
       logger: options.logger,
       getLapseEndsAt: options.getLapseEndsAt,
@@ -104,6 +106,8 @@
       getRetryAfterMs: (service) => this.getRetryAfterMs(service),
       placePrompt: (call, target) => this.placePrompt(call, target),
       noteSend: (choice) => this.noteSend(choice),
+      noteCompleted: ({ service, route }, durationMs) =>
+        this.admission.noteCompleted(service, route.name, durationMs),
       spendRetry: (service) => this.spendRetry(service),
       noteHealth: (upstream, sign) => this.noteHealth(upstream, sign),
       noteMoved: (upstream) => this.upstreams.drop(upstream),
@@ -150,16 +154,17 @@
     tried: ReadonlySet<string>,
   ): UpstreamChoice | undefined {
     const { boundMultiple, hall } = this.options.getSettings();
-    const otherHosts = this.options.countHosts() - 1;
     return chooseUpstream({
       candidates: this.getCandidates(call.service),
       boundMultiple,
-      countAge: otherHosts <= SMALL_FLEET ? "fresh" : "late",
+      service: call.service,
+      route: call.route.name,
       tried,
       isCautious: !mayRunAgain(call),
       sharedParts: call.sharedParts,
       prefixes: this.prefixes,
       loads: this.loads,
+      admission: this.admission,
       hall,
       random: this.random,
       now: this.readNow(),
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -1,23 +1,12 @@
+import type { StartAdmission } from "../admission/start_admission.ts";
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { Random } from "../random/random.ts";
 import type { LoadCounts } from "./load_counts.ts";
 import type { PrefixIndex, SentPart } from "./prefix_index.ts";
 import type { Upstream } from "./upstream.ts";
 
-/** How far below the bound a chat may still choose its engine. */
-interface KeepingLimit {
-  /** Part of the promised multiple of the mean. */
-  part: number;
-  /** Requests above that, of the three that the promise allows. */
-  extra: number;
-}
-
-/** By how late other hosts' counts are, up to which load a chat goes to an engine that keeps its context; the rest is for
- * what those hosts sent since. A limit that is too far below the bound has engines copy prompts that a sound one keeps. */
-const KEEPING_LIMITS: Readonly<Record<CountAge, KeepingLimit>> = {
-  fresh: { part: 0.92, extra: 2.2 },
-  late: { part: 0.8, extra: 2.2 },
-};
+/** Requests above the multiple of the mean that the promise allows. */
+const BOUND_EXTRA = 3;
 /** Reading ahead of an engine from which a prompt that none keeps goes to the next in its order, in milliseconds: below
  * half of the objectives of first events, and above what most prompts take. */
 const BUSY_READING_MS = 150;
@@ -31,27 +20,27 @@
 export interface UpstreamChoice {
   upstream: Upstream;
   basis: ChoiceBasis;
-  /** Requests below which an engine may get a prompt; undefined where the request shares none. */
-  limit: number | undefined;
+  /** Requests that an upstream may hold when it gets one more. */
+  bound: number;
 }
 
-/** How old other hosts' counts of requests are: of the last round of gossip, or by way of others. */
-export type CountAge = "fresh" | "late";
-
 /** What a choice is made from. */
 export interface ChoiceOptions {
   /** Upstreams that could run the request and take requests now. */
   candidates: readonly Upstream[];
   /** Those it was sent to before. */
   tried: ReadonlySet<string>;
+  /** Names of the request's service and route. */
+  service: string;
+  route: string;
   /** The prompt's parts that other requests share, in order; empty where it shares nothing. */
   sharedParts: readonly SentPart[];
   /** Whether the request can't be sent again once it may have run; it then avoids upstreams that failed lately. */
   isCautious: boolean;
   /** No upstream is to carry more than this multiple of the mean load, and three requests. */
   boundMultiple: number;
-  countAge: CountAge;
   loads: LoadCounts;
+  admission: StartAdmission;
   prefixes: PrefixIndex;
   /** Hall of this host. */
   hall: string;
@@ -81,43 +70,70 @@
     list.length > 0
   );
   if (usable === undefined) return undefined;
+  const bound = computeBound(usable, options);
+  const upstreams = { usable, bound };
   return options.sharedParts.length === 0
-    ? chooseLeastCost(usable, options)
-    : chooseKeeping(usable, options);
+    ? chooseLeastCost(upstreams, options)
+    : choosePrompted(upstreams, options);
 }
 
-/** An engine that keeps the prompt, else the first in the prompt's order, as long as it is not far above the mean;
- * where all are, the least loaded. */
-function chooseKeeping(
-  usable: readonly Upstream[],
+/** The upstreams that are left to choose from, and the requests that each may hold. */
+interface BoundedUpstreams {
+  usable: readonly Upstream[];
+  bound: number;
+}
+
+/** An engine that keeps the prompt, else the first in the prompt's order, as long as it may get one more request; where
+ * none may, the least cost decides. */
+function choosePrompted(
+  upstreams: BoundedUpstreams,
   options: ChoiceOptions,
 ): UpstreamChoice {
-  const { sharedParts, prefixes, loads, now } = options;
+  const { usable, bound } = upstreams;
+  const { sharedParts, prefixes, now } = options;
   const lastPart = sharedParts.at(-1)!.name;
-  const limit = computeLimit(usable, options);
-  const hasRoom = (upstream: Upstream) => loads.getTotal(upstream) < limit;
-  const keeping = usable.filter((upstream) =>
-    prefixes.isKept(lastPart, upstream.shortName, now)
-  );
+  const mayStart = createStartCheck(lastPart, bound, options);
+  const isKeeping = (upstream: Upstream) =>
+    prefixes.isKept(lastPart, upstream.shortName, now);
   // All are ranked only where none that keeps the prompt has room: that costs a hash for each of them.
-  const kept = rankForPart(lastPart, keeping).find(hasRoom);
-  if (kept) return { upstream: kept, basis: "kept_prompt", limit };
-  const placed = findPlace(
-    rankForPart(lastPart, usable).filter(hasRoom),
-    options,
-  );
-  if (placed) return { upstream: placed, basis: "prompt_order", limit };
-  return { ...chooseLeastCost(usable, options), limit };
+  const kept = rankForPart(lastPart, usable.filter(isKeeping)).find(mayStart);
+  if (kept) return { upstream: kept, basis: "kept_prompt", bound };
+  const others = usable.filter((upstream) => !isKeeping(upstream));
+  const placed = findPlace(rankForPart(lastPart, others), mayStart, options);
+  if (placed) return { upstream: placed, basis: "prompt_order", bound };
+  return chooseLeastCost(upstreams, options);
 }
 
-/** Requests below which an engine may get a chat. */
-function computeLimit(
+/** Requests that an upstream may hold when it gets one more. */
+function computeBound(
   usable: readonly Upstream[],
-  { loads, boundMultiple, countAge }: ChoiceOptions,
+  { loads, boundMultiple }: ChoiceOptions,
 ): number {
-  const { part, extra } = KEEPING_LIMITS[countAge];
   const total = usable.reduce((sum, one) => sum + loads.getTotal(one), 0);
-  return boundMultiple * part * total / usable.length + extra;
+  return boundMultiple * total / usable.length + BOUND_EXTRA;
+}
+
+/** Creates the check whether this host may start a request for a prompt on an upstream. */
+function createStartCheck(
+  part: number,
+  bound: number,
+  options: ChoiceOptions,
+): (upstream: Upstream) => boolean {
+  const { admission, loads, service, route, now } = options;
+  const isPopular = admission.noteRequest(part, now);
+  const { countedHosts, countAgeMs } = loads.getAges();
+  return (upstream) => {
+    const own = upstream.ownRequests;
+    const target = {
+      bound,
+      own,
+      foreign: loads.getTotal(upstream) - own,
+      countAgeMs,
+      otherHosts: countedHosts,
+      popularArrivals: upstream.popularArrivals,
+    };
+    return admission.admits({ service, route, isPopular }, target, now);
+  };
 }
 
 /** Engines in the order in which a part of a prompt goes to them. */
@@ -127,27 +143,34 @@
     .map((id) => byId.get(id)!);
 }
 
-/** The first engine that is not reading far ahead, else the first. */
+/** The first engine that is not reading far ahead and may get the request, else the first of the others that may. */
 function findPlace(
   ranked: readonly Upstream[],
+  mayStart: (upstream: Upstream) => boolean,
   { prefixes, now }: ChoiceOptions,
 ): Upstream | undefined {
+  const isReading = (upstream: Upstream) =>
+    prefixes.getReadingMs(upstream.shortName, now) >= BUSY_READING_MS;
   return ranked.find((upstream) =>
-    prefixes.getReadingMs(upstream.shortName, now) < BUSY_READING_MS
-  ) ?? ranked[0];
+    !isReading(upstream) && mayStart(upstream)
+  ) ??
+    ranked.find((upstream) => isReading(upstream) && mayStart(upstream));
 }
 
+/** The upstream of the least cost among those below the bound, else among all. */
 function chooseLeastCost(
-  usable: readonly Upstream[],
+  { usable, bound }: BoundedUpstreams,
   options: ChoiceOptions,
 ): UpstreamChoice {
+  const below = usable.filter((one) => options.loads.getTotal(one) < bound);
+  const candidates = below.length > 0 ? below : usable;
   const costs = new Map(
-    usable.map((upstream) => [upstream, estimateCost(upstream, options)]),
+    candidates.map((one) => [one, estimateCost(one, options)]),
   );
-  const upstream = options.random.shuffle(usable).reduce((best, one) =>
+  const upstream = options.random.shuffle(candidates).reduce((best, one) =>
     costs.get(one)! < costs.get(best)! ? one : best
   );
-  return { upstream, basis: "least_cost", limit: undefined };
+  return { upstream, basis: "least_cost", bound };
 }
 
 /** Expected time of one more request, in units of an unloaded upstream's. */
--- a/src/upstreams/load_counts.ts
+++ b/src/upstreams/load_counts.ts
@@ -1,5 +1,5 @@
 import { readClock } from "../clock/clock.ts";
-import type { LoadSnapshot } from "./load_snapshot.ts";
+import type { CountAges, LoadSnapshot } from "./load_snapshot.ts";
 import type { Upstream } from "./upstream.ts";
 
 /** Age up to which an upstream's own word of its load is used, in milliseconds. */
@@ -28,6 +28,8 @@
   private readonly hosts = new Map<string, HostCounts>();
   /** By short name of the upstream, the requests of all other hosts. */
   private foreign = new Map<number, number>();
+  /** Hosts whose counts are in that sum, and the sum and the least of the moments at which they told. */
+  private counted = { hosts: 0, toldAtSum: 0, firstToldAt: Infinity };
   private summedUntil = -Infinity;
 
   private constructor(private readonly readNow: () => number) {}
@@ -61,22 +63,31 @@
    * @param upstream The upstream. */
   getSnapshot(upstream: Upstream): LoadSnapshot {
     const now = this.readNow();
-    const ages = [...this.hosts.values()]
-      .filter(({ usedUntil }) => now <= usedUntil)
-      .map(({ toldAt }) => now - toldAt);
     const { reported: report } = upstream;
     return {
+      ...this.getAges(),
       own: upstream.ownRequests,
       foreign: this.getForeign(upstream, now),
-      countedHosts: ages.length,
-      countAgeMs: ages.reduce((sum, age) => sum + age, 0) /
-        Math.max(1, ages.length),
-      oldestCountAgeMs: Math.max(0, ...ages),
       reported: report?.requests,
       reportAgeMs: report && now - report.at,
     };
   }
 
+  /** How old other hosts' counts are. */
+  getAges(): CountAges {
+    const now = this.readNow();
+    if (now >= this.summedUntil) this.sumUp(now);
+    const { hosts, toldAtSum, firstToldAt } = this.counted;
+    if (hosts === 0) {
+      return { countedHosts: 0, countAgeMs: 0, oldestCountAgeMs: 0 };
+    }
+    return {
+      countedHosts: hosts,
+      countAgeMs: now - toldAtSum / hosts,
+      oldestCountAgeMs: now - firstToldAt,
+    };
+  }
+
   /** Counts of this process, for other hosts.
    * @param upstreams All upstreams. */
   getOwn(upstreams: Iterable<Upstream>): LoadCount[] {
@@ -94,16 +105,21 @@
 
   private sumUp(now: number): void {
     const sums = new Map<number, number>();
-    for (const [hostId, { usedUntil, counts }] of this.hosts) {
+    const counted = { hosts: 0, toldAtSum: 0, firstToldAt: Infinity };
+    for (const [hostId, { usedUntil, toldAt, counts }] of this.hosts) {
       if (now > usedUntil) {
         this.hosts.delete(hostId);
         continue;
       }
+      counted.hosts += 1;
+      counted.toldAtSum += toldAt;
+      counted.firstToldAt = Math.min(counted.firstToldAt, toldAt);
       for (const [shortName, requests] of counts) {
         sums.set(shortName, (sums.get(shortName) ?? 0) + requests);
       }
     }
     this.foreign = sums;
+    this.counted = counted;
     this.summedUntil = now + SUM_USED_FOR_MS;
   }
 }
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -1,3 +1,4 @@
+import { ArrivalRate } from "../admission/arrival_rate.ts";
 import { hashText } from "../hashing/hasher.ts";
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
 import { Availability } from "./availability.ts";
@@ -17,6 +18,8 @@
   readonly shortName: number;
   /** Requests that this process has running there. */
   ownRequests = 0;
+  /** How often this process has considered it for popular prompts. */
+  readonly popularArrivals = ArrivalRate.create();
   /** Monotonic milliseconds at which any of its answers last brought bytes. */
   heardAt = -Infinity;
   /** Requests that it told of itself with an answer, running and waiting, and the monotonic milliseconds of that. */
--- a/tests/forward/run_call.ts
+++ b/tests/forward/run_call.ts
@@ -137,11 +137,12 @@
       choose: (_call, tried) => {
         const upstream = upstreams.find((one) => !tried.has(one.id));
         return upstream &&
-          { upstream, basis: "least_cost", limit: undefined };
+          { upstream, basis: "least_cost", bound: Infinity };
       },
       getRetryAfterMs: () => retryAfterMs,
       placePrompt: () => undefined,
       noteSend: ({ upstream }) => loads.getSnapshot(upstream),
+      noteCompleted: () => undefined,
       spendRetry: () => true,
       noteHealth: () => undefined,
       noteMoved: () => undefined,
--- a/tests/gateway/load_bound_test.ts
+++ b/tests/gateway/load_bound_test.ts
@@ -24,6 +24,8 @@
     requestsPerSecond,
     hotShare,
     hotFromMs: 3_000,
+    hotForMs: 60_000,
+    hotPrompts: 1,
     lastsMs: 12_000,
   }).ledger;
   return worst.above / Math.max(1, worst.requests);
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -30,6 +30,8 @@
 /** Time in which hosts find each other before there is traffic, in milliseconds. */
 const LEAD_MS = 4_000;
 const BOUND_MULTIPLE = 2;
+/** Short names of the parts of each kind's prompts. */
+const KIND_PARTS = 1_000_000;
 
 const KINDS: readonly RequestKind[] = [
   { weight: 29.3, prompts: 79, tokens: 10_512, events: 55, spread: 0.44 },
@@ -46,6 +48,10 @@
   requestsPerSecond: number;
   /** Part of each kind's traffic that asks for one prompt, from `hotFromMs` on. */
   hotShare: number;
+  /** Time after which other prompts are popular, in milliseconds. */
+  hotForMs: number;
+  /** Popular prompts of each kind at a time. */
+  hotPrompts: number;
   /** Time of traffic before prompts become popular, in milliseconds. */
   hotFromMs: number;
   /** Time of traffic, in milliseconds. */
@@ -221,16 +227,24 @@
       this.random,
     );
     const kind = KINDS[kindIndex]!;
-    const isHot = this.timeline.read() >= LEAD_MS + this.options.hotFromMs &&
-      this.random.fraction() < this.options.hotShare;
-    const prompt = isHot ? -1 : draw(prompts[kindIndex]!, this.random);
-    const part = 1 + kindIndex * 1_000_000 + prompt + 1;
+    const prompt = this.drawHotPrompt() ??
+      draw(prompts[kindIndex]!, this.random);
+    const part = kindIndex * KIND_PARTS + prompt;
     const { tokens } = kind;
     this.sharedTokens += tokens;
     const events = drawEvents(kind, this.random);
     this.sendFrom(this.random.pick(this.hosts), { part, tokens, events });
   }
 
+  /** A popular prompt, whose number is above those of all others; undefined where the request asks for none. */
+  private drawHotPrompt(): number | undefined {
+    const { hotShare, hotFromMs, hotForMs, hotPrompts } = this.options;
+    const hotMs = this.timeline.read() - LEAD_MS - hotFromMs;
+    if (hotMs < 0 || this.random.fraction() >= hotShare) return undefined;
+    const first = KIND_PARTS / 2 + Math.floor(hotMs / hotForMs) * hotPrompts;
+    return first + this.random.integer(0, hotPrompts - 1);
+  }
+
   private sendFrom(host: VirtualHost, request: VirtualRequest): void {
     const access = host.chooser.createAccess();
     const call = buildCall(request);
@@ -243,6 +257,7 @@
       published.id === upstream.id
     )!;
     const { timeline } = this;
+    const sentAt = timeline.read();
     timeline.after(this.random.integer(...SENDING_MS), () => {
       const total = this.engines.reduce((sum, { held }) => sum + held, 0);
       const mean = total / this.engines.length;
@@ -250,8 +265,14 @@
       engine.run(
         request,
         () =>
-          upstream.reported = { requests: engine.held, at: timeline.read() },
-        () => upstream.ownRequests -= 1,
+          upstream.reported = {
+            requests: engine.held,
+            at: timeline.read(),
+          },
+        () => {
+          upstream.ownRequests -= 1;
+          access.noteCompleted(call, timeline.read() - sentAt);
+        },
       );
     });
   }
@@ -287,7 +308,7 @@
     headers: {} as RoutedCall["headers"],
     body: undefined,
     fingerprint: 0,
-    route: buildRoute({ kind: "stream" }),
+    route: buildRoute({ kind: "stream", name: String(tokens) }),
     service: "s",
     customer: undefined,
     urgency: 0,
--- a/tests/upstreams/choose_upstream_test.ts
+++ b/tests/upstreams/choose_upstream_test.ts
@@ -1,12 +1,13 @@
 import fc from "fast-check";
 import test from "ava";
+import { StartAdmission } from "../../src/admission/start_admission.ts";
 import { Random } from "../../src/random/random.ts";
 import {
   type ChoiceOptions,
   chooseUpstream as chooseWithBasis,
 } from "../../src/upstreams/choose_upstream.ts";
 import { findFetchSource } from "../../src/upstreams/find_fetch_source.ts";
-import { LoadCounts } from "../../src/upstreams/load_counts.ts";
+import { type LoadCount, LoadCounts } from "../../src/upstreams/load_counts.ts";
 import { PrefixIndex } from "../../src/upstreams/prefix_index.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
 import { buildUpstream } from "../published/build_published.ts";
@@ -35,7 +36,9 @@
     sharedParts: [],
     isCautious: false,
     boundMultiple: 2,
-    countAge: "fresh",
+    service: "s",
+    route: "r",
+    admission: StartAdmission.create(Random.create(2)),
     loads: LoadCounts.create(),
     prefixes: PrefixIndex.create(),
     hall: "h",
@@ -128,15 +131,27 @@
 
 test("a chat leaves its engine earlier where other hosts' counts are late", (t) => {
   const upstreams = createUpstreams(4);
-  const [keeping, ...others] = upstreams as [Upstream, ...Upstream[]];
+  const keeping = upstreams[0]!;
   const prefixes = PrefixIndex.create();
   prefixes.noteSent(CHAT, keeping.shortName, false, 0);
-  keeping.ownRequests = 12;
-  for (const other of others) other.ownRequests = 4;
-  const choose = (countAge: ChoiceOptions["countAge"]) =>
-    chooseUpstream(
-      buildOptions(upstreams, { sharedParts: CHAT, prefixes, countAge }),
+  const counts: LoadCount[] = upstreams.map(({ shortName }) => [
+    shortName,
+    shortName === keeping.shortName ? 12 : 4,
+  ]);
+  const admission = StartAdmission.create(Random.create(3));
+  admission.noteCompleted("s", "r", 1_000);
+  const choose = (ageMs: number) => {
+    const loads = LoadCounts.create(() => 0);
+    loads.record("other", { toldAt: -ageMs, usedUntil: 1_000, counts });
+    return chooseUpstream(
+      buildOptions(upstreams, {
+        sharedParts: CHAT,
+        prefixes,
+        loads,
+        admission,
+      }),
     );
-  t.is(choose("fresh"), keeping);
-  t.not(choose("late"), keeping);
+  };
+  t.is(choose(50), keeping);
+  t.not(choose(800), keeping);
 });
