Take the load bound from the mean of the whole service

What callers saw: while engines left, those that stayed got more requests than the bound allows, and the tokens of all of them came later.

Cause: the bound was a multiple of the mean over the engines that take new requests. Engines that leave are part of the service and hold ever fewer requests, so that the mean of the service is lower.

The bound now comes from the lower one of the means over the engines that may be chosen and over those of the service that are within reach. Where the engines left to choose from already hold more than that on average, the bound can't be kept and the former mean decides, so that chats still find their context.

--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -154,8 +154,10 @@
     tried: ReadonlySet<string>,
   ): UpstreamChoice | undefined {
     const { boundMultiple, hall } = this.options.getSettings();
+    const now = this.readNow();
     return chooseUpstream({
       candidates: this.getCandidates(call.service),
+      present: this.getWithinReach(call.service, now),
       boundMultiple,
       service: call.service,
       route: call.route.name,
@@ -167,10 +169,17 @@
       admission: this.admission,
       hall,
       random: this.random,
-      now: this.readNow(),
+      now,
     });
   }
 
+  /** Upstreams of a service that are there, whether or not they take new requests. */
+  private getWithinReach(service: string, now: number): Upstream[] {
+    return this.upstreams.getPresent(service).filter((upstream) =>
+      upstream.isWithinReach(now)
+    );
+  }
+
   /** Time after which a caller that is refused may come back, in milliseconds, where all upstreams asked for a backoff:
    * when the first of them ends, and spread a little, for the first requests show whether the upstream has room.
    * @param service Name of the service. */
@@ -214,9 +223,7 @@
     now: number,
   ): Upstream | undefined {
     if (!this.options.getService(service)?.canFetch) return undefined;
-    const engines = this.upstreams.getPresent(service).filter((engine) =>
-      engine.isWithinReach(now)
-    );
+    const engines = this.getWithinReach(service, now);
     return findFetchSource(parts, target, engines, this.prefixes, now);
   }
 
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -28,6 +28,8 @@
 export interface ChoiceOptions {
   /** Upstreams that could run the request and take requests now. */
   candidates: readonly Upstream[];
+  /** All upstreams of the service that are there, those that leave too: the bound is a multiple of their mean load. */
+  present: readonly Upstream[];
   /** Those it was sent to before. */
   tried: ReadonlySet<string>;
   /** Names of the request's service and route. */
@@ -104,13 +106,26 @@
   return chooseLeastCost(upstreams, options);
 }
 
-/** Requests that an upstream may hold when it gets one more. */
+/** Requests that an upstream may hold when it gets one more. The mean is the lower one of the service and of the upstreams
+ * left to choose from, unless the latter could not hold what they do already. */
 function computeBound(
   usable: readonly Upstream[],
-  { loads, boundMultiple }: ChoiceOptions,
+  options: ChoiceOptions,
+): number {
+  const present = options.present.length > 0 ? options.present : usable;
+  const usableMean = computeMeanLoad(usable, options);
+  const presentMean = computeMeanLoad(present, options);
+  const toBound = (mean: number) => options.boundMultiple * mean + BOUND_EXTRA;
+  const bound = toBound(Math.min(usableMean, presentMean));
+  return bound >= usableMean ? bound : toBound(usableMean);
+}
+
+function computeMeanLoad(
+  upstreams: readonly Upstream[],
+  { loads }: ChoiceOptions,
 ): number {
-  const total = usable.reduce((sum, one) => sum + loads.getTotal(one), 0);
-  return boundMultiple * total / usable.length + BOUND_EXTRA;
+  const total = upstreams.reduce((sum, one) => sum + loads.getTotal(one), 0);
+  return total / upstreams.length;
 }
 
 /** Creates the check whether this host may start a request for a prompt on an upstream. */
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -56,6 +56,8 @@
   hotFromMs: number;
   /** Time of traffic, in milliseconds. */
   lastsMs: number;
+  /** Engines that say that they leave, at `hotFromMs`; they serve on until the end. */
+  leaving: number;
 }
 
 interface VirtualHost {
@@ -95,6 +97,11 @@
   static run(options: VirtualGatewaysOptions): VirtualGateways {
     const fleet = new VirtualGateways(options);
     fleet.startTraffic();
+    const { leaving, hotFromMs } = options;
+    fleet.timeline.after(
+      LEAD_MS + hotFromMs,
+      () => fleet.publishLeaving(leaving),
+    );
     fleet.timeline.runUntil(LEAD_MS + options.lastsMs);
     return fleet;
   }
@@ -105,6 +112,15 @@
     return 1 - read / Math.max(1, this.sharedTokens);
   }
 
+  private publishLeaving(count: number): void {
+    const changes = this.engines.slice(0, count).map(({ published }) => ({
+      id: published.id,
+      revision: 2,
+      upstream: { ...published, isLeaving: true },
+    }));
+    for (const { chooser } of this.hosts) chooser.upstreams.apply(changes);
+  }
+
   private createHost(index: number): VirtualHost {
     const { timeline, random } = this;
     const address = getAddress(index);
--- a/tests/upstreams/choose_upstream_test.ts
+++ b/tests/upstreams/choose_upstream_test.ts
@@ -32,6 +32,7 @@
 ): ChoiceOptions {
   return {
     candidates,
+    present: candidates,
     tried: new Set(),
     sharedParts: [],
     isCautious: false,
