Add a bench of the load bound with real gateways

npm run bench:bound starts gateways as processes before engines whose answers take as long as those of a batching engine, sends traffic with popular prompts and counts the requests of the worst five seconds that reach engines above the bound.

--- /dev/null
+++ b/tools/bench_load_bound.ts
@@ -0,0 +1,189 @@
+/** `npm run bench:bound`: how many requests real gateways send to engines above the load bound. */
+import process from "node:process";
+import { setTimeout as delay } from "node:timers/promises";
+import { command, number, option, run } from "cmd-ts";
+import { BoundLedger, getPart } from "../fakes/bound_ledger.ts";
+import {
+  KIND_NAMES,
+  type PromptRequest,
+  PromptTraffic,
+} from "../fakes/prompt_traffic.ts";
+import { Random } from "../src/random/random.ts";
+import { HOST, LASTING_KEY, SoakFleet } from "../soak/soak_fleet.ts";
+import { Agent, request } from "undici";
+import { TimedEngine } from "./timed_engine.ts";
+
+/** Promised multiple of the mean load, as gateways take it by default. */
+const BOUND_MULTIPLE = 2;
+/** Time in which gateways find the engines before there is traffic, in milliseconds. */
+const SETTLE_MS = 2_000;
+/** Time of traffic before prompts become popular, in milliseconds. */
+const HOT_FROM_MS = 5_000;
+/** Version of the configuration; above those that the fleet publishes by itself. */
+const VERSION = 1_000;
+/** Longest time of a request, in milliseconds. */
+const TIMEOUT_MS = 12_000;
+
+interface BenchOptions {
+  hosts: number;
+  engines: number;
+  rate: number;
+  hot: number;
+  seed: number;
+  seconds: number;
+}
+
+function publishRoutes(fleet: SoakFleet): void {
+  fleet.store.put("op/config", {
+    version: VERSION,
+    routes: KIND_NAMES.map((name) => ({
+      name,
+      host: HOST,
+      path_prefix: `/${name}/`,
+      route_kind: "streaming",
+      timeout_ms: TIMEOUT_MS,
+      slo_ms: 600,
+      service: "engine",
+      max_attempts: 1,
+      sticky: true,
+      gap_target_ms: 300,
+    })),
+    services: [{ name: "engine", max_conns: 300, engine: { moves: false } }],
+    tenants: [{ name: "customer", api_keys: [LASTING_KEY] }],
+  });
+}
+
+/** Sends one request and reads its answer; returns its status, or 0 where the connection broke. */
+async function call(
+  agent: Agent,
+  address: string,
+  id: number,
+  { kind, prompt, tokens, events }: PromptRequest,
+): Promise<number> {
+  try {
+    const { statusCode, body } = await request(
+      `http://${address}/${kind}/${events}`,
+      {
+        method: "POST",
+        dispatcher: agent,
+        headers: {
+          host: HOST,
+          "x-api-key": LASTING_KEY,
+          "x-beechkeel-attempt-id": `bench-${id}`,
+          "x-beechkeel-deadline-ms": String(TIMEOUT_MS),
+          "x-beechkeel-model": "m",
+          "x-beechkeel-token-usage": `${tokens + 100},400`,
+          "x-beechkeel-prefix-hash": `${prompt.toString(16)}:${tokens},f${
+            id.toString(16)
+          }:100`,
+        },
+        body: `request ${id}`,
+      },
+    );
+    await body.dump({ limit: Infinity });
+    return statusCode;
+  } catch {
+    return 0;
+  }
+}
+
+async function send(
+  fleet: SoakFleet,
+  options: BenchOptions,
+): Promise<Record<number, number>> {
+  const { rate, hot, seed, seconds } = options;
+  const random = Random.create(seed);
+  const traffic = PromptTraffic.create({
+    requestsPerSecond: rate,
+    hotShare: hot,
+    hotPrompts: 1,
+    hotFromMs: HOT_FROM_MS,
+    hotForMs: Infinity,
+  }, random);
+  const agent = new Agent({ connections: null });
+  const statuses: Record<number, number> = {};
+  const calls: Promise<void>[] = [];
+  const startedAt = performance.now();
+  let nextAt = startedAt;
+  while (nextAt < startedAt + seconds * 1_000) {
+    await delay(Math.max(0, nextAt - performance.now()));
+    const drawn = traffic.drawRequest(nextAt - startedAt);
+    const { callerAddress } = random.pick(fleet.gateways);
+    calls.push(
+      call(agent, callerAddress, calls.length, drawn).then((status) => {
+        statuses[status] = (statuses[status] ?? 0) + 1;
+      }),
+    );
+    nextAt += traffic.drawPauseMs();
+  }
+  await Promise.all(calls);
+  await agent.close();
+  return statuses;
+}
+
+async function bench(options: BenchOptions): Promise<void> {
+  const { hosts: gateways, seed } = options;
+  const fleet = await SoakFleet.create({
+    seed,
+    gateways,
+    engines: 0,
+    plain: 0,
+  });
+  const ledger = BoundLedger.create(BOUND_MULTIPLE);
+  const engines: TimedEngine[] = [];
+  const noteArrival = (held: number) => {
+    const total = engines.reduce((sum, engine) => sum + engine.held, 0);
+    ledger.note(performance.now(), held, total / engines.length);
+  };
+  try {
+    for (let index = 0; index < options.engines; index++) {
+      const engine = await TimedEngine.create(`engine-${index}`, noteArrival);
+      engines.push(engine);
+      fleet.store.put(`servers/${engine.id}`, engine.describe("engine"));
+    }
+    publishRoutes(fleet);
+    await delay(SETTLE_MS);
+    const statuses = await send(fleet, options);
+    const { worst, mostAbove, requests } = ledger;
+    const read = engines.reduce((sum, engine) => sum + engine.readTokens, 0);
+    console.table([{
+      ...options,
+      requests,
+      "worst 5 s": `${worst.above} of ${worst.requests}`,
+      part: Number(getPart(worst).toFixed(4)),
+      "most above": Number(mostAbove.toFixed(1)),
+      "tokens read": read,
+      statuses: JSON.stringify(statuses),
+    }]);
+  } finally {
+    await fleet.close();
+    await Promise.all(engines.map((engine) => engine.close()));
+  }
+}
+
+const benchCommand = command({
+  name: "bench:bound",
+  description:
+    "Sends traffic with popular prompts through real gateways and counts requests to engines above the load bound.",
+  args: {
+    hosts: option({ type: number, long: "hosts", defaultValue: () => 7 }),
+    engines: option({ type: number, long: "engines", defaultValue: () => 18 }),
+    rate: option({
+      type: number,
+      long: "rate",
+      description: "Requests in a second.",
+      defaultValue: () => 120,
+    }),
+    hot: option({
+      type: number,
+      long: "hot",
+      description: "Part of the requests for one popular prompt of each kind.",
+      defaultValue: () => 0.6,
+    }),
+    seed: option({ type: number, long: "seed", defaultValue: () => 1 }),
+    seconds: option({ type: number, long: "seconds", defaultValue: () => 20 }),
+  },
+  handler: bench,
+});
+
+await run(benchCommand, process.argv.slice(2));
