--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -70,13 +70,12 @@
       ...DEFAULTS,
       ...options,
     });
-    await fleet.addUpstreams();
-    for (let index = 0; index < fleet.options.routers; index++) {
-      await fleet.addRouter();
+    try {
+      await fleet.start();
+    } catch (error) {
+      await fleet.close();
+      throw error;
     }
-    await fleet.publishHosts();
-    fleet.publishCustomers();
-    await fleet.waitUntilServing();
     return fleet;
   }
 
@@ -164,6 +163,16 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  private async start(): Promise<void> {
+    await this.addUpstreams();
+    for (let index = 0; index < this.options.routers; index++) {
+      await this.addRouter();
+    }
+    await this.publishHosts();
+    this.publishCustomers();
+    await this.waitUntilServing();
+  }
+
   private async addUpstreams(): Promise<void> {
     for (let index = 0; index < this.options.engines; index++) {
       await this.addEngine();
