Give a router that joins the former owner's load

What callers saw: an engine that may carry four requests got five just after a router came back, and tokens on it came later.

Cause: a router owns its engines as soon as it hears the others. The one that owned them meanwhile goes on starting requests until it has heard of the return. What it told then was put into the load book, from which the foreign load is read only at the moment at which the ownership moves.

The model hands told loads to the registry, as the router does; its checks are unchanged.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -34,7 +34,7 @@
     revision: number,
   ) => void;
   /** Told of each peer's loads. */
-  onPeerLoads: (loads: readonly [number, number][]) => void;
+  onPeerLoads: (id: string, loads: readonly [number, number][]) => void;
   /** Told of each peer that has a newer list of hosts. */
   onNewerHosts: (peerId: string, version: number) => void;
   /** Told of each new view. */
@@ -179,7 +179,7 @@
       message.digest,
       message.revision,
     );
-    this.options.onPeerLoads(message.loads);
+    this.options.onPeerLoads(message.from, message.loads);
     if (message.hosts > this.hostList.version) {
       this.options.onNewerHosts(message.from, message.hosts);
     }
--- a/src/owner/owned_upstream.ts
+++ b/src/owner/owned_upstream.ts
@@ -33,6 +33,8 @@
   readonly client: UpstreamClient;
   /** Whether this router owned it when it last looked. */
   isOwned = false;
+  /** Monotonic milliseconds since which this router has owned it. */
+  ownedSince = -Infinity;
   /** The last report, where one was read. */
   report: UpstreamReport | undefined;
   private missedReports = 0;
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -92,6 +92,13 @@
     return this.registry.getLoads();
   }
 
+  /** Takes the loads that another router tells of the upstreams it owns.
+   * @param routerId The other router.
+   * @param loads Hash of an upstream's id, and its requests in flight. */
+  takePeerLoads(routerId: string, loads: readonly [number, number][]): void {
+    this.registry.takePeerLoads(routerId, loads);
+  }
+
   /** Requests this router has running or waiting, over all upstreams. */
   get openJobs(): number {
     let count = 0;
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -8,6 +8,7 @@
 import type { Host } from "../configuration_service/host_schema.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 import { logAvailability } from "../upstreams/log_availability.ts";
+import { REPORTS_LACK_MS } from "./foreign_load.ts";
 import { HeardShare } from "./heard_share.ts";
 import {
   computeCap,
@@ -39,6 +40,8 @@
 export class UpstreamRegistry {
   private readonly upstreams = new Map<string, OwnedUpstream>();
   private readonly share = HeardShare.create();
+  /** Routers that have told their loads. */
+  private readonly toldBy = new Set<string>();
 
   private readonly timeline: Timeline;
 
@@ -79,6 +82,22 @@
     ]);
   }
 
+  /** Takes the loads that another router tells of the upstreams it owns. Where this router owns one of them, the other has not
+   * heard so yet, and its requests are foreign here.
+   * @param routerId The other router.
+   * @param loads Hash of an upstream's id, and its requests in flight. */
+  takePeerLoads(routerId: string, loads: readonly [number, number][]): void {
+    const now = this.timeline.read();
+    this.toldBy.add(routerId);
+    this.options.loads.record(loads, now);
+    const byHash = new Map(loads);
+    for (const upstream of this.upstreams.values()) {
+      const told = byHash.get(hashText(upstream.host.id));
+      if (told === undefined || !upstream.isOwned) continue;
+      upstream.foreign.takeOver(told, now);
+    }
+  }
+
   /** Takes over the upstreams that this router came to own, and forgets those it has nothing to do with. */
   refresh(): void {
     for (const upstream of this.upstreams.values()) {
@@ -125,7 +144,10 @@
     if (!upstream.client.availability.hasRoom(this.timeline.read())) {
       return false;
     }
-    if (!this.isOwner(upstream.host)) return hasDeputyRoom(upstream);
+    if (!this.isOwner(upstream.host)) return hasPlaceOfOne(upstream);
+    if (this.awaitsFormerOwner(upstream) && !hasPlaceOfOne(upstream)) {
+      return false;
+    }
     if (!this.isBounded) return upstream.load < upstream.host.slots;
     const load = { own: upstream.running.size, foreign: upstream.foreign.load };
     return hasRoom(this.getBound(upstream), load);
@@ -224,6 +246,7 @@
     upstream.isOwned = this.isOwner(upstream.host);
     if (wasOwned) return;
     const now = this.timeline.read();
+    if (upstream.isOwned) upstream.ownedSince = now;
     const told = this.options.loads.getLoad(
       upstream.host.id,
       now,
@@ -232,14 +255,22 @@
     if (told !== undefined) upstream.foreign.takeOver(told, now);
   }
 
+  /** Whether the router that owned an upstream before this one joined may still start requests there. It is the next in order,
+   * and has nothing running here any more once it has told its loads, or by the time its requests show in reports. */
+  private awaitsFormerOwner({ host, ownedSince }: OwnedUpstream): boolean {
+    if (this.timeline.read() - ownedSince >= REPORTS_LACK_MS) return false;
+    const former = this.options.getPlacement().getOwners(host)[DEPUTY_RANK];
+    return former !== undefined && !this.toldBy.has(former);
+  }
+
   private isOwner(host: Host): boolean {
     return this.options.getPlacement().getOwners(host)[0] ===
       this.options.settings.id;
   }
 }
 
-/** Whether a router that is not the owner may start a request: one at a time, which the owner's bound leaves room for, since
- * neither of the two learns in time what the other starts. */
-function hasDeputyRoom({ running }: OwnedUpstream): boolean {
+/** Whether a router may start a request on an upstream beside another that takes itself for the owner: one at a time, which
+ * the bound of the other leaves room for, since neither of the two learns in time what the other starts. */
+function hasPlaceOfOne({ running }: OwnedUpstream): boolean {
   return running.size < KEPT_PLACES;
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -209,7 +209,7 @@
       getLoads: () => this.owner.getLoads(),
       onPeerConfiguration: (id, digest, revision) =>
         this.configuration.noticePeer(id, digest, revision),
-      onPeerLoads: (loads) => this.loads.record(loads, readClock()),
+      onPeerLoads: (id, loads) => this.owner.takePeerLoads(id, loads),
       onNewerHosts: (id, version) => this.hostListPull.notice(id, version),
       onView: (view) => this.takeView(view),
     });
--- a/tests/owner/virtual_owners.ts
+++ b/tests/owner/virtual_owners.ts
@@ -281,7 +281,7 @@
       this.runAt(
         other,
         this.drawDelivery(),
-        () => other.loads.record(loads, this.timeline.read()),
+        () => other.registry.takePeerLoads(router.id, loads),
       );
     }
   }
@@ -293,7 +293,7 @@
     this.runAt(
       prober,
       this.drawDelivery(),
-      () => prober.loads.record(loads, this.timeline.read()),
+      () => prober.registry.takePeerLoads(observer.id, loads),
     );
   }
 
