Bound engines by the mean of their whole pool

With one of six engines out of reach and 3 requests on each other one the owner used 5 of the 5 places that are promised, so that no place was left for a start that it does not know of (load_book_test, failed at load 3).

The mean is now that of the whole pool, where those out of reach carry nothing, unless the engines in reach could not carry a fifth more than their load then: with few left, chats go on under the mean of those.

--- a/src/owner/load_book.ts
+++ b/src/owner/load_book.ts
@@ -14,6 +14,14 @@
 /** Load number that says an upstream cannot be reached. */
 export const UNREACHABLE_LOAD = -1;
 
+/** Mean loads of a pool. */
+export interface PoolMeans {
+  /** Over the upstreams in reach. */
+  reachable: number;
+  /** Over all, of which those out of reach carry nothing. */
+  all: number;
+}
+
 interface Entry {
   load: number;
   heardAt: number;
@@ -52,11 +60,18 @@
     return entry && now - entry.heardAt <= maxAgeMs ? entry.load : undefined;
   }
 
-  /** Mean load of a pool, over the upstreams whose load is known; in a large pool these are a sample.
-   * Where they are too few for a sample the others count as idle; those out of reach do not count at all.
+  /** Mean load of the upstreams of a pool that are in reach.
    * @param upstreamIds The pool.
    * @param now Monotonic milliseconds. */
   getMean(upstreamIds: readonly string[], now: number): number {
+    return this.getMeans(upstreamIds, now).reachable;
+  }
+
+  /** Mean loads of a pool, over the upstreams whose load is known; in a large pool these are a sample.
+   * Where they are too few for a sample the others count as idle.
+   * @param upstreamIds The pool.
+   * @param now Monotonic milliseconds. */
+  getMeans(upstreamIds: readonly string[], now: number): PoolMeans {
     let sum = 0;
     let known = 0;
     let unreachable = 0;
@@ -74,6 +89,9 @@
       known,
       Math.min(upstreamIds.length - unreachable, SAMPLE_SIZE),
     );
-    return count === 0 ? 0 : sum / count;
+    return {
+      reachable: sum / Math.max(1, count),
+      all: sum / Math.max(1, count + unreachable),
+    };
   }
 }
--- a/src/owner/load_bound.ts
+++ b/src/owner/load_bound.ts
@@ -1,3 +1,5 @@
+import type { PoolMeans } from "./load_book.ts";
+
 /** What the bound of one upstream is worked out from. */
 export interface LoadBoundStructure {
   /** No upstream carries more than this multiple of the mean. */
@@ -22,9 +24,21 @@
 
 /** Part of the promised multiple that is used; the rest is kept for loads that are known late. */
 const USED_PART = 0.8;
+/** Load that upstreams in reach must be able to carry, as a multiple of what they do. */
+const LEAST_HEADROOM = 1.2;
 /** Requests below the promise that are kept for what another router starts unseen. */
 export const KEPT_PLACES = 1;
 
+/** Chooses the mean that bounds a pool: that of all its upstreams, unless those in reach could not carry their load then.
+ * @param means Mean loads of the pool.
+ * @param boundMultiple Promised multiple of the mean. */
+export function chooseMean(means: PoolMeans, boundMultiple: number): number {
+  const carried = boundMultiple * USED_PART * means.all;
+  return carried >= LEAST_HEADROOM * means.reachable
+    ? means.all
+    : means.reachable;
+}
+
 /** Works out how many requests an upstream may carry, for its owner: one less than is promised, at the most.
  * @param bound What the bound is worked out from. */
 export function computeCap(bound: LoadBoundStructure): number {
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -11,6 +11,7 @@
 import { REPORTS_LACK_MS } from "./foreign_load.ts";
 import { HeardShare } from "./heard_share.ts";
 import {
+  chooseMean,
   computeCap,
   hasRoom,
   KEPT_PLACES,
@@ -190,7 +191,8 @@
     const now = this.timeline.read();
     this.options.loads.record(this.getLoads(), now);
     const pool = this.options.getPlacement().getPool(upstream.host);
-    const mean = this.options.loads.getMean(pool, now);
+    const means = this.options.loads.getMeans(pool, now);
+    const mean = chooseMean(means, boundMultiple);
     const heardShare = this.share.get(this.options.getView().heardShare, now);
     return {
       boundMultiple,
--- a/tests/owner/load_book_test.ts
+++ b/tests/owner/load_book_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { hashText } from "../../src/hashing/hasher.ts";
-import { computeCap } from "../../src/owner/load_bound.ts";
-import { LoadBook } from "../../src/owner/load_book.ts";
+import { chooseMean, computeCap } from "../../src/owner/load_bound.ts";
+import { LoadBook, UNREACHABLE_LOAD } from "../../src/owner/load_book.ts";
 import { auditBound } from "../../tools/bound_audit.ts";
 
 /** What settings promise by default, and the age a mean may have; as in the tests with real processes. */
@@ -55,3 +55,38 @@
     t.is(report.violations, 0, `decided at ${decidedAt} ms`);
   }
 });
+
+// The mean of those in reach is higher than that of the pool, so that no place was left for a start that the owner does not know of.
+test("a place below the bound stays free while an engine of the pool is out of reach", (t) => {
+  const pool = ["e-0", "e-1", "e-2", "e-3", "e-4", "e-5"];
+  for (let load = 0; load <= 60; load++) {
+    const book = LoadBook.create();
+    book.record(
+      pool.map((id, index): [number, number] => [
+        hashText(id),
+        index === 0 ? UNREACHABLE_LOAD : load,
+      ]),
+      0,
+    );
+    const mean = chooseMean(book.getMeans(pool, 0), PROMISE.multiple);
+    const cap = computeCap({
+      boundMultiple: PROMISE.multiple,
+      minimumCap: PROMISE.minimum,
+      slots: 64,
+      mean,
+      heardShare: 1,
+    });
+    const poolMean = load * (pool.length - 1) / pool.length;
+    const promised = Math.max(
+      PROMISE.minimum,
+      Math.ceil(PROMISE.multiple * poolMean),
+    );
+    t.true(cap < promised, `load ${load}: ${cap} of ${promised}`);
+    t.true(cap > load || load < PROMISE.minimum, `load ${load}: ${cap}`);
+  }
+});
+
+test("engines that are left alone in reach go on with their load", (t) => {
+  const means = { reachable: 10, all: 10 / 3 };
+  t.is(chooseMean(means, PROMISE.multiple), means.reachable);
+});
