--- a/tests/owner/owners_model_test.ts
+++ b/tests/owner/owners_model_test.ts
@@ -4,13 +4,10 @@
 import test from "ava";
 import { hashText } from "../../src/hashing/hasher.ts";
 import { REPORTS_LACK_MS } from "../../src/owner/foreign_load.ts";
+import { buildEngineOffer, createPort } from "./build_offer.ts";
 import { VirtualChats } from "./virtual_chats.ts";
-import {
-  buildEngineOffer,
-  createPort,
-  ENGINE_ID,
-  VirtualOwners,
-} from "./virtual_owners.ts";
+import { VirtualOwners } from "./virtual_owners.ts";
+import { ENGINE_ID } from "./virtual_pool.ts";
 
 /** Requests that an engine may carry while the others of its pool are idle. */
 const LIMIT = 4;
--- a/tests/owner/upstream_registry_test.ts
+++ b/tests/owner/upstream_registry_test.ts
@@ -12,7 +12,7 @@
   buildView,
   OTHERS,
 } from "./build_fleet.ts";
-import { buildEngineOffer, createPort } from "./virtual_owners.ts";
+import { buildEngineOffer, createPort } from "./build_offer.ts";
 
 /** Nothing listens at its port. */
 const UPSTREAM = buildService(1);
--- a/tests/owner/virtual_chats.ts
+++ b/tests/owner/virtual_chats.ts
@@ -4,13 +4,10 @@
   recordNamedOwner,
 } from "../../src/entry/dispatch_progress.ts";
 import type { FrameOf } from "../../src/peer/frame_schema.ts";
-import {
-  buildEngineOffer,
-  createPort,
-  ENGINE_ID,
-  type VirtualOwners,
-  type VirtualRouter,
-} from "./virtual_owners.ts";
+import { buildEngineOffer, createPort } from "./build_offer.ts";
+import type { VirtualOwners } from "./virtual_owners.ts";
+import { ENGINE_ID } from "./virtual_pool.ts";
+import type { VirtualRouter } from "./virtual_router.ts";
 
 const ACCEPT_TIMEOUT_MS = 700;
 const OWNERS_PER_UPSTREAM = 3;
--- a/tests/owner/virtual_owners.ts
+++ b/tests/owner/virtual_owners.ts
@@ -1,29 +1,21 @@
 /** Routers that own upstreams, an engine and callers in virtual time. */
 import { pino } from "pino";
 import { AuditTrail } from "../../src/audit/audit_trail.ts";
-import type { Host } from "../../src/configuration_service/host_schema.ts";
 import type { Job } from "../../src/owner/job.ts";
 import { JobScheduler } from "../../src/owner/job_scheduler.ts";
 import { LoadBook } from "../../src/owner/load_book.ts";
 import type { OwnedUpstream } from "../../src/owner/owned_upstream.ts";
 import { UpstreamRegistry } from "../../src/owner/upstream_registry.ts";
-import type { FramePort } from "../../src/peer/frame_port.ts";
-import type { Frame, FrameOf } from "../../src/peer/frame_schema.ts";
 import { PlacementTable } from "../../src/placement/placement_table.ts";
 import { FleetView, type RouterView } from "../../src/membership/fleet_view.ts";
 import { Random } from "../../src/random/random.ts";
-import {
-  type Settings,
-  settingsSchema,
-} from "../../src/settings/settings_schema.ts";
+import { settingsSchema } from "../../src/settings/settings_schema.ts";
 import { VirtualTimeline } from "../clock/virtual_timeline.ts";
 import { MINIMAL_SETTINGS } from "../settings/minimal_settings.ts";
+import { buildHost, ENGINE_ID, ENGINES, REGION } from "./virtual_pool.ts";
+import type { VirtualRouter } from "./virtual_router.ts";
 
 const SILENT = pino({ level: "silent" });
-const REGION = "dar";
-/** Engines of the pool; requests go to the first. */
-const POOL_SIZE = 6;
-export const ENGINE_ID = "e-0";
 /** Delay of the engine's report, in milliseconds. */
 const REPORT_LAG_MS = 300;
 const SWEEP_INTERVAL_MS = 250;
@@ -40,56 +32,12 @@
 /** Fraction of the loads that are lost on their way. */
 const LOST_LOADS = 0.1;
 
-/** A router of the model. */
-export interface VirtualRouter {
-  id: string;
-  settings: Settings;
-  scheduler: JobScheduler;
-  registry: UpstreamRegistry;
-  loads: LoadBook;
-  /** Routers that it hears, itself included. */
-  heard: Set<string>;
-  unavailable: Set<string>;
-  state: "running" | "paused" | "dead";
-  /** Whether it was paused and has heard nobody since. */
-  isStale: boolean;
-  /** What came in while it was paused. */
-  backlog: (() => void)[];
-  /** Increases with each start. */
-  life: number;
-  onClosed: Set<() => void>;
-  viewVersion: number;
-  view: FleetView;
-  placement: PlacementTable;
-}
-
 /** A start of a request on the engine beyond its bound. */
 export interface Breach {
   at: number;
   running: readonly string[];
 }
 
-function buildHost(id: string, role: "engine" | "router"): Host {
-  return {
-    id,
-    role,
-    partner: "kilima",
-    region: REGION,
-    hall: "temeke",
-    address: "127.0.0.1",
-    port: 1,
-    state: "live",
-    models: role === "engine" ? ["m"] : [],
-    slots: 64,
-    checksFence: false,
-  };
-}
-
-const ENGINES = Array.from(
-  { length: POOL_SIZE },
-  (_, index) => buildHost(`e-${index}`, "engine"),
-);
-
 /** Routers in virtual time; what each believes of the others comes late, by chance, and may be wrong for a time. */
 export class VirtualOwners {
   readonly timeline = VirtualTimeline.create();
@@ -451,47 +399,3 @@
     return FleetView.create(router.id, router.viewVersion, views, ENGINES);
   }
 }
-
-/** The entry's end of a connection to a router of the model. */
-export function createPort(
-  peerId: string,
-  onFrame: (frame: Frame) => void,
-): FramePort {
-  return {
-    peerId,
-    bufferedBytes: 0,
-    send: onFrame,
-    onFrame: () => undefined,
-    onClose: () => undefined,
-    close: () => undefined,
-  };
-}
-
-/** Builds the offer of a chat for the engine.
- * @param changes What differs from a first offer. */
-export function buildEngineOffer(
-  changes: Partial<FrameOf<"offer">>,
-): FrameOf<"offer"> {
-  return {
-    type: "offer",
-    exchange: 1,
-    requestId: "q",
-    upstreamId: ENGINE_ID,
-    work: "chat",
-    method: "POST",
-    path: "/v1/chat/completions",
-    headers: {},
-    body: new Uint8Array(),
-    customer: "kilima/rosters",
-    partner: "kilima",
-    priority: 1,
-    capacityShare: 1,
-    repeatable: true,
-    mayQueue: true,
-    avoids: [],
-    resumes: false,
-    resumeFrom: 0,
-    remainingMs: 20_000,
-    ...changes,
-  };
-}
