Bound the remembered times of routes

Routes come and go with each configuration, and the times of their requests were kept for ever. The route used longest ago gives way above 10,000, as prompts do; no choice changes below that.

--- a/src/admission/popularity.ts
+++ b/src/admission/popularity.ts
@@ -1,4 +1,5 @@
 import { ArrivalRate } from "./arrival_rate.ts";
+import { useEntry } from "./use_entry.ts";
 
 /** Recent requests for a prompt at one host from which on the prompt counts as popular. */
 const POPULAR_COUNT = 0.5;
@@ -20,15 +21,14 @@
    * @param part Short name of the deepest part that requests share.
    * @param now Monotonic milliseconds. */
   noteRequest(part: number, now: number): boolean {
-    const rate = this.requests.get(part) ?? ArrivalRate.create();
+    const rate = useEntry(
+      this.requests,
+      part,
+      () => ArrivalRate.create(),
+      MAX_PROMPTS,
+    );
     const isPopular = rate.getCount(now) >= POPULAR_COUNT;
     rate.note(now);
-    this.requests.delete(part);
-    this.requests.set(part, rate);
-    if (this.requests.size > MAX_PROMPTS) {
-      const [oldest] = this.requests.keys();
-      this.requests.delete(oldest!);
-    }
     return isPopular;
   }
 }
--- a/src/admission/start_admission.ts
+++ b/src/admission/start_admission.ts
@@ -7,6 +7,10 @@
   computeRoom,
   computeStartProbability,
 } from "./start_probability.ts";
+import { useEntry } from "./use_entry.ts";
+
+/** Services, or routes, whose times are remembered; routes come and go with each configuration. */
+const MAX_NAMES = 10_000;
 
 /** A request that shares a prompt with others. */
 export interface PromptRequest {
@@ -94,7 +98,5 @@
   residences: Map<string, ResidenceTime>,
   name: string,
 ): ResidenceTime {
-  const known = residences.get(name) ?? ResidenceTime.create();
-  residences.set(name, known);
-  return known;
+  return useEntry(residences, name, () => ResidenceTime.create(), MAX_NAMES);
 }
