--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -257,8 +257,8 @@
     if (told !== undefined) upstream.foreign.takeOver(told, now);
   }
 
-  /** Whether the router that owned an upstream before this one joined may still start requests there. It is the next in order,
-   * and has nothing running here any more once it has told its loads, or by the time its requests show in reports. */
+  /** Whether the router that owned an upstream before this one joined may have requests there that are not counted here. It is
+   * the next in order; its requests are counted once it has told its loads, or once they show in reports. */
   private awaitsFormerOwner({ host, ownedSince }: OwnedUpstream): boolean {
     if (this.timeline.read() - ownedSince >= REPORTS_LACK_MS) return false;
     const former = this.options.getPlacement().getOwners(host)[DEPUTY_RANK];
