Read the clock once for each choice of an upstream

The load of each engine was asked for several times a choice, and each time read two clocks. LoadCounts now takes the time from its caller, as PrefixIndex does, and needs no clock of its own.

--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -70,7 +70,7 @@
   /** The upstreams that are known. */
   readonly upstreams: UpstreamTable;
   /** Requests on each upstream. */
-  readonly loads: LoadCounts;
+  readonly loads = LoadCounts.create();
   /** Which engines keep which parts of prompts. */
   readonly prefixes = PrefixIndex.create();
   private readonly readNow: () => number;
@@ -81,7 +81,6 @@
   private constructor(private readonly options: UpstreamChooserOptions) {
     this.readNow = options.readNow ?? readClock;
     this.random = options.random ?? Random.create();
-    this.loads = LoadCounts.create(this.readNow);
     this.admission = StartAdmission.create(this.random);
     this.upstreams = UpstreamTable.create({
       logger: options.logger,
@@ -228,7 +227,7 @@
   }
 
   private noteSend(choice: UpstreamChoice): LoadSnapshot {
-    const load = this.loads.getSnapshot(choice.upstream);
+    const load = this.loads.getSnapshot(choice.upstream, this.readNow());
     this.options.onSend(choice, load);
     return load;
   }
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -122,9 +122,12 @@
 
 function computeMeanLoad(
   upstreams: readonly Upstream[],
-  { loads }: ChoiceOptions,
+  { loads, now }: ChoiceOptions,
 ): number {
-  const total = upstreams.reduce((sum, one) => sum + loads.getTotal(one), 0);
+  const total = upstreams.reduce(
+    (sum, one) => sum + loads.getTotal(one, now),
+    0,
+  );
   return total / upstreams.length;
 }
 
@@ -136,13 +139,13 @@
 ): (upstream: Upstream) => boolean {
   const { admission, loads, service, route, now } = options;
   const isPopular = admission.noteRequest(part, now);
-  const { countedHosts, countAgeMs } = loads.getAges();
+  const { countedHosts, countAgeMs } = loads.getAges(now);
   return (upstream) => {
     const own = upstream.ownRequests;
     const target = {
       bound,
       own,
-      foreign: loads.getTotal(upstream) - own,
+      foreign: loads.getTotal(upstream, now) - own,
       countAgeMs,
       otherHosts: countedHosts,
       popularArrivals: upstream.popularArrivals,
@@ -177,7 +180,8 @@
   { usable, bound }: BoundedUpstreams,
   options: ChoiceOptions,
 ): UpstreamChoice {
-  const below = usable.filter((one) => options.loads.getTotal(one) < bound);
+  const { loads, now } = options;
+  const below = usable.filter((one) => loads.getTotal(one, now) < bound);
   const candidates = below.length > 0 ? below : usable;
   const costs = new Map(
     candidates.map((one) => [one, estimateCost(one, options)]),
@@ -190,7 +194,8 @@
 
 /** Expected time of one more request, in units of an unloaded upstream's. */
 function estimateCost(upstream: Upstream, options: ChoiceOptions): number {
-  const load = options.loads.getTotal(upstream) / upstream.published.slots;
+  const { loads, now } = options;
+  const load = loads.getTotal(upstream, now) / upstream.published.slots;
   const distance = upstream.published.hall === options.hall
     ? 0
     : COST_OF_OTHER_HALL;
--- a/src/upstreams/load_counts.ts
+++ b/src/upstreams/load_counts.ts
@@ -1,4 +1,3 @@
-import { readClock } from "../clock/clock.ts";
 import type { CountAges, LoadSnapshot } from "./load_snapshot.ts";
 import type { Upstream } from "./upstream.ts";
 
@@ -32,12 +31,11 @@
   private counted = { hosts: 0, toldAtSum: 0, firstToldAt: Infinity };
   private summedUntil = -Infinity;
 
-  private constructor(private readonly readNow: () => number) {}
+  private constructor() {}
 
-  /** Creates counts without other hosts.
-   * @param readNow Reads monotonic milliseconds. */
-  static create(readNow: () => number = readClock): LoadCounts {
-    return new LoadCounts(readNow);
+  /** Creates counts without other hosts. */
+  static create(): LoadCounts {
+    return new LoadCounts();
   }
 
   /** Takes over what a host told.
@@ -49,9 +47,9 @@
   }
 
   /** Requests on an upstream from all hosts: as hosts told, or where that is more as it told itself just now.
-   * @param upstream The upstream. */
-  getTotal(upstream: Upstream): number {
-    const now = this.readNow();
+   * @param upstream The upstream.
+   * @param now Monotonic milliseconds. */
+  getTotal(upstream: Upstream, now: number): number {
     const told = upstream.ownRequests + this.getForeign(upstream, now);
     const report = upstream.reported;
     const isNew = report !== undefined &&
@@ -60,12 +58,12 @@
   }
 
   /** What is known of the requests on an upstream, with its age.
-   * @param upstream The upstream. */
-  getSnapshot(upstream: Upstream): LoadSnapshot {
-    const now = this.readNow();
+   * @param upstream The upstream.
+   * @param now Monotonic milliseconds. */
+  getSnapshot(upstream: Upstream, now: number): LoadSnapshot {
     const { reported: report } = upstream;
     return {
-      ...this.getAges(),
+      ...this.getAges(now),
       own: upstream.ownRequests,
       foreign: this.getForeign(upstream, now),
       reported: report?.requests,
@@ -73,9 +71,9 @@
     };
   }
 
-  /** How old other hosts' counts are. */
-  getAges(): CountAges {
-    const now = this.readNow();
+  /** How old other hosts' counts are.
+   * @param now Monotonic milliseconds. */
+  getAges(now: number): CountAges {
     if (now >= this.summedUntil) this.sumUp(now);
     const { hosts, toldAtSum, firstToldAt } = this.counted;
     if (hosts === 0) {
--- a/tests/forward/run_call.ts
+++ b/tests/forward/run_call.ts
@@ -141,7 +141,8 @@
       },
       getRetryAfterMs: () => retryAfterMs,
       placePrompt: () => undefined,
-      noteSend: ({ upstream }) => loads.getSnapshot(upstream),
+      noteSend: ({ upstream }) =>
+        loads.getSnapshot(upstream, performance.now()),
       noteCompleted: () => undefined,
       spendRetry: () => true,
       noteHealth: () => undefined,
--- a/tests/upstreams/choose_upstream_test.ts
+++ b/tests/upstreams/choose_upstream_test.ts
@@ -142,7 +142,7 @@
   const admission = StartAdmission.create(Random.create(3));
   admission.noteCompleted("s", "r", 1_000);
   const choose = (ageMs: number) => {
-    const loads = LoadCounts.create(() => 0);
+    const loads = LoadCounts.create();
     loads.record("other", { toldAt: -ageMs, usedUntil: 1_000, counts });
     return chooseUpstream(
       buildOptions(upstreams, {
