Share the recording of told loads and the mean of a ledger

The virtual gateways repeated how the link to other hosts records their counts; both now call recordToldLoads. The ledger of the load bound works out the mean of the engines itself, which both of its users did.

--- a/fakes/bound_ledger.ts
+++ b/fakes/bound_ledger.ts
@@ -30,8 +30,14 @@
   /** Records that a request reaches an engine.
    * @param at Monotonic milliseconds.
    * @param held Requests that the engine held before it.
-   * @param mean Mean of what all engines held. */
-  note(at: number, held: number, mean: number): void {
+   * @param engines All engines of its service, with what they held. */
+  note(
+    at: number,
+    held: number,
+    engines: readonly { held: number }[],
+  ): void {
+    const total = engines.reduce((sum, engine) => sum + engine.held, 0);
+    const mean = total / engines.length;
     const excess = held - (this.multiple * mean + ALLOWED_EXTRA);
     this.arrivals.push({ at, excess });
   }
--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -13,12 +13,9 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { PublicationExchange } from "./publication_exchange.ts";
+import { recordToldLoads } from "./record_told_loads.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
 
-/** Time for which a host's counts of its requests are used, in milliseconds: some rounds of gossip, and in a large fleet
- * the time that word of a host takes by others. */
-export const LOADS_USED_FOR_MS = { small: 1_200, large: 2_500 } as const;
-
 /** What the link needs of the gateway. */
 export interface FleetLinkOptions {
   logger: Logger;
@@ -179,14 +176,8 @@
   }
 
   private takeEntry(entry: PeerEntry, heardAt: number, askedAt?: number): void {
-    const usedForMs =
-      LOADS_USED_FOR_MS[this.gossip.isLargeFleet ? "large" : "small"];
     const { loads } = this.options.chooser;
-    loads.record(entry.id, {
-      toldAt: heardAt,
-      usedUntil: heardAt + usedForMs,
-      counts: entry.loads,
-    });
+    recordToldLoads(loads, entry, heardAt, this.gossip.isLargeFleet);
     if (askedAt !== undefined) this.takeWord(entry, entry, askedAt);
   }
 
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -6,7 +6,7 @@
   type PromptTrafficOptions,
 } from "../../fakes/prompt_traffic.ts";
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
-import { LOADS_USED_FOR_MS } from "../../src/gateway/fleet_link.ts";
+import { recordToldLoads } from "../../src/gateway/record_told_loads.ts";
 import { UpstreamChooser } from "../../src/gateway/upstream_chooser.ts";
 import type { Datagram, DatagramType } from "../../src/peers/datagram.ts";
 import type { DatagramHandler } from "../../src/peers/datagram_socket.ts";
@@ -28,6 +28,7 @@
 /** Time in which hosts find each other before there is traffic, in milliseconds. */
 const LEAD_MS = 4_000;
 const BOUND_MULTIPLE = 2;
+
 /** What a fleet in virtual time is made of. */
 export interface VirtualGatewaysOptions extends PromptTrafficOptions {
   seed: number;
@@ -135,15 +136,8 @@
       takeFacts: () => chooser.prefixes.takeFacts(),
       hasFacts: () => chooser.prefixes.hasUntold,
       onFacts: (facts) => chooser.prefixes.learn(facts, timeline.read()),
-      onEntry: (entry, heardAt) => {
-        const usedForMs =
-          LOADS_USED_FOR_MS[gossip.isLargeFleet ? "large" : "small"];
-        chooser.loads.record(entry.id, {
-          toldAt: heardAt,
-          usedUntil: heardAt + usedForMs,
-          counts: entry.loads,
-        });
-      },
+      onEntry: (entry, heardAt) =>
+        recordToldLoads(chooser.loads, entry, heardAt, gossip.isLargeFleet),
       timeline,
       random: random.fork(),
     });
@@ -234,9 +228,7 @@
     const { timeline } = this;
     const sentAt = timeline.read();
     timeline.after(this.random.integer(...SENDING_MS), () => {
-      const total = this.engines.reduce((sum, { held }) => sum + held, 0);
-      const mean = total / this.engines.length;
-      this.ledger.note(timeline.read(), engine.held, mean);
+      this.ledger.note(timeline.read(), engine.held, this.engines);
       engine.run(
         request,
         () =>
--- a/tools/bench_load_bound.ts
+++ b/tools/bench_load_bound.ts
@@ -2,15 +2,15 @@
 import process from "node:process";
 import { setTimeout as delay } from "node:timers/promises";
 import { command, number, option, run } from "cmd-ts";
+import { Agent, request } from "undici";
 import { BoundLedger, getPart } from "../fakes/bound_ledger.ts";
 import {
   KIND_NAMES,
   type PromptRequest,
   PromptTraffic,
 } from "../fakes/prompt_traffic.ts";
-import { Random } from "../src/random/random.ts";
 import { HOST, LASTING_KEY, SoakFleet } from "../soak/soak_fleet.ts";
-import { Agent, request } from "undici";
+import { Random } from "../src/random/random.ts";
 import { TimedEngine } from "./timed_engine.ts";
 
 /** Promised multiple of the mean load, as gateways take it by default. */
@@ -131,10 +131,8 @@
   });
   const ledger = BoundLedger.create(BOUND_MULTIPLE);
   const engines: TimedEngine[] = [];
-  const noteArrival = (held: number) => {
-    const total = engines.reduce((sum, engine) => sum + engine.held, 0);
-    ledger.note(performance.now(), held, total / engines.length);
-  };
+  const noteArrival = (held: number) =>
+    ledger.note(performance.now(), held, engines);
   try {
     for (let index = 0; index < options.engines; index++) {
       const engine = await TimedEngine.create(`engine-${index}`, noteArrival);
