--- a/tests/owner/build_offer.ts
+++ b/tests/owner/build_offer.ts
@@ -2,7 +2,9 @@
 import type { Frame, FrameOf } from "../../src/peer/frame_schema.ts";
 import { ENGINE_ID } from "./virtual_pool.ts";
 
-/** The entry's end of a connection to a router of the model. */
+/** The entry's end of a connection to a router.
+ * @param peerId Router at the other end.
+ * @param onFrame Called with each frame that is sent through it. */
 export function createPort(
   peerId: string,
   onFrame: (frame: Frame) => void,
@@ -17,9 +19,9 @@
   };
 }
 
-/** Builds the offer of a chat for the engine.
- * @param changes What differs from a first offer. */
-export function buildEngineOffer(
+/** Builds an offer.
+ * @param changes What differs from the first offer of a chat for the engine of the model. */
+export function buildOffer(
   changes: Partial<FrameOf<"offer">>,
 ): FrameOf<"offer"> {
   return {
--- a/tests/owner/owner_test.ts
+++ b/tests/owner/owner_test.ts
@@ -10,7 +10,6 @@
 import type { Host } from "../../src/configuration_service/host_schema.ts";
 import { LoadBook } from "../../src/owner/load_book.ts";
 import { Owner } from "../../src/owner/owner.ts";
-import type { FramePort } from "../../src/peer/frame_port.ts";
 import type { Frame, FrameOf } from "../../src/peer/frame_schema.ts";
 import { PlacementTable } from "../../src/placement/placement_table.ts";
 import { waitUntil } from "../system/with_fleet.ts";
@@ -20,6 +19,7 @@
   buildView,
   OTHERS,
 } from "./build_fleet.ts";
+import { buildOffer, createPort } from "./build_offer.ts";
 
 /** Longer than this test takes, in milliseconds. */
 const LONG_MS = 60_000;
@@ -28,41 +28,23 @@
 /** Offers; more than that. */
 const OFFERS = 6;
 
-function buildOffer(exchange: number): FrameOf<"offer"> {
-  return {
-    type: "offer",
+function buildServiceOffer(exchange: number): FrameOf<"offer"> {
+  return buildOffer({
     exchange,
     requestId: `request-${exchange}`,
     upstreamId: "s-0",
     work: "call",
     method: "GET",
     path: "/",
-    headers: {},
-    body: new Uint8Array(),
     customer: `c-${exchange}`,
-    partner: "kilima",
-    priority: 1,
-    capacityShare: 1,
-    repeatable: true,
-    mayQueue: true,
-    avoids: [],
-    resumes: false,
-    resumeFrom: 0,
     remainingMs: LONG_MS,
-  };
+  });
 }
 
 /** The entry's end of a connection; keeps what the owner sends. */
-function createPort() {
+function createRecordingPort() {
   const frames: Frame[] = [];
-  const port: FramePort = {
-    peerId: "r-9",
-    bufferedBytes: 0,
-    send: (frame) => void frames.push(frame),
-    onFrame: () => undefined,
-    onClose: () => undefined,
-    close: () => undefined,
-  };
+  const port = createPort("r-9", (frame) => void frames.push(frame));
   const getAll = <T extends Frame["type"]>(type: T) =>
     frames.filter((frame): frame is FrameOf<T> => frame.type === type);
   return { port, getAll };
@@ -100,9 +82,9 @@
     ...buildService(service.port),
     slots: PLACES,
   });
-  const { port, getAll } = createPort();
+  const { port, getAll } = createRecordingPort();
   for (let exchange = 0; exchange < OFFERS; exchange++) {
-    owner.offer(port, buildOffer(exchange));
+    owner.offer(port, buildServiceOffer(exchange));
   }
   await waitUntil(
     "all are accepted",
--- a/tests/owner/owners_model_test.ts
+++ b/tests/owner/owners_model_test.ts
@@ -4,7 +4,7 @@
 import test from "ava";
 import { hashText } from "../../src/hashing/hasher.ts";
 import { REPORTS_LACK_MS } from "../../src/owner/foreign_load.ts";
-import { buildEngineOffer, createPort } from "./build_offer.ts";
+import { buildOffer, createPort } from "./build_offer.ts";
 import { VirtualChats } from "./virtual_chats.ts";
 import { VirtualOwners } from "./virtual_owners.ts";
 import { ENGINE_ID } from "./virtual_pool.ts";
@@ -83,7 +83,7 @@
     fleet.timeline.runUntil(FAULT_AT_MS[0] + NOTICED_MS);
     for (let exchange = 0; exchange < TOLD; exchange++) {
       const port = createPort(owner!.id, () => undefined);
-      const offer = buildEngineOffer({
+      const offer = buildOffer({
         exchange,
         requestId: `q${exchange}`,
         avoids: [owner!.id],
--- a/tests/owner/upstream_registry_test.ts
+++ b/tests/owner/upstream_registry_test.ts
@@ -12,7 +12,7 @@
   buildView,
   OTHERS,
 } from "./build_fleet.ts";
-import { buildEngineOffer, createPort } from "./build_offer.ts";
+import { buildOffer, createPort } from "./build_offer.ts";
 
 /** Nothing listens at its port. */
 const UPSTREAM = buildService(1);
@@ -60,7 +60,7 @@
 /** Counts one more request as running on the upstream. */
 function startOne(registry: UpstreamRegistry): void {
   const port = createPort("entry", () => undefined);
-  const job = Job.create(port, buildEngineOffer({}), 0, 1_000);
+  const job = Job.create(port, buildOffer({}), 0, 1_000);
   registry.getUpstream(UPSTREAM.id)!.add(job, performance.now());
 }
 
--- a/tests/owner/virtual_chats.ts
+++ b/tests/owner/virtual_chats.ts
@@ -4,7 +4,7 @@
   recordNamedOwner,
 } from "../../src/entry/dispatch_progress.ts";
 import type { FrameOf } from "../../src/peer/frame_schema.ts";
-import { buildEngineOffer, createPort } from "./build_offer.ts";
+import { buildOffer, createPort } from "./build_offer.ts";
 import type { VirtualOwners } from "./virtual_owners.ts";
 import { ENGINE_ID } from "./virtual_pool.ts";
 import type { VirtualRouter } from "./virtual_router.ts";
@@ -119,7 +119,7 @@
     });
     if (owner.state === "dead") return lose();
     owner.onClosed.add(lose);
-    const offer = buildEngineOffer({
+    const offer = buildOffer({
       exchange,
       requestId: progress.id,
       mayQueue: fleet.random.fraction() < 0.5,
