--- a/src/owner/load_book.ts
+++ b/src/owner/load_book.ts
@@ -60,13 +60,6 @@
     return entry && now - entry.heardAt <= maxAgeMs ? entry.load : undefined;
   }
 
-  /** Mean load of the upstreams of a pool that are in reach.
-   * @param upstreamIds The pool.
-   * @param now Monotonic milliseconds. */
-  getMean(upstreamIds: readonly string[], now: number): number {
-    return this.getMeans(upstreamIds, now).reachable;
-  }
-
   /** Mean loads of a pool, over the upstreams whose load is known; in a large pool these are a sample.
    * Where they are too few for a sample the others count as idle.
    * @param upstreamIds The pool.
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -83,8 +83,8 @@
     ]);
   }
 
-  /** Takes the loads that another router tells of the upstreams it owns. Where this router owns one of them, the other has not
-   * heard so yet, and its requests are foreign here.
+  /** Records the loads of the upstreams that another router owns. Where this router owns one of them too, ownership has just
+   * moved here, and the requests of the other are foreign.
    * @param routerId The other router.
    * @param loads Hash of an upstream's id, and its requests in flight. */
   takePeerLoads(routerId: string, loads: readonly [number, number][]): void {
--- a/tests/owner/load_book_test.ts
+++ b/tests/owner/load_book_test.ts
@@ -20,7 +20,7 @@
 
 /** Starts that a router lets go at a moment, on one engine that has become idle. */
 function countStarts(book: LoadBook, now: number): number {
-  const mean = book.getMean(ENGINES, now);
+  const mean = book.getMeans(ENGINES, now).reachable;
   return computeCap({
     boundMultiple: PROMISE.multiple,
     minimumCap: PROMISE.minimum,
