Describe the load of a start's target by one type

StartTarget repeated four fields of StartKnowledge. The mean time of held requests is no property of the target and is passed beside it. Comments in the usual terms of delayed feedback. The properties are unchanged; their inputs are drawn in another order.

--- a/src/admission/start_admission.ts
+++ b/src/admission/start_admission.ts
@@ -6,6 +6,7 @@
   computeEndedPart,
   computeRoom,
   computeStartProbability,
+  type UpstreamLoad,
 } from "./start_probability.ts";
 import { useEntry } from "./use_entry.ts";
 
@@ -23,15 +24,7 @@
 }
 
 /** An upstream as a host knows it when it would start a request there. */
-export interface StartTarget {
-  /** Requests that the upstream may hold. */
-  bound: number;
-  /** Requests of this host. */
-  own: number;
-  /** Requests that others are taken to have there. */
-  foreign: number;
-  /** Mean age of what the others told, in milliseconds. */
-  countAgeMs: number;
+export interface StartTarget extends UpstreamLoad {
   /** Other hosts that may start requests there. */
   otherHosts: number;
   /** How often this host has considered it for popular prompts. */
@@ -77,7 +70,7 @@
    * @param now Monotonic milliseconds. */
   admits(request: PromptRequest, target: StartTarget, now: number): boolean {
     const { heldMeanMs } = getResidence(this.services, request.service);
-    const room = computeRoom({ ...target, heldMeanMs });
+    const room = computeRoom(target, heldMeanMs);
     if (!request.isPopular) return room >= 0;
     const { popularArrivals, otherHosts, countAgeMs } = target;
     popularArrivals.note(now, this.getRunningPart(request, countAgeMs));
--- a/src/admission/start_probability.ts
+++ b/src/admission/start_probability.ts
@@ -1,11 +1,11 @@
 /** Standard deviations of the unseen change of a load that are kept free below the bound. */
 const RESERVED_DEVIATIONS = 2;
-/** Part of the room of an upstream that all hosts together fill before they hear of each other again. With more of it, the
- * load overshoots, for all act on the same late counts. */
+/** Fraction of the room of an upstream that all hosts together fill until counts are exchanged again. A greater one makes the
+ * load overshoot, since the feedback of the counts is delayed. */
 const FILLED_PART = 0.5;
 
-/** What a host knows of an upstream when it decides whether to start a request there. */
-export interface StartKnowledge {
+/** Requests on an upstream, as a host knows them, and the bound on them. */
+export interface UpstreamLoad {
   /** Requests that the upstream may hold. */
   bound: number;
   /** Requests of this host. */
@@ -14,16 +14,18 @@
   foreign: number;
   /** Mean age of what the others told, in milliseconds. */
   countAgeMs: number;
-  /** Mean time of the requests held, in milliseconds; undefined where it is not known. */
-  heldMeanMs: number | undefined;
 }
 
-/** Requests that may be added to an upstream beside one more of this host, before hosts hear of each other again; below 0 where
- * it may not get that one. Some of the others' requests have ended since they told and about as many were started, so that a
- * reserve of the deviation is kept.
- * @param knowledge What is known of the upstream. */
-export function computeRoom(knowledge: StartKnowledge): number {
-  const { bound, own, foreign, countAgeMs, heldMeanMs } = knowledge;
+/** Requests that all hosts may add to an upstream beside one more of this host until counts are exchanged again; below 0 where
+ * this host may not add that one. Other hosts have ended and started requests since their counts, so that a reserve for the
+ * deviation is kept.
+ * @param load What is known of the upstream.
+ * @param heldMeanMs Mean time of the requests held, in milliseconds; undefined where it is not known. */
+export function computeRoom(
+  load: UpstreamLoad,
+  heldMeanMs: number | undefined,
+): number {
+  const { bound, own, foreign, countAgeMs } = load;
   const replaced = foreign * computeEndedPart(countAgeMs, heldMeanMs);
   const most = bound - own - 1 - foreign + replaced;
   if (most < 0) return most;
@@ -35,7 +37,7 @@
 /** Probability with which each host starts its requests for popular prompts on an upstream, so that all hosts together fill
  * a part of its room.
  * @param room Room of the upstream.
- * @param unseenStarts Requests for popular prompts that other hosts would start there before they hear of each other. */
+ * @param unseenStarts Requests for popular prompts that other hosts would start there until counts are exchanged again. */
 export function computeStartProbability(
   room: number,
   unseenStarts: number,
--- a/tests/admission/start_probability_test.ts
+++ b/tests/admission/start_probability_test.ts
@@ -4,40 +4,44 @@
   computeEndedPart,
   computeRoom,
   computeStartProbability,
-  type StartKnowledge,
+  type UpstreamLoad,
 } from "../../src/admission/start_probability.ts";
 
-const EXACT: StartKnowledge = {
+const EXACT: UpstreamLoad = {
   bound: 13,
   own: 5,
   foreign: 0,
   countAgeMs: 0,
-  heldMeanMs: undefined,
 };
 
-const knowledge = fc.record({
+const load = fc.record({
   bound: fc.double({ min: 3, max: 200, noNaN: true }),
   own: fc.nat(50),
   foreign: fc.nat(200),
   countAgeMs: fc.nat(5_000),
-  heldMeanMs: fc.option(fc.double({ min: 1, max: 10_000, noNaN: true }), {
-    nil: undefined,
-  }),
+});
+const heldMean = fc.option(fc.double({ min: 1, max: 10_000, noNaN: true }), {
+  nil: undefined,
 });
 
 test("with exact counts a host starts up to the bound and not beyond", (t) => {
-  t.true(computeRoom({ ...EXACT, own: 12 }) >= 0);
-  t.true(computeRoom({ ...EXACT, own: 12.5 }) < 0);
+  t.true(computeRoom({ ...EXACT, own: 12 }, undefined) >= 0);
+  t.true(computeRoom({ ...EXACT, own: 12.5 }, undefined) < 0);
 });
 
 test("the room never passes what is left below the bound, and shrinks as counts age", (t) => {
-  const shrinks = fc.property(knowledge, fc.nat(5_000), (one, moreMs) => {
-    const room = Math.max(0, computeRoom(one));
-    const countAgeMs = one.countAgeMs + moreMs;
-    const older = Math.max(0, computeRoom({ ...one, countAgeMs }));
-    return room <= Math.max(0, one.bound - one.own - one.foreign - 1) &&
-      older <= room + 1e-6;
-  });
+  const shrinks = fc.property(
+    load,
+    heldMean,
+    fc.nat(5_000),
+    (one, heldMs, moreMs) => {
+      const room = Math.max(0, computeRoom(one, heldMs));
+      const countAgeMs = one.countAgeMs + moreMs;
+      const older = Math.max(0, computeRoom({ ...one, countAgeMs }, heldMs));
+      return room <= Math.max(0, one.bound - one.own - one.foreign - 1) &&
+        older <= room + 1e-6;
+    },
+  );
   t.notThrows(() => fc.assert(shrinks, { seed: 1, numRuns: 2_000 }));
 });
 
