--- a/soak/gateway_process.ts
+++ b/soak/gateway_process.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from "node:fs";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
-import { BUNDLED_PROGRAM, ProgramProcess } from "../tools/program_process.ts";
+import { ProgramProcess } from "../tools/program_process.ts";
 import { BOUNDS } from "./bounds.ts";
 
 /** Ports of a gateway on the address of its own. */
@@ -31,6 +31,8 @@
   storePort: number;
   /** Folder for its settings file. */
   folder: string;
+  /** The program and its first arguments. */
+  program: readonly [string, ...string[]];
 }
 
 /** A gateway as a process of its own, which reaches the store through a proxy. */
@@ -50,7 +52,7 @@
     const path = getSettingsPath(options);
     writeSettings(options, storeProxy.port, true);
     const program = ProgramProcess.create([
-      ...BUNDLED_PROGRAM,
+      ...options.program,
       "gateway",
       "--settings",
       path,
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -5,6 +5,7 @@
 import { FakeStore } from "../fakes/fake_store.ts";
 import type { FaultProxy } from "../fakes/fault_proxy.ts";
 import { Random } from "../src/random/random.ts";
+import { BUNDLED_PROGRAM } from "../tools/program_process.ts";
 import {
   type CallerAttempt,
   KIND_RULES,
@@ -40,6 +41,8 @@
   gateways: number;
   engines: number;
   plain: number;
+  /** Command of the gateways; the bundle by default. */
+  program?: readonly [string, ...string[]];
 }
 
 /** A store and workers as stand-ins in this process, and gateways as processes, with what each saw. */
@@ -192,6 +195,7 @@
         seeds: [firstIp!],
         storePort: this.store.port,
         folder: this.folder,
+        program: this.options.program ?? BUNDLED_PROGRAM,
       }),
     );
   }
--- /dev/null
+++ b/tests/launcher_test.ts
@@ -0,0 +1,84 @@
+import test from "ava";
+import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import {
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  statSync,
+  writeFileSync,
+} from "node:fs";
+import { tmpdir } from "node:os";
+import process from "node:process";
+import { Script } from "node:vm";
+import { BUNDLE_OPTIONS } from "../tools/bundle_options.ts";
+
+const PROGRAM =
+  `function answer() { return "started"; } console.log(answer());`;
+
+async function makeFolder(): Promise<string> {
+  const folder = mkdtempSync(`${tmpdir()}/beechkeel-launcher-`);
+  await build({
+    ...BUNDLE_OPTIONS,
+    entryPoints: ["src/launcher.ts"],
+    outfile: `${folder}/beechkeel.cjs`,
+  });
+  writeFileSync(`${folder}/program.cjs`, PROGRAM);
+  return folder;
+}
+
+function run(folder: string, env: NodeJS.ProcessEnv = {}): string {
+  return execFileSync(process.execPath, [`${folder}/beechkeel.cjs`], {
+    encoding: "utf8",
+    env: { ...process.env, ...env },
+  });
+}
+
+function record(folder: string): void {
+  run(folder, { BEECHKEEL_RECORD_CODE_CACHE: "1" });
+}
+
+test("a recorded run leaves a code cache that a later start accepts", async (t) => {
+  const folder = await makeFolder();
+  try {
+    record(folder);
+    const cachedData = readFileSync(`${folder}/program.cjs.cache`);
+    const source =
+      `(function(exports,require,module,__filename,__dirname){${PROGRAM}\n})`;
+    const script = new Script(source, { cachedData });
+    t.false(script.cachedDataRejected);
+    t.is(run(folder), "started\n");
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+});
+
+test("the program starts without a code cache and writes none", async (t) => {
+  const folder = await makeFolder();
+  try {
+    t.is(run(folder), "started\n");
+    t.throws(() => statSync(`${folder}/program.cjs.cache`));
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+});
+
+for (
+  const [name, damage] of [
+    ["truncated", (cache: Buffer) => cache.subarray(0, cache.length / 2)],
+    ["foreign", () => Buffer.from("not a code cache")],
+    ["empty", () => Buffer.alloc(0)],
+  ] as const
+) {
+  test(`the program starts from its source beside a ${name} code cache`, async (t) => {
+    const folder = await makeFolder();
+    try {
+      record(folder);
+      const path = `${folder}/program.cjs.cache`;
+      writeFileSync(path, damage(readFileSync(path)));
+      t.is(run(folder), "started\n");
+    } finally {
+      rmSync(folder, { recursive: true });
+    }
+  });
+}
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -1,53 +1,11 @@
+/** Makes the program in one file. */
 import process from "node:process";
-import { build, type Plugin } from "esbuild";
+import { build } from "esbuild";
+import { BUNDLE_OPTIONS } from "./bundle_options.ts";
 import { BUNDLE } from "./bundle_path.ts";
 
-/** Native modules that packages use where they are there. */
-const OPTIONAL_MODULES = [
-  "unix-dgram",
-  "bufferutil",
-  "utf-8-validate",
-  "msgpackr-extract",
-];
-/** Stands for each of them in the bundle. */
-const ABSENT = "./tools/absent_module.cjs";
-
-/** Leaves out the translations of zod's messages. */
-const englishOnly: Plugin = {
-  name: "english-only",
-  setup: (building) => {
-    const filter = /zod.*locales\/index\.[cm]?js$/;
-    building.onLoad({ filter }, () => ({ contents: "export {};" }));
-  },
-};
-
-/** Leaves out modules that are never called, for what they load costs a start tens of milliseconds: HTTP/2 of the
- * client, and sending and default values of the metrics. */
-const neverCalled: Plugin = {
-  name: "never-called",
-  setup: (building) => {
-    const filter =
-      /(client-h2|prom-client.lib.(pushgateway|defaultMetrics|cluster))\.js$/;
-    building.onLoad({ filter }, () => ({
-      contents: "module.exports = function absent() {};",
-    }));
-  },
-};
-
 await build({
+  ...BUNDLE_OPTIONS,
   entryPoints: ["src/main.ts"],
   outfile: process.argv[2] ?? BUNDLE,
-  format: "cjs",
-  bundle: true,
-  platform: "node",
-  target: "node20",
-  mainFields: ["module", "main"],
-  alias: {
-    ...Object.fromEntries(OPTIONAL_MODULES.map((name) => [name, ABSENT])),
-    undici: "./tools/undici_subset.cjs",
-  },
-  plugins: [englishOnly, neverCalled],
-  minifyWhitespace: true,
-  minifySyntax: true,
-  logLevel: "error",
 });
