--- a/src/gateway/choose_addresses.ts
+++ b/src/gateway/choose_addresses.ts
@@ -1,4 +1,4 @@
-import type { KnownHost } from "../peers/host_table.ts";
+import type { KnownHost } from "../peers/known_host.ts";
 
 /** Most addresses in one answer. */
 const MAX_ADDRESSES = 64;
--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -6,12 +6,13 @@
 import { DatagramSocket } from "../peers/datagram_socket.ts";
 import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
-import type { KnownHost } from "../peers/host_table.ts";
+import type { HostState, KnownHost } from "../peers/known_host.ts";
 import { PrefixDirectory } from "../peers/prefix_directory.ts";
 import type { PublicationWord } from "../peers/publication_word.ts";
 import type { PublicationKeeper } from "../published/publication_keeper.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { HostExchange } from "./host_exchange.ts";
 import type { PublicationExchange } from "./publication_exchange.ts";
 import { recordToldLoads } from "./record_told_loads.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
@@ -30,13 +31,13 @@
   getPhase: () => PeerEntry["phase"];
   /** Ids of the hosts to ask how old what they know of the publication is. */
   getSourceIds: () => readonly string[];
-  /** Ids of the other hosts that watch the platform, where this one does too. */
-  getFellowWatcherIds: () => readonly string[];
 }
 
 /** What this host and the others tell and ask each other by datagrams. In a small fleet every host hears all others in
  * each round; in a large one hosts hear few at a time, and ask those that know. */
 export class FleetLink {
+  /** Tells other hosts all hosts that are known here. */
+  readonly hostExchange: HostExchange;
   private readonly gossip: Gossip;
   private readonly questions: AgeQuestions;
   private readonly directory: PrefixDirectory;
@@ -47,15 +48,15 @@
     private readonly socket: DatagramSocket,
   ) {
     const { gossipAddress } = options.getSettings();
+    this.hostExchange = HostExchange.create(
+      options.logger,
+      () => this.getHostStates(),
+    );
     this.gossip = this.createGossip(gossipAddress);
     this.questions = AgeQuestions.create({
       socket,
       getSources: () => this.findAddresses(options.getSourceIds()),
-      getPartners: () => this.findAddresses(options.getFellowWatcherIds()),
       getWord: () => this.getWord(),
-      getPhase: options.getPhase,
-      hosts: this.gossip.hosts,
-      tellEntries: (asker, names) => this.gossip.tellEntries(asker, names),
       onWord: (sender, word, askedAt) => {
         const host = this.gossip.hosts.getHost(sender);
         if (host) this.takeWord(host.entry, word, askedAt);
@@ -85,7 +86,7 @@
   }
 
   /** The other hosts that are heard. */
-  getLiveHosts(): KnownHost[] {
+  getLiveHosts(): readonly KnownHost[] {
     return this.gossip.hosts.getLive(readClock());
   }
 
@@ -113,12 +114,13 @@
   }
 
   /** Ends the link. */
-  close(): void {
+  async close(): Promise<void> {
     this.gossip.close();
     this.questions.close();
     this.directory.close();
     this.crashGossip.close();
     this.socket.close();
+    await this.hostExchange.close();
   }
 
   private createGossip(address: string): Gossip {
@@ -136,6 +138,7 @@
       onFacts: (facts) => prefixes.learn(facts, readClock()),
       onEntry: (entry, heardAt, askedAt) =>
         this.takeEntry(entry, heardAt, askedAt),
+      readHosts: (host, done) => void this.hostExchange.ask(host).then(done),
     });
   }
 
@@ -153,6 +156,15 @@
     });
   }
 
+  private getHostStates(): HostState[] {
+    const own: HostState = {
+      entry: this.gossip.getOwnEntry(),
+      status: "alive",
+      agoMs: 0,
+    };
+    return [own, ...this.gossip.hosts.getStates(readClock())];
+  }
+
   private getWord(): PublicationWord {
     const { ageMs, digest, revision } = this.options.keeper;
     const publicationAgeMs = Number.isFinite(ageMs) ? ageMs : -1;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,7 +5,7 @@
 import { CallServer } from "../forward/call_server.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
-import type { KnownHost } from "../peers/host_table.ts";
+import type { KnownHost } from "../peers/known_host.ts";
 import type { PublicationFeed } from "../published/publication_feed.ts";
 import { PublicationKeeper } from "../published/publication_keeper.ts";
 import type { RouteTable } from "../published/route_table.ts";
@@ -129,7 +129,7 @@
   async close(): Promise<void> {
     this.unwatchClock();
     this.watch?.close();
-    this.link?.close();
+    await this.link?.close();
     this.server?.close();
     this.chooser.close();
     this.guard.close();
@@ -221,7 +221,6 @@
       guard: this.guard,
       getPhase: () => this.phase,
       getSourceIds: () => this.watch?.getSources() ?? [],
-      getFellowWatcherIds: () => this.watch?.getFellowWatchers() ?? [],
     });
   }
 
@@ -242,6 +241,7 @@
       metrics: this.metrics,
       publicationExchange: this.publicationExchange,
       prefixExchange: this.prefixExchange,
+      getHostExchange: () => this.link?.hostExchange,
       isReady: () => this.isReady,
       isServing: () => this.isServing,
       getLiveHosts: () => this.getLiveHosts(),
@@ -294,7 +294,7 @@
     this.link?.announce();
   }
 
-  private getLiveHosts(): KnownHost[] {
+  private getLiveHosts(): readonly KnownHost[] {
     return this.link?.getLiveHosts() ?? [];
   }
 }
--- a/src/gateway/gateway_endpoints.ts
+++ b/src/gateway/gateway_endpoints.ts
@@ -1,8 +1,9 @@
 import type { ServerResponse } from "node:http";
-import type { KnownHost } from "../peers/host_table.ts";
+import type { KnownHost } from "../peers/known_host.ts";
 import type { CallerSurface } from "./caller_surface.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { type HostExchange, HOSTS_PATH } from "./host_exchange.ts";
 import { type EndpointHandlers, HttpEndpoint } from "./http_endpoint.ts";
 import { chooseAddresses } from "./choose_addresses.ts";
 import { PREFIXES_PATH, type PrefixExchange } from "./prefix_exchange.ts";
@@ -25,6 +26,8 @@
   metrics: GatewayMetrics;
   publicationExchange: PublicationExchange;
   prefixExchange: PrefixExchange;
+  /** Tells other hosts all hosts that are known here; undefined until the link to them is open. */
+  getHostExchange: () => HostExchange | undefined;
   /** Whether the host is up and not stopping. */
   isReady: () => boolean;
   /** Whether callers should send requests to this host. */
@@ -78,6 +81,8 @@
           publicationExchange.answer(response, query),
         [`GET ${PREFIXES_PATH}`]: (_request, response) =>
           prefixExchange.answer(response),
+        [`GET ${HOSTS_PATH}`]: (_request, response) =>
+          this.answerHosts(response),
       },
       [settings.metricsAddress]: {
         [`GET ${METRICS_PATH}`]: (_request, response) =>
@@ -101,6 +106,12 @@
     response.end(this.options.surface.writeAddresses(addresses, lifetimeMs));
   }
 
+  private answerHosts(response: ServerResponse): void {
+    const exchange = this.options.getHostExchange();
+    if (exchange) exchange.answer(response);
+    else response.writeHead(503).end();
+  }
+
   private async answerMetrics(response: ServerResponse): Promise<void> {
     const { metrics, getAgeMs } = this.options;
     response.end(await metrics.getText(getAgeMs()));
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -1,6 +1,6 @@
 import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
-import type { KnownHost } from "../peers/host_table.ts";
+import type { KnownHost } from "../peers/known_host.ts";
 import { FeedWatcher } from "../published/feed_watcher.ts";
 import type { PublicationFeed } from "../published/publication_feed.ts";
 import type { PublicationKeeper } from "../published/publication_keeper.ts";
@@ -73,11 +73,6 @@
     return this.order.getSources();
   }
 
-  /** The other hosts that watch, where this one watches too. */
-  getFellowWatchers(): string[] {
-    return this.order.getFellowWatchers();
-  }
-
   private get order(): WatchOrder {
     const now = readClock();
     if (now - this.orderedAt > ORDER_USED_FOR_MS) {
--- a/src/gateway/watch_order.ts
+++ b/src/gateway/watch_order.ts
@@ -43,14 +43,6 @@
     return this.rank < Math.min(MAX_HELPERS, WATCHERS * 2 ** steps);
   }
 
-  /** The other watchers, where this host is one. */
-  getFellowWatchers(): string[] {
-    if (!this.isWatcher) return [];
-    return this.ranked.slice(0, WATCHERS).filter((_id, rank) =>
-      rank !== this.rank
-    );
-  }
-
   /** Hosts that this one asks for the age of what they know: watchers, or in a large fleet hosts that ask them. */
   getSources(): string[] {
     if (this.isWatcher) return [];
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -1,4 +1,5 @@
 import type { Rumour } from "./rumour.ts";
+import { RumourQueue } from "./rumour_queue.ts";
 
 /** A router of the published list with what is believed of it. */
 export interface Member extends Rumour {
@@ -12,14 +13,11 @@
   dead: 2,
 };
 
-/** Times each rumour is passed on, per doubling of the fleet. */
-const SPREAD_FACTOR = 3;
-
 /** What one router believes of the routers on the published list.
  * The list alone adds and removes members; probes only decide whether a member is used. */
 export class MemberTable {
   private readonly members = new Map<string, Member>();
-  private readonly spreads = new Map<string, number>();
+  private readonly rumours = RumourQueue.create<string>();
   private ownIncarnation: number;
   private isUnavailable = true;
   private changeCount = 0;
@@ -152,17 +150,10 @@
   /** Takes the rumours to put on the next message, those least passed on first.
    * @param limit Most rumours taken. */
   takeRumours(limit: number): Rumour[] {
-    const most = SPREAD_FACTOR * Math.ceil(Math.log2(this.members.size + 2));
-    const chosen = [...this.spreads.entries()].sort((a, b) => a[1] - b[1])
-      .slice(0, limit);
-    const rumours: Rumour[] = [];
-    for (const [id, spread] of chosen) {
+    return this.rumours.take(limit, this.members.size).flatMap((id) => {
       const member = this.members.get(id);
-      if (!member || spread + 1 >= most) this.spreads.delete(id);
-      else this.spreads.set(id, spread + 1);
-      if (member) rumours.push(toRumour(member));
-    }
-    return rumours;
+      return member ? toRumour(member) : [];
+    });
   }
 
   private update(member: Member, belief: Rumour, now: number): void {
@@ -170,7 +161,7 @@
     member.incarnation = belief.incarnation;
     member.status = belief.status;
     member.unavailable = belief.unavailable;
-    this.spreads.set(member.id, 0);
+    this.rumours.add(member.id);
     this.changeCount += 1;
   }
 
--- a/src/membership/probe_round.ts
+++ b/src/membership/probe_round.ts
@@ -1,3 +1,9 @@
+import {
+  processTimeline,
+  type StopTimer,
+  type Timeline,
+} from "../clock/timeline.ts";
+
 /** What a probe round does to the outside. */
 export interface ProbeRoundOptions {
   /** Sends a ping to a router. */
@@ -10,7 +16,7 @@
 
 interface Pending {
   target: string;
-  timer: NodeJS.Timeout;
+  stopTimer: StopTimer;
   onAcknowledged: (() => void) | undefined;
 }
 
@@ -22,13 +28,19 @@
   private constructor(
     private readonly timeoutMs: number,
     private readonly options: ProbeRoundOptions,
+    private readonly timeline: Timeline,
   ) {}
 
   /** Creates the rounds of one router.
    * @param timeoutMs Time for a ping to be answered.
-   * @param options What a round does to the outside. */
-  static create(timeoutMs: number, options: ProbeRoundOptions): ProbeRound {
-    return new ProbeRound(timeoutMs, options);
+   * @param options What a round does to the outside.
+   * @param timeline Where timers are set; the process's by default. */
+  static create(
+    timeoutMs: number,
+    options: ProbeRoundOptions,
+    timeline: Timeline = processTimeline,
+  ): ProbeRound {
+    return new ProbeRound(timeoutMs, options, timeline);
   }
 
   /** Starts a probe.
@@ -36,18 +48,27 @@
    * @param onAcknowledged Given for a probe on another's behalf; silence is then not reported. */
   probe(target: string, onAcknowledged?: () => void): void {
     const nonce = this.nextNonce++;
-    const timer = setTimeout(() => this.onFirstTimeout(nonce), this.timeoutMs);
-    this.pending.set(nonce, { target, timer, onAcknowledged });
+    const stopTimer = this.timeline.after(
+      this.timeoutMs,
+      () => this.onFirstTimeout(nonce),
+    );
+    this.pending.set(nonce, { target, stopTimer, onAcknowledged });
     this.options.sendPing(target, nonce);
   }
 
+  /** Whether a probe of a router is under way.
+   * @param target The router. */
+  isProbing(target: string): boolean {
+    return [...this.pending.values()].some((probe) => probe.target === target);
+  }
+
   /** Records an acknowledgement; returns whether it belongs to a probe under way.
    * @param id The router that was heard.
    * @param nonce The probe's nonce. */
   acknowledge(id: string, nonce: number): boolean {
     const pending = this.pending.get(nonce);
     if (!pending || pending.target !== id) return false;
-    clearTimeout(pending.timer);
+    pending.stopTimer();
     this.pending.delete(nonce);
     pending.onAcknowledged?.();
     return true;
@@ -55,7 +76,7 @@
 
   /** Ends all probes. */
   close(): void {
-    for (const pending of this.pending.values()) clearTimeout(pending.timer);
+    for (const pending of this.pending.values()) pending.stopTimer();
     this.pending.clear();
   }
 
@@ -67,9 +88,9 @@
       return;
     }
     this.options.sendRelays(pending.target, nonce);
-    pending.timer = setTimeout(
-      () => this.onSecondTimeout(nonce),
+    pending.stopTimer = this.timeline.after(
       this.timeoutMs * 2,
+      () => this.onSecondTimeout(nonce),
     );
   }
 
--- a/src/peers/datagram.ts
+++ b/src/peers/datagram.ts
@@ -1,27 +1,29 @@
 import type { CrashWord } from "../crashes/crash_word.ts";
 import type { PrefixFact, PrefixSighting } from "../upstreams/prefix_index.ts";
 import type { GossipMessage } from "./gossip_schema.ts";
-import type { HostSighting } from "./host_table.ts";
+import type { HostRumour } from "./host_rumour.ts";
 import type { PublicationWord } from "./publication_word.ts";
 
 /** What hosts send each other in one datagram. */
 export type Datagram =
   | { type: "gossip"; message: GossipMessage }
-  /** Asks what the receiver knows of the publication and of other hosts; `askedAt` is the asking host's clock, and
-   * `phase` the index of what it is doing; `unknown` are short names of hosts whose entries it lacks. */
+  /** Answers the probe of a number; `target` is the host that was probed, by its gossip address. */
   | {
-    type: "age_question";
-    askedAt: number;
-    phase: number;
-    unknown: readonly number[];
+    type: "probe_answer";
+    number: number;
+    target: string;
+    rumours: readonly HostRumour[];
   }
+  /** Asks the receiver to probe a host and to answer with the number where the host does. */
+  | { type: "probe_request"; number: number; target: string }
+  /** Tells what the sender believes of hosts. */
+  | { type: "host_rumours"; rumours: readonly HostRumour[] }
+  /** Asks for the entries of hosts, by their short names. */
+  | { type: "host_question"; names: readonly number[] }
+  /** Asks what the receiver knows of the publication; `askedAt` is the asking host's clock. */
+  | { type: "age_question"; askedAt: number }
   /** Answers such a question, with its `askedAt`. */
-  | {
-    type: "age_answer";
-    askedAt: number;
-    word: PublicationWord;
-    hosts: readonly HostSighting[];
-  }
+  | { type: "age_answer"; askedAt: number; word: PublicationWord }
   /** Tells which engines were sent which parts of prompts. */
   | { type: "prefix_facts"; facts: readonly PrefixFact[] }
   /** Asks which engines keep a part of a prompt; the number tells answers apart. */
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -4,11 +4,8 @@
 import type { Datagram, DatagramOf, DatagramType } from "./datagram.ts";
 import { packGossip } from "./pack_gossip.ts";
 import { gossipSchema } from "./gossip_schema.ts";
-import {
-  hostSightingsSchema,
-  prefixFactsSchema,
-  prefixSightingsSchema,
-} from "./told_schemas.ts";
+import { hostRumourSchema, packHostRumour } from "./host_rumour.ts";
+import { prefixFactsSchema, prefixSightingsSchema } from "./told_schemas.ts";
 
 /** How the body of one type is written and read. */
 interface BodyCodec<Type extends DatagramType> {
@@ -32,31 +29,23 @@
   },
   age_question: {
     number: 1,
-    pack: ({ askedAt, phase, unknown }) => [askedAt, phase, unknown],
-    schema: z.tuple([z.number(), z.number(), z.array(z.number())])
-      .transform(([askedAt, phase, unknown]) => (
-        { type: "age_question", askedAt, phase, unknown }
-      )),
+    pack: ({ askedAt }) => [askedAt],
+    schema: z.tuple([z.number()])
+      .transform(([askedAt]) => ({ type: "age_question", askedAt })),
   },
   age_answer: {
     number: 2,
-    pack: ({ askedAt, word, hosts }) => [
+    pack: ({ askedAt, word }) => [
       askedAt,
       word.digest,
       word.revision,
       Math.round(word.publicationAgeMs),
-      hosts,
     ],
-    schema: z.tuple([
-      z.number(),
-      z.number(),
-      z.number(),
-      z.number(),
-      hostSightingsSchema,
-    ]).transform(([askedAt, digest, revision, publicationAgeMs, hosts]) => {
-      const word = { digest, revision, publicationAgeMs };
-      return { type: "age_answer", askedAt, word, hosts };
-    }),
+    schema: z.tuple([z.number(), z.number(), z.number(), z.number()])
+      .transform(([askedAt, digest, revision, publicationAgeMs]) => {
+        const word = { digest, revision, publicationAgeMs };
+        return { type: "age_answer", askedAt, word };
+      }),
   },
   prefix_facts: {
     number: 3,
@@ -90,6 +79,38 @@
     schema: z.tuple([z.array(crashWordListSchema)])
       .transform(([words]) => ({ type: "crash_words", words })),
   },
+  probe_answer: {
+    number: 7,
+    pack: ({ number, target, rumours }) => [
+      number,
+      target,
+      rumours.map(packHostRumour),
+    ],
+    schema: z.tuple([z.number(), z.string(), z.array(hostRumourSchema)])
+      .transform(([number, target, rumours]) => (
+        { type: "probe_answer", number, target, rumours }
+      )),
+  },
+  probe_request: {
+    number: 8,
+    pack: ({ number, target }) => [number, target],
+    schema: z.tuple([z.number(), z.string()])
+      .transform(([number, target]) => (
+        { type: "probe_request", number, target }
+      )),
+  },
+  host_rumours: {
+    number: 9,
+    pack: ({ rumours }) => [rumours.map(packHostRumour)],
+    schema: z.tuple([z.array(hostRumourSchema)])
+      .transform(([rumours]) => ({ type: "host_rumours", rumours })),
+  },
+  host_question: {
+    number: 10,
+    pack: ({ names }) => [names],
+    schema: z.tuple([z.array(z.number())])
+      .transform(([names]) => ({ type: "host_question", names })),
+  },
 };
 
 /** By the number of a type on the wire, how its body is read. */
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -7,8 +7,21 @@
 import { Random } from "../random/random.ts";
 import type { PrefixFact } from "../upstreams/prefix_index.ts";
 import type { DatagramPort } from "./datagram_socket.ts";
+import { FailureDetector } from "./failure_detector.ts";
+import { FleetTargets } from "./fleet_targets.ts";
+import {
+  GossipComposer,
+  type GossipContent,
+  RELAYED_ENTRIES,
+} from "./gossip_composer.ts";
 import type { GossipMessage, PeerEntry } from "./gossip_schema.ts";
-import { HostTable, type KnownHost, SMALL_FLEET } from "./host_table.ts";
+import { HostPull, type ReadHosts } from "./host_pull.ts";
+import { HostTable, SUSPICION_MS } from "./host_table.ts";
+import type { KnownHost } from "./known_host.ts";
+import { LiveLog } from "./live_log.ts";
+import { RumourReceiver } from "./rumour_receiver.ts";
+import { RumourSpread } from "./rumour_spread.ts";
+import { SelfDescription } from "./self_description.ts";
 
 /** Interval at which a host tells of itself, in milliseconds; loads known to others are late by about as much. */
 const ROUND_MS = 200;
@@ -17,26 +30,10 @@
 /** Rounds between two in which a host of a large fleet tells others, 0.6 seconds; in a small one it does in each. Telling
  * and being told is most of what an idle host of a large fleet spends. */
 const ROUNDS_PER_TELLING = 3;
-/** Hosts of the own hall told each time in a large fleet; in a small one all hosts are told. */
-const OWN_HALL_FANOUT = 2;
-/** Hosts of other halls told each time in a large fleet; bytes between halls are dear. */
-const OTHER_HALLS_FANOUT = 1;
-/** Silent hosts tried at a time. */
-const MAX_ATTEMPTS = 10;
-/** Entries of other hosts in one datagram, so that it fits into one packet. */
-const RELAYED_ENTRIES = 10;
-/** Most entries of other hosts that a host which has just started is told at once. */
-const MAX_JOIN_ENTRIES = 60;
 /** Rounds between two in which other hosts are told, where all hosts hear each other directly. */
 const ROUNDS_PER_RELAY = 10;
-/** Rounds between two attempts to reach hosts that are not heard, and the seeds: 0.8 and 1.2 seconds, in a large fleet with
- * every other telling. */
-const ROUNDS_PER_ATTEMPT = { small: 4, large: 6 } as const;
-/** Rounds after a start in which hosts not heard are tried each time, for all hosts may be starting: two seconds. */
-const STARTING_ROUNDS = 10;
-/** Greatest number that is drawn for a start of a host. */
-const MAX_INCARNATION = 0x3fffffff;
-
+/** Time between two rounds from which this process did not run meanwhile, in milliseconds. */
+const PAUSED_AFTER_MS = 1_000;
 /** What gossip needs and whom it tells. */
 export interface GossipOptions {
   logger: Logger;
@@ -57,6 +54,10 @@
   onFacts: (facts: readonly PrefixFact[]) => void;
   /** Told of each host's word; `askedAt` is this host's clock after which the host composed it, where that is known. */
   onEntry: (entry: PeerEntry, heardAt: number, askedAt?: number) => void;
+  /** Reads all hosts that another knows. */
+  readHosts: ReadHosts;
+  /** Greater than that of any earlier start of this host, as far as its clock can tell; the time of day by default. */
+  firstIncarnation?: number;
   /** The process's by default. */
   timeline?: Timeline;
   /** Unseeded by default. */
@@ -69,21 +70,73 @@
   readonly hosts: HostTable;
   private readonly timeline: Timeline;
   private readonly random: Random;
-  private readonly incarnation: number;
+  private readonly self: SelfDescription;
+  private readonly targets: FleetTargets;
+  private readonly detector: FailureDetector;
+  private readonly pull: HostPull;
+  private readonly rumours: RumourSpread;
+  private readonly receiver: RumourReceiver;
+  private readonly composer: GossipComposer;
+  private readonly log: LiveLog;
   private readonly stopRounds: StopTimer;
   private stopAnnouncement: StopTimer | undefined;
-  private sequence = 0;
   private round = 0;
-  private isLarge = false;
-  /** Ids of the hosts that were heard in the last round. */
-  private readonly liveBefore = new Set<string>();
+  private ranAt: number;
 
   private constructor(private readonly options: GossipOptions) {
+    const { address, hall, socket, getSeeds } = options;
     this.timeline = options.timeline ?? processTimeline;
     this.random = options.random ?? Random.create();
-    this.incarnation = this.random.integer(1, MAX_INCARNATION);
-    this.hosts = HostTable.create(options.address);
-    options.socket.handle("gossip", ({ message }) => this.receive(message));
+    this.ranAt = this.timeline.read();
+    this.self = SelfDescription.create(
+      address,
+      options.firstIncarnation ?? Date.now(),
+      options.describeSelf,
+    );
+    this.hosts = HostTable.create(address, (host) => this.takeBelief(host));
+    const { hosts, random } = this;
+    this.targets = FleetTargets.create({
+      hosts,
+      random,
+      address,
+      hall,
+      getSeeds,
+    });
+    this.rumours = RumourSpread.create({
+      socket,
+      hosts,
+      targets: this.targets,
+      self: this.self,
+      timeline: this.timeline,
+    });
+    this.receiver = RumourReceiver.create({
+      logger: options.logger,
+      socket,
+      hosts,
+      self: this.self,
+      spread: this.rumours,
+      timeline: this.timeline,
+    });
+    this.composer = GossipComposer.create({
+      hosts,
+      self: this.self,
+      rumours: this.rumours,
+      timeline: this.timeline,
+      random,
+    });
+    this.log = LiveLog.create(hosts, options.logger);
+    this.detector = this.createDetector();
+    this.pull = HostPull.create(options.readHosts, (states) => {
+      const now = this.timeline.read();
+      for (const { entry, heardAt } of this.hosts.mergeStates(states, now)) {
+        options.onEntry(entry, heardAt);
+      }
+    });
+    socket.handle("gossip", ({ message }) => this.receive(message));
+    socket.handle(
+      "host_question",
+      ({ names }, sender) => this.tellEntries(sender, names),
+    );
     this.stopRounds = this.timeline.every(ROUND_MS, () => this.runRound());
   }
 
@@ -95,10 +148,14 @@
     return gossip;
   }
 
-  /** Whether there are too many hosts for each to tell all others in every round; counted once a round, for it is asked
-   * with each entry that is told. */
+  /** Whether there are too many hosts for each to tell all others in every round. */
   get isLargeFleet(): boolean {
-    return this.isLarge;
+    return this.hosts.isLarge;
+  }
+
+  /** What this host tells of itself. */
+  getOwnEntry(): PeerEntry {
+    return this.self.getEntry();
   }
 
   /** Tells hosts soon, rather than with the next round; what comes up meanwhile is told along. */
@@ -109,163 +166,144 @@
     });
   }
 
-  /** Tells a host what others tell of themselves.
-   * @param address The host.
-   * @param names Short names of the others. */
-  tellEntries(address: string, names: readonly number[]): void {
-    const hosts = this.hosts.getByNames(names).slice(0, RELAYED_ENTRIES);
-    this.tell(address, this.describeSelf(), [], hosts);
-  }
-
-  /** Tells a host that has just started of the hosts that are heard. By the usual rounds alone it would learn of the last ones
-   * after many seconds in a large fleet. */
-  private tellNewcomer(address: string): void {
-    const live = this.hosts.getLive(this.timeline.read());
-    const told = this.random.shuffle(live).slice(0, MAX_JOIN_ENTRIES);
-    for (let begin = 0; begin < told.length; begin += RELAYED_ENTRIES) {
-      const some = told.slice(begin, begin + RELAYED_ENTRIES);
-      this.tell(address, this.describeSelf(), [], some);
-    }
-  }
-
   /** Stops the rounds. */
   close(): void {
     this.stopRounds();
     this.stopAnnouncement?.();
+    this.rumours.close();
+    this.detector.close();
+  }
+
+  private createDetector(): FailureDetector {
+    const { options: { logger, socket }, hosts, timeline, random } = this;
+    return FailureDetector.create({
+      logger,
+      socket,
+      hosts,
+      timeline,
+      random,
+      sendProbe: (address, number) => this.tell(address, { probe: number }),
+      takeRumours: () => this.rumours.take(),
+      applyRumours: (rumours, sender) => this.receiver.take(rumours, sender),
+    });
+  }
+
+  /** Passes a belief on, and sees to the end of a suspicion. Failures are not passed on ahead of the next round, since all that
+   * heard of the suspicion come to the same end. */
+  private takeBelief(host: KnownHost): void {
+    const { name, status, statusSince } = host;
+    this.rumours.add(name);
+    if (status !== "failed") this.rumours.hurry();
+    if (status !== "suspect") return;
+    const leftMs = statusSince + SUSPICION_MS - this.timeline.read();
+    this.timeline.after(
+      Math.max(0, leftMs),
+      () => this.hosts.expireSuspicion(host, statusSince),
+    );
   }
 
   private runRound(): void {
     const now = this.timeline.read();
+    if (now - this.ranAt > PAUSED_AFTER_MS) this.detector.forgetProbes();
+    this.ranAt = now;
     this.round += 1;
-    this.sequence += 1;
+    this.self.startRound();
+    const { isLarge } = this.hosts;
+    if (isLarge && this.round % ROUNDS_PER_TELLING !== 0) return;
     this.hosts.forget(now);
-    this.isLarge = this.hosts.getLive(now).length > SMALL_FLEET;
-    this.logChanges(now);
-    const isDue = this.round % ROUNDS_PER_TELLING === 0;
-    if (isDue || !this.isLarge) this.tellChosen();
+    this.log.update(now);
+    this.tellChosen();
   }
 
   private tellChosen(): void {
     const now = this.timeline.read();
-    const sender = this.describeSelf();
-    const facts = this.isLarge ? [] : this.options.takeFacts();
-    for (const address of this.chooseTargets(now)) {
-      this.tell(address, sender, facts, this.chooseRelayed(address, now));
+    const { isLarge } = this.hosts;
+    if (this.self.updatePhase()) this.rumours.add(this.self.name);
+    const facts = isLarge ? [] : this.options.takeFacts();
+    const isRelaying = this.round <= ROUNDS_PER_RELAY ||
+      this.round % ROUNDS_PER_RELAY === 0;
+    const { live, attempted } = this.targets.choose(this.round, now);
+    for (const address of live) {
+      if (isLarge) this.detector.probe(address);
+      else {
+        const others = isRelaying ? this.composer.chooseRelayed(address) : [];
+        this.tell(address, { facts, others });
+      }
     }
-    if (!this.isLarge && this.options.hasFacts()) this.announce();
+    for (const address of attempted) this.tell(address, { facts });
+    if (!isLarge && this.options.hasFacts()) this.announce();
   }
 
-  private chooseTargets(now: number): string[] {
-    const chosen = this.chooseLive(now);
-    const isStarting = this.round <= STARTING_ROUNDS;
-    const interval = ROUNDS_PER_ATTEMPT[this.isLarge ? "large" : "small"];
-    if (!isStarting && this.round % interval !== 0) return chosen;
-    const silent = this.hosts.getAll().filter((host) =>
-      !this.hosts.isLive(host, now)
-    ).map((host) => host.entry.gossipAddress);
-    const seeds = this.options.getSeeds().filter((seed) =>
-      seed !== this.options.address
+  /** Tells a host what others tell of themselves.
+   * @param address The host.
+   * @param names Short names of the others. */
+  private tellEntries(address: string, names: readonly number[]): void {
+    const others = names.slice(0, RELAYED_ENTRIES).flatMap((name) =>
+      this.hosts.findByName(name) ?? []
     );
-    const attempts = this.random.shuffle(silent).slice(0, MAX_ATTEMPTS);
-    return [...new Set([...chosen, ...attempts, ...seeds])];
-  }
-
-  /** The hosts heard that are told in a round. */
-  private chooseLive(now: number): string[] {
-    const live = this.random.shuffle(this.hosts.getLive(now));
-    const { hall } = this.options;
-    const isNear = (host: KnownHost) => host.entry.hall === hall;
-    const near = live.filter(isNear);
-    const far = live.filter((host) => !isNear(host));
-    const chosen = live.length <= SMALL_FLEET ? live : [
-      ...near.slice(0, OWN_HALL_FANOUT),
-      ...far.slice(0, OTHER_HALLS_FANOUT),
-    ];
-    return chosen.map((host) => host.entry.gossipAddress);
+    this.tell(address, { others });
   }
 
-  private tell(
-    address: string,
-    sender: PeerEntry,
-    facts: readonly PrefixFact[],
-    others: readonly KnownHost[],
-  ): void {
-    const now = this.timeline.read();
-    const message: GossipMessage = {
-      sender,
-      sentAt: now,
-      echo: this.hosts.getHost(address)?.lastSentAt,
-      facts: [...facts],
-      others: others.map(({ entry, heardAt }) => ({
-        entry,
-        agoMs: now - heardAt,
-      })),
-    };
+  private tell(address: string, content: GossipContent): void {
+    const message = this.composer.compose(address, content);
     this.options.socket.send(address, { type: "gossip", message });
   }
 
-  private describeSelf(): PeerEntry {
-    return {
-      ...this.options.describeSelf(),
-      incarnation: this.incarnation,
-      sequence: this.sequence,
-    };
-  }
-
-  /** Other hosts for a receiver: half of them those heard last, whose word is news to most, half any others. */
-  private chooseRelayed(address: string, now: number): KnownHost[] {
-    const live = this.hosts.getLive(now).filter((host) =>
-      host.entry.gossipAddress !== address
-    );
-    const isDue = this.round <= ROUNDS_PER_RELAY ||
-      this.round % ROUNDS_PER_RELAY === 0;
-    if (live.length < SMALL_FLEET && !isDue) return [];
-    live.sort((a, b) => b.heardAt - a.heardAt);
-    const newest = live.splice(0, RELAYED_ENTRIES / 2);
-    const any = this.random.shuffle(live);
-    return [...newest, ...any].slice(0, RELAYED_ENTRIES);
-  }
-
   private receive(message: GossipMessage): void {
     const now = this.timeline.read();
-    const { sender, sentAt, echo, facts, others } = message;
+    const { sender, sentAt, echo, facts } = message;
+    const address = sender.gossipAddress;
     if (facts.length > 0) this.options.onFacts(facts);
-    if (this.isLarge && this.isNewcomer(message)) {
-      this.tellNewcomer(sender.gossipAddress);
-    }
+    const before = this.hosts.getHost(address)?.entry.incarnation;
     if (this.hosts.hear(sender, sentAt, now)) {
       const isOwnClock = echo !== undefined && echo <= now;
       this.options.onEntry(sender, now, isOwnClock ? echo : undefined);
     }
+    this.hearOthers(message, now);
+    this.receiver.take(message.rumours, address);
+    if (message.probe > 0) {
+      this.detector.answer(address, message.probe, this.options.address);
+    }
+    if (this.hosts.isLarge && before !== sender.incarnation) {
+      this.tell(address, {});
+    }
+    this.correct(sender, now);
+    this.compareDigests(message, now);
+  }
+
+  private hearOthers({ others, reports }: GossipMessage, now: number): void {
     for (const { entry, agoMs } of others) {
       const heardAt = now - Math.max(0, agoMs);
       if (this.hosts.hearOf(entry, heardAt)) {
         this.options.onEntry(entry, heardAt);
       }
     }
+    for (const report of reports) {
+      const host = this.hosts.hearReport(report, now);
+      if (host) this.options.onEntry(host.entry, host.heardAt);
+    }
   }
 
-  /** Whether the sender was not heard since its start, and has few others to tell of. */
-  private isNewcomer({ sender, others }: GossipMessage): boolean {
-    const known = this.hosts.getHost(sender.gossipAddress);
-    return known?.entry.incarnation !== sender.incarnation &&
-      others.length < RELAYED_ENTRIES;
-  }
-
-  private logChanges(now: number): void {
-    for (const host of this.hosts.getAll()) this.logChange(host, now);
+  /** Tells a host what is wrongly believed of it, so that it refutes that. */
+  private correct(
+    { gossipAddress, incarnation }: PeerEntry,
+    now: number,
+  ): void {
+    const known = this.hosts.getHost(gossipAddress);
+    if (!known) return;
+    const isBelieved = known.entry.incarnation === incarnation &&
+      (known.status === "alive" || !this.hosts.isLarge);
+    if (isBelieved) return;
+    this.rumours.send(gossipAddress, [this.hosts.describe(known, now)]);
   }
 
-  private logChange(host: KnownHost, now: number): void {
-    const { id, phase } = host.entry;
-    const isLive = this.hosts.isLive(host, now);
-    if (isLive === this.liveBefore.has(id)) return;
-    if (isLive) this.liveBefore.add(id);
-    else this.liveBefore.delete(id);
-    const silentMs = Math.round(now - host.heardAt);
-    this.options.logger.info(
-      { peer: id, phase, silentMs },
-      isLive ? "host_heard" : "host_lost",
-    );
+  private compareDigests(message: GossipMessage, now: number): void {
+    const { sender, hostsDigest } = message;
+    if (hostsDigest === 0) return;
+    if (hostsDigest === this.composer.computeDigest()) {
+      return this.pull.noteEqual();
+    }
+    const isStarting = FleetTargets.isStarting(this.round);
+    this.pull.noteDifferent(sender, isStarting, now);
   }
 }
--- a/src/peers/gossip_schema.ts
+++ b/src/peers/gossip_schema.ts
@@ -1,9 +1,9 @@
 import { z } from "zod";
+import { HOST_PHASES } from "./host_phase.ts";
+import { hostReportSchema } from "./host_report.ts";
+import { hostRumourSchema } from "./host_rumour.ts";
 import { loadCountsSchema, prefixFactsSchema } from "./told_schemas.ts";
 
-/** What a host is doing: it takes requests only in `ready`. */
-export const HOST_PHASES = ["starting", "ready", "draining"] as const;
-
 /** What a host tells of itself; it travels as a list, for field names would be two thirds of a datagram. */
 export const peerEntrySchema = z.tuple([
   z.string(),
@@ -20,7 +20,7 @@
   loadCountsSchema,
 ]).transform((list) => ({
   id: list[0],
-  /** Differs for each start of the host's process. */
+  /** Grows with each start of the host, each change of its phase and each suspicion that it refutes. */
   incarnation: list[1],
   /** Grows with each time the host tells of itself. */
   sequence: list[2],
@@ -45,23 +45,35 @@
 /** What a host tells of itself. */
 export type PeerEntry = z.infer<typeof peerEntrySchema>;
 
-/** What a host tells another of itself and of those it heard, as a list. */
+/** What a host tells another of itself and of others, as a list. */
 export const gossipSchema = z.tuple([
   peerEntrySchema,
   z.number(),
   z.number().nullable(),
   prefixFactsSchema,
   z.array(z.tuple([peerEntrySchema, z.number()])),
-]).transform(([sender, sentAt, echo, facts, others]) => ({
-  sender,
+  z.number(),
+  z.number(),
+  z.array(hostRumourSchema),
+  z.array(hostReportSchema),
+]).transform((list) => ({
+  sender: list[0],
   /** Sender's monotonic milliseconds. */
-  sentAt,
+  sentAt: list[1],
   /** The latest `sentAt` that the sender has from the receiver, or nothing. */
-  echo: echo ?? undefined,
+  echo: list[2] ?? undefined,
   /** Which engines were sent which parts of prompts, by short names, and the tokens they had to read. */
-  facts,
+  facts: list[3],
   /** Other hosts as the sender last heard of them. */
-  others: others.map(([entry, agoMs]) => ({ entry, agoMs })),
+  others: list[4].map(([entry, agoMs]) => ({ entry, agoMs })),
+  /** Number with which the receiver answers; 0 where no answer is asked for. */
+  probe: list[5],
+  /** Digest of the hosts that the sender takes for live. */
+  hostsDigest: list[6],
+  /** What the sender believes of other hosts, where that changed lately. */
+  rumours: list[7],
+  /** Requests of other hosts, as the sender last heard of them. */
+  reports: list[8],
 }));
 
 /** What a host tells another. */
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -1,41 +1,55 @@
 import { hashText } from "../hashing/hasher.ts";
-import { HOST_PHASES, type PeerEntry } from "./gossip_schema.ts";
+import type { PeerEntry } from "./gossip_schema.ts";
+import type { HostReport } from "./host_report.ts";
+import { type HostRumour, type HostStatus, outweighs } from "./host_rumour.ts";
+import type { HostState, KnownHost } from "./known_host.ts";
 
 /** Hosts up to which all hear each other in each round. */
 export const SMALL_FLEET = 12;
 
-/** Time without word of a host after which it counts as lost in a small fleet, in milliseconds: three rounds of gossip. */
+/** Silence after which a host counts as lost in a small fleet, in milliseconds: three rounds of gossip. */
 const LIVE_FOR_MS = 700;
-/** The same in a large fleet, in milliseconds. Word of a host comes by at most three questions there, 0.6 seconds each, one of
- * which may be lost. */
-const LARGE_LIVE_FOR_MS = 2_400;
-/** Time after which a host that is not heard is forgotten, in milliseconds: longer than a host takes to come back. */
+/** Silence of all hosts after which this one takes none of them for live in a large fleet, in milliseconds. */
+const ISOLATED_AFTER_MS = 2_400;
+/** Time from the suspicion of a host to its failure, in milliseconds, in which the host may refute it. */
+export const SUSPICION_MS = 750;
+/** Time after which a host that is lost is forgotten, in milliseconds: longer than a host takes to come back. */
 const REMEMBERED_MS = 60_000;
-/** Silence after which another's word on a new start of a host is believed, in milliseconds. */
-const RELAYED_START_MS = 1_000;
-
-/** Another host as it was last heard of. */
-export interface KnownHost {
-  entry: PeerEntry;
-  /** Monotonic milliseconds at which the host told this, as far as is known. */
-  heardAt: number;
-  /** The host's clock when it last wrote to this one, in its own monotonic milliseconds. */
-  lastSentAt: number | undefined;
-}
 
-/** That a host was heard: short name of its gossip address, milliseconds since, and the index of its phase then. */
-export type HostSighting = [host: number, agoMs: number, phase: number];
+/** Told of each host of which this one believes something new. */
+export type OnBelief = (host: KnownHost) => void;
 
-/** The other hosts that are known, from their own word or another's. */
+/** The other hosts that are known, and whom of them to take for live. In a small fleet those are the hosts heard lately; in a
+ * large one all that no failure detector of the fleet has found to have failed. */
 export class HostTable {
   private readonly hosts = new Map<string, KnownHost>();
+  private readonly byName = new Map<number, KnownHost>();
+  private lastHeardAt = -Infinity;
+  private believedLive: KnownHost[] | undefined;
 
-  private constructor(private readonly ownAddress: string) {}
+  private constructor(
+    private readonly ownAddress: string,
+    private readonly onBelief: OnBelief,
+  ) {}
 
   /** Creates an empty table.
-   * @param ownAddress Gossip address of this host, which is never listed. */
-  static create(ownAddress: string): HostTable {
-    return new HostTable(ownAddress);
+   * @param ownAddress Gossip address of this host, which is never listed.
+   * @param onBelief Told of each host of which this one believes something new. */
+  static create(
+    ownAddress: string,
+    onBelief: OnBelief = () => undefined,
+  ): HostTable {
+    return new HostTable(ownAddress, onBelief);
+  }
+
+  /** Whether there are too many hosts for each to hear all others in every round. */
+  get isLarge(): boolean {
+    return this.hosts.size > SMALL_FLEET;
+  }
+
+  /** Number of known hosts. */
+  get size(): number {
+    return this.hosts.size;
   }
 
   /** All known hosts. */
@@ -49,152 +63,229 @@
     return this.hosts.get(gossipAddress);
   }
 
-  /** The hosts heard lately.
+  /** Returns a host, or nothing.
+   * @param name Its short name. */
+  findByName(name: number): KnownHost | undefined {
+    return this.byName.get(name);
+  }
+
+  /** The hosts taken for live.
    * @param now Monotonic milliseconds. */
-  getLive(now: number): KnownHost[] {
-    return this.getAll().filter((host) => this.isLive(host, now));
+  getLive(now: number): readonly KnownHost[] {
+    if (!this.isLarge) {
+      return this.getAll().filter((host) => this.isLive(host, now));
+    }
+    if (this.isIsolated(now)) return [];
+    this.believedLive ??= this.getAll().filter((host) =>
+      host.status !== "failed"
+    );
+    return this.believedLive;
   }
 
-  /** Whether a host was heard lately.
+  /** Whether a host is taken for live.
    * @param host The host.
    * @param now Monotonic milliseconds. */
   isLive(host: KnownHost, now: number): boolean {
-    const isLarge = this.hosts.size > SMALL_FLEET;
-    const liveForMs = isLarge ? LARGE_LIVE_FOR_MS : LIVE_FOR_MS;
-    return now - host.heardAt <= liveForMs;
+    if (!this.isLarge) return now - host.heardAt <= LIVE_FOR_MS;
+    return host.status !== "failed" && !this.isIsolated(now);
+  }
+
+  /** Number that is equal on two hosts that take the same starts of hosts for live, this one included.
+   * @param ownIncarnation Incarnation of this host. */
+  computeDigest(ownIncarnation: number): number {
+    let digest = digestBelief(hashText(this.ownAddress), ownIncarnation);
+    for (const { name, entry, status } of this.hosts.values()) {
+      if (status !== "failed") digest ^= digestBelief(name, entry.incarnation);
+    }
+    return digest >>> 0;
   }
 
-  /** Takes a host's own word.
+  /** Takes what a host told of itself.
    * @param entry What it told.
    * @param sentAt Its clock when it told.
    * @param now Monotonic milliseconds.
    * @returns Whether this is news and not a datagram overtaken by a later one. */
   hear(entry: PeerEntry, sentAt: number, now: number): boolean {
     if (entry.gossipAddress === this.ownAddress) return false;
+    this.lastHeardAt = now;
     const known = this.hosts.get(entry.gossipAddress);
-    const isSameStart = known?.entry.incarnation === entry.incarnation;
-    if (known && isSameStart && known.entry.sequence >= entry.sequence) {
-      if (known.lastSentAt !== undefined && known.lastSentAt >= sentAt) {
-        return false;
-      }
+    if (!known || entry.incarnation > known.entry.incarnation) {
+      this.onBelief(this.believeAlive(entry, now, sentAt));
+      return true;
     }
-    this.hosts.set(entry.gossipAddress, {
-      entry,
-      heardAt: now,
-      lastSentAt: sentAt,
-    });
+    if (entry.incarnation < known.entry.incarnation) return false;
+    const isOvertaken = known.entry.sequence >= entry.sequence &&
+      known.lastSentAt !== undefined && known.lastSentAt >= sentAt;
+    if (isOvertaken) return false;
+    known.entry = entry;
+    known.heardAt = now;
+    known.lastSentAt = sentAt;
     return true;
   }
 
-  /** Takes another host's word.
-   * @param entry What a host had told.
+  /** Takes what another host tells of a host.
+   * @param entry What the host had told.
    * @param heardAt Monotonic milliseconds at which it had told that.
    * @returns Whether this is news. */
   hearOf(entry: PeerEntry, heardAt: number): boolean {
     if (entry.gossipAddress === this.ownAddress) return false;
     const known = this.hosts.get(entry.gossipAddress);
-    if (known && !isNewer(entry, heardAt, known)) return false;
-    const isSameStart = known?.entry.incarnation === entry.incarnation;
-    this.hosts.set(entry.gossipAddress, {
-      ...(known && isSameStart
-        ? mergeOlder(entry, heardAt, known)
-        : { entry, heardAt }),
-      lastSentAt: isSameStart ? known.lastSentAt : undefined,
-    });
+    if (!known || entry.incarnation > known.entry.incarnation) {
+      this.onBelief(this.believeAlive(entry, heardAt, undefined));
+      return true;
+    }
+    const isNewer = entry.incarnation === known.entry.incarnation &&
+      entry.sequence > known.entry.sequence;
+    if (!isNewer) return false;
+    known.entry = entry;
+    known.heardAt = Math.max(known.heardAt, heardAt);
     return true;
   }
 
-  /** Notes that a known host was heard, without all that it tells of itself.
+  /** Takes another host's report of a host's requests.
+   * @param report The report.
+   * @param now Monotonic milliseconds.
+   * @returns The host, where this is news. */
+  hearReport(report: HostReport, now: number): KnownHost | undefined {
+    const known = this.byName.get(report.name);
+    const { incarnation, sequence, agoMs, loads } = report;
+    if (!known || known.entry.incarnation !== incarnation) return undefined;
+    if (sequence <= known.entry.sequence) return undefined;
+    known.entry = { ...known.entry, sequence, loads };
+    known.heardAt = Math.max(known.heardAt, now - Math.max(0, agoMs));
+    return known;
+  }
+
+  /** Notes a sign of life of a host.
    * @param address Its gossip address.
-   * @param phase Index of its phase; undefined where it did not tell.
    * @param heardAt Monotonic milliseconds at which it was heard. */
-  noteHeard(
-    address: string,
-    phase: number | undefined,
-    heardAt: number,
-  ): void {
+  noteHeard(address: string, heardAt: number): void {
+    this.lastHeardAt = Math.max(this.lastHeardAt, heardAt);
     const known = this.hosts.get(address);
-    if (!known || known.heardAt >= heardAt) return;
-    known.heardAt = heardAt;
-    const newPhase = phase === undefined ? undefined : HOST_PHASES[phase];
-    if (newPhase === undefined || newPhase === known.entry.phase) return;
-    known.entry = { ...known.entry, phase: newPhase };
+    if (known && known.heardAt < heardAt) known.heardAt = heardAt;
   }
 
-  /** The hosts heard lately, for another host; those heard last where there are many.
-   * @param limit Most hosts.
+  /** Merges what another host believes of a host.
+   * @param rumour The belief.
+   * @param now Monotonic milliseconds.
+   * @returns Whether the host is known here. */
+  applyRumour(rumour: HostRumour, now: number): boolean {
+    const known = this.byName.get(rumour.name);
+    if (!known) return false;
+    const { incarnation, status, phase } = rumour;
+    const isNewer = incarnation > known.entry.incarnation ||
+      (incarnation === known.entry.incarnation &&
+        outweighs(status, known.status));
+    if (!isNewer) return true;
+    known.entry = { ...known.entry, incarnation, phase };
+    this.believe(known, status, now - rumour.agoMs);
+    return true;
+  }
+
+  /** Suspects a host that did not answer probes.
+   * @param host The host.
    * @param now Monotonic milliseconds. */
-  getSightings(limit: number, now: number): HostSighting[] {
-    const live = this.getLive(now).sort((a, b) => b.heardAt - a.heardAt);
-    return live.slice(0, limit).map(({ entry, heardAt }) => [
-      hashText(entry.gossipAddress),
-      Math.round(now - heardAt),
-      HOST_PHASES.indexOf(entry.phase),
-    ]);
-  }
-
-  /** Takes another host's word on whom it heard; returns the short names of those that are not known here.
-   * @param sightings What it heard.
-   * @param toldAfter Monotonic milliseconds of a moment before it told this. */
-  takeSightings(
-    sightings: readonly HostSighting[],
-    toldAfter: number,
-  ): number[] {
-    const byName = this.getAddressesByName();
-    const ownName = hashText(this.ownAddress);
-    for (const [name, agoMs, phase] of sightings) {
-      const address = byName.get(name);
-      if (!address) continue;
-      this.noteHeard(address, phase, toldAfter - Math.max(0, agoMs));
-    }
-    return sightings.map(([name]) => name).filter((name) =>
-      name !== ownName && !byName.has(name)
-    );
+  suspect(host: KnownHost, now: number): void {
+    if (host.status === "alive") this.believe(host, "suspect", now);
   }
 
-  /** The hosts with some short names, as far as they are known.
-   * @param names The short names. */
-  getByNames(names: readonly number[]): KnownHost[] {
-    const byName = this.getAddressesByName();
-    return names.flatMap((name) =>
-      this.hosts.get(byName.get(name) ?? "") ?? []
-    );
+  /** Takes a host for failed, unless its suspicion was refuted.
+   * @param host The host.
+   * @param since Monotonic milliseconds at which the suspicion began. */
+  expireSuspicion(host: KnownHost, since: number): void {
+    const isLasting = host.status === "suspect" && host.statusSince === since;
+    if (isLasting) this.believe(host, "failed", since + SUSPICION_MS);
+  }
+
+  /** What this host believes of another, to be passed on.
+   * @param host The other.
+   * @param now Monotonic milliseconds. */
+  describe(host: KnownHost, now: number): HostRumour {
+    const { name, entry: { incarnation, phase }, status, statusSince } = host;
+    return { name, incarnation, status, phase, agoMs: now - statusSince };
+  }
+
+  /** All known hosts, for another that lacks some.
+   * @param now Monotonic milliseconds. */
+  getStates(now: number): HostState[] {
+    return this.getAll().map(({ entry, status, heardAt }) => ({
+      entry,
+      status,
+      agoMs: now - heardAt,
+    }));
+  }
+
+  /** Merges all that another host knows. A host that has failed there is suspected here first: after a partition both sides
+   * hold hosts for failed that live. Hosts that are new here are not passed on, for others read them too.
+   * @param states What it knows.
+   * @param now Monotonic milliseconds.
+   * @returns The hosts that are new here. */
+  mergeStates(states: readonly HostState[], now: number): KnownHost[] {
+    return states.flatMap((state) => this.mergeState(state, now) ?? []);
   }
 
-  /** Forgets the hosts that have not been heard for long.
+  /** Forgets the hosts that have been lost for long.
    * @param now Monotonic milliseconds. */
   forget(now: number): void {
-    for (const [address, { heardAt }] of this.hosts) {
-      if (now - heardAt > REMEMBERED_MS) this.hosts.delete(address);
+    for (const [address, host] of this.hosts) {
+      if (this.isLarge && host.status !== "failed") continue;
+      const lostAt = Math.max(host.heardAt, host.statusSince);
+      if (now - lostAt <= REMEMBERED_MS) continue;
+      this.hosts.delete(address);
+      this.byName.delete(host.name);
     }
   }
 
-  private getAddressesByName(): Map<number, string> {
-    return new Map(
-      [...this.hosts.keys()].map((address) => [hashText(address), address]),
-    );
+  private mergeState(state: HostState, now: number): KnownHost | undefined {
+    const { entry, status, agoMs } = state;
+    if (entry.gossipAddress === this.ownAddress) return undefined;
+    const heardAt = now - Math.max(0, agoMs);
+    const known = this.hosts.get(entry.gossipAddress);
+    if (!known && status === "failed") return undefined;
+    if (!known) return this.believeAlive(entry, heardAt, undefined);
+    this.hearOf(entry, heardAt);
+    const isSameStart = known.entry.incarnation === entry.incarnation;
+    if (status !== "alive" && isSameStart) this.suspect(known, now);
+    return undefined;
+  }
+
+  private isIsolated(now: number): boolean {
+    return now - this.lastHeardAt > ISOLATED_AFTER_MS;
+  }
+
+  private believeAlive(
+    entry: PeerEntry,
+    heardAt: number,
+    lastSentAt: number | undefined,
+  ): KnownHost {
+    const address = entry.gossipAddress;
+    const host: KnownHost = this.hosts.get(address) ?? {
+      entry,
+      name: hashText(address),
+      heardAt,
+      lastSentAt,
+      status: "alive",
+      statusSince: heardAt,
+    };
+    Object.assign(host, { entry, heardAt, lastSentAt });
+    this.hosts.set(address, host);
+    this.byName.set(host.name, host);
+    this.setStatus(host, "alive", heardAt);
+    return host;
+  }
+
+  private believe(host: KnownHost, status: HostStatus, since: number): void {
+    this.setStatus(host, status, since);
+    this.onBelief(host);
   }
-}
 
-function isNewer(
-  entry: PeerEntry,
-  heardAt: number,
-  known: KnownHost,
-): boolean {
-  if (entry.incarnation === known.entry.incarnation) {
-    return entry.sequence > known.entry.sequence;
+  private setStatus(host: KnownHost, status: HostStatus, since: number): void {
+    host.status = status;
+    host.statusSince = since;
+    this.believedLive = undefined;
   }
-  return heardAt > known.heardAt + RELAYED_START_MS;
 }
 
-/** Another's word on the same start of a host: it may have more to tell than what is known here, and yet be older than
- * the last sighting, which then decides when the host was heard and in which phase. */
-function mergeOlder(
-  entry: PeerEntry,
-  heardAt: number,
-  known: KnownHost,
-): Pick<KnownHost, "entry" | "heardAt"> {
-  if (heardAt >= known.heardAt) return { entry, heardAt };
-  const { phase } = known.entry;
-  return { entry: { ...entry, phase }, heardAt: known.heardAt };
+function digestBelief(name: number, incarnation: number): number {
+  return hashText(String(incarnation), name);
 }
--- a/src/peers/pack_gossip.ts
+++ b/src/peers/pack_gossip.ts
@@ -1,11 +1,13 @@
 import type { z } from "zod";
-import {
-  type GossipMessage,
-  type gossipSchema,
-  HOST_PHASES,
-  type PeerEntry,
-  type peerEntrySchema,
+import type {
+  GossipMessage,
+  gossipSchema,
+  PeerEntry,
+  peerEntrySchema,
 } from "./gossip_schema.ts";
+import { HOST_PHASES } from "./host_phase.ts";
+import { packHostReport } from "./host_report.ts";
+import { packHostRumour } from "./host_rumour.ts";
 
 /** Writes a message as the lists that `gossipSchema` reads.
  * @param message The message. */
@@ -21,10 +23,16 @@
       packEntry(entry),
       Math.round(agoMs),
     ]),
+    message.probe,
+    message.hostsDigest,
+    message.rumours.map(packHostRumour),
+    message.reports.map(packHostReport),
   ];
 }
 
-function packEntry(entry: PeerEntry): z.input<typeof peerEntrySchema> {
+/** Writes an entry as the list that `peerEntrySchema` reads.
+ * @param entry The entry. */
+export function packEntry(entry: PeerEntry): z.input<typeof peerEntrySchema> {
   return [
     entry.id,
     entry.incarnation,
--- a/src/peers/told_schemas.ts
+++ b/src/peers/told_schemas.ts
@@ -13,8 +13,3 @@
 export const prefixSightingsSchema = z.array(
   z.tuple([z.number(), z.number()]),
 );
-
-/** Which hosts were heard: each a `HostSighting`. */
-export const hostSightingsSchema = z.array(
-  z.tuple([z.number(), z.number(), z.number()]),
-);
--- a/tests/clock/virtual_timeline.ts
+++ b/tests/clock/virtual_timeline.ts
@@ -1,3 +1,4 @@
+import TinyQueue from "tinyqueue";
 import type { StopTimer, Timeline } from "../../src/clock/timeline.ts";
 
 interface Timer {
@@ -5,11 +6,16 @@
   /** Order among timers of the same moment. */
   number: number;
   action: () => void;
+  isStopped: boolean;
+}
+
+function compareTimers(one: Timer, other: Timer): number {
+  return one.at - other.at || one.number - other.number;
 }
 
 /** Time that passes only as a test lets it. */
 export class VirtualTimeline implements Timeline {
-  private readonly timers = new Set<Timer>();
+  private readonly timers = new TinyQueue<Timer>([], compareTimers);
   private now = 0;
   private count = 0;
 
@@ -26,9 +32,14 @@
 
   after(delayMs: number, action: () => void): StopTimer {
     this.count += 1;
-    const timer = { at: this.now + delayMs, number: this.count, action };
-    this.timers.add(timer);
-    return () => void this.timers.delete(timer);
+    const timer = {
+      at: this.now + delayMs,
+      number: this.count,
+      action,
+      isStopped: false,
+    };
+    this.timers.push(timer);
+    return () => void (timer.isStopped = true);
   }
 
   every(intervalMs: number, action: () => void): StopTimer {
@@ -44,22 +55,12 @@
   /** Lets time pass and runs the timers that come due in their order.
    * @param until Milliseconds up to which it passes. */
   runUntil(until: number): void {
-    for (let next = this.findNext(until); next; next = this.findNext(until)) {
-      this.timers.delete(next);
+    while ((this.timers.peek()?.at ?? Infinity) <= until) {
+      const next = this.timers.pop()!;
+      if (next.isStopped) continue;
       this.now = next.at;
       next.action();
     }
     this.now = until;
   }
-
-  private findNext(until: number): Timer | undefined {
-    let next: Timer | undefined;
-    for (const timer of this.timers) {
-      if (timer.at > until) continue;
-      const isSooner = !next || timer.at < next.at ||
-        (timer.at === next.at && timer.number < next.number);
-      if (isSooner) next = timer;
-    }
-    return next;
-  }
 }
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -11,6 +11,8 @@
 import type { Datagram, DatagramType } from "../../src/peers/datagram.ts";
 import type { DatagramHandler } from "../../src/peers/datagram_socket.ts";
 import { Gossip } from "../../src/peers/gossip.ts";
+import type { PeerEntry } from "../../src/peers/gossip_schema.ts";
+import type { ReadHosts } from "../../src/peers/host_pull.ts";
 import { Random } from "../../src/random/random.ts";
 import { VirtualTimeline } from "../clock/virtual_timeline.ts";
 import { buildEntry } from "../peers/build_entry.ts";
@@ -25,6 +27,8 @@
 const SENDING_MS = [1, 3] as const;
 /** Time after which other hosts of a large fleet know which engines keep a part, in milliseconds. */
 const DIRECTORY_MS = 20;
+/** Time in which a host reads all hosts that another knows, in milliseconds. */
+const HOSTS_READ_MS = 10;
 /** Time in which hosts find each other before there is traffic, in milliseconds. */
 const LEAD_MS = 4_000;
 const BOUND_MULTIPLE = 2;
@@ -138,12 +142,24 @@
       onFacts: (facts) => chooser.prefixes.learn(facts, timeline.read()),
       onEntry: (entry, heardAt) =>
         recordToldLoads(chooser.loads, entry, heardAt, gossip.isLargeFleet),
+      readHosts: (other, done) => this.readHosts(other, done),
       timeline,
       random: random.fork(),
     });
     return { address, chooser, gossip, handlers };
   }
 
+  private readHosts(
+    { gossipAddress }: PeerEntry,
+    done: Parameters<ReadHosts>[1],
+  ): void {
+    const other = this.hosts.find(({ address }) => address === gossipAddress);
+    this.timeline.after(
+      HOSTS_READ_MS,
+      () => done(other?.gossip.hosts.getStates(this.timeline.read())),
+    );
+  }
+
   private createChooser(hall: string, index: number): UpstreamChooser {
     const chooser = UpstreamChooser.create({
       logger: SILENT,
--- a/tests/peers/age_questions_test.ts
+++ b/tests/peers/age_questions_test.ts
@@ -3,7 +3,6 @@
   AgeQuestions,
   type AgeQuestionsOptions,
 } from "../../src/peers/age_questions.ts";
-import { HostTable } from "../../src/peers/host_table.ts";
 import type { PublicationWord } from "../../src/peers/publication_word.ts";
 import { type TestSocket, withSockets } from "./with_sockets.ts";
 
@@ -17,11 +16,7 @@
   return AgeQuestions.create({
     socket,
     getSources: () => [],
-    getPartners: () => [],
     getWord: () => WORD,
-    getPhase: () => "ready",
-    tellEntries: () => undefined,
-    hosts: HostTable.create("127.0.0.1:1"),
     onWord: () => undefined,
     ...options,
   });
@@ -59,7 +54,6 @@
         type: "age_answer",
         askedAt,
         word: WORD,
-        hosts: [],
       } as const;
       forger!.socket.send(asking!.address, answer);
     }
--- a/tests/peers/build_gossip.ts
+++ b/tests/peers/build_gossip.ts
@@ -11,6 +11,22 @@
       echo: 3.25,
       facts: [[1, 2, 300]],
       others: [{ entry: buildEntry({ id: "g-2" }), agoMs: 40 }],
+      probe: 17,
+      hostsDigest: 99,
+      rumours: [{
+        name: 5,
+        incarnation: 1_700_000_000_000,
+        status: "suspect",
+        phase: "draining",
+        agoMs: 30,
+      }],
+      reports: [{
+        name: 6,
+        incarnation: 1_700_000_000_001,
+        sequence: 44,
+        agoMs: 70,
+        loads: [[7, 1]],
+      }],
     },
   };
 }
--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -9,12 +9,11 @@
 
 const DATAGRAMS: Record<string, Datagram> = {
   gossip: buildGossip(),
-  question: { type: "age_question", askedAt: 99.5, phase: 1, unknown: [5] },
+  question: { type: "age_question", askedAt: 99.5 },
   answer: {
     type: "age_answer",
     askedAt: 99.5,
     word: { digest: 5, revision: 6, publicationAgeMs: 700 },
-    hosts: [[8, 40, 1]],
   },
   "facts of prompts": {
     type: "prefix_facts",
@@ -26,6 +25,34 @@
     number: 3,
     sightings: [[9, 120]],
   },
+  "answer to a probe": {
+    type: "probe_answer",
+    number: 8,
+    target: "127.0.0.1:5",
+    rumours: [{
+      name: 4,
+      incarnation: 12,
+      status: "failed",
+      phase: "ready",
+      agoMs: 900,
+    }],
+  },
+  "request for a probe": {
+    type: "probe_request",
+    number: 8,
+    target: "127.0.0.1:5",
+  },
+  rumours: {
+    type: "host_rumours",
+    rumours: [{
+      name: 4,
+      incarnation: 12,
+      status: "alive",
+      phase: "starting",
+      agoMs: 0,
+    }],
+  },
+  "question for hosts": { type: "host_question", names: [1, 2] },
   "words on crashes": {
     type: "crash_words",
     words: [{
@@ -46,7 +73,9 @@
 const MALFORMED: Record<string, Buffer> = {
   "no msgpack": Buffer.from([0xc1]),
   "no list": pack("text"),
-  "an unknown type": pack([9, 1]),
+  "an unknown type": pack([99, 1]),
+  "a rumour of an unknown status": pack([9, [[4, 12, 3, 1, 0]]]),
+  "an answer to a probe without its target": pack([7, 8, 9, []]),
   "a question without a time": pack([1]),
   "an answer with text for a digest": pack([2, 1, "x", 2, 3]),
   "a crash without points": pack([6, [[1, 2, [[3]], []]]]),
--- a/tests/peers/virtual_fleet.ts
+++ b/tests/peers/virtual_fleet.ts
@@ -1,12 +1,15 @@
 import { WatchOrder } from "../../src/gateway/watch_order.ts";
 import { AgeQuestions } from "../../src/peers/age_questions.ts";
+import type { Timeline } from "../../src/clock/timeline.ts";
 import type { Datagram, DatagramType } from "../../src/peers/datagram.ts";
 import type {
   DatagramHandler,
   DatagramPort,
 } from "../../src/peers/datagram_socket.ts";
 import { pino } from "pino";
+import { encodeDatagram } from "../../src/peers/datagram_codec.ts";
 import { Gossip } from "../../src/peers/gossip.ts";
+import type { ReadHosts } from "../../src/peers/host_pull.ts";
 import { Random } from "../../src/random/random.ts";
 import { VirtualTimeline } from "../clock/virtual_timeline.ts";
 import { buildEntry } from "./build_entry.ts";
@@ -16,6 +19,11 @@
 /** Least and most time of a datagram on its way, in milliseconds. */
 const DELIVERY_MS = [1, 20] as const;
 
+/** Time in which a host reads all hosts that another knows, in milliseconds. */
+const HOSTS_READ_MS = 20;
+/** Halls over which the hosts are spread. */
+const HALLS = 5;
+
 /** What a fleet in virtual time is made of. */
 export interface VirtualFleetOptions {
   seed: number;
@@ -25,6 +33,8 @@
   loss: number;
   /** Time within which the hosts start, in milliseconds. */
   startWithinMs: number;
+  /** Whether bytes are counted, which takes most of a run's time. */
+  countsBytes?: boolean;
 }
 
 type AnyHandler = DatagramHandler<DatagramType>;
@@ -33,6 +43,10 @@
   id: string;
   gossip: Gossip;
   handlers: Map<DatagramType, AnyHandler>;
+  /** Hosts in other parts do not reach this one. */
+  part: number;
+  sentDatagrams: number;
+  sentBytes: number;
   close: () => void;
 }
 
@@ -40,6 +54,9 @@
 export class VirtualFleet {
   readonly timeline = VirtualTimeline.create();
   private readonly hosts = new Map<string, VirtualHost>();
+  /** By address of a host that does not run, what it would have done meanwhile. */
+  private readonly frozen = new Map<string, (() => void)[]>();
+  private readonly numbers = new Map<string, number>();
   private readonly random: Random;
 
   private constructor(private readonly options: VirtualFleetOptions) {
@@ -88,9 +105,13 @@
     });
   }
 
-  private startHost(index: number): void {
-    const { timeline, random } = this;
+  /** Starts a host.
+   * @param index Its number.
+   * @param start Its first incarnation, where that does not follow from the time. */
+  startHost(index: number, start: { incarnation?: number } = {}): void {
+    const { random } = this;
     const address = getAddress(index);
+    const timeline = this.createTimeline(address);
     const handlers: VirtualHost["handlers"] = new Map();
     const socket: DatagramPort = {
       handle: (type, handler) =>
@@ -102,30 +123,30 @@
       id,
       gossipAddress: address,
       callerAddress: address,
+      hall: getHall(index),
     });
     const gossip = Gossip.create({
       logger: SILENT,
       socket,
       address,
-      hall: "h",
+      hall: getHall(index),
       getSeeds: () => [getAddress(0)],
       describeSelf: () => own,
       takeFacts: () => [],
       hasFacts: () => false,
       onFacts: () => undefined,
       onEntry: () => undefined,
+      readHosts: (host, done) =>
+        this.readHosts(address, host.gossipAddress, done),
+      firstIncarnation: start.incarnation ??
+        1_000 + Math.round(timeline.read()),
       timeline,
       random: random.fork(),
     });
     const questions = AgeQuestions.create({
       socket,
       getSources: () => this.find(gossip, this.order(gossip, id).getSources()),
-      getPartners: () =>
-        this.find(gossip, this.order(gossip, id).getFellowWatchers()),
       getWord: () => ({ digest: 1, revision: 1, publicationAgeMs: 10 }),
-      getPhase: () => "ready",
-      hosts: gossip.hosts,
-      tellEntries: (asker, names) => gossip.tellEntries(asker, names),
       onWord: () => undefined,
       timeline,
     });
@@ -133,7 +154,89 @@
       gossip.close();
       questions.close();
     };
-    this.hosts.set(address, { id, gossip, handlers, close });
+    this.numbers.set(address, index);
+    this.hosts.set(address, {
+      id,
+      gossip,
+      handlers,
+      part: 0,
+      sentDatagrams: 0,
+      sentBytes: 0,
+      close,
+    });
+  }
+
+  /** Parts hosts from the others, or joins all again.
+   * @param isApart Whether a host, by its number, is in the other part. */
+  part(isApart: (index: number) => boolean): void {
+    for (const [address, host] of this.hosts) {
+      host.part = isApart(this.numbers.get(address)!) ? 1 : 0;
+    }
+  }
+
+  /** Lets a host neither send, hear nor run until it is thawed.
+   * @param index Its number. */
+  freezeHost(index: number): void {
+    this.frozen.set(getAddress(index), []);
+  }
+
+  /** Lets a frozen host run what it missed, and go on.
+   * @param index Its number. */
+  thawHost(index: number): void {
+    const address = getAddress(index);
+    const missed = this.frozen.get(address) ?? [];
+    this.frozen.delete(address);
+    for (const action of missed) action();
+  }
+
+  /** Whether any other host takes a host for live.
+   * @param index Its number. */
+  getNamedByOthers(index: number): boolean {
+    const now = this.timeline.read();
+    return [...this.hosts].some(([address, { gossip }]) =>
+      address !== getAddress(index) &&
+      gossip.hosts.getLive(now).some(({ entry }) => entry.id === `g-${index}`)
+    );
+  }
+
+  /** Number of hosts that each host takes for live, without itself. */
+  getLiveCounts(): number[] {
+    const now = this.timeline.read();
+    return [...this.hosts.values()].map(({ gossip }) =>
+      gossip.hosts.getLive(now).length
+    );
+  }
+
+  /** Bytes that each host has sent so far, when they are written as the product writes them. */
+  getSentBytes(): number[] {
+    return [...this.hosts.values()].map(({ sentBytes }) => sentBytes);
+  }
+
+  /** Pairs of hosts, each as a part of all pairs, of which the first lacks the second. */
+  getMissingPart(): number {
+    const { size } = this.hosts;
+    return this.findMissing().length / (size * (size - 1));
+  }
+
+  private readHosts(
+    reader: string,
+    told: string,
+    done: Parameters<ReadHosts>[1],
+  ): void {
+    this.timeline.after(HOSTS_READ_MS, () => {
+      const host = this.hosts.get(told);
+      if (!host || !this.isConnected(reader, told)) return done(undefined);
+      const own = host.gossip.getOwnEntry();
+      const states = host.gossip.hosts.getStates(this.timeline.read());
+      done(structuredClone([
+        { entry: own, status: "alive", agoMs: 0 },
+        ...states,
+      ]));
+    });
+  }
+
+  private isConnected(from: string, to: string): boolean {
+    return this.hosts.get(from)?.part === this.hosts.get(to)?.part;
   }
 
   private order(gossip: Gossip, id: string): WatchOrder {
@@ -150,14 +253,58 @@
   }
 
   private deliver(from: string, to: string, datagram: Datagram): void {
+    const sender = this.hosts.get(from);
+    if (sender) this.count(sender, datagram);
     if (this.random.fraction() < this.options.loss) return;
     const delayMs = this.random.integer(...DELIVERY_MS);
+    const copy = copyDatagram(datagram);
     this.timeline.after(delayMs, () => {
-      this.hosts.get(to)?.handlers.get(datagram.type)?.(datagram, from);
+      if (!this.isConnected(from, to)) return;
+      const host = this.hosts.get(to);
+      this.run(to, () => host?.handlers.get(datagram.type)?.(copy, from));
     });
   }
+
+  /** Runs an action of a host, once it is not frozen. */
+  private run(address: string, action: () => void): void {
+    const missed = this.frozen.get(address);
+    if (missed) missed.push(action);
+    else action();
+  }
+
+  /** The timeline of a host, whose timers wait while it is frozen. */
+  private createTimeline(address: string): Timeline {
+    const { timeline } = this;
+    const hold = (action: () => void) => () => this.run(address, action);
+    return {
+      read: () => timeline.read(),
+      every: (intervalMs, action) => timeline.every(intervalMs, hold(action)),
+      after: (delayMs, action) => timeline.after(delayMs, hold(action)),
+    };
+  }
+
+  private count(sender: VirtualHost, datagram: Datagram): void {
+    sender.sentDatagrams += 1;
+    if (this.options.countsBytes) {
+      sender.sentBytes += encodeDatagram(datagram).length;
+    }
+  }
+}
+
+/** Copies the entries, which tables change; all else in a datagram is left as it is. */
+function copyDatagram(datagram: Datagram): Datagram {
+  if (datagram.type !== "gossip") return datagram;
+  const { message } = datagram;
+  return {
+    ...datagram,
+    message: { ...message, sender: { ...message.sender } },
+  };
+}
+
+function getHall(index: number): string {
+  return `h-${index % HALLS}`;
 }
 
 function getAddress(index: number): string {
-  return `127.0.0.${index + 1}:1`;
+  return `127.0.${index >> 8}.${index & 0xff}:1`;
 }
