--- a/tools/bundle_cached.ts
+++ b/tools/bundle_cached.ts
@@ -1,10 +1,12 @@
 /** Makes the program with a code cache beside it: the folder's `beechkeel.cjs` runs `program.cjs` from the cache that a
  * gateway recorded while it served requests of each kind. */
+import { isBuiltin } from "node:module";
 import process from "node:process";
-import { build } from "esbuild";
+import { build, type Metafile } from "esbuild";
 import { Random } from "../src/random/random.ts";
 import { SoakCaller } from "../soak/soak_caller.ts";
 import { SoakFleet } from "../soak/soak_fleet.ts";
+import { buildLauncher } from "./build_launcher.ts";
 import { BUNDLE_OPTIONS } from "./bundle_options.ts";
 
 /** Where the files go unless another folder is named. */
@@ -19,20 +21,24 @@
 const CALLER_PAUSE_MS = [5, 20] as const;
 
 const folder = process.argv[2] ?? DEFAULT_FOLDER;
-await build({
+const { metafile } = await build({
   ...BUNDLE_OPTIONS,
   entryPoints: ["src/main.ts"],
   outfile: `${folder}/program.cjs`,
+  metafile: true,
 });
-await build({
-  ...BUNDLE_OPTIONS,
-  entryPoints: ["src/launcher.ts"],
-  outfile: `${folder}/beechkeel.cjs`,
-});
+await buildLauncher(`${folder}/beechkeel.cjs`, findBuiltins(metafile));
 process.env.BEECHKEEL_RECORD_CODE_CACHE = "1";
 await record();
 process.exit();
 
+/** Names of the runtime's own modules that the bundled inputs load. */
+function findBuiltins({ inputs }: Metafile): string[] {
+  const paths = Object.values(inputs).flatMap((input) => input.imports)
+    .map(({ path }) => path).filter((path) => isBuiltin(path));
+  return [...new Set(paths)];
+}
+
 async function record(): Promise<void> {
   const fleet = await SoakFleet.create({
     seed: 1,
