Name each host of a large fleet to callers about as often

Cause: an answer with addresses held the first 64 ready hosts of the table, whose order is the one in which the first seed met them: at 195 hosts 131 were named by nobody, the answering host often among them. Change: a host names itself and the first of its own rendezvous order. Test: choose_addresses_test; on the code before, two hosts in three are never named.

--- a/src/gateway/choose_addresses.ts
+++ b/src/gateway/choose_addresses.ts
@@ -1,3 +1,4 @@
+import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import type { KnownHost } from "../peers/known_host.ts";
 
 /** Most addresses in one answer. */
@@ -7,18 +8,23 @@
 export interface AddressOptions {
   /** Address of this host, and whether it takes requests. */
   own: { callerAddress: string; isReady: boolean };
-  /** Other hosts that are heard. */
+  /** Other hosts that are taken for live. */
   live: readonly KnownHost[];
 }
 
-/** The addresses that callers should use: of hosts that are ready. Where none is known there are none, so that the
- * caller asks another host or keeps the addresses it has.
+/** The addresses that callers should use: of hosts that are ready, this one first. Where there are more than fit, each host
+ * names others of them, so that all are named about as often. Where none is known there are none, so that the caller asks
+ * another host or keeps the addresses it has.
  * @param options What the answer is made from. */
 export function chooseAddresses(options: AddressOptions): string[] {
   const { own, live } = options;
-  const ready = live.filter((host) => host.entry.phase === "ready").map((
+  const others = live.filter((host) => host.entry.phase === "ready").map((
     host,
   ) => host.entry.callerAddress);
-  if (own.isReady) ready.push(own.callerAddress);
-  return ready.slice(0, MAX_ADDRESSES);
+  const ready = own.isReady ? [own.callerAddress] : [];
+  const left = MAX_ADDRESSES - ready.length;
+  const named = others.length <= left
+    ? others
+    : rankByRendezvous(own.callerAddress, others).slice(0, left);
+  return [...ready, ...named];
 }
