Take the publication from another host after a start

Change: a host that has seeds and is none waits 0.3 to 0.6 s for another's copy; who knows something answers a host that knows nothing at once. Test: restart_reads_test, failing before.

--- a/fakes/fake_store.ts
+++ b/fakes/fake_store.ts
@@ -29,6 +29,8 @@
   behaviour: StoreBehaviour = "well";
   /** Calls it got. */
   calls = 0;
+  /** Reads of whole lists among them. */
+  snapshotReads = 0;
   /** Times that it was restored; told in all answers. Undefined where it tells none. */
   era: number | undefined = 1;
   private revision = 0;
@@ -148,6 +150,7 @@
   }
 
   private answerRange(response: ServerResponse, query: URLSearchParams): void {
+    this.snapshotReads += 1;
     const prefix = query.get("path_prefix") ?? "";
     const after = query.get("after") ?? "";
     const matching = [...this.items.values()].filter((item) =>
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -231,6 +231,11 @@
       keeper: this.keeper,
       getHostId: () => this.settings.id,
       getLiveHosts: () => this.getLiveHosts(),
+      hasOthersFirst: () => {
+        const { seedAddresses, gossipAddress } = this.settings;
+        return seedAddresses.length > 0 &&
+          !seedAddresses.includes(gossipAddress);
+      },
     });
   }
 
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -1,5 +1,6 @@
 import { readClock } from "../clock/clock.ts";
 import type { Logger } from "../logging/logger.ts";
+import { Random } from "../random/random.ts";
 import type { KnownHost } from "../peers/known_host.ts";
 import { FeedWatcher } from "../published/feed_watcher.ts";
 import type { PublicationFeed } from "../published/publication_feed.ts";
@@ -14,6 +15,9 @@
 /** Time after a start in which a host that hears others leaves watching to them, in milliseconds: it does not know yet
  * who is to watch. */
 const STARTING_MS = 1_000;
+/** Least and most time after a start in which a host that knows seeds waits for another's copy before it reads the platform
+ * itself, in milliseconds. The seeds read at once. */
+const FIRST_COPY_WAIT_MS = [300, 600] as const;
 /** Pause after a failed read of the platform, in milliseconds; drawn between half and one and a half of it. */
 const WATCHER_RETRY_MS = 200;
 /** The same for hosts that only help out, which is longer, for every call has its price, also one that is refused. */
@@ -32,12 +36,15 @@
   getHostId: () => string;
   /** Other hosts that are heard. */
   getLiveHosts: () => readonly KnownHost[];
+  /** Whether other hosts are likely to have a copy of what is published before this one: it has seeds and is none. */
+  hasOthersFirst: () => boolean;
 }
 
 /** A host's part in watching the platform: whether it is one of the hosts that watch. */
 export class PublicationWatch {
   private readonly watcher: FeedWatcher;
   private readonly startedAt = readClock();
+  private readonly copyWaitMs = Random.create().integer(...FIRST_COPY_WAIT_MS);
   private orderedAt = readClock();
   private lastOrder: WatchOrder;
 
@@ -83,8 +90,11 @@
   }
 
   private isNeeded(): boolean {
-    const { ageMs } = this.options.keeper;
-    const isStarting = readClock() - this.startedAt < STARTING_MS;
+    const { keeper: { ageMs }, hasOthersFirst } = this.options;
+    const runsForMs = readClock() - this.startedAt;
+    const mayGetCopy = runsForMs < this.copyWaitMs && hasOthersFirst();
+    if (ageMs === Infinity && mayGetCopy) return false;
+    const isStarting = runsForMs < STARTING_MS;
     const hearsOthers = this.options.getLiveHosts().length > 0;
     if (isStarting && hearsOthers && ageMs < STARTING_MS) return false;
     return this.order.isNeeded(ageMs);
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -264,13 +264,18 @@
     if (message.probe > 0) {
       this.detector.answer(address, message.probe, this.options.address);
     }
-    if (this.hosts.isLarge && before !== sender.incarnation) {
-      this.tell(address, {});
-    }
+    const isNew = this.hosts.isLarge && before !== sender.incarnation;
+    if (isNew || this.isAheadOf(sender)) this.tell(address, {});
     this.correct(sender, now);
     this.compareDigests(message, now);
   }
 
+  /** Whether this host knows what is published while another knows nothing. */
+  private isAheadOf({ publicationAgeMs }: PeerEntry): boolean {
+    return publicationAgeMs < 0 &&
+      this.self.getEntry().publicationAgeMs >= 0;
+  }
+
   private hearOthers({ others, reports }: GossipMessage, now: number): void {
     for (const { entry, agoMs } of others) {
       const heardAt = now - Math.max(0, agoMs);
--- /dev/null
+++ b/tests/gateway/restart_reads_test.ts
@@ -0,0 +1,31 @@
+import test from "ava";
+import { call } from "./call.ts";
+import { waitUntilServing } from "./wait_for_gateway.ts";
+import { withGateways } from "./with_gateways.ts";
+
+const KEY = "key-1";
+
+test("a host that starts beside others reads nothing of the platform before it serves", async (t) => {
+  await withGateways(async (fleet) => {
+    await fleet.startWorker("s");
+    fleet.publishConfiguration(3, [KEY]);
+    const first = await fleet.startGateway();
+    await waitUntilServing(first);
+    const { gossipAddress } = first.settings;
+    const readBefore = fleet.store.snapshotReads;
+    const second = await fleet.startGateway({ seedAddresses: [gossipAddress] });
+    await waitUntilServing(second);
+    t.is((await call(second, KEY)).status, 200);
+    t.is(fleet.store.snapshotReads, readBefore);
+  });
+});
+
+test("a host whose seeds are silent reads the platform itself", async (t) => {
+  await withGateways(async (fleet) => {
+    await fleet.startWorker("s");
+    fleet.publishConfiguration(3, [KEY]);
+    const alone = await fleet.startGateway({ seedAddresses: ["127.0.0.1:9"] });
+    await waitUntilServing(alone);
+    t.is((await call(alone, KEY)).status, 200);
+  });
+});
