Round hosts' shares of the retry budget at random

Cause: each host spent floor(0.6 x its share): at 195 hosts and 98 requests a second a share of the budget is 3.2 retries in 10 s, of which one was used. Where all upstreams of a service fail 45 in 100 for 4 s, 143 of 180 retries were allowed, and at 280 requests a second 403 of 521, with more than half of the fleet's budget unspent. Change: a share is rounded at random, 0.7 of the budget is used, and it is divided among all remembered hosts, which errs on the safe side while hosts are parted or lost. Tried and left: no extra budget in the first 4 s after a start; a restarted host then retries nothing (four gateway tests). Open: after a start of all, hosts know few others for some 4 s and divide the budget by too few, as before.

--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -90,6 +90,12 @@
     return this.gossip.hosts.getLive(readClock());
   }
 
+  /** Hosts that may share a budget of the fleet, this one too: all that are remembered, for those that are lost here may live
+   * elsewhere. */
+  countSharingHosts(): number {
+    return 1 + this.gossip.hosts.size;
+  }
+
   /** Tells other hosts soon how this one is. */
   announce(): void {
     this.gossip.announce();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -199,6 +199,7 @@
       getSettings: () => this.settings,
       getService: (name) => this.keeper.routes?.getService(name),
       countHosts: () => 1 + this.getLiveHosts().length,
+      countSharingHosts: () => this.link?.countSharingHosts() ?? 1,
       getLapseEndsAt: () => this.keeper.lapseEndsAt,
       onFacts: () => this.link?.tellFacts(),
       onRestart: (before) => this.handler.loseUpstream(before),
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -45,6 +45,8 @@
   getService: (name: string) => Service | undefined;
   /** Hosts that are heard, this one too. */
   countHosts: () => number;
+  /** Hosts that may share a budget of the fleet, also those that were lost lately. */
+  countSharingHosts: () => number;
   /** Monotonic milliseconds up to which a missing entry may only have lapsed. */
   getLapseEndsAt: () => number;
   /** Told when there are facts about prompts for other hosts. */
@@ -269,7 +271,8 @@
       ratio: settings.retryRatio,
       extra: settings.retryExtra,
       windowMs: settings.retryWindowMs,
-      countHosts: this.options.countHosts,
+      countHosts: this.options.countSharingHosts,
+      random: this.random,
     });
     this.retryShares.set(service, share);
     return share;
--- a/src/upstreams/retry_share.ts
+++ b/src/upstreams/retry_share.ts
@@ -1,5 +1,7 @@
+import type { Random } from "../random/random.ts";
+
 /** Part of the fleet's retry budget that is used; the rest is kept for what hosts cannot know of each other. */
-const USED_PART = 0.6;
+const USED_PART = 0.7;
 /** Slots that a window is counted in. */
 const WINDOW_SLOTS = 10;
 
@@ -10,8 +12,9 @@
   /** Retries allowed beyond that in a window, for the whole fleet. */
   extra: number;
   windowMs: number;
-  /** Hosts that share the budget. */
+  /** Hosts that may share the budget. */
   countHosts: () => number;
+  random: Random;
 }
 
 interface Slot {
@@ -20,11 +23,17 @@
   retries: number;
 }
 
-/** This host's share of the fleet's retry budget for one service, over a sliding window. */
+/** This host's share of the fleet's retry budget for one service, over a sliding window. In a large fleet a share is a few
+ * retries, so that hosts round it at random: always down, the fleet would refuse a fifth of the retries when many
+ * upstreams fail at once. */
 export class RetryShare {
   private slots: Slot[] = [];
+  /** Fraction of a retry above which the share allows one more. */
+  private readonly rounding: number;
 
-  private constructor(private readonly options: RetryBudgetOptions) {}
+  private constructor(private readonly options: RetryBudgetOptions) {
+    this.rounding = options.random.fraction();
+  }
 
   /** Creates an unused share.
    * @param options What the budget of the fleet is. */
@@ -46,7 +55,7 @@
     const retries = this.slots.reduce((sum, one) => sum + one.retries, 0);
     const { ratio, extra, countHosts } = this.options;
     const allowed = ratio * requests + extra / Math.max(1, countHosts());
-    if (retries + 1 > USED_PART * allowed) return false;
+    if (retries + this.rounding >= USED_PART * allowed) return false;
     slot.retries += 1;
     return true;
   }
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -173,6 +173,7 @@
       }),
       getService: () => undefined,
       countHosts: () => 1 + this.getLiveCount(index),
+      countSharingHosts: () => this.options.hosts,
       getLapseEndsAt: () => -Infinity,
       onFacts: () => this.tellFacts(index),
       onRestart: () => undefined,
