Read rumours and reports as flat lists, and keep the digest of live hosts

Change: a list is checked in one step, and the digest is kept until a belief changes. Not measured again yet.

--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -4,7 +4,7 @@
 import type { Datagram, DatagramOf, DatagramType } from "./datagram.ts";
 import { packGossip } from "./pack_gossip.ts";
 import { gossipSchema } from "./gossip_schema.ts";
-import { hostRumourSchema, packHostRumour } from "./host_rumour.ts";
+import { hostRumoursSchema, packHostRumours } from "./host_rumour.ts";
 import { prefixFactsSchema, prefixSightingsSchema } from "./told_schemas.ts";
 
 /** How the body of one type is written and read. */
@@ -84,9 +84,9 @@
     pack: ({ number, target, rumours }) => [
       number,
       target,
-      rumours.map(packHostRumour),
+      packHostRumours(rumours),
     ],
-    schema: z.tuple([z.number(), z.string(), z.array(hostRumourSchema)])
+    schema: z.tuple([z.number(), z.string(), hostRumoursSchema])
       .transform(([number, target, rumours]) => (
         { type: "probe_answer", number, target, rumours }
       )),
@@ -101,8 +101,8 @@
   },
   host_rumours: {
     number: 9,
-    pack: ({ rumours }) => [rumours.map(packHostRumour)],
-    schema: z.tuple([z.array(hostRumourSchema)])
+    pack: ({ rumours }) => [packHostRumours(rumours)],
+    schema: z.tuple([hostRumoursSchema])
       .transform(([rumours]) => ({ type: "host_rumours", rumours })),
   },
   host_question: {
--- a/src/peers/gossip_schema.ts
+++ b/src/peers/gossip_schema.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 import { HOST_PHASES } from "./host_phase.ts";
-import { hostReportSchema } from "./host_report.ts";
-import { hostRumourSchema } from "./host_rumour.ts";
+import { hostReportsSchema } from "./host_report.ts";
+import { hostRumoursSchema } from "./host_rumour.ts";
 import { loadCountsSchema, prefixFactsSchema } from "./told_schemas.ts";
 
 /** What a host tells of itself; it travels as a list, for field names would be two thirds of a datagram. */
@@ -54,8 +54,8 @@
   z.array(z.tuple([peerEntrySchema, z.number()])),
   z.number(),
   z.number(),
-  z.array(hostRumourSchema),
-  z.array(hostReportSchema),
+  hostRumoursSchema,
+  hostReportsSchema,
 ]).transform((list) => ({
   sender: list[0],
   /** Sender's monotonic milliseconds. */
--- a/src/peers/host_rumour.ts
+++ b/src/peers/host_rumour.ts
@@ -1,5 +1,5 @@
-import { z } from "zod";
 import { HOST_PHASES, type HostPhase } from "./host_phase.ts";
+import { numberListSchema } from "./told_schemas.ts";
 
 /** What one host believes of another. A status outweighs those before it within an incarnation. */
 export const HOST_STATUSES = ["alive", "suspect", "failed"] as const;
@@ -7,40 +7,36 @@
 /** What one host believes of another. */
 export type HostStatus = typeof HOST_STATUSES[number];
 
-/** A belief about a host as it is passed on; it travels as a list of numbers. */
-export const hostRumourSchema = z.tuple([
-  z.number(),
-  z.number(),
-  z.number().int().min(0).max(HOST_STATUSES.length - 1),
-  z.number().int().min(0).max(HOST_PHASES.length - 1),
-  z.number().nonnegative(),
-]).transform(([name, incarnation, status, phase, agoMs]) => ({
+/** A belief about a host as it is passed on. */
+export interface HostRumour {
   /** Short name of the host's gossip address. */
-  name,
+  name: number;
   /** Grows with each start of the host, each change of its phase and each suspicion that it refutes. */
-  incarnation,
-  status: HOST_STATUSES[status]! as HostStatus,
-  phase: HOST_PHASES[phase]! as HostPhase,
+  incarnation: number;
+  status: HostStatus;
+  phase: HostPhase;
   /** Milliseconds since the status was first believed anywhere. */
-  agoMs,
-}));
+  agoMs: number;
+}
 
-/** A belief about a host as it is passed on. */
-export type HostRumour = z.infer<typeof hostRumourSchema>;
-
-/** Writes a rumour as the list that `hostRumourSchema` reads.
- * @param rumour The rumour. */
-export function packHostRumour(
-  rumour: HostRumour,
-): z.input<typeof hostRumourSchema> {
-  const { name, incarnation, status, phase, agoMs } = rumour;
-  return [
+/** Numbers that one rumour takes in a list. */
+const NUMBERS_PER_RUMOUR = 5;
+
+/** Rumours as one list of numbers; numbers that name no status or phase, and a rest, are refused. */
+export const hostRumoursSchema = numberListSchema
+  .refine(isWellFormed, "must be whole rumours")
+  .transform(readRumours);
+
+/** Writes rumours as the list that `hostRumoursSchema` reads.
+ * @param rumours The rumours. */
+export function packHostRumours(rumours: readonly HostRumour[]): number[] {
+  return rumours.flatMap(({ name, incarnation, status, phase, agoMs }) => [
     name,
     incarnation,
     HOST_STATUSES.indexOf(status),
     HOST_PHASES.indexOf(phase),
     Math.round(agoMs),
-  ];
+  ]);
 }
 
 /** Whether a status outweighs another within one incarnation.
@@ -49,3 +45,27 @@
 export function outweighs(status: HostStatus, other: HostStatus): boolean {
   return HOST_STATUSES.indexOf(status) > HOST_STATUSES.indexOf(other);
 }
+
+function isWellFormed(list: readonly number[]): boolean {
+  if (list.length % NUMBERS_PER_RUMOUR !== 0) return false;
+  for (let at = 0; at < list.length; at += NUMBERS_PER_RUMOUR) {
+    const isKnown = HOST_STATUSES[list[at + 2]!] !== undefined &&
+      HOST_PHASES[list[at + 3]!] !== undefined;
+    if (!isKnown || list[at + 4]! < 0) return false;
+  }
+  return true;
+}
+
+function readRumours(list: readonly number[]): HostRumour[] {
+  const rumours: HostRumour[] = [];
+  for (let at = 0; at < list.length; at += NUMBERS_PER_RUMOUR) {
+    rumours.push({
+      name: list[at]!,
+      incarnation: list[at + 1]!,
+      status: HOST_STATUSES[list[at + 2]!]!,
+      phase: HOST_PHASES[list[at + 3]!]!,
+      agoMs: list[at + 4]!,
+    });
+  }
+  return rumours;
+}
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -26,6 +26,8 @@
   private readonly byName = new Map<number, KnownHost>();
   private lastHeardAt = -Infinity;
   private believedLive: KnownHost[] | undefined;
+  /** Digest of the hosts that have not failed; undefined where that has changed. */
+  private liveDigest: number | undefined;
 
   private constructor(
     private readonly ownAddress: string,
@@ -93,11 +95,15 @@
   /** Number that is equal on two hosts that take the same starts of hosts for live, this one included.
    * @param ownIncarnation Incarnation of this host. */
   computeDigest(ownIncarnation: number): number {
-    let digest = digestBelief(hashText(this.ownAddress), ownIncarnation);
-    for (const { name, entry, status } of this.hosts.values()) {
-      if (status !== "failed") digest ^= digestBelief(name, entry.incarnation);
-    }
-    return digest >>> 0;
+    this.liveDigest ??= this.getAll().filter(({ status }) =>
+      status !== "failed"
+    ).reduce(
+      (digest, { name, entry }) =>
+        digest ^ digestBelief(name, entry.incarnation),
+      0,
+    );
+    const own = digestBelief(hashText(this.ownAddress), ownIncarnation);
+    return (this.liveDigest ^ own) >>> 0;
   }
 
   /** Takes what a host told of itself.
@@ -233,6 +239,8 @@
       if (now - lostAt <= REMEMBERED_MS) continue;
       this.hosts.delete(address);
       this.byName.delete(host.name);
+      this.believedLive = undefined;
+      this.liveDigest = undefined;
     }
   }
 
@@ -283,6 +291,7 @@
     host.status = status;
     host.statusSince = since;
     this.believedLive = undefined;
+    this.liveDigest = undefined;
   }
 }
 
--- a/src/peers/pack_gossip.ts
+++ b/src/peers/pack_gossip.ts
@@ -6,8 +6,8 @@
   peerEntrySchema,
 } from "./gossip_schema.ts";
 import { HOST_PHASES } from "./host_phase.ts";
-import { packHostReport } from "./host_report.ts";
-import { packHostRumour } from "./host_rumour.ts";
+import { packHostReports } from "./host_report.ts";
+import { packHostRumours } from "./host_rumour.ts";
 
 /** Writes a message as the lists that `gossipSchema` reads.
  * @param message The message. */
@@ -25,8 +25,8 @@
     ]),
     message.probe,
     message.hostsDigest,
-    message.rumours.map(packHostRumour),
-    message.reports.map(packHostReport),
+    packHostRumours(message.rumours),
+    packHostReports(message.reports),
   ];
 }
 
