--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -34,6 +34,7 @@
 const ROUNDS_PER_RELAY = 10;
 /** Time between two rounds from which this process did not run meanwhile, in milliseconds. */
 const PAUSED_AFTER_MS = 1_000;
+
 /** What gossip needs and whom it tells. */
 export interface GossipOptions {
   logger: Logger;
