--- a/src/peers/choose_told.ts
+++ b/src/peers/choose_told.ts
@@ -1,7 +1,7 @@
 import type { Random } from "../random/random.ts";
 import type { KnownHost } from "./known_host.ts";
 
-/** Chooses the hosts of which others are told: half of them those heard last, which are news to most, half any others.
+/** Chooses the hosts to gossip about: half of them the most recently seen, half picked at random.
  * @param hosts The hosts to choose from.
  * @param count Most hosts.
  * @param random Source of the choice. */
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -189,8 +189,8 @@
     });
   }
 
-  /** Passes a belief on, and sees to the end of a suspicion. Failures are not passed on ahead of the next round, since all that
-   * heard of the suspicion come to the same end. */
+  /** Queues a changed belief for dissemination and schedules the expiry of a suspicion. Failures wait for the next round, since
+   * every host that knows of the suspicion expires it at the same time. */
   private takeBelief(host: KnownHost): void {
     const { name, status, statusSince } = host;
     this.rumours.add(name);
--- a/src/peers/gossip_composer.ts
+++ b/src/peers/gossip_composer.ts
@@ -72,7 +72,7 @@
     return hosts.computeDigest(self.incarnation);
   }
 
-  /** The hosts whose entries a host of a small fleet is told.
+  /** The hosts whose entries are relayed to a host of a small fleet.
    * @param address Gossip address of that host. */
   chooseRelayed(address: string): KnownHost[] {
     const { hosts, timeline, random } = this.options;
--- a/src/peers/gossip_schema.ts
+++ b/src/peers/gossip_schema.ts
@@ -72,7 +72,7 @@
   hostsDigest: list[6],
   /** What the sender believes of other hosts, where that changed lately. */
   rumours: list[7],
-  /** Requests of other hosts, as the sender last heard of them. */
+  /** In-flight requests of other hosts, as last reported to the sender. */
   reports: list[8],
 }));
 
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -19,8 +19,8 @@
 /** Told of each host of which this one believes something new. */
 export type OnBelief = (host: KnownHost) => void;
 
-/** The other hosts that are known, and whom of them to take for live. In a small fleet those are the hosts heard lately; in a
- * large one all that no failure detector of the fleet has found to have failed. */
+/** The known hosts and which of them are live: in a small fleet those seen lately, in a large one all that the fleet's failure
+ * detectors have not declared failed. */
 export class HostTable {
   private readonly hosts = new Map<string, KnownHost>();
   private readonly byName = new Map<number, KnownHost>();
@@ -44,7 +44,7 @@
     return new HostTable(ownAddress, onBelief);
   }
 
-  /** Whether there are too many hosts for each to hear all others in every round. */
+  /** Whether there are too many hosts for all-to-all gossip in every round. */
   get isLarge(): boolean {
     return this.hosts.size > SMALL_FLEET;
   }
--- a/src/peers/known_host.ts
+++ b/src/peers/known_host.ts
@@ -1,7 +1,7 @@
 import type { PeerEntry } from "./gossip_schema.ts";
 import type { HostStatus } from "./host_rumour.ts";
 
-/** Another host as it was last heard of. */
+/** The latest known state of another host. */
 export interface KnownHost {
   entry: PeerEntry;
   /** Short name of its gossip address. */
@@ -19,6 +19,6 @@
 export interface HostState {
   entry: PeerEntry;
   status: HostStatus;
-  /** Milliseconds since it was heard. */
+  /** Milliseconds since it was last seen. */
   agoMs: number;
 }
--- a/src/peers/rumour_spread.ts
+++ b/src/peers/rumour_spread.ts
@@ -20,7 +20,7 @@
   timeline: Timeline;
 }
 
-/** Passes beliefs about hosts on: on all that is told anyway, and ahead of that where they have just changed. */
+/** Disseminates beliefs about hosts: piggybacked on every message, and sent ahead of the next round when they change. */
 export class RumourSpread {
   private readonly queue = RumourQueue.create<number>();
   private stopTimer: StopTimer | undefined;
--- a/src/peers/self_description.ts
+++ b/src/peers/self_description.ts
@@ -62,7 +62,7 @@
     return true;
   }
 
-  /** The entry that is told to other hosts. */
+  /** The entry that is gossiped to other hosts. */
   getEntry(): PeerEntry {
     const { currentIncarnation: incarnation, sequence } = this;
     return { ...this.describe(), incarnation, sequence };
