Describe all known hosts in one place and share the spread of rumours

Found in reading the change: the list of all hosts with this one was put together by the link and again by the virtual fleet; the failure detector sent rumours past RumourSpread and was handed its methods one by one; each digest hashed this host's own address anew; the link was closed before the server, with a wait in between; the virtual fleet kept a count and a figure nobody read. Behaviour and assertions stay as they are.

--- a/src/gateway/fleet_link.ts
+++ b/src/gateway/fleet_link.ts
@@ -6,7 +6,7 @@
 import { DatagramSocket } from "../peers/datagram_socket.ts";
 import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
-import type { HostState, KnownHost } from "../peers/known_host.ts";
+import type { KnownHost } from "../peers/known_host.ts";
 import { PrefixDirectory } from "../peers/prefix_directory.ts";
 import type { PublicationWord } from "../peers/publication_word.ts";
 import type { PublicationKeeper } from "../published/publication_keeper.ts";
@@ -50,7 +50,7 @@
     const { gossipAddress } = options.getSettings();
     this.hostExchange = HostExchange.create(
       options.logger,
-      () => this.getHostStates(),
+      () => this.gossip.getHostStates(),
     );
     this.gossip = this.createGossip(gossipAddress);
     this.questions = AgeQuestions.create({
@@ -162,15 +162,6 @@
     });
   }
 
-  private getHostStates(): HostState[] {
-    const own: HostState = {
-      entry: this.gossip.getOwnEntry(),
-      status: "alive",
-      agoMs: 0,
-    };
-    return [own, ...this.gossip.hosts.getStates(readClock())];
-  }
-
   private getWord(): PublicationWord {
     const { ageMs, digest, revision } = this.options.keeper;
     const publicationAgeMs = Number.isFinite(ageMs) ? ageMs : -1;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -129,11 +129,11 @@
   async close(): Promise<void> {
     this.unwatchClock();
     this.watch?.close();
-    await this.link?.close();
     this.server?.close();
     this.chooser.close();
     this.guard.close();
     this.endpoints?.close();
+    await this.link?.close();
     await this.publicationExchange.close();
     await this.prefixExchange.close();
     await this.parts.inventory.close();
--- a/src/peers/failure_detector.ts
+++ b/src/peers/failure_detector.ts
@@ -3,9 +3,10 @@
 import { ProbeRound } from "../membership/probe_round.ts";
 import type { Random } from "../random/random.ts";
 import type { DatagramPort } from "./datagram_socket.ts";
-import type { HostRumour } from "./host_rumour.ts";
 import type { HostTable } from "./host_table.ts";
 import type { KnownHost } from "./known_host.ts";
+import type { RumourReceiver } from "./rumour_receiver.ts";
+import type { RumourSpread } from "./rumour_spread.ts";
 
 /** Time for the answer to a probe, in milliseconds; through other hosts it is twice as long. */
 const PROBE_TIMEOUT_MS = 180;
@@ -25,10 +26,8 @@
   random: Random;
   /** Writes to a host, which answers with the number of the probe. */
   sendProbe: (address: string, number: number) => void;
-  /** Rumours for the next answer. */
-  takeRumours: () => HostRumour[];
-  /** Merges another host's rumours. */
-  applyRumours: (rumours: readonly HostRumour[], sender: string) => void;
+  spread: RumourSpread;
+  receiver: RumourReceiver;
 }
 
 /** Finds hosts of a large fleet that have failed, as SWIM does: a host that answers neither a probe nor those of others is
@@ -45,7 +44,7 @@
     }, timeline);
     socket.handle("probe_answer", ({ number, target, rumours }, sender) => {
       options.hosts.noteHeard(sender, timeline.read());
-      options.applyRumours(rumours, sender);
+      options.receiver.take(rumours, sender);
       this.takeAnswer(target, number);
     });
     socket.handle("probe_request", ({ number, target }, sender) => {
@@ -75,7 +74,7 @@
       type: "probe_answer",
       number,
       target,
-      rumours: this.options.takeRumours(),
+      rumours: this.options.spread.take(),
     });
   }
 
@@ -115,7 +114,7 @@
   }
 
   private suspect(target: string): void {
-    const { hosts, logger, timeline } = this.options;
+    const { hosts, logger, spread, timeline } = this.options;
     const now = timeline.read();
     const host = hosts.getHost(target);
     if (host?.status !== "alive") return;
@@ -123,8 +122,7 @@
     const { id, incarnation, hall } = host.entry;
     const silentMs = Math.round(now - host.heardAt);
     logger.info({ peer: id, incarnation, hall, silentMs }, "host_suspected");
-    const rumours = [hosts.describe(host, now)];
-    this.options.socket.send(target, { type: "host_rumours", rumours });
+    spread.send(target, [hosts.describe(host, now)]);
   }
 
   private findNeighbours(host: KnownHost): KnownHost[] {
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -17,7 +17,7 @@
 import type { GossipMessage, PeerEntry } from "./gossip_schema.ts";
 import { HostPull, type ReadHosts } from "./host_pull.ts";
 import { HostTable, SUSPICION_MS } from "./host_table.ts";
-import type { KnownHost } from "./known_host.ts";
+import type { HostState, KnownHost } from "./known_host.ts";
 import { LiveLog } from "./live_log.ts";
 import { RumourReceiver } from "./rumour_receiver.ts";
 import { RumourSpread } from "./rumour_spread.ts";
@@ -154,9 +154,14 @@
     return this.hosts.isLarge;
   }
 
-  /** What this host tells of itself. */
-  getOwnEntry(): PeerEntry {
-    return this.self.getEntry();
+  /** All known hosts, this one included, for another that lacks some. */
+  getHostStates(): HostState[] {
+    const own = {
+      entry: this.self.getEntry(),
+      status: "alive",
+      agoMs: 0,
+    } as const;
+    return [own, ...this.hosts.getStates(this.timeline.read())];
   }
 
   /** Tells hosts soon, rather than with the next round; what comes up meanwhile is told along. */
@@ -184,8 +189,8 @@
       timeline,
       random,
       sendProbe: (address, number) => this.tell(address, { probe: number }),
-      takeRumours: () => this.rumours.take(),
-      applyRumours: (rumours, sender) => this.receiver.take(rumours, sender),
+      spread: this.rumours,
+      receiver: this.receiver,
     });
   }
 
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -24,6 +24,7 @@
 export class HostTable {
   private readonly hosts = new Map<string, KnownHost>();
   private readonly byName = new Map<number, KnownHost>();
+  private readonly ownName: number;
   private lastHeardAt = -Infinity;
   private believedLive: KnownHost[] | undefined;
   /** Digest of the hosts that have not failed; undefined where that has changed. */
@@ -32,7 +33,9 @@
   private constructor(
     private readonly ownAddress: string,
     private readonly onBelief: OnBelief,
-  ) {}
+  ) {
+    this.ownName = hashText(ownAddress);
+  }
 
   /** Creates an empty table.
    * @param ownAddress Gossip address of this host, which is never listed.
@@ -102,7 +105,7 @@
         digest ^ digestBelief(name, entry.incarnation),
       0,
     );
-    const own = digestBelief(hashText(this.ownAddress), ownIncarnation);
+    const own = digestBelief(this.ownName, ownIncarnation);
     return (this.liveDigest ^ own) >>> 0;
   }
 
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -156,7 +156,7 @@
     const other = this.hosts.find(({ address }) => address === gossipAddress);
     this.timeline.after(
       HOSTS_READ_MS,
-      () => done(other?.gossip.hosts.getStates(this.timeline.read())),
+      () => done(other?.gossip.getHostStates()),
     );
   }
 
--- a/tests/peers/virtual_fleet.ts
+++ b/tests/peers/virtual_fleet.ts
@@ -45,7 +45,6 @@
   handlers: Map<DatagramType, AnyHandler>;
   /** Hosts in other parts do not reach this one. */
   part: number;
-  sentDatagrams: number;
   sentBytes: number;
   close: () => void;
 }
@@ -160,7 +159,6 @@
       gossip,
       handlers,
       part: 0,
-      sentDatagrams: 0,
       sentBytes: 0,
       close,
     });
@@ -212,12 +210,6 @@
     return [...this.hosts.values()].map(({ sentBytes }) => sentBytes);
   }
 
-  /** Pairs of hosts, each as a part of all pairs, of which the first lacks the second. */
-  getMissingPart(): number {
-    const { size } = this.hosts;
-    return this.findMissing().length / (size * (size - 1));
-  }
-
   private readHosts(
     reader: string,
     told: string,
@@ -226,12 +218,7 @@
     this.timeline.after(HOSTS_READ_MS, () => {
       const host = this.hosts.get(told);
       if (!host || !this.isConnected(reader, told)) return done(undefined);
-      const own = host.gossip.getOwnEntry();
-      const states = host.gossip.hosts.getStates(this.timeline.read());
-      done(structuredClone([
-        { entry: own, status: "alive", agoMs: 0 },
-        ...states,
-      ]));
+      done(structuredClone(host.gossip.getHostStates()));
     });
   }
 
@@ -254,7 +241,9 @@
 
   private deliver(from: string, to: string, datagram: Datagram): void {
     const sender = this.hosts.get(from);
-    if (sender) this.count(sender, datagram);
+    if (sender && this.options.countsBytes) {
+      sender.sentBytes += encodeDatagram(datagram).length;
+    }
     if (this.random.fraction() < this.options.loss) return;
     const delayMs = this.random.integer(...DELIVERY_MS);
     const copy = copyDatagram(datagram);
@@ -282,13 +271,6 @@
       after: (delayMs, action) => timeline.after(delayMs, hold(action)),
     };
   }
-
-  private count(sender: VirtualHost, datagram: Datagram): void {
-    sender.sentDatagrams += 1;
-    if (this.options.countsBytes) {
-      sender.sentBytes += encodeDatagram(datagram).length;
-    }
-  }
 }
 
 /** Copies the entries, which tables change; all else in a datagram is left as it is. */
