Log when a failed attempt's upstream was last heard, here and at other hosts

A host that has lost its own path to an upstream logged the same lines as one whose upstream had failed. attempt_failed now carries heardAgoMs and heardElsewhereAgoMs; the gauges beechkeel_upstreams_heard and beechkeel_upstreams_listed show, by service, how many upstreams a host hears. No decision changes.

--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -104,7 +104,7 @@
     }, "attempt_declined");
   }
 
-  /** Logs that an attempt failed or is silent.
+  /** Logs that an attempt failed or is silent, and when this host and others last heard from the upstream.
    * @param upstream Upstream of the attempt.
    * @param detail Description of the failure.
    * @param progress Progress of the attempt. */
@@ -119,10 +119,17 @@
       detail,
       ...progress,
       failureRate: roundFailureRate(upstream),
+      heardAgoMs: formatAge(upstream.lastReceivedAt),
+      heardElsewhereAgoMs: formatAge(upstream.heardElsewhereAt),
     }, "attempt_failed");
   }
 }
 
+/** Returns the age of an event in milliseconds; undefined if it has never happened. */
+function formatAge(at: number): number | undefined {
+  return Number.isFinite(at) ? Math.round(readClock() - at) : undefined;
+}
+
 function roundFailureRate(upstream: Upstream): number {
   return roundTo(upstream.health.rate, 2);
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import { CrashGuard } from "../crashes/crash_guard.ts";
-import { onClockJump } from "../clock/clock.ts";
+import { onClockJump, readClock } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
@@ -21,6 +21,7 @@
 import { PrefixRecovery } from "./prefix_recovery.ts";
 import { PublicationExchange } from "./publication_exchange.ts";
 import { PublicationWatch } from "./publication_watch.ts";
+import { countServiceContacts } from "../upstreams/service_contact.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
 
 /** Fraction of the key revocation limit after which keys are no longer accepted; the rest covers the time that a
@@ -259,6 +260,8 @@
       isServing: () => this.isServing,
       getLiveHosts: () => this.getLiveHosts(),
       getPublicationAgeMs: () => this.replica.ageMs,
+      getServiceContacts: () =>
+        countServiceContacts(this.chooser.upstreams.getAll(), readClock()),
     });
   }
 
--- a/src/gateway/gateway_endpoints.ts
+++ b/src/gateway/gateway_endpoints.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { KnownHost } from "../peers/known_host.ts";
+import type { ServiceContact } from "../upstreams/service_contact.ts";
 import type { DiscoveryProtocol } from "./discovery_protocol.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -36,6 +37,8 @@
   getLiveHosts: () => readonly KnownHost[];
   /** Age of the known publication in milliseconds. */
   getPublicationAgeMs: () => number;
+  /** Returns how many upstreams of each service this host hears. */
+  getServiceContacts: () => Iterable<ServiceContact>;
 }
 
 /** The HTTP endpoints of a gateway other than the one for callers' requests: readiness, address look-up, peers and
@@ -118,7 +121,9 @@
   }
 
   private async respondMetrics(response: ServerResponse): Promise<void> {
-    const { metrics, getPublicationAgeMs } = this.options;
-    response.end(await metrics.getText(getPublicationAgeMs()));
+    const { metrics, getPublicationAgeMs, getServiceContacts } = this.options;
+    response.end(
+      await metrics.getText(getPublicationAgeMs(), getServiceContacts()),
+    );
   }
 }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { AvailabilityChange } from "../upstreams/availability.ts";
+import type { ServiceContact } from "../upstreams/service_contact.ts";
 import type { ChoiceBasis } from "../upstreams/choose_upstream.ts";
 import type { DatagramDirection } from "../peers/datagram_socket.ts";
 
@@ -101,6 +102,18 @@
     help: "Number of restores of the platform from an older copy.",
     registers: [this.registry],
   });
+  private readonly heardUpstreams = new Gauge({
+    name: "beechkeel_upstreams_heard",
+    help: "Upstreams of a service that this host heard from within a second.",
+    labelNames: ["service"],
+    registers: [this.registry],
+  });
+  private readonly listedUpstreams = new Gauge({
+    name: "beechkeel_upstreams_listed",
+    help: "Upstreams of a service that are listed and not leaving.",
+    labelNames: ["service"],
+    registers: [this.registry],
+  });
 
   private constructor() {}
 
@@ -175,9 +188,19 @@
   }
 
   /** Returns all metrics as text.
-   * @param ageMs Age of the known publication in milliseconds. */
-  async getText(ageMs: number): Promise<string> {
+   * @param ageMs Age of the known publication in milliseconds.
+   * @param services Contact with the upstreams of each service. */
+  async getText(
+    ageMs: number,
+    services: Iterable<ServiceContact>,
+  ): Promise<string> {
     this.age.set(ageMs / 1_000);
+    this.heardUpstreams.reset();
+    this.listedUpstreams.reset();
+    for (const { service, heard, listed } of services) {
+      this.heardUpstreams.set({ service }, heard);
+      this.listedUpstreams.set({ service }, listed);
+    }
     return await this.registry.metrics();
   }
 }
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -207,6 +207,8 @@
       onOutage: (instanceHash) => chooser.recordReportedOutage(instanceHash),
       onContradiction: (instanceHash) =>
         chooser.clearReportedOutage(instanceHash),
+      onHeardElsewhere: (instanceHash) =>
+        chooser.recordHeardElsewhere(instanceHash),
     });
   }
 
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -206,6 +206,13 @@
     );
   }
 
+  /** Records that another host reports to hear from an instance of an upstream.
+   * @param instanceHash Hash of the instance. */
+  recordHeardElsewhere(instanceHash: number): void {
+    const upstream = this.upstreams.findByInstanceHash(instanceHash);
+    if (upstream) upstream.heardElsewhereAt = this.readNow();
+  }
+
   /** Closes the connections to all upstreams. */
   close(): void {
     this.upstreams.close();
--- a/src/upstreams/outage_reports.ts
+++ b/src/upstreams/outage_reports.ts
@@ -32,6 +32,8 @@
   onOutage: (instanceHash: number) => void;
   /** Called when a host contradicts reports about an instance. */
   onContradiction: (instanceHash: number) => void;
+  /** Called when another host reports that it has just heard from an instance, with the hash of that host. */
+  onHeardElsewhere: (instanceHash: number, reporter: number) => void;
 }
 
 /** What is known of one upstream instance. */
@@ -97,11 +99,17 @@
   }
 
   private mergeContradiction(report: OutageReport, now: number): void {
-    const known = this.getReports(report[0], now);
+    const [instanceHash, reporter] = report;
+    if (reporter !== this.options.reporter) {
+      this.options.onHeardElsewhere(instanceHash, reporter);
+    }
+    const known = this.getReports(instanceHash, now);
     const contradictedAt = known.contradictedUntil - CONTRADICTION_TTL_MS;
     if (now - contradictedAt < MIN_CONTRADICTION_INTERVAL_MS) return;
     known.contradictedUntil = now + CONTRADICTION_TTL_MS;
-    if (known.outAt.size >= QUORUM) this.options.onContradiction(report[0]);
+    if (known.outAt.size >= QUORUM) {
+      this.options.onContradiction(instanceHash);
+    }
     known.outAt.clear();
     this.enqueue(report);
   }
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -22,6 +22,8 @@
   readonly popularArrivals = ArrivalRate.create();
   /** Monotonic milliseconds at which bytes of any of its responses were last received. */
   lastReceivedAt = -Infinity;
+  /** Monotonic milliseconds at which another host last reported that it hears from it. */
+  heardElsewhereAt = -Infinity;
   /** Running and waiting requests that it last reported with a response, and the monotonic milliseconds of the
    * report. */
   reported: { requests: number; at: number } | undefined;
--- a/tests/upstreams/outage_fleet.ts
+++ b/tests/upstreams/outage_fleet.ts
@@ -100,6 +100,7 @@
         ),
       onContradiction: (upstream) =>
         this.health[host]![upstream]!.clearReportedOutage(),
+      onHeardElsewhere: () => undefined,
     });
     return reports;
   }
--- a/tests/upstreams/outage_reports_test.ts
+++ b/tests/upstreams/outage_reports_test.ts
@@ -12,14 +12,16 @@
 function createReports(lastReceivedAt = -Infinity) {
   const outages: number[] = [];
   const contradictions: number[] = [];
+  const hearingHosts: number[] = [];
   const reports = OutageReports.create({
     reporter: SELF,
     getLastReceivedAt: () => lastReceivedAt,
     onPendingReports: () => undefined,
     onOutage: (instanceHash) => outages.push(instanceHash),
     onContradiction: (instanceHash) => contradictions.push(instanceHash),
+    onHeardElsewhere: (_instanceHash, reporter) => hearingHosts.push(reporter),
   });
-  return { reports, outages, contradictions };
+  return { reports, outages, contradictions, hearingHosts };
 }
 
 function failedAt(reporter: number): OutageReport {
@@ -68,3 +70,10 @@
   reports.merge([failedAt(5), failedAt(6)], 3_200);
   t.deepEqual(outages, [INSTANCE, INSTANCE]);
 });
+
+test("a contradiction names the host that hears from the instance, also when nothing had been reported", (t) => {
+  const { reports, hearingHosts } = createReports();
+  reports.merge([[INSTANCE, 5, false]], 100);
+  reports.merge([[INSTANCE, SELF, false]], 100);
+  t.deepEqual(hearingHosts, [5]);
+});
