Pass the function that connects to upstreams to the gateway

Tests can then give each gateway paths of its own, and lose them. The default is TCP with the timeout, keepalive and TCP_NODELAY that the HTTP client was given before; no library sets TCP_USER_TIMEOUT. Crash checks use the same function.

--- a/src/crashes/connection_check.ts
+++ b/src/crashes/connection_check.ts
@@ -1,30 +1,28 @@
-import { connect } from "node:net";
-import { splitAddress } from "../addresses/split_address.ts";
-
-/** Timeout of a check, in milliseconds: about a hundred times the usual round trip. */
-const CHECK_TIMEOUT_MS = 450;
+import { DialError, type DialFailure } from "../network/dial_error.ts";
+import { type Dial, dialTcp } from "../network/dial_tcp.ts";
 
 /** Result of a check: the address accepts connections, it refuses them because nothing listens there, or the check
  * timed out or failed with another error. */
 export type CheckResult = "taken" | "refused" | "undecided";
 
+/** Results by why no connection was established. */
+const RESULTS: Readonly<Record<DialFailure, CheckResult>> = {
+  refused: "refused",
+  timed_out: "undecided",
+  failed: "undecided",
+};
+
 /** Checks whether something listens at an address, by opening a connection that is closed immediately.
- * @param address The address, as ip:port. */
-export function checkConnection(address: string): Promise<CheckResult> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve) => {
-    const socket = connect({ host, port });
-    const settle = (result: CheckResult) => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(result);
-    };
-    const timer = setTimeout(() => settle("undecided"), CHECK_TIMEOUT_MS);
-    socket.once("connect", () => settle("taken"));
-    socket.on(
-      "error",
-      (error: NodeJS.ErrnoException) =>
-        settle(error.code === "ECONNREFUSED" ? "refused" : "undecided"),
-    );
-  });
+ * @param address The address, as ip:port.
+ * @param dial Establishes the connection. */
+export async function checkConnection(
+  address: string,
+  dial: Dial = dialTcp,
+): Promise<CheckResult> {
+  try {
+    (await dial(address)).destroy();
+    return "taken";
+  } catch (thrown) {
+    return RESULTS[DialError.from(thrown).failure];
+  }
 }
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../logging/logger.ts";
 import {
   CrashDetector,
+  type CrashDetectorOptions,
   type InterruptedRequest,
   type UpstreamInstance,
 } from "./crash_detector.ts";
@@ -24,6 +25,8 @@
   onCrash: (instanceHash: number) => void;
   /** Called with the hash of each instance that another host newly reports to have crashed. */
   onCrashReported: (instanceHash: number) => void;
+  /** Checks whether something listens at an address; `checkConnection` by default. */
+  check?: CrashDetectorOptions["check"];
 }
 
 /** Prevents requests that crash upstreams from crashing more of them, by holding them back for a while. */
@@ -43,6 +46,7 @@
       onCrash: ({ instanceHash }) => options.onCrash(instanceHash),
       onAffected: ({ instanceHash }, requests) =>
         this.recordCrash(instanceHash, requests),
+      check: options.check,
     });
   }
 
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from "undici";
 import { readClock } from "../clock/clock.ts";
+import { DialError } from "../network/dial_error.ts";
 import type { UpstreamConnection } from "../upstreams/upstream_connection.ts";
 import { closeAfterDeclineWindow } from "../upstreams/decline_window.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
@@ -10,9 +11,6 @@
  * again; a new connection that is not established was certainly not used. */
 const IDLE_CONNECTION_TRUST_MS = 1_000;
 
-/** The HTTP client's code of an error for a connection that was not established in time. */
-const CONNECT_TIMEOUT_CODE = "UND_ERR_CONNECT_TIMEOUT";
-
 /** Why an attempt ended without a complete response. */
 export type AttemptFailure =
   /** No byte of the request left this host. */
@@ -150,8 +148,8 @@
           },
           onResponseEnd: () => this.onEnd(),
           onResponseError: (_controller, error) => {
-            const { code } = error as { code?: string };
-            this.hasConnectTimedOut = code === CONNECT_TIMEOUT_CODE;
+            this.hasConnectTimedOut = error instanceof DialError &&
+              error.failure === "timed_out";
             this.fail(error.message);
           },
         },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,8 +1,10 @@
+import { checkConnection } from "../crashes/connection_check.ts";
 import { CrashGuard } from "../crashes/crash_guard.ts";
 import { onClockJump, readClock } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
+import type { Dial } from "../network/dial_tcp.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
 import type { KnownHost } from "../peers/known_host.ts";
@@ -35,6 +37,8 @@
   inventory: EngineInventory;
   codec: HeaderCodec;
   discoveryProtocol: DiscoveryProtocol;
+  /** Establishes connections to upstreams; defaults to TCP. */
+  dial?: Dial;
 }
 
 /** One host of the fleet: accepts callers' requests and forwards them to upstreams itself. This class wires together
@@ -183,6 +187,7 @@
     return CrashGuard.create({
       logger: this.logger,
       formatFingerprint,
+      check: (address) => checkConnection(address, this.dependencies.dial),
       onPendingReports: () => this.peerNetwork?.announceCrashes(),
       onHeld: (fingerprint) => this.handler.refuseHeldCalls(fingerprint),
       onCrash: (instanceHash) => {
@@ -216,6 +221,7 @@
         this.metrics.recordSend(basis, countAgeMs),
       onConnectTimeout: (upstream) => this.peerNetwork?.reportOutage(upstream),
       onHealthSignal: (signal) => this.metrics.recordAttempt(signal),
+      dial: this.dependencies.dial,
     });
   }
 
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,5 +1,6 @@
 import { AdmissionController } from "../admission/admission_controller.ts";
 import { readClock } from "../clock/clock.ts";
+import type { Dial } from "../network/dial_tcp.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
@@ -76,6 +77,8 @@
   onConnectTimeout: (upstream: Upstream) => void;
   /** Called with each health signal of an upstream. */
   onHealthSignal: (signal: HealthSignal) => void;
+  /** Establishes connections to upstreams; defaults to TCP. */
+  dial?: Dial;
   /** Returns monotonic milliseconds; defaults to the clock of the process. */
   readNow?: () => number;
   /** Defaults to an unseeded generator. */
@@ -125,6 +128,7 @@
       onRestart: options.onRestart,
       onAvailabilityChange: options.onAvailabilityChange,
       onRemove: options.onRemove,
+      dial: options.dial,
     });
   }
 
--- a/src/upstreams/connection_pool.ts
+++ b/src/upstreams/connection_pool.ts
@@ -1,3 +1,4 @@
+import type { Dial } from "../network/dial_tcp.ts";
 import { UpstreamConnection } from "./upstream_connection.ts";
 
 /** Pool of the idle connections to one upstream. */
@@ -5,12 +6,16 @@
   private readonly idle: UpstreamConnection[] = [];
   private isClosed = false;
 
-  private constructor(private readonly address: string) {}
+  private constructor(
+    private readonly address: string,
+    private readonly dial: Dial,
+  ) {}
 
   /** Creates an empty pool.
-   * @param address Address of the upstream, as ip:port. */
-  static create(address: string): ConnectionPool {
-    return new ConnectionPool(address);
+   * @param address Address of the upstream, as ip:port.
+   * @param dial Establishes connections. */
+  static create(address: string, dial: Dial): ConnectionPool {
+    return new ConnectionPool(address, dial);
   }
 
   /** Returns the most recently used idle connection, or a new one. */
@@ -26,6 +31,7 @@
   connect(): UpstreamConnection {
     return UpstreamConnection.create(
       this.address,
+      () => this.dial(this.address),
       (closed) => this.remove(closed),
     );
   }
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -1,5 +1,6 @@
 import { ArrivalRate } from "../admission/arrival_rate.ts";
 import { hashText } from "../hashing/hasher.ts";
+import { type Dial, dialTcp } from "../network/dial_tcp.ts";
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
 import { Availability } from "./availability.ts";
 import { ConnectionPool } from "./connection_pool.ts";
@@ -42,20 +43,23 @@
     /** Latest published entry. */
     public published: PublishedUpstream,
     availability: Availability,
+    dial: Dial,
   ) {
     this.availability = availability;
-    this.connections = ConnectionPool.create(published.address);
+    this.connections = ConnectionPool.create(published.address, dial);
     this.instanceHash = hashText(formatInstanceName(published));
   }
 
   /** Creates an upstream.
    * @param published Published entry.
-   * @param availability Earlier availability of the same instance, if known. */
+   * @param availability Earlier availability of the same instance, if known.
+   * @param dial Establishes connections to it. */
   static create(
     published: PublishedUpstream,
     availability = Availability.create(),
+    dial: Dial = dialTcp,
   ): Upstream {
-    return new Upstream(published, availability);
+    return new Upstream(published, availability, dial);
   }
 
   get id(): string {
--- a/src/upstreams/upstream_connection.ts
+++ b/src/upstreams/upstream_connection.ts
@@ -1,16 +1,12 @@
 import type { Socket } from "node:net";
-import { buildConnector, Client, type Dispatcher } from "undici";
+import { type buildConnector, Client, type Dispatcher } from "undici";
 
-/** Timeout for connecting to an upstream, in milliseconds; about a hundred usual round-trip times. */
-const CONNECT_TIMEOUT_MS = 450;
 /** Idle time after which a connection is closed if the upstream names none, in milliseconds. */
 const IDLE_TIMEOUT_MS = 10_000;
 /** Maximum idle timeout that is accepted from an upstream, in milliseconds. */
 const MAX_IDLE_TIMEOUT_MS = 60_000;
 /** Time before the upstream's idle timeout at which a connection is closed, in milliseconds. */
 const IDLE_CLOSE_MARGIN_MS = 700;
-/** Idle time after which the operating system starts TCP keepalive probes, in milliseconds. */
-const KEEPALIVE_PROBE_DELAY_MS = 1_000;
 
 /** A connection to an upstream that carries one request at a time. */
 export class UpstreamConnection {
@@ -20,6 +16,7 @@
 
   private constructor(
     address: string,
+    dial: () => Promise<Socket>,
     onClosed: (connection: UpstreamConnection) => void,
   ) {
     this.client = new Client(`http://${address}`, {
@@ -29,7 +26,7 @@
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_CLOSE_MARGIN_MS,
-      connect: this.createConnector(),
+      connect: this.createConnector(dial),
     });
     this.client.on("disconnect", () => {
       this.close();
@@ -39,12 +36,14 @@
 
   /** Creates a connection, which is established with its first request.
    * @param address Address of the upstream, as ip:port.
+   * @param dial Establishes the connection.
    * @param onClosed Called when the connection has ended. */
   static create(
     address: string,
+    dial: () => Promise<Socket>,
     onClosed: (connection: UpstreamConnection) => void,
   ): UpstreamConnection {
-    return new UpstreamConnection(address, onClosed);
+    return new UpstreamConnection(address, dial, onClosed);
   }
 
   /** Whether the connection can carry a request. */
@@ -75,17 +74,17 @@
     void this.client.destroy();
   }
 
-  private createConnector(): buildConnector.connector {
-    const connect = buildConnector({
-      timeout: CONNECT_TIMEOUT_MS,
-      keepAlive: true,
-      keepAliveInitialDelay: KEEPALIVE_PROBE_DELAY_MS,
-    });
-    return (options, callback) =>
-      connect(options, (...result) => {
-        if (result[1]) this.detectReset(result[1]);
-        callback(...result);
-      });
+  private createConnector(
+    dial: () => Promise<Socket>,
+  ): buildConnector.connector {
+    return (_options, callback) =>
+      void dial().then(
+        (socket) => {
+          this.detectReset(socket);
+          callback(null, socket);
+        },
+        (error: Error) => callback(error, null),
+      );
   }
 
   /** Detects a reset of the connection. If the reset arrives together with the last bytes, the event loop reports an
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -1,4 +1,5 @@
 import { readClock } from "../clock/clock.ts";
+import type { Dial } from "../network/dial_tcp.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamChange } from "../published/publication_feed.ts";
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
@@ -35,6 +36,8 @@
   onAvailabilityChange: (change: AvailabilityChange) => void;
   /** Called for each removed upstream. */
   onRemove: (upstream: Upstream) => void;
+  /** Establishes connections to upstreams; defaults to TCP. */
+  dial?: Dial;
 }
 
 /** Table of the known upstreams by service. */
@@ -165,6 +168,7 @@
     const current = Upstream.create(
       published,
       this.takeRememberedAvailability(published),
+      this.options.dial,
     );
     current.availability.onChange = (change) =>
       this.handleAvailabilityChange(current, change);
--- a/tests/gateway/with_gateways.ts
+++ b/tests/gateway/with_gateways.ts
@@ -8,6 +8,7 @@
 import { StoreClient } from "../../platform/store_client.ts";
 import { Gateway } from "../../src/gateway/gateway.ts";
 import type { GatewaySettings } from "../../src/gateway/gateway_settings.ts";
+import type { Dial } from "../../src/network/dial_tcp.ts";
 import { getFreePort } from "../../tools/free_port.ts";
 
 /** Time after which revoked keys are no longer accepted in these tests; several times the wait of a long poll. */
@@ -38,9 +39,11 @@
   }
 
   /** Starts a gateway.
-   * @param changes Settings that differ from the defaults. */
+   * @param changes Settings that differ from the defaults.
+   * @param dial Establishes the gateway's connections to workers; TCP by default. */
   async startGateway(
     changes: Partial<GatewaySettings> = {},
+    dial?: Dial,
   ): Promise<TestGateway> {
     const settings = { ...await this.buildSettings(), ...changes };
     const gateway = await Gateway.start(settings, {
@@ -49,6 +52,7 @@
       inventory: EngineClient.create(),
       codec: platformHeaderCodec,
       discoveryProtocol: platformDiscoveryProtocol,
+      dial,
     });
     const started = { gateway, settings };
     this.gateways.push(started);
