--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -104,6 +104,11 @@
     await new Promise<void>((resolve) => this.server.close(() => resolve()));
   }
 
+  /** Refuses new TCP connections while open ones stay as they are. */
+  refuseConnections(): void {
+    this.server.close();
+  }
+
   /** Accepts TCP connections again on the same port. */
   async resumeListening(): Promise<void> {
     await new Promise<void>((resolve) =>
