Connect to upstreams through other hosts where a host has lost its own path

Cause: a host had a single way to each upstream, and took the loss of its own path for a failure of the upstream: it tried the upstreams one after the other, at the cost of a connection timeout each, ejected them for 1 to 6 s, and tried them again with callers' requests. Evidence: the logs of the four hosts, where every upstream fails by silences and connect timeouts while the other hosts contradict their reports within 0.2 s.

A connection that is not established within 120 ms, or that fails, is now attempted through other hosts as well (PathMonitor, raceStaggered). The other host opens a connection to the listed upstream and forwards bytes (RelayServer); it asks no further host. All decisions, counts and retries stay with the first host. Where another host reaches the upstream, the path is lost and the upstream is not at fault: its faults are cleared, the other paths are checked, and the lost ones are checked by connections without requests until they are back. Upstreams that no host reaches are not chosen, so that a request is refused at once if there is no other.

--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { readClock } from "../clock/clock.ts";
 import { Failure } from "../errors/failure.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
@@ -32,6 +33,10 @@
 /** An attempt is not started with less time than this left, in milliseconds. */
 const MIN_REMAINING_MS = 15;
 
+/** Maximum time that a request waits for the check of a path before it is sent elsewhere, in milliseconds; in it
+ * another host can be asked. */
+const MAX_PATH_CHECK_WAIT_MS = 150;
+
 /** Forwards one call: makes attempts at upstreams until one responds or the deadline or the retries are exhausted. */
 export class CallForwarder {
   private readonly triedUpstreamIds = new Set<string>();
@@ -161,7 +166,7 @@
       upstream,
       this.call.route,
       {
-        onOverdue: ({ silentMs }) => this.onOverdue(upstream, silentMs),
+        onOverdue: (silence) => this.onOverdue(upstream, silence),
         onSilence: (silence) => this.onSilence(upstream, silence),
       },
     );
@@ -220,12 +225,30 @@
     const { silentMs, isLikelyStuck } = silence;
     this.log.logFailed(upstream, formatSilence(silentMs), this.progress);
     this.context.recordHealth(upstream, "silent");
-    if (isLikelyStuck) this.sendElsewhere(upstream, silentMs);
+    if (isLikelyStuck) void this.sendElsewhereAfterCheck(upstream, silentMs);
   }
 
   /** Sends the request elsewhere because its response may be lost, unless a second prefill of its prompt is costly. */
-  private onOverdue(upstream: Upstream, silentMs: number): void {
-    if (!isPrefillCostly(this.call)) this.sendElsewhere(upstream, silentMs);
+  private onOverdue(
+    upstream: Upstream,
+    { silentMs, isLikelyStuck }: Silence,
+  ): void {
+    if (isPrefillCostly(this.call)) return;
+    if (isLikelyStuck) void this.sendElsewhereAfterCheck(upstream, silentMs);
+    else this.sendElsewhere(upstream, silentMs);
+  }
+
+  /** Sends the request elsewhere once it is known whether this host has lost its path to the upstream, since it has then
+   * likely lost others too. Does not wait long for that. */
+  private async sendElsewhereAfterCheck(
+    upstream: Upstream,
+    silentMs: number,
+  ): Promise<void> {
+    await Promise.race([
+      this.context.checkPath(upstream),
+      delay(MAX_PATH_CHECK_WAIT_MS, undefined, { ref: false }),
+    ]);
+    this.sendElsewhere(upstream, silentMs);
   }
 
   /** Replaces the attempt by one at another upstream if the request may run again and another upstream is available;
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -43,6 +43,8 @@
   recordHealth: (upstream: Upstream, signal: HealthSignal) => void;
   /** Reports to other hosts that no connection to an upstream was established in time. */
   reportOutage: (upstream: Upstream) => void;
+  /** Checks whether this host has lost its path to an upstream; resolves once that is known. */
+  checkPath: (upstream: Upstream) => Promise<void>;
   /** Records that the address of an upstream now belongs to another one. */
   recordMoved: (upstream: Upstream) => void;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,7 +4,9 @@
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
-import type { Dial } from "../network/dial_tcp.ts";
+import { type Dial, dialTcp } from "../network/dial_tcp.ts";
+import type { PathTarget } from "../paths/path_target.ts";
+import type { PathState } from "../paths/upstream_path.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
 import type { KnownHost } from "../peers/known_host.ts";
@@ -25,6 +27,7 @@
 import { PublicationWatch } from "./publication_watch.ts";
 import { countServiceContacts } from "../upstreams/service_contact.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
+import { UpstreamPaths } from "./upstream_paths.ts";
 
 /** Fraction of the key revocation limit after which keys are no longer accepted; the rest covers the time that a
  * request takes to reach its upstream. */
@@ -51,6 +54,7 @@
   private readonly chooser: UpstreamChooser;
   private readonly handler: CallHandler;
   private readonly guard: CrashGuard;
+  private readonly paths: UpstreamPaths;
   private readonly publicationExchange: PublicationExchange;
   private readonly prefixExchange: PrefixExchange;
   private resolveInitialRoutes: () => void = () => undefined;
@@ -72,6 +76,7 @@
   ) {
     this.logger = dependencies.logger;
     this.guard = this.createGuard();
+    this.paths = this.createPaths();
     this.chooser = this.createChooser();
     this.replica = PublicationReplica.create({
       logger: this.logger,
@@ -124,7 +129,7 @@
     this.peerNetwork?.announce();
     await this.stop.waitForOpenCalls(
       this.settings.stopTimeoutMs,
-      () => this.handler.openCalls,
+      () => this.handler.openCalls + this.paths.server.openTunnels,
     );
     this.server?.stopListening();
     this.server?.closeIdle();
@@ -137,6 +142,7 @@
     this.stopClockWatch();
     this.watch?.close();
     this.server?.close();
+    this.paths.close();
     this.chooser.close();
     this.guard.close();
     this.endpoints?.close();
@@ -201,6 +207,23 @@
     });
   }
 
+  private createPaths(): UpstreamPaths {
+    return UpstreamPaths.create({
+      logger: this.logger,
+      dial: this.dependencies.dial ?? dialTcp,
+      hall: this.settings.hall,
+      getRelays: () => this.peerNetwork?.getRelays() ?? [],
+      getTargets: () => this.chooser.upstreams.getAll(),
+      findTarget: (instanceHash) =>
+        this.chooser.upstreams.findByInstanceHash(instanceHash),
+      isKnownAddress: (ip) => this.peerNetwork?.isKnownAddress(ip) ?? false,
+      isAccepting: () => this.isServing,
+      onChange: (target, state) => this.handlePathChange(target, state),
+      onRecheck: ({ instanceHash }) =>
+        this.chooser.closeUntrustedConnections(instanceHash),
+    });
+  }
+
   private createChooser(): UpstreamChooser {
     return UpstreamChooser.create({
       logger: this.logger,
@@ -216,12 +239,16 @@
       onPrefixUpdates: () => this.peerNetwork?.announcePrefixUpdates(),
       onRestart: (before) => this.handler.failAttemptsOn(before),
       onAvailabilityChange: (change) => this.metrics.recordAvailability(change),
-      onRemove: ({ instanceHash }) => this.guard.recordRemoval(instanceHash),
+      onRemove: (upstream) => {
+        this.guard.recordRemoval(upstream.instanceHash);
+        this.paths.monitor.remove(upstream);
+      },
       onSend: ({ basis }, { countAgeMs }) =>
         this.metrics.recordSend(basis, countAgeMs),
       onConnectTimeout: (upstream) => this.peerNetwork?.reportOutage(upstream),
       onHealthSignal: (signal) => this.metrics.recordAttempt(signal),
-      dial: this.dependencies.dial,
+      network: this.paths.monitor,
+      checkPath: (upstream) => this.paths.monitor.check(upstream),
     });
   }
 
@@ -234,6 +261,7 @@
       publicationExchange: this.publicationExchange,
       metrics: this.metrics,
       guard: this.guard,
+      relays: this.paths.relays,
       getPhase: () => this.phase,
       getSourceIds: () => this.watch?.getSources() ?? [],
     });
@@ -266,6 +294,8 @@
       isServing: () => this.isServing,
       getLiveHosts: () => this.getLiveHosts(),
       getPublicationAgeMs: () => this.replica.ageMs,
+      onPeerUpgrade: (request, socket, head) =>
+        this.paths.server.handleUpgrade(request, socket, head),
       getServiceContacts: () =>
         countServiceContacts(this.chooser.upstreams.getAll(), readClock()),
     });
@@ -322,6 +352,15 @@
     this.peerNetwork?.announce();
   }
 
+  /** Clears what was held against an upstream while this host had lost its path to it. */
+  private handlePathChange(
+    { instanceHash }: PathTarget,
+    state: PathState,
+  ): void {
+    if (state === "relayed") this.chooser.clearFaults(instanceHash);
+    this.metrics.recordPathChange(state);
+  }
+
   private getLiveHosts(): readonly KnownHost[] {
     return this.peerNetwork?.getLiveHosts() ?? [];
   }
--- a/src/gateway/gateway_endpoints.ts
+++ b/src/gateway/gateway_endpoints.ts
@@ -5,7 +5,11 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { type HostExchange, HOSTS_PATH } from "./host_exchange.ts";
-import { type EndpointHandlers, HttpEndpoint } from "./http_endpoint.ts";
+import {
+  type EndpointHandlers,
+  HttpEndpoint,
+  type UpgradeHandler,
+} from "./http_endpoint.ts";
 import { chooseAddresses } from "./choose_addresses.ts";
 import { PREFIXES_PATH, type PrefixExchange } from "./prefix_exchange.ts";
 import {
@@ -37,6 +41,8 @@
   getLiveHosts: () => readonly KnownHost[];
   /** Age of the known publication in milliseconds. */
   getPublicationAgeMs: () => number;
+  /** Handles requests of other hosts to upgrade a connection. */
+  onPeerUpgrade: UpgradeHandler;
   /** Returns how many upstreams of each service this host hears. */
   getServiceContacts: () => Iterable<ServiceContact>;
 }
@@ -58,7 +64,15 @@
     const created = new GatewayEndpoints(options);
     const opening = Object.entries(created.buildHandlers()).map((
       [address, handlers],
-    ) => HttpEndpoint.create(address, handlers));
+    ) =>
+      HttpEndpoint.create(
+        address,
+        handlers,
+        address === options.getSettings().peerAddress
+          ? options.onPeerUpgrade
+          : undefined,
+      )
+    );
     created.endpoints.push(...await Promise.all(opening));
     return created;
   }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { AvailabilityChange } from "../upstreams/availability.ts";
+import type { PathState } from "../paths/upstream_path.ts";
 import type { ServiceContact } from "../upstreams/service_contact.ts";
 import type { ChoiceBasis } from "../upstreams/choose_upstream.ts";
 import type { DatagramDirection } from "../peers/datagram_socket.ts";
@@ -55,6 +56,13 @@
     labelNames: ["change"],
     registers: [this.registry],
   });
+  private readonly pathChanges = new Counter({
+    name: "beechkeel_upstream_path_changes_total",
+    help:
+      "Changes of how this host reaches an upstream: direct, relayed, unreachable.",
+    labelNames: ["state"],
+    registers: [this.registry],
+  });
   private readonly sends = new Counter({
     name: "beechkeel_sends_total",
     help:
@@ -148,6 +156,12 @@
     this.crashes.inc();
   }
 
+  /** Records that this host reaches an upstream in another way.
+   * @param state The way. */
+  recordPathChange(state: PathState): void {
+    this.pathChanges.inc({ state });
+  }
+
   /** Records that an upstream reported a change of whether it accepts requests.
    * @param change The change. */
   recordAvailability(change: AvailabilityChange): void {
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -1,3 +1,4 @@
+import { splitAddress } from "../addresses/split_address.ts";
 import { readClock } from "../clock/clock.ts";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -13,6 +14,8 @@
 import { hashText } from "../hashing/hasher.ts";
 import { OutageReports } from "../upstreams/outage_reports.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
+import type { RelayDirectory } from "../paths/relay_directory.ts";
+import type { RelayHost } from "../paths/relay_host.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -32,6 +35,7 @@
   publicationExchange: PublicationExchange;
   metrics: GatewayMetrics;
   guard: CrashGuard;
+  relays: RelayDirectory;
   /** Returns the lifecycle phase of this host. */
   getPhase: () => PeerEntry["phase"];
   /** Returns the ids of the hosts to query for their publication status. */
@@ -100,6 +104,22 @@
     return this.gossip.hosts.getLive(readClock());
   }
 
+  /** Returns the other live hosts that may relay connections to upstreams. */
+  getRelays(): RelayHost[] {
+    return this.getLiveHosts().filter(({ entry }) => entry.phase === "ready")
+      .map(({ name, entry: { id, peerAddress, hall } }) => (
+        { id, name, peerAddress, hall }
+      ));
+  }
+
+  /** Whether an IP address belongs to a known host of the fleet.
+   * @param ip The IP address. */
+  isKnownAddress(ip: string): boolean {
+    return this.gossip.hosts.getAll().some(({ entry }) =>
+      splitAddress(entry.peerAddress).host === ip
+    );
+  }
+
   /** Counts the hosts that may share a fleet-wide budget, including this one: all known hosts, because a host that is
    * lost from here may still be reachable by others. */
   countBudgetHosts(): number {
@@ -207,8 +227,10 @@
       onOutage: (instanceHash) => chooser.recordReportedOutage(instanceHash),
       onContradiction: (instanceHash) =>
         chooser.clearReportedOutage(instanceHash),
-      onHeardElsewhere: (instanceHash) =>
-        chooser.recordHeardElsewhere(instanceHash),
+      onHeardElsewhere: (instanceHash, reporter) => {
+        chooser.recordHeardElsewhere(instanceHash);
+        this.options.relays.recordHearing(instanceHash, reporter, readClock());
+      },
     });
   }
 
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,6 +1,5 @@
 import { AdmissionController } from "../admission/admission_controller.ts";
 import { readClock } from "../clock/clock.ts";
-import type { Dial } from "../network/dial_tcp.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
@@ -15,6 +14,7 @@
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
+import type { UpstreamNetwork } from "../upstreams/upstream_network.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import { UpstreamTable } from "../upstreams/upstream_table.ts";
 import { WarmUpLimiter } from "../upstreams/warm_up_limiter.ts";
@@ -77,8 +77,10 @@
   onConnectTimeout: (upstream: Upstream) => void;
   /** Called with each health signal of an upstream. */
   onHealthSignal: (signal: HealthSignal) => void;
-  /** Establishes connections to upstreams; defaults to TCP. */
-  dial?: Dial;
+  /** Establishes connections to upstreams; defaults to connections without other hosts. */
+  network?: UpstreamNetwork;
+  /** Checks the path to an upstream that is silent. */
+  checkPath?: (upstream: Upstream) => Promise<void>;
   /** Returns monotonic milliseconds; defaults to the clock of the process. */
   readNow?: () => number;
   /** Defaults to an unseeded generator. */
@@ -128,7 +130,7 @@
       onRestart: options.onRestart,
       onAvailabilityChange: options.onAvailabilityChange,
       onRemove: options.onRemove,
-      dial: options.dial,
+      network: options.network,
     });
   }
 
@@ -152,6 +154,7 @@
       recordHealth: (upstream, signal) =>
         this.recordHealthSignal(upstream, signal),
       reportOutage: (upstream) => this.options.onConnectTimeout(upstream),
+      checkPath: async (upstream) => await this.options.checkPath?.(upstream),
       recordMoved: (upstream) => this.upstreams.remove(upstream),
     };
   }
@@ -186,6 +189,19 @@
     this.recordHealthSignal(upstream, "unreachable");
   }
 
+  /** Clears the faults of an upstream that other hosts reach, since this host's own path was at fault.
+   * @param instanceHash Hash of the instance. */
+  clearFaults(instanceHash: number): void {
+    this.upstreams.findByInstanceHash(instanceHash)?.health.clearFaults();
+  }
+
+  /** Closes the idle connections to an upstream that can no longer be expected to be alive.
+   * @param instanceHash Hash of the instance. */
+  closeUntrustedConnections(instanceHash: number): void {
+    this.upstreams.findByInstanceHash(instanceHash)?.connections
+      .closeUntrusted();
+  }
+
   /** Ejects an instance of an upstream to which other hosts could not connect.
    * @param instanceHash Hash of the instance. */
   recordReportedOutage(instanceHash: number): void {
@@ -303,11 +319,12 @@
     );
   }
 
-  /** Returns the upstreams of a service that may get a request, without those on which this host has used up its share
+  /** Returns the upstreams of a service that may get a request, without those that no host reaches and those on which this host has used up its share
    * of the connections or of the requests during a warm-up. */
   private getCandidates(service: string, now: number): Upstream[] {
     const published = this.options.getService(service);
     const serving = this.upstreams.getServing(service).filter((upstream) =>
+      !upstream.path.isUnreachable &&
       this.permitsWarmUp(upstream, published?.warmUpRequestsPerSecond, now)
     );
     const maxConnections = published?.maxConnections;
--- /dev/null
+++ b/src/paths/path_monitor.ts
@@ -0,0 +1,237 @@
+import { processTimeline, type Timeline } from "../clock/timeline.ts";
+import type { Logger } from "../logging/logger.ts";
+import { DialError } from "../network/dial_error.ts";
+import type { Dial } from "../network/dial_tcp.ts";
+import type { Socket } from "node:net";
+import type { PathConnection } from "./path_connection.ts";
+import type { PathTarget } from "./path_target.ts";
+import { raceStaggered } from "./race_staggered.ts";
+import type { RelayDirectory } from "./relay_directory.ts";
+import type { RelayHost } from "./relay_host.ts";
+import type { PathState } from "./upstream_path.ts";
+
+/** Time after the start of a connection until another way is tried as well, in milliseconds; tens of usual round-trip
+ * times, and a fraction of the shortest objectives. */
+const STAGGER_MS = 120;
+/** Time within which one of the ways must be established, in milliseconds. */
+const RACE_TIMEOUT_MS = 600;
+/** Time until a lost direct path is first checked again, in milliseconds; it doubles up to the maximum. */
+const FIRST_RECHECK_MS = 250;
+const MAX_RECHECK_MS = 1_000;
+/** Minimum time between two checks of the same path, in milliseconds. */
+const MIN_CHECK_INTERVAL_MS = 500;
+/** Maximum number of checks at a time. */
+const MAX_CONCURRENT_CHECKS = 16;
+/** Time without bytes of an upstream after which its path is checked if another one was lost, in milliseconds. */
+const RECENTLY_HEARD_MS = 100;
+
+/** Dependencies and callbacks of a {@link PathMonitor}. */
+export interface PathMonitorOptions {
+  logger: Logger;
+  /** Establishes connections of this host. */
+  dial: Dial;
+  /** Opens a connection to an upstream through another host. */
+  openTunnel: (relay: RelayHost, target: PathTarget) => Promise<Socket>;
+  relays: RelayDirectory;
+  /** Returns all upstreams. */
+  getTargets: () => Iterable<PathTarget>;
+  /** Called when the state of a path has changed. */
+  onChange: (target: PathTarget, state: PathState) => void;
+  /** Called each time a lost path is checked; hosts that relayed connections to the upstream may have left since. */
+  onRecheck: (target: PathTarget) => void;
+  /** Defaults to the timeline of the process. */
+  timeline?: Timeline;
+}
+
+/** Connects to upstreams and keeps track of the paths to them. Where a connection of this host is not established at
+ * once, it is attempted through other hosts as well: if one succeeds, this host has lost its path, and the upstream is
+ * not at fault. A lost path is checked with connections that carry no requests until it is back. */
+export class PathMonitor {
+  private readonly timeline: Timeline;
+  private readonly checks = new Map<number, Promise<void>>();
+  private readonly checkedAt = new Map<number, number>();
+  /** Cancels the next check of each lost path, by instance hash. */
+  private readonly rechecks = new Map<number, () => void>();
+  /** Monotonic milliseconds at which a path was last found lost while another host reached the upstream. */
+  private partitionedAt = -Infinity;
+  /** By instance hash, the monotonic milliseconds at which a direct path was last established. */
+  private readonly establishedAt = new Map<number, number>();
+
+  private constructor(private readonly options: PathMonitorOptions) {
+    this.timeline = options.timeline ?? processTimeline;
+  }
+
+  /** Creates a monitor that takes all paths for direct.
+   * @param options Its dependencies and callbacks. */
+  static create(options: PathMonitorOptions): PathMonitor {
+    return new PathMonitor(options);
+  }
+
+  /** Connects to an upstream, by the way that is expected to work first.
+   * @param target The upstream.
+   * @throws DialError if no way is established in time. */
+  async connect(target: PathTarget): Promise<PathConnection> {
+    const direct = () => this.connectDirectly(target);
+    const relayed = this.options.relays.choose(target, this.timeline.read())
+      .map((relay) => () => this.connectThrough(relay, target));
+    const attempts = target.path.isDirect
+      ? [direct, ...relayed]
+      : [...relayed, direct];
+    try {
+      const connection = await raceStaggered({
+        attempts,
+        staggerMs: STAGGER_MS,
+        timeoutMs: RACE_TIMEOUT_MS,
+        onLateResult: (late) => this.handleLateConnection(target, late),
+        timeline: this.timeline,
+      });
+      if (connection.relayId !== undefined) this.change(target, "relayed");
+      return connection;
+    } catch (thrown) {
+      this.change(target, "unreachable");
+      throw DialError.from(thrown);
+    }
+  }
+
+  /** Checks the path to an upstream, unless that was done just now.
+   * @param target The upstream. */
+  async check(target: PathTarget): Promise<void> {
+    const { instanceHash } = target;
+    const running = this.checks.get(instanceHash);
+    if (running) return await running;
+    const now = this.timeline.read();
+    const checkedAt = this.checkedAt.get(instanceHash) ?? -Infinity;
+    const isBusy = this.checks.size >= MAX_CONCURRENT_CHECKS;
+    if (isBusy || now - checkedAt < MIN_CHECK_INTERVAL_MS) return;
+    this.checkedAt.set(instanceHash, now);
+    const check = this.connect(target)
+      .then(({ socket }) => void socket.destroy(), () => undefined)
+      .finally(() => this.checks.delete(instanceHash));
+    this.checks.set(instanceHash, check);
+    await check;
+  }
+
+  /** Whether an idle connection to an upstream can be expected to be alive. A connection of this host cannot if this
+   * host has lost another path since it last heard from the upstream.
+   * @param target The upstream.
+   * @param relayId Id of the host that relays the connection; undefined if none does. */
+  isTrusted(target: PathTarget, relayId: string | undefined): boolean {
+    if (relayId !== undefined) {
+      return !target.path.isDirect && this.options.relays.isUsable(relayId);
+    }
+    if (!target.path.isDirect) return false;
+    const { lastReceivedAt, instanceHash } = target;
+    const establishedAt = this.establishedAt.get(instanceHash) ?? -Infinity;
+    return Math.max(lastReceivedAt, establishedAt) > this.partitionedAt;
+  }
+
+  /** Forgets an upstream that is no longer listed.
+   * @param target The upstream. */
+  remove({ instanceHash }: PathTarget): void {
+    this.rechecks.get(instanceHash)?.();
+    this.rechecks.delete(instanceHash);
+    this.checkedAt.delete(instanceHash);
+    this.establishedAt.delete(instanceHash);
+  }
+
+  /** Ends all checks. */
+  close(): void {
+    for (const cancel of this.rechecks.values()) cancel();
+    this.rechecks.clear();
+  }
+
+  private async connectDirectly(target: PathTarget): Promise<PathConnection> {
+    const socket = await this.options.dial(target.address);
+    this.establishedAt.set(target.instanceHash, this.timeline.read());
+    this.change(target, "direct");
+    return { socket, relayId: undefined };
+  }
+
+  private async connectThrough(
+    relay: RelayHost,
+    target: PathTarget,
+  ): Promise<PathConnection> {
+    try {
+      const socket = await this.options.openTunnel(relay, target);
+      return { socket, relayId: relay.id };
+    } catch (thrown) {
+      this.options.relays.recordRefusal(relay, target, this.timeline.read());
+      throw thrown;
+    }
+  }
+
+  /** Closes a connection that lost the race. */
+  private handleLateConnection(
+    target: PathTarget,
+    { socket, relayId }: PathConnection,
+  ): void {
+    socket.destroy();
+    const isOnlyWay = relayId !== undefined && target.path.isUnreachable;
+    if (isOnlyWay) this.change(target, "relayed");
+  }
+
+  private change(target: PathTarget, state: PathState): void {
+    if (target.isRemoved || !target.path.change(state)) return;
+    const heardAgoMs = Math.round(this.timeline.read() - target.lastReceivedAt);
+    this.options.logger.warn(
+      { upstream: target.id, state, heardAgoMs },
+      "upstream_path_changed",
+    );
+    this.options.onChange(target, state);
+    if (state === "direct") return this.handleRestoredPath(target);
+    this.scheduleRecheck(target, FIRST_RECHECK_MS);
+    if (state === "relayed") this.handleLostPath();
+  }
+
+  /** Checks the other paths, because a host seldom loses only one. */
+  private handleLostPath(): void {
+    const now = this.timeline.read();
+    this.partitionedAt = now;
+    for (const target of this.options.getTargets()) {
+      const isInDoubt = target.path.isDirect &&
+        now - target.lastReceivedAt > RECENTLY_HEARD_MS;
+      if (isInDoubt) void this.check(target);
+    }
+  }
+
+  /** Checks the other lost paths soon, because they are often restored together. */
+  private handleRestoredPath(restored: PathTarget): void {
+    this.cancelRecheck(restored);
+    for (const target of this.options.getTargets()) {
+      if (!target.path.isDirect) this.scheduleRecheck(target, 0);
+    }
+  }
+
+  private scheduleRecheck(target: PathTarget, delayMs: number): void {
+    this.cancelRecheck(target);
+    const cancel = this.timeline.after(
+      delayMs,
+      () => void this.recheck(target, delayMs),
+    );
+    this.rechecks.set(target.instanceHash, cancel);
+  }
+
+  private cancelRecheck({ instanceHash }: PathTarget): void {
+    this.rechecks.get(instanceHash)?.();
+    this.rechecks.delete(instanceHash);
+  }
+
+  /** Checks the direct path, and whether another host reaches an upstream that is unreachable. */
+  private async recheck(
+    target: PathTarget,
+    lastDelayMs: number,
+  ): Promise<void> {
+    if (target.isRemoved) return;
+    this.options.onRecheck(target);
+    const nextDelayMs = Math.min(
+      MAX_RECHECK_MS,
+      Math.max(FIRST_RECHECK_MS, 2 * lastDelayMs),
+    );
+    this.scheduleRecheck(target, nextDelayMs);
+    if (target.path.isUnreachable) return await this.check(target);
+    await this.connectDirectly(target).then(
+      ({ socket }) => void socket.destroy(),
+      () => undefined,
+    );
+  }
+}
--- /dev/null
+++ b/src/paths/relay_directory.ts
@@ -0,0 +1,93 @@
+import type { Random } from "../random/random.ts";
+import type { PathTarget } from "./path_target.ts";
+import type { RelayHost } from "./relay_host.ts";
+
+/** Maximum number of hosts that are asked to relay one connection. */
+const MAX_RELAYS = 8;
+/** Time for which a host that did not relay to an upstream is not asked again for it, in milliseconds; about as long
+ * as a change of its paths takes to become known. */
+const REFUSAL_TTL_MS = 1_000;
+/** Time for which a report that a host hears from an upstream counts, in milliseconds. */
+const HEARD_TTL_MS = 1_000;
+
+/** Dependencies of a {@link RelayDirectory}. */
+export interface RelayDirectoryOptions {
+  /** Hall of this host. */
+  hall: string;
+  /** Returns the live hosts that take requests and have paths of their own. */
+  getHosts: () => readonly RelayHost[];
+  random: Random;
+}
+
+/** Chooses the hosts that are asked to relay connections to an upstream. */
+export class RelayDirectory {
+  /** By host id and instance hash, the monotonic milliseconds of the last refusal. */
+  private readonly refusals = new Map<string, number>();
+  /** By instance hash, the last report of a host that hears from the upstream. */
+  private readonly hearing = new Map<number, { host: number; at: number }>();
+
+  private constructor(private readonly options: RelayDirectoryOptions) {}
+
+  /** Creates a directory without recorded refusals.
+   * @param options Its dependencies. */
+  static create(options: RelayDirectoryOptions): RelayDirectory {
+    return new RelayDirectory(options);
+  }
+
+  /** Returns the hosts to ask, in order: first the one that last reported to hear from the upstream, then those of this
+   * hall, then the others, each in random order.
+   * @param target The upstream.
+   * @param now Monotonic milliseconds. */
+  choose(target: PathTarget, now: number): RelayHost[] {
+    const { hall, random, getHosts } = this.options;
+    this.removeExpired(now);
+    const hearing = this.hearing.get(target.instanceHash);
+    const hearingHost = hearing && now - hearing.at <= HEARD_TTL_MS
+      ? hearing.host
+      : undefined;
+    const rank = (host: RelayHost) => {
+      if (host.name === hearingHost) return 0;
+      return host.hall === hall ? 1 : 2;
+    };
+    return random.shuffle(getHosts())
+      .filter(({ id }) => !this.refusals.has(formatKey(id, target)))
+      .sort((a, b) => rank(a) - rank(b))
+      .slice(0, MAX_RELAYS);
+  }
+
+  /** Whether a host may still relay connections that were opened through it.
+   * @param id Id of the host. */
+  isUsable(id: string): boolean {
+    return this.options.getHosts().some((host) => host.id === id);
+  }
+
+  /** Records that a host did not relay to an upstream.
+   * @param host The host.
+   * @param target The upstream.
+   * @param now Monotonic milliseconds. */
+  recordRefusal(host: RelayHost, target: PathTarget, now: number): void {
+    this.refusals.set(formatKey(host.id, target), now);
+  }
+
+  /** Records that a host hears from an upstream.
+   * @param instanceHash Hash of the upstream instance.
+   * @param host Hash that identifies the host.
+   * @param now Monotonic milliseconds. */
+  recordHearing(instanceHash: number, host: number, now: number): void {
+    this.hearing.set(instanceHash, { host, at: now });
+  }
+
+  /** Removes what has expired; entries are in the order of their times, except for those that were updated. */
+  private removeExpired(now: number): void {
+    for (const [key, at] of this.refusals) {
+      if (now - at > REFUSAL_TTL_MS) this.refusals.delete(key);
+    }
+    for (const [instanceHash, { at }] of this.hearing) {
+      if (now - at > HEARD_TTL_MS) this.hearing.delete(instanceHash);
+    }
+  }
+}
+
+function formatKey(hostId: string, { instanceHash }: PathTarget): string {
+  return `${hostId} ${instanceHash}`;
+}
--- a/src/upstreams/connection_pool.ts
+++ b/src/upstreams/connection_pool.ts
@@ -1,25 +1,32 @@
-import type { Dial } from "../network/dial_tcp.ts";
+import type { PathConnection } from "../paths/path_connection.ts";
 import { UpstreamConnection } from "./upstream_connection.ts";
 
+/** Options of a {@link ConnectionPool}. */
+export interface ConnectionPoolOptions {
+  /** Address of the upstream, as ip:port. */
+  address: string;
+  /** Establishes a connection. */
+  connect: () => Promise<PathConnection>;
+  /** Whether an idle connection can be expected to be alive, by the id of the host that relays it. */
+  isTrusted: (relayId: string | undefined) => boolean;
+}
+
 /** Pool of the idle connections to one upstream. */
 export class ConnectionPool {
-  private readonly idle: UpstreamConnection[] = [];
+  private idle: UpstreamConnection[] = [];
   private isClosed = false;
 
-  private constructor(
-    private readonly address: string,
-    private readonly dial: Dial,
-  ) {}
+  private constructor(private readonly options: ConnectionPoolOptions) {}
 
   /** Creates an empty pool.
-   * @param address Address of the upstream, as ip:port.
-   * @param dial Establishes connections. */
-  static create(address: string, dial: Dial): ConnectionPool {
-    return new ConnectionPool(address, dial);
+   * @param options The upstream and how to connect to it. */
+  static create(options: ConnectionPoolOptions): ConnectionPool {
+    return new ConnectionPool(options);
   }
 
   /** Returns the most recently used idle connection, or a new one. */
   acquire(): UpstreamConnection {
+    this.closeUntrusted();
     while (this.idle.length > 0) {
       const connection = this.idle.pop()!;
       if (connection.isUsable) return connection;
@@ -29,9 +36,10 @@
 
   /** Returns a new connection. */
   connect(): UpstreamConnection {
+    const { address, connect } = this.options;
     return UpstreamConnection.create(
-      this.address,
-      () => this.dial(this.address),
+      address,
+      connect,
       (closed) => this.remove(closed),
     );
   }
@@ -43,6 +51,15 @@
     if (connection.isUsable) this.idle.push(connection);
   }
 
+  /** Closes the idle connections that can no longer be expected to be alive. */
+  closeUntrusted(): void {
+    const { isTrusted } = this.options;
+    const untrusted = this.idle.filter(({ relayId }) => !isTrusted(relayId));
+    if (untrusted.length === 0) return;
+    this.idle = this.idle.filter((each) => !untrusted.includes(each));
+    for (const connection of untrusted) connection.close();
+  }
+
   /** Closes the idle connections, and those that are returned later. */
   close(): void {
     this.isClosed = true;
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -1,17 +1,21 @@
 import { ArrivalRate } from "../admission/arrival_rate.ts";
 import { hashText } from "../hashing/hasher.ts";
-import { type Dial, dialTcp } from "../network/dial_tcp.ts";
+import type { PathTarget } from "../paths/path_target.ts";
+import { UpstreamPath } from "../paths/upstream_path.ts";
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
 import { Availability } from "./availability.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 import { UpstreamHealth } from "./upstream_health.ts";
+import { directNetwork, type UpstreamNetwork } from "./upstream_network.ts";
 
 /** State of one instance of an upstream in this process. */
-export class Upstream {
+export class Upstream implements PathTarget {
   /** Idle connections to the upstream. */
   readonly connections: ConnectionPool;
   /** Health according to the outcomes of attempts. */
   readonly health = UpstreamHealth.create();
+  /** How this host reaches it. */
+  readonly path = UpstreamPath.create();
   /** Whether it accepts requests, according to its responses. */
   readonly availability: Availability;
   /** Hash that identifies this instance of the upstream in messages between hosts, so that information about another
@@ -43,23 +47,27 @@
     /** Latest published entry. */
     public published: PublishedUpstream,
     availability: Availability,
-    dial: Dial,
+    network: UpstreamNetwork,
   ) {
     this.availability = availability;
-    this.connections = ConnectionPool.create(published.address, dial);
+    this.connections = ConnectionPool.create({
+      address: published.address,
+      connect: () => network.connect(this),
+      isTrusted: (relayId) => network.isTrusted(this, relayId),
+    });
     this.instanceHash = hashText(formatInstanceName(published));
   }
 
   /** Creates an upstream.
    * @param published Published entry.
    * @param availability Earlier availability of the same instance, if known.
-   * @param dial Establishes connections to it. */
+   * @param network Establishes connections to it. */
   static create(
     published: PublishedUpstream,
     availability = Availability.create(),
-    dial: Dial = dialTcp,
+    network = directNetwork,
   ): Upstream {
-    return new Upstream(published, availability, dial);
+    return new Upstream(published, availability, network);
   }
 
   get id(): string {
--- a/src/upstreams/upstream_connection.ts
+++ b/src/upstreams/upstream_connection.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import type { PathConnection } from "../paths/path_connection.ts";
 import { type buildConnector, Client, type Dispatcher } from "undici";
 
 /** Idle time after which a connection is closed if the upstream names none, in milliseconds. */
@@ -13,10 +14,11 @@
   private readonly client: Client;
   private isClosed = false;
   private hasFailed = false;
+  private relayHostId: string | undefined;
 
   private constructor(
     address: string,
-    dial: () => Promise<Socket>,
+    connect: () => Promise<PathConnection>,
     onClosed: (connection: UpstreamConnection) => void,
   ) {
     this.client = new Client(`http://${address}`, {
@@ -26,7 +28,7 @@
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_CLOSE_MARGIN_MS,
-      connect: this.createConnector(dial),
+      connect: this.createConnector(connect),
     });
     this.client.on("disconnect", () => {
       this.close();
@@ -36,14 +38,14 @@
 
   /** Creates a connection, which is established with its first request.
    * @param address Address of the upstream, as ip:port.
-   * @param dial Establishes the connection.
+   * @param connect Establishes the connection.
    * @param onClosed Called when the connection has ended. */
   static create(
     address: string,
-    dial: () => Promise<Socket>,
+    connect: () => Promise<PathConnection>,
     onClosed: (connection: UpstreamConnection) => void,
   ): UpstreamConnection {
-    return new UpstreamConnection(address, dial, onClosed);
+    return new UpstreamConnection(address, connect, onClosed);
   }
 
   /** Whether the connection can carry a request. */
@@ -51,6 +53,11 @@
     return !this.isClosed;
   }
 
+  /** Id of the host that relays the connection; undefined if none does or it is not established. */
+  get relayId(): string | undefined {
+    return this.relayHostId;
+  }
+
   /** Whether the connection was reset or failed in another way. Readers of a response without a length have to check
    * this, because the HTTP client treats such a response as complete even then. */
   get wasReset(): boolean {
@@ -75,11 +82,12 @@
   }
 
   private createConnector(
-    dial: () => Promise<Socket>,
+    connect: () => Promise<PathConnection>,
   ): buildConnector.connector {
     return (_options, callback) =>
-      void dial().then(
-        (socket) => {
+      void connect().then(
+        ({ socket, relayId }) => {
+          this.relayHostId = relayId;
           this.detectReset(socket);
           callback(null, socket);
         },
--- a/src/upstreams/upstream_health.ts
+++ b/src/upstreams/upstream_health.ts
@@ -121,6 +121,15 @@
     this.reportedOutUntil = -Infinity;
   }
 
+  /** Clears the recorded faults and ends all ejections because of them. */
+  clearFaults(): void {
+    this.faultRate = 0;
+    this.ejections = 0;
+    this.ejectedUntil = -Infinity;
+    this.brokenAt = -Infinity;
+    this.clearReportedOutage();
+  }
+
   private eject(now: number): number {
     const duration = Math.min(
       MAX_EJECTION_MS,
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -1,11 +1,11 @@
 import { readClock } from "../clock/clock.ts";
-import type { Dial } from "../network/dial_tcp.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamChange } from "../published/publication_feed.ts";
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
 import type { Availability, AvailabilityChange } from "./availability.ts";
 import { logAvailabilityChange } from "./log_availability_change.ts";
 import { Upstream } from "./upstream.ts";
+import type { UpstreamNetwork } from "./upstream_network.ts";
 
 /** Maximum time for which an upstream stays in use after its entry disappeared just after an outage of the platform, as
  * a fraction of the leave timeout. Entries that lapsed during the outage come back within two seconds. */
@@ -36,8 +36,8 @@
   onAvailabilityChange: (change: AvailabilityChange) => void;
   /** Called for each removed upstream. */
   onRemove: (upstream: Upstream) => void;
-  /** Establishes connections to upstreams; defaults to TCP. */
-  dial?: Dial;
+  /** Establishes connections to upstreams; defaults to connections without other hosts. */
+  network?: UpstreamNetwork;
 }
 
 /** Table of the known upstreams by service. */
@@ -168,7 +168,7 @@
     const current = Upstream.create(
       published,
       this.takeRememberedAvailability(published),
-      this.options.dial,
+      this.options.network,
     );
     current.availability.onChange = (change) =>
       this.handleAvailabilityChange(current, change);
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -148,6 +148,7 @@
       spendRetry: () => true,
       recordHealth: () => undefined,
       reportOutage: () => undefined,
+      checkPath: () => Promise.resolve(),
       recordMoved: () => undefined,
       crashes: {
         mayRetry: () => true,
