Ask other hosts before a refused connection counts as a crash

Same class as the loss of the paths itself: one host's path was taken for the state of the upstream.

A crash is now confirmed only if no other host connects, if this host can connect to another upstream, and if it is refused again 100 ms later; otherwise the removal of the entry decides, as for silent upstreams.

partitioned_host_crash_test failed before for one, three and four of four hosts.

--- a/src/crashes/connection_check.ts
+++ b/src/crashes/connection_check.ts
@@ -1,5 +1,5 @@
 import { DialError, type DialFailure } from "../network/dial_error.ts";
-import { type Dial, dialTcp } from "../network/dial_tcp.ts";
+import { dialTcp } from "../network/dial_tcp.ts";
 
 /** Result of a check: the address accepts connections, it refuses them because nothing listens there, or the check
  * timed out or failed with another error. */
@@ -13,16 +13,20 @@
 };
 
 /** Checks whether something listens at an address, by opening a connection that is closed immediately.
- * @param address The address, as ip:port.
- * @param dial Establishes the connection. */
+ * @param address The address, as ip:port. */
 export async function checkConnection(
   address: string,
-  dial: Dial = dialTcp,
 ): Promise<CheckResult> {
   try {
-    (await dial(address)).destroy();
+    (await dialTcp(address)).destroy();
     return "taken";
   } catch (thrown) {
-    return RESULTS[DialError.from(thrown).failure];
+    return toCheckResult(DialError.from(thrown));
   }
 }
+
+/** Returns what a connection that was not established shows.
+ * @param error Why it was not established. */
+export function toCheckResult({ failure }: DialError): CheckResult {
+  return RESULTS[failure];
+}
--- a/src/crashes/crash_detector.ts
+++ b/src/crashes/crash_detector.ts
@@ -34,8 +34,8 @@
     upstream: UpstreamInstance,
     requests: readonly InterruptedRequest[],
   ) => void;
-  /** Checks whether something listens at an address; `checkConnection` by default. */
-  check?: (address: string) => Promise<CheckResult>;
+  /** Checks whether something listens at the address of an upstream; `checkConnection` by default. */
+  check?: (upstream: UpstreamInstance) => Promise<CheckResult>;
 }
 
 /** An instance that may have crashed, with the requests that it interrupted. */
@@ -121,8 +121,8 @@
 
   private async check(crash: SuspectedCrash): Promise<void> {
     const { upstream } = crash;
-    const check = this.options.check ?? checkConnection;
-    const result = await check(upstream.address);
+    const result = await (this.options.check?.(upstream) ??
+      checkConnection(upstream.address));
     if (this.crashes.get(upstream.instanceHash) !== crash) return;
     if (result === "refused") return this.confirm(crash);
     if (result === "taken") return this.dismiss(crash, result);
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -25,7 +25,7 @@
   onCrash: (instanceHash: number) => void;
   /** Called with the hash of each instance that another host newly reports to have crashed. */
   onCrashReported: (instanceHash: number) => void;
-  /** Checks whether something listens at an address; `checkConnection` by default. */
+  /** Checks whether something listens at the address of an upstream; `checkConnection` by default. */
   check?: CrashDetectorOptions["check"];
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,4 @@
-import { checkConnection } from "../crashes/connection_check.ts";
+import type { CheckResult } from "../crashes/connection_check.ts";
 import { CrashGuard } from "../crashes/crash_guard.ts";
 import { onClockJump, readClock } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
@@ -193,7 +193,7 @@
     return CrashGuard.create({
       logger: this.logger,
       formatFingerprint,
-      check: (address) => checkConnection(address, this.dependencies.dial),
+      check: ({ instanceHash }) => this.checkCrash(instanceHash),
       onPendingReports: () => this.peerNetwork?.announceCrashes(),
       onHeld: (fingerprint) => this.handler.refuseHeldCalls(fingerprint),
       onCrash: (instanceHash) => {
@@ -207,6 +207,14 @@
     });
   }
 
+  /** Checks whether an instance of an upstream has crashed; its removal from the list shows it otherwise. */
+  private async checkCrash(instanceHash: number): Promise<CheckResult> {
+    const upstream = this.chooser.upstreams.findByInstanceHash(instanceHash);
+    return upstream
+      ? await this.paths.monitor.checkCrash(upstream)
+      : "undecided";
+  }
+
   private createPaths(): UpstreamPaths {
     return UpstreamPaths.create({
       logger: this.logger,
--- a/src/gateway/upstream_paths.ts
+++ b/src/gateway/upstream_paths.ts
@@ -40,16 +40,14 @@
 
   private constructor(options: UpstreamPathsOptions) {
     const { logger, dial, hall, getRelays, onChange, onRecheck } = options;
-    this.relays = RelayDirectory.create({
-      hall,
-      getHosts: getRelays,
-      random: Random.create(),
-    });
+    const random = Random.create();
+    this.relays = RelayDirectory.create({ hall, getHosts: getRelays, random });
     this.monitor = PathMonitor.create({
       logger,
       dial,
       openTunnel,
       relays: this.relays,
+      random,
       getTargets: options.getTargets,
       onChange,
       onRecheck,
--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -3,6 +3,11 @@
 import { DialError } from "../network/dial_error.ts";
 import type { Dial } from "../network/dial_tcp.ts";
 import type { Socket } from "node:net";
+import {
+  type CheckResult,
+  toCheckResult,
+} from "../crashes/connection_check.ts";
+import type { Random } from "../random/random.ts";
 import type { PathConnection } from "./path_connection.ts";
 import type { PathTarget } from "./path_target.ts";
 import { raceStaggered } from "./race_staggered.ts";
@@ -22,6 +27,11 @@
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Maximum number of checks at a time. */
 const MAX_CONCURRENT_CHECKS = 16;
+/** Time after which a refused connection is attempted again to confirm a crash, in milliseconds: paths are not all lost
+ * or restored at the same moment. */
+const CRASH_CONFIRMATION_DELAY_MS = 100;
+/** Maximum number of other upstreams that are tried to learn whether this host has paths at all. */
+const MAX_WITNESSES = 4;
 /** Time without bytes of an upstream after which its path is checked if another one was lost, in milliseconds. */
 const RECENTLY_HEARD_MS = 100;
 
@@ -33,6 +43,7 @@
   /** Opens a connection to an upstream through another host. */
   openTunnel: (relay: RelayHost, target: PathTarget) => Promise<Socket>;
   relays: RelayDirectory;
+  random: Random;
   /** Returns all upstreams. */
   getTargets: () => Iterable<PathTarget>;
   /** Called when the state of a path has changed. */
@@ -69,9 +80,14 @@
 
   /** Connects to an upstream, by the way that is expected to work first.
    * @param target The upstream.
-   * @throws DialError if no way is established in time. */
+   * @throws DialError if no way is established in time: why this host could not connect, if that is known. */
   async connect(target: PathTarget): Promise<PathConnection> {
-    const direct = () => this.connectDirectly(target);
+    let directError: unknown;
+    const direct = () =>
+      this.connectDirectly(target).catch((thrown: unknown) => {
+        directError = thrown;
+        throw thrown;
+      });
     const relayed = this.options.relays.choose(target, this.timeline.read())
       .map((relay) => () => this.connectThrough(relay, target));
     const attempts = target.path.isDirect
@@ -89,7 +105,7 @@
       return connection;
     } catch (thrown) {
       this.change(target, "unreachable");
-      throw DialError.from(thrown);
+      throw DialError.from(directError ?? thrown);
     }
   }
 
@@ -111,6 +127,18 @@
     await check;
   }
 
+  /** Checks whether an upstream has crashed, so that nothing listens at its address. A refused connection alone does not
+   * show that: this host may have lost its path. It counts only if no other host that was asked can connect, and if it
+   * is refused again after this host has connected to another upstream.
+   * @param target The upstream. */
+  async checkCrash(target: PathTarget): Promise<CheckResult> {
+    const result = await this.tryAllWays(target);
+    if (result !== "refused") return result;
+    if (!await this.reachesAnother(target)) return "undecided";
+    await this.wait(CRASH_CONFIRMATION_DELAY_MS);
+    return await this.tryAllWays(target);
+  }
+
   /** Whether an idle connection to an upstream can be expected to be alive. A connection of this host cannot if this
    * host has lost another path since it last heard from the upstream.
    * @param target The upstream.
@@ -140,6 +168,36 @@
     this.rechecks.clear();
   }
 
+  private async tryAllWays(target: PathTarget): Promise<CheckResult> {
+    try {
+      (await this.connect(target)).socket.destroy();
+      return "taken";
+    } catch (thrown) {
+      return toCheckResult(DialError.from(thrown));
+    }
+  }
+
+  private wait(durationMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.timeline.after(durationMs, resolve);
+    });
+  }
+
+  /** Whether this host can connect to another upstream now; also true if there is none. */
+  private async reachesAnother(target: PathTarget): Promise<boolean> {
+    const others = [...this.options.getTargets()].filter((other) =>
+      other.instanceHash !== target.instanceHash && !other.isRemoved
+    );
+    if (others.length === 0) return true;
+    const attempts = this.options.random.shuffle(others)
+      .slice(0, MAX_WITNESSES)
+      .map(async (other) => {
+        const { socket } = await this.connectDirectly(other);
+        socket.destroy();
+      });
+    return await Promise.any(attempts).then(() => true, () => false);
+  }
+
   private async connectDirectly(target: PathTarget): Promise<PathConnection> {
     const socket = await this.options.dial(target.address);
     this.establishedAt.set(target.instanceHash, this.timeline.read());
--- a/tests/gateway/partitioned_fleet.ts
+++ b/tests/gateway/partitioned_fleet.ts
@@ -17,6 +17,8 @@
   workers: number;
   /** Fields of the route that differ from the defaults. */
   route?: Record<string, unknown>;
+  /** How the workers respond; by default they succeed and often close the connection. */
+  behaviour?: WorkerBehaviour;
 }
 
 /** Gateways of which each has paths of its own to the workers, which it can lose. */
@@ -35,7 +37,9 @@
   ): Promise<PartitionedFleet> {
     const fleet = await GatewayFleet.create();
     const workers = await fleet.startWorkers("s", options.workers);
-    for (const worker of workers) worker.behaviour = respondAndOftenClose;
+    for (const worker of workers) {
+      worker.behaviour = options.behaviour ?? respondAndOftenClose;
+    }
     fleet.publishConfiguration(1, [KEY], options.route);
     const addresses = workers.map(({ address }) => address);
     const gateways: TestGateway[] = [];
