Ask hosts with paths to every service first to relay a connection

A host that has lost its own paths to all upstreams of a service that others reach announces the phase partitioned. It goes on taking requests, and relays to other services, but is asked last.

--- a/src/gateway/choose_addresses.ts
+++ b/src/gateway/choose_addresses.ts
@@ -1,4 +1,5 @@
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
+import { takesRequests } from "../peers/host_phase.ts";
 import type { KnownHost } from "../peers/known_host.ts";
 
 /** Maximum number of addresses in one response. */
@@ -18,9 +19,8 @@
  * @param options This host and the other live hosts. */
 export function chooseAddresses(options: ChooseAddressesOptions): string[] {
   const { own, live } = options;
-  const others = live.filter((host) => host.entry.phase === "ready").map((
-    host,
-  ) => host.entry.callerAddress);
+  const others = live.filter(({ entry }) => takesRequests(entry.phase))
+    .map(({ entry }) => entry.callerAddress);
   const ready = own.isReady ? [own.callerAddress] : [];
   const remaining = MAX_ADDRESSES - ready.length;
   const chosen = others.length <= remaining
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,7 +25,10 @@
 import { PrefixRecovery } from "./prefix_recovery.ts";
 import { PublicationExchange } from "./publication_exchange.ts";
 import { PublicationWatch } from "./publication_watch.ts";
-import { countServiceContacts } from "../upstreams/service_contact.ts";
+import {
+  countServiceContacts,
+  type ServiceContact,
+} from "../upstreams/service_contact.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
 
@@ -306,8 +309,7 @@
       getPublicationAgeMs: () => this.replica.ageMs,
       onPeerUpgrade: (request, socket, head) =>
         this.paths.server.handleUpgrade(request, socket, head),
-      getServiceContacts: () =>
-        countServiceContacts(this.chooser.upstreams.getAll(), readClock()),
+      getServiceContacts: () => this.getServiceContacts(),
     });
   }
 
@@ -345,7 +347,19 @@
 
   private get phase(): PeerEntry["phase"] {
     if (this.stop.hasStarted) return "draining";
-    return this.isServing ? "ready" : "starting";
+    if (!this.isServing) return "starting";
+    return this.isPartitioned ? "partitioned" : "ready";
+  }
+
+  /** Whether this host has lost its own paths to all upstreams of a service that other hosts reach. */
+  private get isPartitioned(): boolean {
+    return [...this.getServiceContacts()].some(({ direct, relayed }) =>
+      direct === 0 && relayed > 0
+    );
+  }
+
+  private getServiceContacts(): Iterable<ServiceContact> {
+    return countServiceContacts(this.chooser.upstreams.getAll(), readClock());
   }
 
   private applyConfiguration(routes: RouteTable): void {
@@ -362,13 +376,15 @@
     this.peerNetwork?.announce();
   }
 
-  /** Clears what was held against an upstream while this host had lost its path to it. */
+  /** Clears what was held against an upstream while this host had lost its path to it, and announces the phase that may
+   * follow from the change. */
   private handlePathChange(
     { instanceHash }: PathTarget,
     state: PathState,
   ): void {
     if (state === "relayed") this.chooser.clearFaults(instanceHash);
     this.metrics.recordPathChange(state);
+    this.peerNetwork?.announce();
   }
 
   private getLiveHosts(): readonly KnownHost[] {
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -10,6 +10,7 @@
 import type { KnownHost } from "../peers/known_host.ts";
 import { OutageGossip } from "../peers/outage_gossip.ts";
 import { PrefixDirectory } from "../peers/prefix_directory.ts";
+import { takesRequests } from "../peers/host_phase.ts";
 import type { PublicationStatus } from "../peers/publication_status.ts";
 import { hashText } from "../hashing/hasher.ts";
 import { OutageReports } from "../upstreams/outage_reports.ts";
@@ -106,10 +107,11 @@
 
   /** Returns the other live hosts that may relay connections to upstreams. */
   getRelays(): RelayHost[] {
-    return this.getLiveHosts().filter(({ entry }) => entry.phase === "ready")
-      .map(({ name, entry: { id, peerAddress, hall } }) => (
-        { id, name, peerAddress, hall }
-      ));
+    return this.getLiveHosts().filter(({ entry: { phase } }) =>
+      takesRequests(phase)
+    ).map(({ name, entry: { id, peerAddress, hall, phase } }) => (
+      { id, name, peerAddress, hall, isPartitioned: phase === "partitioned" }
+    ));
   }
 
   /** Whether an IP address belongs to a known host of the fleet.
--- a/src/paths/relay_directory.ts
+++ b/src/paths/relay_directory.ts
@@ -14,7 +14,7 @@
 export interface RelayDirectoryOptions {
   /** Hall of this host. */
   hall: string;
-  /** Returns the live hosts that take requests and have paths of their own. */
+  /** Returns the live hosts that take requests. */
   getHosts: () => readonly RelayHost[];
   random: Random;
 }
@@ -34,8 +34,8 @@
     return new RelayDirectory(options);
   }
 
-  /** Returns the hosts to ask, in order: first the one that last reported to hear from the upstream, then those of this
-   * hall, then the others, each in random order.
+  /** Returns the hosts to ask, in order: first the one that last reported to hear from the upstream, then those with paths
+   * to every service, then the others; of each first those of this hall, in random order.
    * @param target The upstream.
    * @param now Monotonic milliseconds. */
   choose(target: PathTarget, now: number): RelayHost[] {
@@ -47,7 +47,7 @@
       : undefined;
     const rank = (host: RelayHost) => {
       if (host.name === hearingHost) return 0;
-      return host.hall === hall ? 1 : 2;
+      return (host.isPartitioned ? 3 : 1) + (host.hall === hall ? 0 : 1);
     };
     return random.shuffle(getHosts())
       .filter(({ id }) => !this.refusals.has(formatKey(id, target)))
--- a/src/paths/relay_host.ts
+++ b/src/paths/relay_host.ts
@@ -6,4 +6,6 @@
   /** Address at which it serves other hosts, as ip:port. */
   peerAddress: string;
   hall: string;
+  /** Whether it has lost its own paths to all upstreams of a service, though maybe not of the one in question. */
+  isPartitioned: boolean;
 }
