Find the one host that still reaches an upstream within a second

With all hosts but one cut off, a host asked up to eight others at random, and asked again only with the next check. Relays are now chosen as late as possible within a connection; an upstream that neither this host nor the first other one reaches is reported at once, also where connections are refused; and a host that hears from it is asked as soon as it says so. A host that has lost the paths to all upstreams of a service is partitioned whether or not another one reaches any.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,6 +1,5 @@
 import type { Dispatcher } from "undici";
 import { readClock } from "../clock/clock.ts";
-import { DialError } from "../network/dial_error.ts";
 import type { UpstreamConnection } from "../upstreams/upstream_connection.ts";
 import { closeAfterDeclineWindow } from "../upstreams/decline_window.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
@@ -15,8 +14,6 @@
 export type AttemptFailure =
   /** No byte of the request left this host. */
   | "not_sent"
-  /** Not sent either: the connection was not established in time. */
-  | "connect_timeout"
   /** Not sent either: before the connection was ready, the upstream announced that it accepts no requests. */
   | "withheld"
   /** The connection failed after the request was sent, or the response does not belong to this request. */
@@ -59,7 +56,6 @@
   private isReusable = true;
   private isReadingPaused = false;
   private isWithheld = false;
-  private hasConnectTimedOut = false;
   /** Whether this is an unanswered trial request to an upstream that has recently backed off or been full. */
   private isTrial: boolean;
   private controller: { pause(): void; resume(): void } | undefined;
@@ -148,8 +144,6 @@
           },
           onResponseEnd: () => this.onEnd(),
           onResponseError: (_controller, error) => {
-            this.hasConnectTimedOut = error instanceof DialError &&
-              error.failure === "timed_out";
             this.fail(error.message);
           },
         },
@@ -225,7 +219,7 @@
   private classifyFailure(): AttemptFailure {
     if (this.wasSent) return "broken";
     if (this.isWithheld) return "withheld";
-    return this.hasConnectTimedOut ? "connect_timeout" : "not_sent";
+    return "not_sent";
   }
 
   private endTrial(wasAccepted: boolean): void {
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -333,7 +333,6 @@
     if (failure !== "withheld") {
       this.context.recordHealth(upstream, "unreachable");
     }
-    if (failure === "connect_timeout") this.context.reportOutage(upstream);
     if (this.budget.allowsRetryAfterUnsent()) return this.sendToNext(detail);
     this.giveUp(detail);
   }
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -41,8 +41,6 @@
   spendRetry: (service: string) => boolean;
   /** Records what an attempt shows about the health of its upstream. */
   recordHealth: (upstream: Upstream, signal: HealthSignal) => void;
-  /** Reports to other hosts that no connection to an upstream was established in time. */
-  reportOutage: (upstream: Upstream) => void;
   /** Checks whether this host has lost its path to an upstream; resolves once that is known. */
   checkPath: (upstream: Upstream) => Promise<unknown>;
   /** Records that the address of an upstream now belongs to another one. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -230,8 +230,8 @@
       isKnownAddress: (ip) => this.peerNetwork?.isKnownAddress(ip) ?? false,
       isAccepting: () => this.isServing,
       onChange: (target, state) => this.handlePathChange(target, state),
-      onRecheck: ({ instanceHash }) =>
-        this.chooser.closeUntrustedConnections(instanceHash),
+      onDoubt: (target) => this.peerNetwork?.reportOutage(target),
+      onRecheck: (target) => this.handlePathRecheck(target),
     });
   }
 
@@ -258,7 +258,6 @@
         this.metrics.recordSend(basis, countAgeMs),
       onOutageDisproved: (upstream) =>
         this.peerNetwork?.contradictOutage(upstream),
-      onConnectTimeout: (upstream) => this.peerNetwork?.reportOutage(upstream),
       onHealthSignal: (signal) => this.metrics.recordAttempt(signal),
       network: this.paths.monitor,
       checkPath: (upstream) => this.paths.monitor.check(upstream),
@@ -274,7 +273,7 @@
       publicationExchange: this.publicationExchange,
       metrics: this.metrics,
       guard: this.guard,
-      relays: this.paths.relays,
+      paths: this.paths.monitor,
       getPhase: () => this.phase,
       getSourceIds: () => this.watch?.getSources() ?? [],
     });
@@ -351,11 +350,9 @@
     return this.isPartitioned ? "partitioned" : "ready";
   }
 
-  /** Whether this host has lost its own paths to all upstreams of a service that other hosts reach. */
+  /** Whether this host has lost its own paths to all upstreams of a service. */
   private get isPartitioned(): boolean {
-    return [...this.getServiceContacts()].some(({ direct, relayed }) =>
-      direct === 0 && relayed > 0
-    );
+    return [...this.getServiceContacts()].some(({ direct }) => direct === 0);
   }
 
   private getServiceContacts(): Iterable<ServiceContact> {
@@ -378,15 +375,19 @@
 
   /** Clears what was held against an upstream while this host had lost its path to it, and announces the phase that may
    * follow from the change. */
-  private handlePathChange(
-    { instanceHash }: PathTarget,
-    state: PathState,
-  ): void {
-    if (state === "relayed") this.chooser.clearFaults(instanceHash);
+  private handlePathChange(target: PathTarget, state: PathState): void {
+    if (state === "relayed") this.chooser.clearFaults(target.instanceHash);
+    if (state === "unreachable") this.peerNetwork?.reportOutage(target);
     this.metrics.recordPathChange(state);
     this.peerNetwork?.announce();
   }
 
+  /** Reports an upstream that is still unreachable, since a host that reaches it can then relay to it. */
+  private handlePathRecheck(target: PathTarget): void {
+    this.chooser.closeUntrustedConnections(target.instanceHash);
+    if (target.path.isUnreachable) this.peerNetwork?.reportOutage(target);
+  }
+
   private getLiveHosts(): readonly KnownHost[] {
     return this.peerNetwork?.getLiveHosts() ?? [];
   }
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -15,7 +15,8 @@
 import { hashText } from "../hashing/hasher.ts";
 import { OutageReports } from "../upstreams/outage_reports.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
-import type { RelayDirectory } from "../paths/relay_directory.ts";
+import type { PathTarget } from "../paths/path_target.ts";
+import type { PathMonitor } from "../paths/path_monitor.ts";
 import type { RelayHost } from "../paths/relay_host.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
@@ -36,7 +37,7 @@
   publicationExchange: PublicationExchange;
   metrics: GatewayMetrics;
   guard: CrashGuard;
-  relays: RelayDirectory;
+  paths: PathMonitor;
   /** Returns the lifecycle phase of this host. */
   getPhase: () => PeerEntry["phase"];
   /** Returns the ids of the hosts to query for their publication status. */
@@ -154,9 +155,9 @@
     return this.gossip.isLargeFleet;
   }
 
-  /** Reports soon to other hosts that no connection to an upstream was established in time.
+  /** Reports soon to other hosts that no connection to an upstream was established.
    * @param upstream The upstream. */
-  reportOutage({ instanceHash }: Upstream): void {
+  reportOutage({ instanceHash }: PathTarget): void {
     this.outageReports.recordFailure(instanceHash, readClock());
   }
 
@@ -236,8 +237,10 @@
       onContradiction: (instanceHash) =>
         chooser.clearReportedOutage(instanceHash),
       onHeardElsewhere: (instanceHash, reporter) => {
-        chooser.recordHeardElsewhere(instanceHash);
-        this.options.relays.recordHearing(instanceHash, reporter, readClock());
+        const upstream = chooser.upstreams.findByInstanceHash(instanceHash);
+        if (!upstream) return;
+        upstream.heardElsewhereAt = readClock();
+        this.options.paths.recordHearing(upstream, reporter);
       },
     });
   }
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -73,8 +73,6 @@
   onRemove: (upstream: Upstream) => void;
   /** Called for each attempt, with the known load of the upstream. */
   onSend: (choice: UpstreamChoice, load: LoadSnapshot) => void;
-  /** Called with each upstream to which no connection was established in time. */
-  onConnectTimeout: (upstream: Upstream) => void;
   /** Called with each health signal of an upstream. */
   onHealthSignal: (signal: HealthSignal) => void;
   /** Establishes connections to upstreams; defaults to connections without other hosts. */
@@ -155,7 +153,6 @@
         this.retryBudgets.getShare(service).tryAcquire(this.readNow()),
       recordHealth: (upstream, signal) =>
         this.recordHealthSignal(upstream, signal),
-      reportOutage: (upstream) => this.options.onConnectTimeout(upstream),
       checkPath: (upstream) => this.checkPath(upstream),
       recordMoved: (upstream) => this.upstreams.remove(upstream),
     };
@@ -229,13 +226,6 @@
     );
   }
 
-  /** Records that another host reports to hear from an instance of an upstream.
-   * @param instanceHash Hash of the instance. */
-  recordHeardElsewhere(instanceHash: number): void {
-    const upstream = this.upstreams.findByInstanceHash(instanceHash);
-    if (upstream) upstream.heardElsewhereAt = this.readNow();
-  }
-
   /** Closes the connections to all upstreams. */
   close(): void {
     this.upstreams.close();
--- a/src/gateway/upstream_paths.ts
+++ b/src/gateway/upstream_paths.ts
@@ -28,6 +28,8 @@
   isAccepting: () => boolean;
   /** Called when the state of a path has changed. */
   onChange: (target: PathTarget, state: PathState) => void;
+  /** Called when neither this host nor the first other one could connect at once. */
+  onDoubt: (target: PathTarget) => void;
   /** Called each time a lost path is checked. */
   onRecheck: (target: PathTarget) => void;
 }
@@ -35,21 +37,22 @@
 /** The paths of a gateway to the upstreams: its own, and those through other hosts, in both roles. */
 export class UpstreamPaths {
   readonly monitor: PathMonitor;
-  readonly relays: RelayDirectory;
   readonly server: RelayServer;
 
   private constructor(options: UpstreamPathsOptions) {
-    const { logger, dial, hall, getRelays, onChange, onRecheck } = options;
+    const { logger, dial, hall, getRelays, onChange, onDoubt, onRecheck } =
+      options;
     const random = Random.create();
-    this.relays = RelayDirectory.create({ hall, getHosts: getRelays, random });
+    const relays = RelayDirectory.create({ hall, getHosts: getRelays, random });
     this.monitor = PathMonitor.create({
       logger,
       dial,
       openTunnel,
-      relays: this.relays,
+      relays,
       random,
       getTargets: options.getTargets,
       onChange,
+      onDoubt,
       onRecheck,
     });
     this.server = RelayServer.create({
--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -23,6 +23,8 @@
 /** Time until a lost direct path is first checked again, in milliseconds; it doubles up to the maximum. */
 const FIRST_RECHECK_MS = 250;
 const MAX_RECHECK_MS = 1_000;
+/** Maximum number of hosts that are asked to relay one connection. */
+const MAX_RELAYS = 8;
 /** Minimum time between two checks of the same path, in milliseconds. */
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Maximum number of checks at a time. */
@@ -48,6 +50,8 @@
   getTargets: () => Iterable<PathTarget>;
   /** Called when the state of a path has changed. */
   onChange: (target: PathTarget, state: PathState) => void;
+  /** Called when neither this host nor the first other one could connect at once. */
+  onDoubt: (target: PathTarget) => void;
   /** Called each time a lost path is checked; hosts that relayed connections to the upstream may have left since. */
   onRecheck: (target: PathTarget) => void;
   /** Defaults to the timeline of the process. */
@@ -88,14 +92,9 @@
         directError = thrown;
         throw thrown;
       });
-    const relayed = this.options.relays.choose(target, this.timeline.read())
-      .map((relay) => () => this.connectThrough(relay, target));
-    const attempts = target.path.isDirect
-      ? [direct, ...relayed]
-      : [...relayed, direct];
     try {
       const connection = await raceStaggered({
-        attempts,
+        getNextAttempt: this.createAttempts(target, direct),
         staggerMs: STAGGER_MS,
         timeoutMs: RACE_TIMEOUT_MS,
         onLateResult: (late) => this.handleLateConnection(target, late),
@@ -140,6 +139,15 @@
     return await this.tryAllWays(target);
   }
 
+  /** Records that another host hears from an upstream; if it is unreachable, that host is asked to relay at once.
+   * @param target The upstream.
+   * @param host Hash that identifies the other host. */
+  recordHearing(target: PathTarget, host: number): void {
+    const { instanceHash, path } = target;
+    this.options.relays.recordHearing(instanceHash, host, this.timeline.read());
+    if (path.isUnreachable) this.scheduleRecheck(target, 0);
+  }
+
   /** Whether an idle connection to an upstream can be expected to be alive. A connection of this host cannot if this
    * host has lost another path since it last heard from the upstream.
    * @param target The upstream.
@@ -171,6 +179,32 @@
     this.rechecks.clear();
   }
 
+  /** Creates a function that returns the ways to an upstream one after the other: first the direct one unless its path is
+   * lost, in which case it is the last. Each relay is chosen as late as possible, since other hosts that hear from the
+   * upstream respond to the report that it is in doubt. */
+  private createAttempts(
+    target: PathTarget,
+    direct: () => Promise<PathConnection>,
+  ): () => (() => Promise<PathConnection>) | undefined {
+    const asked = new Set<string>();
+    let isDirectTried = false;
+    const tryDirect = () => {
+      if (isDirectTried) return undefined;
+      isDirectTried = true;
+      return direct;
+    };
+    return () => {
+      if (target.path.isDirect && !isDirectTried) return tryDirect();
+      const relay = asked.size < MAX_RELAYS
+        ? this.options.relays.choose(target, asked, this.timeline.read())
+        : undefined;
+      if (!relay) return tryDirect();
+      if (asked.size > 0) this.options.onDoubt(target);
+      asked.add(relay.id);
+      return () => this.connectThrough(relay, target);
+    };
+  }
+
   private async tryAllWays(target: PathTarget): Promise<CheckResult> {
     try {
       (await this.connect(target)).socket.destroy();
@@ -293,7 +327,7 @@
       Math.max(FIRST_RECHECK_MS, 2 * lastDelayMs),
     );
     this.scheduleRecheck(target, nextDelayMs);
-    if (target.path.isUnreachable) return void await this.check(target);
+    if (target.path.isUnreachable) return void await this.tryAllWays(target);
     await this.connectDirectly(target).then(
       ({ socket }) => void socket.destroy(),
       () => undefined,
--- a/src/paths/race_staggered.ts
+++ b/src/paths/race_staggered.ts
@@ -3,8 +3,8 @@
 
 /** Options of {@link raceStaggered}. */
 export interface StaggeredRaceOptions<Result> {
-  /** Attempts, in the order in which they are started. */
-  attempts: readonly (() => Promise<Result>)[];
+  /** Returns the next attempt, chosen when it is about to start; undefined if there is none. */
+  getNextAttempt: () => (() => Promise<Result>) | undefined;
   /** Time after the start of an attempt until the next one starts, in milliseconds; it starts at once if one fails. */
   staggerMs: number;
   /** Time after which the race fails, in milliseconds. */
@@ -16,45 +16,45 @@
 
 /** Starts attempts one after the other and resolves with the first result.
  * @param options The attempts and their timing.
- * @throws The error of the first attempt if all fail, or a {@link DialError} after the timeout. */
+ * @throws The error of the last attempt if all fail, or a {@link DialError} after the timeout. */
 export function raceStaggered<Result>(
   options: StaggeredRaceOptions<Result>,
 ): Promise<Result> {
-  const { attempts, staggerMs, timeoutMs, onLateResult, timeline } = options;
+  const { getNextAttempt, staggerMs, timeoutMs, timeline } = options;
   return new Promise((resolve, reject) => {
-    const errors = new Map<number, unknown>();
-    let started = 0;
+    let running = 0;
     let isSettled = false;
     let cancelStagger = () => {};
+    let cancelTimeout = () => {};
     const settle = (end: () => void) => {
       isSettled = true;
       cancelStagger();
       cancelTimeout();
       end();
     };
+    const handleResult = (result: Result) => {
+      if (isSettled) options.onLateResult(result);
+      else settle(() => resolve(result));
+    };
+    const handleError = (error: unknown) => {
+      running -= 1;
+      if (isSettled) return;
+      startNext();
+      if (running === 0) settle(() => reject(error));
+    };
     const startNext = () => {
       cancelStagger();
-      if (isSettled || started >= attempts.length) return;
-      const index = started++;
+      if (isSettled) return;
+      const attempt = getNextAttempt();
+      if (!attempt) return;
+      running += 1;
       cancelStagger = timeline.after(staggerMs, startNext);
-      attempts[index]!().then(
-        (result) => {
-          if (isSettled) onLateResult(result);
-          else settle(() => resolve(result));
-        },
-        (error: unknown) => {
-          errors.set(index, error);
-          if (isSettled) return;
-          if (errors.size === attempts.length) {
-            settle(() => reject(errors.get(0)));
-          } else startNext();
-        },
-      );
+      attempt().then(handleResult, handleError);
     };
     const fail = () =>
       settle(() => reject(DialError.create("timed_out", "no path in time")));
-    const cancelTimeout = timeline.after(timeoutMs, fail);
-    if (attempts.length === 0) fail();
+    cancelTimeout = timeline.after(timeoutMs, fail);
     startNext();
+    if (running === 0) fail();
   });
 }
--- a/src/paths/relay_directory.ts
+++ b/src/paths/relay_directory.ts
@@ -2,13 +2,11 @@
 import type { PathTarget } from "./path_target.ts";
 import type { RelayHost } from "./relay_host.ts";
 
-/** Maximum number of hosts that are asked to relay one connection. */
-const MAX_RELAYS = 8;
 /** Time for which a host that did not relay to an upstream is not asked again for it, in milliseconds; about as long
  * as a change of its paths takes to become known. */
 const REFUSAL_TTL_MS = 1_000;
 /** Time for which a report that a host hears from an upstream counts, in milliseconds. */
-const HEARD_TTL_MS = 1_000;
+const HEARD_TTL_MS = 3_000;
 
 /** Dependencies of a {@link RelayDirectory}. */
 export interface RelayDirectoryOptions {
@@ -34,25 +32,26 @@
     return new RelayDirectory(options);
   }
 
-  /** Returns the hosts to ask, in order: first the one that last reported to hear from the upstream, then those with paths
-   * to every service, then the others; of each first those of this hall, in random order.
+  /** Returns the host to ask next: preferably the one that last reported to hear from the upstream, then one with paths to
+   * every service, then one of this hall; undefined if none is left.
    * @param target The upstream.
+   * @param asked Ids of the hosts that were asked already.
    * @param now Monotonic milliseconds. */
-  choose(target: PathTarget, now: number): RelayHost[] {
-    const { hall, random, getHosts } = this.options;
+  choose(
+    target: PathTarget,
+    asked: ReadonlySet<string>,
+    now: number,
+  ): RelayHost | undefined {
+    const { random, getHosts } = this.options;
     this.removeExpired(now);
-    const hearing = this.hearing.get(target.instanceHash);
-    const hearingHost = hearing && now - hearing.at <= HEARD_TTL_MS
-      ? hearing.host
-      : undefined;
-    const rank = (host: RelayHost) => {
-      if (host.name === hearingHost) return 0;
-      return (host.isPartitioned ? 3 : 1) + (host.hall === hall ? 0 : 1);
-    };
-    return random.shuffle(getHosts())
-      .filter(({ id }) => !this.refusals.has(formatKey(id, target)))
-      .sort((a, b) => rank(a) - rank(b))
-      .slice(0, MAX_RELAYS);
+    const left = getHosts().filter(({ id }) =>
+      !asked.has(id) && !this.refusals.has(formatKey(id, target))
+    );
+    const hearingHost = this.hearing.get(target.instanceHash)?.host;
+    const getRank = (host: RelayHost) => this.rank(host, hearingHost);
+    const bestRank = Math.min(...left.map(getRank));
+    const best = left.filter((host) => getRank(host) === bestRank);
+    return best.length > 0 ? random.pick(best) : undefined;
   }
 
   /** Whether a host may still relay connections that were opened through it.
@@ -77,6 +76,12 @@
     this.hearing.set(instanceHash, { host, at: now });
   }
 
+  private rank(host: RelayHost, hearingHost: number | undefined): number {
+    if (host.name === hearingHost) return 0;
+    const hallRank = host.hall === this.options.hall ? 1 : 2;
+    return host.isPartitioned ? hallRank + 2 : hallRank;
+  }
+
   /** Removes what has expired; entries are in the order of their times, except for those that were updated. */
   private removeExpired(now: number): void {
     for (const [key, at] of this.refusals) {
--- a/src/peers/host_phase.ts
+++ b/src/peers/host_phase.ts
@@ -1,5 +1,5 @@
 /** Phases of a host's lifecycle, in their order on the wire. A host takes requests in `ready` and in `partitioned`, in
- * which it has lost its own paths to all upstreams of a service and relies on other hosts. */
+ * which it has lost its own paths to all upstreams of a service and relies on other hosts if they reach any. */
 export const HOST_PHASES = [
   "starting",
   "ready",
--- a/src/upstreams/service_contact.ts
+++ b/src/upstreams/service_contact.ts
@@ -10,8 +10,6 @@
   heard: number;
   /** Upstreams that this host reaches over connections of its own. */
   direct: number;
-  /** Upstreams that this host reaches through other hosts. */
-  relayed: number;
   /** Upstreams that are listed and not leaving. */
   listed: number;
 }
@@ -28,11 +26,10 @@
     if (upstream.isLeaving) continue;
     const { service } = upstream.published;
     const contact = contacts.get(service) ??
-      { service, heard: 0, direct: 0, relayed: 0, listed: 0 };
+      { service, heard: 0, direct: 0, listed: 0 };
     contact.listed += 1;
     if (now - upstream.lastReceivedAt < HEARD_WITHIN_MS) contact.heard += 1;
-    if (upstream.path.state === "direct") contact.direct += 1;
-    if (upstream.path.state === "relayed") contact.relayed += 1;
+    if (upstream.path.isDirect) contact.direct += 1;
     contacts.set(service, contact);
   }
   return contacts.values();
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -147,7 +147,6 @@
       recordCompletion: () => undefined,
       spendRetry: () => true,
       recordHealth: () => undefined,
-      reportOutage: () => undefined,
       checkPath: () => Promise.resolve(),
       recordMoved: () => undefined,
       crashes: {
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -184,7 +184,6 @@
       getLapseEndsAt: () => -Infinity,
       usesDirectory: () => false,
       onOutageDisproved: () => undefined,
-      onConnectTimeout: () => undefined,
       onPrefixUpdates: () => this.sharePrefixUpdates(index),
       onRestart: () => undefined,
       onAvailabilityChange: () => undefined,
