Confirm crashes in serve only while the router has paths to other upstreams

A router that lost its paths by resets reported crashes of all services at once, and the requests under way were held at every router for 30 s.

--- a/fakes/black_hole.ts
+++ b/fakes/black_hole.ts
@@ -23,6 +23,7 @@
       { workerData: { ports, released }, execArgv: [] },
     );
     await once(thread, "message");
+    thread.unref();
     const filling = ports.flatMap((port) =>
       Array.from({ length: FILLING_CONNECTIONS }, () => fillBacklog(port))
     );
--- a/fakes/network_partition.ts
+++ b/fakes/network_partition.ts
@@ -34,6 +34,12 @@
     return new NetworkPartition(new Map(entries));
   }
 
+  /** Creates the partition of a host from the servers behind proxies.
+   * @param proxies The host's proxies by the address of the server behind them. */
+  static of(proxies: ReadonlyMap<string, FaultProxy>): NetworkPartition {
+    return new NetworkPartition(proxies);
+  }
+
   /** Returns the address under which the host reaches a server.
    * @param address Address of the server, as ip:port. */
   getPathAddress(address: string): string {
--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -7,6 +7,7 @@
   type CheckResult,
   toCheckResult,
 } from "../crashes/connection_check.ts";
+import { confirmRefusal } from "../crashes/confirm_refusal.ts";
 import type { Random } from "../random/random.ts";
 import type { PathConnection } from "./path_connection.ts";
 import type { PathTarget } from "./path_target.ts";
@@ -29,9 +30,6 @@
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Maximum number of checks at a time. */
 const MAX_CONCURRENT_CHECKS = 16;
-/** Time after which a refused connection is attempted again to confirm a crash, in milliseconds: paths are not all lost
- * or restored at the same moment. */
-const CRASH_CONFIRMATION_DELAY_MS = 100;
 /** Maximum number of other upstreams that are tried to learn whether this host has paths at all. */
 const MAX_WITNESSES = 4;
 /** Time without bytes of an upstream after which its path is checked if another one was lost, in milliseconds. */
@@ -127,16 +125,20 @@
     return await check;
   }
 
-  /** Checks whether an upstream has crashed, so that nothing listens at its address. A refused connection alone does not
-   * show that: this host may have lost its path. It counts only if no other host that was asked can connect, and if it
-   * is refused again after this host has connected to another upstream.
+  /** Checks whether an upstream has crashed, so that nothing listens at its address: no other host that was asked can
+   * connect to it, while this host has paths to other upstreams.
    * @param target The upstream. */
   async checkCrash(target: PathTarget): Promise<CheckResult> {
-    const result = await this.tryAllWays(target);
-    if (result !== "refused") return result;
-    if (!await this.reachesAnother(target)) return "undecided";
-    await this.wait(CRASH_CONFIRMATION_DELAY_MS);
-    return await this.tryAllWays(target);
+    return await confirmRefusal({
+      check: () => this.tryAllWays(target),
+      checkOthers: this.chooseOthers(target).map((other) => () =>
+        this.tryDirectly(other)
+      ),
+      wait: (durationMs) =>
+        new Promise((resolve) => {
+          this.timeline.after(durationMs, resolve);
+        }),
+    });
   }
 
   /** Records that another host hears from an upstream; if it is unreachable, that host is asked to relay at once.
@@ -218,25 +220,22 @@
     return this.establishedAt.get(instanceHash) ?? -Infinity;
   }
 
-  private wait(durationMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      this.timeline.after(durationMs, resolve);
-    });
+  /** Connects over this host's own path only. */
+  private async tryDirectly(target: PathTarget): Promise<CheckResult> {
+    try {
+      (await this.connectDirectly(target)).socket.destroy();
+      return "taken";
+    } catch (thrown) {
+      return toCheckResult(DialError.from(thrown));
+    }
   }
 
-  /** Whether this host can connect to another upstream now; also true if there is none. */
-  private async reachesAnother(target: PathTarget): Promise<boolean> {
+  /** Chooses other upstreams that show whether this host has paths at all. */
+  private chooseOthers(target: PathTarget): PathTarget[] {
     const others = [...this.options.getTargets()].filter((other) =>
       other.instanceHash !== target.instanceHash && !other.isRemoved
     );
-    if (others.length === 0) return true;
-    const attempts = this.options.random.shuffle(others)
-      .slice(0, MAX_WITNESSES)
-      .map(async (other) => {
-        const { socket } = await this.connectDirectly(other);
-        socket.destroy();
-      });
-    return await Promise.any(attempts).then(() => true, () => false);
+    return this.options.random.shuffle(others).slice(0, MAX_WITNESSES);
   }
 
   private async connectDirectly(target: PathTarget): Promise<PathConnection> {
@@ -328,9 +327,6 @@
     );
     this.scheduleRecheck(target, nextDelayMs);
     if (target.path.isUnreachable) return void await this.tryAllWays(target);
-    await this.connectDirectly(target).then(
-      ({ socket }) => void socket.destroy(),
-      () => undefined,
-    );
+    await this.tryDirectly(target);
   }
 }
--- a/src/router/router_crash_tracker.ts
+++ b/src/router/router_crash_tracker.ts
@@ -1,4 +1,11 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { readClock } from "../clock/clock.ts";
+import { confirmRefusal } from "../crashes/confirm_refusal.ts";
+import {
+  checkConnection,
+  type CheckResult,
+} from "../crashes/connection_check.ts";
+import type { UpstreamInstance } from "../crashes/crash_detector.ts";
 import { CrashGossip } from "../crashes/crash_gossip.ts";
 import { CrashGuard } from "../crashes/crash_guard.ts";
 import type { CrashReport } from "../crashes/crash_report.ts";
@@ -7,8 +14,12 @@
 import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { Metrics } from "../metrics/metrics.ts";
+import { Random } from "../random/random.ts";
 import type { PeerConnectionPool } from "../peer/peer_connection_pool.ts";
 
+/** Maximum number of other upstreams that are tried to learn whether this router has paths at all. */
+const MAX_WITNESSES = 4;
+
 /** Dependencies of a `RouterCrashTracker`. */
 export interface RouterCrashTrackerOptions {
   logger: Logger;
@@ -22,6 +33,7 @@
   /** Refuses requests that are likely to crash further upstreams. */
   readonly guard: CrashGuard;
   private readonly gossip: CrashGossip;
+  private readonly random = Random.create();
 
   private constructor(private readonly options: RouterCrashTrackerOptions) {
     const { logger, metrics } = options;
@@ -32,6 +44,7 @@
       onHeld: () => undefined,
       onCrash: () => metrics.count("upstream_crashes"),
       onCrashReported: () => undefined,
+      check: (upstream) => this.checkCrash(upstream),
     });
     this.gossip = CrashGossip.create({
       store: this.guard.store,
@@ -63,6 +76,24 @@
     this.guard.close();
   }
 
+  /** Checks whether an upstream has crashed. That its connections are refused counts only while this router has paths to
+   * other upstreams. */
+  private async checkCrash(
+    { id, address }: UpstreamInstance,
+  ): Promise<CheckResult> {
+    const others = this.options.getView().upstreams.filter((other) =>
+      other.id !== id
+    );
+    return await confirmRefusal({
+      check: () => checkConnection(address),
+      checkOthers: this.random.shuffle(others).slice(0, MAX_WITNESSES)
+        .map((other) => () =>
+          checkConnection(`${other.address}:${other.port}`)
+        ),
+      wait: delay,
+    });
+  }
+
   private getReachablePeerIds(): string[] {
     const view = this.options.getView();
     return view.routers.filter(({ host, heard }) =>
--- a/tools/proxy_mesh.ts
+++ b/tools/proxy_mesh.ts
@@ -1,4 +1,5 @@
 import { FaultProxy, type ProxyMode } from "../fakes/fault_proxy.ts";
+import { NetworkPartition } from "../fakes/network_partition.ts";
 import type { Host } from "../src/configuration_service/host_schema.ts";
 
 /** Proxies between each router and every other host, so that the network between any two can be partitioned. */
@@ -73,6 +74,17 @@
     this.setMode(right, left, mode);
   }
 
+  /** Returns the partition of a router from hosts.
+   * @param routerId Id of the router.
+   * @param hostIds Ids of the hosts. */
+  getPartition(routerId: string, hostIds: readonly string[]): NetworkPartition {
+    const proxies = hostIds.flatMap((hostId) => {
+      const proxy = this.proxies.get(`${routerId}>${hostId}`);
+      return proxy ? [[hostId, proxy] as const] : [];
+    });
+    return NetworkPartition.of(new Map(proxies));
+  }
+
   /** Closes all proxies. */
   close(): void {
     for (const proxy of this.proxies.values()) proxy.close();
