--- a/src/crashes/confirm_refusal.ts
+++ b/src/crashes/confirm_refusal.ts
@@ -2,7 +2,7 @@
 
 /** Time after which a refused connection is attempted again, in milliseconds: paths are not all lost or restored at the
  * same moment. */
-const CONFIRMATION_DELAY_MS = 100;
+const CONFIRMATION_DELAY_MS = 20;
 
 /** Dependencies of {@link confirmRefusal}. */
 export interface RefusalChecks {
