Bound the requests that upstreams of a service must decline if they say so

Upstreams may state in their responses (Server-Brittle) how many requests a second they can decline without failing; nothing read it. Hosts now tell each other the latest statement of each service with their entries (DeclineLimits). What nobody may send is refused at once with a short Retry-After. WarmUpLimiter is now FleetRateLimiter, as it serves both.

--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -185,6 +185,7 @@
 
   private onHead(status: number, headers: ResponseHeaders): void {
     const upstream = this.attempt!.upstream;
+    this.context.recordDeclineLimit(upstream, headers.declineLimit);
     if (headers.isNotRun) return this.onDecline(upstream, status, headers);
     const isSuccess = status >= 200 && status < 300;
     const isForThisRequest = headers.requestId === this.call.requestId;
@@ -214,7 +215,10 @@
     headers: ResponseHeaders,
   ): void {
     if (headers.isFromOtherUpstream) this.context.recordMoved(upstream);
-    else upstream.availability.recordDecline(readClock());
+    else {
+      upstream.availability.recordDecline(readClock());
+      this.context.recordDecline(upstream);
+    }
     const { availability } = headers;
     this.log.logDeclined(upstream, status, availability, this.progress);
   }
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -43,6 +43,10 @@
   recordHealth: (upstream: Upstream, signal: HealthSignal) => void;
   /** Checks whether this host has lost its path to an upstream; resolves once that is known. */
   checkPath: (upstream: Upstream) => Promise<unknown>;
+  /** Records that an upstream declined a request. */
+  recordDecline: (upstream: Upstream) => void;
+  /** Records the number of requests per second that an upstream states to bear declining; undefined if it states none. */
+  recordDeclineLimit: (upstream: Upstream, limit: number | undefined) => void;
   /** Records that the address of an upstream now belongs to another one. */
   recordMoved: (upstream: Upstream) => void;
 }
--- a/src/forward/caller_headers.ts
+++ b/src/forward/caller_headers.ts
@@ -74,6 +74,8 @@
   availability: AvailabilityNotice;
   /** Remaining time of the upstream's warm-up in milliseconds; undefined if it does not report it. */
   warmUpMs: number | undefined;
+  /** Requests per second that the upstream can decline without failing; undefined if it states no limit. */
+  declineLimit: number | undefined;
   /** Whether the upstream will close the connection. */
   closesConnection: boolean;
   /** Headers to forward to the caller, as alternating names and values. */
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -279,6 +279,7 @@
       phase: getPhase(),
       ...this.getPublicationStatus(),
       loads: chooser.loads.getOwnCounts(chooser.upstreams.getAll()),
+      declineLimits: chooser.declineLimits.getStatements(readClock()),
     };
   }
 
@@ -287,7 +288,8 @@
     lastSeenAt: number,
     requestedAt?: number,
   ): void {
-    const { loads } = this.options.chooser;
+    const { loads, declineLimits } = this.options.chooser;
+    declineLimits.merge(entry.declineLimits, lastSeenAt);
     recordPeerLoads(loads, entry, lastSeenAt, this.gossip.isLargeFleet);
     if (requestedAt !== undefined) this.reconcile(entry, entry, requestedAt);
   }
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -17,7 +17,9 @@
 import type { UpstreamNetwork } from "../upstreams/upstream_network.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import { UpstreamTable } from "../upstreams/upstream_table.ts";
-import { WarmUpLimiter } from "../upstreams/warm_up_limiter.ts";
+import { DeclineLimits } from "../upstreams/decline_limits.ts";
+import { DeclineRiskLimiter } from "../upstreams/decline_risk_limiter.ts";
+import { FleetRateLimiter } from "../upstreams/fleet_rate_limiter.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { PromptPlacer } from "./prompt_placer.ts";
 import { RetryBudgets } from "./retry_budgets.ts";
@@ -27,8 +29,8 @@
 const RETRY_AFTER_JITTER_MS = 250;
 
 /** Minimum and maximum retry time of callers that are refused because this host has used up its share of the requests to
- * upstreams that are warming up, in milliseconds. Short, since another host may have some left. */
-const WARM_UP_RETRY_MS = [50, 300] as const;
+ * upstreams that bear few, in milliseconds. Short, since another host may have some left. */
+const LIMITED_RETRY_MS = [50, 300] as const;
 
 /** The settings that the choice of an upstream depends on. */
 export type ChooserSettings = Pick<
@@ -93,12 +95,15 @@
   readonly upstreams: UpstreamTable;
   /** Numbers of requests on each upstream. */
   readonly loads = LoadCounts.create();
+  /** How many requests per second the upstreams of a service can decline without failing. */
+  readonly declineLimits = DeclineLimits.create();
   /** Which engines have which prompt parts cached. */
   readonly prefixes = PrefixIndex.create();
   private readonly readNow: () => number;
   private readonly random: Random;
   private readonly admission: AdmissionController;
-  private readonly warmUp: WarmUpLimiter;
+  private readonly warmUp: FleetRateLimiter;
+  private readonly declineRisk: DeclineRiskLimiter;
   private readonly promptPlacer: PromptPlacer;
   private readonly retryBudgets: RetryBudgets;
 
@@ -106,11 +111,13 @@
     this.readNow = options.readNow ?? readClock;
     this.random = options.random ?? Random.create();
     this.admission = AdmissionController.create(this.random);
-    this.warmUp = WarmUpLimiter.create({
+    const limiterOptions = {
       hostId: options.hostId,
       getOtherHostIds: options.getKnownHostIds,
       knowsFleet: options.knowsFleet,
-    });
+    };
+    this.warmUp = FleetRateLimiter.create(limiterOptions);
+    this.declineRisk = DeclineRiskLimiter.create(limiterOptions);
     this.promptPlacer = PromptPlacer.create({
       prefixes: this.prefixes,
       getFetchSources: (service, now) => this.getFetchSources(service, now),
@@ -154,6 +161,10 @@
       recordHealth: (upstream, signal) =>
         this.recordHealthSignal(upstream, signal),
       checkPath: (upstream) => this.checkPath(upstream),
+      recordDecline: (upstream) =>
+        this.declineRisk.recordDecline(upstream, this.readNow()),
+      recordDeclineLimit: ({ published: { service } }, limit) =>
+        this.declineLimits.record(service, limit, this.readNow()),
       recordMoved: (upstream) => this.upstreams.remove(upstream),
     };
   }
@@ -287,9 +298,10 @@
     }
     const now = this.readNow();
     const serving = this.upstreams.getServing(service);
-    const isWarmingUp = serving.length > 0 &&
-      serving.every((upstream) => upstream.isWarmingUp(now));
-    return isWarmingUp ? this.random.integer(...WARM_UP_RETRY_MS) : undefined;
+    const isLimited = serving.length > 0 &&
+      (this.declineLimits.getLimit(service, now) !== undefined ||
+        serving.every((upstream) => upstream.isWarmingUp(now)));
+    return isLimited ? this.random.integer(...LIMITED_RETRY_MS) : undefined;
   }
 
   /** Returns the engines of a service from which others can fetch cached prompt parts. */
@@ -306,6 +318,10 @@
     if (choice.upstream.isWarmingUp(now)) {
       this.warmUp.recordSend(choice.upstream.id, now);
     }
+    const { service } = choice.upstream.published;
+    if (this.declineLimits.getLimit(service, now) !== undefined) {
+      this.declineRisk.recordSend(choice.upstream, now);
+    }
     this.options.onSend(choice, load);
     return load;
   }
@@ -327,10 +343,14 @@
    * of the connections or of the requests during a warm-up. */
   private getCandidates(service: string, now: number): Upstream[] {
     const published = this.options.getService(service);
-    const serving = this.upstreams.getServing(service).filter((upstream) =>
+    const maxDeclines = this.declineLimits.getLimit(service, now);
+    const reachable = this.upstreams.getServing(service).filter((upstream) =>
       !upstream.path.isUnreachable &&
       this.permitsWarmUp(upstream, published?.warmUpRequestsPerSecond, now)
     );
+    const serving = maxDeclines === undefined
+      ? reachable
+      : this.declineRisk.selectAdmitting(reachable, maxDeclines, now);
     const maxConnections = published?.maxConnections;
     if (maxConnections === undefined) return serving;
     const share = Math.max(1, maxConnections / this.options.countHosts());
--- a/src/peers/gossip_schema.ts
+++ b/src/peers/gossip_schema.ts
@@ -2,7 +2,11 @@
 import { HOST_PHASES } from "./host_phase.ts";
 import { loadReportsSchema } from "./load_report.ts";
 import { hostRumoursSchema } from "./host_rumour.ts";
-import { loadCountsSchema, prefixUpdatesSchema } from "./message_schemas.ts";
+import {
+  declineLimitsSchema,
+  loadCountsSchema,
+  prefixUpdatesSchema,
+} from "./message_schemas.ts";
 
 /** The state that a host advertises about itself. Encoded as a list, since field names would be two thirds of a
  * datagram. */
@@ -19,6 +23,7 @@
   z.number(),
   z.number(),
   loadCountsSchema,
+  declineLimitsSchema,
 ]).transform((list) => ({
   id: list[0],
   /** Increases with each start of the host, each change of its phase and each suspicion that it refutes. */
@@ -41,6 +46,8 @@
   publicationAgeMs: list[10],
   /** Its in-flight requests by upstream, each a `LoadCount`. */
   loads: list[11],
+  /** What the upstreams of services state about declines, as known to the host; each a `DeclineLimit`. */
+  declineLimits: list[12],
 }));
 
 /** The state that a host advertises about itself. */
--- a/src/peers/message_schemas.ts
+++ b/src/peers/message_schemas.ts
@@ -9,6 +9,11 @@
 /** In-flight requests of a host: each a `LoadCount`. */
 export const loadCountsSchema = z.array(z.tuple([z.number(), z.number()]));
 
+/** Statements of upstreams about declines: each a `DeclineLimit`. */
+export const declineLimitsSchema = z.array(
+  z.tuple([z.number(), z.number(), z.number()]),
+);
+
 /** Which engines were sent which parts of prompts: each a `PrefixUpdate`. */
 export const prefixUpdatesSchema = z.array(
   z.tuple([z.number(), z.number(), z.number()]),
--- a/src/peers/pack_gossip.ts
+++ b/src/peers/pack_gossip.ts
@@ -46,5 +46,6 @@
     entry.revision,
     Math.round(entry.publicationAgeMs),
     entry.loads,
+    entry.declineLimits,
   ];
 }
--- a/src/upstreams/warm_up_limiter.ts
+++ b/src/upstreams/fleet_rate_limiter.ts
@@ -7,17 +7,19 @@
 /** Time after the last use after which the state of an upstream is removed, in milliseconds. */
 const STATE_TTL_MS = 10_000;
 
-/** Dependencies of a {@link WarmUpLimiter}. */
-export interface WarmUpLimiterOptions {
+/** Dependencies of a {@link FleetRateLimiter}. */
+export interface FleetRateLimiterOptions {
   hostId: string;
   /** Returns the ids of all other known hosts, including those that are unreachable from here: they may still send. */
   getOtherHostIds: () => readonly string[];
   /** Whether the known hosts are likely the whole fleet. */
   knowsFleet: () => boolean;
+  /** Minimum interval between two requests of one slot, in milliseconds; by default a second. */
+  minSlotIntervalMs?: number;
 }
 
-/** State of one upstream that is warming up. */
-interface WarmUpState {
+/** State of one upstream whose requests are limited. */
+interface LimitState {
   /** Number of slots that this host owns, and when it was computed. */
   slots: number;
   computedAt: number;
@@ -25,25 +27,24 @@
   sentAt: number[];
 }
 
-/** Limits the requests of the fleet to an upstream that is warming up after a start, so that the upstreams of a hall
- * that come back together are not overrun while they are the emptiest ones. The permitted rate is divided into slots of
- * one request per second. Each slot belongs to the host of its rank in the upstream's rendezvous order of all hosts, so
- * hosts need no messages to agree, and hosts with different views of the fleet share few slots. A host that has not
- * discovered the fleet yet owns none. */
-export class WarmUpLimiter {
-  private readonly states = new Map<string, WarmUpState>();
+/** Limits the rate of the fleet's requests to single upstreams, such as those that are warming up after a start. The
+ * permitted rate is divided into slots of one request per second. Each slot belongs to the host of its rank in the
+ * upstream's rendezvous order of all hosts, so hosts need no messages to agree, and hosts with different views of the
+ * fleet share few slots. A host that has not discovered the fleet yet owns none. */
+export class FleetRateLimiter {
+  private readonly states = new Map<string, LimitState>();
 
-  private constructor(private readonly options: WarmUpLimiterOptions) {}
+  private constructor(private readonly options: FleetRateLimiterOptions) {}
 
   /** Creates a limiter.
    * @param options Its dependencies. */
-  static create(options: WarmUpLimiterOptions): WarmUpLimiter {
-    return new WarmUpLimiter(options);
+  static create(options: FleetRateLimiterOptions): FleetRateLimiter {
+    return new FleetRateLimiter(options);
   }
 
   /** Whether this host may send a request to an upstream now.
    * @param upstreamId Id of the upstream.
-   * @param requestsPerSecond Rate that the upstream bears while it warms up.
+   * @param requestsPerSecond Permitted rate of the fleet.
    * @param now Monotonic milliseconds. */
   admits(
     upstreamId: string,
@@ -51,12 +52,13 @@
     now: number,
   ): boolean {
     const state = this.getState(upstreamId, requestsPerSecond, now);
-    const intervalMs = getSlotIntervalMs(requestsPerSecond);
+    const { minSlotIntervalMs = MIN_SLOT_INTERVAL_MS } = this.options;
+    const intervalMs = getSlotIntervalMs(requestsPerSecond, minSlotIntervalMs);
     state.sentAt = state.sentAt.filter((at) => now - at < intervalMs);
     return state.sentAt.length < state.slots;
   }
 
-  /** Records that a request is sent to an upstream that is warming up.
+  /** Records that a request is sent to an upstream whose rate is limited.
    * @param upstreamId Id of the upstream.
    * @param now Monotonic milliseconds. */
   recordSend(upstreamId: string, now: number): void {
@@ -70,11 +72,11 @@
     upstreamId: string,
     requestsPerSecond: number,
     now: number,
-  ): WarmUpState {
+  ): LimitState {
     const known = this.states.get(upstreamId);
     if (known && now - known.computedAt < SLOTS_CACHE_MS) return known;
     const state = {
-      slots: this.countOwnSlots(upstreamId, requestsPerSecond),
+      slots: this.countOwnSlots(upstreamId, countSlots(requestsPerSecond)),
       computedAt: now,
       sentAt: known?.sentAt ?? [],
     };
@@ -82,12 +84,14 @@
     return state;
   }
 
-  private countOwnSlots(upstreamId: string, requestsPerSecond: number): number {
+  /** Counts the slots of an upstream that belong to this host.
+   * @param upstreamId Id of the upstream.
+   * @param slots Number of slots that the fleet shares. */
+  countOwnSlots(upstreamId: string, slots: number): number {
     const { hostId, getOtherHostIds, knowsFleet } = this.options;
     if (!knowsFleet()) return 0;
     const ranked = rankByRendezvous(upstreamId, [hostId, ...getOtherHostIds()]);
     const rank = ranked.indexOf(hostId);
-    const slots = countSlots(requestsPerSecond);
     return Math.max(0, Math.ceil((slots - rank) / ranked.length));
   }
 }
@@ -97,7 +101,10 @@
 }
 
 /** Returns the interval between two requests of a slot; longer than a second for rates below one per second. */
-function getSlotIntervalMs(requestsPerSecond: number): number {
+function getSlotIntervalMs(
+  requestsPerSecond: number,
+  minIntervalMs: number,
+): number {
   const slots = countSlots(requestsPerSecond);
-  return Math.max(MIN_SLOT_INTERVAL_MS, 1_000 * slots / requestsPerSecond);
+  return Math.max(minIntervalMs, 1_000 * slots / requestsPerSecond);
 }
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -148,6 +148,8 @@
       spendRetry: () => true,
       recordHealth: () => undefined,
       checkPath: () => Promise.resolve(),
+      recordDecline: () => undefined,
+      recordDeclineLimit: () => undefined,
       recordMoved: () => undefined,
       crashes: {
         mayRetry: () => true,
--- a/tests/gateway/with_gateways.ts
+++ b/tests/gateway/with_gateways.ts
@@ -15,7 +15,7 @@
 const KEY_REVOCATION_LIMIT_MS = 5_000;
 
 /** Number of requests that a worker of these tests runs at once. */
-const SLOTS = 8;
+export const SLOTS = 8;
 
 /** A gateway of a test with its settings. */
 export interface TestGateway {
--- a/tests/peers/build_entry.ts
+++ b/tests/peers/build_entry.ts
@@ -16,6 +16,7 @@
     revision: 1,
     publicationAgeMs: 10,
     loads: [],
+    declineLimits: [],
     ...changes,
   };
 }
--- a/tests/platform/header_codec_test.ts
+++ b/tests/platform/header_codec_test.ts
@@ -123,3 +123,11 @@
   t.is(read("many"), undefined);
   t.is(read(""), undefined);
 });
+
+test("the number of requests that an upstream can turn away is read, and absent otherwise", (t) => {
+  const read = (headers: Record<string, string>) =>
+    platformHeaderCodec.readResponse(200, headers).declineLimit;
+  t.is(read({ "server-brittle": "12" }), 12);
+  t.is(read({}), undefined);
+  t.is(read({ "server-brittle": "soon" }), undefined);
+});
--- a/tests/upstreams/warm_up_limiter_test.ts
+++ b/tests/upstreams/fleet_rate_limiter_test.ts
@@ -1,11 +1,14 @@
 import test from "ava";
-import { WarmUpLimiter } from "../../src/upstreams/warm_up_limiter.ts";
+import { FleetRateLimiter } from "../../src/upstreams/fleet_rate_limiter.ts";
 
 /** Creates the limiters of a fleet whose hosts all know each other. */
-function createFleet(size: number, knowsFleet = () => true): WarmUpLimiter[] {
+function createFleet(
+  size: number,
+  knowsFleet = () => true,
+): FleetRateLimiter[] {
   const ids = Array.from({ length: size }, (_, index) => `g-${index}`);
   return ids.map((hostId) =>
-    WarmUpLimiter.create({
+    FleetRateLimiter.create({
       hostId,
       getOtherHostIds: () => ids.filter((id) => id !== hostId),
       knowsFleet,
@@ -14,7 +17,7 @@
 }
 
 /** Sends as many requests as are admitted at one moment; returns their number. */
-function sendAll(limiter: WarmUpLimiter, rate: number, now: number): number {
+function sendAll(limiter: FleetRateLimiter, rate: number, now: number): number {
   let sent = 0;
   while (limiter.admits("u", rate, now)) {
     limiter.recordSend("u", now);
@@ -23,7 +26,7 @@
   return sent;
 }
 
-function sendFromAll(fleet: WarmUpLimiter[], rate: number, now: number) {
+function sendFromAll(fleet: FleetRateLimiter[], rate: number, now: number) {
   return fleet.reduce((sum, limiter) => sum + sendAll(limiter, rate, now), 0);
 }
 
--- a/tests/upstreams/warm_up_fleet.ts
+++ b/tests/upstreams/warm_up_fleet.ts
@@ -1,4 +1,4 @@
-import { WarmUpLimiter } from "../../src/upstreams/warm_up_limiter.ts";
+import { FleetRateLimiter } from "../../src/upstreams/fleet_rate_limiter.ts";
 import { VirtualFleet } from "../peers/virtual_fleet.ts";
 
 /** Rate that each upstream bears while it warms up, in requests per second. */
@@ -25,7 +25,7 @@
 export class WarmUpFleet {
   /** Arrival times of requests by upstream. */
   private readonly arrivals: number[][];
-  private readonly limiters = new Map<number, WarmUpLimiter>();
+  private readonly limiters = new Map<number, FleetRateLimiter>();
 
   private constructor(
     /** The hosts. */
@@ -87,10 +87,10 @@
     }
   }
 
-  private getLimiter(host: number): WarmUpLimiter {
+  private getLimiter(host: number): FleetRateLimiter {
     const known = this.limiters.get(host);
     if (known) return known;
-    const limiter = WarmUpLimiter.create({
+    const limiter = FleetRateLimiter.create({
       hostId: `g-${host}`,
       getOtherHostIds: () =>
         this.fleet.findGossip(host)!.hosts.getAll().map(({ entry }) =>
