Use an upstream again as soon as it has answered after a short silence

A sound upstream may be silent for about a second. Requests that may run only once avoid suspects, and suspicion had no end: after one pause of 1.2 s the upstream got none of them any more while others were left. A response that completes after a silence towards all requests of this host now discards the silences and the ejection because of them, and suspicion ends as long after the last fault as the last ejection lasted.

--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -45,6 +45,8 @@
   private readonly log: CallLog;
   private attempt: Attempt | undefined;
   private isFinished = false;
+  /** Whether the upstream of the current attempt was silent for too long, for all requests. */
+  private wasSilent = false;
   private silenceDetector: SilenceDetector | undefined;
   private readonly deadline: CallDeadline;
 
@@ -139,6 +141,7 @@
     const { call, context } = this;
     const { upstream } = choice;
     this.triedUpstreamIds.add(upstream.id);
+    this.wasSilent = false;
     this.relay.startAttempt();
     const { remainingMs } = this.deadline;
     if (remainingMs < MIN_REMAINING_MS) return this.giveUp("no time left");
@@ -228,6 +231,7 @@
     if (this.isFinished || this.attempt?.isPaused) return;
     const { silentMs, isLikelyStuck } = silence;
     this.log.logFailed(upstream, formatSilence(silentMs), this.progress);
+    this.wasSilent ||= silence.isComplete;
     this.context.recordHealth(upstream, "silent");
     if (isLikelyStuck) void this.sendElsewhereAfterCheck(upstream, silentMs);
   }
@@ -293,7 +297,7 @@
       if (this.budget.spendRetryAfterRun()) {
         return this.sendToNext(`answered with ${status}`);
       }
-    } else this.context.recordHealth(upstream, "good");
+    } else this.recordSuccess(upstream);
     // Callers read these statuses as a promise that the request has not run, which the upstream did not state.
     if (isNotRunStatus(status)) {
       return this.refuse("upstream_failed", `answered with ${status}`);
@@ -302,11 +306,16 @@
     this.finish("answered", `status ${status}`);
   }
 
+  private recordSuccess(upstream: Upstream): void {
+    const signal = this.wasSilent ? "recovered" : "good";
+    this.context.recordHealth(upstream, signal);
+  }
+
   private onStreamEnd(upstream: Upstream): void {
     if (this.relay.hasIncompleteEvent) {
       return this.onFailure("broken", "the stream ended within an event");
     }
-    this.context.recordHealth(upstream, "good");
+    this.recordSuccess(upstream);
     this.context.recordCompletion(this.call, this.attempt!.elapsedMs);
     this.context.crashes.recordCompletion(this.call.fingerprint);
     this.relay.endStream();
--- a/src/forward/silence_detector.ts
+++ b/src/forward/silence_detector.ts
@@ -22,6 +22,8 @@
 export interface Silence {
   /** Duration in milliseconds. */
   silentMs: number;
+  /** Whether the upstream was silent for all requests of this process. */
+  isComplete: boolean;
   /** Whether the upstream is likely stuck: it failed recently, or was silent for all requests of this process. */
   isLikelyStuck: boolean;
 }
@@ -58,7 +60,7 @@
     listener: SilenceListener,
   ): SilenceDetector {
     const detector = new SilenceDetector(upstream, route, listener);
-    const ratio = upstream.health.isSuspect
+    const ratio = upstream.health.isSuspect(readClock())
       ? SUSPECT_SILENCE_RATIO
       : HEALTHY_SILENCE_RATIO;
     detector.startTimer(Math.max(MIN_SILENCE_MS, route.objectiveMs * ratio));
@@ -104,9 +106,14 @@
   }
 
   private measureSilence(): Silence {
-    const isLikelyStuck = this.upstream.health.isSuspect ||
-      this.upstream.lastReceivedAt <= this.lastBytesAt;
-    return { silentMs: readClock() - this.lastBytesAt, isLikelyStuck };
+    const { health, lastReceivedAt } = this.upstream;
+    const now = readClock();
+    const isComplete = lastReceivedAt <= this.lastBytesAt;
+    return {
+      silentMs: now - this.lastBytesAt,
+      isComplete,
+      isLikelyStuck: isComplete || health.isSuspect(now),
+    };
   }
 }
 
--- a/src/upstreams/choose_upstream.ts
+++ b/src/upstreams/choose_upstream.ts
@@ -68,7 +68,7 @@
     upstream.availability.hasCapacity(options.now)
   );
   const preferred = options.avoidsSuspects
-    ? withCapacity.filter((upstream) => !upstream.health.isSuspect)
+    ? withCapacity.filter((upstream) => !upstream.health.isSuspect(options.now))
     : withCapacity;
   const usable = [preferred, withCapacity, notEjected, untried].find((list) =>
     list.length > 0
--- a/src/upstreams/upstream_health.ts
+++ b/src/upstreams/upstream_health.ts
@@ -21,6 +21,8 @@
 /** Outcome of an attempt at an upstream, as it concerns the upstream's health. */
 export type HealthSignal =
   | "good"
+  /** A complete response after a silence towards all requests: the upstream had only paused. */
+  | "recovered"
   | "error_answer"
   | "broken"
   | "silent"
@@ -36,6 +38,7 @@
  * long prompt of another request. */
 const SIGNAL_WEIGHTS: Readonly<Record<HealthSignal, SignalWeights>> = {
   good: { fault: 0.12, error: 0.1 },
+  recovered: { fault: 0.12, error: 0.1 },
   error_answer: { fault: 0.12, error: 0.1 },
   broken: { fault: 0.34, error: 0 },
   silent: { fault: 0.2, error: 0 },
@@ -49,6 +52,8 @@
   private ejections = 0;
   private ejectedUntil = -Infinity;
   private brokenAt = -Infinity;
+  private lastFaultAt = -Infinity;
+  private isEjectedForSilence = false;
   /** Monotonic milliseconds until which it is ejected because other hosts could not connect. */
   private reportedOutUntil = -Infinity;
   /** Monotonic milliseconds at which that ejection starts. */
@@ -66,9 +71,11 @@
     return this.faultRate;
   }
 
-  /** Whether the recent fault rate reaches the threshold for suspicion. */
-  get isSuspect(): boolean {
-    return this.faultRate >= SUSPECT_FAULT_RATE;
+  /** Returns whether the upstream may be failing: its fault rate is high, and its last fault is not older than the last
+   * ejection was long. Without that limit, requests that avoid suspects would never show that it has recovered.
+   * @param now Monotonic milliseconds. */
+  isSuspect(now: number): boolean {
+    return this.hasHighFaultRate && now < this.lastFaultAt + this.ejectionMs;
   }
 
   /** Returns whether the upstream is currently ejected.
@@ -93,18 +100,23 @@
    * @returns Duration of the ejection that this outcome causes, in milliseconds, or 0. */
   recordSignal(signal: HealthSignal, now: number): number {
     const { fault, error } = SIGNAL_WEIGHTS[signal];
-    const isFault = signal !== "good" && signal !== "error_answer";
+    const isGood = signal === "good" || signal === "recovered";
+    const isFault = !isGood && signal !== "error_answer";
     const isError = signal === "error_answer";
     this.faultRate += fault * (Number(isFault) - this.faultRate);
     this.errorRate += error * (Number(isError) - this.errorRate);
+    if (isFault) this.lastFaultAt = now;
     if (signal === "unreachable" || signal === "broken") {
       this.brokenAt = now;
     }
-    if (signal === "good" && !this.isSuspect) this.ejections = 0;
-    if (signal === "good" || this.isEjected(now)) return 0;
+    if (isGood && !this.hasHighFaultRate) this.ejections = 0;
+    if (signal === "recovered") this.handleRecovery();
+    if (isGood || this.isEjected(now)) return 0;
     const exceedsThreshold = this.faultRate > FAULT_EJECTION_RATE ||
       this.errorRate > ERROR_EJECTION_RATE;
-    return exceedsThreshold ? this.eject(now) : 0;
+    if (!exceedsThreshold) return 0;
+    this.isEjectedForSilence = signal === "silent";
+    return this.eject(now);
   }
 
   /** Ejects the upstream soon because other hosts could not connect to it, unless that is contradicted.
@@ -130,12 +142,28 @@
     this.clearReportedOutage();
   }
 
+  /** Discards the silences that were recorded, with the ejection because of them. */
+  private handleRecovery(): void {
+    this.faultRate = 0;
+    if (!this.isEjectedForSilence) return;
+    this.isEjectedForSilence = false;
+    this.ejectedUntil = -Infinity;
+    this.ejections = 0;
+  }
+
+  private get hasHighFaultRate(): boolean {
+    return this.faultRate >= SUSPECT_FAULT_RATE;
+  }
+
+  /** Duration of the last ejection, or of the first one if there was none. */
+  private get ejectionMs(): number {
+    const doublings = Math.max(0, this.ejections - 1);
+    return Math.min(MAX_EJECTION_MS, INITIAL_EJECTION_MS * 2 ** doublings);
+  }
+
   private eject(now: number): number {
-    const duration = Math.min(
-      MAX_EJECTION_MS,
-      INITIAL_EJECTION_MS * 2 ** this.ejections,
-    );
     this.ejections += 1;
+    const duration = this.ejectionMs;
     this.ejectedUntil = now + duration;
     this.faultRate = Math.min(this.faultRate, FAULT_EJECTION_RATE * 0.9);
     this.errorRate = Math.min(this.errorRate, ERROR_EJECTION_RATE * 0.9);
--- a/tests/upstreams/upstream_table_test.ts
+++ b/tests/upstreams/upstream_table_test.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../../src/clock/clock.ts";
 import { pino } from "pino";
 import test from "ava";
 import type { Upstream } from "../../src/upstreams/upstream.ts";
@@ -113,7 +114,7 @@
   const second = getOnly();
   t.not(second, first);
   t.not(second.instanceHash, first.instanceHash);
-  t.false(second.health.isSuspect);
+  t.false(second.health.isSuspect(readClock()));
   t.true(first.isRemoved);
   t.deepEqual(restarted, [first]);
 });
