Refuse with no_upstream if no host reaches any upstream of a service

Such requests were refused as overloaded, which says that every upstream is full. Tests: hosts that are all cut off refuse at once, as not run and with a time to come back, and serve again when the paths are back; a cut-off host is served while the hosts that relay for it stop one after the other.

--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -358,10 +358,9 @@
 
   /** Refuses the call; as not run only if that is certain. */
   private giveUp(detail: string): void {
-    this.refuse(
-      this.budget.mayHaveRun ? "upstream_failed" : "overloaded",
-      detail,
-    );
+    if (this.budget.mayHaveRun) return this.refuse("upstream_failed", detail);
+    const isUnreachable = this.context.isUnreachable(this.call.service);
+    this.refuse(isUnreachable ? "no_upstream" : "overloaded", detail);
   }
 
   /** Refuses a call whose request likely crashes upstreams; as not run only if that is certain. */
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -25,6 +25,8 @@
     call: RoutedCall,
     tried: ReadonlySet<string>,
   ) => UpstreamChoice | undefined;
+  /** Whether no host that was asked reaches any upstream of a service. */
+  isUnreachable: (service: string) => boolean;
   /** Time after which a refused caller may retry, in milliseconds; undefined if the upstreams' backoffs give none. */
   getRetryAfterMs: (service: string) => number | undefined;
   /** Returns what an engine has cached of a call's prompt and where it should fetch the rest from, and records that the
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -151,6 +151,10 @@
   createAccess(): UpstreamAccess {
     return {
       choose: (call, tried) => this.choose(call, tried),
+      isUnreachable: (service) =>
+        this.upstreams.getServing(service).every(({ path }) =>
+          path.isUnreachable
+        ),
       getRetryAfterMs: (service) => this.getRetryAfterMs(service),
       placePrompt: (call, target) => this.promptPlacer.place(call, target),
       recordSend: (choice) => this.recordSend(choice),
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -148,6 +148,7 @@
       spendRetry: () => true,
       recordHealth: () => undefined,
       checkPath: () => Promise.resolve(),
+      isUnreachable: () => false,
       recordDecline: () => undefined,
       recordDeclineLimit: () => undefined,
       recordMoved: () => undefined,
--- a/tests/gateway/partitioned_host_test.ts
+++ b/tests/gateway/partitioned_host_test.ts
@@ -7,12 +7,14 @@
   PARTITION_KINDS,
   type PartitionKind,
 } from "../../fakes/network_partition.ts";
+import { waitUntil } from "../system/with_fleet.ts";
 import { call } from "./call.ts";
 import {
   KEY,
   type PartitionedFleet,
   withPartitionedFleet,
 } from "./partitioned_fleet.ts";
+import { waitForStatus } from "./wait_for_gateway.ts";
 import type { TestGateway } from "./with_gateways.ts";
 
 /** Time after the start of a partition from which callers must be served, in milliseconds. */
@@ -83,3 +85,42 @@
     }
   }
 }
+
+test.serial("hosts that are all without a path refuse as not run, with a time to come back", async (t) => {
+  await withPartitionedFleet({ gateways: 3, workers: 3 }, async (fleet) => {
+    const { gateways, partitions } = fleet;
+    await Promise.all(gateways.map(isServed));
+    await Promise.all(partitions.map((each) => each.start("refuse_new")));
+    for (const gateway of gateways) {
+      const getError = async () =>
+        (await call(gateway, KEY, { body: randomUUID() })).headers;
+      await waitUntil(
+        "the loss is known",
+        async () => (await getError())["x-beechkeel-error"] === "no_upstream",
+      );
+      const headers = await getError();
+      t.is(headers["x-beechkeel-ran"], "no");
+      t.truthy(headers["retry-after"]);
+    }
+    await Promise.all(partitions.map((each) => each.end()));
+    for (const gateway of gateways) await waitForStatus(gateway, KEY, 200);
+  });
+});
+
+test.serial("a host without a path is served by the others while one after the other stops", async (t) => {
+  await withPartitionedFleet({ gateways: 4, workers: 3 }, async (fleet) => {
+    const [cutOff, first, second] = fleet.gateways;
+    await fleet.partitions[0]!.start("reset");
+    await waitForStatus(cutOff!, KEY, 200);
+    for (const leaving of [first!, second!]) {
+      const drained = leaving.gateway.drain();
+      let served = 0;
+      for (let index = 0; index < CALLS; index++) {
+        if (await isServed(cutOff!)) served += 1;
+      }
+      t.is(served, CALLS);
+      await drained;
+      await waitForStatus(cutOff!, KEY, 200);
+    }
+  });
+});
