Move the checks of lost paths and the gateway's paths to files of their own

A check of an unreachable upstream asks two other hosts instead of eight, and a request four: when a hall of upstreams fails, every host checks all of them.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,12 +1,9 @@
-import type { CheckResult } from "../crashes/connection_check.ts";
 import { CrashGuard } from "../crashes/crash_guard.ts";
 import { onClockJump, readClock } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
 import { type Dial, dialTcp } from "../network/dial_tcp.ts";
-import type { PathTarget } from "../paths/path_target.ts";
-import type { PathState } from "../paths/upstream_path.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
 import type { KnownHost } from "../peers/known_host.ts";
@@ -196,7 +193,7 @@
     return CrashGuard.create({
       logger: this.logger,
       formatFingerprint,
-      check: ({ instanceHash }) => this.checkCrash(instanceHash),
+      check: ({ instanceHash }) => this.paths.checkCrash(instanceHash),
       onPendingReports: () => this.peerNetwork?.announceCrashes(),
       onHeld: (fingerprint) => this.handler.refuseHeldCalls(fingerprint),
       onCrash: (instanceHash) => {
@@ -210,28 +207,15 @@
     });
   }
 
-  /** Checks whether an instance of an upstream has crashed; its removal from the list shows it otherwise. */
-  private async checkCrash(instanceHash: number): Promise<CheckResult> {
-    const upstream = this.chooser.upstreams.findByInstanceHash(instanceHash);
-    return upstream
-      ? await this.paths.monitor.checkCrash(upstream)
-      : "undecided";
-  }
-
   private createPaths(): UpstreamPaths {
     return UpstreamPaths.create({
       logger: this.logger,
+      metrics: this.metrics,
       dial: this.dependencies.dial ?? dialTcp,
       hall: this.settings.hall,
-      getRelays: () => this.peerNetwork?.getRelays() ?? [],
-      getTargets: () => this.chooser.upstreams.getAll(),
-      findTarget: (instanceHash) =>
-        this.chooser.upstreams.findByInstanceHash(instanceHash),
-      isKnownAddress: (ip) => this.peerNetwork?.isKnownAddress(ip) ?? false,
+      getChooser: () => this.chooser,
+      getPeerNetwork: () => this.peerNetwork,
       isAccepting: () => this.isServing,
-      onChange: (target, state) => this.handlePathChange(target, state),
-      onDoubt: (target) => this.peerNetwork?.reportOutage(target),
-      onRecheck: (target) => this.handlePathRecheck(target),
     });
   }
 
@@ -373,21 +357,6 @@
     this.peerNetwork?.announce();
   }
 
-  /** Clears what was held against an upstream while this host had lost its path to it, and announces the phase that may
-   * follow from the change. */
-  private handlePathChange(target: PathTarget, state: PathState): void {
-    if (state === "relayed") this.chooser.clearFaults(target.instanceHash);
-    if (state === "unreachable") this.peerNetwork?.reportOutage(target);
-    this.metrics.recordPathChange(state);
-    this.peerNetwork?.announce();
-  }
-
-  /** Reports an upstream that is still unreachable, since a host that reaches it can then relay to it. */
-  private handlePathRecheck(target: PathTarget): void {
-    this.chooser.closeUntrustedConnections(target.instanceHash);
-    if (target.path.isUnreachable) this.peerNetwork?.reportOutage(target);
-  }
-
   private getLiveHosts(): readonly KnownHost[] {
     return this.peerNetwork?.getLiveHosts() ?? [];
   }
--- a/src/gateway/upstream_paths.ts
+++ b/src/gateway/upstream_paths.ts
@@ -1,37 +1,31 @@
+import type { IncomingMessage } from "node:http";
+import type { CheckResult } from "../crashes/connection_check.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { Dial } from "../network/dial_tcp.ts";
 import { openTunnel } from "../paths/open_tunnel.ts";
 import { PathMonitor } from "../paths/path_monitor.ts";
 import type { PathTarget } from "../paths/path_target.ts";
 import { RelayDirectory } from "../paths/relay_directory.ts";
-import type { RelayHost } from "../paths/relay_host.ts";
 import { RelayServer } from "../paths/relay_server.ts";
 import type { PathState } from "../paths/upstream_path.ts";
 import { Random } from "../random/random.ts";
+import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { PeerNetwork } from "./peer_network.ts";
+import type { UpstreamChooser } from "./upstream_chooser.ts";
 
 /** Dependencies of the {@link UpstreamPaths}. */
 export interface UpstreamPathsOptions {
   logger: Logger;
+  metrics: GatewayMetrics;
   /** Establishes connections of this host. */
   dial: Dial;
   /** Hall of this host. */
   hall: string;
-  /** Returns the other hosts that may relay connections. */
-  getRelays: () => readonly RelayHost[];
-  /** Returns the listed upstreams. */
-  getTargets: () => Iterable<PathTarget>;
-  /** Returns the listed upstream with an instance hash. */
-  findTarget: (instanceHash: number) => PathTarget | undefined;
-  /** Whether an IP address belongs to another host of the fleet. */
-  isKnownAddress: (ip: string) => boolean;
+  getChooser: () => UpstreamChooser;
+  /** Returns undefined until the communication with other hosts has started. */
+  getPeerNetwork: () => PeerNetwork | undefined;
   /** Whether this host takes new work. */
   isAccepting: () => boolean;
-  /** Called when the state of a path has changed. */
-  onChange: (target: PathTarget, state: PathState) => void;
-  /** Called when neither this host nor the first other one could connect at once. */
-  onDoubt: (target: PathTarget) => void;
-  /** Called each time a lost path is checked. */
-  onRecheck: (target: PathTarget) => void;
 }
 
 /** The paths of a gateway to the upstreams: its own, and those through other hosts, in both roles. */
@@ -39,28 +33,14 @@
   readonly monitor: PathMonitor;
   readonly server: RelayServer;
 
-  private constructor(options: UpstreamPathsOptions) {
-    const { logger, dial, hall, getRelays, onChange, onDoubt, onRecheck } =
-      options;
-    const random = Random.create();
-    const relays = RelayDirectory.create({ hall, getHosts: getRelays, random });
-    this.monitor = PathMonitor.create({
-      logger,
-      dial,
-      openTunnel,
-      relays,
-      random,
-      getTargets: options.getTargets,
-      onChange,
-      onDoubt,
-      onRecheck,
-    });
+  private constructor(private readonly options: UpstreamPathsOptions) {
+    const { logger, dial } = options;
+    this.monitor = this.createMonitor();
     this.server = RelayServer.create({
       logger,
       dial,
-      findTarget: options.findTarget,
-      isAuthorized: ({ socket }) =>
-        options.isKnownAddress(socket.remoteAddress ?? ""),
+      findTarget: (instanceHash) => this.findTarget(instanceHash),
+      isAuthorized: (request) => this.isFromKnownHost(request),
       isAccepting: options.isAccepting,
       onDialFailure: (target) => void this.monitor.check(target),
     });
@@ -72,9 +52,62 @@
     return new UpstreamPaths(options);
   }
 
+  /** Checks whether an instance of an upstream has crashed. One that is no longer listed is not checked.
+   * @param instanceHash Hash of the instance. */
+  async checkCrash(instanceHash: number): Promise<CheckResult> {
+    const target = this.findTarget(instanceHash);
+    return target ? await this.monitor.checkCrash(target) : "undecided";
+  }
+
   /** Ends all checks and closes the connections that are relayed for other hosts. */
   close(): void {
     this.monitor.close();
     this.server.close();
   }
+
+  private createMonitor(): PathMonitor {
+    const { logger, dial, hall, getChooser, getPeerNetwork } = this.options;
+    const random = Random.create();
+    return PathMonitor.create({
+      logger,
+      dial,
+      openTunnel,
+      relays: RelayDirectory.create({
+        hall,
+        getHosts: () => getPeerNetwork()?.getRelays() ?? [],
+        random,
+      }),
+      random,
+      getTargets: () => getChooser().upstreams.getAll(),
+      onChange: (target, state) => this.handleChange(target, state),
+      onDoubt: (target) => getPeerNetwork()?.reportOutage(target),
+      onRecheck: (target) => this.handleRecheck(target),
+    });
+  }
+
+  /** Clears what was held against an upstream while this host had lost its path to it, and announces the phase that may
+   * follow from the change. */
+  private handleChange(target: PathTarget, state: PathState): void {
+    const { metrics, getChooser, getPeerNetwork } = this.options;
+    metrics.recordPathChange(state);
+    if (state === "relayed") getChooser().clearFaults(target.instanceHash);
+    if (state === "unreachable") getPeerNetwork()?.reportOutage(target);
+    getPeerNetwork()?.announce();
+  }
+
+  /** Reports an upstream that is still unreachable, since a host that reaches it can then relay to it. */
+  private handleRecheck(target: PathTarget): void {
+    const { getChooser, getPeerNetwork } = this.options;
+    getChooser().closeUntrustedConnections(target.instanceHash);
+    if (target.path.isUnreachable) getPeerNetwork()?.reportOutage(target);
+  }
+
+  private findTarget(instanceHash: number): PathTarget | undefined {
+    return this.options.getChooser().upstreams.findByInstanceHash(instanceHash);
+  }
+
+  private isFromKnownHost({ socket }: IncomingMessage): boolean {
+    const network = this.options.getPeerNetwork();
+    return network?.isKnownAddress(socket.remoteAddress ?? "") ?? false;
+  }
 }
--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -12,6 +12,7 @@
 import type { PathConnection } from "./path_connection.ts";
 import type { PathTarget } from "./path_target.ts";
 import { raceStaggered } from "./race_staggered.ts";
+import { RecheckSchedule } from "./recheck_schedule.ts";
 import type { RelayDirectory } from "./relay_directory.ts";
 import type { RelayHost } from "./relay_host.ts";
 import type { PathState } from "./upstream_path.ts";
@@ -21,11 +22,11 @@
 const STAGGER_MS = 120;
 /** Time within which one of the ways must be established, in milliseconds. */
 const RACE_TIMEOUT_MS = 600;
-/** Time until a lost direct path is first checked again, in milliseconds; it doubles up to the maximum. */
-const FIRST_RECHECK_MS = 250;
-const MAX_RECHECK_MS = 1_000;
-/** Maximum number of hosts that are asked to relay one connection. */
-const MAX_RELAYS = 8;
+/** Maximum number of hosts that are asked to relay the connection for a request or for the check of a crash. */
+const MAX_RELAYS = 4;
+/** Maximum number of hosts that are asked to relay the connection for any other check: when many upstreams fail, all
+ * hosts check all of them. */
+const MAX_CHECK_RELAYS = 2;
 /** Minimum time between two checks of the same path, in milliseconds. */
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Maximum number of checks at a time. */
@@ -63,8 +64,7 @@
   private readonly timeline: Timeline;
   private readonly checks = new Map<number, Promise<boolean>>();
   private readonly checkedAt = new Map<number, number>();
-  /** Cancels the next check of each lost path, by instance hash. */
-  private readonly rechecks = new Map<number, () => void>();
+  private readonly rechecks: RecheckSchedule;
   /** Monotonic milliseconds at which a path was last found lost while another host reached the upstream. */
   private partitionedAt = -Infinity;
   /** By instance hash, the monotonic milliseconds at which a direct path was last established. */
@@ -72,6 +72,10 @@
 
   private constructor(private readonly options: PathMonitorOptions) {
     this.timeline = options.timeline ?? processTimeline;
+    this.rechecks = RecheckSchedule.create(
+      this.timeline,
+      (target) => void this.recheck(target),
+    );
   }
 
   /** Creates a monitor that takes all paths for direct.
@@ -82,8 +86,12 @@
 
   /** Connects to an upstream, by the way that is expected to work first.
    * @param target The upstream.
+   * @param maxRelays Maximum number of hosts that are asked to relay the connection.
    * @throws DialError if no way is established in time: why this host could not connect, if that is known. */
-  async connect(target: PathTarget): Promise<PathConnection> {
+  async connect(
+    target: PathTarget,
+    maxRelays = MAX_RELAYS,
+  ): Promise<PathConnection> {
     let directError: unknown;
     const direct = () =>
       this.connectDirectly(target).catch((thrown: unknown) => {
@@ -92,7 +100,7 @@
       });
     try {
       const connection = await raceStaggered({
-        getNextAttempt: this.createAttempts(target, direct),
+        getNextAttempt: this.createAttempts(target, direct, maxRelays),
         staggerMs: STAGGER_MS,
         timeoutMs: RACE_TIMEOUT_MS,
         onLateResult: (late) => this.handleLateConnection(target, late),
@@ -118,7 +126,7 @@
     const isBusy = this.checks.size >= MAX_CONCURRENT_CHECKS;
     if (isBusy || now - checkedAt < MIN_CHECK_INTERVAL_MS) return false;
     this.checkedAt.set(instanceHash, now);
-    const check = this.tryAllWays(target)
+    const check = this.tryAllWays(target, MAX_CHECK_RELAYS)
       .then(() => this.getEstablishedAt(target) >= now)
       .finally(() => this.checks.delete(instanceHash));
     this.checks.set(instanceHash, check);
@@ -130,7 +138,7 @@
    * @param target The upstream. */
   async checkCrash(target: PathTarget): Promise<CheckResult> {
     return await confirmRefusal({
-      check: () => this.tryAllWays(target),
+      check: () => this.tryAllWays(target, MAX_RELAYS),
       checkOthers: this.chooseOthers(target).map((other) => () =>
         this.tryDirectly(other)
       ),
@@ -147,7 +155,7 @@
   recordHearing(target: PathTarget, host: number): void {
     const { instanceHash, path } = target;
     this.options.relays.recordHearing(instanceHash, host, this.timeline.read());
-    if (path.isUnreachable) this.scheduleRecheck(target, 0);
+    if (path.isUnreachable) this.rechecks.expedite(target);
   }
 
   /** Whether an idle connection to an upstream can be expected to be alive. A connection of this host cannot if this
@@ -169,16 +177,14 @@
   /** Forgets an upstream that is no longer listed.
    * @param target The upstream. */
   remove({ instanceHash }: PathTarget): void {
-    this.rechecks.get(instanceHash)?.();
-    this.rechecks.delete(instanceHash);
+    this.rechecks.cancel(instanceHash);
     this.checkedAt.delete(instanceHash);
     this.establishedAt.delete(instanceHash);
   }
 
   /** Ends all checks. */
   close(): void {
-    for (const cancel of this.rechecks.values()) cancel();
-    this.rechecks.clear();
+    this.rechecks.close();
   }
 
   /** Creates a function that returns the ways to an upstream one after the other: first the direct one unless its path is
@@ -187,6 +193,7 @@
   private createAttempts(
     target: PathTarget,
     direct: () => Promise<PathConnection>,
+    maxRelays: number,
   ): () => (() => Promise<PathConnection>) | undefined {
     const asked = new Set<string>();
     let isDirectTried = false;
@@ -197,7 +204,7 @@
     };
     return () => {
       if (target.path.isDirect && !isDirectTried) return tryDirect();
-      const relay = asked.size < MAX_RELAYS
+      const relay = asked.size < maxRelays
         ? this.options.relays.choose(target, asked, this.timeline.read())
         : undefined;
       if (!relay) return tryDirect();
@@ -207,9 +214,12 @@
     };
   }
 
-  private async tryAllWays(target: PathTarget): Promise<CheckResult> {
+  private async tryAllWays(
+    target: PathTarget,
+    maxRelays: number,
+  ): Promise<CheckResult> {
     try {
-      (await this.connect(target)).socket.destroy();
+      (await this.connect(target, maxRelays)).socket.destroy();
       return "taken";
     } catch (thrown) {
       return toCheckResult(DialError.from(thrown));
@@ -277,7 +287,7 @@
     );
     this.options.onChange(target, state);
     if (state === "direct") return this.handleRestoredPath(target);
-    this.scheduleRecheck(target, FIRST_RECHECK_MS);
+    this.rechecks.start(target);
     if (state === "relayed") this.handleLostPath();
   }
 
@@ -294,39 +304,17 @@
 
   /** Checks the other lost paths soon, because they are often restored together. */
   private handleRestoredPath(restored: PathTarget): void {
-    this.cancelRecheck(restored);
+    this.rechecks.cancel(restored.instanceHash);
     for (const target of this.options.getTargets()) {
-      if (!target.path.isDirect) this.scheduleRecheck(target, 0);
+      if (!target.path.isDirect) this.rechecks.expedite(target);
     }
   }
 
-  private scheduleRecheck(target: PathTarget, delayMs: number): void {
-    this.cancelRecheck(target);
-    const cancel = this.timeline.after(
-      delayMs,
-      () => void this.recheck(target, delayMs),
-    );
-    this.rechecks.set(target.instanceHash, cancel);
-  }
-
-  private cancelRecheck({ instanceHash }: PathTarget): void {
-    this.rechecks.get(instanceHash)?.();
-    this.rechecks.delete(instanceHash);
-  }
-
   /** Checks the direct path, and whether another host reaches an upstream that is unreachable. */
-  private async recheck(
-    target: PathTarget,
-    lastDelayMs: number,
-  ): Promise<void> {
-    if (target.isRemoved) return;
+  private async recheck(target: PathTarget): Promise<void> {
     this.options.onRecheck(target);
-    const nextDelayMs = Math.min(
-      MAX_RECHECK_MS,
-      Math.max(FIRST_RECHECK_MS, 2 * lastDelayMs),
-    );
-    this.scheduleRecheck(target, nextDelayMs);
-    if (target.path.isUnreachable) return void await this.tryAllWays(target);
-    await this.tryDirectly(target);
+    if (target.path.isUnreachable) {
+      await this.tryAllWays(target, MAX_CHECK_RELAYS);
+    } else await this.tryDirectly(target);
   }
 }
