Carry relayed connections in chunked bodies, so that a lost relay is no end

A relayed connection was a plain upgraded one. When the relaying process ends, its system closes the connection as after a complete response, and a response without a length would have looked whole to the caller. Found by reading. The bytes now travel in the chunked bodies of a request and its response: they end only if the upstream's connection has ended.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -290,8 +290,7 @@
       isServing: () => this.isServing,
       getLiveHosts: () => this.getLiveHosts(),
       getPublicationAgeMs: () => this.replica.ageMs,
-      onPeerUpgrade: (request, socket, head) =>
-        this.paths.server.handleUpgrade(request, socket, head),
+      relayServer: this.paths.server,
       getServiceContacts: () => this.getServiceContacts(),
     });
   }
--- a/src/gateway/gateway_endpoints.ts
+++ b/src/gateway/gateway_endpoints.ts
@@ -5,11 +5,9 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { type HostExchange, HOSTS_PATH } from "./host_exchange.ts";
-import {
-  type EndpointHandlers,
-  HttpEndpoint,
-  type UpgradeHandler,
-} from "./http_endpoint.ts";
+import { type EndpointHandlers, HttpEndpoint } from "./http_endpoint.ts";
+import { RELAY_PATH } from "../paths/relay_protocol.ts";
+import type { RelayServer } from "../paths/relay_server.ts";
 import { chooseAddresses } from "./choose_addresses.ts";
 import { PREFIXES_PATH, type PrefixExchange } from "./prefix_exchange.ts";
 import {
@@ -41,8 +39,8 @@
   getLiveHosts: () => readonly KnownHost[];
   /** Age of the known publication in milliseconds. */
   getPublicationAgeMs: () => number;
-  /** Handles requests of other hosts to upgrade a connection. */
-  onPeerUpgrade: UpgradeHandler;
+  /** Relays connections to upstreams for other hosts. */
+  relayServer: RelayServer;
   /** Returns how many upstreams of each service this host hears. */
   getServiceContacts: () => Iterable<ServiceContact>;
 }
@@ -64,15 +62,7 @@
     const created = new GatewayEndpoints(options);
     const opening = Object.entries(created.buildHandlers()).map((
       [address, handlers],
-    ) =>
-      HttpEndpoint.create(
-        address,
-        handlers,
-        address === options.getSettings().peerAddress
-          ? options.onPeerUpgrade
-          : undefined,
-      )
-    );
+    ) => HttpEndpoint.create(address, handlers));
     created.endpoints.push(...await Promise.all(opening));
     return created;
   }
@@ -102,6 +92,12 @@
           prefixExchange.respond(response),
         [`GET ${HOSTS_PATH}`]: (_request, response) =>
           this.respondHosts(response),
+        [`POST ${RELAY_PATH}`]: (request, response, query) =>
+          this.options.relayServer.handle(
+            request,
+            response,
+            Number(query.get("upstream")),
+          ),
       },
       [settings.metricsAddress]: {
         [`GET ${METRICS_PATH}`]: (_request, response) =>
--- a/src/gateway/http_endpoint.ts
+++ b/src/gateway/http_endpoint.ts
@@ -5,7 +5,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Duplex } from "node:stream";
 import { parseRequestTarget } from "../http/parse_request_target.ts";
 import { splitAddress } from "../addresses/split_address.ts";
 
@@ -16,13 +15,6 @@
   query: URLSearchParams,
 ) => void;
 
-/** Handles a request to upgrade a connection, and the bytes that followed it. */
-export type UpgradeHandler = (
-  request: IncomingMessage,
-  socket: Duplex,
-  head: Buffer,
-) => void;
-
 /** Handlers by method and path, such as `GET /status`. */
 export type EndpointHandlers = Readonly<Record<string, EndpointHandler>>;
 
@@ -33,12 +25,10 @@
   /** Opens an endpoint.
    * @param address Where to listen, as ip:port.
    * @param handlers Its handlers; a request for anything else gets a 404.
-   * @param onUpgrade Handles requests to upgrade the connection; without it, they are handled as ordinary ones.
    * @throws The system's error if it can't listen on the address. */
   static async create(
     address: string,
     handlers: EndpointHandlers,
-    onUpgrade?: UpgradeHandler,
   ): Promise<HttpEndpoint> {
     const server = createServer((request, response) => {
       const url = parseRequestTarget(request.url);
@@ -46,7 +36,8 @@
       if (handler) handler(request, response, url.searchParams);
       else response.writeHead(404).end();
     });
-    if (onUpgrade) server.on("upgrade", onUpgrade);
+    // A tunnel is a request whose body has no end for as long as it is used.
+    server.requestTimeout = 0;
     const { host, port } = splitAddress(address);
     server.listen(port, host);
     await once(server, "listening");
--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -2,7 +2,6 @@
 import type { Logger } from "../logging/logger.ts";
 import { DialError } from "../network/dial_error.ts";
 import type { Dial } from "../network/dial_tcp.ts";
-import type { Socket } from "node:net";
 import {
   type CheckResult,
   toCheckResult,
@@ -42,7 +41,10 @@
   /** Establishes connections of this host. */
   dial: Dial;
   /** Opens a connection to an upstream through another host. */
-  openTunnel: (relay: RelayHost, target: PathTarget) => Promise<Socket>;
+  openTunnel: (
+    relay: RelayHost,
+    target: PathTarget,
+  ) => Promise<PathConnection["socket"]>;
   relays: RelayDirectory;
   random: Random;
   /** Returns all upstreams. */
--- a/src/paths/relay_server.ts
+++ b/src/paths/relay_server.ts
@@ -1,12 +1,10 @@
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
-import { parseRequestTarget } from "../http/parse_request_target.ts";
 import type { Logger } from "../logging/logger.ts";
 import { DialError } from "../network/dial_error.ts";
 import type { Dial } from "../network/dial_tcp.ts";
 import type { PathTarget } from "./path_target.ts";
-import { RELAY_PROTOCOL, RELAY_STATUSES } from "./relay_protocol.ts";
+import { RELAY_STATUSES } from "./relay_protocol.ts";
 
 /** Maximum number of tunnels at a time; each takes two file descriptors. */
 const MAX_TUNNELS = 1_000;
@@ -31,7 +29,7 @@
 /** Opens connections to listed upstreams on behalf of other hosts and forwards the bytes in both directions. It never
  * asks a further host. */
 export class RelayServer {
-  private readonly tunnels = new Set<Duplex>();
+  private readonly tunnels = new Set<ServerResponse>();
 
   private constructor(private readonly options: RelayServerOptions) {}
 
@@ -47,90 +45,81 @@
   }
 
   /** Handles a request to open a tunnel.
-   * @param request The request.
-   * @param peer The connection to the other host.
-   * @param head Bytes that were received after the request. */
-  handleUpgrade(request: IncomingMessage, peer: Duplex, head: Buffer): void {
-    peer.on("error", () => peer.destroy());
-    const query = parseRequestTarget(request.url).searchParams;
-    const target = this.options.findTarget(Number(query.get("upstream")));
-    const isRelayRequest = request.headers.upgrade === RELAY_PROTOCOL;
-    if (!target || !isRelayRequest || !this.options.isAuthorized(request)) {
-      return this.refuse(peer, FORBIDDEN_STATUS, target, "not authorized");
+   * @param request The request; its body carries the bytes to the upstream.
+   * @param response The response to it; its body carries the bytes of the upstream.
+   * @param instanceHash Hash of the upstream instance. */
+  handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    instanceHash: number,
+  ): void {
+    const target = this.options.findTarget(instanceHash);
+    if (!target || !this.options.isAuthorized(request)) {
+      return this.refuse(response, FORBIDDEN_STATUS, target, "not authorized");
     }
     const hasCapacity = this.tunnels.size < MAX_TUNNELS;
-    if (!hasCapacity || !this.options.isAccepting() || !target.path.isDirect) {
-      const { state } = target.path;
-      return this.refuse(peer, RELAY_STATUSES.failed, target, `path ${state}`);
+    if (hasCapacity && this.options.isAccepting() && target.path.isDirect) {
+      void this.open(target, request, response);
+      return;
     }
-    void this.open(target, peer, head);
+    const { state } = target.path;
+    this.refuse(response, RELAY_STATUSES.failed, target, `path ${state}`);
   }
 
   /** Closes all tunnels. */
   close(): void {
-    for (const peer of this.tunnels) peer.destroy();
+    for (const response of this.tunnels) response.destroy();
   }
 
   private async open(
     target: PathTarget,
-    peer: Duplex,
-    head: Buffer,
+    request: IncomingMessage,
+    response: ServerResponse,
   ): Promise<void> {
     try {
       const upstream = await this.options.dial(target.address);
-      if (peer.destroyed) upstream.destroy();
-      else this.connect(target, peer, upstream, head);
+      if (response.destroyed) upstream.destroy();
+      else this.connect(target, request, response, upstream);
     } catch (thrown) {
       const { failure, message } = DialError.from(thrown);
       this.options.onDialFailure(target);
-      this.refuse(peer, RELAY_STATUSES[failure], target, message);
+      this.refuse(response, RELAY_STATUSES[failure], target, message);
     }
   }
 
   private connect(
     { id }: PathTarget,
-    peer: Duplex,
+    request: IncomingMessage,
+    response: ServerResponse,
     upstream: Socket,
-    head: Buffer,
   ): void {
-    this.tunnels.add(peer);
+    this.tunnels.add(response);
     this.options.logger.info({ upstream: id }, "tunnel_opened");
-    peer.write(
-      `HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: ${RELAY_PROTOCOL}\r\n\r\n`,
-    );
-    if (head.length > 0) upstream.write(head);
-    peer.pipe(upstream);
-    upstream.pipe(peer);
-    // A reset is forwarded as one: otherwise a response without a length would look complete to the other host.
-    upstream.on("error", () => resetPeer(peer));
+    response.writeHead(200);
+    response.flushHeaders();
+    request.pipe(upstream);
+    upstream.pipe(response);
+    request.on("error", () => upstream.destroy());
+    // A connection that was reset must not look like one that ended. If the reset arrives together with the last bytes,
+    // the event loop reports an end, but the socket has no remote address any more.
+    upstream.on("error", () => response.destroy());
     upstream.prependOnceListener("end", () => {
-      if (upstream.remoteAddress === undefined) resetPeer(peer);
+      if (upstream.remoteAddress === undefined) response.destroy();
     });
-    // The other host closes the connection once it needs no response any more; the upstream is to learn of it at once.
-    peer.once("end", () => upstream.destroy());
-    peer.once("close", () => {
-      this.tunnels.delete(peer);
+    response.once("close", () => {
+      this.tunnels.delete(response);
       upstream.destroy();
     });
-    upstream.once("close", () => {
-      if (!peer.writableFinished) peer.end();
-    });
   }
 
   private refuse(
-    peer: Duplex,
+    response: ServerResponse,
     status: number,
     target: PathTarget | undefined,
     reason: string,
   ): void {
     const upstream = target?.id;
     this.options.logger.info({ upstream, status, reason }, "tunnel_refused");
-    peer.end(
-      `HTTP/1.1 ${status} Not Relayed\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`,
-    );
+    response.writeHead(status, { connection: "close" }).end();
   }
 }
-
-function resetPeer(peer: Duplex): void {
-  (peer as Socket).resetAndDestroy();
-}
--- a/src/upstreams/upstream_connection.ts
+++ b/src/upstreams/upstream_connection.ts
@@ -89,7 +89,7 @@
         ({ socket, relayId }) => {
           this.relayHostId = relayId;
           this.detectReset(socket);
-          callback(null, socket);
+          callback(null, socket as Socket);
         },
         (error: Error) => callback(error, null),
       );
@@ -98,7 +98,7 @@
   /** Detects a reset of the connection. If the reset arrives together with the last bytes, the event loop reports an
    * ordinary end. The socket then has no remote address any more, whereas a socket that was closed properly still has
    * one. */
-  private detectReset(socket: Socket): void {
+  private detectReset(socket: PathConnection["socket"]): void {
     socket.once("error", () => this.hasFailed = true);
     socket.prependOnceListener("end", () => {
       if (socket.remoteAddress === undefined) this.hasFailed = true;
