--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -233,14 +233,14 @@
         chooser.upstreams.findByInstanceHash(instanceHash)?.lastReceivedAt ??
           -Infinity,
       onPendingReports: () => this.outageGossip.scheduleBatch(),
-      onOutage: (instanceHash) => chooser.recordReportedOutage(instanceHash),
+      onOutage: (instanceHash) => chooser.reportedOutages.record(instanceHash),
       onContradiction: (instanceHash) =>
-        chooser.clearReportedOutage(instanceHash),
+        chooser.reportedOutages.clear(instanceHash),
       onHeardElsewhere: (instanceHash, reporter) => {
         const upstream = chooser.upstreams.findByInstanceHash(instanceHash);
         if (!upstream) return;
         upstream.heardElsewhereAt = readClock();
-        this.options.paths.recordHearing(upstream, reporter);
+        this.options.paths.recordHeardElsewhere(upstream, reporter);
       },
     });
   }
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -22,6 +22,7 @@
 import { FleetRateLimiter } from "../upstreams/fleet_rate_limiter.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { PromptPlacer } from "./prompt_placer.ts";
+import { ReportedOutages } from "./reported_outages.ts";
 import { RetryBudgets } from "./retry_budgets.ts";
 
 /** Maximum jitter that is added to the retry time of refused callers after a backoff. It is the time that a recovering
@@ -97,6 +98,8 @@
   readonly loads = LoadCounts.create();
   /** How many requests per second the upstreams of a service can decline without failing. */
   readonly declineLimits = DeclineLimits.create();
+  /** Upstreams to which other hosts could not connect. */
+  readonly reportedOutages: ReportedOutages;
   /** Which engines have which prompt parts cached. */
   readonly prefixes = PrefixIndex.create();
   private readonly readNow: () => number;
@@ -139,6 +142,14 @@
       onRemove: options.onRemove,
       network: options.network,
     });
+    this.reportedOutages = ReportedOutages.create({
+      logger: options.logger,
+      findUpstream: (instanceHash) =>
+        this.upstreams.findByInstanceHash(instanceHash),
+      checkPath: (upstream) => this.checkPath(upstream),
+      onDisproved: options.onOutageDisproved,
+      readNow: this.readNow,
+    });
   }
 
   /** Creates a chooser that knows no upstreams.
@@ -216,31 +227,6 @@
       .closeUntrusted();
   }
 
-  /** Ejects an instance of an upstream to which other hosts could not connect, until this host has connected to it.
-   * @param instanceHash Hash of the instance. */
-  recordReportedOutage(instanceHash: number): void {
-    const upstream = this.upstreams.findByInstanceHash(instanceHash);
-    if (!upstream) return;
-    const ejectedMs = upstream.health.recordReportedOutage(this.readNow());
-    this.options.logger.warn(
-      { upstream: upstream.id, sign: "reported", ejectedMs },
-      "upstream_ejected",
-    );
-    void this.disproveOutage(upstream);
-  }
-
-  /** Ends the ejection of an instance because of such reports, since a host has heard from it or connected to it.
-   * @param instanceHash Hash of the instance. */
-  clearReportedOutage(instanceHash: number): void {
-    const upstream = this.upstreams.findByInstanceHash(instanceHash);
-    if (!upstream) return;
-    upstream.health.clearReportedOutage();
-    this.options.logger.info(
-      { upstream: upstream.id },
-      "reported_outage_contradicted",
-    );
-  }
-
   /** Closes the connections to all upstreams. */
   close(): void {
     this.upstreams.close();
@@ -250,13 +236,6 @@
     return await this.options.checkPath?.(upstream) ?? false;
   }
 
-  /** Ends an ejection because of reports if this host can connect to the upstream. */
-  private async disproveOutage(upstream: Upstream): Promise<void> {
-    if (!await this.checkPath(upstream)) return;
-    this.clearReportedOutage(upstream.instanceHash);
-    this.options.onOutageDisproved(upstream);
-  }
-
   /** Chooses an upstream for a call; returns undefined if none is left.
    * @param call The call.
    * @param tried Ids of the upstreams that the call was already sent to. */
--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -31,7 +31,7 @@
 /** Maximum number of checks at a time. */
 const MAX_CONCURRENT_CHECKS = 16;
 /** Maximum number of other upstreams that are tried to learn whether this host has paths at all. */
-const MAX_WITNESSES = 4;
+const MAX_OTHER_UPSTREAMS = 4;
 /** Time without bytes of an upstream after which its path is checked if another one was lost, in milliseconds. */
 const RECENTLY_HEARD_MS = 100;
 
@@ -154,9 +154,13 @@
   /** Records that another host hears from an upstream; if it is unreachable, that host is asked to relay at once.
    * @param target The upstream.
    * @param host Hash that identifies the other host. */
-  recordHearing(target: PathTarget, host: number): void {
+  recordHeardElsewhere(target: PathTarget, host: number): void {
     const { instanceHash, path } = target;
-    this.options.relays.recordHearing(instanceHash, host, this.timeline.read());
+    this.options.relays.recordHeardElsewhere(
+      instanceHash,
+      host,
+      this.timeline.read(),
+    );
     if (path.isUnreachable) this.rechecks.expedite(target);
   }
 
@@ -247,7 +251,7 @@
     const others = [...this.options.getTargets()].filter((other) =>
       other.instanceHash !== target.instanceHash && !other.isRemoved
     );
-    return this.options.random.shuffle(others).slice(0, MAX_WITNESSES);
+    return this.options.random.shuffle(others).slice(0, MAX_OTHER_UPSTREAMS);
   }
 
   private async connectDirectly(target: PathTarget): Promise<PathConnection> {
--- a/src/paths/relay_directory.ts
+++ b/src/paths/relay_directory.ts
@@ -22,7 +22,10 @@
   /** By host id and instance hash, the monotonic milliseconds of the last refusal. */
   private readonly refusals = new Map<string, number>();
   /** By instance hash, the last report of a host that hears from the upstream. */
-  private readonly hearing = new Map<number, { host: number; at: number }>();
+  private readonly lastHeardBy = new Map<
+    number,
+    { host: number; at: number }
+  >();
 
   private constructor(private readonly options: RelayDirectoryOptions) {}
 
@@ -47,8 +50,8 @@
     const left = getHosts().filter(({ id }) =>
       !asked.has(id) && !this.refusals.has(formatKey(id, target))
     );
-    const hearingHost = this.hearing.get(target.instanceHash)?.host;
-    const getRank = (host: RelayHost) => this.rank(host, hearingHost);
+    const hostThatHears = this.lastHeardBy.get(target.instanceHash)?.host;
+    const getRank = (host: RelayHost) => this.rank(host, hostThatHears);
     const bestRank = Math.min(...left.map(getRank));
     const best = left.filter((host) => getRank(host) === bestRank);
     return best.length > 0 ? random.pick(best) : undefined;
@@ -72,12 +75,12 @@
    * @param instanceHash Hash of the upstream instance.
    * @param host Hash that identifies the host.
    * @param now Monotonic milliseconds. */
-  recordHearing(instanceHash: number, host: number, now: number): void {
-    this.hearing.set(instanceHash, { host, at: now });
+  recordHeardElsewhere(instanceHash: number, host: number, now: number): void {
+    this.lastHeardBy.set(instanceHash, { host, at: now });
   }
 
-  private rank(host: RelayHost, hearingHost: number | undefined): number {
-    if (host.name === hearingHost) return 0;
+  private rank(host: RelayHost, hostThatHears: number | undefined): number {
+    if (host.name === hostThatHears) return 0;
     const hallRank = host.hall === this.options.hall ? 1 : 2;
     return host.isPartitioned ? hallRank + 2 : hallRank;
   }
@@ -87,8 +90,8 @@
     for (const [key, at] of this.refusals) {
       if (now - at > REFUSAL_TTL_MS) this.refusals.delete(key);
     }
-    for (const [instanceHash, { at }] of this.hearing) {
-      if (now - at > HEARD_TTL_MS) this.hearing.delete(instanceHash);
+    for (const [instanceHash, { at }] of this.lastHeardBy) {
+      if (now - at > HEARD_TTL_MS) this.lastHeardBy.delete(instanceHash);
     }
   }
 }
--- a/src/router/router_crash_tracker.ts
+++ b/src/router/router_crash_tracker.ts
@@ -18,7 +18,7 @@
 import type { PeerConnectionPool } from "../peer/peer_connection_pool.ts";
 
 /** Maximum number of other upstreams that are tried to learn whether this router has paths at all. */
-const MAX_WITNESSES = 4;
+const MAX_OTHER_UPSTREAMS = 4;
 
 /** Dependencies of a `RouterCrashTracker`. */
 export interface RouterCrashTrackerOptions {
@@ -86,7 +86,7 @@
     );
     return await confirmRefusal({
       check: () => checkConnection(address),
-      checkOthers: this.random.shuffle(others).slice(0, MAX_WITNESSES)
+      checkOthers: this.random.shuffle(others).slice(0, MAX_OTHER_UPSTREAMS)
         .map((other) => () =>
           checkConnection(`${other.address}:${other.port}`)
         ),
--- a/tests/paths/path_fleet.ts
+++ b/tests/paths/path_fleet.ts
@@ -178,7 +178,10 @@
       onOutage: (upstream) => void this.disprove(index, upstream),
       onContradiction: () => undefined,
       onHeardElsewhere: (upstream, host) =>
-        this.hosts[index]!.monitor.recordHearing(targets[upstream]!, host),
+        this.hosts[index]!.monitor.recordHeardElsewhere(
+          targets[upstream]!,
+          host,
+        ),
     });
     return reports;
   }
