Close a relayed connection when it is released after its path is back

Such a connection stayed open unused for up to ten seconds, and the relaying host waited for it when it stopped. Found by reading; connection_pool_test failed before.

--- a/src/gateway/upstream_paths.ts
+++ b/src/gateway/upstream_paths.ts
@@ -85,11 +85,13 @@
     });
   }
 
-  /** Clears what was held against an upstream while this host had lost its path to it, and announces the phase that may
+  /** Closes idle connections of the former way, clears what was held against an upstream while this host had lost its path
+   * to it, and announces the phase that may
    * follow from the change. */
   private handleChange(target: PathTarget, state: PathState): void {
     const { metrics, getChooser, getPeerNetwork } = this.options;
     metrics.recordPathChange(state);
+    getChooser().closeUntrustedConnections(target.instanceHash);
     if (state === "relayed") getChooser().clearFaults(target.instanceHash);
     if (state === "unreachable") getPeerNetwork()?.reportOutage(target);
     getPeerNetwork()?.announce();
--- a/src/upstreams/connection_pool.ts
+++ b/src/upstreams/connection_pool.ts
@@ -47,7 +47,8 @@
   /** Returns a connection to the pool after a complete response.
    * @param connection The connection. */
   release(connection: UpstreamConnection): void {
-    if (this.isClosed) return connection.close();
+    const isTrusted = this.options.isTrusted(connection.relayId);
+    if (this.isClosed || !isTrusted) return connection.close();
     if (connection.isUsable) this.idle.push(connection);
   }
 
