--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -67,6 +67,7 @@
       reason,
       remainingMs: Math.round(remainingMs),
       hall: upstream.published.hall,
+      path: upstream.path.state,
       basis,
       bound: roundTo(bound, 1),
       ownLoad: load.own,
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,5 +1,6 @@
 import { AdmissionController } from "../admission/admission_controller.ts";
 import { readClock } from "../clock/clock.ts";
+import { hashText } from "../hashing/hasher.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
@@ -97,7 +98,12 @@
   /** Numbers of requests on each upstream. */
   readonly loads = LoadCounts.create();
   /** How many requests per second the upstreams of a service can decline without failing. */
-  readonly declineLimits = DeclineLimits.create();
+  readonly declineLimits = DeclineLimits.create((service, limit) =>
+    this.options.logger.warn(
+      { service: this.findServiceName(service), limit },
+      "decline_limit_changed",
+    )
+  );
   /** Upstreams to which other hosts could not connect. */
   readonly reportedOutages: ReportedOutages;
   /** Which engines have which prompt parts cached. */
@@ -232,6 +238,13 @@
     this.upstreams.close();
   }
 
+  /** Returns the name of a service with listed upstreams by its hash. */
+  private findServiceName(hash: number): string | undefined {
+    return [...this.upstreams.getAll()].map(({ published }) =>
+      published.service
+    ).find((service) => hashText(service) === hash);
+  }
+
   private async checkPath(upstream: Upstream): Promise<boolean> {
     return await this.options.checkPath?.(upstream) ?? false;
   }
@@ -322,8 +335,8 @@
     );
   }
 
-  /** Returns the upstreams of a service that may get a request, without those that no host reaches and those on which this host has used up its share
-   * of the connections or of the requests during a warm-up. */
+  /** Returns the upstreams of a service that may get a request: without those that no host reaches, and those on which
+   * this host has used up its share of the connections, of the requests during a warm-up or of the declines. */
   private getCandidates(service: string, now: number): Upstream[] {
     const published = this.options.getService(service);
     const maxDeclines = this.declineLimits.getLimit(service, now);
--- a/src/paths/relay_server.ts
+++ b/src/paths/relay_server.ts
@@ -94,7 +94,8 @@
     upstream: Socket,
   ): void {
     this.tunnels.add(response);
-    this.options.logger.info({ upstream: id }, "tunnel_opened");
+    const peer = request.socket.remoteAddress;
+    this.options.logger.info({ upstream: id, peer }, "tunnel_opened");
     response.writeHead(200);
     response.flushHeaders();
     request.pipe(upstream);
--- a/src/upstreams/decline_limits.ts
+++ b/src/upstreams/decline_limits.ts
@@ -8,6 +8,9 @@
  * milliseconds. */
 export type DeclineLimit = [service: number, limit: number, agoMs: number];
 
+/** Called when what a service states has changed, with the hash of its name and the limit; 0 if it states none. */
+export type OnDeclineLimitChange = (service: number, limit: number) => void;
+
 interface Statement {
   limit: number;
   /** Monotonic milliseconds. */
@@ -19,11 +22,14 @@
 export class DeclineLimits {
   private readonly statements = new Map<number, Statement>();
 
-  private constructor() {}
+  private constructor(private readonly onChange: OnDeclineLimitChange) {}
 
-  /** Creates limits without statements. */
-  static create(): DeclineLimits {
-    return new DeclineLimits();
+  /** Creates limits without statements.
+   * @param onChange Called when what a service states has changed. */
+  static create(
+    onChange: OnDeclineLimitChange = () => undefined,
+  ): DeclineLimits {
+    return new DeclineLimits(onChange);
   }
 
   /** Returns the limit for each upstream of a service; undefined if there is none.
@@ -42,7 +48,7 @@
   record(service: string, limit: number | undefined, now: number): void {
     const name = hashText(service);
     if (limit === undefined && !this.statements.has(name)) return;
-    this.statements.set(name, { limit: limit ?? 0, at: now });
+    this.set(name, { limit: limit ?? 0, at: now });
   }
 
   /** Merges the statements that another host knows; the latest counts.
@@ -52,7 +58,7 @@
     for (const [service, limit, agoMs] of limits) {
       const at = sentAt - Math.max(0, agoMs);
       const known = this.statements.get(service);
-      if (!known || at > known.at) this.statements.set(service, { limit, at });
+      if (!known || at > known.at) this.set(service, { limit, at });
     }
   }
 
@@ -68,4 +74,12 @@
       Math.round(now - at),
     ]);
   }
+
+  private set(service: number, statement: Statement): void {
+    const limitBefore = this.statements.get(service)?.limit ?? 0;
+    this.statements.set(service, statement);
+    if (statement.limit !== limitBefore) {
+      this.onChange(service, statement.limit);
+    }
+  }
 }
--- a/tests/upstreams/decline_limits_test.ts
+++ b/tests/upstreams/decline_limits_test.ts
@@ -23,3 +23,13 @@
   t.is(limits.getLimit("s", 10_001), undefined);
   t.deepEqual(limits.getStatements(10_001), []);
 });
+
+test("a change of the limit is told once, whichever host heard of it", (t) => {
+  const changes: number[] = [];
+  const limits = DeclineLimits.create((_service, limit) => changes.push(limit));
+  limits.record("s", 5, 0);
+  limits.record("s", 5, 100);
+  limits.merge(limits.getStatements(200), 300);
+  limits.record("s", undefined, 400);
+  t.deepEqual(changes, [5, 0]);
+});
