--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -68,12 +68,14 @@
   }
 
   /** Starts a proxy.
-   * @param target Port of the server on the loopback address. */
-  static async create(target: number): Promise<FaultProxy> {
+   * @param target Port of the server on the loopback address.
+   * @param listenPort Port to listen on. By default any free one; the system may give that to another process while the
+   * proxy does not listen. */
+  static async create(target: number, listenPort = 0): Promise<FaultProxy> {
     for (;;) {
       const server = createServer({ pauseOnConnect: true });
       await new Promise<void>((resolve) =>
-        server.listen(0, "127.0.0.1", resolve)
+        server.listen(listenPort, "127.0.0.1", resolve)
       );
       const { port } = server.address() as AddressInfo;
       const udp = await bindUdp(port);
--- a/tools/proxy_mesh.ts
+++ b/tools/proxy_mesh.ts
@@ -1,4 +1,5 @@
 import { FaultProxy, type ProxyMode } from "../fakes/fault_proxy.ts";
+import { getFreePort } from "./free_port.ts";
 import { NetworkPartition } from "../fakes/network_partition.ts";
 import type { Host } from "../src/configuration_service/host_schema.ts";
 
@@ -26,7 +27,10 @@
         if (host.id === routerId || this.proxies.has(key)) continue;
         this.proxies.set(
           key,
-          await FaultProxy.create(host.peerPort ?? host.port),
+          await FaultProxy.create(
+            host.peerPort ?? host.port,
+            await getFreePort(),
+          ),
         );
       }
     }
