Keep a request at an upstream that responds during the path check

A silent attempt waits up to 150 ms for the check of its path before the request goes elsewhere. If the upstream responded in that time, the attempt was replaced all the same and the request ran a second time for nothing. Found by reading the change; the new test of call_forwarder_test failed before.

--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -247,16 +247,18 @@
   }
 
   /** Sends the request elsewhere once it is known whether this host has lost its path to the upstream, since it has then
-   * likely lost others too. Does not wait long for that. */
+   * likely lost others too; unless the upstream responds meanwhile. Does not wait long for the check. */
   private async sendElsewhereAfterCheck(
     upstream: Upstream,
     silentMs: number,
   ): Promise<void> {
+    const checkedAt = readClock();
     await Promise.race([
       this.context.checkPath(upstream),
       delay(MAX_PATH_CHECK_WAIT_MS, undefined, { ref: false }),
     ]);
-    this.sendElsewhere(upstream, silentMs);
+    const hasResponded = this.silenceDetector?.hasReceivedSince(checkedAt);
+    if (!hasResponded) this.sendElsewhere(upstream, silentMs);
   }
 
   /** Replaces the attempt by one at another upstream if the request may run again and another upstream is available;
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -43,8 +43,8 @@
   spendRetry: (service: string) => boolean;
   /** Records what an attempt shows about the health of its upstream. */
   recordHealth: (upstream: Upstream, signal: HealthSignal) => void;
-  /** Checks whether this host has lost its path to an upstream; resolves once that is known. */
-  checkPath: (upstream: Upstream) => Promise<unknown>;
+  /** Checks the path to an upstream; resolves with whether this host has connected to it. */
+  checkPath: (upstream: Upstream) => Promise<boolean>;
   /** Records that an upstream declined a request. */
   recordDecline: (upstream: Upstream) => void;
   /** Records the number of requests per second that an upstream states to bear declining; undefined if it states none. */
--- a/src/forward/silence_detector.ts
+++ b/src/forward/silence_detector.ts
@@ -80,6 +80,12 @@
     );
   }
 
+  /** Returns whether bytes of the response body arrived at or after a time.
+   * @param time Monotonic milliseconds. */
+  hasReceivedSince(time: number): boolean {
+    return this.lastBytesAt >= time;
+  }
+
   /** Stops monitoring. */
   close(): void {
     this.isClosed = true;
--- a/tests/forward/call_forwarder_test.ts
+++ b/tests/forward/call_forwarder_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { setTimeout as delay } from "node:timers/promises";
 import type { Upstream } from "../../src/upstreams/upstream.ts";
 import { createDeferred, forwardCall } from "./forward_call.ts";
 import {
@@ -126,6 +127,29 @@
   t.is(received.outcome.attempts, 2);
 });
 
+test("a request stays at an upstream that responds while the path to it is checked", async (t) => {
+  const hasResponded = createDeferred<void>();
+  const respondsDuringCheck: Behaviour = (_request, response) =>
+    void setTimeout(() => {
+      response.writeHead(200, validHeaders());
+      response.write("late ", () => hasResponded.resolve());
+      setTimeout(() => response.end("response"), 200);
+    }, 100);
+  const received = await forwardCall(
+    [respondsDuringCheck, respondsOk],
+    { objectiveMs: 60 },
+    {
+      checkPath: async () => {
+        await hasResponded.promise;
+        await delay(20);
+        return true;
+      },
+    },
+  );
+  t.is(received.body, "late response");
+  t.is(received.outcome.attempts, 1);
+});
+
 test("an overdue request whose prompt has a costly prefill keeps waiting", async (t) => {
   const slow: Behaviour = (_request, response) =>
     void setTimeout(() => {
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -5,6 +5,7 @@
 import { platformHeaderCodec } from "../../platform/header_codec.ts";
 import { CallForwarder } from "../../src/forward/call_forwarder.ts";
 import type {
+  CallForwarderContext,
   CallOutcome,
   CrashAccess,
 } from "../../src/forward/call_forwarder_context.ts";
@@ -39,6 +40,8 @@
   retryAfterMs?: number;
   /** Overrides for the crash access. */
   crashes?: Partial<CrashAccess>;
+  /** Checks the path to an upstream; by default at once. */
+  checkPath?: CallForwarderContext["checkPath"];
 }
 
 function buildCall(
@@ -126,7 +129,7 @@
 async function sendCall(
   upstreams: readonly Upstream[],
   call: RoutedCall,
-  { onStart, retryAfterMs, crashes }: ForwardCallOptions,
+  { onStart, retryAfterMs, crashes, checkPath }: ForwardCallOptions,
 ): Promise<ReceivedResponse> {
   const ended = createDeferred<CallOutcome>();
   const loads = LoadCounts.create();
@@ -147,7 +150,7 @@
       recordCompletion: () => undefined,
       spendRetry: () => true,
       recordHealth: () => undefined,
-      checkPath: () => Promise.resolve(),
+      checkPath: checkPath ?? (() => Promise.resolve(false)),
       isUnreachable: () => false,
       recordDecline: () => undefined,
       recordDeclineLimit: () => undefined,
