Split the attempts at one connection from the monitor of paths

And the staggered race into methods; checks of a crash choose the other upstreams in one place, the age of an event is formatted in one, and the keepalive delay stands once. A path whose upstream was never heard logs no age instead of Infinity.

--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -1,4 +1,5 @@
 import { readClock } from "../clock/clock.ts";
+import { formatAge } from "../logging/format_age.ts";
 import type { Logger } from "../logging/logger.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import type { AvailabilityNotice } from "../upstreams/availability_notice.ts";
@@ -126,11 +127,6 @@
   }
 }
 
-/** Returns the age of an event in milliseconds; undefined if it has never happened. */
-function formatAge(at: number): number | undefined {
-  return Number.isFinite(at) ? Math.round(readClock() - at) : undefined;
-}
-
 function roundFailureRate(upstream: Upstream): number {
   return roundTo(upstream.health.rate, 2);
 }
--- a/src/network/dial_tcp.ts
+++ b/src/network/dial_tcp.ts
@@ -5,7 +5,7 @@
 /** Timeout for establishing a connection, in milliseconds; about a hundred usual round-trip times. */
 const CONNECT_TIMEOUT_MS = 450;
 /** Idle time after which the operating system starts TCP keepalive probes, in milliseconds. */
-const KEEPALIVE_PROBE_DELAY_MS = 1_000;
+export const KEEPALIVE_PROBE_DELAY_MS = 1_000;
 
 /** Establishes a connection to an address, given as ip:port; rejects with a {@link DialError}. */
 export type Dial = (address: string) => Promise<Socket>;
--- a/src/paths/open_tunnel.ts
+++ b/src/paths/open_tunnel.ts
@@ -1,15 +1,14 @@
 import { request } from "node:http";
 import { splitAddress } from "../addresses/split_address.ts";
 import { DialError, type DialFailure } from "../network/dial_error.ts";
+import { KEEPALIVE_PROBE_DELAY_MS } from "../network/dial_tcp.ts";
 import type { PathTarget } from "./path_target.ts";
 import type { RelayHost } from "./relay_host.ts";
-import { RELAY_PATH, RELAY_STATUSES } from "./relay_protocol.ts";
+import { RELAY_FAILURES, RELAY_PATH } from "./relay_protocol.ts";
 import { TunnelSocket } from "./tunnel_socket.ts";
 
 /** Timeout for opening a tunnel, in milliseconds. */
 const TUNNEL_TIMEOUT_MS = 350;
-/** Idle time after which the operating system starts TCP keepalive probes, in milliseconds. */
-const KEEPALIVE_PROBE_DELAY_MS = 1_000;
 
 /** Opens a connection to an upstream through another host. Nothing is sent to the upstream before this resolves.
  * @param relay The other host.
@@ -45,7 +44,8 @@
     opening.once("response", (response) => {
       const { statusCode } = response;
       if (statusCode !== 200) {
-        return fail(getFailure(statusCode), `status ${statusCode}`);
+        const failure = RELAY_FAILURES.get(statusCode ?? 0) ?? "failed";
+        return fail(failure, `status ${statusCode}`);
       }
       clearTimeout(timer);
       opening.off("error", handleError);
@@ -54,10 +54,3 @@
     opening.flushHeaders();
   });
 }
-
-function getFailure(status: number | undefined): DialFailure {
-  const entry = Object.entries(RELAY_STATUSES).find(([, each]) =>
-    each === status
-  );
-  return entry ? entry[0] as DialFailure : "failed";
-}
--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -1,4 +1,5 @@
 import { processTimeline, type Timeline } from "../clock/timeline.ts";
+import { formatAge } from "../logging/format_age.ts";
 import type { Logger } from "../logging/logger.ts";
 import { DialError } from "../network/dial_error.ts";
 import type { Dial } from "../network/dial_tcp.ts";
@@ -10,14 +11,15 @@
 import type { Random } from "../random/random.ts";
 import type { PathConnection } from "./path_connection.ts";
 import type { PathTarget } from "./path_target.ts";
-import { raceStaggered } from "./race_staggered.ts";
+import { ConnectionAttempts } from "./connection_attempts.ts";
 import { RecheckSchedule } from "./recheck_schedule.ts";
 import type { RelayDirectory } from "./relay_directory.ts";
 import type { RelayHost } from "./relay_host.ts";
+import { StaggeredRace } from "./staggered_race.ts";
 import type { PathState } from "./upstream_path.ts";
 
 /** Time after the start of a connection until another way is tried as well, in milliseconds; tens of usual round-trip
- * times, and a fraction of the shortest objectives. */
+ * times, so that a healthy connection is seldom attempted twice. */
 const STAGGER_MS = 120;
 /** Time within which one of the ways must be established, in milliseconds. */
 const RACE_TIMEOUT_MS = 600;
@@ -30,8 +32,6 @@
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Maximum number of checks at a time. */
 const MAX_CONCURRENT_CHECKS = 16;
-/** Maximum number of other upstreams that are tried to learn whether this host has paths at all. */
-const MAX_OTHER_UPSTREAMS = 4;
 /** Time without bytes of an upstream after which its path is checked if another one was lost, in milliseconds. */
 const RECENTLY_HEARD_MS = 100;
 
@@ -80,7 +80,7 @@
     );
   }
 
-  /** Creates a monitor that takes all paths for direct.
+  /** Creates a monitor that assumes all paths to be direct.
    * @param options Its dependencies and callbacks. */
   static create(options: PathMonitorOptions): PathMonitor {
     return new PathMonitor(options);
@@ -94,15 +94,10 @@
     target: PathTarget,
     maxRelays = MAX_RELAYS,
   ): Promise<PathConnection> {
-    let directError: unknown;
-    const direct = () =>
-      this.connectDirectly(target).catch((thrown: unknown) => {
-        directError = thrown;
-        throw thrown;
-      });
+    const attempts = this.createAttempts(target, maxRelays);
     try {
-      const connection = await raceStaggered({
-        getNextAttempt: this.createAttempts(target, direct, maxRelays),
+      const connection = await StaggeredRace.run({
+        getNextAttempt: () => attempts.getNext(),
         staggerMs: STAGGER_MS,
         timeoutMs: RACE_TIMEOUT_MS,
         onLateResult: (late) => this.handleLateConnection(target, late),
@@ -112,7 +107,7 @@
       return connection;
     } catch (thrown) {
       this.change(target, "unreachable");
-      throw DialError.from(directError ?? thrown);
+      throw DialError.from(attempts.directError ?? thrown);
     }
   }
 
@@ -141,9 +136,10 @@
   async checkCrash(target: PathTarget): Promise<CheckResult> {
     return await confirmRefusal({
       check: () => this.tryAllWays(target, MAX_RELAYS),
-      checkOthers: this.chooseOthers(target).map((other) => () =>
-        this.tryDirectly(other)
+      others: this.options.random.shuffle(
+        [...this.options.getTargets()].filter((other) => other !== target),
       ),
+      checkOther: (other) => this.tryDirectly(other),
       wait: (durationMs) =>
         new Promise((resolve) => {
           this.timeline.after(durationMs, resolve);
@@ -153,12 +149,12 @@
 
   /** Records that another host hears from an upstream; if it is unreachable, that host is asked to relay at once.
    * @param target The upstream.
-   * @param host Hash that identifies the other host. */
-  recordHeardElsewhere(target: PathTarget, host: number): void {
+   * @param reporter Hash that identifies the other host. */
+  recordHeardElsewhere(target: PathTarget, reporter: number): void {
     const { instanceHash, path } = target;
     this.options.relays.recordHeardElsewhere(
       instanceHash,
-      host,
+      reporter,
       this.timeline.read(),
     );
     if (path.isUnreachable) this.rechecks.expedite(target);
@@ -193,31 +189,20 @@
     this.rechecks.close();
   }
 
-  /** Creates a function that returns the ways to an upstream one after the other: first the direct one unless its path is
-   * lost, in which case it is the last. Each relay is chosen as late as possible, since other hosts that hear from the
-   * upstream respond to the report that it is in doubt. */
   private createAttempts(
     target: PathTarget,
-    direct: () => Promise<PathConnection>,
     maxRelays: number,
-  ): () => (() => Promise<PathConnection>) | undefined {
-    const asked = new Set<string>();
-    let isDirectTried = false;
-    const tryDirect = () => {
-      if (isDirectTried) return undefined;
-      isDirectTried = true;
-      return direct;
-    };
-    return () => {
-      if (target.path.isDirect && !isDirectTried) return tryDirect();
-      const relay = asked.size < maxRelays
-        ? this.options.relays.choose(target, asked, this.timeline.read())
-        : undefined;
-      if (!relay) return tryDirect();
-      if (asked.size > 0) this.options.onDoubt(target);
-      asked.add(relay.id);
-      return () => this.connectThrough(relay, target);
-    };
+  ): ConnectionAttempts {
+    const { relays, onDoubt } = this.options;
+    return ConnectionAttempts.create({
+      target,
+      maxRelays,
+      connectDirectly: () => this.connectDirectly(target),
+      connectThrough: (relay) => this.connectThrough(relay, target),
+      chooseRelay: (asked) =>
+        relays.choose(target, asked, this.timeline.read()),
+      onDoubt: () => onDoubt(target),
+    });
   }
 
   private async tryAllWays(
@@ -246,14 +231,6 @@
     }
   }
 
-  /** Chooses other upstreams that show whether this host has paths at all. */
-  private chooseOthers(target: PathTarget): PathTarget[] {
-    const others = [...this.options.getTargets()].filter((other) =>
-      other.instanceHash !== target.instanceHash && !other.isRemoved
-    );
-    return this.options.random.shuffle(others).slice(0, MAX_OTHER_UPSTREAMS);
-  }
-
   private async connectDirectly(target: PathTarget): Promise<PathConnection> {
     const socket = await this.options.dial(target.address);
     this.establishedAt.set(target.instanceHash, this.timeline.read());
@@ -286,7 +263,7 @@
 
   private change(target: PathTarget, state: PathState): void {
     if (target.isRemoved || !target.path.change(state)) return;
-    const heardAgoMs = Math.round(this.timeline.read() - target.lastReceivedAt);
+    const heardAgoMs = formatAge(target.lastReceivedAt, this.timeline.read());
     this.options.logger.warn(
       { upstream: target.id, state, heardAgoMs },
       "upstream_path_changed",
--- a/src/paths/relay_directory.ts
+++ b/src/paths/relay_directory.ts
@@ -24,7 +24,7 @@
   /** By instance hash, the last report of a host that hears from the upstream. */
   private readonly lastHeardBy = new Map<
     number,
-    { host: number; at: number }
+    { reporter: number; at: number }
   >();
 
   private constructor(private readonly options: RelayDirectoryOptions) {}
@@ -50,8 +50,8 @@
     const left = getHosts().filter(({ id }) =>
       !asked.has(id) && !this.refusals.has(formatKey(id, target))
     );
-    const hostThatHears = this.lastHeardBy.get(target.instanceHash)?.host;
-    const getRank = (host: RelayHost) => this.rank(host, hostThatHears);
+    const reporter = this.lastHeardBy.get(target.instanceHash)?.reporter;
+    const getRank = (host: RelayHost) => this.rank(host, reporter);
     const bestRank = Math.min(...left.map(getRank));
     const best = left.filter((host) => getRank(host) === bestRank);
     return best.length > 0 ? random.pick(best) : undefined;
@@ -73,19 +73,22 @@
 
   /** Records that a host hears from an upstream.
    * @param instanceHash Hash of the upstream instance.
-   * @param host Hash that identifies the host.
+   * @param reporter Hash that identifies the host.
    * @param now Monotonic milliseconds. */
-  recordHeardElsewhere(instanceHash: number, host: number, now: number): void {
-    this.lastHeardBy.set(instanceHash, { host, at: now });
+  recordHeardElsewhere(
+    instanceHash: number,
+    reporter: number,
+    now: number,
+  ): void {
+    this.lastHeardBy.set(instanceHash, { reporter, at: now });
   }
 
-  private rank(host: RelayHost, hostThatHears: number | undefined): number {
-    if (host.name === hostThatHears) return 0;
+  private rank(host: RelayHost, reporter: number | undefined): number {
+    if (host.name === reporter) return 0;
     const hallRank = host.hall === this.options.hall ? 1 : 2;
     return host.isPartitioned ? hallRank + 2 : hallRank;
   }
 
-  /** Removes what has expired; entries are in the order of their times, except for those that were updated. */
   private removeExpired(now: number): void {
     for (const [key, at] of this.refusals) {
       if (now - at > REFUSAL_TTL_MS) this.refusals.delete(key);
--- a/src/paths/relay_protocol.ts
+++ b/src/paths/relay_protocol.ts
@@ -9,3 +9,10 @@
   timed_out: 504,
   failed: 503,
 };
+
+/** Why the upstream cannot be connected to, by the status of the response. */
+export const RELAY_FAILURES: ReadonlyMap<number, DialFailure> = new Map([
+  [RELAY_STATUSES.refused, "refused"],
+  [RELAY_STATUSES.timed_out, "timed_out"],
+  [RELAY_STATUSES.failed, "failed"],
+]);
--- a/src/router/router_crash_tracker.ts
+++ b/src/router/router_crash_tracker.ts
@@ -17,9 +17,6 @@
 import { Random } from "../random/random.ts";
 import type { PeerConnectionPool } from "../peer/peer_connection_pool.ts";
 
-/** Maximum number of other upstreams that are tried to learn whether this router has paths at all. */
-const MAX_OTHER_UPSTREAMS = 4;
-
 /** Dependencies of a `RouterCrashTracker`. */
 export interface RouterCrashTrackerOptions {
   logger: Logger;
@@ -86,10 +83,8 @@
     );
     return await confirmRefusal({
       check: () => checkConnection(address),
-      checkOthers: this.random.shuffle(others).slice(0, MAX_OTHER_UPSTREAMS)
-        .map((other) => () =>
-          checkConnection(`${other.address}:${other.port}`)
-        ),
+      others: this.random.shuffle(others),
+      checkOther: (other) => checkConnection(`${other.address}:${other.port}`),
       wait: delay,
     });
   }
--- a/tests/paths/race_staggered_test.ts
+++ b/tests/paths/staggered_race_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { DialError } from "../../src/network/dial_error.ts";
-import { raceStaggered } from "../../src/paths/race_staggered.ts";
+import { StaggeredRace } from "../../src/paths/staggered_race.ts";
 import { VirtualTimeline } from "../clock/virtual_timeline.ts";
 
 const STAGGER_MS = 100;
@@ -27,7 +27,7 @@
         () => fails ? reject(new Error(name)) : resolve(name),
       );
     });
-  const result = raceStaggered({
+  const result = StaggeredRace.run({
     getNextAttempt: () => {
       const next = attempts[startedAt.length];
       return next && (() => start(next));
