Separate the selection of candidates and the exchange of outage reports

From the choice of an upstream and from the network of hosts, which had grown. No decision changes; decline_risk_fleet_test gives the same figures.

--- /dev/null
+++ b/src/gateway/candidate_selector.ts
@@ -0,0 +1,121 @@
+import { hashText } from "../hashing/hasher.ts";
+import type { Logger } from "../logging/logger.ts";
+import type { Service } from "../published/configuration_schema.ts";
+import { DeclineLimits } from "../upstreams/decline_limits.ts";
+import { DeclineRiskLimiter } from "../upstreams/decline_risk_limiter.ts";
+import { FleetRateLimiter } from "../upstreams/fleet_rate_limiter.ts";
+import {
+  FleetSlots,
+  type FleetSlotsOptions,
+} from "../upstreams/fleet_slots.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
+import type { UpstreamTable } from "../upstreams/upstream_table.ts";
+
+/** Dependencies of a {@link CandidateSelector}. */
+export interface CandidateSelectorOptions extends FleetSlotsOptions {
+  logger: Logger;
+  upstreams: UpstreamTable;
+  /** Returns a published service, or undefined if there is none of that name. */
+  getService: (name: string) => Service | undefined;
+  /** Number of live hosts, including this one. */
+  countHosts: () => number;
+}
+
+/** Selects the upstreams of a service that may get a request now: those that a host reaches, without those on which this
+ * host has used up its share of what the fleet may send. */
+export class CandidateSelector {
+  /** How many requests per second the upstreams of a service can decline without failing. */
+  readonly declineLimits: DeclineLimits;
+  private readonly warmUp: FleetRateLimiter;
+  private readonly declineRisk: DeclineRiskLimiter;
+
+  private constructor(private readonly options: CandidateSelectorOptions) {
+    const slots = FleetSlots.create(options);
+    this.warmUp = FleetRateLimiter.create(slots);
+    this.declineRisk = DeclineRiskLimiter.create(slots);
+    this.declineLimits = DeclineLimits.create((service, limit) =>
+      this.logDeclineLimit(service, limit)
+    );
+  }
+
+  /** Creates a selector.
+   * @param options Its dependencies. */
+  static create(options: CandidateSelectorOptions): CandidateSelector {
+    return new CandidateSelector(options);
+  }
+
+  /** Returns the upstreams of a service that may get a request.
+   * @param service Name of the service.
+   * @param now Monotonic milliseconds. */
+  select(service: string, now: number): Upstream[] {
+    const published = this.options.getService(service);
+    const warmUpRate = published?.warmUpRequestsPerSecond;
+    const reachable = this.options.upstreams.getServing(service).filter(
+      (upstream) =>
+        !upstream.path.isUnreachable &&
+        this.permitsWarmUp(upstream, warmUpRate, now),
+    );
+    const admitting = this.selectByDeclines(service, reachable, now);
+    const maxConnections = published?.maxConnections;
+    if (maxConnections === undefined) return admitting;
+    const share = Math.max(1, maxConnections / this.options.countHosts());
+    return admitting.filter((upstream) => upstream.ownRequests < share);
+  }
+
+  /** Whether the fleet's requests to all upstreams of a service are limited now.
+   * @param service Name of the service.
+   * @param now Monotonic milliseconds. */
+  isLimited(service: string, now: number): boolean {
+    const serving = this.options.upstreams.getServing(service);
+    if (serving.length === 0) return false;
+    return this.declineLimits.getLimit(service, now) !== undefined ||
+      serving.every((upstream) => upstream.isWarmingUp(now));
+  }
+
+  /** Records that a request is about to be sent to an upstream.
+   * @param upstream The upstream.
+   * @param now Monotonic milliseconds. */
+  recordSend(upstream: Upstream, now: number): void {
+    const { service } = upstream.published;
+    if (upstream.isWarmingUp(now)) this.warmUp.recordSend(upstream.id, now);
+    if (this.declineLimits.getLimit(service, now) === undefined) return;
+    this.declineRisk.recordSend(upstream, now);
+  }
+
+  /** Records that an upstream declined a request.
+   * @param upstream The upstream.
+   * @param now Monotonic milliseconds. */
+  recordDecline(upstream: Upstream, now: number): void {
+    this.declineRisk.recordDecline(upstream, now);
+  }
+
+  /** Returns the upstreams that the limit of declined requests, if the service states one, leaves. */
+  private selectByDeclines(
+    service: string,
+    upstreams: Upstream[],
+    now: number,
+  ): Upstream[] {
+    const limit = this.declineLimits.getLimit(service, now);
+    if (limit === undefined) return upstreams;
+    return this.declineRisk.selectAdmitting(upstreams, limit, now);
+  }
+
+  /** Whether the limit of requests during a warm-up permits a request to an upstream. */
+  private permitsWarmUp(
+    upstream: Upstream,
+    requestsPerSecond: number | undefined,
+    now: number,
+  ): boolean {
+    if (requestsPerSecond === undefined) return true;
+    return !upstream.isWarmingUp(now) ||
+      this.warmUp.admits(upstream.id, requestsPerSecond, now);
+  }
+
+  private logDeclineLimit(serviceHash: number, limit: number): void {
+    const services = [...this.options.upstreams.getAll()].map((upstream) =>
+      upstream.published.service
+    );
+    const service = services.find((name) => hashText(name) === serviceHash);
+    this.options.logger.warn({ service, limit }, "decline_limit_changed");
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import { CrashGuard } from "../crashes/crash_guard.ts";
-import { onClockJump, readClock } from "../clock/clock.ts";
+import { onClockJump } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
@@ -22,10 +22,6 @@
 import { PrefixRecovery } from "./prefix_recovery.ts";
 import { PublicationExchange } from "./publication_exchange.ts";
 import { PublicationWatch } from "./publication_watch.ts";
-import {
-  countServiceContacts,
-  type ServiceContact,
-} from "../upstreams/service_contact.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
 
@@ -241,7 +237,7 @@
       onSend: ({ basis }, { countAgeMs }) =>
         this.metrics.recordSend(basis, countAgeMs),
       onOutageDisproved: (upstream) =>
-        this.peerNetwork?.contradictOutage(upstream),
+        this.peerNetwork?.outages.contradict(upstream),
       onHealthSignal: (signal) => this.metrics.recordAttempt(signal),
       network: this.paths.monitor,
       checkPath: (upstream) => this.paths.monitor.check(upstream),
@@ -291,7 +287,7 @@
       getLiveHosts: () => this.getLiveHosts(),
       getPublicationAgeMs: () => this.replica.ageMs,
       relayServer: this.paths.server,
-      getServiceContacts: () => this.getServiceContacts(),
+      getServiceContacts: () => this.paths.getServiceContacts(),
     });
   }
 
@@ -330,16 +326,7 @@
   private get phase(): PeerEntry["phase"] {
     if (this.stop.hasStarted) return "draining";
     if (!this.isServing) return "starting";
-    return this.isPartitioned ? "partitioned" : "ready";
-  }
-
-  /** Whether this host has lost its own paths to all upstreams of a service. */
-  private get isPartitioned(): boolean {
-    return [...this.getServiceContacts()].some(({ direct }) => direct === 0);
-  }
-
-  private getServiceContacts(): Iterable<ServiceContact> {
-    return countServiceContacts(this.chooser.upstreams.getAll(), readClock());
+    return this.paths.isPartitioned ? "partitioned" : "ready";
   }
 
   private applyConfiguration(routes: RouteTable): void {
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -8,20 +8,16 @@
 import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
 import type { KnownHost } from "../peers/known_host.ts";
-import { OutageGossip } from "../peers/outage_gossip.ts";
 import { PrefixDirectory } from "../peers/prefix_directory.ts";
 import { takesRequests } from "../peers/host_phase.ts";
 import type { PublicationStatus } from "../peers/publication_status.ts";
-import { hashText } from "../hashing/hasher.ts";
-import { OutageReports } from "../upstreams/outage_reports.ts";
-import type { Upstream } from "../upstreams/upstream.ts";
-import type { PathTarget } from "../paths/path_target.ts";
 import type { PathMonitor } from "../paths/path_monitor.ts";
 import type { RelayHost } from "../paths/relay_host.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { HostExchange } from "./host_exchange.ts";
+import { OutageExchange } from "./outage_exchange.ts";
 import type { PublicationExchange } from "./publication_exchange.ts";
 import { recordPeerLoads } from "./record_peer_loads.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
@@ -48,14 +44,14 @@
  * all others in each gossip round. In a large fleet a host hears from few others per round, and queries those that know
  * more. */
 export class PeerNetwork {
+  /** Exchanges reports of upstreams to which hosts could not connect. */
+  readonly outages: OutageExchange;
   /** Serves the list of all known hosts to other hosts, and fetches theirs. */
   readonly hostExchange: HostExchange;
   private readonly gossip: Gossip;
   private readonly statusPoller: PublicationStatusPoller;
   private readonly directory: PrefixDirectory;
   private readonly crashGossip: CrashGossip;
-  private readonly outageReports: OutageReports;
-  private readonly outageGossip: OutageGossip;
 
   private constructor(
     private readonly options: PeerNetworkOptions,
@@ -83,8 +79,7 @@
       getHosts: () => this.getNonDrainingAddresses(),
     });
     this.crashGossip = this.createCrashGossip();
-    this.outageReports = this.createOutageReports(gossipAddress);
-    this.outageGossip = this.createOutageGossip();
+    this.outages = this.createOutageExchange(gossipAddress);
   }
 
   /** Opens the socket and starts the communication.
@@ -155,18 +150,6 @@
     return this.gossip.isLargeFleet;
   }
 
-  /** Reports soon to other hosts that no connection to an upstream was established.
-   * @param upstream The upstream. */
-  reportOutage({ instanceHash }: PathTarget): void {
-    this.outageReports.recordFailure(instanceHash, readClock());
-  }
-
-  /** Reports soon to other hosts that this host has connected to an upstream.
-   * @param upstream The upstream. */
-  contradictOutage({ instanceHash }: Upstream): void {
-    this.outageReports.contradict(instanceHash, readClock());
-  }
-
   /** Announces soon to other hosts which engines were sent which prompt parts. */
   announcePrefixUpdates(): void {
     if (this.usesDirectory) {
@@ -187,7 +170,7 @@
     this.statusPoller.close();
     this.directory.close();
     this.crashGossip.close();
-    this.outageGossip.close();
+    this.outages.close();
     this.socket.close();
     await this.hostExchange.close();
   }
@@ -225,38 +208,15 @@
     });
   }
 
-  private createOutageReports(gossipAddress: string): OutageReports {
-    const { chooser } = this.options;
-    return OutageReports.create({
-      reporter: hashText(gossipAddress),
-      getLastReceivedAt: (instanceHash) =>
-        chooser.upstreams.findByInstanceHash(instanceHash)?.lastReceivedAt ??
-          -Infinity,
-      onPendingReports: () => this.outageGossip.scheduleBatch(),
-      onOutage: (instanceHash) => chooser.reportedOutages.record(instanceHash),
-      onContradiction: (instanceHash) =>
-        chooser.reportedOutages.clear(instanceHash),
-      onHeardElsewhere: (instanceHash, reporter) => {
-        const upstream = chooser.upstreams.findByInstanceHash(instanceHash);
-        if (!upstream) return;
-        upstream.heardElsewhereAt = readClock();
-        this.options.paths.recordHeardElsewhere(upstream, reporter);
-      },
-    });
-  }
-
-  private createOutageGossip(): OutageGossip {
-    const { socket, outageReports: reports } = this;
-    socket.handle(
-      "outage_reports",
-      (datagram) => reports.merge(datagram.reports, readClock()),
-    );
-    return OutageGossip.create({
-      reports,
+  private createOutageExchange(gossipAddress: string): OutageExchange {
+    const { chooser, paths } = this.options;
+    return OutageExchange.create({
+      socket: this.socket,
+      gossipAddress,
+      chooser,
+      paths,
       getHosts: () =>
         this.getLiveHosts().map(({ entry }) => entry.gossipAddress),
-      send: (host, batch) =>
-        socket.send(host, { type: "outage_reports", reports: batch }),
     });
   }
 
@@ -279,7 +239,9 @@
       phase: getPhase(),
       ...this.getPublicationStatus(),
       loads: chooser.loads.getOwnCounts(chooser.upstreams.getAll()),
-      declineLimits: chooser.declineLimits.getStatements(readClock()),
+      declineLimits: chooser.candidates.declineLimits.getStatements(
+        readClock(),
+      ),
     };
   }
 
@@ -288,8 +250,8 @@
     lastSeenAt: number,
     requestedAt?: number,
   ): void {
-    const { loads, declineLimits } = this.options.chooser;
-    declineLimits.merge(entry.declineLimits, lastSeenAt);
+    const { loads, candidates } = this.options.chooser;
+    candidates.declineLimits.merge(entry.declineLimits, lastSeenAt);
     recordPeerLoads(loads, entry, lastSeenAt, this.gossip.isLargeFleet);
     if (requestedAt !== undefined) this.reconcile(entry, entry, requestedAt);
   }
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,6 +1,5 @@
 import { AdmissionController } from "../admission/admission_controller.ts";
 import { readClock } from "../clock/clock.ts";
-import { hashText } from "../hashing/hasher.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
@@ -18,11 +17,9 @@
 import type { UpstreamNetwork } from "../upstreams/upstream_network.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import { UpstreamTable } from "../upstreams/upstream_table.ts";
-import { DeclineLimits } from "../upstreams/decline_limits.ts";
-import { DeclineRiskLimiter } from "../upstreams/decline_risk_limiter.ts";
-import { FleetRateLimiter } from "../upstreams/fleet_rate_limiter.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { PromptPlacer } from "./prompt_placer.ts";
+import { CandidateSelector } from "./candidate_selector.ts";
 import { ReportedOutages } from "./reported_outages.ts";
 import { RetryBudgets } from "./retry_budgets.ts";
 
@@ -97,13 +94,8 @@
   readonly upstreams: UpstreamTable;
   /** Numbers of requests on each upstream. */
   readonly loads = LoadCounts.create();
-  /** How many requests per second the upstreams of a service can decline without failing. */
-  readonly declineLimits = DeclineLimits.create((service, limit) =>
-    this.options.logger.warn(
-      { service: this.findServiceName(service), limit },
-      "decline_limit_changed",
-    )
-  );
+  /** The upstreams that may get a request now. */
+  readonly candidates: CandidateSelector;
   /** Upstreams to which other hosts could not connect. */
   readonly reportedOutages: ReportedOutages;
   /** Which engines have which prompt parts cached. */
@@ -111,8 +103,6 @@
   private readonly readNow: () => number;
   private readonly random: Random;
   private readonly admission: AdmissionController;
-  private readonly warmUp: FleetRateLimiter;
-  private readonly declineRisk: DeclineRiskLimiter;
   private readonly promptPlacer: PromptPlacer;
   private readonly retryBudgets: RetryBudgets;
 
@@ -120,13 +110,6 @@
     this.readNow = options.readNow ?? readClock;
     this.random = options.random ?? Random.create();
     this.admission = AdmissionController.create(this.random);
-    const limiterOptions = {
-      hostId: options.hostId,
-      getOtherHostIds: options.getKnownHostIds,
-      knowsFleet: options.knowsFleet,
-    };
-    this.warmUp = FleetRateLimiter.create(limiterOptions);
-    this.declineRisk = DeclineRiskLimiter.create(limiterOptions);
     this.promptPlacer = PromptPlacer.create({
       prefixes: this.prefixes,
       getFetchSources: (service, now) => this.getFetchSources(service, now),
@@ -148,6 +131,15 @@
       onRemove: options.onRemove,
       network: options.network,
     });
+    this.candidates = CandidateSelector.create({
+      logger: options.logger,
+      upstreams: this.upstreams,
+      hostId: options.hostId,
+      getOtherHostIds: options.getKnownHostIds,
+      knowsFleet: options.knowsFleet,
+      getService: options.getService,
+      countHosts: options.countHosts,
+    });
     this.reportedOutages = ReportedOutages.create({
       logger: options.logger,
       findUpstream: (instanceHash) =>
@@ -183,9 +175,9 @@
         this.recordHealthSignal(upstream, signal),
       checkPath: (upstream) => this.checkPath(upstream),
       recordDecline: (upstream) =>
-        this.declineRisk.recordDecline(upstream, this.readNow()),
+        this.candidates.recordDecline(upstream, this.readNow()),
       recordDeclineLimit: ({ published: { service } }, limit) =>
-        this.declineLimits.record(service, limit, this.readNow()),
+        this.candidates.declineLimits.record(service, limit, this.readNow()),
       recordMoved: (upstream) => this.upstreams.remove(upstream),
     };
   }
@@ -238,13 +230,6 @@
     this.upstreams.close();
   }
 
-  /** Returns the name of a service with listed upstreams by its hash. */
-  private findServiceName(hash: number): string | undefined {
-    return [...this.upstreams.getAll()].map(({ published }) =>
-      published.service
-    ).find((service) => hashText(service) === hash);
-  }
-
   private async checkPath(upstream: Upstream): Promise<boolean> {
     return await this.options.checkPath?.(upstream) ?? false;
   }
@@ -259,7 +244,7 @@
     const { boundMultiple, hall } = this.options.getSettings();
     const now = this.readNow();
     return chooseUpstream({
-      candidates: this.getCandidates(call.service, now),
+      candidates: this.candidates.select(call.service, now),
       reachable: this.getReachable(call.service, now),
       boundMultiple,
       service: call.service,
@@ -292,12 +277,9 @@
     if (backoffMs !== undefined) {
       return backoffMs + this.random.integer(0, RETRY_AFTER_JITTER_MS);
     }
-    const now = this.readNow();
-    const serving = this.upstreams.getServing(service);
-    const isLimited = serving.length > 0 &&
-      (this.declineLimits.getLimit(service, now) !== undefined ||
-        serving.every((upstream) => upstream.isWarmingUp(now)));
-    return isLimited ? this.random.integer(...LIMITED_RETRY_MS) : undefined;
+    return this.candidates.isLimited(service, this.readNow())
+      ? this.random.integer(...LIMITED_RETRY_MS)
+      : undefined;
   }
 
   /** Returns the engines of a service from which others can fetch cached prompt parts. */
@@ -311,13 +293,7 @@
   private recordSend(choice: UpstreamChoice): LoadSnapshot {
     const now = this.readNow();
     const load = this.loads.getSnapshot(choice.upstream, now);
-    if (choice.upstream.isWarmingUp(now)) {
-      this.warmUp.recordSend(choice.upstream.id, now);
-    }
-    const { service } = choice.upstream.published;
-    if (this.declineLimits.getLimit(service, now) !== undefined) {
-      this.declineRisk.recordSend(choice.upstream, now);
-    }
+    this.candidates.recordSend(choice.upstream, now);
     this.options.onSend(choice, load);
     return load;
   }
@@ -334,33 +310,4 @@
       "upstream_ejected",
     );
   }
-
-  /** Returns the upstreams of a service that may get a request: without those that no host reaches, and those on which
-   * this host has used up its share of the connections, of the requests during a warm-up or of the declines. */
-  private getCandidates(service: string, now: number): Upstream[] {
-    const published = this.options.getService(service);
-    const maxDeclines = this.declineLimits.getLimit(service, now);
-    const reachable = this.upstreams.getServing(service).filter((upstream) =>
-      !upstream.path.isUnreachable &&
-      this.permitsWarmUp(upstream, published?.warmUpRequestsPerSecond, now)
-    );
-    const serving = maxDeclines === undefined
-      ? reachable
-      : this.declineRisk.selectAdmitting(reachable, maxDeclines, now);
-    const maxConnections = published?.maxConnections;
-    if (maxConnections === undefined) return serving;
-    const share = Math.max(1, maxConnections / this.options.countHosts());
-    return serving.filter((upstream) => upstream.ownRequests < share);
-  }
-
-  /** Whether the limit of requests during a warm-up permits a request to an upstream. */
-  private permitsWarmUp(
-    upstream: Upstream,
-    requestsPerSecond: number | undefined,
-    now: number,
-  ): boolean {
-    if (requestsPerSecond === undefined) return true;
-    return !upstream.isWarmingUp(now) ||
-      this.warmUp.admits(upstream.id, requestsPerSecond, now);
-  }
 }
--- a/src/gateway/upstream_paths.ts
+++ b/src/gateway/upstream_paths.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { readClock } from "../clock/clock.ts";
 import type { CheckResult } from "../crashes/connection_check.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { Dial } from "../network/dial_tcp.ts";
@@ -9,6 +10,10 @@
 import { RelayServer } from "../paths/relay_server.ts";
 import type { PathState } from "../paths/upstream_path.ts";
 import { Random } from "../random/random.ts";
+import {
+  countServiceContacts,
+  type ServiceContact,
+} from "../upstreams/service_contact.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { PeerNetwork } from "./peer_network.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
@@ -59,6 +64,17 @@
     return target ? await this.monitor.checkCrash(target) : "undecided";
   }
 
+  /** Whether this host has lost its own paths to all upstreams of a service. */
+  get isPartitioned(): boolean {
+    return [...this.getServiceContacts()].some(({ direct }) => direct === 0);
+  }
+
+  /** Returns how many upstreams of each service this host hears and reaches. */
+  getServiceContacts(): Iterable<ServiceContact> {
+    const { upstreams } = this.options.getChooser();
+    return countServiceContacts(upstreams.getAll(), readClock());
+  }
+
   /** Ends all checks and closes the connections that are relayed for other hosts. */
   close(): void {
     this.monitor.close();
@@ -80,7 +96,7 @@
       random,
       getTargets: () => getChooser().upstreams.getAll(),
       onChange: (target, state) => this.handleChange(target, state),
-      onDoubt: (target) => getPeerNetwork()?.reportOutage(target),
+      onDoubt: (target) => getPeerNetwork()?.outages.report(target),
       onRecheck: (target) => this.handleRecheck(target),
     });
   }
@@ -93,7 +109,7 @@
     metrics.recordPathChange(state);
     getChooser().closeUntrustedConnections(target.instanceHash);
     if (state === "relayed") getChooser().clearFaults(target.instanceHash);
-    if (state === "unreachable") getPeerNetwork()?.reportOutage(target);
+    if (state === "unreachable") getPeerNetwork()?.outages.report(target);
     getPeerNetwork()?.announce();
   }
 
@@ -101,7 +117,7 @@
   private handleRecheck(target: PathTarget): void {
     const { getChooser, getPeerNetwork } = this.options;
     getChooser().closeUntrustedConnections(target.instanceHash);
-    if (target.path.isUnreachable) getPeerNetwork()?.reportOutage(target);
+    if (target.path.isUnreachable) getPeerNetwork()?.outages.report(target);
   }
 
   private findTarget(instanceHash: number): PathTarget | undefined {
--- a/src/upstreams/decline_risk_limiter.ts
+++ b/src/upstreams/decline_risk_limiter.ts
@@ -1,7 +1,5 @@
-import {
-  FleetRateLimiter,
-  type FleetRateLimiterOptions,
-} from "./fleet_rate_limiter.ts";
+import { FleetRateLimiter } from "./fleet_rate_limiter.ts";
+import type { FleetSlots } from "./fleet_slots.ts";
 import type { Upstream } from "./upstream.ts";
 
 /** Minimum interval between two requests of one slot that an upstream may decline, in milliseconds: more than a second,
@@ -21,17 +19,14 @@
   /** Monotonic milliseconds of the last decline by an upstream of each service. */
   private readonly declinedAt = new Map<string, number>();
 
-  private constructor(options: FleetRateLimiterOptions) {
-    this.rate = FleetRateLimiter.create({
-      ...options,
-      minSlotIntervalMs: MIN_SLOT_INTERVAL_MS,
-    });
+  private constructor(private readonly slots: FleetSlots) {
+    this.rate = FleetRateLimiter.create(slots, MIN_SLOT_INTERVAL_MS);
   }
 
   /** Creates a limiter.
-   * @param options Its dependencies. */
-  static create(options: FleetRateLimiterOptions): DeclineRiskLimiter {
-    return new DeclineRiskLimiter(options);
+   * @param slots Distributes the slots of upstreams, and those of risked requests, among the hosts. */
+  static create(slots: FleetSlots): DeclineRiskLimiter {
+    return new DeclineRiskLimiter(slots);
   }
 
   /** Returns the upstreams of a service to which this host may send a request now.
@@ -45,7 +40,7 @@
   ): Upstream[] {
     const rate = maxDeclinesPerSecond * RISKED_FRACTION;
     const admitting = upstreams.filter((upstream) =>
-      this.hasOwnSlot(upstream) ||
+      this.hasOwnSlot(upstream, now) ||
       this.rate.admits(getRiskKey(upstream), rate, now)
     );
     if (admitting.length > 0) return admitting;
@@ -56,7 +51,7 @@
    * @param upstream The upstream.
    * @param now Monotonic milliseconds. */
   recordSend(upstream: Upstream, now: number): void {
-    if (!this.hasOwnSlot(upstream)) {
+    if (!this.hasOwnSlot(upstream, now)) {
       this.rate.recordSend(getRiskKey(upstream), now);
     }
   }
@@ -68,12 +63,12 @@
     this.declinedAt.set(service, now);
   }
 
-  private hasOwnSlot(upstream: Upstream): boolean {
-    return upstream.ownRequests < this.countOwnSlots(upstream);
+  private hasOwnSlot(upstream: Upstream, now: number): boolean {
+    return upstream.ownRequests < this.countOwnSlots(upstream, now);
   }
 
-  private countOwnSlots({ id, published }: Upstream): number {
-    return this.rate.countOwnSlots(id, published.slots);
+  private countOwnSlots({ id, published }: Upstream, now: number): number {
+    return this.slots.countOwn(id, published.slots, now);
   }
 
   /** Whether this host owns no slot of a service, has no request on it, and saw no decline lately. */
@@ -82,7 +77,7 @@
     now: number,
   ): boolean {
     const isUnused = upstreams.every((upstream) =>
-      upstream.ownRequests === 0 && this.countOwnSlots(upstream) === 0
+      upstream.ownRequests === 0 && this.countOwnSlots(upstream, now) === 0
     );
     const service = upstreams[0]?.published.service;
     const declinedAt = service === undefined
--- a/tests/paths/path_fleet.ts
+++ b/tests/paths/path_fleet.ts
@@ -23,9 +23,9 @@
 const REPORT_LOSS = 0.05;
 /** Interval at which hosts announce their phase, in milliseconds. */
 const PHASE_INTERVAL_MS = 600;
-/** Minimum and maximum time from the start to the end of a request, in milliseconds. */
+/** Steps in which the time is advanced, in milliseconds. */
 const STEP_MS = 2;
-/** Upstreams that one request is sent to at most. */
+/** Maximum number of upstreams that one request is sent to. */
 const MAX_ATTEMPTS = 4;
 
 /** Options of a {@link PathFleet}. */
--- a/tests/upstreams/decline_risk_fleet.ts
+++ b/tests/upstreams/decline_risk_fleet.ts
@@ -1,5 +1,6 @@
 import { DeclineLimits } from "../../src/upstreams/decline_limits.ts";
 import { DeclineRiskLimiter } from "../../src/upstreams/decline_risk_limiter.ts";
+import { FleetSlots } from "../../src/upstreams/fleet_slots.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
 import { Random } from "../../src/random/random.ts";
 import { VirtualTimeline } from "../clock/virtual_timeline.ts";
@@ -19,7 +20,7 @@
 const GOSSIP_LOSS = 0.1;
 /** Time that a host which has just started needs to discover the fleet, in milliseconds. */
 const DISCOVERY_MS = 800;
-/** Largest numbers of upstreams that one request is sent to. */
+/** Maximum number of upstreams that one request is sent to. */
 const MAX_ATTEMPTS = 4;
 const SERVICE = "s";
 
@@ -102,11 +103,11 @@
     return {
       startedAt,
       limits: DeclineLimits.create(),
-      limiter: DeclineRiskLimiter.create({
+      limiter: DeclineRiskLimiter.create(FleetSlots.create({
         hostId: `g-${index}`,
         getOtherHostIds: () => ids.filter((id) => id !== `g-${index}`),
         knowsFleet: () => this.timeline.read() - startedAt >= DISCOVERY_MS,
-      }),
+      })),
       upstreams: Array.from(
         { length: upstreams },
         (_, upstream) =>
--- a/tests/upstreams/fleet_rate_limiter_test.ts
+++ b/tests/upstreams/fleet_rate_limiter_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { FleetSlots } from "../../src/upstreams/fleet_slots.ts";
 import { FleetRateLimiter } from "../../src/upstreams/fleet_rate_limiter.ts";
 
 /** Creates the limiters of a fleet whose hosts all know each other. */
@@ -8,11 +9,13 @@
 ): FleetRateLimiter[] {
   const ids = Array.from({ length: size }, (_, index) => `g-${index}`);
   return ids.map((hostId) =>
-    FleetRateLimiter.create({
-      hostId,
-      getOtherHostIds: () => ids.filter((id) => id !== hostId),
-      knowsFleet,
-    })
+    FleetRateLimiter.create(
+      FleetSlots.create({
+        hostId,
+        getOtherHostIds: () => ids.filter((id) => id !== hostId),
+        knowsFleet,
+      }),
+    )
   );
 }
 
--- /dev/null
+++ b/tests/upstreams/fleet_slots_test.ts
@@ -0,0 +1,29 @@
+import test from "ava";
+import { FleetSlots } from "../../src/upstreams/fleet_slots.ts";
+
+function createFleet(size: number, knowsFleet = true): FleetSlots[] {
+  const ids = Array.from({ length: size }, (_, index) => `g-${index}`);
+  return ids.map((hostId) =>
+    FleetSlots.create({
+      hostId,
+      getOtherHostIds: () => ids.filter((id) => id !== hostId),
+      knowsFleet: () => knowsFleet,
+    })
+  );
+}
+
+test("each slot belongs to one host, however many hosts and slots there are", (t) => {
+  for (const size of [1, 7, 40]) {
+    const fleet = createFleet(size);
+    for (const total of [1, 6, 64]) {
+      const own = fleet.map((slots) => slots.countOwn("u", total, 0));
+      t.is(own.reduce((sum, count) => sum + count), total);
+    }
+  }
+});
+
+test("a host that does not know the fleet owns no slot", (t) => {
+  for (const slots of createFleet(3, false)) {
+    t.is(slots.countOwn("u", 6, 0), 0);
+  }
+});
--- a/tests/upstreams/warm_up_fleet.ts
+++ b/tests/upstreams/warm_up_fleet.ts
@@ -1,3 +1,4 @@
+import { FleetSlots } from "../../src/upstreams/fleet_slots.ts";
 import { FleetRateLimiter } from "../../src/upstreams/fleet_rate_limiter.ts";
 import { VirtualFleet } from "../peers/virtual_fleet.ts";
 
@@ -90,14 +91,14 @@
   private getLimiter(host: number): FleetRateLimiter {
     const known = this.limiters.get(host);
     if (known) return known;
-    const limiter = FleetRateLimiter.create({
+    const limiter = FleetRateLimiter.create(FleetSlots.create({
       hostId: `g-${host}`,
       getOtherHostIds: () =>
         this.fleet.findGossip(host)!.hosts.getAll().map(({ entry }) =>
           entry.id
         ),
       knowsFleet: () => this.fleet.findGossip(host)!.knowsFleet,
-    });
+    }));
     this.limiters.set(host, limiter);
     return limiter;
   }
