--- a/src/cli/check_command.ts
+++ b/src/cli/check_command.ts
@@ -20,7 +20,7 @@
       long: "key",
       type: optional(string),
       description:
-        "Key under which the document is to be published, such as kilima/customers/rosters",
+        "Key under which the document is to be published, such as PARTNER/customers/NAME",
     }),
   },
   handler: ({ file, key }) => {
