--- a/tests/gateway/short_silence_test.ts
+++ b/tests/gateway/short_silence_test.ts
@@ -27,13 +27,19 @@
   readonly receivedAt: number[] = [];
   private resumed: Promise<unknown> = Promise.resolve();
 
-  constructor(readonly worker: FakeWorker) {
+  private constructor(readonly worker: FakeWorker) {
     worker.behaviour = (...work) => {
       this.receivedAt.push(performance.now());
       void this.resumed.then(() => respondSuccessfully(...work));
     };
   }
 
+  /** Makes a worker pausable.
+   * @param worker The worker. */
+  static create(worker: FakeWorker): PausableWorker {
+    return new PausableWorker(worker);
+  }
+
   /** Pauses the worker; resolves when it goes on. */
   async pause(): Promise<void> {
     this.resumed = delay(PAUSE_MS);
@@ -49,7 +55,7 @@
 
 async function startWorkers(fleet: GatewayFleet): Promise<PausableWorker[]> {
   return (await fleet.startWorkers("s", WORKERS)).map((worker) =>
-    new PausableWorker(worker)
+    PausableWorker.create(worker)
   );
 }
 
