Give every test server a port that the system hands to no other process

A worker of the soak that has crashed frees a port of the ephemeral range while its proxy goes on forwarding there, and a fake of a test file that runs beside it can get that port.

Servers and proxies of the fakes now take ports of the block that their process has locked. The blocks hold 400 ports, as all fakes of a process share one.

--- a/fakes/fault_proxy.ts
+++ b/fakes/fault_proxy.ts
@@ -1,11 +1,6 @@
 import { createSocket, type Socket as UdpSocket } from "node:dgram";
-import {
-  type AddressInfo,
-  connect,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import { getFreePort } from "../tools/free_port.ts";
 import { resetSocket } from "./reset_socket.ts";
 
 /** What a proxy does with traffic. */
@@ -67,21 +62,15 @@
     udp.on("message", (datagram, from) => this.forward(datagram, from.port));
   }
 
-  /** Starts a proxy.
-   * @param target Port of the server on the loopback address.
-   * @param listenPort Port to listen on. By default any free one; the system may give that to another process while the
-   * proxy does not listen. */
-  static async create(target: number, listenPort = 0): Promise<FaultProxy> {
-    for (;;) {
-      const server = createServer({ pauseOnConnect: true });
-      await new Promise<void>((resolve) =>
-        server.listen(listenPort, "127.0.0.1", resolve)
-      );
-      const { port } = server.address() as AddressInfo;
-      const udp = await bindUdp(port);
-      if (udp) return new FaultProxy(target, server, udp, port);
-      server.close();
-    }
+  /** Starts a proxy on a port that the system gives to no other process, also while the proxy does not listen.
+   * @param target Port of the server on the loopback address. */
+  static async create(target: number): Promise<FaultProxy> {
+    const port = await getFreePort();
+    const server = createServer({ pauseOnConnect: true });
+    await new Promise<void>((resolve) =>
+      server.listen(port, "127.0.0.1", resolve)
+    );
+    return new FaultProxy(target, server, await bindUdp(port), port);
   }
 
   /** Changes what the proxy does with traffic.
@@ -202,11 +191,11 @@
   }
 }
 
-/** Binds a UDP socket. Returns undefined if the port is in use. */
-async function bindUdp(port: number): Promise<UdpSocket | undefined> {
+/** Binds a UDP socket. */
+async function bindUdp(port: number): Promise<UdpSocket> {
   const socket = createSocket("udp4");
-  return await new Promise((resolve) => {
-    socket.once("error", () => resolve(undefined));
+  return await new Promise((resolve, reject) => {
+    socket.once("error", reject);
     socket.bind(port, "127.0.0.1", () => {
       socket.on("error", () => undefined);
       resolve(socket);
--- a/fakes/http_fake.ts
+++ b/fakes/http_fake.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { getFreePort } from "../tools/free_port.ts";
 
 /** Handles one request to a fake server. */
 export type FakeHandler = (
@@ -13,9 +13,10 @@
   body: string,
 ) => Promise<void> | void;
 
-/** Starts an HTTP server on a free port of the loopback address.
+/** Starts an HTTP server on the loopback address.
  * @param handle Handles each request once its body has been received.
- * @param port Port to listen on; any free port by default. */
+ * @param port Port to listen on; 0 selects one that the system gives to no other process, also once the server has
+ * closed. */
 export async function listenHttp(
   handle: FakeHandler,
   port = 0,
@@ -30,10 +31,11 @@
       () => void handle(request, response, Buffer.concat(parts).toString()),
     );
   });
+  const listenPort = port === 0 ? await getFreePort() : port;
   await new Promise<void>((resolve) =>
-    server.listen(port, "127.0.0.1", resolve)
+    server.listen(listenPort, "127.0.0.1", resolve)
   );
-  return { server, port: (server.address() as AddressInfo).port };
+  return { server, port: listenPort };
 }
 
 /** Sends a JSON response.
--- a/fakes/network_partition.ts
+++ b/fakes/network_partition.ts
@@ -1,5 +1,4 @@
 import { BlackHole } from "./black_hole.ts";
-import { getFreePort } from "../tools/free_port.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 
 /** How a partition treats connections: all go silent, all are reset and new ones refused, or new ones are refused while
@@ -29,10 +28,7 @@
     const entries = await Promise.all(
       addresses.map(async (address) => {
         const port = Number(address.split(":")[1]);
-        return [
-          address,
-          await FaultProxy.create(port, await getFreePort()),
-        ] as const;
+        return [address, await FaultProxy.create(port)] as const;
       }),
     );
     return new NetworkPartition(new Map(entries));
--- a/tools/free_port.ts
+++ b/tools/free_port.ts
@@ -4,8 +4,8 @@
 /** First lock port; lock ports and blocks lie below the range of ephemeral ports. */
 const FIRST_LOCK_PORT = 9_000;
 const FIRST_BLOCK_PORT = 10_000;
-const BLOCK_SIZE = 200;
-const BLOCK_COUNT = 100;
+const BLOCK_SIZE = 400;
+const BLOCK_COUNT = 50;
 
 let block: Promise<{ first: number; used: number }> | undefined;
 
--- a/tools/proxy_mesh.ts
+++ b/tools/proxy_mesh.ts
@@ -1,5 +1,4 @@
 import { FaultProxy, type ProxyMode } from "../fakes/fault_proxy.ts";
-import { getFreePort } from "./free_port.ts";
 import { NetworkPartition } from "../fakes/network_partition.ts";
 import type { Host } from "../src/configuration_service/host_schema.ts";
 
@@ -27,10 +26,7 @@
         if (host.id === routerId || this.proxies.has(key)) continue;
         this.proxies.set(
           key,
-          await FaultProxy.create(
-            host.peerPort ?? host.port,
-            await getFreePort(),
-          ),
+          await FaultProxy.create(host.peerPort ?? host.port),
         );
       }
     }
