Keep the shares of a host that knows the fleet while others join

Cause: in a fleet of up to nine hosts, one that joined made every host own no share of any fleet-wide limit for a second, since the known hosts had grown by more than a tenth. Services with such limits (upstreams that warm up, or that fail if they decline too many) were nearly closed meanwhile. Found by reading, when a host that joined a fleet of the tests stopped the others.

Hosts that have discovered the fleet count those that join as they learn of them, which only makes their shares smaller; those that join claim none until they have discovered it. The new test fails before and passes now; warm_up_fleet_test, whose upstreams are never overrun while a third of the hosts restarts, passes.

--- a/src/peers/fleet_growth.ts
+++ b/src/peers/fleet_growth.ts
@@ -12,9 +12,11 @@
 }
 
 /** Tells whether this host has discovered the fleet. Shares of a fleet-wide limit that are computed from a part of the
- * hosts are too large. */
+ * hosts are too large. A host that has discovered the fleet counts those that join as it learns of them, and they claim
+ * no shares until they have discovered it. */
 export class FleetGrowth {
   private samples: HostCountSample[] = [];
+  private hasSettled = false;
 
   private constructor(private readonly expectsOthers: () => boolean) {}
 
@@ -32,15 +34,20 @@
     while (this.samples.length > 1 && now - this.samples[1]!.at >= SETTLE_MS) {
       this.samples.shift();
     }
+    this.hasSettled ||= this.isSettled(hosts, now);
   }
 
-  /** Whether the number of known hosts has not grown notably for a while.
+  /** Whether the number of known hosts has once not grown notably for a while.
    * @param hosts Number of other hosts that are known now.
    * @param now Monotonic milliseconds. */
   isSettled(hosts: number, now: number): boolean {
+    if (hosts === 0) return !this.expectsOthers() && this.isSteady(hosts, now);
+    return this.hasSettled || this.isSteady(hosts, now);
+  }
+
+  private isSteady(hosts: number, now: number): boolean {
     const [oldest] = this.samples;
     if (!oldest || now - oldest.at < SETTLE_MS) return false;
-    if (hosts === 0) return !this.expectsOthers();
     return hosts - oldest.hosts <= hosts * MAX_GROWTH_FRACTION;
   }
 }
--- a/tests/peers/fleet_growth_test.ts
+++ b/tests/peers/fleet_growth_test.ts
@@ -27,6 +27,13 @@
   t.true(growth.isSettled(11, now));
 });
 
+test("a host that knew the fleet still knows it while others join, unless it loses all", (t) => {
+  const growth = FleetGrowth.create(() => true);
+  const now = record(growth, [3, 3, 3, 3, 3, 3, 4, 9]);
+  t.true(growth.isSettled(9, now));
+  t.false(growth.isSettled(0, now));
+});
+
 test("a host that knows no other knows the fleet only if it expects none", (t) => {
   for (const expectsOthers of [true, false]) {
     const growth = FleetGrowth.create(() => expectsOthers);
