Drop datagrams to malformed addresses instead of ending the process

Cause: a socket throws if the port of an address is not a number from 1 to 65,535. Addresses come from other hosts' datagrams, so one malformed address in a table of hosts could end a process. Found by reading.

--- a/src/peers/datagram_socket.ts
+++ b/src/peers/datagram_socket.ts
@@ -87,13 +87,17 @@
     const { host, port } = splitAddress(address);
     const bytes = encodeDatagram(datagram);
     this.onDatagram("sent", bytes.length);
-    this.socket.send(bytes, port, host, (error) => {
-      if (!error) return;
-      this.logger.debug(
-        { address, reason: error.message },
-        "datagram_send_failed",
+    try {
+      this.socket.send(
+        bytes,
+        port,
+        host,
+        (error) => error && this.logSendFailure(address, error),
       );
-    });
+    } catch (error) {
+      // The address came from another host and is malformed.
+      this.logSendFailure(address, error);
+    }
   }
 
   /** Closes the socket. */
@@ -103,6 +107,11 @@
     this.socket.close();
   }
 
+  private logSendFailure(address: string, error: unknown): void {
+    const reason = error instanceof Error ? error.message : String(error);
+    this.logger.debug({ address, reason }, "datagram_send_failed");
+  }
+
   private receive(bytes: Buffer, sender: string): void {
     this.onDatagram("received", bytes.length);
     const datagram = decodeDatagram(bytes);
