Lend slots between hosts, so that upstreams decline no more than they bear

Cause: in a fleet with more hosts than a service has slots, most hosts own none, and nothing told them whether one was free. Each tried once as a burst began.

A request without a free slot now asks owners for one (SlotLoans); a host that owns none forwards the question, and a loan ends if its borrower is not heard from.

--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -133,10 +133,28 @@
       return this.refuseHeld(`held after ${reason}`);
     }
     const choice = this.context.choose(this.call, this.triedUpstreamIds);
-    if (choice) this.sendTo(choice, reason);
+    if (choice) return this.sendTo(choice, reason);
+    const loan = this.context.borrowSlot(this.call, this.triedUpstreamIds);
+    if (loan) void this.sendOnBorrowedSlot(loan, reason);
     else this.giveUp(`no upstream left after ${reason}`);
   }
 
+  /** Sends the request once another host has lent a slot of an upstream; gives up if none does. */
+  private async sendOnBorrowedSlot(
+    loan: Promise<boolean>,
+    reason: string,
+  ): Promise<void> {
+    this.silenceDetector?.close();
+    this.attempt = undefined;
+    const requestedAt = readClock();
+    const isGranted = await loan;
+    this.log.logSlotRequested(isGranted, readClock() - requestedAt);
+    if (this.isFinished) return;
+    const choice = this.context.choose(this.call, this.triedUpstreamIds);
+    if (choice) this.sendTo(choice, reason);
+    else this.giveUp(`no slot left after ${reason}`);
+  }
+
   private sendTo(choice: UpstreamChoice, reason: string): void {
     const { call, context } = this;
     const { upstream } = choice;
@@ -218,10 +236,7 @@
     headers: ResponseHeaders,
   ): void {
     if (headers.isFromOtherUpstream) this.context.recordMoved(upstream);
-    else {
-      upstream.availability.recordDecline(readClock());
-      this.context.recordDecline(upstream);
-    }
+    else upstream.availability.recordDecline(readClock());
     const { availability } = headers;
     this.log.logDeclined(upstream, status, availability, this.progress);
   }
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -25,6 +25,12 @@
     call: RoutedCall,
     tried: ReadonlySet<string>,
   ) => UpstreamChoice | undefined;
+  /** Borrows a slot of an upstream of a call's service from another host, if the number of requests to these is limited.
+   * Resolves with whether one was borrowed; undefined if no host was asked. */
+  borrowSlot: (
+    call: RoutedCall,
+    tried: ReadonlySet<string>,
+  ) => Promise<boolean> | undefined;
   /** Whether no host that was asked reaches any upstream of a service. */
   isUnreachable: (service: string) => boolean;
   /** Time after which a refused caller may retry, in milliseconds; undefined if the upstreams' backoffs give none. */
@@ -45,8 +51,6 @@
   recordHealth: (upstream: Upstream, signal: HealthSignal) => void;
   /** Checks the path to an upstream; resolves with whether this host has connected to it. */
   checkPath: (upstream: Upstream) => Promise<boolean>;
-  /** Records that an upstream declined a request. */
-  recordDecline: (upstream: Upstream) => void;
   /** Records the number of requests per second that an upstream states to bear declining; undefined if it states none. */
   recordDeclineLimit: (upstream: Upstream, limit: number | undefined) => void;
   /** Records that the address of an upstream now belongs to another one. */
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -85,6 +85,18 @@
     }, "request_sent");
   }
 
+  /** Logs that other hosts were asked for a slot of an upstream.
+   * @param isGranted Whether one was lent.
+   * @param waitedMs Time until then, in milliseconds. */
+  logSlotRequested(isGranted: boolean, waitedMs: number): void {
+    this.logger.info({
+      request: this.call.requestId,
+      service: this.call.service,
+      isGranted,
+      waitedMs: Math.round(waitedMs),
+    }, "slot_requested");
+  }
+
   /** Logs that an upstream declined the request, with the backoff that it asked for.
    * @param upstream The upstream.
    * @param status Status code of its response.
--- a/src/gateway/candidate_selector.ts
+++ b/src/gateway/candidate_selector.ts
@@ -1,5 +1,4 @@
 import { hashText } from "../hashing/hasher.ts";
-import type { Logger } from "../logging/logger.ts";
 import type { Service } from "../published/configuration_schema.ts";
 import { DeclineLimits } from "../upstreams/decline_limits.ts";
 import { DeclineRiskLimiter } from "../upstreams/decline_risk_limiter.ts";
@@ -8,12 +7,13 @@
   FleetSlots,
   type FleetSlotsOptions,
 } from "../upstreams/fleet_slots.ts";
+import { SlotLoans, type SlotLoansOptions } from "../upstreams/slot_loans.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { UpstreamTable } from "../upstreams/upstream_table.ts";
 
 /** Dependencies of a {@link CandidateSelector}. */
-export interface CandidateSelectorOptions extends FleetSlotsOptions {
-  logger: Logger;
+export interface CandidateSelectorOptions
+  extends FleetSlotsOptions, Omit<SlotLoansOptions, "slots" | "findUpstream"> {
   upstreams: UpstreamTable;
   /** Returns a published service, or undefined if there is none of that name. */
   getService: (name: string) => Service | undefined;
@@ -26,13 +26,21 @@
 export class CandidateSelector {
   /** How many requests per second the upstreams of a service can decline without failing. */
   readonly declineLimits: DeclineLimits;
+  /** The slots of upstreams that hosts lend each other. */
+  readonly slotLoans: SlotLoans;
   private readonly warmUp: FleetRateLimiter;
   private readonly declineRisk: DeclineRiskLimiter;
 
   private constructor(private readonly options: CandidateSelectorOptions) {
     const slots = FleetSlots.create(options);
     this.warmUp = FleetRateLimiter.create(slots);
-    this.declineRisk = DeclineRiskLimiter.create(slots);
+    this.slotLoans = SlotLoans.create({
+      ...options,
+      slots,
+      findUpstream: (instanceHash) =>
+        options.upstreams.findByInstanceHash(instanceHash),
+    });
+    this.declineRisk = DeclineRiskLimiter.create(slots, this.slotLoans);
     this.declineLimits = DeclineLimits.create((service, limit) =>
       this.logDeclineLimit(service, limit)
     );
@@ -48,18 +56,24 @@
    * @param service Name of the service.
    * @param now Monotonic milliseconds. */
   select(service: string, now: number): Upstream[] {
-    const published = this.options.getService(service);
-    const warmUpRate = published?.warmUpRequestsPerSecond;
-    const reachable = this.options.upstreams.getServing(service).filter(
-      (upstream) =>
-        !upstream.path.isUnreachable &&
-        this.permitsWarmUp(upstream, warmUpRate, now),
+    return this.selectByDeclines(service, this.selectUsable(service, now), now);
+  }
+
+  /** Borrows a slot of an upstream from another host, if the service limits declined requests and all slots of this host
+   * are in use. Resolves with whether a host has lent one; undefined if none was asked.
+   * @param service Name of the service.
+   * @param tried Ids of the upstreams that the request was already sent to.
+   * @param now Monotonic milliseconds. */
+  borrowSlot(
+    service: string,
+    tried: ReadonlySet<string>,
+    now: number,
+  ): Promise<boolean> | undefined {
+    if (this.declineLimits.getLimit(service, now) === undefined) return;
+    const untried = this.selectUsable(service, now).filter(({ id }) =>
+      !tried.has(id)
     );
-    const admitting = this.selectByDeclines(service, reachable, now);
-    const maxConnections = published?.maxConnections;
-    if (maxConnections === undefined) return admitting;
-    const share = Math.max(1, maxConnections / this.options.countHosts());
-    return admitting.filter((upstream) => upstream.ownRequests < share);
+    return untried.length > 0 ? this.slotLoans.borrow(untried) : undefined;
   }
 
   /** Whether the fleet's requests to all upstreams of a service are limited now.
@@ -82,11 +96,23 @@
     this.declineRisk.recordSend(upstream, now);
   }
 
-  /** Records that an upstream declined a request.
-   * @param upstream The upstream.
-   * @param now Monotonic milliseconds. */
-  recordDecline(upstream: Upstream, now: number): void {
-    this.declineRisk.recordDecline(upstream, now);
+  /** Cancels what is scheduled. */
+  close(): void {
+    this.slotLoans.close();
+  }
+
+  /** Returns the reachable upstreams of a service without those on which this host has used up its share of the
+   * connections or of the requests during a warm-up. */
+  private selectUsable(service: string, now: number): Upstream[] {
+    const published = this.options.getService(service);
+    const { warmUpRequestsPerSecond, maxConnections } = published ?? {};
+    const share = maxConnections === undefined
+      ? Infinity
+      : Math.max(1, maxConnections / this.options.countHosts());
+    return this.options.upstreams.getServing(service).filter((upstream) =>
+      !upstream.path.isUnreachable && upstream.ownRequests < share &&
+      this.permitsWarmUp(upstream, warmUpRequestsPerSecond, now)
+    );
   }
 
   /** Returns the upstreams that the limit of declined requests, if the service states one, leaves. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -224,6 +224,10 @@
       countHosts: () => 1 + this.getLiveHosts().length,
       getKnownHostIds: () => this.peerNetwork?.getKnownHostIds() ?? [],
       knowsFleet: () => this.peerNetwork?.knowsFleet ?? false,
+      gossipAddress: this.settings.gossipAddress,
+      getGossipAddress: (hostId) => this.peerNetwork?.getGossipAddress(hostId),
+      sendSlotMessage: (address, message) =>
+        this.peerNetwork?.sendSlotMessage(address, message),
       countBudgetHosts: () => this.peerNetwork?.countBudgetHosts() ?? 1,
       getLapseEndsAt: () => this.replica.lapseEndsAt,
       usesDirectory: () => this.peerNetwork?.usesDirectory ?? false,
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -20,6 +20,10 @@
 import { OutageExchange } from "./outage_exchange.ts";
 import type { PublicationExchange } from "./publication_exchange.ts";
 import { recordPeerLoads } from "./record_peer_loads.ts";
+import {
+  SLOT_MESSAGE_TYPES,
+  type SlotMessage,
+} from "../upstreams/slot_message.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
 
 /** Dependencies of a {@link PeerNetwork}. */
@@ -80,6 +84,7 @@
     });
     this.crashGossip = this.createCrashGossip();
     this.outages = this.createOutageExchange(gossipAddress);
+    this.handleSlotMessages();
   }
 
   /** Opens the socket and starts the communication.
@@ -129,6 +134,20 @@
     return this.gossip.hosts.getAll().map(({ entry }) => entry.id);
   }
 
+  /** Returns the gossip address of another known host; undefined if the host is not known.
+   * @param hostId Id of the host. */
+  getGossipAddress(hostId: string): string | undefined {
+    return this.gossip.hosts.getAll().find(({ entry }) => entry.id === hostId)
+      ?.entry.gossipAddress;
+  }
+
+  /** Sends a message about lent slots to another host.
+   * @param address Gossip address of the host.
+   * @param message The message. */
+  sendSlotMessage(address: string, message: SlotMessage): void {
+    this.socket.send(address, message);
+  }
+
   /** Whether the known hosts are likely all hosts of the fleet. */
   get knowsFleet(): boolean {
     return this.gossip.knowsFleet;
@@ -208,6 +227,16 @@
     });
   }
 
+  private handleSlotMessages(): void {
+    const { slotLoans } = this.options.chooser.candidates;
+    for (const type of SLOT_MESSAGE_TYPES) {
+      this.socket.handle(
+        type,
+        (message, sender) => slotLoans.handle(message, sender),
+      );
+    }
+  }
+
   private createOutageExchange(gossipAddress: string): OutageExchange {
     const { chooser, paths } = this.options;
     return OutageExchange.create({
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,5 +1,5 @@
 import { AdmissionController } from "../admission/admission_controller.ts";
-import { readClock } from "../clock/clock.ts";
+import { processTimeline, type Timeline } from "../clock/timeline.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
@@ -13,6 +13,7 @@
 import { LoadCounts } from "../upstreams/load_counts.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
+import type { SendSlotMessage } from "../upstreams/slot_loans.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { UpstreamNetwork } from "../upstreams/upstream_network.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
@@ -57,6 +58,12 @@
   getKnownHostIds: () => readonly string[];
   /** Whether the known hosts are likely all hosts of the fleet. */
   knowsFleet: () => boolean;
+  /** Gossip address of this host. */
+  gossipAddress: string;
+  /** Returns the gossip address of another host; undefined if it is not known. */
+  getGossipAddress: (hostId: string) => string | undefined;
+  /** Sends a message about lent slots to another host. */
+  sendSlotMessage: SendSlotMessage;
   /** Number of hosts that may share a fleet-wide budget, including recently lost ones. */
   countBudgetHosts: () => number;
   /** Monotonic milliseconds until which an entry may be missing only because it expired in an outage of the
@@ -82,8 +89,8 @@
   checkPath?: (upstream: Upstream) => Promise<boolean>;
   /** Called with each upstream that this host has connected to although others reported an outage. */
   onOutageDisproved: (upstream: Upstream) => void;
-  /** Returns monotonic milliseconds; defaults to the clock of the process. */
-  readNow?: () => number;
+  /** Defaults to the clock and timers of the process. */
+  timeline?: Timeline;
   /** Defaults to an unseeded generator. */
   random?: Random;
 }
@@ -107,7 +114,8 @@
   private readonly retryBudgets: RetryBudgets;
 
   private constructor(private readonly options: UpstreamChooserOptions) {
-    this.readNow = options.readNow ?? readClock;
+    const timeline = options.timeline ?? processTimeline;
+    this.readNow = () => timeline.read();
     this.random = options.random ?? Random.create();
     this.admission = AdmissionController.create(this.random);
     this.promptPlacer = PromptPlacer.create({
@@ -137,6 +145,11 @@
       hostId: options.hostId,
       getOtherHostIds: options.getKnownHostIds,
       knowsFleet: options.knowsFleet,
+      ownAddress: options.gossipAddress,
+      getAddress: options.getGossipAddress,
+      send: options.sendSlotMessage,
+      timeline,
+      random: this.random,
       getService: options.getService,
       countHosts: options.countHosts,
     });
@@ -160,6 +173,8 @@
   createAccess(): UpstreamAccess {
     return {
       choose: (call, tried) => this.choose(call, tried),
+      borrowSlot: ({ service }, tried) =>
+        this.candidates.borrowSlot(service, tried, this.readNow()),
       isUnreachable: (service) =>
         this.upstreams.getServing(service).every(({ path }) =>
           path.isUnreachable
@@ -174,8 +189,6 @@
       recordHealth: (upstream, signal) =>
         this.recordHealthSignal(upstream, signal),
       checkPath: (upstream) => this.checkPath(upstream),
-      recordDecline: (upstream) =>
-        this.candidates.recordDecline(upstream, this.readNow()),
       recordDeclineLimit: ({ published: { service } }, limit) =>
         this.candidates.declineLimits.record(service, limit, this.readNow()),
       recordMoved: (upstream) => this.upstreams.remove(upstream),
@@ -225,8 +238,9 @@
       .closeUntrusted();
   }
 
-  /** Closes the connections to all upstreams. */
+  /** Closes the connections to all upstreams, and cancels what is scheduled. */
   close(): void {
+    this.candidates.close();
     this.upstreams.close();
   }
 
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -9,6 +9,7 @@
 import { gossipSchema } from "./gossip_schema.ts";
 import { hostRumoursSchema, packHostRumours } from "./host_rumour.ts";
 import {
+  numberListSchema,
   outageReportsSchema,
   prefixHoldersSchema,
   prefixUpdatesSchema,
@@ -121,6 +122,43 @@
     schema: z.tuple([z.array(z.number())])
       .transform(([names]) => ({ type: "host_entries_request", names })),
   },
+  slot_request: {
+    typeCode: 12,
+    pack: ({ loanId, instanceHash, borrower, isForwarded }) => [
+      loanId,
+      instanceHash,
+      borrower,
+      isForwarded,
+    ],
+    schema: z.tuple([z.number(), z.number(), z.string(), z.boolean()])
+      .transform(([loanId, instanceHash, borrower, isForwarded]) => ({
+        type: "slot_request",
+        loanId,
+        instanceHash,
+        borrower,
+        isForwarded,
+      })),
+  },
+  slot_response: {
+    typeCode: 13,
+    pack: ({ loanId, instanceHash, isGranted }) => [
+      loanId,
+      instanceHash,
+      isGranted,
+    ],
+    schema: z.tuple([z.number(), z.number(), z.boolean()])
+      .transform(([loanId, instanceHash, isGranted]) => (
+        { type: "slot_response", loanId, instanceHash, isGranted }
+      )),
+  },
+  slot_loans: {
+    typeCode: 14,
+    pack: ({ borrower, inUse, ended }) => [borrower, inUse, ended],
+    schema: z.tuple([z.string(), numberListSchema, numberListSchema])
+      .transform(([borrower, inUse, ended]) => (
+        { type: "slot_loans", borrower, inUse, ended }
+      )),
+  },
   outage_reports: {
     typeCode: 11,
     pack: ({ reports }) => [reports],
--- a/src/upstreams/fleet_slots.ts
+++ b/src/upstreams/fleet_slots.ts
@@ -14,15 +14,23 @@
   knowsFleet: () => boolean;
 }
 
+/** How the slots of a key are distributed. */
+interface SlotDistribution {
+  total: number;
+  /** Number of own slots. */
+  own: number;
+  /** Ids of the other hosts that own any. */
+  otherOwners: readonly string[];
+  /** Monotonic milliseconds. */
+  computedAt: number;
+}
+
 /** Distributes numbers of slots among the hosts of the fleet. Each slot belongs to the host of its rank in the rendezvous
  * order of all hosts for a key, so hosts need no messages to agree, and hosts with different views of the fleet share
  * few slots. A host that has not discovered the fleet yet owns none. */
 export class FleetSlots {
-  /** By key, the number of own slots and when it was computed. */
-  private readonly cached = new Map<
-    string,
-    { total: number; own: number; computedAt: number }
-  >();
+  /** Distribution by key. */
+  private readonly cached = new Map<string, SlotDistribution>();
 
   private constructor(private readonly options: FleetSlotsOptions) {}
 
@@ -37,22 +45,47 @@
    * @param total Number of slots that the fleet shares.
    * @param now Monotonic milliseconds. */
   countOwn(key: string, total: number, now: number): number {
+    return this.getDistribution(key, total, now).own;
+  }
+
+  /** Returns the ids of the other hosts to which slots belong, as far as this host knows the fleet.
+   * @param key Key of the slots.
+   * @param total Number of slots that the fleet shares.
+   * @param now Monotonic milliseconds. */
+  getOtherOwners(key: string, total: number, now: number): readonly string[] {
+    return this.getDistribution(key, total, now).otherOwners;
+  }
+
+  private getDistribution(
+    key: string,
+    total: number,
+    now: number,
+  ): SlotDistribution {
     const known = this.cached.get(key);
     const isCurrent = known?.total === total &&
       now - known.computedAt < CACHE_TTL_MS;
-    if (known && isCurrent) return known.own;
-    const own = this.computeOwn(key, total);
-    this.cached.set(key, { total, own, computedAt: now });
+    if (known && isCurrent) return known;
+    const distribution = this.distribute(key, total, now);
+    this.cached.set(key, distribution);
     this.removeExpired(now);
-    return own;
+    return distribution;
   }
 
-  private computeOwn(key: string, total: number): number {
+  private distribute(
+    key: string,
+    total: number,
+    now: number,
+  ): SlotDistribution {
     const { hostId, getOtherHostIds, knowsFleet } = this.options;
-    if (!knowsFleet()) return 0;
     const ranked = rankByRendezvous(key, [hostId, ...getOtherHostIds()]);
     const rank = ranked.indexOf(hostId);
-    return Math.max(0, Math.ceil((total - rank) / ranked.length));
+    const share = Math.max(0, Math.ceil((total - rank) / ranked.length));
+    return {
+      total,
+      own: knowsFleet() ? share : 0,
+      otherOwners: ranked.slice(0, total).filter((id) => id !== hostId),
+      computedAt: now,
+    };
   }
 
   private removeExpired(now: number): void {
--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -59,6 +59,25 @@
       agoMs: 0,
     }],
   },
+  "slot request": {
+    type: "slot_request",
+    loanId: 7,
+    instanceHash: 9,
+    borrower: "127.0.0.1:5",
+    isForwarded: true,
+  },
+  "slot response": {
+    type: "slot_response",
+    loanId: 7,
+    instanceHash: 9,
+    isGranted: false,
+  },
+  "slot loans": {
+    type: "slot_loans",
+    borrower: "127.0.0.1:5",
+    inUse: [7],
+    ended: [8, 10],
+  },
   "host entries request": { type: "host_entries_request", names: [1, 2] },
   "crash reports": {
     type: "crash_words",
--- a/tests/upstreams/fleet_slots_test.ts
+++ b/tests/upstreams/fleet_slots_test.ts
@@ -27,3 +27,14 @@
     t.is(slots.countOwn("u", 6, 0), 0);
   }
 });
+
+test("all hosts agree on which others own slots", (t) => {
+  const fleet = createFleet(40);
+  const owners = fleet.flatMap((slots, index) =>
+    slots.countOwn("u", 6, 0) > 0 ? [`g-${index}`] : []
+  );
+  for (const [index, slots] of fleet.entries()) {
+    const others = owners.filter((id) => id !== `g-${index}`);
+    t.deepEqual([...slots.getOtherOwners("u", 6, 0)].sort(), others.sort());
+  }
+});
