--- a/tests/forward/call_forwarder_test.ts
+++ b/tests/forward/call_forwarder_test.ts
@@ -300,3 +300,33 @@
   });
   t.false(intended!.isLeaving);
 });
+
+test("a request without a free slot is sent once another host has lent one", async (t) => {
+  const received = await forwardCall([respondsOk], {}, {
+    slotLoan: delay(10, true),
+  });
+  t.is(received.status, 200);
+  t.is(received.requests.length, 1);
+});
+
+test("a request for which no host lends a slot is refused as not run", async (t) => {
+  const received = await forwardCall([respondsOk], {}, {
+    slotLoan: delay(10, false),
+  });
+  t.is(received.status, 503);
+  t.is(received.headers.get("x-beechkeel-ran"), "no");
+  t.is(received.requests.length, 0);
+});
+
+test("a request whose time has passed while it waited for a slot is not sent when one is lent", async (t) => {
+  const loan = createDeferred<boolean>();
+  const received = await forwardCall([respondsOk], { timeoutMs: 60_000 }, {
+    slotLoan: loan.promise,
+    onStart: (forwarder, route) =>
+      forwarder.applyRoute({ ...route, timeoutMs: 1 }),
+  });
+  loan.resolve(true);
+  await delay(10);
+  t.is(received.status, 503);
+  t.is(received.requests.length, 0);
+});
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -42,6 +42,8 @@
   crashes?: Partial<CrashAccess>;
   /** Checks the path to an upstream; by default at once. */
   checkPath?: CallForwarderContext["checkPath"];
+  /** Resolves with whether another host lends a slot; until then no upstream can be chosen. By default none is needed. */
+  slotLoan?: Promise<boolean>;
 }
 
 function buildCall(
@@ -129,16 +131,19 @@
 async function sendCall(
   upstreams: readonly Upstream[],
   call: RoutedCall,
-  { onStart, retryAfterMs, crashes, checkPath }: ForwardCallOptions,
+  { onStart, retryAfterMs, crashes, checkPath, slotLoan }: ForwardCallOptions,
 ): Promise<ReceivedResponse> {
   const ended = createDeferred<CallOutcome>();
   const loads = LoadCounts.create();
+  let hasSlot = slotLoan === undefined;
+  void slotLoan?.then((isGranted) => hasSlot = isGranted);
   const callerFacingServer = createServer((_request, response) => {
     const callerResponse = CallerResponse.create(response, () => false);
     const forwarder = CallForwarder.create(call, callerResponse, {
       logger: pino({ level: "silent" }),
       codec: platformHeaderCodec,
       choose: (_call, tried) => {
+        if (!hasSlot) return undefined;
         const upstream = upstreams.find((one) => !tried.has(one.id));
         return upstream &&
           { upstream, basis: "least_cost", bound: Infinity };
@@ -152,7 +157,7 @@
       recordHealth: () => undefined,
       checkPath: checkPath ?? (() => Promise.resolve(false)),
       isUnreachable: () => false,
-      borrowSlot: () => undefined,
+      borrowSlot: () => hasSlot ? undefined : slotLoan,
       recordDeclineLimit: () => undefined,
       recordMoved: () => undefined,
       crashes: {
