--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -13,7 +13,7 @@
 import { LoadCounts } from "../upstreams/load_counts.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
-import type { SendSlotMessage } from "../upstreams/slot_loans.ts";
+import type { SendSlotMessage } from "../upstreams/slot_message.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { UpstreamNetwork } from "../upstreams/upstream_network.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
--- a/src/upstreams/slot_borrower.ts
+++ b/src/upstreams/slot_borrower.ts
@@ -2,8 +2,7 @@
 import { StaggeredRace } from "../paths/staggered_race.ts";
 import type { Random } from "../random/random.ts";
 import { BorrowedSlots } from "./borrowed_slots.ts";
-import type { SendSlotMessage } from "./slot_loans.ts";
-import type { SlotMessageOf } from "./slot_message.ts";
+import type { SendSlotMessage, SlotMessageOf } from "./slot_message.ts";
 import type { Upstream } from "./upstream.ts";
 
 /** Maximum number of hosts that are asked for a slot for one request. */
--- a/src/upstreams/slot_lender.ts
+++ b/src/upstreams/slot_lender.ts
@@ -2,8 +2,7 @@
 import type { Random } from "../random/random.ts";
 import type { FleetSlots } from "./fleet_slots.ts";
 import { GrantedSlots } from "./granted_slots.ts";
-import type { SlotMessageOf } from "./slot_message.ts";
-import type { SendSlotMessage } from "./slot_loans.ts";
+import type { SendSlotMessage, SlotMessageOf } from "./slot_message.ts";
 import type { Upstream } from "./upstream.ts";
 
 /** Dependencies of a {@link SlotLender}. */
--- a/src/upstreams/slot_loans.ts
+++ b/src/upstreams/slot_loans.ts
@@ -4,11 +4,18 @@
 import type { FleetSlots } from "./fleet_slots.ts";
 import { SlotBorrower } from "./slot_borrower.ts";
 import { SlotLender } from "./slot_lender.ts";
-import type { SlotMessage } from "./slot_message.ts";
+import type {
+  SendSlotMessage,
+  SlotMessage,
+  SlotMessageOf,
+} from "./slot_message.ts";
 import type { Upstream } from "./upstream.ts";
 
-/** Sends a message to the gossip address of a host, without delivery guarantee. */
-export type SendSlotMessage = (address: string, message: SlotMessage) => void;
+/** Handles a message of one type from the host with a gossip address. */
+type SlotMessageHandler<Type extends SlotMessage["type"]> = (
+  message: SlotMessageOf<Type>,
+  sender: string,
+) => void;
 
 /** Dependencies of {@link SlotLoans}. */
 export interface SlotLoansOptions {
@@ -32,6 +39,20 @@
 export class SlotLoans {
   private readonly lender: SlotLender;
   private readonly borrower: SlotBorrower;
+  private readonly handlers: {
+    readonly [Type in SlotMessage["type"]]: SlotMessageHandler<Type>;
+  } = {
+    slot_request: (request) =>
+      this.lender.handleRequest(
+        request,
+        this.options.findUpstream(request.instanceHash),
+        this.options.timeline.read(),
+      ),
+    slot_response: (response, sender) =>
+      this.borrower.handleResponse(response, sender),
+    slot_loans: (report) =>
+      this.lender.handleReport(report, this.options.timeline.read()),
+  };
 
   private constructor(private readonly options: SlotLoansOptions) {
     const getOwners = (upstream: Upstream, now: number) =>
@@ -68,17 +89,10 @@
    * @param message The message.
    * @param sender Gossip address of the host. */
   handle(message: SlotMessage, sender: string): void {
-    const now = this.options.timeline.read();
-    switch (message.type) {
-      case "slot_request": {
-        const upstream = this.options.findUpstream(message.instanceHash);
-        return this.lender.handleRequest(message, upstream, now);
-      }
-      case "slot_response":
-        return this.borrower.handleResponse(message, sender);
-      case "slot_loans":
-        return this.lender.handleReport(message, now);
-    }
+    const handler = this.handlers[message.type] as SlotMessageHandler<
+      SlotMessage["type"]
+    >;
+    handler(message, sender);
   }
 
   /** Cancels what is scheduled, and ends the wait for slots. */
--- a/src/upstreams/slot_message.ts
+++ b/src/upstreams/slot_message.ts
@@ -30,6 +30,9 @@
   { type: Type }
 >;
 
+/** Sends a message to the gossip address of a host, without delivery guarantee. */
+export type SendSlotMessage = (address: string, message: SlotMessage) => void;
+
 /** Types of the messages. */
 export const SLOT_MESSAGE_TYPES = [
   "slot_request",
