--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -10,7 +10,6 @@
 import type { KnownHost } from "../peers/known_host.ts";
 import { PrefixDirectory } from "../peers/prefix_directory.ts";
 import { takesRequests } from "../peers/host_phase.ts";
-import type { PublicationStatus } from "../peers/publication_status.ts";
 import type { PathMonitor } from "../paths/path_monitor.ts";
 import type { RelayHost } from "../paths/relay_host.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
@@ -19,6 +18,7 @@
 import { HostExchange } from "./host_exchange.ts";
 import { OutageExchange } from "./outage_exchange.ts";
 import type { PublicationExchange } from "./publication_exchange.ts";
+import { PublicationReconciler } from "./publication_reconciler.ts";
 import { recordPeerLoads } from "./record_peer_loads.ts";
 import {
   SLOT_MESSAGE_TYPES,
@@ -52,6 +52,7 @@
   readonly outages: OutageExchange;
   /** Serves the list of all known hosts to other hosts, and fetches theirs. */
   readonly hostExchange: HostExchange;
+  private readonly reconciler: PublicationReconciler;
   private readonly gossip: Gossip;
   private readonly statusPoller: PublicationStatusPoller;
   private readonly directory: PrefixDirectory;
@@ -62,6 +63,7 @@
     private readonly socket: DatagramSocket,
   ) {
     const { gossipAddress } = options.getSettings();
+    this.reconciler = PublicationReconciler.create(options);
     this.hostExchange = HostExchange.create(
       options.logger,
       () => this.gossip.getHostStates(),
@@ -70,10 +72,10 @@
     this.statusPoller = PublicationStatusPoller.create({
       socket,
       getSources: () => this.getGossipAddresses(options.getSourceIds()),
-      getStatus: () => this.getPublicationStatus(),
+      getStatus: () => this.reconciler.getStatus(),
       onStatus: (sender, status, requestedAt) => {
         const host = this.gossip.hosts.getHost(sender);
-        if (host) this.reconcile(host.entry, status, requestedAt);
+        if (host) this.reconciler.reconcile(host.entry, status, requestedAt);
       },
     });
     this.directory = PrefixDirectory.create({
@@ -249,12 +251,6 @@
     });
   }
 
-  private getPublicationStatus(): PublicationStatus {
-    const { ageMs, digest, revision } = this.options.replica;
-    const publicationAgeMs = Number.isFinite(ageMs) ? ageMs : -1;
-    return { digest, revision, publicationAgeMs };
-  }
-
   private describeSelf(): Omit<PeerEntry, "incarnation" | "sequence"> {
     const { getSettings, chooser, getPhase } = this.options;
     const { id, gossipAddress, peerAddress, callerAddress, hall } =
@@ -266,7 +262,7 @@
       callerAddress,
       hall,
       phase: getPhase(),
-      ...this.getPublicationStatus(),
+      ...this.reconciler.getStatus(),
       loads: chooser.loads.getOwnCounts(chooser.upstreams.getAll()),
       declineLimits: chooser.candidates.declineLimits.getStatements(
         readClock(),
@@ -282,26 +278,8 @@
     const { loads, candidates } = this.options.chooser;
     candidates.declineLimits.merge(entry.declineLimits, lastSeenAt);
     recordPeerLoads(loads, entry, lastSeenAt, this.gossip.isLargeFleet);
-    if (requestedAt !== undefined) this.reconcile(entry, entry, requestedAt);
-  }
-
-  /** Compares another host's publication status with the local state. Equal digests confirm that the local state is as
-   * recent as the host's; a fresher host is asked for its state. */
-  private reconcile(
-    host: PeerEntry,
-    status: PublicationStatus,
-    requestedAt: number,
-  ): void {
-    const { replica, publicationExchange } = this.options;
-    const { digest, revision, publicationAgeMs } = status;
-    if (publicationAgeMs < 0) return;
-    if (digest === replica.digest) {
-      replica.confirmFreshness(digest, requestedAt - publicationAgeMs);
-      return;
-    }
-    const isFresher = publicationAgeMs < replica.ageMs ||
-      revision > replica.revision;
-    if (isFresher) void publicationExchange.fetch(host.id, host.peerAddress);
+    if (requestedAt === undefined) return;
+    this.reconciler.reconcile(entry, entry, requestedAt);
   }
 
   /** Returns the gossip addresses of hosts to query; none in a small fleet, where every gossip datagram already carries
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,11 +1,8 @@
 import { AdmissionController } from "../admission/admission_controller.ts";
-import { processTimeline, type Timeline } from "../clock/timeline.ts";
-import type { Logger } from "../logging/logger.ts";
+import { processTimeline } from "../clock/timeline.ts";
 import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
-import type { Service } from "../published/configuration_schema.ts";
 import { Random } from "../random/random.ts";
-import type { AvailabilityChange } from "../upstreams/availability.ts";
 import {
   chooseUpstream,
   type UpstreamChoice,
@@ -13,16 +10,14 @@
 import { LoadCounts } from "../upstreams/load_counts.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
-import type { SendSlotMessage } from "../upstreams/slot_message.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
-import type { UpstreamNetwork } from "../upstreams/upstream_network.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import { UpstreamTable } from "../upstreams/upstream_table.ts";
-import type { GatewaySettings } from "./gateway_settings.ts";
 import { PromptPlacer } from "./prompt_placer.ts";
 import { CandidateSelector } from "./candidate_selector.ts";
 import { ReportedOutages } from "./reported_outages.ts";
 import { RetryBudgets } from "./retry_budgets.ts";
+import type { UpstreamChooserOptions } from "./upstream_chooser_options.ts";
 
 /** Maximum jitter that is added to the retry time of refused callers after a backoff. It is the time that a recovering
  * upstream takes for its first requests, whose number starts at one and doubles each time. */
@@ -32,69 +27,6 @@
  * upstreams that bear few, in milliseconds. Short, since another host may have some left. */
 const LIMITED_RETRY_MS = [50, 300] as const;
 
-/** The settings that the choice of an upstream depends on. */
-export type ChooserSettings = Pick<
-  GatewaySettings,
-  | "boundMultiple"
-  | "hall"
-  | "leaveWithinMs"
-  | "retryExtra"
-  | "retryRatio"
-  | "retryWindowMs"
->;
-
-/** Dependencies and callbacks of an {@link UpstreamChooser}. */
-export interface UpstreamChooserOptions {
-  logger: Logger;
-  /** Id of this host. */
-  hostId: string;
-  /** Returns the current settings; called for each choice, but `leaveWithinMs` is read once. */
-  getSettings: () => ChooserSettings;
-  /** Returns a published service, or undefined if there is none of that name. */
-  getService: (name: string) => Service | undefined;
-  /** Number of live hosts, including this one. */
-  countHosts: () => number;
-  /** Returns the ids of all other known hosts, including unreachable ones. */
-  getKnownHostIds: () => readonly string[];
-  /** Whether the known hosts are likely all hosts of the fleet. */
-  knowsFleet: () => boolean;
-  /** Gossip address of this host. */
-  gossipAddress: string;
-  /** Returns the gossip address of another host; undefined if it is not known. */
-  getGossipAddress: (hostId: string) => string | undefined;
-  /** Sends a message about lent slots to another host. */
-  sendSlotMessage: SendSlotMessage;
-  /** Number of hosts that may share a fleet-wide budget, including recently lost ones. */
-  countBudgetHosts: () => number;
-  /** Monotonic milliseconds until which an entry may be missing only because it expired in an outage of the
-   * platform. */
-  getLapseEndsAt: () => number;
-  /** Whether other hosts look up cached prompt parts in the directory of a large fleet. */
-  usesDirectory: () => boolean;
-  /** Called when there are prefix updates to send to other hosts. */
-  onPrefixUpdates: () => void;
-  /** Called with the previous state of an upstream that has restarted under its id. */
-  onRestart: (before: Upstream) => void;
-  /** Called when an upstream reports a change of whether it accepts requests. */
-  onAvailabilityChange: (change: AvailabilityChange) => void;
-  /** Called with each upstream that is removed from the table. */
-  onRemove: (upstream: Upstream) => void;
-  /** Called for each attempt, with the known load of the upstream. */
-  onSend: (choice: UpstreamChoice, load: LoadSnapshot) => void;
-  /** Called with each health signal of an upstream. */
-  onHealthSignal: (signal: HealthSignal) => void;
-  /** Establishes connections to upstreams; defaults to connections without other hosts. */
-  network?: UpstreamNetwork;
-  /** Checks the path to an upstream; resolves with whether this host has connected to it. */
-  checkPath?: (upstream: Upstream) => Promise<boolean>;
-  /** Called with each upstream that this host has connected to although others reported an outage. */
-  onOutageDisproved: (upstream: Upstream) => void;
-  /** Defaults to the clock and timers of the process. */
-  timeline?: Timeline;
-  /** Defaults to an unseeded generator. */
-  random?: Random;
-}
-
 /** Chooses upstreams, from their loads, the prompt prefixes that they have cached and the remaining retry budgets. */
 export class UpstreamChooser {
   /** The known upstreams. */
