Count the requests to a leaving service by the routers that were told

Reports are off in this test, and each router keeps its own knowledge, as the test beside it says for backoffs; so the case is allowed, and the bound of one request in all was wrong.

--- a/tests/system/backoff_test.ts
+++ b/tests/system/backoff_test.ts
@@ -3,6 +3,7 @@
  * declined request with one to cancel work that had not begun. */
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
+import type { Fleet } from "../../tools/fleet.ts";
 import { waitUntil, withFleet } from "./with_fleet.ts";
 
 const CUSTOMER = "rodar/dispatch";
@@ -93,7 +94,17 @@
   });
 });
 
-test.serial("a service that announces in its responses that it is leaving gets no more requests, even before its next report", async (t) => {
+/** Counts the routers that have learned from a response that a service is leaving. */
+function countInformedRouters({ routers }: Fleet, serviceId: string): number {
+  const line = `upstream=${serviceId} change=leaves`;
+  return routers.filter(({ logLines }) =>
+    logLines.some((logged) => logged.includes(line))
+  ).length;
+}
+
+// On a busy machine a router may take the owner for lost and own the service for a moment. It learns from its own request
+// that the service is leaving, because reports are disabled.
+test.serial("a service that announces in its responses that it is leaving gets no more requests from the routers that received one, even before its next report", async (t) => {
   const settings = { routing: { reportIntervalMs: REPORTS_DISABLED_MS } };
   await withFleet({ services: 2, settings }, async (fleet, caller) => {
     const send = (index: number) => {
@@ -104,10 +115,16 @@
     await waitUntil("bookings run", async () => (await send(0)).isComplete);
     leaving!.announcesLeaving = true;
     const before = leaving!.ledger.runs.length;
+    const stayingBefore = staying!.ledger.runs.length;
     for (let index = 0; index < REQUEST_COUNT; index++) {
       t.true((await send(index)).isComplete);
     }
-    t.true(leaving!.ledger.runs.length <= before + 1);
-    t.true(staying!.ledger.runs.length >= REQUEST_COUNT - 1);
+    const runs = leaving!.ledger.runs.length - before;
+    await waitUntil(
+      "each request to the leaving service came from another router",
+      () => runs <= countInformedRouters(fleet, leaving!.options.id),
+    );
+    const stayingRuns = staying!.ledger.runs.length - stayingBefore;
+    t.true(stayingRuns >= REQUEST_COUNT - runs);
   });
 });
