Distribute slots anew only when the hosts change

The new test fails before (another distribution although the hosts are the same) and passes now; decline_risk_fleet_test and warm_up_fleet_test pass.

--- a/src/upstreams/fleet_slots.ts
+++ b/src/upstreams/fleet_slots.ts
@@ -1,8 +1,8 @@
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 
-/** Time for which the number of own slots is cached, in milliseconds: two gossip rounds. */
-const CACHE_TTL_MS = 400;
-/** Time after which a cached number is removed, in milliseconds. */
+/** Interval at which the hosts are read, in milliseconds: two gossip rounds. */
+const HOSTS_INTERVAL_MS = 400;
+/** Time after the last use after which a distribution is forgotten, in milliseconds. */
 const CACHE_RETENTION_MS = 10_000;
 
 /** Dependencies of {@link FleetSlots}. */
@@ -21,16 +21,29 @@
   own: number;
   /** Ids of the other hosts that own any. */
   otherOwners: readonly string[];
+  /** Monotonic milliseconds at which it was last used. */
+  usedAt: number;
+}
+
+/** The hosts among which slots are distributed. */
+interface KnownHosts {
+  otherIds: readonly string[];
+  isFleet: boolean;
   /** Monotonic milliseconds. */
-  computedAt: number;
+  readAt: number;
 }
 
 /** Distributes numbers of slots among the hosts of the fleet. Each slot belongs to the host of its rank in the rendezvous
  * order of all hosts for a key, so hosts need no messages to agree, and hosts with different views of the fleet share
  * few slots. A host that has not discovered the fleet yet owns none. */
 export class FleetSlots {
-  /** Distribution by key. */
+  /** Distributions among the present hosts, by key. */
   private readonly cached = new Map<string, SlotDistribution>();
+  private hosts: KnownHosts = {
+    otherIds: [],
+    isFleet: false,
+    readAt: -Infinity,
+  };
 
   private constructor(private readonly options: FleetSlotsOptions) {}
 
@@ -61,36 +74,50 @@
     total: number,
     now: number,
   ): SlotDistribution {
-    const known = this.cached.get(key);
-    const isCurrent = known?.total === total &&
-      now - known.computedAt < CACHE_TTL_MS;
-    if (known && isCurrent) return known;
-    const distribution = this.distribute(key, total, now);
-    this.cached.set(key, distribution);
-    this.removeExpired(now);
+    this.readHosts(now);
+    let distribution = this.cached.get(key);
+    if (distribution?.total !== total) {
+      distribution = this.distribute(key, total, now);
+      this.cached.set(key, distribution);
+    }
+    distribution.usedAt = now;
     return distribution;
   }
 
+  /** Reads the hosts if that was not done lately; all distributions are computed again if they have changed. */
+  private readHosts(now: number): void {
+    if (now - this.hosts.readAt < HOSTS_INTERVAL_MS) return;
+    const otherIds = this.options.getOtherHostIds();
+    const isFleet = this.options.knowsFleet();
+    const isUnchanged = isFleet === this.hosts.isFleet &&
+      otherIds.length === this.hosts.otherIds.length &&
+      otherIds.every((id, index) => id === this.hosts.otherIds[index]);
+    this.hosts = { otherIds, isFleet, readAt: now };
+    if (isUnchanged) this.removeUnused(now);
+    else this.cached.clear();
+  }
+
   private distribute(
     key: string,
     total: number,
     now: number,
   ): SlotDistribution {
-    const { hostId, getOtherHostIds, knowsFleet } = this.options;
-    const ranked = rankByRendezvous(key, [hostId, ...getOtherHostIds()]);
+    const { hostId } = this.options;
+    const { otherIds, isFleet } = this.hosts;
+    const ranked = rankByRendezvous(key, [hostId, ...otherIds]);
     const rank = ranked.indexOf(hostId);
     const share = Math.max(0, Math.ceil((total - rank) / ranked.length));
     return {
       total,
-      own: knowsFleet() ? share : 0,
+      own: isFleet ? share : 0,
       otherOwners: ranked.slice(0, total).filter((id) => id !== hostId),
-      computedAt: now,
+      usedAt: now,
     };
   }
 
-  private removeExpired(now: number): void {
-    for (const [key, { computedAt }] of this.cached) {
-      if (now - computedAt > CACHE_RETENTION_MS) this.cached.delete(key);
+  private removeUnused(now: number): void {
+    for (const [key, { usedAt }] of this.cached) {
+      if (now - usedAt > CACHE_RETENTION_MS) this.cached.delete(key);
     }
   }
 }
--- a/tests/upstreams/fleet_slots_test.ts
+++ b/tests/upstreams/fleet_slots_test.ts
@@ -28,6 +28,23 @@
   }
 });
 
+test("slots are distributed anew when the hosts change, and only then", (t) => {
+  let others = ["g-1", "g-2"];
+  const slots = FleetSlots.create({
+    hostId: "g-0",
+    getOtherHostIds: () => [...others],
+    knowsFleet: () => true,
+  });
+  const owners = slots.getOtherOwners("u", 6, 0);
+  for (let now = 0; now <= 20_000; now += 100) {
+    t.is(slots.getOtherOwners("u", 6, now), owners);
+  }
+  t.is(slots.countOwn("u", 6, 20_000), 2);
+  others = ["g-1"];
+  t.deepEqual(slots.getOtherOwners("u", 6, 20_500), others);
+  t.is(slots.countOwn("u", 6, 20_500), 3);
+});
+
 test("all hosts agree on which others own slots", (t) => {
   const fleet = createFleet(40);
   const owners = fleet.flatMap((slots, index) =>
