Read what has arrived before a request is sent elsewhere after a path check

The process was late: the time for the check was over before it read the response, which had already arrived. The request now waits one more turn of the event loop.

The test no longer depends on times: the upstream responds as the check begins, and the process is blocked until the time for the check is over.

--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -1,4 +1,7 @@
-import { setTimeout as delay } from "node:timers/promises";
+import {
+  setImmediate as nextTurn,
+  setTimeout as delay,
+} from "node:timers/promises";
 import { readClock } from "../clock/clock.ts";
 import { Failure } from "../errors/failure.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
@@ -272,6 +275,8 @@
       this.context.checkPath(upstream),
       delay(MAX_PATH_CHECK_WAIT_MS, undefined, { ref: false }),
     ]);
+    // If this process was late, what has arrived meanwhile is read first.
+    await nextTurn();
     const hasResponded = this.silenceDetector?.hasReceivedSince(checkedAt);
     if (!hasResponded) this.sendElsewhere(upstream, silentMs);
   }
--- a/tests/forward/call_forwarder_test.ts
+++ b/tests/forward/call_forwarder_test.ts
@@ -127,22 +127,34 @@
   t.is(received.outcome.attempts, 2);
 });
 
-test("a request stays at an upstream that responds while the path to it is checked", async (t) => {
-  const hasResponded = createDeferred<void>();
-  const respondsDuringCheck: Behaviour = (_request, response) =>
-    void setTimeout(() => {
-      response.writeHead(200, validHeaders());
-      response.write("late ", () => hasResponded.resolve());
-      setTimeout(() => response.end("response"), 200);
-    }, 100);
+/** Keeps this process from doing anything else, also from running other tests.
+ * @param durationMs Duration in milliseconds. */
+function blockProcess(durationMs: number): void {
+  const end = performance.now() + durationMs;
+  while (performance.now() < end);
+}
+
+test.serial("a request stays at an upstream that responds while the path to it is checked", async (t) => {
+  const hasArrived = createDeferred<void>();
+  const isChecked = createDeferred<void>();
+  const respondsDuringCheck: Behaviour = async (_request, response) => {
+    hasArrived.resolve();
+    await isChecked.promise;
+    response.writeHead(200, validHeaders());
+    response.write("late ");
+    setTimeout(() => response.end("response"), 10);
+  };
   const received = await forwardCall(
     [respondsDuringCheck, respondsOk],
-    { objectiveMs: 60 },
+    { objectiveMs: 400 },
     {
       checkPath: async () => {
-        await hasResponded.promise;
-        await delay(20);
-        return true;
+        await hasArrived.promise;
+        isChecked.resolve();
+        await Promise.resolve();
+        // The process is late: the time for the check is over before it reads the response.
+        blockProcess(300);
+        return false;
       },
     },
   );
