Log each decision on a retry with the share that it is based on

No log line or metric told what a host's share of the retry budget was or that it was used up, so that forgotten retries, shares divided by too few hosts and uncounted attempts looked alike. retry_decided gives the retries spent and allowed, the requests and hosts counted and the time for which the host has counted; three metrics give the same.

--- a/src/forward/attempt_budget.ts
+++ b/src/forward/attempt_budget.ts
@@ -10,15 +10,15 @@
 
   private constructor(
     private readonly call: RoutedCall,
-    private readonly spendServiceRetry: (service: string) => boolean,
+    private readonly spendServiceRetry: () => boolean,
   ) {}
 
   /** Creates an unused budget.
    * @param call The call.
-   * @param spendServiceRetry Takes a retry from the budget of a service; returns whether one was left. */
+   * @param spendServiceRetry Takes a retry from the budget of the call's service; returns whether one was left. */
   static create(
     call: RoutedCall,
-    spendServiceRetry: (service: string) => boolean,
+    spendServiceRetry: () => boolean,
   ): AttemptBudget {
     return new AttemptBudget(call, spendServiceRetry);
   }
@@ -63,6 +63,6 @@
 
   /** Takes a retry from the budget of the call's service; returns whether one was left. */
   spendRetry(): boolean {
-    return this.spendServiceRetry(this.call.service);
+    return this.spendServiceRetry();
   }
 }
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -46,7 +46,7 @@
     private readonly context: CallForwarderContext,
   ) {
     this.deadline = CallDeadline.create(call, () => this.expire());
-    this.budget = AttemptBudget.create(call, context.spendRetry);
+    this.budget = AttemptBudget.create(call, () => this.spendRetry());
     this.log = CallLog.create(context.logger, call);
     this.relay = ResponseRelay.create(response, call.headers.lastEventId);
     this.silences = this.createSilenceHandler();
@@ -105,6 +105,12 @@
     });
   }
 
+  private spendRetry(): boolean {
+    const decision = this.context.spendRetry(this.call.service);
+    this.log.logRetryDecision(decision, this.progress);
+    return decision.isAllowed;
+  }
+
   private expire(): void {
     const durationMs = readClock() - this.call.receivedAt;
     const detail = `no answer within ${Math.round(durationMs)} ms`;
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -2,6 +2,7 @@
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
+import type { RetryDecision } from "../upstreams/retry_decision.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { PromptPlacement } from "./call_log.ts";
 import type { CallForwarder } from "./call_forwarder.ts";
@@ -45,8 +46,8 @@
   recordSend: (choice: UpstreamChoice) => LoadSnapshot;
   /** Records a complete response, with the milliseconds since the request was sent. */
   recordCompletion: (call: RoutedCall, durationMs: number) => void;
-  /** Takes a retry from the budget of a service; returns whether one was left. */
-  spendRetry: (service: string) => boolean;
+  /** Takes a retry from the budget of a service if one is left. */
+  spendRetry: (service: string) => RetryDecision;
   /** Records what an attempt shows about the health of its upstream. */
   recordHealth: (upstream: Upstream, signal: HealthSignal) => void;
   /** Checks the path to an upstream; resolves with whether this host has connected to it. */
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -6,6 +6,7 @@
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import type { RoutedCall } from "./routed_call.ts";
+import type { RetryDecision } from "../upstreams/retry_decision.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 
 /** The logged data of one attempt when it is sent. */
@@ -97,6 +98,21 @@
     }, "slot_requested");
   }
 
+  /** Logs whether the retry budget allows another attempt.
+   * @param decision The decision and its basis.
+   * @param progress Progress of the attempt before. */
+  logRetryDecision(decision: RetryDecision, progress: AttemptProgress): void {
+    const { allowed, observedMs, ...counts } = decision;
+    this.logger.info({
+      request: this.call.requestId,
+      service: this.call.service,
+      ...progress,
+      ...counts,
+      allowed: roundTo(allowed, 2),
+      observedMs: Math.round(observedMs),
+    }, "retry_decided");
+  }
+
   /** Logs that an upstream declined the request, with the backoff that it asked for.
    * @param upstream The upstream.
    * @param status Status code of its response.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -240,6 +240,8 @@
       },
       onSend: ({ basis }, { countAgeMs }) =>
         this.metrics.recordSend(basis, countAgeMs),
+      onRetryDecision: (service, decision) =>
+        this.metrics.recordRetryDecision(service, decision),
       onOutageDisproved: (upstream) =>
         this.peerNetwork?.outages.contradict(upstream),
       onHealthSignal: (signal) => this.metrics.recordAttempt(signal),
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -1,6 +1,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { AvailabilityChange } from "../upstreams/availability.ts";
 import type { PathState } from "../paths/upstream_path.ts";
+import type { RetryDecision } from "../upstreams/retry_decision.ts";
 import type { ServiceContact } from "../upstreams/service_contact.ts";
 import type { ChoiceBasis } from "../upstreams/choose_upstream.ts";
 import type { DatagramDirection } from "../peers/datagram_socket.ts";
@@ -76,6 +77,24 @@
     buckets: COUNT_AGE_BUCKETS_S,
     registers: [this.registry],
   });
+  private readonly retries = new Counter({
+    name: "beechkeel_retries_total",
+    help: "Retries of a service by whether its retry budget allowed them.",
+    labelNames: ["service", "allowed"],
+    registers: [this.registry],
+  });
+  private readonly retriesSpent = new Gauge({
+    name: "beechkeel_retry_budget_spent",
+    help: "Retries of a service that this host had sent within the window.",
+    labelNames: ["service"],
+    registers: [this.registry],
+  });
+  private readonly retriesAllowed = new Gauge({
+    name: "beechkeel_retry_budget_allowed",
+    help: "Retries of a service that this host may send within a window.",
+    labelNames: ["service"],
+    registers: [this.registry],
+  });
   private readonly durations = new Histogram({
     name: "beechkeel_request_seconds",
     help: "Time from a request's arrival to the end of its answer.",
@@ -176,6 +195,16 @@
     this.countAges.observe(countAgeMs / 1_000);
   }
 
+  /** Records a decision on a retry. The gauges keep the figures of the last one.
+   * @param service Name of the service.
+   * @param decision The decision. */
+  recordRetryDecision(service: string, decision: RetryDecision): void {
+    const { isAllowed, spent, allowed } = decision;
+    this.retries.inc({ service, allowed: String(isAllowed) });
+    this.retriesSpent.set({ service }, spent + Number(isAllowed));
+    this.retriesAllowed.set({ service }, allowed);
+  }
+
   /** Records a datagram.
    * @param direction Whether this host sent or received it.
    * @param bytes Its length in bytes. */
--- a/src/gateway/retry_budgets.ts
+++ b/src/gateway/retry_budgets.ts
@@ -12,6 +12,8 @@
   /** Number of hosts that may share a fleet-wide budget, including recently lost ones. */
   countHosts: () => number;
   random: Random;
+  /** Returns the monotonic milliseconds. */
+  readNow: () => number;
 }
 
 /** This host's shares of the fleet's retry budgets, one per service. */
@@ -31,7 +33,7 @@
   getShare(service: string): RetryBudgetShare {
     const existing = this.shares.get(service);
     if (existing) return existing;
-    const { getSettings, countHosts, random } = this.options;
+    const { getSettings, countHosts, random, readNow } = this.options;
     const { retryRatio, retryExtra, retryWindowMs } = getSettings();
     const share = RetryBudgetShare.create({
       ratio: retryRatio,
@@ -39,7 +41,7 @@
       windowMs: retryWindowMs,
       countHosts,
       random,
-    });
+    }, readNow());
     this.shares.set(service, share);
     return share;
   }
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -10,6 +10,7 @@
 import { LoadCounts } from "../upstreams/load_counts.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
+import type { RetryDecision } from "../upstreams/retry_decision.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import { UpstreamTable } from "../upstreams/upstream_table.ts";
@@ -61,6 +62,7 @@
       getSettings: options.getSettings,
       countHosts: options.countBudgetHosts,
       random: this.random,
+      readNow: this.readNow,
     });
     this.upstreams = UpstreamTable.create({
       logger: options.logger,
@@ -116,8 +118,7 @@
       recordSend: (choice) => this.recordSend(choice),
       recordCompletion: ({ service, route }, durationMs) =>
         this.admission.recordCompletion(service, route.name, durationMs),
-      spendRetry: (service) =>
-        this.retryBudgets.getShare(service).tryAcquire(this.readNow()),
+      spendRetry: (service) => this.spendRetry(service),
       recordHealth: (upstream, signal) =>
         this.recordHealthSignal(upstream, signal),
       checkPath: (upstream) => this.checkPath(upstream),
@@ -176,6 +177,14 @@
     this.upstreams.close();
   }
 
+  private spendRetry(service: string): RetryDecision {
+    const decision = this.retryBudgets.getShare(service).tryAcquire(
+      this.readNow(),
+    );
+    this.options.onRetryDecision(service, decision);
+    return decision;
+  }
+
   private async checkPath(upstream: Upstream): Promise<boolean> {
     return await this.options.checkPath?.(upstream) ?? false;
   }
--- a/src/gateway/upstream_chooser_options.ts
+++ b/src/gateway/upstream_chooser_options.ts
@@ -5,6 +5,7 @@
 import type { AvailabilityChange } from "../upstreams/availability.ts";
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
+import type { RetryDecision } from "../upstreams/retry_decision.ts";
 import type { SendSlotMessage } from "../upstreams/slot_message.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
@@ -60,6 +61,8 @@
   onRemove: (upstream: Upstream) => void;
   /** Called for each attempt, with the known load of the upstream. */
   onSend: (choice: UpstreamChoice, load: LoadSnapshot) => void;
+  /** Called with each decision on a retry, with the name of its service. */
+  onRetryDecision: (service: string, decision: RetryDecision) => void;
   /** Called with each health signal of an upstream. */
   onHealthSignal: (signal: HealthSignal) => void;
   /** Establishes connections to upstreams; defaults to connections without other hosts. */
--- a/src/upstreams/retry_budget_share.ts
+++ b/src/upstreams/retry_budget_share.ts
@@ -1,4 +1,5 @@
 import type { Random } from "../random/random.ts";
+import type { RetryDecision } from "./retry_decision.ts";
 
 /** Fraction of the fleet's retry budget that is used; the rest is reserved because hosts do not know each other's
  * usage. */
@@ -32,15 +33,21 @@
   private slots: Slot[] = [];
   /** Fraction of a retry above which the share is rounded up. */
   private readonly rounding: number;
+  private readonly createdAt: number;
 
-  private constructor(private readonly options: RetryBudgetOptions) {
+  private constructor(
+    private readonly options: RetryBudgetOptions,
+    now: number,
+  ) {
     this.rounding = options.random.fraction();
+    this.createdAt = now;
   }
 
   /** Creates an unused share.
-   * @param options Retry budget of the fleet. */
-  static create(options: RetryBudgetOptions): RetryBudgetShare {
-    return new RetryBudgetShare(options);
+   * @param options Retry budget of the fleet.
+   * @param now Monotonic milliseconds. */
+  static create(options: RetryBudgetOptions, now: number): RetryBudgetShare {
+    return new RetryBudgetShare(options, now);
   }
 
   /** Records the first attempt of a request.
@@ -49,17 +56,29 @@
     this.getSlot(now).requests += 1;
   }
 
-  /** Takes one retry from the share; returns false if none is left.
+  /** Takes one retry from the share if any is left.
    * @param now Monotonic milliseconds. */
-  tryAcquire(now: number): boolean {
+  tryAcquire(now: number): RetryDecision {
     const slot = this.getSlot(now);
+    const decision = this.decide(now);
+    if (decision.isAllowed) slot.retries += 1;
+    return decision;
+  }
+
+  private decide(now: number): RetryDecision {
     const requests = this.slots.reduce((sum, slot) => sum + slot.requests, 0);
-    const retries = this.slots.reduce((sum, slot) => sum + slot.retries, 0);
+    const spent = this.slots.reduce((sum, slot) => sum + slot.retries, 0);
     const { ratio, extra, countHosts } = this.options;
-    const allowed = ratio * requests + extra / Math.max(1, countHosts());
-    if (retries + this.rounding >= USED_FRACTION * allowed) return false;
-    slot.retries += 1;
-    return true;
+    const hosts = Math.max(1, countHosts());
+    const allowed = USED_FRACTION * (ratio * requests + extra / hosts);
+    return {
+      isAllowed: spent + this.rounding < allowed,
+      spent,
+      allowed,
+      requests,
+      hosts,
+      observedMs: now - this.createdAt,
+    };
   }
 
   private getSlot(now: number): Slot {
--- /dev/null
+++ b/src/upstreams/retry_decision.ts
@@ -0,0 +1,15 @@
+/** Whether a host may retry a request, and the figures of its share of the fleet's retry budget on which that is
+ * based. */
+export interface RetryDecision {
+  isAllowed: boolean;
+  /** Retries that the host sent within the window, without this one. */
+  spent: number;
+  /** Retries that the host may send within a window. */
+  allowed: number;
+  /** Requests that the host received within the window. */
+  requests: number;
+  /** Number of hosts among which the additional retries of the fleet are divided. */
+  hosts: number;
+  /** Time for which the host has counted, in milliseconds. */
+  observedMs: number;
+}
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -153,7 +153,14 @@
       recordSend: ({ upstream }) =>
         loads.getSnapshot(upstream, performance.now()),
       recordCompletion: () => undefined,
-      spendRetry: () => true,
+      spendRetry: () => ({
+        isAllowed: true,
+        spent: 0,
+        allowed: 1,
+        requests: 1,
+        hosts: 1,
+        observedMs: 0,
+      }),
       recordHealth: () => undefined,
       checkPath: checkPath ?? (() => Promise.resolve(false)),
       isUnreachable: () => false,
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -192,6 +192,7 @@
       onAvailabilityChange: () => undefined,
       onRemove: () => undefined,
       onSend: () => undefined,
+      onRetryDecision: () => undefined,
       onHealthSignal: () => undefined,
       timeline: this.timeline,
       random: this.random.fork(),
--- a/tests/upstreams/retry_budget_share_test.ts
+++ b/tests/upstreams/retry_budget_share_test.ts
@@ -22,7 +22,7 @@
             windowMs: WINDOW_MS,
             countHosts: () => hosts,
             random: Random.create(hosts),
-          }),
+          }, 0),
       );
       let now = 0;
       const requests: number[] = [];
@@ -33,7 +33,7 @@
         if (!isRetry) {
           share.recordRequest(now);
           requests.push(now);
-        } else if (share.tryAcquire(now)) retries.push(now);
+        } else if (share.tryAcquire(now).isAllowed) retries.push(now);
         const isInWindow = (at: number) => at > now - WINDOW_MS;
         const allowed = 0.2 * requests.filter(isInWindow).length + 50;
         return retries.filter(isInWindow).length <= allowed;
@@ -60,7 +60,7 @@
       windowMs: WINDOW_MS,
       countHosts: () => hosts,
       random,
-    }));
+    }, 0));
   const requests: number[] = [];
   const retries: number[] = [];
   let failures = 0;
@@ -72,7 +72,7 @@
       random.fraction() < FAILURES.part;
     if (!isFailing) continue;
     failures += 1;
-    if (share.tryAcquire(now)) retries.push(now);
+    if (share.tryAcquire(now).isAllowed) retries.push(now);
   }
   return { requests, retries, failures };
 }
