--- a/tests/peers/virtual_fleet.ts
+++ b/tests/peers/virtual_fleet.ts
@@ -33,6 +33,10 @@
   loss: number;
   /** Time within which the hosts start, in milliseconds. */
   startWithinMs: number;
+  /** Number of hosts that start; all by default. The others can be started later. */
+  startSize?: number;
+  /** Number of seed hosts, the first ones by index; 1 by default. */
+  seeds?: number;
   /** Whether sent bytes are counted, which takes most of a run's time. */
   countsBytes?: boolean;
 }
@@ -43,8 +47,6 @@
   id: string;
   gossip: Gossip;
   handlers: Map<DatagramType, AnyHandler>;
-  /** Network partition of the host; hosts in other partitions cannot reach it. */
-  part: number;
   sentBytes: number;
   close: () => void;
 }
@@ -57,16 +59,18 @@
   private readonly deferred = new Map<string, (() => void)[]>();
   private readonly indexByAddress = new Map<string, number>();
   private readonly random: Random;
+  /** Returns the network partition of a host; hosts of different partitions cannot reach each other. */
+  private getPartition: (index: number) => number = () => 0;
 
   private constructor(private readonly options: VirtualFleetOptions) {
     this.random = Random.create(options.seed);
   }
 
-  /** Creates a fleet whose hosts start at random times with the first host as their only seed.
+  /** Creates a fleet whose hosts start at random times.
    * @param options Its options. */
   static create(options: VirtualFleetOptions): VirtualFleet {
     const fleet = new VirtualFleet(options);
-    for (let index = 0; index < options.size; index++) {
+    for (let index = 0; index < (options.startSize ?? options.size); index++) {
       const at = fleet.random.integer(0, options.startWithinMs);
       fleet.timeline.after(at, () => fleet.startHost(index));
     }
@@ -129,7 +133,7 @@
       socket,
       address,
       hall: getHall(index),
-      getSeeds: () => [getAddress(0)],
+      getSeeds: () => this.getSeeds(),
       describeSelf: () => entry,
       takePrefixUpdates: () => [],
       hasPrefixUpdates: () => false,
@@ -162,7 +166,6 @@
       id,
       gossip,
       handlers,
-      part: 0,
       sentBytes: 0,
       close,
     });
@@ -177,9 +180,28 @@
   /** Partitions hosts from the others, or heals the partition.
    * @param isSeparated Whether the host of an index is in the second partition. */
   part(isSeparated: (index: number) => boolean): void {
-    for (const [address, host] of this.hosts) {
-      host.part = isSeparated(this.indexByAddress.get(address)!) ? 1 : 0;
-    }
+    this.setPartitions((index) => Number(isSeparated(index)));
+  }
+
+  /** Divides the hosts, also those that start later, into partitions that cannot reach each other.
+   * @param getPartition Returns the partition of a host by its index. */
+  setPartitions(getPartition: (index: number) => number): void {
+    this.getPartition = getPartition;
+  }
+
+  /** Returns the gossip addresses of the seed hosts. */
+  getSeeds(): string[] {
+    return Array.from(
+      { length: this.options.seeds ?? 1 },
+      (_, index) => getAddress(index),
+    );
+  }
+
+  /** Whether a host is running and not paused.
+   * @param index Its index. */
+  isActive(index: number): boolean {
+    const address = getAddress(index);
+    return this.hosts.has(address) && !this.deferred.has(address);
   }
 
   /** Pauses a host: it neither sends, receives nor runs timers until it is resumed.
@@ -233,7 +255,8 @@
   }
 
   private isConnected(from: string, to: string): boolean {
-    return this.hosts.get(from)?.part === this.hosts.get(to)?.part;
+    return this.getPartition(this.indexByAddress.get(from)!) ===
+      this.getPartition(this.indexByAddress.get(to)!);
   }
 
   private buildWatcherRanking(gossip: Gossip, id: string): WatcherRanking {
