Keep sent retries across reloads of the settings

Callers' requests reached failing upstreams more often than the fleet's retry budget allows: each reload discarded the retries that a host had sent, so that the budget could be spent once per reload. A share now reads the current limits and keeps its counts.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -113,7 +113,6 @@
     const { seedAddresses } = settings;
     this.logger.info({ seeds: seedAddresses.join(",") }, "settings_reloaded");
     this.settings = { ...settings, ...pickRestartOnly(this.settings) };
-    this.chooser.resetRetryBudgets();
   }
 
   /** Stops gracefully: withdraws this host from the address lists, keeps accepting requests while callers may still
--- a/src/gateway/retry_budgets.ts
+++ b/src/gateway/retry_budgets.ts
@@ -16,11 +16,15 @@
   readNow: () => number;
 }
 
-/** This host's shares of the fleet's retry budgets, one per service. */
+/** This host's shares of the fleet's retry budgets, one per service. Changed settings apply to the retries that were
+ * already sent. */
 export class RetryBudgets {
   private readonly shares = new Map<string, RetryBudgetShare>();
+  private readonly startedAt: number;
 
-  private constructor(private readonly options: RetryBudgetsOptions) {}
+  private constructor(private readonly options: RetryBudgetsOptions) {
+    this.startedAt = options.readNow();
+  }
 
   /** Creates unused budgets.
    * @param options Their dependencies. */
@@ -33,21 +37,21 @@
   getShare(service: string): RetryBudgetShare {
     const existing = this.shares.get(service);
     if (existing) return existing;
-    const { getSettings, countHosts, random, readNow } = this.options;
-    const { retryRatio, retryExtra, retryWindowMs } = getSettings();
+    const { getSettings, countHosts, random } = this.options;
     const share = RetryBudgetShare.create({
-      ratio: retryRatio,
-      extra: retryExtra,
-      windowMs: retryWindowMs,
+      getLimits: () => {
+        const { retryRatio, retryExtra, retryWindowMs } = getSettings();
+        return {
+          ratio: retryRatio,
+          extra: retryExtra,
+          windowMs: retryWindowMs,
+        };
+      },
       countHosts,
       random,
-    }, readNow());
+      observedSince: this.startedAt,
+    });
     this.shares.set(service, share);
     return share;
   }
-
-  /** Starts all budgets anew, because the settings have changed. */
-  reset(): void {
-    this.shares.clear();
-  }
 }
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -143,11 +143,6 @@
     this.retryBudgets.getShare(service).recordRequest(this.readNow());
   }
 
-  /** Resets all retry budgets, because the settings that they depend on have changed. */
-  resetRetryBudgets(): void {
-    this.retryBudgets.reset();
-  }
-
   /** Marks an instance of an upstream as crashed: it gets no requests for a while, and others fetch nothing that it had
    * cached.
    * @param instanceHash Hash of the instance. */
--- a/src/upstreams/retry_budget_share.ts
+++ b/src/upstreams/retry_budget_share.ts
@@ -7,21 +7,31 @@
 /** Number of slots in the sliding window. */
 const SLOTS_PER_WINDOW = 10;
 
-/** Retry budget of the fleet. */
-export interface RetryBudgetOptions {
+/** Limits of the fleet's retries to one service. */
+export interface RetryBudgetLimits {
   /** Retries allowed per request. */
   ratio: number;
   /** Additional retries allowed per window, for the whole fleet. */
   extra: number;
   /** Length of the sliding window in milliseconds. */
   windowMs: number;
+}
+
+/** Dependencies of a {@link RetryBudgetShare}. */
+export interface RetryBudgetShareOptions {
+  /** Returns the current limits; called for each request and retry. */
+  getLimits: () => RetryBudgetLimits;
   /** Returns the number of hosts that may share the budget. */
   countHosts: () => number;
   random: Random;
+  /** Monotonic milliseconds from which on all requests and retries are recorded. */
+  observedSince: number;
 }
 
 interface Slot {
-  number: number;
+  /** Monotonic milliseconds. */
+  startedAt: number;
+  endsAt: number;
   requests: number;
   retries: number;
 }
@@ -30,24 +40,21 @@
  * few retries, so each host rounds its share at random: always rounding down would make the fleet refuse a fifth of the
  * retries when many upstreams fail at once. */
 export class RetryBudgetShare {
-  private slots: Slot[] = [];
+  private readonly slots: Slot[] = [];
   /** Fraction of a retry above which the share is rounded up. */
   private readonly rounding: number;
-  private readonly createdAt: number;
+  /** Monotonic milliseconds from which on the slots are complete. */
+  private observedSince: number;
 
-  private constructor(
-    private readonly options: RetryBudgetOptions,
-    now: number,
-  ) {
+  private constructor(private readonly options: RetryBudgetShareOptions) {
     this.rounding = options.random.fraction();
-    this.createdAt = now;
+    this.observedSince = options.observedSince;
   }
 
   /** Creates an unused share.
-   * @param options Retry budget of the fleet.
-   * @param now Monotonic milliseconds. */
-  static create(options: RetryBudgetOptions, now: number): RetryBudgetShare {
-    return new RetryBudgetShare(options, now);
+   * @param options Its dependencies. */
+  static create(options: RetryBudgetShareOptions): RetryBudgetShare {
+    return new RetryBudgetShare(options);
   }
 
   /** Records the first attempt of a request.
@@ -68,8 +75,8 @@
   private decide(now: number): RetryDecision {
     const requests = this.slots.reduce((sum, slot) => sum + slot.requests, 0);
     const spent = this.slots.reduce((sum, slot) => sum + slot.retries, 0);
-    const { ratio, extra, countHosts } = this.options;
-    const hosts = Math.max(1, countHosts());
+    const { ratio, extra } = this.options.getLimits();
+    const hosts = Math.max(1, this.options.countHosts());
     const allowed = USED_FRACTION * (ratio * requests + extra / hosts);
     return {
       isAllowed: spent + this.rounding < allowed,
@@ -77,19 +84,33 @@
       allowed,
       requests,
       hosts,
-      observedMs: now - this.createdAt,
+      observedMs: now - this.observedSince,
     };
   }
 
   private getSlot(now: number): Slot {
-    const number = Math.floor(now / (this.options.windowMs / SLOTS_PER_WINDOW));
-    this.slots = this.slots.filter((slot) =>
-      slot.number > number - SLOTS_PER_WINDOW
-    );
+    const { windowMs } = this.options.getLimits();
+    this.removeExpired(now - windowMs);
     const last = this.slots.at(-1);
-    if (last?.number === number) return last;
-    const slot = { number, requests: 0, retries: 0 };
+    if (last && now < last.endsAt) return last;
+    const slotMs = windowMs / SLOTS_PER_WINDOW;
+    const startedAt = Math.floor(now / slotMs) * slotMs;
+    const slot = {
+      startedAt,
+      endsAt: startedAt + slotMs,
+      requests: 0,
+      retries: 0,
+    };
     this.slots.push(slot);
     return slot;
   }
+
+  private removeExpired(windowStart: number): void {
+    while (this.slots.length > 0 && this.slots[0]!.startedAt <= windowStart) {
+      this.observedSince = Math.max(
+        this.observedSince,
+        this.slots.shift()!.endsAt,
+      );
+    }
+  }
 }
--- a/tests/gateway/retry_budget_fleet.ts
+++ b/tests/gateway/retry_budget_fleet.ts
@@ -40,6 +40,8 @@
 interface HostProcess {
   gossip: Gossip;
   budgets: RetryBudgets;
+  /** The budget in its settings. */
+  rule: RetryRule;
 }
 
 /** Hosts in virtual time whose requests fail and are retried as their shares of the retry budget allow. Hosts
@@ -115,9 +117,11 @@
   }
 
   /** Reloads the settings of a host, unless it is down.
-   * @param index Its index. */
-  reload(index: number): void {
-    this.processes.get(index)?.budgets.reset();
+   * @param index Its index.
+   * @param rule The budget in the new settings. */
+  reload(index: number, rule = this.options.rule): void {
+    const process = this.processes.get(index);
+    if (process) process.rule = rule;
   }
 
   /** Returns the window in which the retries of all hosts come closest to the budget, or exceed it the most. */
@@ -126,19 +130,21 @@
   }
 
   private createProcess(index: number): void {
-    const { rule } = this.options;
     const gossip = this.fleet.findGossip(index)!;
     const budgets = RetryBudgets.create({
-      getSettings: () => ({
-        retryRatio: rule.ratio,
-        retryExtra: rule.extra,
-        retryWindowMs: rule.windowMs,
-      }),
+      getSettings: () => {
+        const { ratio, extra, windowMs } = this.processes.get(index)!.rule;
+        return {
+          retryRatio: ratio,
+          retryExtra: extra,
+          retryWindowMs: windowMs,
+        };
+      },
       countHosts: () => 1 + gossip.hosts.size,
       random: this.random.fork(),
       readNow: () => this.fleet.timeline.read(),
     });
-    this.processes.set(index, { gossip, budgets });
+    this.processes.set(index, { gossip, budgets, rule: this.options.rule });
   }
 
   private sendRequests(): void {
--- a/tests/upstreams/retry_budget_share_test.ts
+++ b/tests/upstreams/retry_budget_share_test.ts
@@ -17,12 +17,11 @@
         { length: hosts },
         () =>
           RetryBudgetShare.create({
-            ratio: 0.2,
-            extra: 50,
-            windowMs: WINDOW_MS,
+            getLimits: () => ({ ratio: 0.2, extra: 50, windowMs: WINDOW_MS }),
             countHosts: () => hosts,
             random: Random.create(hosts),
-          }, 0),
+            observedSince: 0,
+          }),
       );
       let now = 0;
       const requests: number[] = [];
@@ -55,12 +54,11 @@
   const random = Random.create(hosts);
   const shares = Array.from({ length: hosts }, () =>
     RetryBudgetShare.create({
-      ratio: RATIO,
-      extra: EXTRA,
-      windowMs: WINDOW_MS,
+      getLimits: () => ({ ratio: RATIO, extra: EXTRA, windowMs: WINDOW_MS }),
       countHosts: () => hosts,
       random,
-    }, 0));
+      observedSince: 0,
+    }));
   const requests: number[] = [];
   const retries: number[] = [];
   let failures = 0;
@@ -98,3 +96,27 @@
     );
   });
 }
+
+// Guards against settings that forget the retries that were already sent.
+test("retries that were sent before a change of the limits count after it", (t) => {
+  let limits = { ratio: 0.2, extra: 20, windowMs: WINDOW_MS };
+  const share = RetryBudgetShare.create({
+    getLimits: () => limits,
+    countHosts: () => 1,
+    random: Random.create(1),
+    observedSince: -WINDOW_MS,
+  });
+  const countAcquired = (now: number) => {
+    let acquired = 0;
+    while (share.tryAcquire(now).isAllowed) acquired += 1;
+    return acquired;
+  };
+  const before = countAcquired(1_000);
+  limits = { ...limits };
+  t.is(countAcquired(1_001), 0);
+  limits = { ...limits, extra: 40 };
+  const added = countAcquired(1_002);
+  t.true(before + added <= 28, `${before} + ${added}`);
+  limits = { ...limits, extra: 20, windowMs: WINDOW_MS / 2 };
+  t.is(countAcquired(1_003), 0);
+});
