Count retries for the whole window

A slot of a tenth of the window left the window when its first millisecond did, so that a retry counted for as little as nine tenths of the window. Slots are a fiftieth of the window now and leave when their last millisecond does.

retry_budget_share_test, a retry just before a whole window has passed: allowed before, refused now.

--- a/src/upstreams/retry_budget_share.ts
+++ b/src/upstreams/retry_budget_share.ts
@@ -4,8 +4,8 @@
 /** Fraction of the fleet's retry budget that is used; the rest is reserved because hosts do not know each other's
  * usage. */
 const USED_FRACTION = 0.7;
-/** Number of slots in the sliding window. */
-const SLOTS_PER_WINDOW = 10;
+/** Number of slots in the sliding window; requests and retries count for up to one slot longer. */
+const SLOTS_PER_WINDOW = 50;
 
 /** Limits of the fleet's retries to one service. */
 export interface RetryBudgetLimits {
@@ -30,7 +30,6 @@
 
 interface Slot {
   /** Monotonic milliseconds. */
-  startedAt: number;
   endsAt: number;
   requests: number;
   retries: number;
@@ -94,19 +93,14 @@
     const last = this.slots.at(-1);
     if (last && now < last.endsAt) return last;
     const slotMs = windowMs / SLOTS_PER_WINDOW;
-    const startedAt = Math.floor(now / slotMs) * slotMs;
-    const slot = {
-      startedAt,
-      endsAt: startedAt + slotMs,
-      requests: 0,
-      retries: 0,
-    };
+    const endsAt = (Math.floor(now / slotMs) + 1) * slotMs;
+    const slot = { endsAt, requests: 0, retries: 0 };
     this.slots.push(slot);
     return slot;
   }
 
   private removeExpired(windowStart: number): void {
-    while (this.slots.length > 0 && this.slots[0]!.startedAt <= windowStart) {
+    while (this.slots.length > 0 && this.slots[0]!.endsAt <= windowStart) {
       this.observedSince = Math.max(
         this.observedSince,
         this.slots.shift()!.endsAt,
--- a/tests/upstreams/retry_budget_share_test.ts
+++ b/tests/upstreams/retry_budget_share_test.ts
@@ -120,3 +120,17 @@
   limits = { ...limits, extra: 20, windowMs: WINDOW_MS / 2 };
   t.is(countAcquired(1_003), 0);
 });
+
+// Guards against a window that ends before its length has passed.
+test("a retry counts until a whole window has passed", (t) => {
+  const share = RetryBudgetShare.create({
+    getLimits: () => ({ ratio: 0, extra: 3, windowMs: WINDOW_MS }),
+    countHosts: () => 1,
+    random: Random.create(1),
+    observedSince: -WINDOW_MS,
+  });
+  const sentAt = 990;
+  while (share.tryAcquire(sentAt).isAllowed);
+  t.false(share.tryAcquire(sentAt + WINDOW_MS - 1).isAllowed);
+  t.true(share.tryAcquire(sentAt + 1.1 * WINDOW_MS).isAllowed);
+});
