Reserve a part of the retry budget for hosts that have just started

Callers' requests reached failing upstreams more often than the fleet's retry budget allows: a process that starts does not know what an earlier process of its host has sent within the window, and took a full share. Until its own records cover the window, a host now uses a quarter of its share, of which the additional retries accrue with the time; hosts whose records do use 0.7 as before. Both together stay within the budget for any series of starts. A host of a fleet that starts for the first time has no earlier process, and a window that a reload lengthens is not covered either.

--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -102,14 +102,14 @@
    * @param decision The decision and its basis.
    * @param progress Progress of the attempt before. */
   logRetryDecision(decision: RetryDecision, progress: AttemptProgress): void {
-    const { allowed, observedMs, ...counts } = decision;
+    const { allowed, coverage, ...counts } = decision;
     this.logger.info({
       request: this.call.requestId,
       service: this.call.service,
       ...progress,
       ...counts,
       allowed: roundTo(allowed, 2),
-      observedMs: Math.round(observedMs),
+      coverage: roundTo(coverage, 2),
     }, "retry_decided");
   }
 
--- a/src/gateway/retry_budgets.ts
+++ b/src/gateway/retry_budgets.ts
@@ -7,7 +7,7 @@
   /** Returns the current settings of the budgets. */
   getSettings: () => Pick<
     GatewaySettings,
-    "retryExtra" | "retryRatio" | "retryWindowMs"
+    "isFirstStart" | "retryExtra" | "retryRatio" | "retryWindowMs"
   >;
   /** Number of hosts that may share a fleet-wide budget, including recently lost ones. */
   countHosts: () => number;
@@ -20,10 +20,12 @@
  * already sent. */
 export class RetryBudgets {
   private readonly shares = new Map<string, RetryBudgetShare>();
-  private readonly startedAt: number;
+  /** Monotonic milliseconds from which on this host's retries are recorded. */
+  private readonly observedSince: number;
 
   private constructor(private readonly options: RetryBudgetsOptions) {
-    this.startedAt = options.readNow();
+    const { isFirstStart } = options.getSettings();
+    this.observedSince = isFirstStart ? -Infinity : options.readNow();
   }
 
   /** Creates unused budgets.
@@ -49,7 +51,7 @@
       },
       countHosts,
       random,
-      observedSince: this.startedAt,
+      observedSince: this.observedSince,
     });
     this.shares.set(service, share);
     return share;
--- a/src/gateway/upstream_chooser_options.ts
+++ b/src/gateway/upstream_chooser_options.ts
@@ -17,6 +17,7 @@
   GatewaySettings,
   | "boundMultiple"
   | "hall"
+  | "isFirstStart"
   | "leaveWithinMs"
   | "retryExtra"
   | "retryRatio"
--- a/src/upstreams/retry_budget_share.ts
+++ b/src/upstreams/retry_budget_share.ts
@@ -1,9 +1,11 @@
 import type { Random } from "../random/random.ts";
 import type { RetryDecision } from "./retry_decision.ts";
 
-/** Fraction of the fleet's retry budget that is used; the rest is reserved because hosts do not know each other's
- * usage. */
-const USED_FRACTION = 0.7;
+/** Fraction of the fleet's retry budget that the hosts use once their records cover a whole window. */
+const COVERED_FRACTION = 0.7;
+/** Fraction that a host uses until then. An earlier process of the host may have used the other fraction within the
+ * window, so both together stay below 1. */
+const UNCOVERED_FRACTION = 0.25;
 /** Number of slots in the sliding window; requests and retries count for up to one slot longer. */
 const SLOTS_PER_WINDOW = 50;
 
@@ -24,7 +26,8 @@
   /** Returns the number of hosts that may share the budget. */
   countHosts: () => number;
   random: Random;
-  /** Monotonic milliseconds from which on all requests and retries are recorded. */
+  /** Monotonic milliseconds from which on all requests and retries of the host are recorded; minus infinity if it had
+   * none before. */
   observedSince: number;
 }
 
@@ -35,7 +38,9 @@
   retries: number;
 }
 
-/** This host's share of the fleet's retry budget for one service, over a sliding window. In a large fleet a share is a
+/** This host's share of the fleet's retry budget for one service, over a sliding window. A process that has just started
+ * does not know which retries an earlier process of the host sent within the window. It uses a smaller part of the
+ * budget, which is reserved for such processes, until its own records cover the window. In a large fleet a share is a
  * few retries, so each host rounds its share at random: always rounding down would make the fleet refuse a fifth of the
  * retries when many upstreams fail at once. */
 export class RetryBudgetShare {
@@ -74,16 +79,19 @@
   private decide(now: number): RetryDecision {
     const requests = this.slots.reduce((sum, slot) => sum + slot.requests, 0);
     const spent = this.slots.reduce((sum, slot) => sum + slot.retries, 0);
-    const { ratio, extra } = this.options.getLimits();
+    const { ratio, extra, windowMs } = this.options.getLimits();
     const hosts = Math.max(1, this.options.countHosts());
-    const allowed = USED_FRACTION * (ratio * requests + extra / hosts);
+    const coverage = Math.min(1, (now - this.observedSince) / windowMs);
+    const fraction = coverage < 1 ? UNCOVERED_FRACTION : COVERED_FRACTION;
+    // The additional retries accrue with the time, so that starts in series do not multiply them.
+    const allowed = fraction * (ratio * requests + coverage * extra / hosts);
     return {
       isAllowed: spent + this.rounding < allowed,
       spent,
       allowed,
       requests,
       hosts,
-      observedMs: now - this.observedSince,
+      coverage,
     };
   }
 
--- a/src/upstreams/retry_decision.ts
+++ b/src/upstreams/retry_decision.ts
@@ -10,6 +10,6 @@
   requests: number;
   /** Number of hosts among which the additional retries of the fleet are divided. */
   hosts: number;
-  /** Time for which the host has counted, in milliseconds. */
-  observedMs: number;
+  /** Part of the window that the host's records cover, from 0 to 1. */
+  coverage: number;
 }
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -159,7 +159,7 @@
         allowed: 1,
         requests: 1,
         hosts: 1,
-        observedMs: 0,
+        coverage: 1,
       }),
       recordHealth: () => undefined,
       checkPath: checkPath ?? (() => Promise.resolve(false)),
--- a/tests/forward/retry_decision_log_test.ts
+++ b/tests/forward/retry_decision_log_test.ts
@@ -19,7 +19,7 @@
     allowed: 4.25,
     requests: 12,
     hosts: 7,
-    observedMs: 1_200.4,
+    coverage: 0.123,
   }, { attempt: 1, events: 0 });
   t.like(lines[0], {
     msg: "retry_decided",
@@ -31,6 +31,6 @@
     allowed: 4.25,
     requests: 12,
     hosts: 7,
-    observedMs: 1_200,
+    coverage: 0.12,
   });
 });
--- a/tests/gateway/retry_budget_fleet.ts
+++ b/tests/gateway/retry_budget_fleet.ts
@@ -1,5 +1,4 @@
 import { RetryBudgets } from "../../src/gateway/retry_budgets.ts";
-import type { Gossip } from "../../src/peers/gossip.ts";
 import { Random } from "../../src/random/random.ts";
 import { VirtualFleet } from "../peers/virtual_fleet.ts";
 import {
@@ -38,10 +37,8 @@
 
 /** Process of a host: its budgets are lost with it. */
 interface HostProcess {
-  gossip: Gossip;
   budgets: RetryBudgets;
-  /** The budget in its settings. */
-  rule: RetryRule;
+  settings: { rule: RetryRule };
 }
 
 /** Hosts in virtual time whose requests fail and are retried as their shares of the retry budget allow. Hosts
@@ -71,7 +68,7 @@
     });
     this.fleet.timeline.runUntil(START_WITHIN_MS);
     for (let index = 0; index < (startSize ?? hosts); index++) {
-      this.createProcess(index);
+      this.createProcess(index, true);
     }
     this.fleet.timeline.after(
       TRAFFIC_FROM_MS - START_WITHIN_MS,
@@ -104,7 +101,7 @@
   start(index: number): void {
     if (this.processes.has(index)) return;
     this.fleet.startHost(index);
-    this.createProcess(index);
+    this.createProcess(index, false);
   }
 
   /** Kills a host and starts it again, unless it is down.
@@ -121,7 +118,7 @@
    * @param rule The budget in the new settings. */
   reload(index: number, rule = this.options.rule): void {
     const process = this.processes.get(index);
-    if (process) process.rule = rule;
+    if (process) process.settings.rule = rule;
   }
 
   /** Returns the window in which the retries of all hosts come closest to the budget, or exceed it the most. */
@@ -129,12 +126,14 @@
     return findWorstWindow(this.requests, this.retries, this.options.rule);
   }
 
-  private createProcess(index: number): void {
+  private createProcess(index: number, isFirstStart: boolean): void {
     const gossip = this.fleet.findGossip(index)!;
+    const settings = { rule: this.options.rule };
     const budgets = RetryBudgets.create({
       getSettings: () => {
-        const { ratio, extra, windowMs } = this.processes.get(index)!.rule;
+        const { rule: { ratio, extra, windowMs } } = settings;
         return {
+          isFirstStart,
           retryRatio: ratio,
           retryExtra: extra,
           retryWindowMs: windowMs,
@@ -144,7 +143,7 @@
       random: this.random.fork(),
       readNow: () => this.fleet.timeline.read(),
     });
-    this.processes.set(index, { gossip, budgets, rule: this.options.rule });
+    this.processes.set(index, { budgets, settings });
   }
 
   private sendRequests(): void {
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -176,6 +176,7 @@
       getSettings: () => ({
         boundMultiple: BOUND_MULTIPLE,
         hall,
+        isFirstStart: true,
         leaveWithinMs: 2_000,
         retryRatio: 0.2,
         retryExtra: 50,
--- a/tests/upstreams/retry_budget_share_test.ts
+++ b/tests/upstreams/retry_budget_share_test.ts
@@ -20,7 +20,7 @@
             getLimits: () => ({ ratio: 0.2, extra: 50, windowMs: WINDOW_MS }),
             countHosts: () => hosts,
             random: Random.create(hosts),
-            observedSince: 0,
+            observedSince: -Infinity,
           }),
       );
       let now = 0;
@@ -57,7 +57,7 @@
       getLimits: () => ({ ratio: RATIO, extra: EXTRA, windowMs: WINDOW_MS }),
       countHosts: () => hosts,
       random,
-      observedSince: 0,
+      observedSince: -Infinity,
     }));
   const requests: number[] = [];
   const retries: number[] = [];
@@ -134,3 +134,42 @@
   t.false(share.tryAcquire(sentAt + WINDOW_MS - 1).isAllowed);
   t.true(share.tryAcquire(sentAt + 1.1 * WINDOW_MS).isAllowed);
 });
+
+/** Takes all retries that a share allows, and returns their number. */
+function acquireAll(share: RetryBudgetShare, now: number): number {
+  let acquired = 0;
+  while (share.tryAcquire(now).isAllowed) acquired += 1;
+  return acquired;
+}
+
+// Guards against processes that take a full share although their predecessor has used it.
+test("processes that start in series use no more than one that runs on", (t) => {
+  const random = Random.create(5);
+  let started = 0;
+  for (let now = 0; now < WINDOW_MS; now += 500) {
+    const share = RetryBudgetShare.create({
+      getLimits: () => ({ ratio: 0, extra: 100, windowMs: WINDOW_MS }),
+      countHosts: () => 1,
+      random,
+      observedSince: now,
+    });
+    started += acquireAll(share, now + 499);
+  }
+  t.true(started > 0);
+  t.true(started <= 30, `${started}`);
+});
+
+test("a window that is longer than the records is not covered by them", (t) => {
+  let windowMs = WINDOW_MS;
+  const share = RetryBudgetShare.create({
+    getLimits: () => ({ ratio: 0, extra: 100, windowMs }),
+    countHosts: () => 1,
+    random: Random.create(6),
+    observedSince: -Infinity,
+  });
+  const before = acquireAll(share, 0);
+  share.recordRequest(WINDOW_MS + 1_000);
+  windowMs = 4 * WINDOW_MS;
+  const after = acquireAll(share, WINDOW_MS + 1_001);
+  t.true(before + after <= 100, `${before} + ${after}`);
+});
