Divide the retry budget by the size of the fleet only when it is known

A host now gets a part of them once the known hosts have settled and contain all seeds, which holds in one partition at most. If it knows fewer later, the last number for which that held counts.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -227,7 +227,7 @@
       getGossipAddress: (hostId) => this.peerNetwork?.getGossipAddress(hostId),
       sendSlotMessage: (address, message) =>
         this.peerNetwork?.sendSlotMessage(address, message),
-      countBudgetHosts: () => this.peerNetwork?.countBudgetHosts() ?? 1,
+      getFleetSize: () => this.peerNetwork?.fleetSize,
       getLapseEndsAt: () => this.replica.lapseEndsAt,
       usesDirectory: () => this.peerNetwork?.usesDirectory ?? false,
       onPrefixUpdates: () => this.peerNetwork?.announcePrefixUpdates(),
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -125,10 +125,9 @@
     );
   }
 
-  /** Counts the hosts that may share a fleet-wide budget, including this one: all known hosts, because a host that is
-   * lost from here may still be reachable by others. */
-  countBudgetHosts(): number {
-    return 1 + this.gossip.hosts.size;
+  /** Number of hosts that may share a fleet-wide budget, including this one; undefined while it is not known. */
+  get fleetSize(): number | undefined {
+    return this.gossip.fleetSize;
   }
 
   /** Returns the ids of all other known hosts, including unreachable ones. */
--- a/src/gateway/retry_budgets.ts
+++ b/src/gateway/retry_budgets.ts
@@ -9,8 +9,9 @@
     GatewaySettings,
     "isFirstStart" | "retryExtra" | "retryRatio" | "retryWindowMs"
   >;
-  /** Number of hosts that may share a fleet-wide budget, including recently lost ones. */
-  countHosts: () => number;
+  /** Returns the number of hosts that may share the budgets, including recently lost ones; undefined while it is not
+   * known. */
+  getFleetSize: () => number | undefined;
   random: Random;
   /** Returns the monotonic milliseconds. */
   readNow: () => number;
@@ -39,7 +40,7 @@
   getShare(service: string): RetryBudgetShare {
     const existing = this.shares.get(service);
     if (existing) return existing;
-    const { getSettings, countHosts, random } = this.options;
+    const { getSettings, getFleetSize, random } = this.options;
     const share = RetryBudgetShare.create({
       getLimits: () => {
         const { retryRatio, retryExtra, retryWindowMs } = getSettings();
@@ -49,7 +50,7 @@
           windowMs: retryWindowMs,
         };
       },
-      countHosts,
+      getFleetSize,
       random,
       observedSince: this.observedSince,
     });
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -60,7 +60,7 @@
     });
     this.retryBudgets = RetryBudgets.create({
       getSettings: options.getSettings,
-      countHosts: options.countBudgetHosts,
+      getFleetSize: options.getFleetSize,
       random: this.random,
       readNow: this.readNow,
     });
--- a/src/gateway/upstream_chooser_options.ts
+++ b/src/gateway/upstream_chooser_options.ts
@@ -45,8 +45,9 @@
   getGossipAddress: (hostId: string) => string | undefined;
   /** Sends a message about lent slots to another host. */
   sendSlotMessage: SendSlotMessage;
-  /** Number of hosts that may share a fleet-wide budget, including recently lost ones. */
-  countBudgetHosts: () => number;
+  /** Returns the number of hosts that may share a fleet-wide budget, including recently lost ones; undefined while it is
+   * not known. */
+  getFleetSize: () => number | undefined;
   /** Monotonic milliseconds until which an entry may be missing only because it expired in an outage of the
    * platform. */
   getLapseEndsAt: () => number;
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -9,6 +9,7 @@
 import type { DatagramPort } from "./datagram_socket.ts";
 import { FailureDetector } from "./failure_detector.ts";
 import { FleetGrowth } from "./fleet_growth.ts";
+import { FleetSize } from "./fleet_size.ts";
 import { GossipTargets } from "./gossip_targets.ts";
 import {
   GossipComposer,
@@ -84,6 +85,7 @@
   private readonly composer: GossipComposer;
   private readonly livenessLogger: LivenessLogger;
   private readonly growth: FleetGrowth;
+  private readonly size = FleetSize.create();
   private stopRounds: CancelTimer = () => undefined;
   private stopAnnouncement: CancelTimer | undefined;
   private round = 0;
@@ -175,6 +177,12 @@
     return this.growth.isSettled(this.hosts.size, this.timeline.read());
   }
 
+  /** Number of hosts among which limits of the fleet are divided, including this one and those that were lost lately;
+   * undefined if this host has never known all of them. */
+  get fleetSize(): number | undefined {
+    return this.size.get(1 + this.hosts.size);
+  }
+
   /** Returns the state of all known hosts and this one, for a host that lacks some. */
   getHostStates(): HostState[] {
     const own = {
@@ -262,10 +270,22 @@
     this.self.startRound();
     this.growth.record(this.hosts.size, now);
     this.hosts.removeExpired(now);
+    if (this.knowsFleet && this.knowsSeeds) {
+      this.size.recordComplete(1 + this.hosts.size);
+    }
     this.livenessLogger.logChanges(now);
     this.gossipToTargets();
   }
 
+  /** Whether all seeds are known. If not, the known hosts may be one of several partitions; at most one of these contains
+   * all seeds. */
+  private get knowsSeeds(): boolean {
+    const { address, getSeeds } = this.options;
+    return getSeeds().every((seed) =>
+      seed === address || this.hosts.getHost(seed) !== undefined
+    );
+  }
+
   private gossipToTargets(): void {
     const now = this.timeline.read();
     const { isLarge } = this.hosts;
--- a/src/upstreams/retry_budget_share.ts
+++ b/src/upstreams/retry_budget_share.ts
@@ -23,8 +23,8 @@
 export interface RetryBudgetShareOptions {
   /** Returns the current limits; called for each request and retry. */
   getLimits: () => RetryBudgetLimits;
-  /** Returns the number of hosts that may share the budget. */
-  countHosts: () => number;
+  /** Returns the number of hosts that may share the budget; undefined while it is not known. */
+  getFleetSize: () => number | undefined;
   random: Random;
   /** Monotonic milliseconds from which on all requests and retries of the host are recorded; minus infinity if it had
    * none before. */
@@ -80,11 +80,12 @@
     const requests = this.slots.reduce((sum, slot) => sum + slot.requests, 0);
     const spent = this.slots.reduce((sum, slot) => sum + slot.retries, 0);
     const { ratio, extra, windowMs } = this.options.getLimits();
-    const hosts = Math.max(1, this.options.countHosts());
+    const hosts = this.options.getFleetSize();
+    const ownExtra = hosts === undefined ? 0 : extra / hosts;
     const coverage = Math.min(1, (now - this.observedSince) / windowMs);
     const fraction = coverage < 1 ? UNCOVERED_FRACTION : COVERED_FRACTION;
     // The additional retries accrue with the time, so that starts in series do not multiply them.
-    const allowed = fraction * (ratio * requests + coverage * extra / hosts);
+    const allowed = fraction * (ratio * requests + coverage * ownExtra);
     return {
       isAllowed: spent + this.rounding < allowed,
       spent,
--- a/src/upstreams/retry_decision.ts
+++ b/src/upstreams/retry_decision.ts
@@ -8,8 +8,9 @@
   allowed: number;
   /** Requests that the host received within the window. */
   requests: number;
-  /** Number of hosts among which the additional retries of the fleet are divided. */
-  hosts: number;
+  /** Number of hosts among which the additional retries of the fleet are divided; undefined while it is not known, so
+   * that this host gets none. */
+  hosts: number | undefined;
   /** Part of the window that the host's records cover, from 0 to 1. */
   coverage: number;
 }
--- a/tests/gateway/retry_budget_fleet.ts
+++ b/tests/gateway/retry_budget_fleet.ts
@@ -113,6 +113,15 @@
     this.fleet.timeline.after(downMs, () => this.start(index));
   }
 
+  /** Pauses a host, unless it is paused or down; a kill ends the pause.
+   * @param index Its index.
+   * @param forMs Duration in milliseconds. */
+  pause(index: number, forMs: number): void {
+    if (!this.fleet.isActive(index)) return;
+    this.fleet.pauseHost(index);
+    this.fleet.timeline.after(forMs, () => this.fleet.resumeHost(index));
+  }
+
   /** Reloads the settings of a host, unless it is down.
    * @param index Its index.
    * @param rule The budget in the new settings. */
@@ -139,7 +148,7 @@
           retryWindowMs: windowMs,
         };
       },
-      countHosts: () => 1 + gossip.hosts.size,
+      getFleetSize: () => gossip.fleetSize,
       random: this.random.fork(),
       readNow: () => this.fleet.timeline.read(),
     });
--- a/tests/gateway/retry_budget_rule.ts
+++ b/tests/gateway/retry_budget_rule.ts
@@ -29,7 +29,7 @@
   const sorted = retries.toSorted((one, other) => one - other);
   const countFrom = (times: readonly number[], from: number) =>
     countBefore(times, from + windowMs) - countBefore(times, from);
-  let worst: WorstWindow = { from: 0, retries: 0, allowed: extra };
+  let worst: WorstWindow = { from: 0, retries: 0, allowed: Infinity };
   for (const from of sorted) {
     const counted = Math.max(
       countFrom(requests, from),
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -184,7 +184,7 @@
       }),
       getService: () => undefined,
       countHosts: () => 1 + this.getLiveCount(index),
-      countBudgetHosts: () => this.options.hosts,
+      getFleetSize: () => this.options.hosts,
       getLapseEndsAt: () => -Infinity,
       usesDirectory: () => false,
       onOutageDisproved: () => undefined,
--- a/tests/peers/virtual_fleet.ts
+++ b/tests/peers/virtual_fleet.ts
@@ -83,6 +83,7 @@
     const address = getAddress(index);
     this.hosts.get(address)!.close();
     this.hosts.delete(address);
+    this.deferred.delete(address);
   }
 
   /** Returns the ids of the hosts that any host considers live. */
--- a/tests/upstreams/retry_budget_share_test.ts
+++ b/tests/upstreams/retry_budget_share_test.ts
@@ -18,7 +18,7 @@
         () =>
           RetryBudgetShare.create({
             getLimits: () => ({ ratio: 0.2, extra: 50, windowMs: WINDOW_MS }),
-            countHosts: () => hosts,
+            getFleetSize: () => hosts,
             random: Random.create(hosts),
             observedSince: -Infinity,
           }),
@@ -55,7 +55,7 @@
   const shares = Array.from({ length: hosts }, () =>
     RetryBudgetShare.create({
       getLimits: () => ({ ratio: RATIO, extra: EXTRA, windowMs: WINDOW_MS }),
-      countHosts: () => hosts,
+      getFleetSize: () => hosts,
       random,
       observedSince: -Infinity,
     }));
@@ -102,7 +102,7 @@
   let limits = { ratio: 0.2, extra: 20, windowMs: WINDOW_MS };
   const share = RetryBudgetShare.create({
     getLimits: () => limits,
-    countHosts: () => 1,
+    getFleetSize: () => 1,
     random: Random.create(1),
     observedSince: -WINDOW_MS,
   });
@@ -125,7 +125,7 @@
 test("a retry counts until a whole window has passed", (t) => {
   const share = RetryBudgetShare.create({
     getLimits: () => ({ ratio: 0, extra: 3, windowMs: WINDOW_MS }),
-    countHosts: () => 1,
+    getFleetSize: () => 1,
     random: Random.create(1),
     observedSince: -WINDOW_MS,
   });
@@ -149,7 +149,7 @@
   for (let now = 0; now < WINDOW_MS; now += 500) {
     const share = RetryBudgetShare.create({
       getLimits: () => ({ ratio: 0, extra: 100, windowMs: WINDOW_MS }),
-      countHosts: () => 1,
+      getFleetSize: () => 1,
       random,
       observedSince: now,
     });
@@ -163,7 +163,7 @@
   let windowMs = WINDOW_MS;
   const share = RetryBudgetShare.create({
     getLimits: () => ({ ratio: 0, extra: 100, windowMs }),
-    countHosts: () => 1,
+    getFleetSize: () => 1,
     random: Random.create(6),
     observedSince: -Infinity,
   });
