Leave requests that move from lost hosts out of the retry budget

When hosts are killed or pause, their callers send to the others. The requests added to the shares of those, while the lost hosts may have used the budget for the same traffic within the window. A request now counts only by the part of the fleet that was not lost within a window. Nothing changes while no host is lost. The part of the budget for hosts that have just started is 0.3 again, which adds up to the whole budget with the others' 0.7.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -228,6 +228,8 @@
       sendSlotMessage: (address, message) =>
         this.peerNetwork?.sendSlotMessage(address, message),
       getFleetSize: () => this.peerNetwork?.fleetSize,
+      getRetainedFraction: (withinMs) =>
+        this.peerNetwork?.getRetainedFraction(withinMs) ?? 1,
       getLapseEndsAt: () => this.replica.lapseEndsAt,
       usesDirectory: () => this.peerNetwork?.usesDirectory ?? false,
       onPrefixUpdates: () => this.peerNetwork?.announcePrefixUpdates(),
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -130,6 +130,12 @@
     return this.gossip.fleetSize;
   }
 
+  /** Returns the part of the known hosts, including this one, that has not been lost within a time.
+   * @param withinMs The time, in milliseconds. */
+  getRetainedFraction(withinMs: number): number {
+    return this.gossip.getRetainedFraction(withinMs);
+  }
+
   /** Returns the ids of all other known hosts, including unreachable ones. */
   getKnownHostIds(): string[] {
     return this.gossip.hosts.getAll().map(({ entry }) => entry.id);
--- a/src/gateway/retry_budgets.ts
+++ b/src/gateway/retry_budgets.ts
@@ -12,6 +12,8 @@
   /** Returns the number of hosts that may share the budgets, including recently lost ones; undefined while it is not
    * known. */
   getFleetSize: () => number | undefined;
+  /** Returns the part of the fleet's hosts that has not been lost within a time, in milliseconds. */
+  getRetainedFraction: (withinMs: number) => number;
   random: Random;
   /** Returns the monotonic milliseconds. */
   readNow: () => number;
@@ -40,7 +42,8 @@
   getShare(service: string): RetryBudgetShare {
     const existing = this.shares.get(service);
     if (existing) return existing;
-    const { getSettings, getFleetSize, random } = this.options;
+    const { getSettings, getFleetSize, getRetainedFraction, random } =
+      this.options;
     const share = RetryBudgetShare.create({
       getLimits: () => {
         const { retryRatio, retryExtra, retryWindowMs } = getSettings();
@@ -51,6 +54,7 @@
         };
       },
       getFleetSize,
+      getRetainedFraction,
       random,
       observedSince: this.observedSince,
     });
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -61,6 +61,7 @@
     this.retryBudgets = RetryBudgets.create({
       getSettings: options.getSettings,
       getFleetSize: options.getFleetSize,
+      getRetainedFraction: options.getRetainedFraction,
       random: this.random,
       readNow: this.readNow,
     });
--- a/src/gateway/upstream_chooser_options.ts
+++ b/src/gateway/upstream_chooser_options.ts
@@ -48,6 +48,8 @@
   /** Returns the number of hosts that may share a fleet-wide budget, including recently lost ones; undefined while it is
    * not known. */
   getFleetSize: () => number | undefined;
+  /** Returns the part of the fleet's hosts that has not been lost within a time, in milliseconds. */
+  getRetainedFraction: (withinMs: number) => number;
   /** Monotonic milliseconds until which an entry may be missing only because it expired in an outage of the
    * platform. */
   getLapseEndsAt: () => number;
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -183,6 +183,14 @@
     return this.size.get(1 + this.hosts.size);
   }
 
+  /** Returns the part of the known hosts, including this one, that has not been lost within a time.
+   * @param withinMs The time, in milliseconds. */
+  getRetainedFraction(withinMs: number): number {
+    const now = this.timeline.read();
+    const lost = this.hosts.countLostSince(now - withinMs, now);
+    return 1 - lost / (1 + this.hosts.size);
+  }
+
   /** Returns the state of all known hosts and this one, for a host that lacks some. */
   getHostStates(): HostState[] {
     const own = {
--- a/src/peers/host_table.ts
+++ b/src/peers/host_table.ts
@@ -92,6 +92,16 @@
     return this.cachedLive;
   }
 
+  /** Counts the hosts that are not considered live, but were at some time since another one.
+   * @param since Monotonic milliseconds.
+   * @param now Monotonic milliseconds. */
+  countLostSince(since: number, now: number): number {
+    return this.getAll().filter((host) =>
+      !this.isLive(host, now) &&
+      Math.max(host.lastSeenAt, host.statusSince) > since
+    ).length;
+  }
+
   /** Whether a host is considered live.
    * @param host The host.
    * @param now Monotonic milliseconds. */
--- a/src/upstreams/retry_budget_share.ts
+++ b/src/upstreams/retry_budget_share.ts
@@ -5,7 +5,7 @@
 const COVERED_FRACTION = 0.7;
 /** Fraction that a host uses until then. An earlier process of the host may have used the other fraction within the
  * window, so both together stay below 1. */
-const UNCOVERED_FRACTION = 0.25;
+const UNCOVERED_FRACTION = 0.3;
 /** Number of slots in the sliding window; requests and retries count for up to one slot longer. */
 const SLOTS_PER_WINDOW = 50;
 
@@ -25,6 +25,8 @@
   getLimits: () => RetryBudgetLimits;
   /** Returns the number of hosts that may share the budget; undefined while it is not known. */
   getFleetSize: () => number | undefined;
+  /** Returns the part of the fleet's hosts that has not been lost within a time, in milliseconds. */
+  getRetainedFraction: (withinMs: number) => number;
   random: Random;
   /** Monotonic milliseconds from which on all requests and retries of the host are recorded; minus infinity if it had
    * none before. */
@@ -34,7 +36,11 @@
 interface Slot {
   /** Monotonic milliseconds. */
   endsAt: number;
+  /** Requests that the host received. */
   requests: number;
+  /** Part of these that counts. Callers of lost hosts have moved to the others, but the lost hosts may have used the
+   * budget for the part of the requests that was theirs. */
+  weight: number;
   retries: number;
 }
 
@@ -77,7 +83,10 @@
   }
 
   private decide(now: number): RetryDecision {
-    const requests = this.slots.reduce((sum, slot) => sum + slot.requests, 0);
+    const requests = this.slots.reduce(
+      (sum, { requests, weight }) => sum + requests * weight,
+      0,
+    );
     const spent = this.slots.reduce((sum, slot) => sum + slot.retries, 0);
     const { ratio, extra, windowMs } = this.options.getLimits();
     const hosts = this.options.getFleetSize();
@@ -103,7 +112,8 @@
     if (last && now < last.endsAt) return last;
     const slotMs = windowMs / SLOTS_PER_WINDOW;
     const endsAt = (Math.floor(now / slotMs) + 1) * slotMs;
-    const slot = { endsAt, requests: 0, retries: 0 };
+    const weight = this.options.getRetainedFraction(windowMs);
+    const slot = { endsAt, requests: 0, weight, retries: 0 };
     this.slots.push(slot);
     return slot;
   }
--- a/src/upstreams/retry_decision.ts
+++ b/src/upstreams/retry_decision.ts
@@ -6,7 +6,7 @@
   spent: number;
   /** Retries that the host may send within a window. */
   allowed: number;
-  /** Requests that the host received within the window. */
+  /** Requests that the host received within the window, without the part that it received in place of lost hosts. */
   requests: number;
   /** Number of hosts among which the additional retries of the fleet are divided; undefined while it is not known, so
    * that this host gets none. */
--- a/tests/gateway/retry_budget_fleet.ts
+++ b/tests/gateway/retry_budget_fleet.ts
@@ -149,6 +149,7 @@
         };
       },
       getFleetSize: () => gossip.fleetSize,
+      getRetainedFraction: (withinMs) => gossip.getRetainedFraction(withinMs),
       random: this.random.fork(),
       readNow: () => this.fleet.timeline.read(),
     });
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -185,6 +185,7 @@
       getService: () => undefined,
       countHosts: () => 1 + this.getLiveCount(index),
       getFleetSize: () => this.options.hosts,
+      getRetainedFraction: () => 1,
       getLapseEndsAt: () => -Infinity,
       usesDirectory: () => false,
       onOutageDisproved: () => undefined,
--- a/tests/peers/host_table_test.ts
+++ b/tests/peers/host_table_test.ts
@@ -156,3 +156,16 @@
   const later = { ...report, sequence: 10, loads: [] };
   t.is(table.applyLoadReport({ ...later, incarnation: 2 }, 200), undefined);
 });
+
+test("hosts that were lost since a time are counted, and those that were lost before are not", (t) => {
+  const table = HostTable.create("127.0.0.1:1");
+  for (const [port, seenAt] of [[2, 0], [3, 5_000], [4, 9_900]] as const) {
+    const entry = buildEntry({
+      id: `g-${port}`,
+      gossipAddress: `127.0.0.1:${port}`,
+    });
+    table.applyDirectEntry(entry, seenAt, seenAt);
+  }
+  t.is(table.countLostSince(2_000, 10_000), 1);
+  t.is(table.countLostSince(-1, 10_000), 2);
+});
--- a/tests/upstreams/retry_budget_share_test.ts
+++ b/tests/upstreams/retry_budget_share_test.ts
@@ -19,6 +19,7 @@
           RetryBudgetShare.create({
             getLimits: () => ({ ratio: 0.2, extra: 50, windowMs: WINDOW_MS }),
             getFleetSize: () => hosts,
+            getRetainedFraction: () => 1,
             random: Random.create(hosts),
             observedSince: -Infinity,
           }),
@@ -56,6 +57,7 @@
     RetryBudgetShare.create({
       getLimits: () => ({ ratio: RATIO, extra: EXTRA, windowMs: WINDOW_MS }),
       getFleetSize: () => hosts,
+      getRetainedFraction: () => 1,
       random,
       observedSince: -Infinity,
     }));
@@ -103,6 +105,7 @@
   const share = RetryBudgetShare.create({
     getLimits: () => limits,
     getFleetSize: () => 1,
+    getRetainedFraction: () => 1,
     random: Random.create(1),
     observedSince: -WINDOW_MS,
   });
@@ -126,6 +129,7 @@
   const share = RetryBudgetShare.create({
     getLimits: () => ({ ratio: 0, extra: 3, windowMs: WINDOW_MS }),
     getFleetSize: () => 1,
+    getRetainedFraction: () => 1,
     random: Random.create(1),
     observedSince: -WINDOW_MS,
   });
@@ -150,6 +154,7 @@
     const share = RetryBudgetShare.create({
       getLimits: () => ({ ratio: 0, extra: 100, windowMs: WINDOW_MS }),
       getFleetSize: () => 1,
+      getRetainedFraction: () => 1,
       random,
       observedSince: now,
     });
@@ -164,6 +169,7 @@
   const share = RetryBudgetShare.create({
     getLimits: () => ({ ratio: 0, extra: 100, windowMs }),
     getFleetSize: () => 1,
+    getRetainedFraction: () => 1,
     random: Random.create(6),
     observedSince: -Infinity,
   });
@@ -173,3 +179,23 @@
   const after = acquireAll(share, WINDOW_MS + 1_001);
   t.true(before + after <= 100, `${before} + ${after}`);
 });
+
+// Guards against hosts that take over the requests of lost ones, and with them a budget that these have used.
+test("requests that a host receives in place of lost hosts add nothing to its share", (t) => {
+  let retainedFraction = 1;
+  const share = RetryBudgetShare.create({
+    getLimits: () => ({ ratio: 0.2, extra: 0, windowMs: WINDOW_MS }),
+    getFleetSize: () => 4,
+    getRetainedFraction: () => retainedFraction,
+    random: Random.create(7),
+    observedSince: -Infinity,
+  });
+  const receive = (now: number, count: number) => {
+    for (let index = 0; index < count; index++) share.recordRequest(now);
+  };
+  receive(0, 1_000);
+  const before = share.tryAcquire(1).allowed;
+  retainedFraction = 0.25;
+  receive(WINDOW_MS + 1_000, 4_000);
+  t.is(share.tryAcquire(WINDOW_MS + 1_001).allowed, before);
+});
