--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -278,13 +278,20 @@
     this.self.startRound();
     this.growth.record(this.hosts.size, now);
     this.hosts.removeExpired(now);
-    if (this.knowsFleet && this.knowsSeeds) {
+    if (this.isAlone || (this.knowsFleet && this.knowsSeeds)) {
       this.size.recordComplete(1 + this.hosts.size);
     }
     this.livenessLogger.logChanges(now);
     this.gossipToTargets();
   }
 
+  /** Whether no other host is known and the settings name none. */
+  private get isAlone(): boolean {
+    const { address, getSeeds } = this.options;
+    return this.hosts.size === 0 &&
+      getSeeds().every((seed) => seed === address);
+  }
+
   /** Whether all seeds are known. If not, the known hosts may be one of several partitions; at most one of these contains
    * all seeds. */
   private get knowsSeeds(): boolean {
