Refuse requests that a stopping host cannot finish

A host told to stop went on taking requests as long as one call kept it open, and cut all of them at its last moment, half answered. It now compares how long calls of the route take (mean and four deviations of the answered ones) with what is left of the stop. What would not end, by that or by its deadline, is refused at once as not run, with the connection closed and a Retry-After of 0 if another host takes requests, otherwise the rest of the stop and a second.

stopping_host_test: failed before (nothing refused, calls sent and cut), passes now.

--- a/src/forward/caller_response.ts
+++ b/src/forward/caller_response.ts
@@ -8,6 +8,7 @@
 export class CallerResponse {
   private isStarted = false;
   private isFinished = false;
+  private isHostLeaving = false;
 
   private constructor(
     private readonly response: ServerResponse,
@@ -69,6 +70,7 @@
   refuse(failure: Failure): void {
     if (this.isFinished) return;
     if (this.isStarted) return this.abort();
+    this.isHostLeaving = failure.kind === "draining";
     const body = Buffer.from(JSON.stringify(failure.body));
     const headers = Object.entries(failure.headers).flat();
     if (!this.start(failure.status, headers, body.length)) return;
@@ -98,7 +100,9 @@
     if (length !== undefined && hasBody && !names.has("content-length")) {
       allHeaders.push("content-length", String(length));
     }
-    if (this.closesConnection()) allHeaders.push("connection", "close");
+    if (this.isHostLeaving || this.closesConnection()) {
+      allHeaders.push("connection", "close");
+    }
     this.response.writeHead(status, allHeaders);
     return true;
   }
--- /dev/null
+++ b/src/gateway/call_durations.ts
@@ -0,0 +1,52 @@
+import { getOrCreateLruEntry } from "../admission/lru_entry.ts";
+
+/** Maximum number of tracked routes. Bounded because routes come and go with each configuration. */
+const MAX_TRACKED_ROUTES = 2_000;
+/** Weight of the latest call in the mean duration and in the mean deviation, as in the retransmission timer of TCP. */
+const MEAN_WEIGHT = 1 / 8;
+const DEVIATION_WEIGHT = 1 / 4;
+/** Number of mean deviations by which a call may exceed the mean duration. */
+const DEVIATIONS = 4;
+
+interface DurationEstimate {
+  meanMs: number;
+  /** Mean absolute deviation from the mean; undefined until the first call. */
+  deviationMs: number | undefined;
+}
+
+/** Estimates how long the calls of each route take, from those that were answered lately. */
+export class CallDurations {
+  private readonly estimates = new Map<string, DurationEstimate>();
+
+  private constructor() {}
+
+  /** Creates estimates without samples. */
+  static create(): CallDurations {
+    return new CallDurations();
+  }
+
+  /** Records an answered call.
+   * @param route Name of its route.
+   * @param durationMs Time from its arrival to the end of its response, in milliseconds. */
+  record(route: string, durationMs: number): void {
+    const estimate = getOrCreateLruEntry(
+      this.estimates,
+      route,
+      (): DurationEstimate => ({ meanMs: durationMs, deviationMs: undefined }),
+      MAX_TRACKED_ROUTES,
+    );
+    const { meanMs, deviationMs = durationMs / 2 } = estimate;
+    const difference = durationMs - meanMs;
+    estimate.meanMs += MEAN_WEIGHT * difference;
+    estimate.deviationMs = deviationMs +
+      DEVIATION_WEIGHT * (Math.abs(difference) - deviationMs);
+  }
+
+  /** Returns the time within which nearly all calls of a route are answered, in milliseconds; undefined if none was.
+   * @param route Name of the route. */
+  getLongMs(route: string): number | undefined {
+    const estimate = this.estimates.get(route);
+    if (estimate?.deviationMs === undefined) return undefined;
+    return estimate.meanMs + DEVIATIONS * estimate.deviationMs;
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { CallServer } from "../forward/call_server.ts";
 import { type Dial, dialTcp } from "../network/dial_tcp.ts";
 import type { Logger } from "../logging/logger.ts";
+import { takesRequests } from "../peers/host_phase.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
 import type { KnownHost } from "../peers/known_host.ts";
 import type { PublicationFeed } from "../published/publication_feed.ts";
@@ -29,6 +30,9 @@
  * request takes to reach its upstream. */
 const KEY_AGE_LIMIT_FRACTION = 0.8;
 
+/** Time that a stopped host takes to serve requests again, in milliseconds. */
+const RESTART_MS = 1_000;
+
 /** The dependencies of a gateway that its settings do not describe. */
 export interface GatewayDependencies {
   logger: Logger;
@@ -119,11 +123,10 @@
    * have it in cached lists, and lets open calls finish. */
   async drain(): Promise<void> {
     if (this.stop.hasStarted) return;
-    this.stop.start();
+    this.stop.start(this.settings.stopTimeoutMs);
     this.logger.info({ openCalls: this.handler.openCalls }, "stop_started");
     this.peerNetwork?.announce();
     await this.stop.waitForOpenCalls(
-      this.settings.stopTimeoutMs,
       () => this.handler.openCalls + this.paths.server.openTunnels,
     );
     this.server?.stopListening();
@@ -307,7 +310,8 @@
       initialRoutes: this.initialRoutes,
       mayAcceptKeys: () => this.mayAcceptKeys,
       getPublicationAgeMs: () => this.replica.ageMs,
-      isLeaving: () => this.stop.shouldCloseConnections,
+      stop: this.stop,
+      getRefusalRetryMs: () => this.getStopRetryMs(),
       onRequestAdmitted: (service) => this.chooser.recordRequest(service),
       lookUpPart: (part) => this.peerNetwork?.lookUpPart(part),
       upstreamAccess: this.chooser.createAccess(),
@@ -336,6 +340,15 @@
     return this.paths.isPartitioned ? "partitioned" : "ready";
   }
 
+  /** Time after which callers that this stopping host refuses may retry: at once if another host takes requests,
+   * otherwise when this one is back. */
+  private getStopRetryMs(): number {
+    const hasOther = this.getLiveHosts().some(({ entry }) =>
+      takesRequests(entry.phase)
+    );
+    return hasOther ? 0 : this.stop.remainingMs + RESTART_MS;
+  }
+
   private applyConfiguration(routes: RouteTable): void {
     this.server?.applyLimits(routes.limits);
     this.handler.applyRoutes(routes);
--- a/src/gateway/graceful_stop.ts
+++ b/src/gateway/graceful_stop.ts
@@ -12,9 +12,18 @@
 /** Interval at which a stopping host checks whether all calls have finished. */
 const STOP_POLL_INTERVAL_MS = 50;
 
-/** The progress of a graceful stop: whether it has started, and how long the host still accepts requests. */
+/** How long a call may take. */
+export interface CallTimes {
+  /** Time within which nearly all calls of its route are answered, in milliseconds; undefined if that is not known. */
+  longMs: number | undefined;
+  /** Time until the call's deadline, in milliseconds. */
+  deadlineMs: number;
+}
+
+/** The progress of a graceful stop: whether it has started, which requests the host still accepts, and until when. */
 export class GracefulStop {
   private startedAt: number | undefined;
+  private endsAt = Infinity;
 
   private constructor() {}
 
@@ -33,22 +42,35 @@
       readClock() - this.startedAt > CLOSE_CONNECTIONS_AFTER_MS;
   }
 
-  /** Starts the stop; does nothing if it has already started. */
-  start(): void {
-    this.startedAt ??= readClock();
+  /** Remaining time in which calls may finish, in milliseconds; infinite before the stop. */
+  get remainingMs(): number {
+    return Math.max(0, this.endsAt - readClock());
+  }
+
+  /** Starts the stop; does nothing if it has already started.
+   * @param limitMs Time that the stop may take, in milliseconds. */
+  start(limitMs: number): void {
+    if (this.startedAt !== undefined) return;
+    this.startedAt = readClock();
+    this.endsAt = this.startedAt + limitMs * STOP_TIME_FRACTION;
+  }
+
+  /** Whether a call is likely to end before the stop does. A call of unknown duration is, as long as callers may have
+   * this host in a cached address list.
+   * @param times How long the call may take. */
+  canFinish({ longMs, deadlineMs }: CallTimes): boolean {
+    const { remainingMs } = this;
+    if (deadlineMs <= remainingMs) return true;
+    if (longMs === undefined) return !this.shouldCloseConnections;
+    return longMs <= remainingMs;
   }
 
   /** Waits until callers have had time to move to other hosts and no call is open, or until the usable time is over.
-   * @param limitMs Time that the stop may take, in milliseconds.
+   * The stop must have started.
    * @param countOpenCalls Counts the calls that have not been answered. */
-  async waitForOpenCalls(
-    limitMs: number,
-    countOpenCalls: () => number,
-  ): Promise<void> {
-    const startedAt = this.startedAt ?? readClock();
-    const endsAt = startedAt + limitMs * STOP_TIME_FRACTION;
-    const minDrainEndsAt = Math.min(startedAt + MIN_DRAIN_MS, endsAt);
-    while (readClock() < endsAt) {
+  async waitForOpenCalls(countOpenCalls: () => number): Promise<void> {
+    const minDrainEndsAt = this.startedAt! + MIN_DRAIN_MS;
+    while (this.remainingMs > 0) {
       const isMinDrainOver = readClock() >= minDrainEndsAt;
       if (isMinDrainOver && countOpenCalls() === 0) break;
       await delay(STOP_POLL_INTERVAL_MS);
