Measure the retry budget's window with a clock that never runs ahead

The clock of the process counts a forward step of the time of day as time, since it may have been a suspension. The retries that a host had sent left the window with each step, the same fault as with reloads and starts. The budget now reads the plain monotonic clock: a suspension only makes its window longer.

--- a/src/clock/clock.ts
+++ b/src/clock/clock.ts
@@ -67,6 +67,12 @@
   return processClock.read();
 }
 
+/** Returns monotonic milliseconds of this process, without time during which the machine was suspended. Unlike
+ * `readClock` it never runs ahead when the wall clock is adjusted, so a window measured with it does not end early. */
+export function readSteadyClock(): number {
+  return performance.now();
+}
+
 /** Registers a listener for wall clock jumps; returns a function that removes it.
  * @param listener The listener. */
 export function onClockJump(listener: JumpListener): () => void {
--- a/src/gateway/retry_budgets.ts
+++ b/src/gateway/retry_budgets.ts
@@ -1,5 +1,6 @@
 import type { Random } from "../random/random.ts";
 import { RetryBudgetShare } from "../upstreams/retry_budget_share.ts";
+import type { RetryDecision } from "../upstreams/retry_decision.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 
 /** Dependencies of {@link RetryBudgets}. */
@@ -15,7 +16,7 @@
   /** Returns the part of the fleet's hosts that has not been lost within a time, in milliseconds. */
   getRetainedFraction: (withinMs: number) => number;
   random: Random;
-  /** Returns the monotonic milliseconds. */
+  /** Returns monotonic milliseconds that never run ahead of the true time. */
   readNow: () => number;
 }
 
@@ -37,9 +38,19 @@
     return new RetryBudgets(options);
   }
 
-  /** Returns the share of a service's budget.
+  /** Records the first attempt of a request, which adds to the share.
+   * @param service Service of the request. */
+  recordRequest(service: string): void {
+    this.getShare(service).recordRequest(this.options.readNow());
+  }
+
+  /** Takes one retry from the share of a service if any is left.
    * @param service Name of the service. */
-  getShare(service: string): RetryBudgetShare {
+  tryAcquire(service: string): RetryDecision {
+    return this.getShare(service).tryAcquire(this.options.readNow());
+  }
+
+  private getShare(service: string): RetryBudgetShare {
     const existing = this.shares.get(service);
     if (existing) return existing;
     const { getSettings, getFleetSize, getRetainedFraction, random } =
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,4 +1,5 @@
 import { AdmissionController } from "../admission/admission_controller.ts";
+import { readSteadyClock } from "../clock/clock.ts";
 import { processTimeline } from "../clock/timeline.ts";
 import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
@@ -63,7 +64,7 @@
       getFleetSize: options.getFleetSize,
       getRetainedFraction: options.getRetainedFraction,
       random: this.random,
-      readNow: this.readNow,
+      readNow: options.timeline ? this.readNow : readSteadyClock,
     });
     this.upstreams = UpstreamTable.create({
       logger: options.logger,
@@ -141,7 +142,7 @@
   /** Records a request, which adds to the retry budget of its service.
    * @param service Name of the service. */
   recordRequest(service: string): void {
-    this.retryBudgets.getShare(service).recordRequest(this.readNow());
+    this.retryBudgets.recordRequest(service);
   }
 
   /** Marks an instance of an upstream as crashed: it gets no requests for a while, and others fetch nothing that it had
@@ -174,9 +175,7 @@
   }
 
   private spendRetry(service: string): RetryDecision {
-    const decision = this.retryBudgets.getShare(service).tryAcquire(
-      this.readNow(),
-    );
+    const decision = this.retryBudgets.tryAcquire(service);
     this.options.onRetryDecision(service, decision);
     return decision;
   }
--- a/tests/gateway/retry_budget_fleet.ts
+++ b/tests/gateway/retry_budget_fleet.ts
@@ -168,7 +168,7 @@
     const index = random.pick(active);
     const process = this.processes.get(index)!;
     this.requests.push(timeline.read());
-    process.budgets.getShare(SERVICE).recordRequest(timeline.read());
+    process.budgets.recordRequest(SERVICE);
     this.waitForAttempt(index, process, 0);
   }
 
@@ -191,7 +191,7 @@
     const { timeline } = this.fleet;
     const now = timeline.read();
     this.failures += 1;
-    if (!process.budgets.getShare(SERVICE).tryAcquire(now).isAllowed) return;
+    if (!process.budgets.tryAcquire(SERVICE).isAllowed) return;
     this.retries.push(now + this.random.integer(...ARRIVAL_MS));
     this.waitForAttempt(index, process, retries + 1);
   }
