Move what a host knows of its fleet's size to a class of its own

No change of behaviour: FleetKnowledge holds the growth of the host table, the last complete size and the check of the seeds, which Gossip had gathered.

--- a/src/gateway/call_durations.ts
+++ b/src/gateway/call_durations.ts
@@ -5,13 +5,13 @@
 /** Weight of the latest call in the mean duration and in the mean deviation, as in the retransmission timer of TCP. */
 const MEAN_WEIGHT = 1 / 8;
 const DEVIATION_WEIGHT = 1 / 4;
-/** Number of mean deviations by which a call may exceed the mean duration. */
+/** Number of mean deviations by which nearly no call exceeds the mean duration. */
 const DEVIATIONS = 4;
 
 interface DurationEstimate {
   meanMs: number;
-  /** Mean absolute deviation from the mean; undefined until the first call. */
-  deviationMs: number | undefined;
+  /** Mean absolute deviation from the mean. */
+  deviationMs: number;
 }
 
 /** Estimates how long the calls of each route take, from those that were answered lately. */
@@ -32,21 +32,19 @@
     const estimate = getOrCreateLruEntry(
       this.estimates,
       route,
-      (): DurationEstimate => ({ meanMs: durationMs, deviationMs: undefined }),
+      () => ({ meanMs: durationMs, deviationMs: durationMs / 2 }),
       MAX_TRACKED_ROUTES,
     );
-    const { meanMs, deviationMs = durationMs / 2 } = estimate;
-    const difference = durationMs - meanMs;
+    const difference = durationMs - estimate.meanMs;
     estimate.meanMs += MEAN_WEIGHT * difference;
-    estimate.deviationMs = deviationMs +
-      DEVIATION_WEIGHT * (Math.abs(difference) - deviationMs);
+    estimate.deviationMs += DEVIATION_WEIGHT *
+      (Math.abs(difference) - estimate.deviationMs);
   }
 
   /** Returns the time within which nearly all calls of a route are answered, in milliseconds; undefined if none was.
    * @param route Name of the route. */
   getLongMs(route: string): number | undefined {
     const estimate = this.estimates.get(route);
-    if (estimate?.deviationMs === undefined) return undefined;
-    return estimate.meanMs + DEVIATIONS * estimate.deviationMs;
+    return estimate && estimate.meanMs + DEVIATIONS * estimate.deviationMs;
   }
 }
--- a/src/gateway/graceful_stop.ts
+++ b/src/gateway/graceful_stop.ts
@@ -55,8 +55,8 @@
     this.endsAt = this.startedAt + limitMs * STOP_TIME_FRACTION;
   }
 
-  /** Whether a call is likely to end before the stop does. A call of unknown duration is, as long as callers may have
-   * this host in a cached address list.
+  /** Whether a call is likely to end before the stop does. A call of a route whose calls take an unknown time is assumed
+   * to, as long as callers may have this host in a cached address list.
    * @param times How long the call may take. */
   canFinish({ longMs, deadlineMs }: CallTimes): boolean {
     const { remainingMs } = this;
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -8,8 +8,7 @@
 import type { PrefixUpdate } from "../upstreams/prefix_index.ts";
 import type { DatagramPort } from "./datagram_socket.ts";
 import { FailureDetector } from "./failure_detector.ts";
-import { FleetGrowth } from "./fleet_growth.ts";
-import { FleetSize } from "./fleet_size.ts";
+import { FleetKnowledge } from "./fleet_knowledge.ts";
 import { GossipTargets } from "./gossip_targets.ts";
 import {
   GossipComposer,
@@ -84,8 +83,7 @@
   private readonly receiver: RumourReceiver;
   private readonly composer: GossipComposer;
   private readonly livenessLogger: LivenessLogger;
-  private readonly growth: FleetGrowth;
-  private readonly size = FleetSize.create();
+  private readonly fleet: FleetKnowledge;
   private stopRounds: CancelTimer = () => undefined;
   private stopAnnouncement: CancelTimer | undefined;
   private round = 0;
@@ -136,9 +134,7 @@
       random,
     });
     this.livenessLogger = LivenessLogger.create(hosts, options.logger);
-    this.growth = FleetGrowth.create(() =>
-      getSeeds().some((seed) => seed !== address)
-    );
+    this.fleet = FleetKnowledge.create({ hosts, address, getSeeds });
     this.detector = this.createDetector();
     this.pull = HostTablePull.create(options.readHosts, (states) => {
       const now = this.timeline.read();
@@ -174,21 +170,19 @@
 
   /** Whether the known hosts are likely all hosts of the fleet. */
   get knowsFleet(): boolean {
-    return this.growth.isSettled(this.hosts.size, this.timeline.read());
+    return this.fleet.isDiscovered(this.timeline.read());
   }
 
   /** Number of hosts among which limits of the fleet are divided, including this one and those that were lost lately;
    * undefined if this host has never known all of them. */
   get fleetSize(): number | undefined {
-    return this.size.get(1 + this.hosts.size);
+    return this.fleet.size;
   }
 
   /** Returns the part of the known hosts, including this one, that has not been lost within a time.
    * @param withinMs The time, in milliseconds. */
   getRetainedFraction(withinMs: number): number {
-    const now = this.timeline.read();
-    const lost = this.hosts.countLostSince(now - withinMs, now);
-    return 1 - lost / (1 + this.hosts.size);
+    return this.fleet.getRetainedFraction(withinMs, this.timeline.read());
   }
 
   /** Returns the state of all known hosts and this one, for a host that lacks some. */
@@ -276,31 +270,12 @@
       () => this.runRound(),
     );
     this.self.startRound();
-    this.growth.record(this.hosts.size, now);
     this.hosts.removeExpired(now);
-    if (this.isAlone || (this.knowsFleet && this.knowsSeeds)) {
-      this.size.recordComplete(1 + this.hosts.size);
-    }
+    this.fleet.record(now);
     this.livenessLogger.logChanges(now);
     this.gossipToTargets();
   }
 
-  /** Whether no other host is known and the settings name none. */
-  private get isAlone(): boolean {
-    const { address, getSeeds } = this.options;
-    return this.hosts.size === 0 &&
-      getSeeds().every((seed) => seed === address);
-  }
-
-  /** Whether all seeds are known. If not, the known hosts may be one of several partitions; at most one of these contains
-   * all seeds. */
-  private get knowsSeeds(): boolean {
-    const { address, getSeeds } = this.options;
-    return getSeeds().every((seed) =>
-      seed === address || this.hosts.getHost(seed) !== undefined
-    );
-  }
-
   private gossipToTargets(): void {
     const now = this.timeline.read();
     const { isLarge } = this.hosts;
--- a/src/upstreams/retry_budget_share.ts
+++ b/src/upstreams/retry_budget_share.ts
@@ -4,7 +4,7 @@
 /** Fraction of the fleet's retry budget that the hosts use once their records cover a whole window. */
 const COVERED_FRACTION = 0.7;
 /** Fraction that a host uses until then. An earlier process of the host may have used the other fraction within the
- * window, so both together stay below 1. */
+ * window, so both together must not exceed 1. */
 const UNCOVERED_FRACTION = 0.3;
 /** Number of slots in the sliding window; requests and retries count for up to one slot longer. */
 const SLOTS_PER_WINDOW = 50;
