--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -19,9 +19,8 @@
 import type { CallerLimits } from "../published/configuration_schema.ts";
 import type { RouteTable } from "../published/route_table.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
-import { CallDurations } from "./call_durations.ts";
-import type { GracefulStop } from "./graceful_stop.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
+import type { StopAdmission } from "./stop_admission.ts";
 
 /** Maximum time that a request waits for the first configuration after a start. Longer than a first read of the
  * platform takes, and less than a quarter of most routes' latency objectives. */
@@ -47,9 +46,9 @@
   mayAcceptKeys: () => boolean;
   /** Age of the known publication in milliseconds, for the log. */
   getPublicationAgeMs: () => number;
-  stop: GracefulStop;
-  /** Returns the time after which callers may retry that a stopping host has refused, in milliseconds. */
-  getRefusalRetryMs: () => number;
+  /** Whether callers' connections are closed after their responses. */
+  isLeaving: () => boolean;
+  stopAdmission: StopAdmission;
   /** Called once for each admitted request, before its first attempt. */
   onRequestAdmitted: (service: string) => void;
   /** Looks up which engines have a prompt part cached, by its hash; returns undefined if no other host is asked. */
@@ -61,7 +60,6 @@
 /** Admits callers' requests, reads their bodies and forwards them to upstreams. */
 export class CallHandler {
   private readonly forwarders = new Set<CallForwarder>();
-  private readonly durations = CallDurations.create();
   private pendingAdmissions = 0;
 
   private constructor(private readonly options: CallHandlerOptions) {}
@@ -85,7 +83,7 @@
     const headers = this.options.codec.readCaller(request.rawHeaders);
     const callerResponse = CallerResponse.create(
       response,
-      () => this.options.stop.shouldCloseConnections,
+      this.options.isLeaving,
     );
     this.pendingAdmissions += 1;
     void this.admitAndForward(
@@ -136,7 +134,6 @@
       const limits = this.options.getRoutes()?.limits ?? DEFAULT_LIMITS;
       checkHeaderSize(request, limits);
       const admitted = this.admit(request, headers, receivedAt);
-      this.checkStop(admitted);
       const deepest = admitted.sharedParts.at(-1);
       const lookup = deepest && this.options.lookUpPart(deepest.name);
       const body = await readBody(request, limits.maxBodyBytes);
@@ -184,29 +181,11 @@
       acceptsKeys: this.options.mayAcceptKeys(),
     });
     if (admitted.isErr()) throw admitted.error;
+    const refusal = this.options.stopAdmission.findRefusal(admitted.value);
+    if (refusal) throw refusal;
     return admitted.value;
   }
 
-  /** Refuses a call that would likely be cut off by the end of this host's stop. */
-  private checkStop(
-    { route, callerDeadlineAt, receivedAt }: AdmittedCall,
-  ): void {
-    const { stop, getRefusalRetryMs } = this.options;
-    if (!stop.hasStarted) return;
-    const longMs = this.durations.getLongMs(route.name);
-    const deadlineMs = Math.min(
-      callerDeadlineAt - receivedAt,
-      route.timeoutMs,
-    );
-    if (stop.canFinish({ longMs, deadlineMs })) return;
-    const expected = longMs === undefined ? "unknown" : Math.round(longMs);
-    throw Failure.create(
-      "draining",
-      `takes ${expected} ms, ${Math.round(stop.remainingMs)} ms are left`,
-      getRefusalRetryMs(),
-    );
-  }
-
   private start(
     admitted: AdmittedCall,
     body: Buffer,
@@ -241,7 +220,7 @@
     const { result, detail, durationMs, attempts } = outcome;
     this.options.metrics.recordRequest(call.route.kind, result, durationMs);
     if (result === "answered") {
-      this.durations.record(call.route.name, durationMs);
+      this.options.stopAdmission.recordAnswer(call.route.name, durationMs);
     }
     this.options.logger.info({
       request: call.requestId,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { PrefixRecovery } from "./prefix_recovery.ts";
 import { PublicationExchange } from "./publication_exchange.ts";
 import { PublicationWatch } from "./publication_watch.ts";
+import { StopAdmission } from "./stop_admission.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
 
@@ -310,8 +311,11 @@
       initialRoutes: this.initialRoutes,
       mayAcceptKeys: () => this.mayAcceptKeys,
       getPublicationAgeMs: () => this.replica.ageMs,
-      stop: this.stop,
-      getRefusalRetryMs: () => this.getStopRetryMs(),
+      isLeaving: () => this.stop.shouldCloseConnections,
+      stopAdmission: StopAdmission.create({
+        stop: this.stop,
+        getRetryAfterMs: () => this.getStopRetryMs(),
+      }),
       onRequestAdmitted: (service) => this.chooser.recordRequest(service),
       lookUpPart: (part) => this.peerNetwork?.lookUpPart(part),
       upstreamAccess: this.chooser.createAccess(),
