Cut gateways of the soak off from all workers

Each gateway of the soak reaches workers through proxies of its own, which a control datagram has go silent, reset or refuse new connections. Callers, the store and the other gateways still reach it.

--- a/soak/gateway_process.ts
+++ b/soak/gateway_process.ts
@@ -1,10 +1,21 @@
 import { writeFileSync } from "node:fs";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
+import type { PartitionKind } from "../fakes/network_partition.ts";
 import { ProgramProcess } from "../tools/program_process.ts";
 import { BOUNDS } from "./bounds.ts";
+import {
+  PARTITION_ADDRESS_VARIABLE,
+  setPartition,
+} from "./partition_control.ts";
 
 /** Ports of a gateway on the loopback address of that gateway. */
-const PORTS = { caller: 8_101, ready: 8_102, peer: 8_103, locate: 8_104 };
+const PORTS = {
+  caller: 8_101,
+  ready: 8_102,
+  peer: 8_103,
+  locate: 8_104,
+  partition: 8_105,
+};
 /** Port of the metrics, as set in the deploy file. */
 const METRICS_PORT = 9_464;
 /** First and last port of the gossip between gateways. */
@@ -55,7 +66,7 @@
       "gateway",
       "--settings",
       path,
-    ]);
+    ], { [PARTITION_ADDRESS_VARIABLE]: getPartitionAddress(options) });
     return new GatewayProcess(options, storeProxy, program);
   }
 
@@ -79,6 +90,12 @@
     return `${this.options.ip}:${METRICS_PORT}`;
   }
 
+  /** Loses all its paths to workers, or restores them.
+   * @param kind How connections are treated; undefined if the paths are restored. */
+  async setPartition(kind: PartitionKind | undefined): Promise<void> {
+    await setPartition(getPartitionAddress(this.options), kind);
+  }
+
   /** Rewrites the settings file, as the platform does before a SIGHUP and before a restart.
    * @param seeds Loopback addresses of the gateways through which it joins the others. */
   rewriteSettings(seeds: readonly string[]): void {
@@ -93,6 +110,10 @@
   }
 }
 
+function getPartitionAddress({ ip }: GatewayProcessOptions): string {
+  return `${ip}:${PORTS.partition}`;
+}
+
 function getSettingsPath({ folder, id }: GatewayProcessOptions): string {
   return `${folder}/${id}.conf`;
 }
--- /dev/null
+++ b/soak/partitioned_dial.ts
@@ -0,0 +1,58 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { FaultProxy } from "../fakes/fault_proxy.ts";
+import type { PartitionKind } from "../fakes/network_partition.ts";
+import { splitAddress } from "../src/addresses/split_address.ts";
+import { DialError } from "../src/network/dial_error.ts";
+import { type Dial, dialTcp } from "../src/network/dial_tcp.ts";
+
+/** Time after which a connection that gets no response fails, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 450;
+
+/** Paths from one gateway to all upstreams, which can be lost together. Each path leads through a proxy. */
+export class PartitionedDial {
+  private readonly proxies = new Map<string, Promise<FaultProxy>>();
+  private kind: PartitionKind | undefined;
+
+  private constructor() {}
+
+  /** Creates paths that connect. */
+  static create(): PartitionedDial {
+    return new PartitionedDial();
+  }
+
+  /** Establishes a connection over the path to an upstream. */
+  readonly dial: Dial = async (address) => {
+    if (this.kind === "silent") {
+      await delay(CONNECT_TIMEOUT_MS);
+      throw DialError.create("timed_out", `no connection to ${address}`);
+    }
+    if (this.kind !== undefined) {
+      throw DialError.create("refused", `no path to ${address}`);
+    }
+    // A proxy accepts connections to a worker that refuses them.
+    const probe = await dialTcp(address);
+    probe.destroy();
+    const { port } = await this.getProxy(address);
+    return await dialTcp(`127.0.0.1:${port}`);
+  };
+
+  /** Loses all paths, or restores them.
+   * @param kind How connections are treated; undefined if the paths are restored. */
+  async setPartition(kind: PartitionKind | undefined): Promise<void> {
+    this.kind = kind;
+    const mode = kind === "silent"
+      ? "freeze"
+      : kind === "reset"
+      ? "reset"
+      : "pass";
+    for (const proxy of this.proxies.values()) (await proxy).setMode(mode);
+  }
+
+  private getProxy(address: string): Promise<FaultProxy> {
+    const known = this.proxies.get(address);
+    if (known) return known;
+    const proxy = FaultProxy.create(splitAddress(address).port);
+    this.proxies.set(address, proxy);
+    return proxy;
+  }
+}
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { ProxyMode } from "../fakes/fault_proxy.ts";
+import { PARTITION_KINDS } from "../fakes/network_partition.ts";
 import type { Random } from "../src/random/random.ts";
 import { isRemovable, leaveByAnswers, turnAway } from "./availability.ts";
 import { BOUNDS, FAULT_RECOVERY_MS, WORKER_DRAIN_MS } from "./bounds.ts";
@@ -154,6 +155,25 @@
   fleet.faults.end(window);
 }
 
+/** Cuts gateways off from all workers; callers, the store and the other gateways still reach them. */
+async function cutFromWorkers(
+  fleet: SoakFleet,
+  random: Random,
+): Promise<void> {
+  const count = random.integer(1, fleet.gateways.length);
+  const gateways = random.shuffle(fleet.gateways).slice(0, count);
+  const kind = random.pick(PARTITION_KINDS);
+  const window = fleet.faults.begin(
+    `paths ${kind}`,
+    gateways.map((gateway) => gateway.id),
+  );
+  await Promise.all(gateways.map((gateway) => gateway.setPartition(kind)));
+  await delay(random.integer(500, 6_000));
+  await Promise.all(gateways.map((gateway) => gateway.setPartition(undefined)));
+  await delay(FAULT_RECOVERY_MS);
+  fleet.faults.end(window);
+}
+
 async function cutWorker(fleet: SoakFleet, random: Random): Promise<void> {
   const worker = random.pick(fleet.workers);
   const mode = random.pick([...CONNECTION_FAULTS, "pass"] as const);
@@ -264,6 +284,7 @@
   troubleStore,
   restoreStore,
   cutFromStore,
+  cutFromWorkers,
   cutWorker,
   misbehaveWorker,
   crashWorker,
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -5,7 +5,7 @@
 import { FakeStore } from "../fakes/fake_store.ts";
 import type { FaultProxy } from "../fakes/fault_proxy.ts";
 import { Random } from "../src/random/random.ts";
-import { BUNDLE_COMMAND } from "../tools/program_process.ts";
+import { bundleSoakGateway } from "./bundle_soak_gateway.ts";
 import {
   type CallerAttempt,
   KIND_RULES,
@@ -45,7 +45,7 @@
   gateways: number;
   engines: number;
   plain: number;
-  /** Command that starts the gateways; the bundled program by default. */
+  /** Command that starts the gateways; by default a bundle of the program whose paths to workers can be cut. */
   program?: readonly [string, ...string[]];
 }
 
@@ -185,13 +185,17 @@
     for (let count = 0; count < options.plain; count++) {
       await this.addWorker("plain");
     }
+    const program = options.program ?? await bundleSoakGateway(this.folder);
     for (let index = 0; index < options.gateways; index++) {
-      await this.addGateway(index);
+      await this.addGateway(index, program);
     }
     await this.waitUntilServing();
   }
 
-  private async addGateway(index: number): Promise<void> {
+  private async addGateway(
+    index: number,
+    program: readonly [string, ...string[]],
+  ): Promise<void> {
     const [firstIp] = this.gatewayIps;
     this.gateways.push(
       await GatewayProcess.create({
@@ -200,7 +204,7 @@
         seeds: [firstIp!],
         storePort: this.store.port,
         folder: this.folder,
-        program: this.options.program ?? BUNDLE_COMMAND,
+        program,
       }),
     );
   }
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -27,6 +27,12 @@
     faults: AVAILABILITY_FAULTS,
     cause: "none; workers that announce their availability",
   },
+  {
+    seed: 4,
+    seconds: 6,
+    faults: ["cutFromWorkers", "stopInTurn", "killGateway"],
+    cause: "none; gateways without a path to any worker, stopped and killed",
+  },
 ];
 
 for (
--- a/tools/program_process.ts
+++ b/tools/program_process.ts
@@ -17,12 +17,19 @@
   private exited: Promise<number | null> = Promise.resolve(null);
   private startCount = 0;
 
-  private constructor(private readonly command: readonly string[]) {}
+  private constructor(
+    private readonly command: readonly string[],
+    private readonly environment: Readonly<Record<string, string>>,
+  ) {}
 
   /** Starts a process.
-   * @param command Executable and its arguments. */
-  static create(command: readonly string[]): ProgramProcess {
-    const program = new ProgramProcess(command);
+   * @param command Executable and its arguments.
+   * @param environment Environment variables besides those of this process. */
+  static create(
+    command: readonly string[],
+    environment: Readonly<Record<string, string>> = {},
+  ): ProgramProcess {
+    const program = new ProgramProcess(command, environment);
     program.start();
     return program;
   }
@@ -48,7 +55,10 @@
     this.isRunning = true;
     this.startCount += 1;
     const [program, ...args] = this.command;
-    const child = spawn(program!, args, { stdio: ["ignore", "pipe", "pipe"] });
+    const child = spawn(program!, args, {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...this.environment },
+    });
     for (const stream of [child.stdout, child.stderr]) {
       stream.setEncoding("utf8").on(
         "data",
