Send crash reports to hosts that have just started

A host that starts knew of no held request until a periodic message, which goes to one random host every half second, reached it. Hosts now send their reports when they hear of a start, in a large fleet a few of them.

crash_gossip_test, "a host that has just started": fails before for want of the method, passes now.

--- a/soak/partitioned_dial.ts
+++ b/soak/partitioned_dial.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
-import { FaultProxy } from "../fakes/fault_proxy.ts";
+import { FaultProxy, type ProxyMode } from "../fakes/fault_proxy.ts";
 import type { PartitionKind } from "../fakes/network_partition.ts";
 import { splitAddress } from "../src/addresses/split_address.ts";
 import { DialError } from "../src/network/dial_error.ts";
@@ -8,6 +8,13 @@
 /** Time after which a connection that gets no response fails, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 450;
 
+/** What the proxies do with traffic, by the kind of partition. */
+const PROXY_MODES: Readonly<Record<PartitionKind, ProxyMode>> = {
+  silent: "freeze",
+  reset: "reset",
+  refuse_new: "pass",
+};
+
 /** Paths from one gateway to all upstreams, which can be lost together. Each path leads through a proxy. */
 export class PartitionedDial {
   private readonly proxies = new Map<string, Promise<FaultProxy>>();
@@ -40,11 +47,7 @@
    * @param kind How connections are treated; undefined if the paths are restored. */
   async setPartition(kind: PartitionKind | undefined): Promise<void> {
     this.kind = kind;
-    const mode = kind === "silent"
-      ? "freeze"
-      : kind === "reset"
-      ? "reset"
-      : "pass";
+    const mode = kind === undefined ? "pass" : PROXY_MODES[kind];
     for (const proxy of this.proxies.values()) (await proxy).setMode(mode);
   }
 
--- a/src/crashes/crash_gossip.ts
+++ b/src/crashes/crash_gossip.ts
@@ -33,6 +33,8 @@
 export class CrashGossip {
   private readonly random = Random.create();
   private readonly antiEntropyTimer: NodeJS.Timeout;
+  /** Latest incarnation of each host that was told of after its start. */
+  private readonly startedIncarnations = new Map<string, number>();
   private batchTimer: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: CrashGossipOptions) {
@@ -53,6 +55,19 @@
     this.batchTimer ??= setTimeout(() => this.sendBatch(), BATCH_DELAY_MS);
   }
 
+  /** Sends the known reports to a host that has just started, once per start. In a large fleet only some hosts do.
+   * @param host The host, as `send` accepts it.
+   * @param incarnation Its incarnation, which increases with each start. */
+  informStarted(host: string, incarnation: number): void {
+    const known = this.startedIncarnations.get(host) ?? -Infinity;
+    if (incarnation <= known) return;
+    this.startedIncarnations.set(host, incarnation);
+    const others = this.options.getHosts().length;
+    const isChosen = others <= SMALL_FLEET_MAX_HOSTS ||
+      this.random.integer(1, others) <= LARGE_FLEET_FANOUT;
+    if (isChosen) this.sendSampleTo(host);
+  }
+
   /** Stops gossiping. */
   close(): void {
     clearInterval(this.antiEntropyTimer);
@@ -77,10 +92,13 @@
   }
 
   private sendSample(): void {
-    const { store, getHosts } = this.options;
+    const [host] = this.random.shuffle(this.options.getHosts());
+    if (host !== undefined) this.sendSampleTo(host);
+  }
+
+  private sendSampleTo(host: string): void {
+    const { store } = this.options;
     if (store.isEmpty) return;
-    const [host] = this.random.shuffle(getHosts());
-    if (host === undefined) return;
     this.send(
       host,
       store.sampleReports(MAX_REPORTS_PER_MESSAGE, readClock(), this.random),
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -283,6 +283,9 @@
     const { loads, candidates } = this.options.chooser;
     candidates.declineLimits.merge(entry.declineLimits, lastSeenAt);
     recordPeerLoads(loads, entry, lastSeenAt, this.gossip.isLargeFleet);
+    if (entry.phase === "starting") {
+      this.crashGossip.informStarted(entry.gossipAddress, entry.incarnation);
+    }
     if (requestedAt === undefined) return;
     this.reconciler.reconcile(entry, entry, requestedAt);
   }
--- a/tests/crashes/crash_gossip_test.ts
+++ b/tests/crashes/crash_gossip_test.ts
@@ -80,3 +80,25 @@
     });
   });
 }
+
+// Guards against hosts that forward a held request after a start until a periodic message tells them of the hold.
+test("a host that has just started is sent the known reports once, ahead of periodic messages", (t) => {
+  const store = CrashStore.create({
+    onCrashReported: () => undefined,
+    onPendingReports: () => undefined,
+    onHeld: () => undefined,
+  });
+  const receivers: string[] = [];
+  const gossip = CrashGossip.create({
+    store,
+    send: (host) => void receivers.push(host),
+    getHosts: () => ["other"],
+  });
+  gossip.informStarted("before any report", 1);
+  store.recordCrash(REQUEST, 1, 2, performance.now());
+  gossip.informStarted("started", 1);
+  gossip.informStarted("started", 1);
+  gossip.informStarted("started", 2);
+  gossip.close();
+  t.deepEqual(receivers, ["started", "started"]);
+});
