--- a/fakes/fake_worker.ts
+++ b/fakes/fake_worker.ts
@@ -98,6 +98,16 @@
   response.end(worker.id);
 };
 
+/** Responds with an error, after which the request counts as run. */
+export const respondWithError: WorkerBehaviour = (
+  request,
+  response,
+  worker,
+) => {
+  response.writeHead(500, worker.buildSealHeaders(request));
+  response.end();
+};
+
 /** Builds a behaviour that declines each request as not executed.
  * @param headers Further headers of the responses. */
 export function declineRequests(
--- a/soak/partitioned_dial.ts
+++ b/soak/partitioned_dial.ts
@@ -3,10 +3,11 @@
 import type { PartitionKind } from "../fakes/network_partition.ts";
 import { splitAddress } from "../src/addresses/split_address.ts";
 import { DialError } from "../src/network/dial_error.ts";
-import { type Dial, dialTcp } from "../src/network/dial_tcp.ts";
-
-/** Time after which a connection that gets no response fails, in milliseconds. */
-const CONNECT_TIMEOUT_MS = 450;
+import {
+  CONNECT_TIMEOUT_MS,
+  type Dial,
+  dialTcp,
+} from "../src/network/dial_tcp.ts";
 
 /** What the proxies do with traffic, by the kind of partition. */
 const PROXY_MODES: Readonly<Record<PartitionKind, ProxyMode>> = {
--- a/src/gateway/retry_budgets.ts
+++ b/src/gateway/retry_budgets.ts
@@ -25,11 +25,11 @@
 export class RetryBudgets {
   private readonly shares = new Map<string, RetryBudgetShare>();
   /** Monotonic milliseconds from which on this host's retries are recorded. */
-  private readonly observedSince: number;
+  private readonly recordedSince: number;
 
   private constructor(private readonly options: RetryBudgetsOptions) {
     const { isFirstStart } = options.getSettings();
-    this.observedSince = isFirstStart ? -Infinity : options.readNow();
+    this.recordedSince = isFirstStart ? -Infinity : options.readNow();
   }
 
   /** Creates unused budgets.
@@ -67,7 +67,7 @@
       getFleetSize,
       getRetainedFraction,
       random,
-      observedSince: this.observedSince,
+      recordedSince: this.recordedSince,
     });
     this.shares.set(service, share);
     return share;
--- a/src/network/dial_tcp.ts
+++ b/src/network/dial_tcp.ts
@@ -3,7 +3,7 @@
 import { DialError } from "./dial_error.ts";
 
 /** Timeout for establishing a connection, in milliseconds; about a hundred usual round-trip times. */
-const CONNECT_TIMEOUT_MS = 450;
+export const CONNECT_TIMEOUT_MS = 450;
 /** Idle time after which the operating system starts TCP keepalive probes, in milliseconds. */
 export const KEEPALIVE_PROBE_DELAY_MS = 1_000;
 
--- a/src/upstreams/retry_budget_share.ts
+++ b/src/upstreams/retry_budget_share.ts
@@ -3,9 +3,9 @@
 
 /** Fraction of the fleet's retry budget that the hosts use once their records cover a whole window. */
 const COVERED_FRACTION = 0.7;
-/** Fraction that a host uses until then. An earlier process of the host may have used the other fraction within the
- * window, so both together must not exceed 1. */
-const UNCOVERED_FRACTION = 0.3;
+/** Fraction that a host uses until then: the rest, because an earlier process of the host may have used the above within
+ * the window. */
+const UNCOVERED_FRACTION = 1 - COVERED_FRACTION;
 /** Number of slots in the sliding window; requests and retries count for up to one slot longer. */
 const SLOTS_PER_WINDOW = 50;
 
@@ -30,7 +30,7 @@
   random: Random;
   /** Monotonic milliseconds from which on all requests and retries of the host are recorded; minus infinity if it had
    * none before. */
-  observedSince: number;
+  recordedSince: number;
 }
 
 interface Slot {
@@ -54,11 +54,11 @@
   /** Fraction of a retry above which the share is rounded up. */
   private readonly rounding: number;
   /** Monotonic milliseconds from which on the slots are complete. */
-  private observedSince: number;
+  private recordedSince: number;
 
   private constructor(private readonly options: RetryBudgetShareOptions) {
     this.rounding = options.random.fraction();
-    this.observedSince = options.observedSince;
+    this.recordedSince = options.recordedSince;
   }
 
   /** Creates an unused share.
@@ -91,7 +91,7 @@
     const { ratio, extra, windowMs } = this.options.getLimits();
     const hosts = this.options.getFleetSize();
     const ownExtra = hosts === undefined ? 0 : extra / hosts;
-    const coverage = Math.min(1, (now - this.observedSince) / windowMs);
+    const coverage = Math.min(1, (now - this.recordedSince) / windowMs);
     const fraction = coverage < 1 ? UNCOVERED_FRACTION : COVERED_FRACTION;
     // The additional retries accrue with the time, so that starts in series do not multiply them.
     const allowed = fraction * (ratio * requests + coverage * ownExtra);
@@ -120,8 +120,8 @@
 
   private removeExpired(windowStart: number): void {
     while (this.slots.length > 0 && this.slots[0]!.endsAt <= windowStart) {
-      this.observedSince = Math.max(
-        this.observedSince,
+      this.recordedSince = Math.max(
+        this.recordedSince,
         this.slots.shift()!.endsAt,
       );
     }
--- a/tests/gateway/retry_budget_clock_test.ts
+++ b/tests/gateway/retry_budget_clock_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { WorkerBehaviour } from "../../fakes/fake_worker.ts";
+import { respondWithError } from "../../fakes/fake_worker.ts";
 import { call } from "./call.ts";
 import { waitForStatus } from "./wait_for_gateway.ts";
 import { withGateways } from "./with_gateways.ts";
@@ -12,11 +12,6 @@
 const STEPS = 3;
 const CALLS_PER_STEP = 20;
 
-const respondWithError: WorkerBehaviour = (request, response, worker) => {
-  response.writeHead(500, worker.buildSealHeaders(request));
-  response.end();
-};
-
 // Guards against forward steps of the time of day that end the window of the retry budget early.
 test.serial("a gateway stays within its retry budget when the time of day steps forward in series", async (t) => {
   const readWallClock = Date.now;
--- a/tests/gateway/retry_budget_reload_test.ts
+++ b/tests/gateway/retry_budget_reload_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import type { WorkerBehaviour } from "../../fakes/fake_worker.ts";
+import { respondWithError } from "../../fakes/fake_worker.ts";
 import { call } from "./call.ts";
 import { waitForStatus } from "./wait_for_gateway.ts";
 import { withGateways } from "./with_gateways.ts";
@@ -10,11 +10,6 @@
 const RELOADS = 4;
 const CALLS_PER_RELOAD = 20;
 
-const respondWithError: WorkerBehaviour = (request, response, worker) => {
-  response.writeHead(500, worker.buildSealHeaders(request));
-  response.end();
-};
-
 // Guards against reloads that forget the retries that were already sent.
 test("a gateway whose settings are reloaded in series stays within its retry budget", async (t) => {
   await withGateways(async (fleet) => {
--- a/tests/upstreams/retry_budget_share_test.ts
+++ b/tests/upstreams/retry_budget_share_test.ts
@@ -5,6 +5,13 @@
 
 const WINDOW_MS = 10_000;
 
+/** Takes all retries that a share allows, and returns their number. */
+function acquireAll(share: RetryBudgetShare, now: number): number {
+  let acquired = 0;
+  while (share.tryAcquire(now).isAllowed) acquired += 1;
+  return acquired;
+}
+
 test("all hosts together never exceed the fleet's retry budget in any window", (t) => {
   const staysWithinBudget = fc.property(
     fc.integer({ min: 1, max: 9 }),
@@ -21,7 +28,7 @@
             getFleetSize: () => hosts,
             getRetainedFraction: () => 1,
             random: Random.create(hosts),
-            observedSince: -Infinity,
+            recordedSince: -Infinity,
           }),
       );
       let now = 0;
@@ -59,7 +66,7 @@
       getFleetSize: () => hosts,
       getRetainedFraction: () => 1,
       random,
-      observedSince: -Infinity,
+      recordedSince: -Infinity,
     }));
   const requests: number[] = [];
   const retries: number[] = [];
@@ -107,21 +114,16 @@
     getFleetSize: () => 1,
     getRetainedFraction: () => 1,
     random: Random.create(1),
-    observedSince: -WINDOW_MS,
+    recordedSince: -WINDOW_MS,
   });
-  const countAcquired = (now: number) => {
-    let acquired = 0;
-    while (share.tryAcquire(now).isAllowed) acquired += 1;
-    return acquired;
-  };
-  const before = countAcquired(1_000);
+  const before = acquireAll(share, 1_000);
   limits = { ...limits };
-  t.is(countAcquired(1_001), 0);
+  t.is(acquireAll(share, 1_001), 0);
   limits = { ...limits, extra: 40 };
-  const added = countAcquired(1_002);
+  const added = acquireAll(share, 1_002);
   t.true(before + added <= 28, `${before} + ${added}`);
   limits = { ...limits, extra: 20, windowMs: WINDOW_MS / 2 };
-  t.is(countAcquired(1_003), 0);
+  t.is(acquireAll(share, 1_003), 0);
 });
 
 // Guards against a window that ends before its length has passed.
@@ -131,21 +133,14 @@
     getFleetSize: () => 1,
     getRetainedFraction: () => 1,
     random: Random.create(1),
-    observedSince: -WINDOW_MS,
+    recordedSince: -WINDOW_MS,
   });
   const sentAt = 990;
-  while (share.tryAcquire(sentAt).isAllowed);
+  acquireAll(share, sentAt);
   t.false(share.tryAcquire(sentAt + WINDOW_MS - 1).isAllowed);
   t.true(share.tryAcquire(sentAt + 1.1 * WINDOW_MS).isAllowed);
 });
 
-/** Takes all retries that a share allows, and returns their number. */
-function acquireAll(share: RetryBudgetShare, now: number): number {
-  let acquired = 0;
-  while (share.tryAcquire(now).isAllowed) acquired += 1;
-  return acquired;
-}
-
 // Guards against processes that take a full share although their predecessor has used it.
 test("processes that start in series use no more than one that runs on", (t) => {
   const random = Random.create(5);
@@ -156,7 +151,7 @@
       getFleetSize: () => 1,
       getRetainedFraction: () => 1,
       random,
-      observedSince: now,
+      recordedSince: now,
     });
     started += acquireAll(share, now + 499);
   }
@@ -171,7 +166,7 @@
     getFleetSize: () => 1,
     getRetainedFraction: () => 1,
     random: Random.create(6),
-    observedSince: -Infinity,
+    recordedSince: -Infinity,
   });
   const before = acquireAll(share, 0);
   share.recordRequest(WINDOW_MS + 1_000);
@@ -188,7 +183,7 @@
     getFleetSize: () => 4,
     getRetainedFraction: () => retainedFraction,
     random: Random.create(7),
-    observedSince: -Infinity,
+    recordedSince: -Infinity,
   });
   const receive = (now: number, count: number) => {
     for (let index = 0; index < count; index++) share.recordRequest(now);
