Log upstreams' software versions and what an attempt resumes

No log line named the software version of an upstream, the event after which an attempt continues or the request whose stream a caller resumes. Published upstreams now carry their software version; upstream_published and request_sent log it, and request_sent logs the last event and the resumed request. No decision uses them yet.

--- a/fakes/fake_worker.ts
+++ b/fakes/fake_worker.ts
@@ -24,6 +24,8 @@
   behaviour: WorkerBehaviour = respondSuccessfully;
   /** Start time that the worker reports, in Unix milliseconds. */
   startedAt = Date.now();
+  /** Software version that the worker publishes. */
+  version = "v1";
   /** Whether `crash` was called. */
   hasCrashed = false;
 
--- a/fakes/worker_entry.ts
+++ b/fakes/worker_entry.ts
@@ -9,6 +9,8 @@
   startedAt: number;
   /** Hall of the worker; `h` by default. */
   zone?: string;
+  /** Software version; `v1` by default. */
+  version?: string;
 }
 
 /** Builds the complete entry of a worker as the platform's store holds it.
@@ -17,8 +19,8 @@
   const { startedAt, ...published } = options;
   return {
     zone: "h",
-    ...published,
     version: "v1",
+    ...published,
     cold_left_ms: 0,
     sequence: 1,
     born: startedAt,
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -174,8 +174,15 @@
     this.silences.watch(upstream);
     const prompt = context.placePrompt(call, upstream);
     const load = context.recordSend(choice);
-    this.log.logSent({ choice, reason, remainingMs, load, prompt });
     const { lastEventId } = this.relay;
+    this.log.logSent({
+      choice,
+      reason,
+      remainingMs,
+      lastEventId,
+      load,
+      prompt,
+    });
     const fetchFrom = prompt?.fetchFrom;
     const attemptHeaders = {
       upstreamId: upstream.id,
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -15,6 +15,8 @@
   /** Why the request is sent: `first`, or how the previous attempt ended. */
   reason: string;
   remainingMs: number;
+  /** Id of the last event that the caller has received; undefined if the attempt does not resume a stream. */
+  lastEventId: string | undefined;
   /** The known load of the upstream. */
   load: LoadSnapshot;
   /** What the upstream is assumed to have cached of the prompt; undefined if the request shares no prompt. */
@@ -58,7 +60,7 @@
   /** Logs that the request is sent to an upstream, and what the choice was based on.
    * @param send The attempt. */
   logSent(send: LoggedSend): void {
-    const { choice, reason, remainingMs, load, prompt } = send;
+    const { choice, reason, remainingMs, lastEventId, load, prompt } = send;
     const { upstream, basis, bound } = choice;
     const { availability } = upstream;
     this.logger.info({
@@ -66,7 +68,10 @@
       fingerprint: formatFingerprint(this.call.fingerprint),
       bodyBytes: this.call.body?.length ?? 0,
       upstream: upstream.id,
+      softwareVersion: upstream.published.softwareVersion,
       reason,
+      resumesAfter: lastEventId,
+      resumesRequest: this.call.headers.resumedRequestId,
       remainingMs: Math.round(remainingMs),
       hall: upstream.published.hall,
       path: upstream.path.state,
--- a/src/forward/caller_headers.ts
+++ b/src/forward/caller_headers.ts
@@ -30,6 +30,9 @@
   prompt: PromptOutline | undefined;
   /** Id of the last event that the caller has received, if it resumes a stream. */
   lastEventId: string | undefined;
+  /** Id of the request whose response contained the first event of the resumed stream; undefined if it is missing, empty
+   * or repeated. */
+  resumedRequestId: string | undefined;
   /** Headers to forward unchanged, as alternating names and values: without hop-by-hop headers and without those that
    * the system sets itself. */
   forwardedHeaders: readonly string[];
--- a/src/published/publication_replica.ts
+++ b/src/published/publication_replica.ts
@@ -263,6 +263,7 @@
           state,
           service,
           address,
+          softwareVersion: upstream?.softwareVersion,
           era: getEra(revision),
           revision: getRevision(revision),
           source,
--- a/src/published/upstream_schema.ts
+++ b/src/published/upstream_schema.ts
@@ -18,6 +18,8 @@
   warmUpMs: z.number().nonnegative().optional(),
   /** Start time in Unix milliseconds, which distinguishes instances with the same id; undefined if not published. */
   startedAt: z.number().int().optional(),
+  /** Version of its software; undefined if not published. Streams of different versions do not fit together. */
+  softwareVersion: z.string().optional(),
 });
 
 /** A published upstream. */
--- a/tests/gateway/with_gateways.ts
+++ b/tests/gateway/with_gateways.ts
@@ -62,13 +62,16 @@
   /** Starts a worker and publishes it.
    * @param service Service of the worker.
    * @param zone Hall of the worker.
-   * @param slots Number of requests that it runs at once. */
+   * @param slots Number of requests that it runs at once.
+   * @param version Its software version. */
   async startWorker(
     service: string,
     zone = "h",
     slots = SLOTS,
+    version = "v1",
   ): Promise<FakeWorker> {
     const worker = await FakeWorker.create(`w-${this.workers.length}`);
+    worker.version = version;
     this.workers.push(worker);
     this.publishWorker(worker, service, "ready", zone, slots);
     return worker;
@@ -76,11 +79,16 @@
 
   /** Starts several workers of a service and publishes them.
    * @param service Service of the workers.
-   * @param count Number of workers. */
-  async startWorkers(service: string, count: number): Promise<FakeWorker[]> {
+   * @param count Number of workers.
+   * @param version Their software version. */
+  async startWorkers(
+    service: string,
+    count: number,
+    version = "v1",
+  ): Promise<FakeWorker[]> {
     const workers: FakeWorker[] = [];
     for (let index = 0; index < count; index++) {
-      workers.push(await this.startWorker(service));
+      workers.push(await this.startWorker(service, "h", SLOTS, version));
     }
     return workers;
   }
@@ -98,8 +106,8 @@
     zone = "h",
     slots = SLOTS,
   ): void {
-    const { address, id, startedAt } = worker;
-    const entry = { service, address, state, slots, startedAt, zone };
+    const { address, id, startedAt, version } = worker;
+    const entry = { service, address, state, slots, startedAt, zone, version };
     this.store.put(`servers/${id}`, buildWorkerEntry(entry));
   }
 
--- a/tests/platform/decode_upstreams_test.ts
+++ b/tests/platform/decode_upstreams_test.ts
@@ -55,6 +55,15 @@
   },
 };
 
+test("the software version of an entry is decoded, also if it is a number", (t) => {
+  const { changes } = decode([
+    buildItem("one", { ...ENTRY, version: "v1.2" }),
+    buildItem("two", { ...ENTRY, version: 3 }),
+  ]);
+  const versions = changes.map(({ upstream }) => upstream?.softwareVersion);
+  t.deepEqual(versions, ["v1.2", "3"]);
+});
+
 for (const [defect, value] of Object.entries(INVALID_ENTRIES)) {
   test(`an invalid entry is not an upstream and does not affect the others: ${defect}`, (t) => {
     const items = [buildItem("bad", value, 7), buildItem("sound", ENTRY)];
--- a/tests/platform/header_codec_test.ts
+++ b/tests/platform/header_codec_test.ts
@@ -48,6 +48,18 @@
   t.is(caller.prompt?.promptTokens, 1_460);
 });
 
+test("the request whose stream is resumed is read unless it is empty or repeated", (t) => {
+  const readResumed = (...ids: string[]) =>
+    platformHeaderCodec.readCaller([
+      ...REQUEST,
+      ...ids.flatMap((id) => ["Resumes", id]),
+    ]).resumedRequestId;
+  t.is(readResumed("r-0"), "r-0");
+  t.is(readResumed(), undefined);
+  t.is(readResumed(""), undefined);
+  t.is(readResumed("r-0", "r-9"), undefined);
+});
+
 test("an upstream receives the system's headers, but not the API key", (t) => {
   const forwarded = toMap(
     platformHeaderCodec.writeUpstream(
