--- a/tests/gateway/call.ts
+++ b/tests/gateway/call.ts
@@ -18,8 +18,12 @@
 export async function call(
   gateway: TestGateway,
   key: string,
-  changes: { path?: string; headers?: Record<string, string>; body?: string } =
-    {},
+  changes: {
+    path?: string;
+    headers?: Record<string, string>;
+    body?: string;
+    signal?: AbortSignal;
+  } = {},
 ): Promise<CallResult> {
   const path = changes.path ?? "/a/b?c=d";
   const response = await request(
@@ -34,6 +38,7 @@
         ...changes.headers,
       },
       body: changes.body ?? "a body",
+      signal: changes.signal,
     },
   );
   return {
