--- /dev/null
+++ b/src/forward/attempt_outcomes.ts
@@ -0,0 +1,72 @@
+import { readClock } from "../clock/clock.ts";
+import type { Upstream } from "../upstreams/upstream.ts";
+import type { HealthSignal } from "../upstreams/upstream_health.ts";
+import type { CallForwarderContext } from "./call_forwarder_context.ts";
+import type { ResponseHeaders } from "./caller_headers.ts";
+import type { RoutedCall } from "./routed_call.ts";
+
+/** Records what the attempts of a call show about upstreams and about the request. */
+export class AttemptOutcomes {
+  private constructor(
+    private readonly call: RoutedCall,
+    private readonly context: CallForwarderContext,
+  ) {}
+
+  /** Creates a recorder.
+   * @param call The call.
+   * @param context Dependencies on the rest of the process. */
+  static create(
+    call: RoutedCall,
+    context: CallForwarderContext,
+  ): AttemptOutcomes {
+    return new AttemptOutcomes(call, context);
+  }
+
+  /** Records a complete response, whatever its status.
+   * @param elapsedMs Time since the request was sent, in milliseconds. */
+  recordCompletion(elapsedMs: number): void {
+    this.context.recordCompletion(this.call, elapsedMs);
+    this.context.crashes.recordCompletion(this.call.fingerprint);
+  }
+
+  /** Records a successful response.
+   * @param upstream The upstream.
+   * @param signal What the response shows about its health. */
+  recordSuccess(upstream: Upstream, signal: HealthSignal): void {
+    this.context.recordHealth(upstream, signal);
+  }
+
+  /** Records an error response. One with a backoff shows that the upstream is busy, not that it is faulty.
+   * @param upstream The upstream.
+   * @param headers Headers of the response. */
+  recordError(upstream: Upstream, { availability }: ResponseHeaders): void {
+    if (availability.backoffMs !== undefined) return;
+    this.context.recordHealth(upstream, "error_answer");
+  }
+
+  /** Records that the request did not reach an upstream.
+   * @param upstream The upstream. */
+  recordUnreachable(upstream: Upstream): void {
+    this.context.recordHealth(upstream, "unreachable");
+  }
+
+  /** Records that the connection to an upstream ended before the response was complete.
+   * @param upstream The upstream.
+   * @param hasPartialResponse Whether an event of the response was forwarded. */
+  recordBroken(upstream: Upstream, hasPartialResponse: boolean): void {
+    this.context.recordHealth(upstream, "broken");
+    this.context.crashes.recordInterruption(
+      upstream,
+      this.call.fingerprint,
+      hasPartialResponse,
+    );
+  }
+
+  /** Records that the process at an upstream's address did not run the request.
+   * @param upstream The upstream.
+   * @param headers Headers of the response. */
+  recordDecline(upstream: Upstream, headers: ResponseHeaders): void {
+    if (headers.isFromOtherUpstream) this.context.recordMoved(upstream);
+    else upstream.availability.recordDecline(readClock());
+  }
+}
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -7,11 +7,13 @@
 import { isFailureStatus, isNotRunStatus } from "./response_status.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import {
-  Attempt,
+  type Attempt,
   type AttemptFailure,
-  type AttemptRequest,
+  type AttemptListener,
 } from "./attempt.ts";
 import { AttemptBudget } from "./attempt_budget.ts";
+import { AttemptOutcomes } from "./attempt_outcomes.ts";
+import { AttemptSender } from "./attempt_sender.ts";
 import { type AttemptProgress, CallLog } from "./call_log.ts";
 import { CallDeadline } from "./call_deadline.ts";
 import type {
@@ -20,20 +22,22 @@
 } from "./call_forwarder_context.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { ResponseHeaders } from "./caller_headers.ts";
-import { buildAttemptRequest } from "./build_attempt_request.ts";
 import { formatSilence } from "./silence_detector.ts";
 import { SilenceHandler } from "./silence_handler.ts";
 import type { RoutedCall } from "./routed_call.ts";
+import { UpstreamPicker } from "./upstream_picker.ts";
 
 /** An attempt is not started with less time than this left, in milliseconds. */
 const MIN_REMAINING_MS = 15;
 
 /** Forwards one call: makes attempts at upstreams until one responds or the deadline or the retries are exhausted. */
 export class CallForwarder {
-  private readonly triedUpstreamIds = new Set<string>();
   private readonly budget: AttemptBudget;
   private readonly relay: ResponseRelay;
   private readonly log: CallLog;
+  private readonly picker: UpstreamPicker;
+  private readonly sender: AttemptSender;
+  private readonly outcomes: AttemptOutcomes;
   private attempt: Attempt | undefined;
   private isFinished = false;
   private readonly silences: SilenceHandler;
@@ -48,6 +52,9 @@
     this.deadline = CallDeadline.create(call, () => this.expire());
     this.budget = AttemptBudget.create(call, () => this.spendRetry());
     this.log = CallLog.create(context.logger, call);
+    this.picker = UpstreamPicker.create(call, context, this.log);
+    this.sender = AttemptSender.create(call, context, this.log);
+    this.outcomes = AttemptOutcomes.create(call, context);
     this.relay = ResponseRelay.create(response, call.headers.lastEventId);
     this.silences = this.createSilenceHandler();
   }
@@ -130,81 +137,58 @@
 
   private get progress(): AttemptProgress {
     return {
-      attempt: this.triedUpstreamIds.size,
+      attempt: this.picker.attempts,
       events: this.relay.eventsForwarded,
     };
   }
 
   /** Sends the request to the next upstream; refuses the call if none is left or the request would likely crash it. */
   private sendToNext(reason: string): void {
-    if (this.triedUpstreamIds.size > 0 && !this.maySendAgain) {
+    if (this.picker.attempts > 0 && !this.maySendAgain) {
       return this.refuseHeld(`held after ${reason}`);
     }
-    const choice = this.context.choose(this.call, this.triedUpstreamIds);
+    const choice = this.picker.pick();
     if (choice) return this.sendTo(choice, reason);
-    const loan = this.context.borrowSlot(this.call, this.triedUpstreamIds);
+    const loan = this.picker.borrow();
     if (loan) void this.sendOnBorrowedSlot(loan, reason);
     else this.giveUp(`no upstream left after ${reason}`);
   }
 
   /** Sends the request once another host has lent a slot of an upstream; gives up if none does. */
   private async sendOnBorrowedSlot(
-    loan: Promise<boolean>,
+    loan: Promise<UpstreamChoice | undefined>,
     reason: string,
   ): Promise<void> {
     // The previous attempt has ended; its upstream need not be watched any more.
     this.silences.close();
     this.attempt = undefined;
-    const requestedAt = readClock();
-    const isGranted = await loan;
-    this.log.logSlotRequested(isGranted, readClock() - requestedAt);
+    const choice = await loan;
     if (this.isFinished) return;
-    const choice = this.context.choose(this.call, this.triedUpstreamIds);
     if (choice) this.sendTo(choice, reason);
     else this.giveUp(`no slot left after ${reason}`);
   }
 
   private sendTo(choice: UpstreamChoice, reason: string): void {
-    const { call, context } = this;
     const { upstream } = choice;
-    this.triedUpstreamIds.add(upstream.id);
+    this.picker.recordAttempt(upstream);
     this.relay.startAttempt();
     const { remainingMs } = this.deadline;
     if (remainingMs < MIN_REMAINING_MS) return this.giveUp("no time left");
     this.silences.watch(upstream);
-    const prompt = context.placePrompt(call, upstream);
-    const load = context.recordSend(choice);
     const { lastEventId } = this.relay;
-    this.log.logSent({
-      choice,
-      reason,
-      remainingMs,
-      lastEventId,
-      load,
-      prompt,
-    });
-    const fetchFrom = prompt?.fetchFrom;
-    const attemptHeaders = {
-      upstreamId: upstream.id,
-      remainingMs,
-      lastEventId,
-      fetchFrom,
-    };
-    this.send(
-      upstream,
-      buildAttemptRequest(call, attemptHeaders, context.codec),
-    );
+    const plan = { choice, reason, remainingMs, lastEventId };
+    this.attempt = this.sender.send(plan, this.createListener(upstream));
   }
 
-  private send(upstream: Upstream, request: AttemptRequest): void {
-    this.attempt = Attempt.create(upstream, request, this.context.codec, {
+  private createListener(upstream: Upstream): AttemptListener {
+    return {
       onHead: (status, headers) => this.onHead(status, headers),
       onBytes: (bytes) => this.onBytes(bytes),
       onEnd: () => this.onEnd(),
       onFailure: (failure, detail) => this.onFailure(failure, detail),
       onLateDecline: (status, headers) =>
         this.recordDecline(upstream, status, headers),
-    });
+    };
   }
 
   private onHead(status: number, headers: ResponseHeaders): void {
@@ -238,8 +222,7 @@
     status: number,
     headers: ResponseHeaders,
   ): void {
-    if (headers.isFromOtherUpstream) this.context.recordMoved(upstream);
-    else upstream.availability.recordDecline(readClock());
+    this.outcomes.recordDecline(upstream, headers);
     const { availability } = headers;
     this.log.logDeclined(upstream, status, availability, this.progress);
   }
@@ -251,7 +234,7 @@
       this.attempt?.upstream === upstream;
     if (!isInProgress || !this.budget.allowsRun(1)) return;
     if (!this.maySendAgain) return;
-    const alternative = this.context.choose(this.call, this.triedUpstreamIds);
+    const alternative = this.picker.pick();
     if (!alternative || !this.budget.spendRetry()) return;
     const wasSent = this.attempt?.wasSent ?? false;
     this.attempt?.abandon();
@@ -270,19 +253,15 @@
     const { head } = this.relay;
     if (!head) return this.onFailure("broken", "an end without a head");
     if (this.relay.isStream) return this.onStreamEnd(upstream);
-    const { status } = head;
-    this.context.recordCompletion(this.call, this.attempt!.elapsedMs);
-    this.context.crashes.recordCompletion(this.call.fingerprint);
-    const { backoffMs } = head.headers.availability;
+    const { status, headers } = head;
+    this.outcomes.recordCompletion(this.attempt!.elapsedMs);
     if (isFailureStatus(status)) {
-      if (backoffMs === undefined) {
-        this.context.recordHealth(upstream, "error_answer");
-      }
+      this.outcomes.recordError(upstream, headers);
       this.budget.recordRan();
       if (this.budget.spendRetryAfterRun()) {
         return this.sendToNext(`answered with ${status}`);
       }
-    } else this.recordSuccess(upstream);
+    } else this.outcomes.recordSuccess(upstream, this.silences.successSignal);
     // Callers read these statuses as a promise that the request has not run, which the upstream did not state.
     if (isNotRunStatus(status)) {
       return this.refuse("upstream_failed", `answered with ${status}`);
@@ -291,17 +270,12 @@
     this.finish("answered", `status ${status}`);
   }
 
-  private recordSuccess(upstream: Upstream): void {
-    this.context.recordHealth(upstream, this.silences.successSignal);
-  }
-
   private onStreamEnd(upstream: Upstream): void {
     if (this.relay.hasIncompleteEvent) {
       return this.onFailure("broken", "the stream ended within an event");
     }
-    this.recordSuccess(upstream);
-    this.context.recordCompletion(this.call, this.attempt!.elapsedMs);
-    this.context.crashes.recordCompletion(this.call.fingerprint);
+    this.outcomes.recordSuccess(upstream, this.silences.successSignal);
+    this.outcomes.recordCompletion(this.attempt!.elapsedMs);
     this.relay.endStream();
     this.finish("answered", `${this.relay.eventsForwarded} events`);
   }
@@ -310,12 +284,7 @@
     const upstream = this.attempt!.upstream;
     this.log.logFailed(upstream, detail, this.progress);
     if (failure !== "broken") return this.onUnsent(upstream, failure, detail);
-    this.context.recordHealth(upstream, "broken");
-    this.context.crashes.recordInterruption(
-      upstream,
-      this.call.fingerprint,
-      this.relay.hasPartialResponse,
-    );
+    this.outcomes.recordBroken(upstream, this.relay.hasPartialResponse);
     this.budget.recordRan();
     if (this.budget.spendRetryAfterRun()) return this.sendToNext(detail);
     this.refuse("upstream_failed", detail);
@@ -327,9 +296,7 @@
     detail: string,
   ): void {
     this.budget.recordNotRun();
-    if (failure !== "withheld") {
-      this.context.recordHealth(upstream, "unreachable");
-    }
+    if (failure !== "withheld") this.outcomes.recordUnreachable(upstream);
     if (this.budget.allowsRetryAfterUnsent()) return this.sendToNext(detail);
     this.giveUp(detail);
   }
@@ -376,7 +343,7 @@
     this.silences.close();
     this.attempt?.abandon();
     const durationMs = readClock() - this.call.receivedAt;
-    const attempts = this.triedUpstreamIds.size;
+    const { attempts } = this.picker;
     this.context.onEnd(this, { result, detail, durationMs, attempts });
   }
 }
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -3,20 +3,14 @@
 import type { Logger } from "../logging/logger.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import type { AvailabilityNotice } from "../upstreams/availability_notice.ts";
-import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
+import type { AttemptPlan } from "./attempt_sender.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import type { RetryDecision } from "../upstreams/retry_decision.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 
 /** The logged data of one attempt when it is sent. */
-export interface LoggedSend {
-  choice: UpstreamChoice;
-  /** Why the request is sent: `first`, or how the previous attempt ended. */
-  reason: string;
-  remainingMs: number;
-  /** Id of the last event that the caller has received; undefined if the attempt does not resume a stream. */
-  lastEventId: string | undefined;
+export interface LoggedSend extends AttemptPlan {
   /** The known load of the upstream. */
   load: LoadSnapshot;
   /** What the upstream is assumed to have cached of the prompt; undefined if the request shares no prompt. */
