--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,8 +5,6 @@
 import { CallServer } from "../forward/call_server.ts";
 import { type Dial, dialTcp } from "../network/dial_tcp.ts";
 import type { Logger } from "../logging/logger.ts";
-import { takesRequests } from "../peers/host_phase.ts";
-import type { PeerEntry } from "../peers/gossip_schema.ts";
 import type { KnownHost } from "../peers/known_host.ts";
 import type { PublicationFeed } from "../published/publication_feed.ts";
 import { PublicationReplica } from "../published/publication_replica.ts";
@@ -18,6 +16,7 @@
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { type GatewaySettings, pickRestartOnly } from "./gateway_settings.ts";
 import { GracefulStop } from "./graceful_stop.ts";
+import { HostStatus } from "./host_status.ts";
 import { PeerNetwork } from "./peer_network.ts";
 import { PrefixExchange } from "./prefix_exchange.ts";
 import { PrefixRecovery } from "./prefix_recovery.ts";
@@ -27,13 +26,6 @@
 import { UpstreamChooser } from "./upstream_chooser.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
 
-/** Fraction of the key revocation limit after which keys are no longer accepted; the rest covers the time that a
- * request takes to reach its upstream. */
-const KEY_AGE_LIMIT_FRACTION = 0.8;
-
-/** Time that a stopped host takes to serve requests again, in milliseconds. */
-const RESTART_MS = 1_000;
-
 /** The dependencies of a gateway that its settings do not describe. */
 export interface GatewayDependencies {
   logger: Logger;
@@ -51,6 +43,7 @@
   private readonly logger: Logger;
   private readonly metrics = GatewayMetrics.create();
   private readonly stop = GracefulStop.create();
+  private readonly status: HostStatus;
   private readonly replica: PublicationReplica;
   private readonly chooser: UpstreamChooser;
   private readonly handler: CallHandler;
@@ -89,6 +82,7 @@
       },
       onEvacuations: (halls) => this.applyEvacuations(halls),
     });
+    this.status = this.createStatus();
     this.publicationExchange = PublicationExchange.create(
       this.replica,
       this.logger,
@@ -206,6 +200,16 @@
     });
   }
 
+  private createStatus(): HostStatus {
+    return HostStatus.create({
+      stop: this.stop,
+      replica: this.replica,
+      getSettings: () => this.settings,
+      isPartitioned: () => this.paths.isPartitioned,
+      getLiveHosts: () => this.getLiveHosts(),
+    });
+  }
+
   private createPaths(): UpstreamPaths {
     return UpstreamPaths.create({
       logger: this.logger,
@@ -214,7 +218,7 @@
       hall: this.settings.hall,
       getChooser: () => this.chooser,
       getPeerNetwork: () => this.peerNetwork,
-      isAccepting: () => this.isServing,
+      isAccepting: () => this.status.isServing,
     });
   }
 
@@ -265,7 +269,7 @@
       metrics: this.metrics,
       guard: this.guard,
       paths: this.paths.monitor,
-      getPhase: () => this.phase,
+      getPhase: () => this.status.phase,
       getSourceIds: () => this.watch?.getSources() ?? [],
     });
   }
@@ -293,8 +297,8 @@
       publicationExchange: this.publicationExchange,
       prefixExchange: this.prefixExchange,
       getHostExchange: () => this.peerNetwork?.hostExchange,
-      isReady: () => this.isReady,
-      isServing: () => this.isServing,
+      isReady: () => this.status.isReady,
+      isServing: () => this.status.isServing,
       getLiveHosts: () => this.getLiveHosts(),
       getPublicationAgeMs: () => this.replica.ageMs,
       relayServer: this.paths.server,
@@ -309,12 +313,12 @@
       codec: this.dependencies.codec,
       getRoutes: () => this.replica.routes,
       initialRoutes: this.initialRoutes,
-      mayAcceptKeys: () => this.mayAcceptKeys,
+      mayAcceptKeys: () => this.status.mayAcceptKeys,
       getPublicationAgeMs: () => this.replica.ageMs,
       isLeaving: () => this.stop.shouldCloseConnections,
       stopAdmission: StopAdmission.create({
         stop: this.stop,
-        getRetryAfterMs: () => this.getStopRetryMs(),
+        getRetryAfterMs: () => this.status.stopRetryMs,
       }),
       onRequestAdmitted: (service) => this.chooser.recordRequest(service),
       lookUpPart: (part) => this.peerNetwork?.lookUpPart(part),
@@ -323,36 +327,6 @@
     });
   }
 
-  private get mayAcceptKeys(): boolean {
-    const { keyRevocationLimitMs } = this.settings;
-    if (keyRevocationLimitMs === undefined) return true;
-    return this.replica.ageMs < keyRevocationLimitMs * KEY_AGE_LIMIT_FRACTION;
-  }
-
-  private get isReady(): boolean {
-    return this.replica.routes !== undefined && !this.stop.hasStarted;
-  }
-
-  /** Whether callers should send requests to this host: it is ready and its knowledge of keys is recent enough. */
-  private get isServing(): boolean {
-    return this.isReady && this.mayAcceptKeys;
-  }
-
-  private get phase(): PeerEntry["phase"] {
-    if (this.stop.hasStarted) return "draining";
-    if (!this.isServing) return "starting";
-    return this.paths.isPartitioned ? "partitioned" : "ready";
-  }
-
-  /** Time after which callers that this stopping host refuses may retry: at once if another host takes requests,
-   * otherwise when this one is back. */
-  private getStopRetryMs(): number {
-    const hasOther = this.getLiveHosts().some(({ entry }) =>
-      takesRequests(entry.phase)
-    );
-    return hasOther ? 0 : this.stop.remainingMs + RESTART_MS;
-  }
-
   private applyConfiguration(routes: RouteTable): void {
     this.server?.applyLimits(routes.limits);
     this.handler.applyRoutes(routes);
