Continue streams only at the software version that began them

Callers received streams with events of two software versions: upstreams were chosen as if all of a service were alike, both for the next attempt of an answer and for a stream that a caller resumes at another host, and which version had begun a stream was known at most to the host that sent it, which is often the one that was killed.

An attempt after the first event now goes to upstreams of the version of that event. Without a record it continues only if a host that has observed the service for twice the route's timeout has seen a single version, and nobody has seen another; otherwise it refuses at once as stream_unresumable (503, not run). An upstream that comes back under its id with another version is another instance. Each decision is logged and counted.

Upstreams in forward_call.ts now publish a version, since a stream of an uncertain version is not continued.

--- a/src/errors/error_kind.ts
+++ b/src/errors/error_kind.ts
@@ -24,6 +24,7 @@
   "timed_out",
   "upstream_failed",
   "stream_broken",
+  "stream_unresumable",
   "internal",
 ] as const;
 
--- a/src/errors/error_responses.ts
+++ b/src/errors/error_responses.ts
@@ -150,6 +150,12 @@
     ran: "unknown",
     retryAfterSeconds: 1,
   },
+  stream_unresumable: {
+    status: 503,
+    message:
+      "This stream cannot continue; the request was not run and can be sent as a new one.",
+    ran: "no",
+  },
   internal: {
     status: 500,
     message: "The router failed on this request.",
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -24,17 +24,25 @@
 import type { ResponseHeaders } from "./caller_headers.ts";
 import { formatSilence } from "./silence_detector.ts";
 import { SilenceHandler } from "./silence_handler.ts";
+import { StreamTracker } from "./stream_tracker.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import { UpstreamPicker } from "./upstream_picker.ts";
 
 /** An attempt is not started with less time than this left, in milliseconds. */
 const MIN_REMAINING_MS = 15;
 
+/** Error kinds whose retry time does not depend on the upstreams' backoffs. */
+const KINDS_WITH_OWN_RETRY_TIME: ReadonlySet<ErrorKind> = new Set([
+  "crashes_upstreams",
+  "stream_unresumable",
+]);
+
 /** Forwards one call: makes attempts at upstreams until one responds or the deadline or the retries are exhausted. */
 export class CallForwarder {
   private readonly budget: AttemptBudget;
   private readonly relay: ResponseRelay;
   private readonly log: CallLog;
+  private readonly stream: StreamTracker;
   private readonly picker: UpstreamPicker;
   private readonly sender: AttemptSender;
   private readonly outcomes: AttemptOutcomes;
@@ -52,7 +60,13 @@
     this.deadline = CallDeadline.create(call, () => this.expire());
     this.budget = AttemptBudget.create(call, () => this.spendRetry());
     this.log = CallLog.create(context.logger, call);
-    this.picker = UpstreamPicker.create(call, context, this.log);
+    this.stream = StreamTracker.create(call, context.streams);
+    this.picker = UpstreamPicker.create(
+      call,
+      context,
+      this.stream,
+      this.log,
+    );
     this.sender = AttemptSender.create(call, context, this.log);
     this.outcomes = AttemptOutcomes.create(call, context);
     this.relay = ResponseRelay.create(response, call.headers.lastEventId);
@@ -177,6 +191,7 @@
     this.silences.watch(upstream);
     const { lastEventId } = this.relay;
     const plan = { choice, reason, remainingMs, lastEventId };
+    this.stream.recordSend(upstream);
     this.attempt = this.sender.send(plan, this.createListener(upstream));
   }
 
@@ -246,6 +261,7 @@
   private onBytes(bytes: Buffer): void {
     this.silences.recordBytes();
     this.relay.pushBytes(bytes, this.attempt);
+    if (this.relay.hasPartialResponse) this.stream.recordEvent();
   }
 
   private onEnd(): void {
@@ -310,6 +326,10 @@
   /** Refuses the call; as not run only if that is certain. */
   private giveUp(detail: string): void {
     if (this.budget.mayHaveRun) return this.refuse("upstream_failed", detail);
+    const { origin } = this.stream;
+    if (origin && !this.context.canContinue(origin)) {
+      return this.refuse("stream_unresumable", detail);
+    }
     const isUnreachable = this.context.isUnreachable(this.call.service);
     this.refuse(isUnreachable ? "no_upstream" : "overloaded", detail);
   }
@@ -322,13 +342,12 @@
     );
   }
 
-  /** Refuses the call. The retry time comes from the upstreams' backoffs, except for a held request, which gets the
-   * default of its error kind. */
+  /** Refuses the call. The retry time comes from the upstreams' backoffs unless it depends on the error kind only. */
   private refuse(kind: ErrorKind, detail: string): void {
     if (this.isFinished) return;
-    const retryAfterMs = kind === "crashes_upstreams"
+    const retryAfterMs = KINDS_WITH_OWN_RETRY_TIME.has(kind)
       ? undefined
-      : this.context.getRetryAfterMs(this.call.service);
+      : this.context.getRetryAfterMs(this.call.service, this.stream.origin);
     this.response.refuse(Failure.create(kind, detail, retryAfterMs));
     this.finish(
       this.relay.eventsForwarded > 0 ? "broken_off" : "refused",
@@ -341,6 +360,7 @@
     this.isFinished = true;
     this.deadline.close();
     this.silences.close();
+    this.stream.close();
     this.attempt?.abandon();
     const durationMs = readClock() - this.call.receivedAt;
     const { attempts } = this.picker;
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -2,6 +2,7 @@
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
+import type { StreamOrigin, StreamRecord } from "../streams/stream_record.ts";
 import type { RetryDecision } from "../upstreams/retry_decision.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { PromptPlacement } from "./call_log.ts";
@@ -19,23 +20,44 @@
   attempts: number;
 }
 
+/** The upstreams that an attempt of a call may be sent to. */
+export interface UpstreamFilter {
+  /** Ids of the upstreams that the call was already sent to; they are excluded. */
+  triedIds: ReadonlySet<string>;
+  /** Where the stream began that the attempt continues; undefined if it begins one. */
+  origin: StreamOrigin | undefined;
+}
+
+/** Records of the streams that this host forwards. */
+export interface StreamAnnouncer {
+  /** Tells other hosts where a stream began, until it is released. */
+  announce: (key: number, record: StreamRecord) => void;
+  /** Ends the announcements of a stream that is no longer forwarded. */
+  release: (key: number) => void;
+}
+
 /** Selection and bookkeeping of upstreams, as needed to forward a call. */
 export interface UpstreamAccess {
-  /** Chooses an upstream for a call, excluding those already tried. */
+  /** Chooses an upstream for a call. */
   choose: (
     call: RoutedCall,
-    tried: ReadonlySet<string>,
+    filter: UpstreamFilter,
   ) => UpstreamChoice | undefined;
   /** Borrows a slot of an upstream of a call's service from another host, if the number of requests to these is limited.
    * Resolves with whether one was borrowed; undefined if no host was asked. */
   borrowSlot: (
     call: RoutedCall,
-    tried: ReadonlySet<string>,
+    filter: UpstreamFilter,
   ) => Promise<boolean> | undefined;
   /** Whether no host that was asked reaches any upstream of a service. */
   isUnreachable: (service: string) => boolean;
   /** Time after which a refused caller may retry, in milliseconds; undefined if the upstreams' backoffs give none. */
-  getRetryAfterMs: (service: string) => number | undefined;
+  getRetryAfterMs: (
+    service: string,
+    origin: StreamOrigin | undefined,
+  ) => number | undefined;
+  /** Whether an upstream could continue a stream now or after a backoff. */
+  canContinue: (origin: StreamOrigin) => boolean;
   /** Returns what an engine has cached of a call's prompt and where it should fetch the rest from, and records that the
    * prompt is sent there; undefined if the call shares no prompt. */
   placePrompt: (
@@ -77,6 +99,7 @@
   logger: Logger;
   codec: HeaderCodec;
   crashes: CrashAccess;
+  streams: StreamAnnouncer;
   /** Called once when the call has ended. */
   onEnd: (forwarder: CallForwarder, outcome: CallOutcome) => void;
 }
--- a/src/forward/routed_call.ts
+++ b/src/forward/routed_call.ts
@@ -1,4 +1,5 @@
 import type { Route } from "../published/configuration_schema.ts";
+import type { ResumedStream } from "../streams/stream_record.ts";
 import type { HashedPromptPart } from "../upstreams/prefix_index.ts";
 import type { CallerHeaders } from "./caller_headers.ts";
 
@@ -26,11 +27,20 @@
   receivedAt: number;
   /** Monotonic time until which the caller waits, in milliseconds; infinity if it gives no deadline. */
   callerDeadlineAt: number;
+  /** The stream that the caller resumes; undefined if the request begins one or is not for a stream. */
+  resumed?: ResumedStream;
 }
 
 /** Whether a request may run again after an attempt that may have run it.
  * @param call The call. */
 export function mayRunAgain(call: RoutedCall): boolean {
-  if (call.route.kind === "repeatable") return true;
-  return call.route.kind === "stream" && call.route.isResumable;
+  return call.route.kind === "repeatable" || isResumableStream(call);
+}
+
+/** Whether a request is for a stream that may continue at another upstream.
+ * @param call The call. */
+export function isResumableStream(
+  { route }: Pick<RoutedCall, "route">,
+): boolean {
+  return route.kind === "stream" && route.isResumable;
 }
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -1,6 +1,7 @@
 import { readClock } from "../clock/clock.ts";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
+import type { Result } from "ts-results-es";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import { readBody } from "../entry/read_body.ts";
 import { Failure } from "../errors/failure.ts";
@@ -8,6 +9,7 @@
 import { CallForwarder } from "../forward/call_forwarder.ts";
 import type {
   CallOutcome,
+  StreamAnnouncer,
   UpstreamAccess,
 } from "../forward/call_forwarder_context.ts";
 import { CallerResponse } from "../forward/caller_response.ts";
@@ -18,9 +20,11 @@
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../published/configuration_schema.ts";
 import type { RouteTable } from "../published/route_table.ts";
+import type { ResumedStream } from "../streams/stream_record.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { StopAdmission } from "./stop_admission.ts";
+import type { StreamResumer } from "./stream_resumer.ts";
 
 /** Maximum time that a request waits for the first configuration after a start. Longer than a first read of the
  * platform takes, and less than a quarter of most routes' latency objectives. */
@@ -54,6 +58,9 @@
   /** Looks up which engines have a prompt part cached, by its hash; returns undefined if no other host is asked. */
   lookUpPart: (part: number) => Promise<void> | undefined;
   upstreamAccess: UpstreamAccess;
+  /** Tells other hosts where the streams of this one began. */
+  streams: StreamAnnouncer;
+  resumer: StreamResumer;
   guard: CrashGuard;
 }
 
@@ -136,12 +143,18 @@
       const admitted = this.admit(request, headers, receivedAt);
       const deepest = admitted.sharedParts.at(-1);
       const lookup = deepest && this.options.lookUpPart(deepest.name);
+      const resumed = this.options.resumer.find(admitted);
       const body = await readBody(request, limits.maxBodyBytes);
-      await Promise.all([lookup, pollSockets()]);
+      await Promise.all([lookup, resumed, pollSockets()]);
       if (hasCallerGone(request, response)) {
         return this.abandon(headers, response);
       }
-      this.start(admitted, body, callerResponse, response);
+      const call = buildRoutedCall(
+        admitted,
+        body,
+        unwrapResumed(await resumed),
+      );
+      this.start(call, callerResponse, response);
     } catch (thrown) {
       if (request.destroyed && !request.complete) return;
       this.refuse(Failure.from(thrown), headers, callerResponse, request);
@@ -187,22 +200,21 @@
   }
 
   private start(
-    admitted: AdmittedCall,
-    body: Buffer,
+    call: RoutedCall,
     callerResponse: CallerResponse,
     response: ServerResponse,
   ): void {
-    const call = buildRoutedCall(admitted, body);
     const refusal = this.options.guard.findRefusal(call.fingerprint);
     if (refusal) throw refusal;
     this.options.onRequestAdmitted(call.service);
-    const { logger, codec, guard } = this.options;
+    const { logger, codec, guard, streams } = this.options;
     let isEnded = false;
     const forwarder = CallForwarder.create(call, callerResponse, {
       ...this.options.upstreamAccess,
       logger,
       codec,
       crashes: guard,
+      streams,
       onEnd: (ended, outcome) => {
         isEnded = true;
         this.forwarders.delete(ended);
@@ -261,11 +273,29 @@
   return response.destroyed || socket.destroyed || socket.readableEnded;
 }
 
-function buildRoutedCall(admitted: AdmittedCall, bytes: Buffer): RoutedCall {
+function unwrapResumed(
+  resumed: Result<ResumedStream, Failure> | undefined,
+): ResumedStream | undefined {
+  if (resumed?.isErr()) throw resumed.error;
+  return resumed?.isOk() ? resumed.value : undefined;
+}
+
+/** Builds the call of a request; a resumed stream stays at the service that began it. */
+function buildRoutedCall(
+  admitted: AdmittedCall,
+  bytes: Buffer,
+  resumed: ResumedStream | undefined,
+): RoutedCall {
   const body = bytes.length > 0 ? bytes : undefined;
   const { method, path, customer, headers: { host } } = admitted;
   const identity = { method, host, path, customer, body };
-  return { ...admitted, body, fingerprint: fingerprintRequest(identity) };
+  return {
+    ...admitted,
+    service: resumed?.record.service ?? admitted.service,
+    body,
+    fingerprint: fingerprintRequest(identity),
+    resumed,
+  };
 }
 
 function checkHeaderSize(request: IncomingMessage, limits: CallerLimits): void {
--- a/src/gateway/candidate_selector.ts
+++ b/src/gateway/candidate_selector.ts
@@ -1,3 +1,4 @@
+import type { UpstreamFilter } from "../forward/call_forwarder_context.ts";
 import { hashText } from "../hashing/hasher.ts";
 import type { Service } from "../published/configuration_schema.ts";
 import { DeclineLimits } from "../upstreams/decline_limits.ts";
@@ -7,6 +8,7 @@
   FleetSlots,
   type FleetSlotsOptions,
 } from "../upstreams/fleet_slots.ts";
+import { isOfOrigin } from "../upstreams/is_of_origin.ts";
 import { SlotLoans, type SlotLoansOptions } from "../upstreams/slot_loans.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { UpstreamTable } from "../upstreams/upstream_table.ts";
@@ -62,16 +64,16 @@
   /** Borrows a slot of an upstream from another host, if the service limits declined requests and all slots of this host
    * are in use. Resolves with whether a host has lent one; undefined if none was asked.
    * @param service Name of the service.
-   * @param tried Ids of the upstreams that the request was already sent to.
+   * @param filter The upstreams that the request may be sent to.
    * @param now Monotonic milliseconds. */
   borrowSlot(
     service: string,
-    tried: ReadonlySet<string>,
+    { triedIds, origin }: UpstreamFilter,
     now: number,
   ): Promise<boolean> | undefined {
     if (this.declineLimits.getLimit(service, now) === undefined) return;
-    const untried = this.selectUsable(service, now).filter(({ id }) =>
-      !tried.has(id)
+    const untried = this.selectUsable(service, now).filter((upstream) =>
+      !triedIds.has(upstream.id) && isOfOrigin(upstream, origin)
     );
     return untried.length > 0 ? this.slotLoans.borrow(untried) : undefined;
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { PublicationExchange } from "./publication_exchange.ts";
 import { PublicationWatch } from "./publication_watch.ts";
 import { StopAdmission } from "./stop_admission.ts";
+import { StreamResumer } from "./stream_resumer.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
 
@@ -81,6 +82,7 @@
         this.peerNetwork?.announce();
       },
       onEvacuations: (halls) => this.applyEvacuations(halls),
+      onObservationGap: (isFirst) => this.recordObservationGap(isFirst),
     });
     this.status = this.createStatus();
     this.publicationExchange = PublicationExchange.create(
@@ -323,10 +325,25 @@
       onRequestAdmitted: (service) => this.chooser.recordRequest(service),
       lookUpPart: (part) => this.peerNetwork?.lookUpPart(part),
       upstreamAccess: this.chooser.createAccess(),
+      streams: {
+        announce: (key, record) =>
+          this.peerNetwork?.streams.announce(key, record),
+        release: (key) => this.peerNetwork?.streams.release(key),
+      },
+      resumer: this.createResumer(),
       guard: this.guard,
     });
   }
 
+  private createResumer(): StreamResumer {
+    return StreamResumer.create({
+      logger: this.logger,
+      lookUp: (question) => this.peerNetwork!.streams.lookUp(question),
+      canContinue: (origin) => this.chooser.upstreams.canContinue(origin),
+      onDecision: (decision) => this.metrics.recordResume(decision),
+    });
+  }
+
   private applyConfiguration(routes: RouteTable): void {
     this.server?.applyLimits(routes.limits);
     this.handler.applyRoutes(routes);
@@ -335,6 +352,12 @@
     this.peerNetwork?.announce();
   }
 
+  private recordObservationGap(isFirst: boolean): void {
+    const { versions } = this.chooser.upstreams;
+    if (isFirst && this.settings.isFirstStart) versions.markComplete();
+    else versions.recordGap();
+  }
+
   private applyEvacuations(halls: readonly string[]): void {
     this.chooser.upstreams.setEvacuatedHalls(halls);
     this.metrics.recordEvacuatedHalls(halls.length);
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -5,6 +5,7 @@
 import type { ServiceContact } from "../upstreams/service_contact.ts";
 import type { ChoiceBasis } from "../upstreams/choose_upstream.ts";
 import type { DatagramDirection } from "../peers/datagram_socket.ts";
+import type { ResumeDecision } from "./stream_resumer.ts";
 
 /** Buckets of the request duration histogram. */
 const DURATION_BUCKETS_S = [
@@ -95,6 +96,13 @@
     labelNames: ["service"],
     registers: [this.registry],
   });
+  private readonly resumes = new Counter({
+    name: "beechkeel_stream_resumes_total",
+    help:
+      "Streams that callers resume, by why they continue or not: recorded, single_version, unknown, service_changed, version_gone.",
+    labelNames: ["decision"],
+    registers: [this.registry],
+  });
   private readonly durations = new Histogram({
     name: "beechkeel_request_seconds",
     help: "Time from a request's arrival to the end of its answer.",
@@ -205,6 +213,12 @@
     this.retriesAllowed.set({ service }, allowed);
   }
 
+  /** Records a decision on a stream that a caller resumes.
+   * @param decision The decision. */
+  recordResume(decision: ResumeDecision): void {
+    this.resumes.inc({ decision });
+  }
+
   /** Records a datagram.
    * @param direction Whether this host sent or received it.
    * @param bytes Its length in bytes. */
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -1,5 +1,6 @@
 import { splitAddress } from "../addresses/split_address.ts";
 import { readClock } from "../clock/clock.ts";
+import { processTimeline } from "../clock/timeline.ts";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { Logger } from "../logging/logger.ts";
 import { PublicationStatusPoller } from "../peers/publication_status_poller.ts";
@@ -7,12 +8,14 @@
 import { DatagramSocket } from "../peers/datagram_socket.ts";
 import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
+import { HostRing } from "../peers/host_ring.ts";
 import type { KnownHost } from "../peers/known_host.ts";
 import { PrefixDirectory } from "../peers/prefix_directory.ts";
 import { takesRequests } from "../peers/host_phase.ts";
 import type { PathMonitor } from "../paths/path_monitor.ts";
 import type { RelayHost } from "../paths/relay_host.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
+import { StreamDirectory } from "../streams/stream_directory.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { HostExchange } from "./host_exchange.ts";
@@ -50,6 +53,8 @@
 export class PeerNetwork {
   /** Exchanges reports of upstreams to which hosts could not connect. */
   readonly outages: OutageExchange;
+  /** Where the streams of the fleet began. */
+  readonly streams: StreamDirectory;
   /** Serves the list of all known hosts to other hosts, and fetches theirs. */
   readonly hostExchange: HostExchange;
   private readonly reconciler: PublicationReconciler;
@@ -81,8 +86,14 @@
     this.directory = PrefixDirectory.create({
       socket,
       prefixes: options.chooser.prefixes,
-      ownAddress: gossipAddress,
-      getHosts: () => this.getNonDrainingAddresses(),
+      ring: this.createRing((phase) => phase !== "draining"),
+    });
+    this.streams = StreamDirectory.create({
+      socket,
+      ring: this.createRing(() => true),
+      getVersions: (service, withinMs) =>
+        options.chooser.upstreams.versions.getVersions(service, withinMs),
+      timeline: processTimeline,
     });
     this.crashGossip = this.createCrashGossip();
     this.outages = this.createOutageExchange(gossipAddress);
@@ -195,6 +206,7 @@
     this.gossip.close();
     this.statusPoller.close();
     this.directory.close();
+    this.streams.close();
     this.crashGossip.close();
     this.outages.close();
     this.socket.close();
@@ -300,8 +312,18 @@
     return ids.flatMap((id) => addresses.get(id) ?? []);
   }
 
-  private getNonDrainingAddresses(): string[] {
-    return this.getLiveHosts().filter(({ entry }) => entry.phase !== "draining")
-      .map(({ entry }) => entry.gossipAddress);
+  /** Creates a ring of the live hosts in some phases. */
+  private createRing(
+    includes: (phase: PeerEntry["phase"]) => boolean,
+  ): HostRing {
+    const { gossipAddress, hall } = this.options.getSettings();
+    return HostRing.create({
+      own: { address: gossipAddress, hall },
+      getHosts: () =>
+        this.getLiveHosts().filter(({ entry }) => includes(entry.phase)).map((
+          { entry },
+        ) => ({ address: entry.gossipAddress, hall: entry.hall })),
+      timeline: processTimeline,
+    });
   }
 }
--- /dev/null
+++ b/src/gateway/stream_resumer.ts
@@ -0,0 +1,152 @@
+import { Err, Ok, type Result } from "ts-results-es";
+import { readClock } from "../clock/clock.ts";
+import { Failure } from "../errors/failure.ts";
+import type { AdmittedCall } from "../forward/admit_call.ts";
+import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
+import { isResumableStream } from "../forward/routed_call.ts";
+import type { Logger } from "../logging/logger.ts";
+import type { StreamQuestion } from "../streams/stream_directory.ts";
+import type { StreamLookupResult } from "../streams/stream_lookup.ts";
+import {
+  createStreamKey,
+  type ResumedStream,
+  type StreamRecord,
+} from "../streams/stream_record.ts";
+
+/** Multiple of its route's timeout within which a stream that is resumed has begun. */
+const STREAM_AGE_TIMEOUTS = 2;
+
+/** Why a resumed stream continues or does not. */
+export type ResumeDecision =
+  /** A host knows where it began. */
+  | "recorded"
+  /** No host knows it, but only one software version can have begun it. */
+  | "single_version"
+  /** No host knows it, and several software versions can have begun it. */
+  | "unknown"
+  /** Its route no longer leads to the service that began it. */
+  | "service_changed"
+  /** No upstream of its software version is left. */
+  | "version_gone";
+
+/** Dependencies and callbacks of a {@link StreamResumer}. */
+export interface StreamResumerOptions {
+  logger: Logger;
+  /** Looks up a stream at this host and at others. */
+  lookUp: (question: StreamQuestion) => Promise<StreamLookupResult>;
+  canContinue: UpstreamAccess["canContinue"];
+  /** Called with each decision. */
+  onDecision: (decision: ResumeDecision) => void;
+}
+
+/** Finds where the streams began that callers resume. */
+export class StreamResumer {
+  private constructor(private readonly options: StreamResumerOptions) {}
+
+  /** Creates a resumer.
+   * @param options Its dependencies and callbacks. */
+  static create(options: StreamResumerOptions): StreamResumer {
+    return new StreamResumer(options);
+  }
+
+  /** Finds the stream that a call resumes; resolves with the refusal if it can't continue. Returns undefined if the call
+   * resumes none.
+   * @param call The call. */
+  find(
+    call: AdmittedCall,
+  ): Promise<Result<ResumedStream, Failure>> | undefined {
+    return isResumableStream(call) && call.headers.lastEventId
+      ? this.findStream(call)
+      : undefined;
+  }
+
+  private async findStream(
+    call: AdmittedCall,
+  ): Promise<Result<ResumedStream, Failure>> {
+    const startedAt = readClock();
+    const key = getNamedKey(call);
+    const withinMs = call.route.timeoutMs * STREAM_AGE_TIMEOUTS;
+    const lookup = await this.options.lookUp({
+      key: key ?? createStreamKey(call.customer, call.requestId),
+      service: call.service,
+      withinMs,
+    });
+    const record = lookup.record ?? inferRecord(call, lookup, withinMs);
+    const decision = this.decide(call, lookup, record);
+    this.options.onDecision(decision);
+    this.logDecision(call, decision, {
+      ...lookup,
+      record,
+      waitedMs: Math.round(readClock() - startedAt),
+    });
+    return record && CONTINUING.has(decision)
+      ? Ok({ key, record })
+      : Err(Failure.create("stream_unresumable", decision));
+  }
+
+  private decide(
+    { route }: AdmittedCall,
+    lookup: StreamLookupResult,
+    record: StreamRecord | undefined,
+  ): ResumeDecision {
+    if (!record) return "unknown";
+    const leadsToService = route.shares.some(({ service, weight }) =>
+      service === record.service && (weight > 0 || route.shares.length === 1)
+    );
+    if (!leadsToService) return "service_changed";
+    if (!this.options.canContinue(record)) return "version_gone";
+    return lookup.record ? "recorded" : "single_version";
+  }
+
+  private logDecision(
+    call: AdmittedCall,
+    decision: ResumeDecision,
+    { record, versions, observedMs, askedHosts, responses, waitedMs }:
+      & StreamLookupResult
+      & { waitedMs: number },
+  ): void {
+    this.options.logger.info({
+      request: call.requestId,
+      resumesRequest: call.headers.resumedRequestId,
+      resumesAfter: call.headers.lastEventId,
+      decision,
+      service: record?.service ?? call.service,
+      softwareVersion: record?.softwareVersion,
+      order: record?.order,
+      versions: versions.join(","),
+      observedMs: Math.round(Math.min(observedMs, Number.MAX_SAFE_INTEGER)),
+      askedHosts,
+      responses,
+      waitedMs,
+    }, "stream_resume_decided");
+  }
+}
+
+/** Decisions with which a stream continues. */
+const CONTINUING: ReadonlySet<ResumeDecision> = new Set([
+  "recorded",
+  "single_version",
+]);
+
+/** Returns the key of the stream that a call names; undefined if it names none, or itself. */
+function getNamedKey(
+  { customer, requestId, headers: { resumedRequestId } }: AdmittedCall,
+): number | undefined {
+  return resumedRequestId === undefined || resumedRequestId === requestId
+    ? undefined
+    : createStreamKey(customer, resumedRequestId);
+}
+
+/** Infers where an unknown stream began: at the only version that can have served. Some host must have observed the
+ * service for long enough, and others must agree if there are any. */
+function inferRecord(
+  { service }: AdmittedCall,
+  { versions, observedMs, askedHosts, responses }: StreamLookupResult,
+  withinMs: number,
+): StreamRecord | undefined {
+  const isObserved = observedMs >= withinMs &&
+    (askedHosts === 0 || responses > 0);
+  return isObserved && versions.length === 1
+    ? { service, softwareVersion: versions[0], order: 0 }
+    : undefined;
+}
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -1,13 +1,18 @@
 import { AdmissionController } from "../admission/admission_controller.ts";
 import { readSteadyClock } from "../clock/clock.ts";
 import { processTimeline } from "../clock/timeline.ts";
-import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
+import type {
+  UpstreamAccess,
+  UpstreamFilter,
+} from "../forward/call_forwarder_context.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
 import { Random } from "../random/random.ts";
 import {
   chooseUpstream,
   type UpstreamChoice,
 } from "../upstreams/choose_upstream.ts";
+import type { StreamOrigin } from "../streams/stream_record.ts";
+import { isOfOrigin } from "../upstreams/is_of_origin.ts";
 import { LoadCounts } from "../upstreams/load_counts.ts";
 import type { LoadSnapshot } from "../upstreams/load_snapshot.ts";
 import { PrefixIndex } from "../upstreams/prefix_index.ts";
@@ -108,14 +113,16 @@
   /** Creates the access to upstreams that call forwarders use. */
   createAccess(): UpstreamAccess {
     return {
-      choose: (call, tried) => this.choose(call, tried),
-      borrowSlot: ({ service }, tried) =>
-        this.candidates.borrowSlot(service, tried, this.readNow()),
+      choose: (call, filter) => this.choose(call, filter),
+      borrowSlot: ({ service }, filter) =>
+        this.candidates.borrowSlot(service, filter, this.readNow()),
       isUnreachable: (service) =>
         this.upstreams.getServing(service).every(({ path }) =>
           path.isUnreachable
         ),
-      getRetryAfterMs: (service) => this.getRetryAfterMs(service),
+      getRetryAfterMs: (service, origin) =>
+        this.getRetryAfterMs(service, origin),
+      canContinue: (origin) => this.upstreams.canContinue(origin),
       placePrompt: (call, target) => this.promptPlacer.place(call, target),
       recordSend: (choice) => this.recordSend(choice),
       recordCompletion: ({ service, route }, durationMs) =>
@@ -186,20 +193,22 @@
 
   /** Chooses an upstream for a call; returns undefined if none is left.
    * @param call The call.
-   * @param tried Ids of the upstreams that the call was already sent to. */
+   * @param filter The upstreams to choose from. */
   private choose(
     call: RoutedCall,
-    tried: ReadonlySet<string>,
+    { triedIds, origin }: UpstreamFilter,
   ): UpstreamChoice | undefined {
     const { boundMultiple, hall } = this.options.getSettings();
     const now = this.readNow();
     return chooseUpstream({
-      candidates: this.candidates.select(call.service, now),
+      candidates: this.candidates.select(call.service, now).filter((upstream) =>
+        isOfOrigin(upstream, origin)
+      ),
       reachable: this.getReachable(call.service, now),
       boundMultiple,
       service: call.service,
       route: call.route.name,
-      triedIds: tried,
+      triedIds,
       avoidsSuspects: !mayRunAgain(call),
       sharedParts: call.sharedParts,
       prefixes: this.prefixes,
@@ -221,9 +230,13 @@
   /** Returns the milliseconds after which a refused caller may retry; undefined if nothing is known about it. If all
    * upstreams requested a backoff, it is the end of the first backoff plus jitter, because the first requests after it
    * show whether the upstream has capacity.
-   * @param service Name of the service. */
-  private getRetryAfterMs(service: string): number | undefined {
-    const backoffMs = this.upstreams.getBackoffMs(service);
+   * @param service Name of the service.
+   * @param origin Where the stream began that the request continues; undefined if it continues none. */
+  private getRetryAfterMs(
+    service: string,
+    origin: StreamOrigin | undefined,
+  ): number | undefined {
+    const backoffMs = this.upstreams.getBackoffMs(service, origin);
     if (backoffMs !== undefined) {
       return backoffMs + this.random.integer(0, RETRY_AFTER_JITTER_MS);
     }
--- a/src/peers/datagram.ts
+++ b/src/peers/datagram.ts
@@ -1,6 +1,7 @@
 import type { CrashReport } from "../crashes/crash_report.ts";
 import type { OutageReport } from "../upstreams/outage_reports.ts";
 import type { PrefixHolder, PrefixUpdate } from "../upstreams/prefix_index.ts";
+import type { StreamMessage } from "../streams/stream_message.ts";
 import type { SlotMessage } from "../upstreams/slot_message.ts";
 import type { GossipMessage } from "./gossip_schema.ts";
 import type { HostRumour } from "./host_rumour.ts";
@@ -44,7 +45,8 @@
   | { type: "crash_words"; words: readonly CrashReport[] }
   /** Reports failed connections to upstreams. */
   | { type: "outage_reports"; reports: readonly OutageReport[] }
-  | SlotMessage;
+  | SlotMessage
+  | StreamMessage;
 
 /** Type of a datagram. */
 export type DatagramType = Datagram["type"];
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -14,6 +14,10 @@
   prefixHoldersSchema,
   prefixUpdatesSchema,
 } from "./message_schemas.ts";
+import {
+  packStreamRecord,
+  streamRecordSchema,
+} from "../streams/stream_message.ts";
 
 /** Encodes and decodes the body of one datagram type. */
 interface BodyCodec<Type extends DatagramType> {
@@ -159,6 +163,48 @@
         { type: "slot_loan_report", borrower, inUse, ended }
       )),
   },
+  stream_records: {
+    typeCode: 15,
+    pack: ({ records }) => [
+      records.map(([key, record]) => [key, packStreamRecord(record)]),
+    ],
+    schema: z.tuple([z.array(z.tuple([z.number(), streamRecordSchema]))])
+      .transform(([records]) => ({ type: "stream_records", records })),
+  },
+  stream_lookup_request: {
+    typeCode: 16,
+    pack: ({ lookupId, key, service, withinMs }) => [
+      lookupId,
+      key,
+      service,
+      withinMs,
+    ],
+    schema: z.tuple([z.number(), z.number(), z.string(), z.number()])
+      .transform(([lookupId, key, service, withinMs]) => (
+        { type: "stream_lookup_request", lookupId, key, service, withinMs }
+      )),
+  },
+  stream_lookup_response: {
+    typeCode: 17,
+    pack: ({ lookupId, record, versions, observedMs }) => [
+      lookupId,
+      record ? packStreamRecord(record) : null,
+      versions,
+      Math.min(observedMs, Number.MAX_SAFE_INTEGER),
+    ],
+    schema: z.tuple([
+      z.number(),
+      streamRecordSchema.nullable(),
+      z.array(z.string()),
+      z.number(),
+    ]).transform(([lookupId, record, versions, observedMs]) => ({
+      type: "stream_lookup_response",
+      lookupId,
+      record: record ?? undefined,
+      versions,
+      observedMs,
+    })),
+  },
   outage_reports: {
     typeCode: 11,
     pack: ({ reports }) => [reports],
--- a/src/peers/prefix_directory.ts
+++ b/src/peers/prefix_directory.ts
@@ -1,7 +1,7 @@
 import { readClock } from "../clock/clock.ts";
-import { ConsistentHashRing } from "../hashing/consistent_hash_ring.ts";
 import type { PrefixIndex, PrefixUpdate } from "../upstreams/prefix_index.ts";
 import type { DatagramSocket } from "./datagram_socket.ts";
+import type { HostRing } from "./host_ring.ts";
 
 /** Number of directory hosts of each part, so that one of them may fail. */
 const DIRECTORY_HOSTS = 2;
@@ -15,17 +15,13 @@
 /** Timeout of a lookup for which a request waits, in milliseconds: several round-trip times within a region, and short
  * compared with the latency objectives of streams. */
 const LOOKUP_TIMEOUT_MS = 15;
-/** Time for which the hash ring is cached before it is rebuilt, in milliseconds: two gossip rounds. */
-const RING_CACHE_MS = 400;
 
 /** Dependencies of the directory. */
 export interface PrefixDirectoryOptions {
   socket: DatagramSocket;
   prefixes: PrefixIndex;
-  /** Gossip address of this host. */
-  ownAddress: string;
-  /** Returns the gossip addresses of the other hosts that are live and not draining. */
-  getHosts: () => readonly string[];
+  /** Ring of the hosts that are live and not draining. */
+  ring: HostRing;
 }
 
 /** A lookup that waits for responses. */
@@ -43,8 +39,6 @@
 export class PrefixDirectory {
   private readonly waiting = new Map<number, PendingLookup>();
   private readonly batches = new Map<string, PrefixUpdate[]>();
-  private ring = ConsistentHashRing.create([]);
-  private ringBuiltAt = -Infinity;
   private batchTimer: NodeJS.Timeout | undefined;
   private lastLookupId = 0;
 
@@ -172,14 +166,6 @@
 
   /** Returns the gossip addresses of the directory hosts of a part, without this host. */
   private getDirectoryHosts(part: number): string[] {
-    const { ownAddress, getHosts } = this.options;
-    const now = readClock();
-    if (now - this.ringBuiltAt > RING_CACHE_MS) {
-      this.ring = ConsistentHashRing.create([...getHosts(), ownAddress]);
-      this.ringBuiltAt = now;
-    }
-    return this.ring.getSuccessors(part, DIRECTORY_HOSTS).filter((address) =>
-      address !== ownAddress
-    );
+    return this.options.ring.getSuccessors(part, DIRECTORY_HOSTS);
   }
 }
--- a/src/published/correct_restored_upstream.ts
+++ b/src/published/correct_restored_upstream.ts
@@ -38,5 +38,6 @@
 ): boolean {
   return last.address === restored.address &&
     last.service === restored.service &&
-    last.startedAt === restored.startedAt;
+    last.startedAt === restored.startedAt &&
+    last.softwareVersion === restored.softwareVersion;
 }
--- a/src/published/publication.ts
+++ b/src/published/publication.ts
@@ -78,6 +78,12 @@
     return this.evacuationRecords.getEvacuatedHalls();
   }
 
+  /** Whether any change of an upstream is known.
+   * @param id Id of the upstream. */
+  isKnown(id: string): boolean {
+    return this.records.has(id);
+  }
+
   /** Records that no change up to a position is missing. */
   markCompleteUpTo(revision: number): void {
     this.completePosition = Math.max(this.completePosition, revision);
--- a/src/published/publication_replica.ts
+++ b/src/published/publication_replica.ts
@@ -32,6 +32,9 @@
   onUpstreamChanges: (changes: readonly UpstreamChange[]) => void;
   /** Called with the halls to be evacuated after each change of them. */
   onEvacuations: (halls: readonly string[]) => void;
+  /** Called when upstreams may have come and gone unnoticed: before the first publication, and before a snapshot that
+   * replaces old data or belongs to a new era. */
+  onObservationGap: (isFirst: boolean) => void;
 }
 
 /** State that hosts send to each other: everything they know, or what changed after a position. */
@@ -113,6 +116,7 @@
    * @param requestedAt Monotonic milliseconds at which it was requested. */
   applySnapshot(snapshot: PublicationSnapshot, requestedAt: number): void {
     const { revision, configuration, upstreams } = snapshot;
+    this.detectObservationGap(this.ageMs >= OUTAGE_AGE_MS);
     this.detectOutageEnd(requestedAt);
     this.detectNewEra(revision, "snapshot");
     const now = readClock();
@@ -156,6 +160,7 @@
     requestedAt: number,
   ): void {
     const source = `peer ${peerId}`;
+    this.detectObservationGap(this.hasMissedUpstreams(state));
     this.adoptLapse(state.lapseMs);
     this.detectNewEra(state.completeUpTo, source);
     this.handleEvacuations(this.mergePeerEvacuations(state), source);
@@ -180,6 +185,20 @@
     this.freshness.confirm(moment);
   }
 
+  /** Whether a peer has known an upstream that came and went while the data known here was old. */
+  private hasMissedUpstreams({ changes }: PublicationState): boolean {
+    return this.ageMs >= OUTAGE_AGE_MS &&
+      changes.some(({ id, upstream }) =>
+        upstream === undefined && !this.publication.isKnown(id)
+      );
+  }
+
+  /** Reports a gap in the observation of upstreams before the first publication, and where changes were missed. */
+  private detectObservationGap(hasMissedChanges: boolean): void {
+    const isFirst = this.publication.completeUpTo === 0;
+    if (isFirst || hasMissedChanges) this.options.onObservationGap(isFirst);
+  }
+
   /** Adopts the time in which a peer takes missing entries for lapsed. That the data known here is old does not show an
    * outage: this host may have been cut off or late itself.
    * @param lapseMs Remaining time in milliseconds. */
@@ -214,6 +233,7 @@
     this.options.onNewEra(newEra);
     if (completeUpTo === 0) return;
     this.recoveredAt = readClock();
+    this.options.onObservationGap(false);
     this.options.logger.warn({
       era: newEra,
       revision: getRevision(position),
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -127,6 +127,10 @@
   }
 }
 
-function formatInstanceName({ id, startedAt }: PublishedUpstream): string {
-  return startedAt === undefined ? id : `${id}@${startedAt}`;
+function formatInstanceName(
+  { id, startedAt, softwareVersion }: PublishedUpstream,
+): string {
+  const start = startedAt === undefined ? "" : `@${startedAt}`;
+  const version = softwareVersion === undefined ? "" : `/${softwareVersion}`;
+  return `${id}${start}${version}`;
 }
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -2,10 +2,13 @@
 import type { Logger } from "../logging/logger.ts";
 import type { UpstreamChange } from "../published/publication_feed.ts";
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
+import type { StreamOrigin } from "../streams/stream_record.ts";
+import { isOfOrigin } from "./is_of_origin.ts";
 import type { Availability, AvailabilityChange } from "./availability.ts";
 import { logAvailabilityChange } from "./log_availability_change.ts";
 import { Upstream } from "./upstream.ts";
 import type { UpstreamNetwork } from "./upstream_network.ts";
+import { VersionHistory } from "./version_history.ts";
 
 /** Maximum time for which an upstream stays in use after its entry disappeared just after an outage of the platform, as
  * a fraction of the leave timeout. Entries that lapsed during the outage come back within two seconds. */
@@ -42,6 +45,8 @@
 
 /** Table of the known upstreams by service. */
 export class UpstreamTable {
+  /** Software versions that have served lately. */
+  readonly versions: VersionHistory;
   private readonly byId = new Map<string, Upstream>();
   private readonly byService = new Map<string, Upstream[]>();
   /** Upstreams that are no longer listed, with the monotonic milliseconds of their removal. */
@@ -50,7 +55,12 @@
   private readonly rememberedInstances = new Map<string, Upstream>();
   private evacuatedHalls: ReadonlySet<string> = new Set();
 
-  private constructor(private readonly options: UpstreamTableOptions) {}
+  private constructor(private readonly options: UpstreamTableOptions) {
+    this.versions = VersionHistory.create({
+      getPresent: (service) => this.getPresent(service),
+      readNow: readClock,
+    });
+  }
 
   /** Creates an empty table.
    * @param options Options of the table. */
@@ -81,11 +91,12 @@
 
   /** Returns the time until the first upstream of a service accepts requests again, in milliseconds; undefined if one
    * accepts requests now, or none is left.
-   * @param service Name of the service. */
-  getBackoffMs(service: string): number | undefined {
+   * @param service Name of the service.
+   * @param origin Where the upstreams must be able to continue a stream of. */
+  getBackoffMs(service: string, origin?: StreamOrigin): number | undefined {
     const now = readClock();
-    const backoffsMs = (this.byService.get(service) ?? [])
-      .filter((upstream) => this.isEligibleAfterBackoff(upstream, now))
+    const backoffsMs = this.getEligible(service, now)
+      .filter((upstream) => isOfOrigin(upstream, origin))
       .map((upstream) => upstream.availability.getBackoffMs(now));
     const minBackoffMs = Math.min(...backoffsMs);
     return Number.isFinite(minBackoffMs) && minBackoffMs > 0
@@ -93,6 +104,14 @@
       : undefined;
   }
 
+  /** Whether an upstream could continue a stream now or after a backoff.
+   * @param origin Where the stream began. */
+  canContinue(origin: StreamOrigin): boolean {
+    return this.getEligible(origin.service, readClock()).some((upstream) =>
+      isOfOrigin(upstream, origin)
+    );
+  }
+
   /** Returns all upstreams of a service that are still present: those listed, including leaving ones, and those whose
    * entry disappeared so recently that they still answer other upstreams.
    * @param service Name of the service. */
@@ -130,6 +149,7 @@
     this.byId.delete(upstream.id);
     this.rebuildService(upstream.published.service);
     upstream.isRemoved = true;
+    this.versions.recordDeparture(upstream);
     this.rememberAvailability(upstream);
     upstream.close();
     this.options.logger.info({ upstream: upstream.id }, "upstream_dropped");
@@ -148,6 +168,12 @@
       upstream.acceptsRequests(now);
   }
 
+  private getEligible(service: string, now: number): Upstream[] {
+    return (this.byService.get(service) ?? []).filter((upstream) =>
+      this.isEligibleAfterBackoff(upstream, now)
+    );
+  }
+
   /** Returns whether an upstream may get new requests once its requested backoff, if any, has ended. */
   private isEligibleAfterBackoff(upstream: Upstream, now: number): boolean {
     if (upstream.isLeaving || upstream.isEvacuated) return false;
@@ -202,10 +228,12 @@
 
   /** Removes an upstream whose id now belongs to another instance, with its state. */
   private replace(known: Upstream, current: PublishedUpstream): void {
-    const { startedAt } = current;
-    if (known.published.startedAt !== startedAt) {
+    const { startedAt, softwareVersion } = current;
+    const isRestarted = known.published.startedAt !== startedAt ||
+      known.published.softwareVersion !== softwareVersion;
+    if (isRestarted) {
       this.options.logger.info(
-        { upstream: known.id, startedAt },
+        { upstream: known.id, startedAt, softwareVersion },
         "upstream_started_again",
       );
       this.options.onRestart(known);
@@ -257,8 +285,9 @@
 
 /** Returns whether a published entry belongs to the same instance as a known upstream with its id. */
 function isSameInstance(known: Upstream, current: PublishedUpstream): boolean {
-  const { address, service, startedAt } = current;
+  const { address, service, startedAt, softwareVersion } = current;
   return known.published.address === address &&
     known.published.service === service &&
-    known.published.startedAt === startedAt;
+    known.published.startedAt === startedAt &&
+    known.published.softwareVersion === softwareVersion;
 }
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -13,6 +13,7 @@
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
 import type { Route } from "../../src/published/configuration_schema.ts";
 import type { HashedPromptPart } from "../../src/upstreams/prefix_index.ts";
+import { isOfOrigin } from "../../src/upstreams/is_of_origin.ts";
 import { LoadCounts } from "../../src/upstreams/load_counts.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
 import { buildRoute } from "../published/build_published.ts";
@@ -118,6 +119,7 @@
     slots: 4,
     arrival: index,
     isLeaving: false,
+    softwareVersion: "v1",
   });
 }
 
@@ -142,9 +144,11 @@
     const forwarder = CallForwarder.create(call, callerResponse, {
       logger: pino({ level: "silent" }),
       codec: platformHeaderCodec,
-      choose: (_call, tried) => {
+      choose: (_call, { triedIds, origin }) => {
         if (!hasSlot) return undefined;
-        const upstream = upstreams.find((one) => !tried.has(one.id));
+        const upstream = upstreams.find((one) =>
+          !triedIds.has(one.id) && isOfOrigin(one, origin)
+        );
         return upstream &&
           { upstream, basis: "least_cost", bound: Infinity };
       },
@@ -167,6 +171,9 @@
       borrowSlot: () => hasSlot ? undefined : slotLoan,
       recordDeclineLimit: () => undefined,
       recordMoved: () => undefined,
+      canContinue: (origin) =>
+        upstreams.some((upstream) => isOfOrigin(upstream, origin)),
+      streams: { announce: () => undefined, release: () => undefined },
       crashes: {
         mayRetry: () => true,
         recordInterruption: () => undefined,
--- a/tests/gateway/publication_exchange_test.ts
+++ b/tests/gateway/publication_exchange_test.ts
@@ -20,6 +20,7 @@
     onNewEra: () => undefined,
     onUpstreamChanges: () => undefined,
     onEvacuations: () => undefined,
+    onObservationGap: () => undefined,
   });
 }
 
--- a/tests/gateway/virtual_gateways.ts
+++ b/tests/gateway/virtual_gateways.ts
@@ -248,7 +248,10 @@
   private sendRequest(host: VirtualHost, request: PromptRequest): void {
     const access = host.chooser.createAccess();
     const call = buildCall(request);
-    const choice = access.choose(call, new Set())!;
+    const choice = access.choose(call, {
+      triedIds: new Set(),
+      origin: undefined,
+    })!;
     const { upstream, basis } = choice;
     this.choiceCounts.set(basis, (this.choiceCounts.get(basis) ?? 0) + 1);
     access.placePrompt(call, upstream);
--- a/tests/peers/prefix_directory_test.ts
+++ b/tests/peers/prefix_directory_test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { processTimeline } from "../../src/clock/timeline.ts";
+import { HostRing } from "../../src/peers/host_ring.ts";
 import { PrefixDirectory } from "../../src/peers/prefix_directory.ts";
 import { ConsistentHashRing } from "../../src/hashing/consistent_hash_ring.ts";
 import { hashText } from "../../src/hashing/hasher.ts";
@@ -15,17 +17,25 @@
   prefixes: PrefixIndex;
 }
 
+function buildRing(
+  ownAddress: string,
+  sockets: readonly TestSocket[],
+): HostRing {
+  const hosts = sockets.map(({ address }) => ({ address, hall: "h" }));
+  return HostRing.create({
+    own: { address: ownAddress, hall: "h" },
+    getHosts: () => hosts.filter(({ address }) => address !== ownAddress),
+    timeline: processTimeline,
+  });
+}
+
 function startHosts(sockets: readonly TestSocket[]): TestHost[] {
   return sockets.map(({ socket, address }) => {
     const prefixes = PrefixIndex.create();
     const directory = PrefixDirectory.create({
       socket,
       prefixes,
-      ownAddress: address,
-      getHosts: () =>
-        sockets.map((other) => other.address).filter((other) =>
-          other !== address
-        ),
+      ring: buildRing(address, sockets),
     });
     return { directory, prefixes };
   });
@@ -89,8 +99,7 @@
       const directory = PrefixDirectory.create({
         socket: requester!.socket,
         prefixes,
-        ownAddress: requester!.address,
-        getHosts: () => others.map(({ address }) => address),
+        ring: buildRing(requester!.address, others),
       });
       let requests = 0;
       for (const { socket } of others) {
@@ -121,8 +130,7 @@
     const directory = PrefixDirectory.create({
       socket: sockets[0]!.socket,
       prefixes: requester!.prefixes,
-      ownAddress: sockets[0]!.address,
-      getHosts: () => [sockets[1]!.address],
+      ring: buildRing(sockets[0]!.address, [sockets[1]!]),
     });
     await directory.lookUp(PART);
     t.false(requester!.prefixes.isCachedAnywhere(PART, performance.now()));
--- a/tests/published/publication_replica_test.ts
+++ b/tests/published/publication_replica_test.ts
@@ -16,6 +16,7 @@
     onNewEra: () => undefined,
     onUpstreamChanges: () => undefined,
     onEvacuations: () => undefined,
+    onObservationGap: () => undefined,
   });
 }
 
