Shorten the time over which an observer must know a service's versions

A stream without a record was continued only if some host had observed its service for twice the route's timeout. The upstream of its last event was sent the request within one timeout before that event and was listed then, so that the timeout and the time until the caller resumes are enough.

--- a/src/gateway/stream_resumer.ts
+++ b/src/gateway/stream_resumer.ts
@@ -13,8 +13,9 @@
   type StreamRecord,
 } from "../streams/stream_record.ts";
 
-/** Multiple of its route's timeout within which a stream that is resumed has begun. */
-const STREAM_AGE_TIMEOUTS = 2;
+/** Time from the last event of a stream until its caller resumes it, in milliseconds: the silence after which callers
+ * abandon a stream. */
+const RESUME_DELAY_MS = 2_000;
 
 /** Why a resumed stream continues or does not. */
 export type ResumeDecision =
@@ -65,7 +66,8 @@
   ): Promise<Result<ResumedStream, Failure>> {
     const startedAt = readClock();
     const key = getNamedKey(call);
-    const withinMs = call.route.timeoutMs * STREAM_AGE_TIMEOUTS;
+    // The upstream of the last event was sent the request within the timeout before, and was listed then.
+    const withinMs = call.route.timeoutMs + RESUME_DELAY_MS;
     const lookup = await this.options.lookUp({
       key: key ?? createStreamKey(call.customer, call.requestId),
       service: call.service,
