--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -18,6 +18,34 @@
     requestedAt: 99.5,
     status: { digest: 5, revision: 6, publicationAgeMs: 700 },
   },
+  "stream records": {
+    type: "stream_records",
+    records: [
+      [2 ** 52, { service: "s", softwareVersion: "v1", order: 1 }],
+      [3, { service: "t", softwareVersion: undefined, order: 2 }],
+    ],
+  },
+  "stream lookup request": {
+    type: "stream_lookup_request",
+    lookupId: 3,
+    key: 2 ** 52,
+    service: "s",
+    withinMs: 14_000,
+  },
+  "stream lookup response": {
+    type: "stream_lookup_response",
+    lookupId: 3,
+    record: { service: "s", softwareVersion: "v1", order: 1 },
+    versions: ["v1", "v2"],
+    observedMs: 700.5,
+  },
+  "stream lookup response of a host that does not know the stream": {
+    type: "stream_lookup_response",
+    lookupId: 3,
+    record: undefined,
+    versions: [],
+    observedMs: 0,
+  },
   "prefix updates": {
     type: "prefix_updates",
     updates: [[1, 2, 3], [4, 5, 0]],
--- a/tests/peers/datagram_fuzz_test.ts
+++ b/tests/peers/datagram_fuzz_test.ts
@@ -17,7 +17,7 @@
 const malformed = fc.oneof(
   fc.uint8Array({ maxLength: 200 }).map((bytes) => Buffer.from(bytes)),
   fc.jsonValue({ maxDepth: 5 }).map((value) => pack(value)),
-  fc.tuple(fc.integer({ min: 0, max: 15 }), fc.jsonValue({ maxDepth: 4 })).map(
+  fc.tuple(fc.integer({ min: 0, max: 18 }), fc.jsonValue({ maxDepth: 4 })).map(
     ([type, body]) => pack([type, body]),
   ),
   fc.tuple(fc.constantFrom(GOSSIP, CRASH_REPORTS), fc.nat({ max: 200 })).map((
