Ask the hosts that a host discovers while it looks up a stream

A host that had just started refused to resume streams as unknown because it knew no other host yet: its ring of hosts was cached for 400 ms, and a lookup asked the hosts that were known at its start. A lookup now asks hosts as they are discovered, until its timeout unless the fleet is known, and a host that has just started rebuilds its ring every 20 ms.

Schedules in virtual time are added as a test; with the filter by version disabled they fail.

--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -93,6 +93,7 @@
       ring: this.createRing(() => true),
       getVersions: (service, withinMs) =>
         options.chooser.upstreams.versions.getVersions(service, withinMs),
+      knowsFleet: () => this.knowsFleet,
       timeline: processTimeline,
     });
     this.crashGossip = this.createCrashGossip();
--- a/src/peers/host_ring.ts
+++ b/src/peers/host_ring.ts
@@ -3,6 +3,10 @@
 
 /** Time for which the ring is cached before it is rebuilt, in milliseconds: two gossip rounds. */
 const RING_CACHE_MS = 400;
+/** Time for which the ring is cached on a host that has just started, in milliseconds: it discovers others quickly. */
+const STARTING_RING_CACHE_MS = 20;
+/** Time from its creation for which a ring counts as that of a host that has just started, in milliseconds. */
+const STARTING_MS = 5_000;
 /** Number of hosts after a position among which spread hosts are chosen. */
 const NEAR_HOSTS = 16;
 
@@ -28,8 +32,11 @@
   private ring = ConsistentHashRing.create([]);
   private halls = new Map<string, string>();
   private builtAt = -Infinity;
+  private readonly createdAt: number;
 
-  private constructor(private readonly options: HostRingOptions) {}
+  private constructor(private readonly options: HostRingOptions) {
+    this.createdAt = options.timeline.read();
+  }
 
   /** Creates a ring.
    * @param options Its dependencies. */
@@ -72,7 +79,9 @@
   private rebuildIfOld(): void {
     const { own, getHosts, timeline } = this.options;
     const now = timeline.read();
-    if (now - this.builtAt <= RING_CACHE_MS) return;
+    const isStarting = now - this.createdAt < STARTING_MS;
+    const cacheMs = isStarting ? STARTING_RING_CACHE_MS : RING_CACHE_MS;
+    if (now - this.builtAt <= cacheMs) return;
     const hosts = [...getHosts(), own];
     this.halls = new Map(hosts.map(({ address, hall }) => [address, hall]));
     this.ring = ConsistentHashRing.create([...this.halls.keys()]);
--- a/src/streams/stream_directory.ts
+++ b/src/streams/stream_directory.ts
@@ -35,6 +35,8 @@
   ring: HostRing;
   /** Returns the versions of a service that may have served within a time, in milliseconds. */
   getVersions: (service: string, withinMs: number) => ObservedVersions;
+  /** Whether this host has discovered its fleet. */
+  knowsFleet: () => boolean;
   timeline: Timeline;
 }
 
@@ -96,12 +98,13 @@
    * @param question What is asked. */
   async lookUp(question: StreamQuestion): Promise<StreamLookupResult> {
     const { key, service, withinMs } = question;
-    const { socket, timeline, getVersions } = this.options;
+    const { socket, timeline, getVersions, knowsFleet } = this.options;
     this.lastLookupId += 1;
     const lookupId = this.lastLookupId;
     const lookup = StreamLookup.create({
       own: { record: this.records.get(key), ...getVersions(service, withinMs) },
-      hosts: this.getHosts(key, ASKED_HOSTS),
+      getHosts: () => this.getHosts(key, ASKED_HOSTS),
+      knowsFleet,
       ask: (host) =>
         socket.send(host, {
           type: "stream_lookup_request",
--- a/src/streams/stream_lookup.ts
+++ b/src/streams/stream_lookup.ts
@@ -2,9 +2,9 @@
 import type { ObservedVersions } from "../upstreams/version_history.ts";
 import type { StreamRecord } from "./stream_record.ts";
 
-/** Time after which hosts that have not responded are asked again, in milliseconds: several round-trip times within a
- * region. */
-const RESEND_DELAY_MS = 25;
+/** Interval at which hosts that have not responded are asked again, and those discovered meanwhile for the first time, in
+ * milliseconds: several round-trip times within a region. */
+const ASK_INTERVAL_MS = 25;
 /** Time after which a lookup that has found a record waits for no more responses, in milliseconds. */
 const FOUND_TIMEOUT_MS = 60;
 /** Timeout of a lookup, in milliseconds; short compared with the silence after which callers abandon a stream. */
@@ -27,8 +27,10 @@
 export interface StreamLookupOptions {
   /** What this host knows. */
   own: StreamKnowledge;
-  /** Addresses of the hosts to ask. */
-  hosts: readonly string[];
+  /** Returns the addresses of the hosts to ask. */
+  getHosts: () => readonly string[];
+  /** Whether this host has discovered its fleet; until then others may know the stream. */
+  knowsFleet: () => boolean;
   ask: (host: string) => void;
   timeline: Timeline;
 }
@@ -38,15 +40,15 @@
   /** Resolves with the outcome. */
   readonly result: Promise<StreamLookupResult>;
   private resolve!: (result: StreamLookupResult) => void;
-  private readonly unanswered: Set<string>;
+  private readonly asked = new Set<string>();
+  private readonly unanswered = new Set<string>();
   private readonly versions: Set<string>;
   private record: StreamRecord | undefined;
   private observedMs: number;
   private timers: CancelTimer[] = [];
 
   private constructor(private readonly options: StreamLookupOptions) {
-    const { own, hosts } = options;
-    this.unanswered = new Set(hosts);
+    const { own } = options;
     this.versions = new Set(own.versions);
     this.record = own.record;
     this.observedMs = own.observedMs;
@@ -72,34 +74,43 @@
     }
     for (const version of versions) this.versions.add(version);
     this.observedMs = Math.max(this.observedMs, observedMs);
-    if (this.unanswered.size === 0) this.close();
+    this.closeIfComplete();
   }
 
   /** Ends the lookup with what is known. */
   close(): void {
     for (const cancel of this.timers) cancel();
-    const { hosts } = this.options;
     this.resolve({
       record: this.record,
       versions: [...this.versions],
       observedMs: this.observedMs,
-      askedHosts: hosts.length,
-      responses: hosts.length - this.unanswered.size,
+      askedHosts: this.asked.size,
+      responses: this.asked.size - this.unanswered.size,
     });
   }
 
   private start(): void {
-    if (this.unanswered.size === 0) return this.close();
     const { timeline } = this.options;
     this.timers = [
-      timeline.after(RESEND_DELAY_MS, () => this.askUnanswered()),
+      timeline.every(ASK_INTERVAL_MS, () => this.askHosts()),
       timeline.after(FOUND_TIMEOUT_MS, () => this.record && this.close()),
       timeline.after(TIMEOUT_MS, () => this.close()),
     ];
-    this.askUnanswered();
+    this.askHosts();
+    this.closeIfComplete();
   }
 
-  private askUnanswered(): void {
+  private closeIfComplete(): void {
+    if (this.unanswered.size > 0) return;
+    if (this.record || this.options.knowsFleet()) this.close();
+  }
+
+  private askHosts(): void {
+    for (const host of this.options.getHosts()) {
+      if (this.asked.has(host)) continue;
+      this.asked.add(host);
+      this.unanswered.add(host);
+    }
     for (const host of this.unanswered) this.options.ask(host);
   }
 }
--- a/tests/peers/virtual_fleet.ts
+++ b/tests/peers/virtual_fleet.ts
@@ -39,6 +39,18 @@
   seeds?: number;
   /** Whether sent bytes are counted, which takes most of a run's time. */
   countsBytes?: boolean;
+  /** Called with each host that starts; returns what to close when it stops. */
+  onStart?: (host: StartedHost) => () => void;
+}
+
+/** A host that has started, for further components on it. */
+export interface StartedHost {
+  index: number;
+  address: string;
+  hall: string;
+  gossip: Gossip;
+  socket: DatagramPort;
+  timeline: Timeline;
 }
 
 type AnyHandler = DatagramHandler<DatagramType>;
@@ -158,9 +170,14 @@
       onStatus: () => undefined,
       timeline,
     });
+    const hall = getHall(index);
+    const closeComponents = this.options.onStart?.(
+      { index, address, hall, gossip, socket, timeline },
+    );
     const close = () => {
       gossip.close();
       poller.close();
+      closeComponents?.();
     };
     this.indexByAddress.set(address, index);
     this.hosts.set(address, {
--- a/tests/streams/stream_lookup_test.ts
+++ b/tests/streams/stream_lookup_test.ts
@@ -5,11 +5,21 @@
 const RECORD = { service: "s", softwareVersion: "v1", order: 1 };
 const NOTHING = { record: undefined, versions: ["v1"], observedMs: 10 };
 
-function startLookup(hosts: readonly string[], own = NOTHING) {
+function startLookup(
+  hosts: readonly string[],
+  own = NOTHING,
+  knowsFleet = true,
+) {
   const timeline = VirtualTimeline.create();
   const asked: string[] = [];
   const ask = (host: string) => void asked.push(host);
-  const lookup = StreamLookup.create({ own, hosts, ask, timeline });
+  const lookup = StreamLookup.create({
+    own,
+    getHosts: () => hosts,
+    knowsFleet: () => knowsFleet,
+    ask,
+    timeline,
+  });
   return { timeline, asked, lookup };
 }
 
@@ -37,7 +47,7 @@
   timeline.runUntil(60);
   const { record, responses, askedHosts } = await lookup.result;
   t.deepEqual(record, RECORD);
-  t.deepEqual(asked, ["a", "b", "b"]);
+  t.deepEqual(asked, ["a", "b", "b", "b"]);
   t.deepEqual([responses, askedHosts], [1, 2]);
 });
 
@@ -56,3 +66,14 @@
   lookup.recordResponse("b", NOTHING);
   t.is((await lookup.result).record, undefined);
 });
+
+test("a host that has just started also asks the hosts that it discovers meanwhile", async (t) => {
+  const hosts: string[] = [];
+  const { lookup, timeline } = startLookup(hosts, NOTHING, false);
+  timeline.runUntil(10);
+  hosts.push("a", "b");
+  timeline.runUntil(30);
+  lookup.recordResponse("a", NOTHING);
+  lookup.recordResponse("b", { ...NOTHING, record: RECORD });
+  t.deepEqual((await lookup.result).record, RECORD);
+});
--- /dev/null
+++ b/tests/streams/stream_schedule.ts
@@ -0,0 +1,141 @@
+import { Random } from "../../src/random/random.ts";
+import { StreamFleet, TRAFFIC_FROM_MS } from "./stream_fleet.ts";
+
+/** Virtual time for which callers send requests, in milliseconds. */
+const TRAFFIC_MS = 20_000;
+/** Time of the last disruption, in milliseconds of traffic. */
+const LAST_DISRUPTION_MS = 17_000;
+/** Minimum and maximum number of disruptions. */
+const DISRUPTIONS = [6, 24] as const;
+const VERSIONS = ["v1", "v1.1", "v1.2"] as const;
+const UPSTREAMS_PER_VERSION = 4;
+/** Minimum and maximum time for which a killed host is down, in milliseconds. */
+const DOWN_MS = [100, 3_000] as const;
+/** Minimum and maximum duration of a partition, in milliseconds. */
+const PARTITION_MS = [500, 4_000] as const;
+/** Minimum and maximum duration of a pause, in milliseconds. */
+const PAUSE_MS = [200, 2_500] as const;
+/** Time between two hosts of seven that restart in turn, in milliseconds. */
+const ROLL_GAP_MS = 700;
+
+/** A fleet after a schedule of disruptions that is drawn from a seed. */
+export interface ScheduledStreams {
+  fleet: StreamFleet;
+  /** The disruptions, for a report. */
+  description: string[];
+}
+
+interface DisruptionContext {
+  fleet: StreamFleet;
+  hosts: number;
+  random: Random;
+  /** Virtual milliseconds. */
+  at: number;
+}
+
+/** Schedules one disruption each; returns its description. */
+const DISRUPTIONS_BY_NAME: Readonly<
+  Record<string, (context: DisruptionContext) => string>
+> = {
+  killOne({ fleet, hosts, random, at }) {
+    const index = random.integer(0, hosts - 1);
+    fleet.at(at, () => fleet.kill([index], random.integer(...DOWN_MS)));
+    return `host ${index} is killed`;
+  },
+  killThird({ fleet, hosts, random, at }) {
+    const affected = drawHosts(hosts, 0.3, random);
+    fleet.at(at, () => fleet.kill(affected, random.integer(...DOWN_MS)));
+    return `${affected.length} hosts are killed`;
+  },
+  killAll({ fleet, hosts, random, at }) {
+    const affected = drawHosts(hosts, 1, random);
+    fleet.at(at, () => fleet.kill(affected, random.integer(...DOWN_MS)));
+    return "all hosts are killed";
+  },
+  restartInTurn({ fleet, hosts, random, at }) {
+    const gapMs = ROLL_GAP_MS * 7 / hosts;
+    for (const [turn, index] of drawHosts(hosts, 1, random).entries()) {
+      fleet.at(at + turn * gapMs, () => fleet.kill([index], 400));
+    }
+    return "all hosts restart in turn";
+  },
+  cutCallers({ fleet, random, at }) {
+    const fraction = random.pick([0.1, 0.5, 1]);
+    fleet.at(at, () => fleet.cutCallers(fraction));
+    return `${fraction} of the callers' connections break`;
+  },
+  partition({ fleet, random, at }) {
+    const parts = random.pick([2, 3]);
+    const forMs = random.integer(...PARTITION_MS);
+    fleet.at(at, () => fleet.fleet.setPartitions((index) => index % parts));
+    fleet.at(at + forMs, () => fleet.fleet.setPartitions(() => 0));
+    return `${parts} partitions for ${forMs} ms`;
+  },
+  pause({ fleet, hosts, random, at }) {
+    const forMs = random.integer(...PAUSE_MS);
+    const affected = drawHosts(hosts, 0.3, random);
+    fleet.at(at, () => {
+      for (const index of affected) pause(fleet, index, forMs);
+    });
+    return `${affected.length} hosts pause for ${forMs} ms`;
+  },
+  resetUpstream({ fleet, at }) {
+    fleet.at(at, () => fleet.upstreams.resetOne());
+    return "the connections to an upstream break";
+  },
+  crashUpstream({ fleet, random, at }) {
+    const version = random.pick(VERSIONS);
+    fleet.at(at, () => fleet.upstreams.crashOne(version));
+    return `an upstream crashes, one of ${version} starts`;
+  },
+  release({ fleet, random, at }) {
+    const version = random.pick(VERSIONS);
+    const count = random.integer(1, 6);
+    for (let index = 0; index < count; index++) {
+      fleet.at(at + index * 400, () => fleet.upstreams.replaceOne(version));
+    }
+    return `${count} upstreams are replaced by ones of ${version}`;
+  },
+};
+
+function pause({ fleet }: StreamFleet, index: number, forMs: number): void {
+  if (!fleet.isActive(index)) return;
+  fleet.pauseHost(index);
+  fleet.timeline.after(forMs, () => fleet.resumeHost(index));
+}
+
+/** Names of all disruptions. */
+export const ALL_DISRUPTIONS = Object.keys(DISRUPTIONS_BY_NAME);
+
+/** Runs a fleet through a schedule that is drawn from a seed.
+ * @param seed The seed.
+ * @param size Hosts and traffic of the fleet.
+ * @param names Names of the disruptions to draw from. */
+export async function runStreamSchedule(
+  seed: number,
+  size: { hosts: number; streamsPerSecond: number; loss: number },
+  names: readonly string[],
+): Promise<ScheduledStreams> {
+  const random = Random.create(seed);
+  const fleet = StreamFleet.create({ seed, ...size });
+  for (const version of VERSIONS.slice(0, random.integer(1, 3))) {
+    for (let index = 0; index < UPSTREAMS_PER_VERSION; index++) {
+      fleet.upstreams.start(version);
+    }
+  }
+  const description: string[] = [];
+  const count = random.integer(...DISRUPTIONS);
+  for (let index = 0; index < count; index++) {
+    const at = TRAFFIC_FROM_MS + random.integer(500, LAST_DISRUPTION_MS);
+    const schedule = DISRUPTIONS_BY_NAME[random.pick(names)]!;
+    const context = { fleet, hosts: size.hosts, random, at };
+    description.push(`${at}: ${schedule(context)}`);
+  }
+  await fleet.runUntil(TRAFFIC_FROM_MS + TRAFFIC_MS);
+  return { fleet, description };
+}
+
+function drawHosts(hosts: number, fraction: number, random: Random): number[] {
+  const all = Array.from({ length: hosts }, (_, index) => index);
+  return random.shuffle(all).slice(0, Math.ceil(hosts * fraction));
+}
