Run the soak with workers of two software versions

Workers of the soak are of two versions in turn, also when they start again under their id; events name the version; callers resume broken streams up to three times, with the id of the attempt that received the first event. A new invariant checks that no stream has events of two versions.

--- a/soak/caller_attempt.ts
+++ b/soak/caller_attempt.ts
@@ -50,6 +50,8 @@
   version: number | undefined;
   /** Last event that the caller has received; 0 if the stream starts at its beginning. */
   afterEvent: number;
+  /** Id of the attempt that received the first event of the stream; undefined unless the attempt resumes one. */
+  resumes: string | undefined;
   gateway: string;
   /** Which start of the gateway's process the request was sent to, as a count of its starts. */
   life: number;
--- a/soak/response_invariants.ts
+++ b/soak/response_invariants.ts
@@ -4,7 +4,8 @@
 import { checkCrashingRequests } from "./crashing_requests.ts";
 import type { Evidence } from "./evidence.ts";
 import { CUSTOMER, PERMANENT_KEY } from "./soak_fleet.ts";
-import { countEvents, getEventData } from "./stream_text.ts";
+import { countEvents, formatEvent, getEventVersions } from "./stream_text.ts";
+import { checkStreamVersions } from "./stream_versions.ts";
 import type { WorkerRun } from "./worker_run.ts";
 
 /** Checks one invariant. Returns a line for each breach. */
@@ -29,6 +30,7 @@
   "a non-repeatable request runs at most once": checkSingleRuns,
   "a request reported as not run has not run": checkNotRunResponses,
   "a request reaches its worker unchanged": checkUnchanged,
+  "a stream contains events of one software version": checkStreamVersions,
   "no request reaches more workers than its route allows": checkWorkerCounts,
   "a gateway never reverts to an older configuration": checkRollbacks,
   "the response of an undisturbed worker reaches its caller":
@@ -67,10 +69,12 @@
   const { text, afterEvent, requestId, path, isWhole } = attempt;
   const blocks = text.split("\n\n");
   const rest = blocks.pop();
-  const expected = (index: number) =>
-    `id: ${afterEvent + index + 1}\ndata: ${
-      getEventData(requestId, afterEvent + index + 1, path)
-    }`;
+  const versions = getEventVersions(text);
+  const expected = (index: number) => {
+    const event = afterEvent + index + 1;
+    const version = versions[index] ?? "";
+    return formatEvent(requestId, event, path, version).trimEnd();
+  };
   const wrong = blocks.findIndex((block, index) => block !== expected(index));
   if (wrong >= 0) return `event ${wrong + 1} is ${blocks[wrong]}`;
   const missing = countEvents(path) - afterEvent - blocks.length;
--- a/soak/seed_result.ts
+++ b/soak/seed_result.ts
@@ -2,6 +2,7 @@
 import { type CrashSummary, summarizeCrashes } from "./crashing_requests.ts";
 import type { Evidence } from "./evidence.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
+import { type ResumeSummary, summarizeResumes } from "./stream_versions.ts";
 
 /** Result of one run. */
 export interface SeedResult {
@@ -13,6 +14,7 @@
   endings: Record<string, number>;
   /** Summary of the crashing requests. */
   crashes: CrashSummary;
+  resumes: ResumeSummary;
   faults: string[];
   /** Attempts and runs of the requests named in breaches. */
   evidence: unknown[];
@@ -38,6 +40,7 @@
     attempts: attempts.length,
     endings: countEndings(attempts),
     crashes: summarizeCrashes(attempts, runs),
+    resumes: summarizeResumes(attempts),
     faults: fleet.faults.windows.map(({ name, targets, from, to }) =>
       `${Math.round(from)}-${Math.round(to ?? Infinity)} ${name} ${targets}`
     ),
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -56,7 +56,8 @@
 });
 
 function printResult(result: SeedResult): void {
-  const { seed, attempts, endings, faults, crashes, breaches } = result;
+  const { seed, attempts, endings, faults, crashes, resumes, breaches } =
+    result;
   console.log(
     `seed ${seed}: ${attempts} requests, ${faults.length} faults, ${breaches.length} breaches`,
   );
@@ -67,6 +68,9 @@
   console.log(
     `  ${crashes.requests} crashing requests crashed ${crashes.crashes} workers; ${crashes.innocentRefused} attempts of other requests were refused as crashing`,
   );
+  console.log(
+    `  ${resumes.continued} of ${resumes.sent} attempts to resume a stream continued`,
+  );
   for (const breach of breaches.slice(0, 12)) console.log(`  ${breach}`);
 }
 
--- a/soak/soak_caller.ts
+++ b/soak/soak_caller.ts
@@ -33,6 +33,8 @@
 const RESPONSE_MARGIN_MS = 4_000;
 /** Number of chats that callers return to. */
 const CHAT_COUNT = 24;
+/** Maximum number of attempts to resume a stream. */
+const MAX_RESUMES = 3;
 /** Timeout for connecting to a gateway, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
 
@@ -116,18 +118,23 @@
       : undefined;
     const attempt = this.buildAttempt(kind, key, gateway);
     await this.send(attempt, gateway, giveUpMs);
-    const resumes = kind === "chat" && !attempt.isWhole && !givesUp;
-    if (resumes && attempt.status === 200) await this.resume(attempt);
+    const isBroken = !attempt.isWhole && attempt.status === 200;
+    if (kind === "chat" && isBroken) await this.resume(attempt);
   }
 
-  /** Resumes a broken stream through a newly chosen gateway, as a request with a new id. */
+  /** Resumes a broken stream through newly chosen gateways, each time as a request with a new id. */
   private async resume(broken: CallerAttempt): Promise<void> {
-    const gateway = await this.chooseGateway();
-    if (!gateway) return;
-    const attempt = this.buildAttempt("chat", broken.key, gateway);
-    attempt.path = broken.path;
-    attempt.afterEvent = getLastEvent(broken);
-    if (attempt.afterEvent > 0) await this.send(attempt, gateway, undefined);
+    let last = broken;
+    for (let count = 0; count < MAX_RESUMES && !last.isWhole; count++) {
+      const gateway = await this.chooseGateway();
+      const afterEvent = getLastEvent(last);
+      if (!gateway || afterEvent === 0) return;
+      last = this.buildAttempt("chat", broken.key, gateway);
+      last.path = broken.path;
+      last.afterEvent = afterEvent;
+      last.resumes = broken.requestId;
+      await this.send(last, gateway, undefined);
+    }
   }
 
   private async chooseGateway(): Promise<GatewayProcess | undefined> {
@@ -168,6 +175,7 @@
       key,
       version: kind === "version" ? version : undefined,
       afterEvent: 0,
+      resumes: undefined,
       gateway: gateway.id,
       life: gateway.program.starts,
       sentAt: performance.now(),
@@ -245,7 +253,7 @@
 /** Number of the last complete event that an attempt received; 0 if it received none. */
 function getLastEvent(attempt: CallerAttempt): number {
   const completeEvents = attempt.text.split("\n\n").length - 1;
-  return completeEvents === 0 ? 0 : attempt.afterEvent + completeEvents;
+  return attempt.afterEvent + completeEvents;
 }
 
 function buildHeaders(
@@ -263,6 +271,7 @@
   if (attempt.afterEvent > 0) {
     headers["last-event-id"] = String(attempt.afterEvent);
   }
+  if (attempt.resumes !== undefined) headers["resumes"] = attempt.resumes;
   const [model, tokens, parts] = attempt.prompt.split("|");
   if (model) {
     headers["x-beechkeel-model"] = model;
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -30,6 +30,8 @@
 /** Host name in the requests of callers. */
 export const HOST = "soak.example";
 
+/** Software versions of the workers, in turn. */
+const VERSIONS = ["v1", "v2"] as const;
 /** Time within which each gateway must list all gateways after the start of a fleet, in milliseconds. */
 const START_TIMEOUT_MS = 30_000;
 /** Interval at which the start of the fleet is polled, in milliseconds. */
@@ -132,6 +134,7 @@
       service,
       this,
       this.random.fork(),
+      VERSIONS[this.workerCount % VERSIONS.length]!,
       proxy,
     );
     worker.onCrashRequest = () =>
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -62,15 +62,18 @@
    * @param service Service that it belongs to.
    * @param ledger Ledger of the requests that it runs and declines.
    * @param random Source of randomness.
+   * @param version Software version that it publishes.
    * @param proxy Proxy of a stopped worker whose address this one takes over. */
   static async create(
     id: string,
     service: string,
     ledger: WorkerLedger,
     random: Random,
+    version: string,
     proxy?: FaultProxy,
   ): Promise<SoakWorker> {
     const worker = await FakeWorker.create(id);
+    worker.version = version;
     const port = Number(worker.address.split(":")[1]);
     proxy?.setTarget(port);
     const workerProxy = proxy ?? await FaultProxy.create(port);
@@ -100,6 +103,7 @@
       slots: MAX_IN_FLIGHT,
       state,
       startedAt: this.worker.startedAt,
+      version: this.worker.version,
     });
   }
 
@@ -241,7 +245,8 @@
     const breaksAt = this.random.integer(run.afterEvent + 1, count + 1);
     for (let event = run.afterEvent + 1; event <= count; event++) {
       if (response.destroyed) return;
-      const text = formatEvent(run.requestId, event, run.path);
+      const { requestId, path } = run;
+      const text = formatEvent(requestId, event, path, this.worker.version);
       if (fault === "cut_short" && event === breaksAt) {
         response.write(text.slice(0, text.length / 2));
         if (response.socket) resetSocket(response.socket);
--- a/soak/stream_text.ts
+++ b/soak/stream_text.ts
@@ -26,13 +26,22 @@
 /** Formats one event as it is sent.
  * @param requestId Id of the request.
  * @param event Number of the event, from 1.
- * @param path Path of the request. */
+ * @param path Path of the request.
+ * @param version Software version of the worker. */
 export function formatEvent(
   requestId: string,
   event: number,
   path: string,
+  version: string,
 ): string {
-  return `id: ${event}\ndata: ${getEventData(requestId, event, path)}\n\n`;
+  const data = getEventData(requestId, event, path);
+  return `id: ${event}\nevent: ${version}\ndata: ${data}\n\n`;
+}
+
+/** Returns the software versions in the events of a response, in order.
+ * @param text Text of the response. */
+export function getEventVersions(text: string): string[] {
+  return [...text.matchAll(/^event: (.+)$/gm)].map(([, version]) => version!);
 }
 
 /** Formats the complete response to a request that is not streamed.
--- a/tests/soak/invariants_test.ts
+++ b/tests/soak/invariants_test.ts
@@ -25,6 +25,7 @@
     key: PERMANENT_KEY,
     version: undefined,
     afterEvent: 0,
+    resumes: undefined,
     gateway: "g-0",
     life: 1,
     sentAt: 1_000,
@@ -78,7 +79,7 @@
   return buildAttempt({
     kind: "chat",
     path,
-    text: events.map((event) => formatEvent(ID, event, path)).join(""),
+    text: events.map((event) => formatEvent(ID, event, path, "v1")).join(""),
   });
 }
 
@@ -130,6 +131,26 @@
     buildEvidence({ runs: [buildRun({ body: "other" })] }),
     buildEvidence({ runs: [buildRun({ customer: "forged" })] }),
   ],
+  "a stream contains events of one software version": [
+    buildEvidence({
+      attempts: [
+        buildAttempt({
+          text: formatEvent(ID, 1, "/chat/c-1", "v1") +
+            formatEvent(ID, 2, "/chat/c-1", "v2"),
+        }),
+      ],
+    }),
+    buildEvidence({
+      attempts: [
+        buildAttempt({ text: formatEvent(ID, 1, "/chat/c-1", "v1") }),
+        buildAttempt({
+          requestId: "c-2",
+          resumes: ID,
+          text: formatEvent("c-2", 2, "/chat/c-1", "v2"),
+        }),
+      ],
+    }),
+  ],
   "no request reaches more workers than its route allows": [
     buildEvidence({ runs: [buildRun(), buildRun({ worker: "w-2" })] }),
   ],
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -33,6 +33,19 @@
     faults: ["cutFromWorkers", "stopInTurn", "killGateway"],
     cause: "none; gateways without a path to any worker, stopped and killed",
   },
+  {
+    seed: 5301,
+    seconds: 8,
+    faults: [
+      "killGateway",
+      "killManyGateways",
+      "restartWorker",
+      "replaceWorker",
+      "misbehaveWorker",
+      "cutWorker",
+    ],
+    cause: "none; streams that break while workers of two versions serve",
+  },
 ];
 
 for (
