Do not continue streams that a restarted upstream began as those of its earlier instance

An upstream that starts again under its id serves as another instance, perhaps of another version, before hosts learn of its new entry. Streams that it began then were continued at the version of the earlier instance once the entry arrived. A stream whose request may have been sent after the restart is now recorded as of an uncertain version, which does not continue; its caller is refused with uncertain_version in the log.

The test of a version without upstreams closes the first gateway before it counts arrivals: silent streams that this host continues at another upstream were counted once.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -10,6 +10,9 @@
  * again; a new connection that is not established was certainly not used. */
 const IDLE_CONNECTION_TRUST_MS = 1_000;
 
+/** Maximum difference between the times of day of two machines, in milliseconds. */
+const MAX_CLOCK_DIFFERENCE_MS = 1_000;
+
 /** Why an attempt ended without a complete response. */
 export type AttemptFailure =
   /** No byte of the request left this host. */
@@ -98,6 +101,13 @@
     return this.sentAt === undefined ? 0 : readClock() - this.sentAt;
   }
 
+  /** Whether the request may have been sent after a moment, as far as the clocks of two machines agree.
+   * @param moment Unix milliseconds; undefined if they are not known. */
+  mayHaveBeenSentAfter(moment: number | undefined): boolean {
+    if (moment === undefined) return true;
+    return Date.now() - this.elapsedMs > moment - MAX_CLOCK_DIFFERENCE_MS;
+  }
+
   /** Whether the attempt has neither ended nor been abandoned. */
   get isInProgress(): boolean {
     return !this.isFinished && !this.isAbandoned;
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -101,10 +101,14 @@
   }
 
   /** Fails the attempt in progress at an upstream that has restarted: its old connection may never be closed.
-   * @param upstream The instance before the restart. */
-  failAttemptAt(upstream: Upstream): void {
+   * @param upstream The instance before the restart.
+   * @param startedAt Unix milliseconds of the restart; undefined if they are not known. */
+  failAttemptAt(upstream: Upstream, startedAt: number | undefined): void {
     if (this.isFinished || this.attempt?.upstream !== upstream) return;
     if (!this.attempt.isInProgress) return;
+    if (this.attempt.mayHaveBeenSentAfter(startedAt)) {
+      this.stream.recordUncertainVersion();
+    }
     this.attempt.abandon();
     this.onFailure("broken", "its upstream has started again");
   }
--- a/src/forward/stream_tracker.ts
+++ b/src/forward/stream_tracker.ts
@@ -55,6 +55,14 @@
     if (this.record.order > 1) this.announce();
   }
 
+  /** Records that another instance than the known one may have sent the events of the current attempt. */
+  recordUncertainVersion(): void {
+    if (!this.record) return;
+    const order = this.record.order + 1;
+    this.record = { ...this.record, softwareVersion: undefined, order };
+    this.announce();
+  }
+
   /** Ends the announcements. */
   close(): void {
     if (this.key !== undefined) this.announcer.release(this.key);
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -124,9 +124,12 @@
   }
 
   /** Fails the attempts in progress at an instance of an upstream that no longer runs.
-   * @param upstream The instance before the restart. */
-  failAttemptsOn(upstream: Upstream): void {
-    for (const each of [...this.forwarders]) each.failAttemptAt(upstream);
+   * @param upstream The instance before the restart.
+   * @param startedAt Unix milliseconds of the restart; undefined if they are not known. */
+  failAttemptsOn(upstream: Upstream, startedAt: number | undefined): void {
+    for (const each of [...this.forwarders]) {
+      each.failAttemptAt(upstream, startedAt);
+    }
   }
 
   private async admitAndForward(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -243,7 +243,8 @@
       getLapseEndsAt: () => this.replica.lapseEndsAt,
       usesDirectory: () => this.peerNetwork?.usesDirectory ?? false,
       onPrefixUpdates: () => this.peerNetwork?.announcePrefixUpdates(),
-      onRestart: (before) => this.handler.failAttemptsOn(before),
+      onRestart: (before, startedAt) =>
+        this.handler.failAttemptsOn(before, startedAt),
       onAvailabilityChange: (change) => this.metrics.recordAvailability(change),
       onRemove: (upstream) => {
         this.guard.recordRemoval(upstream.instanceHash);
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -99,7 +99,7 @@
   private readonly resumes = new Counter({
     name: "beechkeel_stream_resumes_total",
     help:
-      "Streams that callers resume, by why they continue or not: recorded, single_version, unknown, service_changed, version_gone.",
+      "Streams that callers resume, by why they continue or not: recorded, single_version, uncertain_version, unknown, service_changed, version_gone.",
     labelNames: ["decision"],
     registers: [this.registry],
   });
--- a/src/gateway/stream_resumer.ts
+++ b/src/gateway/stream_resumer.ts
@@ -23,6 +23,8 @@
   | "recorded"
   /** No host knows it, but only one software version can have begun it. */
   | "single_version"
+  /** It may have begun at another instance of its upstream than the host knew that sent it. */
+  | "uncertain_version"
   /** No host knows it, and several software versions can have begun it. */
   | "unknown"
   /** Its route no longer leads to the service that began it. */
@@ -92,6 +94,7 @@
     record: StreamRecord | undefined,
   ): ResumeDecision {
     if (!record) return "unknown";
+    if (record.softwareVersion === undefined) return "uncertain_version";
     const leadsToService = route.shares.some(({ service, weight }) =>
       service === record.service && (weight > 0 || route.shares.length === 1)
     );
--- a/src/gateway/upstream_chooser_options.ts
+++ b/src/gateway/upstream_chooser_options.ts
@@ -10,6 +10,7 @@
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import type { UpstreamNetwork } from "../upstreams/upstream_network.ts";
+import type { UpstreamTableOptions } from "../upstreams/upstream_table.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 
 /** The settings that the choice of an upstream depends on. */
@@ -57,8 +58,8 @@
   usesDirectory: () => boolean;
   /** Called when there are prefix updates to send to other hosts. */
   onPrefixUpdates: () => void;
-  /** Called with the previous state of an upstream that has restarted under its id. */
-  onRestart: (before: Upstream) => void;
+  /** Called with the previous state of an upstream that has restarted under its id, and the time of the start. */
+  onRestart: UpstreamTableOptions["onRestart"];
   /** Called when an upstream reports a change of whether it accepts requests. */
   onAvailabilityChange: (change: AvailabilityChange) => void;
   /** Called with each upstream that is removed from the table. */
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -32,9 +32,9 @@
   getLapseEndsAt: () => number;
   /** Time after which a leaving upstream must get no new requests, in milliseconds. */
   leaveTimeoutMs: number;
-  /** Called before an upstream is removed because it restarted under the same id; the requests in flight on the earlier
-   * instance are lost. */
-  onRestart: (before: Upstream) => void;
+  /** Called before an upstream is removed because it restarted under the same id, with the Unix milliseconds of the start
+   * if it is published; the requests in flight on the earlier instance are lost. */
+  onRestart: (before: Upstream, startedAt: number | undefined) => void;
   /** Called when the availability of an upstream has changed. */
   onAvailabilityChange: (change: AvailabilityChange) => void;
   /** Called for each removed upstream. */
@@ -236,7 +236,7 @@
         { upstream: known.id, startedAt, softwareVersion },
         "upstream_started_again",
       );
-      this.options.onRestart(known);
+      this.options.onRestart(known, startedAt);
     }
     this.remove(known);
   }
--- a/tests/gateway/stream_version_test.ts
+++ b/tests/gateway/stream_version_test.ts
@@ -1,5 +1,6 @@
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { setTimeout as delay } from "node:timers/promises";
+import type { FakeWorker } from "../../fakes/fake_worker.ts";
 import { call } from "./call.ts";
 import {
   getVersions,
@@ -136,11 +137,36 @@
   });
 });
 
+test("a stream that an upstream began after it had started again, with another version than known, is not continued at the known one", async (t) => {
+  await withGateways(async (fleet) => {
+    const restarted = await fleet.startWorker("s");
+    fleet.publishConfiguration(3, [KEY], RESUMABLE);
+    const gateway = await fleet.startGateway();
+    await waitUntilServing(gateway);
+    restarted.version = "v2";
+    restarted.startedAt = Date.now();
+    const streams = await beginStreams(fleet, gateway);
+    const other = await fleet.startWorker("s");
+    other.behaviour = streamEvents(() => "none");
+    await waitUntilChosen(t, gateway, other);
+    const before = other.arrivals.length;
+    fleet.publishWorker(restarted, "s", "ready");
+    await delay(DISCOVERY_MS);
+    t.is(other.arrivals.length, before);
+    for (const stream of streams) {
+      t.is((await resume(gateway, stream)).status, 503);
+    }
+    t.is(other.arrivals.length, before);
+  });
+});
+
 test("a stream whose software version has no upstream left is refused at once as not run", async (t) => {
   await withGateways(async (fleet) => {
     const [first, second] = await startMixedFleet(fleet, 2);
     const streams = await beginStreams(fleet, first!);
     const ended = streams.find(({ version }) => version === "v1")!;
+    // A host continues streams that are silent for too long, which would add arrivals.
+    await first!.gateway.close();
     for (const worker of fleet.workers) {
       if (worker.version === "v1") fleet.store.remove(`servers/${worker.id}`);
     }
@@ -167,6 +193,18 @@
   });
 });
 
+/** Sends requests until one reaches an upstream. */
+async function waitUntilChosen(
+  t: ExecutionContext,
+  gateway: TestGateway,
+  worker: FakeWorker,
+): Promise<void> {
+  for (let count = 0; worker.arrivals.length === 0; count++) {
+    t.true(count < 100);
+    await call(gateway, KEY);
+  }
+}
+
 function countArrivals({ workers }: GatewayFleet): number {
   return workers.reduce((sum, { arrivals }) => sum + arrivals.length, 0);
 }
