Continue answers of the router program only at engines of the same software version

The host list now may state an engine's software version, and an answer continues only at engines of the version that began it; engines without a version count as of one. Candidates of other versions are passed over, so that they do not use up the limit of candidates.

--- a/fakes/fake_engine_options.ts
+++ b/fakes/fake_engine_options.ts
@@ -16,6 +16,8 @@
   reportLagMs: number;
   /** Whether orders with an older fencing token are rejected. */
   checksFence: boolean;
+  /** Published software version; undefined if it publishes none. */
+  softwareVersion: string | undefined;
   /** Port to listen on; 0 selects any free port. */
   port: number;
 }
@@ -31,5 +33,6 @@
   slots: 64,
   reportLagMs: 300,
   checksFence: true,
+  softwareVersion: undefined,
   port: 0,
 };
--- a/src/configuration_service/host_schema.ts
+++ b/src/configuration_service/host_schema.ts
@@ -18,6 +18,9 @@
   models: z.array(z.string()).default([]),
   /** Services only: name of the service that the host belongs to. */
   service: z.string().optional(),
+  /** Engines only: software version; streams continue only at engines of the version that began them. Undefined if not
+   * published; such engines count as of one version. */
+  softwareVersion: z.string().optional(),
   /** Maximum number of concurrent requests of the upstream. */
   slots: z.number().int().min(1).default(64),
   /** Whether the upstream rejects orders with an outdated fencing token. */
--- a/src/entry/dispatch_progress.ts
+++ b/src/entry/dispatch_progress.ts
@@ -1,3 +1,4 @@
+import type { Host } from "../configuration_service/host_schema.ts";
 import { ERROR_RESPONSES } from "../errors/error_responses.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
 import { Failure } from "../errors/failure.ts";
@@ -26,6 +27,8 @@
   disconnectSignal: AbortSignal;
   /** Number of events that were passed to the sink. */
   events: number;
+  /** Software version of the upstream that sent the first event; undefined if none was sent or it publishes none. */
+  softwareVersion: string | undefined;
   /** Routers that did not respond, or declined as stale, during this request. */
   silent: Set<string>;
   /** Routers that were removed from `silent` once, because another router named them as the owner. */
@@ -75,6 +78,17 @@
   };
 }
 
+/** Whether an upstream may run the request: once events were sent, only one of the software version that sent them.
+ * @param progress State of the request.
+ * @param upstream The upstream. */
+export function mayContinueAt(
+  progress: Pick<DispatchProgress, "events" | "softwareVersion">,
+  upstream: Host | undefined,
+): boolean {
+  return progress.events === 0 ||
+    upstream?.softwareVersion === progress.softwareVersion;
+}
+
 /** Records a redirect to another owner of an upstream.
  * An owner that did not respond before is tried once more, because the redirecting router has heard from it since.
  * @param progress State of the request.
@@ -151,6 +165,7 @@
     grant: SendGrant.create(),
     disconnectSignal,
     events: 0,
+    softwareVersion: undefined,
     silent: new Set(),
     retried: new Set(),
     namedOwners: new Map(),
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -17,6 +17,7 @@
   type DispatchProgress,
   type DispatchResult,
   isInconclusive,
+  mayContinueAt,
   mayHaveRun,
   recordRedirect,
   refuse,
@@ -117,7 +118,11 @@
     }
     const { candidateLimit } = this.options.settings.routing;
     const declines: Declines = new Map();
-    for (const upstreamId of order.slice(0, candidateLimit)) {
+    let candidates = 0;
+    for (const upstreamId of order) {
+      if (candidates === candidateLimit) break;
+      if (!this.mayContinueAt(progress, upstreamId)) continue;
+      candidates += 1;
       const result = await this.tryUpstream(
         progress,
         upstreamId,
@@ -126,7 +131,8 @@
       );
       if (result) return result;
     }
-    for (const upstreamId of this.chooseQueueUpstreams(order)) {
+    const usable = order.filter((id) => this.mayContinueAt(progress, id));
+    for (const upstreamId of this.chooseQueueUpstreams(usable)) {
       const result = await this.tryUpstream(
         progress,
         upstreamId,
@@ -138,6 +144,10 @@
     return this.refuseAfterLastUpstream(progress, declines);
   }
 
+  private mayContinueAt(progress: DispatchProgress, id: string): boolean {
+    return mayContinueAt(progress, this.options.getView().getUpstream(id));
+  }
+
   /** Returns the upstreams where the request may be queued: the two least loaded of the first candidates, then the most
    * preferred one. */
   private chooseQueueUpstreams(order: readonly string[]): string[] {
@@ -158,6 +168,8 @@
     declines: Declines,
   ): Promise<DispatchResult | undefined> {
     for (let tryCount = 0; tryCount < MAX_OWNERS_PER_UPSTREAM; tryCount++) {
+      if (!this.mayContinueAt(progress, upstreamId)) return undefined;
+      const upstream = this.options.getView().getUpstream(upstreamId);
       const ownerId = this.chooseOwner(upstreamId, progress);
       if (!ownerId) return undefined;
       const eventsBefore = progress.events;
@@ -167,9 +179,12 @@
         ownerId,
         mayQueue,
       );
+      if (eventsBefore === 0 && progress.events > 0) {
+        progress.softwareVersion = upstream?.softwareVersion;
+      }
       recordAttempt(this.options.crashGuard, {
         fingerprint: progress.fingerprint,
-        upstream: this.options.getView().getUpstream(upstreamId),
+        upstream,
         outcome,
         hasReceivedEvents: progress.events > eventsBefore,
       });
--- a/tools/fleet.ts
+++ b/tools/fleet.ts
@@ -239,6 +239,7 @@
       models: engine.options.models,
       slots: this.options.slots,
       checksFence: engine.options.checksFence,
+      softwareVersion: engine.options.softwareVersion,
     }));
     const services = this.services.map((service, index) => ({
       ...this.buildCommonFields(service.options.id, index, "service"),
