--- a/src/upstreams/find_fetch_source.ts
+++ b/src/upstreams/find_fetch_source.ts
@@ -3,7 +3,7 @@
 import type { Upstream } from "./upstream.ts";
 
 /** Finds the engine from which another engine should fetch the prompt parts that it lacks; undefined if it lacks none
- * that another engine may have cached. The deepest part decides, because an engine that has it cached was also sent the
+ * that another engine of its software version may have cached. The deepest part decides, because an engine that has it cached was also sent the
  * parts before it. If no engine is known to have cached any part, as after a restart, returns the engine that the
  * prompt was most likely sent to: the first in the prompt's rendezvous order or, if that is the target, the first among
  * the engines that arrived before the target.
@@ -19,14 +19,17 @@
   prefixes: PrefixIndex,
   now: number,
 ): Upstream | undefined {
+  const compatible = engines.filter(({ published }) =>
+    published.softwareVersion === target.published.softwareVersion
+  );
   for (const { name: part } of parts.toReversed()) {
     if (prefixes.isCached(part, target.instanceHash, now)) return undefined;
-    const source = engines.find((engine) =>
+    const source = compatible.find((engine) =>
       engine !== target && prefixes.isCached(part, engine.instanceHash, now)
     );
     if (source) return source;
   }
-  return findLikelySource(parts, target, engines);
+  return findLikelySource(parts, target, compatible);
 }
 
 function findLikelySource(
--- a/tests/upstreams/choose_upstream_test.ts
+++ b/tests/upstreams/choose_upstream_test.ts
@@ -118,6 +118,20 @@
   t.is(find(upstreams[1]!), undefined);
 });
 
+test("an engine fetches only from engines of its own software version", (t) => {
+  const [target, other, same] = ["v1", "v2", "v1"].map((softwareVersion, id) =>
+    Upstream.create(buildUpstream({ id: `u-${id}`, softwareVersion }))
+  );
+  const prefixes = PrefixIndex.create();
+  prefixes.recordSent(CHAT, other!.instanceHash, false, 0);
+  const find = (engines: readonly (Upstream | undefined)[]) =>
+    findFetchSource(CHAT, target!, engines as Upstream[], prefixes, 0);
+  t.not(find([target, other]), other);
+  t.not(find([target, other, same]), other);
+  prefixes.recordSent(CHAT, same!.instanceHash, false, 0);
+  t.is(find([target, other, same]), same);
+});
+
 test("after a restart the first engine in a prompt's order fetches from the first one that arrived before it", (t) => {
   const upstreams = createUpstreams(6);
   const first = chooseUpstream(buildOptions(upstreams, { sharedParts: CHAT }))!;
