Continue streams at leaving upstreams if no other of their version is left

While the last upstreams of a version leave, streams that began there were refused although these upstreams still take requests. An attempt that continues a stream may now go to one within 0.75 of the leave timeout after the announcement, counted from the time up to which the host had known all changes before it. New streams still avoid leaving upstreams. The new test failed before: the resume got 503.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import { CrashGuard } from "../crashes/crash_guard.ts";
-import { onClockJump } from "../clock/clock.ts";
+import { onClockJump, readClock } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
@@ -241,6 +241,7 @@
       getRetainedFraction: (withinMs) =>
         this.peerNetwork?.getRetainedFraction(withinMs) ?? 1,
       getLapseEndsAt: () => this.replica.lapseEndsAt,
+      getCompleteUntil: () => readClock() - this.replica.ageMs,
       usesDirectory: () => this.peerNetwork?.usesDirectory ?? false,
       onPrefixUpdates: () => this.peerNetwork?.announcePrefixUpdates(),
       onRestart: (before, startedAt) =>
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -75,6 +75,7 @@
       logger: options.logger,
       getLapseEndsAt: options.getLapseEndsAt,
       leaveTimeoutMs: options.getSettings().leaveWithinMs,
+      getCompleteUntil: options.getCompleteUntil,
       onRestart: options.onRestart,
       onAvailabilityChange: options.onAvailabilityChange,
       onRemove: options.onRemove,
@@ -201,9 +202,7 @@
     const { boundMultiple, hall } = this.options.getSettings();
     const now = this.readNow();
     return chooseUpstream({
-      candidates: this.candidates.select(call.service, now).filter((upstream) =>
-        isOfOrigin(upstream, origin)
-      ),
+      candidates: this.selectCandidates(call.service, origin, now),
       reachable: this.getReachable(call.service, now),
       boundMultiple,
       service: call.service,
@@ -220,6 +219,21 @@
     });
   }
 
+  /** Returns the upstreams that may get a request. One that continues a stream may go to a leaving upstream if there is no
+   * other of its version. */
+  private selectCandidates(
+    service: string,
+    origin: StreamOrigin | undefined,
+    now: number,
+  ): Upstream[] {
+    const candidates = this.candidates.select(service, now).filter((upstream) =>
+      isOfOrigin(upstream, origin)
+    );
+    return origin && candidates.length === 0
+      ? this.upstreams.getLeaving(origin)
+      : candidates;
+  }
+
   /** Returns the reachable upstreams of a service, whether or not they accept new requests. */
   private getReachable(service: string, now: number): Upstream[] {
     return this.upstreams.getPresent(service).filter((upstream) =>
--- a/src/gateway/upstream_chooser_options.ts
+++ b/src/gateway/upstream_chooser_options.ts
@@ -54,6 +54,8 @@
   /** Monotonic milliseconds until which an entry may be missing only because it expired in an outage of the
    * platform. */
   getLapseEndsAt: () => number;
+  /** Monotonic milliseconds up to which all published changes are known, apart from those that are being applied. */
+  getCompleteUntil: () => number;
   /** Whether other hosts look up cached prompt parts in the directory of a large fleet. */
   usesDirectory: () => boolean;
   /** Called when there are prefix updates to send to other hosts. */
--- a/src/upstreams/upstream.ts
+++ b/src/upstreams/upstream.ts
@@ -34,6 +34,8 @@
   reported: { requests: number; at: number } | undefined;
   /** Monotonic milliseconds until which it is used although its entry is missing; undefined while it is listed. */
   lapseEndsAt: number | undefined;
+  /** Monotonic milliseconds before which it had not announced that it leaves; meaningful only while its entry says so. */
+  leavingSince = -Infinity;
   /** Monotonic milliseconds at which its warm-up ends. */
   private warmUpEndsAt = -Infinity;
   /** Monotonic milliseconds at which a crash of this instance was detected. */
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -13,6 +13,9 @@
 /** Maximum time for which an upstream stays in use after its entry disappeared just after an outage of the platform, as
  * a fraction of the leave timeout. Entries that lapsed during the outage come back within two seconds. */
 const LAPSE_GRACE_FRACTION = 0.8;
+/** Time after the announcement that an upstream leaves in which it still gets requests that only it can serve, as a
+ * fraction of the leave timeout; the rest covers the time that a request takes to reach it. */
+const LEAVE_GRACE_FRACTION = 0.75;
 /** Time for which an upstream that is no longer listed counts as present, in milliseconds. Leaving upstreams continue
  * to serve slightly longer than the two seconds after which they get no new requests. */
 const UNLISTED_TTL_MS = 3_000;
@@ -32,6 +35,8 @@
   getLapseEndsAt: () => number;
   /** Time after which a leaving upstream must get no new requests, in milliseconds. */
   leaveTimeoutMs: number;
+  /** Returns the monotonic milliseconds up to which all published changes were known before those that are applied. */
+  getCompleteUntil: () => number;
   /** Called before an upstream is removed because it restarted under the same id, with the Unix milliseconds of the start
    * if it is published; the requests in flight on the earlier instance are lost. */
   onRestart: (before: Upstream, startedAt: number | undefined) => void;
@@ -109,6 +114,18 @@
   canContinue(origin: StreamOrigin): boolean {
     return this.getEligible(origin.service, readClock()).some((upstream) =>
       isOfOrigin(upstream, origin)
+    ) || this.getLeaving(origin).length > 0;
+  }
+
+  /** Returns the leaving upstreams that may still get a request to continue a stream, which other upstreams of the
+   * service can't serve.
+   * @param origin Where the stream began. */
+  getLeaving(origin: StreamOrigin): Upstream[] {
+    const now = readClock();
+    const graceMs = this.options.leaveTimeoutMs * LEAVE_GRACE_FRACTION;
+    return (this.byService.get(origin.service) ?? []).filter((upstream) =>
+      isOfOrigin(upstream, origin) && upstream.published.isLeaving &&
+      now < upstream.leavingSince + graceMs && upstream.acceptsRequests(now)
     );
   }
 
@@ -185,6 +202,9 @@
     const known = this.byId.get(published.id);
     if (known) this.unlisted.delete(known);
     if (known && isSameInstance(known, published)) {
+      if (published.isLeaving && !known.published.isLeaving) {
+        known.leavingSince = this.options.getCompleteUntil();
+      }
       known.published = published;
       known.recordWarmUp(published.warmUpMs ?? 0, readClock());
       known.lapseEndsAt = undefined;
--- a/tests/gateway/stream_version_test.ts
+++ b/tests/gateway/stream_version_test.ts
@@ -23,6 +23,8 @@
 const STREAMS = 12;
 /** Time in which hosts discover each other, in milliseconds. */
 const DISCOVERY_MS = 1_500;
+/** Time in which a host learns of a published change, in milliseconds. */
+const LEARNING_MS = 150;
 
 /** Starts three upstreams of each of two versions, and some gateways. */
 async function startMixedFleet(
@@ -179,6 +181,26 @@
   });
 });
 
+test("a stream continues at a leaving upstream of its software version, if no other is left, while that still takes requests", async (t) => {
+  await withGateways(async (fleet) => {
+    const [first, second] = await startMixedFleet(fleet, 2);
+    const streams = await beginStreams(fleet, first!);
+    await first!.gateway.close();
+    const [early, late] = streams.filter(({ version }) => version === "v1");
+    for (const worker of fleet.workers) {
+      if (worker.version === "v1") {
+        fleet.publishWorker(worker, "s", "draining");
+      }
+    }
+    await delay(LEARNING_MS);
+    const response = await resume(second!, early!);
+    t.true(isWholeStream(response));
+    t.deepEqual(getVersions(response.body), ["v1"]);
+    await delay(second!.settings.leaveWithinMs);
+    t.is((await resume(second!, late!)).status, 503);
+  });
+});
+
 test("a stream that no host knows is refused at once while two software versions serve", async (t) => {
   await withGateways(async (fleet) => {
     const [gateway] = await startMixedFleet(fleet, 2);
--- a/tests/upstreams/upstream_table_test.ts
+++ b/tests/upstreams/upstream_table_test.ts
@@ -20,6 +20,7 @@
   return UpstreamTable.create({
     logger: pino({ level: "silent" }),
     getLapseEndsAt: () => lapseEndsAt,
+    getCompleteUntil: () => performance.now(),
     leaveTimeoutMs: 60_000,
     onRestart: (before) => restarted.push(before),
     onAvailabilityChange: () => undefined,
