Pass what hosts have learned of upstreams on to hosts that start

A host that starts now asks up to three others, as soon as it has discovered any, for the backoffs that upstreams have asked them for and for what they have observed of the versions.

Without a response of any other host, a resume without a record is now decided by this host's own observation if its publication is recent: a host whose peers had just been killed refused it until they no longer counted as live.

The soak left the settings of restarted gateways marked as the first start of the fleet, which only the first is; they are now rewritten after the start.

--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -189,10 +189,13 @@
       await this.addWorker("plain");
     }
     const program = options.program ?? await bundleSoakGateway(this.folder);
+    const [firstIp] = this.gatewayIps;
     for (let index = 0; index < options.gateways; index++) {
       await this.addGateway(index, program);
     }
     await this.waitUntilServing();
+    // Only the first start of the whole fleet is marked as one.
+    for (const gateway of this.gateways) gateway.rewriteSettings([firstIp!]);
   }
 
   private async addGateway(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { PrefixRecovery } from "./prefix_recovery.ts";
 import { PublicationExchange } from "./publication_exchange.ts";
 import { PublicationWatch } from "./publication_watch.ts";
+import { StartKnowledgeExchange } from "./start_knowledge.ts";
 import { StopAdmission } from "./stop_admission.ts";
 import { StreamResumer } from "./stream_resumer.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
@@ -52,6 +53,7 @@
   private readonly paths: UpstreamPaths;
   private readonly publicationExchange: PublicationExchange;
   private readonly prefixExchange: PrefixExchange;
+  private readonly startKnowledge: StartKnowledgeExchange;
   private resolveInitialRoutes: () => void = () => undefined;
   private readonly initialRoutes = new Promise<void>((resolve) =>
     this.resolveInitialRoutes = resolve
@@ -93,6 +95,12 @@
       this.chooser.prefixes,
       this.logger,
     );
+    this.startKnowledge = StartKnowledgeExchange.create({
+      logger: this.logger,
+      upstreams: this.chooser.upstreams,
+      getHosts: () => this.getLiveHosts().map(({ entry }) => entry),
+      isPublicationRecent: () => this.replica.isRecent,
+    });
     this.handler = this.createHandler();
   }
 
@@ -144,6 +152,7 @@
     await this.peerNetwork?.close();
     await this.publicationExchange.close();
     await this.prefixExchange.close();
+    await this.startKnowledge.close();
     await this.dependencies.inventory.close();
     await this.dependencies.feed.close();
   }
@@ -165,7 +174,10 @@
     this.endpoints = endpoints;
     if (this.replica.routes) server.applyLimits(this.replica.routes.limits);
     if (settings.isFirstStart) this.chooser.prefixes.markComplete();
-    else void this.recoverPrefixes();
+    else {
+      void this.recoverPrefixes();
+      void this.initialRoutes.then(() => this.startKnowledge.learn());
+    }
     logger.info({ address: settings.callerAddress }, "gateway_started");
   }
 
@@ -300,6 +312,7 @@
       metrics: this.metrics,
       publicationExchange: this.publicationExchange,
       prefixExchange: this.prefixExchange,
+      startKnowledge: this.startKnowledge,
       getHostExchange: () => this.peerNetwork?.hostExchange,
       isReady: () => this.status.isReady,
       isServing: () => this.status.isServing,
@@ -342,6 +355,7 @@
       logger: this.logger,
       lookUp: (question) => this.peerNetwork!.streams.lookUp(question),
       canContinue: (origin) => this.chooser.upstreams.canContinue(origin),
+      isPublicationRecent: () => this.replica.isRecent,
       onDecision: (decision) => this.metrics.recordResume(decision),
     });
   }
--- a/src/gateway/gateway_endpoints.ts
+++ b/src/gateway/gateway_endpoints.ts
@@ -14,6 +14,10 @@
   PUBLICATION_PATH,
   type PublicationExchange,
 } from "./publication_exchange.ts";
+import {
+  START_KNOWLEDGE_PATH,
+  type StartKnowledgeExchange,
+} from "./start_knowledge.ts";
 
 /** Path of the metrics, as Prometheus scrapes them. */
 const METRICS_PATH = "/metrics";
@@ -29,6 +33,7 @@
   metrics: GatewayMetrics;
   publicationExchange: PublicationExchange;
   prefixExchange: PrefixExchange;
+  startKnowledge: StartKnowledgeExchange;
   /** Returns the exchange of known hosts; undefined until the communication with other hosts has started. */
   getHostExchange: () => HostExchange | undefined;
   /** Whether the host has a configuration and is not stopping. */
@@ -90,6 +95,8 @@
           publicationExchange.respond(response, query),
         [`GET ${PREFIXES_PATH}`]: (_request, response) =>
           prefixExchange.respond(response),
+        [`GET ${START_KNOWLEDGE_PATH}`]: (_request, response) =>
+          this.options.startKnowledge.respond(response),
         [`GET ${HOSTS_PATH}`]: (_request, response) =>
           this.respondHosts(response),
         [`POST ${RELAY_PATH}`]: (request, response, query) =>
--- a/src/gateway/stream_resumer.ts
+++ b/src/gateway/stream_resumer.ts
@@ -38,6 +38,8 @@
   /** Looks up a stream at this host and at others. */
   lookUp: (question: StreamQuestion) => Promise<StreamLookupResult>;
   canContinue: UpstreamAccess["canContinue"];
+  /** Whether this host knows the upstreams that others do, although none responds. */
+  isPublicationRecent: () => boolean;
   /** Called with each decision. */
   onDecision: (decision: ResumeDecision) => void;
 }
@@ -75,7 +77,7 @@
       service: call.service,
       withinMs,
     });
-    const record = lookup.record ?? inferRecord(call, lookup, withinMs);
+    const record = lookup.record ?? this.inferRecord(call, lookup, withinMs);
     const decision = this.decide(call, lookup, record);
     this.options.onDecision(decision);
     this.logDecision(call, decision, {
@@ -88,6 +90,20 @@
       : Err(Failure.create("stream_unresumable", decision));
   }
 
+  /** Infers where an unknown stream began: at the only version that can have served. Some host must have observed the
+   * service for long enough, and none may know of another version. */
+  private inferRecord(
+    { service }: AdmittedCall,
+    { versions, observedMs, askedHosts, responses }: StreamLookupResult,
+    withinMs: number,
+  ): StreamRecord | undefined {
+    const knowsOthers = askedHosts === 0 || responses > 0 ||
+      this.options.isPublicationRecent();
+    return knowsOthers && observedMs >= withinMs && versions.length === 1
+      ? { service, softwareVersion: versions[0], order: 0 }
+      : undefined;
+  }
+
   private decide(
     { route }: AdmittedCall,
     lookup: StreamLookupResult,
@@ -141,17 +157,3 @@
     ? undefined
     : createStreamKey(customer, resumedRequestId);
 }
-
-/** Infers where an unknown stream began: at the only version that can have served. Some host must have observed the
- * service for long enough, and others must agree if there are any. */
-function inferRecord(
-  { service }: AdmittedCall,
-  { versions, observedMs, askedHosts, responses }: StreamLookupResult,
-  withinMs: number,
-): StreamRecord | undefined {
-  const isObserved = observedMs >= withinMs &&
-    (askedHosts === 0 || responses > 0);
-  return isObserved && versions.length === 1
-    ? { service, softwareVersion: versions[0], order: 0 }
-    : undefined;
-}
--- a/src/published/publication_replica.ts
+++ b/src/published/publication_replica.ts
@@ -93,6 +93,11 @@
     return this.freshness.getAge(readClock());
   }
 
+  /** Whether the known data is as recent as it is while a host of the fleet reads the platform. */
+  get isRecent(): boolean {
+    return this.ageMs < OUTAGE_AGE_MS;
+  }
+
   /** Monotonic milliseconds until which a missing entry may only have lapsed while the platform was unavailable. */
   get lapseEndsAt(): number {
     return this.recoveredAt + LAPSE_GRACE_MS;
@@ -116,7 +121,7 @@
    * @param requestedAt Monotonic milliseconds at which it was requested. */
   applySnapshot(snapshot: PublicationSnapshot, requestedAt: number): void {
     const { revision, configuration, upstreams } = snapshot;
-    this.detectObservationGap(this.ageMs >= OUTAGE_AGE_MS);
+    this.detectObservationGap(!this.isRecent);
     this.detectOutageEnd(requestedAt);
     this.detectNewEra(revision, "snapshot");
     const now = readClock();
@@ -187,7 +192,7 @@
 
   /** Whether a peer has known an upstream that came and went while the data known here was old. */
   private hasMissedUpstreams({ changes }: PublicationState): boolean {
-    return this.ageMs >= OUTAGE_AGE_MS &&
+    return !this.isRecent &&
       changes.some(({ id, upstream }) =>
         upstream === undefined && !this.publication.isKnown(id)
       );
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -109,6 +109,28 @@
       : undefined;
   }
 
+  /** Returns the backoffs that upstreams have asked for: hash of the instance and remaining milliseconds. */
+  getBackoffs(): [instanceHash: number, remainingMs: number][] {
+    const now = readClock();
+    return [...this.byId.values()].map((
+      { instanceHash, availability },
+    ): [number, number] => [instanceHash, availability.getBackoffMs(now)])
+      .filter(([, remainingMs]) => remainingMs > 0);
+  }
+
+  /** Applies backoffs that upstreams have asked other hosts for.
+   * @param backoffs Hash of the instance and remaining milliseconds. */
+  adoptBackoffs(
+    backoffs: readonly (readonly [instanceHash: number, backoffMs: number])[],
+  ): void {
+    for (const [instanceHash, backoffMs] of backoffs) {
+      this.findByInstanceHash(instanceHash)?.availability.recordNotice(
+        { backoffMs, isLeaving: false },
+        readClock(),
+      );
+    }
+  }
+
   /** Whether an upstream could continue a stream now or after a backoff.
    * @param origin Where the stream began. */
   canContinue(origin: StreamOrigin): boolean {
--- a/src/upstreams/version_history.ts
+++ b/src/upstreams/version_history.ts
@@ -11,6 +11,21 @@
   observedMs: number;
 }
 
+/** What a host has observed, as sent to other hosts. */
+export interface ObservedHistory {
+  /** Time for which all upstreams have been observed, in milliseconds. */
+  observedMs: number;
+  departures: readonly ObservedDeparture[];
+}
+
+/** A departed upstream, as sent to other hosts. */
+export interface ObservedDeparture {
+  service: string;
+  softwareVersion: string | undefined;
+  /** Milliseconds since the departure. */
+  agoMs: number;
+}
+
 interface Departure {
   service: string;
   softwareVersion: string | undefined;
@@ -27,8 +42,7 @@
 
 /** The software versions that have served each service lately, as far as this host has observed it. */
 export class VersionHistory {
-  /** By the hash of the instance, in the order of their times. */
-  private readonly departures = new Map<number, Departure>();
+  private departures: Departure[] = [];
   /** Monotonic milliseconds since which no upstream can have come and gone unnoticed. */
   private observedSince = Infinity;
 
@@ -52,12 +66,32 @@
 
   /** Records that an upstream is no longer used.
    * @param upstream The upstream. */
-  recordDeparture({ published, instanceHash }: Upstream): void {
+  recordDeparture({ published }: Upstream): void {
     const { service, softwareVersion } = published;
-    const at = this.options.readNow();
-    this.departures.delete(instanceHash);
-    this.departures.set(instanceHash, { service, softwareVersion, at });
-    this.removeExpired(at);
+    this.addDeparture({ service, softwareVersion, at: this.options.readNow() });
+  }
+
+  /** Returns what this host has observed. */
+  describe(): ObservedHistory {
+    const now = this.options.readNow();
+    return {
+      observedMs: Math.max(0, now - this.observedSince),
+      departures: this.departures.map(({ at, ...departure }) => ({
+        ...departure,
+        agoMs: now - at,
+      })),
+    };
+  }
+
+  /** Adopts what another host has observed up to now.
+   * @param history What the other host has observed. */
+  adopt({ observedMs, departures }: ObservedHistory): void {
+    const now = this.options.readNow();
+    for (const { agoMs, ...departure } of departures) {
+      this.addDeparture({ ...departure, at: now - agoMs });
+    }
+    if (this.observedSince === Infinity) return;
+    this.observedSince = Math.min(this.observedSince, now - observedMs);
   }
 
   /** Returns the versions of a service that may have served within a time.
@@ -65,7 +99,7 @@
    * @param withinMs The time, in milliseconds. */
   getVersions(service: string, withinMs: number): ObservedVersions {
     const now = this.options.readNow();
-    const departed = [...this.departures.values()].filter((departure) =>
+    const departed = this.departures.filter((departure) =>
       departure.service === service && departure.at >= now - withinMs
     );
     const present = this.options.getPresent(service).map(({ published }) =>
@@ -81,10 +115,17 @@
     };
   }
 
-  private removeExpired(now: number): void {
-    for (const [instanceHash, { at }] of this.departures) {
-      if (at > now - RETENTION_MS) return;
-      this.departures.delete(instanceHash);
-    }
+  /** Adds a departure. Those of one version of a service count as one, at the time of the last. */
+  private addDeparture(added: Departure): void {
+    const now = this.options.readNow();
+    const isSameVersion = (other: Departure) =>
+      other.service === added.service &&
+      other.softwareVersion === added.softwareVersion;
+    const previous = this.departures.find(isSameVersion);
+    const at = Math.max(added.at, previous?.at ?? -Infinity);
+    const others = this.departures.filter((other) =>
+      other !== previous && other.at > now - RETENTION_MS
+    );
+    this.departures = [...others, { ...added, at }];
   }
 }
--- a/tests/streams/virtual_stream_host.ts
+++ b/tests/streams/virtual_stream_host.ts
@@ -69,6 +69,7 @@
       lookUp: (question) => this.directory.lookUp(question),
       canContinue: (origin) =>
         this.getAccepting().some((upstream) => isOfOrigin(upstream, origin)),
+      isPublicationRecent: () => false,
       onDecision: () => undefined,
     });
   }
