--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,12 +17,9 @@
 import { type GatewaySettings, pickRestartOnly } from "./gateway_settings.ts";
 import { GracefulStop } from "./graceful_stop.ts";
 import { HostStatus } from "./host_status.ts";
+import { PeerExchanges } from "./peer_exchanges.ts";
 import { PeerNetwork } from "./peer_network.ts";
-import { PrefixExchange } from "./prefix_exchange.ts";
-import { PrefixRecovery } from "./prefix_recovery.ts";
-import { PublicationExchange } from "./publication_exchange.ts";
 import { PublicationWatch } from "./publication_watch.ts";
-import { StartKnowledgeExchange } from "./start_knowledge.ts";
 import { StopAdmission } from "./stop_admission.ts";
 import { StreamResumer } from "./stream_resumer.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
@@ -51,9 +48,7 @@
   private readonly handler: CallHandler;
   private readonly guard: CrashGuard;
   private readonly paths: UpstreamPaths;
-  private readonly publicationExchange: PublicationExchange;
-  private readonly prefixExchange: PrefixExchange;
-  private readonly startKnowledge: StartKnowledgeExchange;
+  private readonly exchanges: PeerExchanges;
   private resolveInitialRoutes: () => void = () => undefined;
   private readonly initialRoutes = new Promise<void>((resolve) =>
     this.resolveInitialRoutes = resolve
@@ -87,19 +82,13 @@
       onObservationGap: (isFirst) => this.recordObservationGap(isFirst),
     });
     this.status = this.createStatus();
-    this.publicationExchange = PublicationExchange.create(
-      this.replica,
-      this.logger,
-    );
-    this.prefixExchange = PrefixExchange.create(
-      this.chooser.prefixes,
-      this.logger,
-    );
-    this.startKnowledge = StartKnowledgeExchange.create({
+    this.exchanges = PeerExchanges.create({
       logger: this.logger,
-      upstreams: this.chooser.upstreams,
+      hostId: settings.id,
+      replica: this.replica,
+      chooser: this.chooser,
+      inventory: dependencies.inventory,
       getHosts: () => this.getLiveHosts().map(({ entry }) => entry),
-      isPublicationRecent: () => this.replica.isRecent,
     });
     this.handler = this.createHandler();
   }
@@ -150,9 +139,7 @@
     this.guard.close();
     this.endpoints?.close();
     await this.peerNetwork?.close();
-    await this.publicationExchange.close();
-    await this.prefixExchange.close();
-    await this.startKnowledge.close();
+    await this.exchanges.close();
     await this.dependencies.inventory.close();
     await this.dependencies.feed.close();
   }
@@ -174,25 +161,13 @@
     this.endpoints = endpoints;
     if (this.replica.routes) server.applyLimits(this.replica.routes.limits);
     if (settings.isFirstStart) this.chooser.prefixes.markComplete();
-    else {
-      void this.recoverPrefixes();
-      void this.initialRoutes.then(() => this.startKnowledge.learn());
-    }
+    else void this.recover();
     logger.info({ address: settings.callerAddress }, "gateway_started");
   }
 
-  private async recoverPrefixes(): Promise<void> {
+  private async recover(): Promise<void> {
     await this.initialRoutes;
-    const recovery = PrefixRecovery.create({
-      logger: this.logger,
-      prefixes: this.chooser.prefixes,
-      inventory: this.dependencies.inventory,
-      hostId: this.settings.id,
-      exchange: this.prefixExchange,
-      getHosts: () => this.getLiveHosts().map((host) => host.entry),
-      getEngines: () => this.chooser.getFetchCapableEngines(),
-    });
-    await recovery.run();
+    await this.exchanges.recover();
     this.peerNetwork?.announcePrefixUpdates();
   }
 
@@ -281,7 +256,7 @@
       getSettings: () => this.settings,
       replica: this.replica,
       chooser: this.chooser,
-      publicationExchange: this.publicationExchange,
+      publicationExchange: this.exchanges.publication,
       metrics: this.metrics,
       guard: this.guard,
       paths: this.paths.monitor,
@@ -310,9 +285,7 @@
       getSettings: () => this.settings,
       discoveryProtocol: this.dependencies.discoveryProtocol,
       metrics: this.metrics,
-      publicationExchange: this.publicationExchange,
-      prefixExchange: this.prefixExchange,
-      startKnowledge: this.startKnowledge,
+      exchanges: this.exchanges,
       getHostExchange: () => this.peerNetwork?.hostExchange,
       isReady: () => this.status.isReady,
       isServing: () => this.status.isServing,
--- a/src/gateway/gateway_endpoints.ts
+++ b/src/gateway/gateway_endpoints.ts
@@ -9,15 +9,10 @@
 import { RELAY_PATH } from "../paths/relay_protocol.ts";
 import type { RelayServer } from "../paths/relay_server.ts";
 import { chooseAddresses } from "./choose_addresses.ts";
-import { PREFIXES_PATH, type PrefixExchange } from "./prefix_exchange.ts";
-import {
-  PUBLICATION_PATH,
-  type PublicationExchange,
-} from "./publication_exchange.ts";
-import {
-  START_KNOWLEDGE_PATH,
-  type StartKnowledgeExchange,
-} from "./start_knowledge.ts";
+import type { PeerExchanges } from "./peer_exchanges.ts";
+import { PREFIXES_PATH } from "./prefix_exchange.ts";
+import { PUBLICATION_PATH } from "./publication_exchange.ts";
+import { START_KNOWLEDGE_PATH } from "./start_knowledge.ts";
 
 /** Path of the metrics, as Prometheus scrapes them. */
 const METRICS_PATH = "/metrics";
@@ -31,9 +26,7 @@
   getSettings: () => GatewaySettings;
   discoveryProtocol: DiscoveryProtocol;
   metrics: GatewayMetrics;
-  publicationExchange: PublicationExchange;
-  prefixExchange: PrefixExchange;
-  startKnowledge: StartKnowledgeExchange;
+  exchanges: PeerExchanges;
   /** Returns the exchange of known hosts; undefined until the communication with other hosts has started. */
   getHostExchange: () => HostExchange | undefined;
   /** Whether the host has a configuration and is not stopping. */
@@ -79,8 +72,7 @@
 
   private buildHandlers(): Record<string, EndpointHandlers> {
     const settings = this.options.getSettings();
-    const { discoveryProtocol, publicationExchange, prefixExchange } =
-      this.options;
+    const { discoveryProtocol, exchanges } = this.options;
     return {
       [settings.readinessAddress]: {
         [`GET ${discoveryProtocol.readinessPath}`]: (_request, response) =>
@@ -92,11 +84,11 @@
       },
       [settings.peerAddress]: {
         [`GET ${PUBLICATION_PATH}`]: (_request, response, query) =>
-          publicationExchange.respond(response, query),
+          exchanges.publication.respond(response, query),
         [`GET ${PREFIXES_PATH}`]: (_request, response) =>
-          prefixExchange.respond(response),
+          exchanges.prefixes.respond(response),
         [`GET ${START_KNOWLEDGE_PATH}`]: (_request, response) =>
-          this.options.startKnowledge.respond(response),
+          exchanges.startKnowledge.respond(response),
         [`GET ${HOSTS_PATH}`]: (_request, response) =>
           this.respondHosts(response),
         [`POST ${RELAY_PATH}`]: (request, response, query) =>
--- /dev/null
+++ b/src/gateway/peer_exchanges.ts
@@ -0,0 +1,67 @@
+import type { Logger } from "../logging/logger.ts";
+import type { PeerEntry } from "../peers/gossip_schema.ts";
+import type { PublicationReplica } from "../published/publication_replica.ts";
+import type { EngineInventory } from "../upstreams/engine_inventory.ts";
+import { PrefixExchange } from "./prefix_exchange.ts";
+import { PrefixRecovery } from "./prefix_recovery.ts";
+import { PublicationExchange } from "./publication_exchange.ts";
+import { StartKnowledgeExchange } from "./start_knowledge.ts";
+import type { UpstreamChooser } from "./upstream_chooser.ts";
+
+/** Dependencies of {@link PeerExchanges}. */
+export interface PeerExchangesOptions {
+  logger: Logger;
+  hostId: string;
+  replica: PublicationReplica;
+  chooser: UpstreamChooser;
+  inventory: EngineInventory;
+  /** Returns the other live hosts. */
+  getHosts: () => readonly PeerEntry[];
+}
+
+/** The exchanges over HTTP by which hosts learn from each other what they know of the upstreams. */
+export class PeerExchanges {
+  readonly publication: PublicationExchange;
+  readonly prefixes: PrefixExchange;
+  readonly startKnowledge: StartKnowledgeExchange;
+
+  private constructor(private readonly options: PeerExchangesOptions) {
+    const { logger, replica, chooser, getHosts } = options;
+    this.publication = PublicationExchange.create(replica, logger);
+    this.prefixes = PrefixExchange.create(chooser.prefixes, logger);
+    this.startKnowledge = StartKnowledgeExchange.create({
+      logger,
+      upstreams: chooser.upstreams,
+      getHosts,
+      isPublicationRecent: () => replica.isRecent,
+    });
+  }
+
+  /** Creates the exchanges.
+   * @param options Their dependencies. */
+  static create(options: PeerExchangesOptions): PeerExchanges {
+    return new PeerExchanges(options);
+  }
+
+  /** Recovers after a restart what this host does not know from the publication, which must be known. */
+  async recover(): Promise<void> {
+    const { logger, hostId, chooser, inventory, getHosts } = this.options;
+    const recovery = PrefixRecovery.create({
+      logger,
+      prefixes: chooser.prefixes,
+      inventory,
+      hostId,
+      exchange: this.prefixes,
+      getHosts,
+      getEngines: () => chooser.getFetchCapableEngines(),
+    });
+    await Promise.all([this.startKnowledge.learn(), recovery.run()]);
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.publication.close();
+    await this.prefixes.close();
+    await this.startKnowledge.close();
+  }
+}
--- a/src/published/correct_restored_upstream.ts
+++ b/src/published/correct_restored_upstream.ts
@@ -1,3 +1,4 @@
+import { isSameInstance } from "./is_same_instance.ts";
 import type { PublishedUpstream } from "./upstream_schema.ts";
 
 /** What this process knows about an upstream from before a restore of the platform. */
@@ -31,13 +32,3 @@
   return last.startedAt !== undefined && restored.startedAt !== undefined &&
     last.startedAt > restored.startedAt;
 }
-
-function isSameInstance(
-  last: PublishedUpstream,
-  restored: PublishedUpstream,
-): boolean {
-  return last.address === restored.address &&
-    last.service === restored.service &&
-    last.startedAt === restored.startedAt &&
-    last.softwareVersion === restored.softwareVersion;
-}
--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -4,8 +4,10 @@
 import type { PublishedUpstream } from "../published/upstream_schema.ts";
 import type { StreamOrigin } from "../streams/stream_record.ts";
 import { isOfOrigin } from "./is_of_origin.ts";
-import type { Availability, AvailabilityChange } from "./availability.ts";
+import type { AvailabilityChange } from "./availability.ts";
+import { isSameInstance } from "../published/is_same_instance.ts";
 import { logAvailabilityChange } from "./log_availability_change.ts";
+import { RememberedInstances } from "./remembered_instances.ts";
 import { Upstream } from "./upstream.ts";
 import type { UpstreamNetwork } from "./upstream_network.ts";
 import { VersionHistory } from "./version_history.ts";
@@ -24,9 +26,6 @@
  * restart takes. */
 const CRASH_EXCLUSION_MS = 3_000;
 
-/** Maximum number of removed instances that are remembered; more than lapse at once in the largest fleet. */
-const MAX_REMEMBERED_INSTANCES = 10_000;
-
 /** Options of an upstream table. */
 export interface UpstreamTableOptions {
   logger: Logger;
@@ -56,8 +55,7 @@
   private readonly byService = new Map<string, Upstream[]>();
   /** Upstreams that are no longer listed, with the monotonic milliseconds of their removal. */
   private readonly unlisted = new Map<Upstream, number>();
-  /** By id, removed instances that had announced leaving or asked for a backoff; their entries may come back. */
-  private readonly rememberedInstances = new Map<string, Upstream>();
+  private readonly rememberedInstances = RememberedInstances.create();
   private evacuatedHalls: ReadonlySet<string> = new Set();
 
   private constructor(private readonly options: UpstreamTableOptions) {
@@ -189,7 +187,7 @@
     this.rebuildService(upstream.published.service);
     upstream.isRemoved = true;
     this.versions.recordDeparture(upstream);
-    this.rememberAvailability(upstream);
+    this.rememberedInstances.remember(upstream);
     upstream.close();
     this.options.logger.info({ upstream: upstream.id }, "upstream_dropped");
     this.options.onRemove(upstream);
@@ -223,7 +221,7 @@
   private applyEntry(published: PublishedUpstream): void {
     const known = this.byId.get(published.id);
     if (known) this.unlisted.delete(known);
-    if (known && isSameInstance(known, published)) {
+    if (known && isSameInstance(known.published, published)) {
       if (published.isLeaving && !known.published.isLeaving) {
         known.leavingSince = this.options.getCompleteUntil();
       }
@@ -235,7 +233,7 @@
     if (known) this.replace(known, published);
     const current = Upstream.create(
       published,
-      this.takeRememberedAvailability(published),
+      this.rememberedInstances.takeAvailability(published),
       this.options.network,
     );
     current.availability.onChange = (change) =>
@@ -246,28 +244,6 @@
     this.rebuildService(published.service);
   }
 
-  /** Returns and forgets the remembered availability of an instance that is listed again; undefined if there is
-   * none. */
-  private takeRememberedAvailability(
-    published: PublishedUpstream,
-  ): Availability | undefined {
-    const before = this.rememberedInstances.get(published.id);
-    this.rememberedInstances.delete(published.id);
-    return before && isSameInstance(before, published)
-      ? before.availability
-      : undefined;
-  }
-
-  /** Remembers the availability of a removed instance that accepts no requests at present. */
-  private rememberAvailability(upstream: Upstream): void {
-    if (upstream.availability.acceptsRequests(readClock())) return;
-    this.rememberedInstances.delete(upstream.id);
-    this.rememberedInstances.set(upstream.id, upstream);
-    if (this.rememberedInstances.size <= MAX_REMEMBERED_INSTANCES) return;
-    const [oldest] = this.rememberedInstances.keys();
-    this.rememberedInstances.delete(oldest!);
-  }
-
   /** Removes an upstream whose id now belongs to another instance, with its state. */
   private replace(known: Upstream, current: PublishedUpstream): void {
     const { startedAt, softwareVersion } = current;
@@ -324,12 +300,3 @@
     this.byService.set(service, upstreams);
   }
 }
-
-/** Returns whether a published entry belongs to the same instance as a known upstream with its id. */
-function isSameInstance(known: Upstream, current: PublishedUpstream): boolean {
-  const { address, service, startedAt, softwareVersion } = current;
-  return known.published.address === address &&
-    known.published.service === service &&
-    known.published.startedAt === startedAt &&
-    known.published.softwareVersion === softwareVersion;
-}
