--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -1,5 +1,4 @@
 import { readClock } from "../clock/clock.ts";
-import { Failure } from "../errors/failure.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
 import type { Route } from "../published/configuration_schema.ts";
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
@@ -16,6 +15,7 @@
 import { AttemptSender } from "./attempt_sender.ts";
 import { type AttemptProgress, CallLog } from "./call_log.ts";
 import { CallDeadline } from "./call_deadline.ts";
+import { CallRefusal } from "./call_refusal.ts";
 import type {
   CallForwarderContext,
   CallOutcome,
@@ -31,12 +31,6 @@
 /** An attempt is not started with less time than this left, in milliseconds. */
 const MIN_REMAINING_MS = 15;
 
-/** Error kinds whose retry time does not depend on the upstreams' backoffs. */
-const KINDS_WITH_OWN_RETRY_TIME: ReadonlySet<ErrorKind> = new Set([
-  "crashes_upstreams",
-  "stream_unresumable",
-]);
-
 /** Forwards one call: makes attempts at upstreams until one responds or the deadline or the retries are exhausted. */
 export class CallForwarder {
   private readonly budget: AttemptBudget;
@@ -44,6 +38,7 @@
   private readonly log: CallLog;
   private readonly stream: StreamTracker;
   private readonly picker: UpstreamPicker;
+  private readonly refusal: CallRefusal;
   private readonly sender: AttemptSender;
   private readonly outcomes: AttemptOutcomes;
   private attempt: Attempt | undefined;
@@ -67,6 +62,7 @@
       this.stream,
       this.log,
     );
+    this.refusal = CallRefusal.create(call, context, this.stream);
     this.sender = AttemptSender.create(call, context, this.log);
     this.outcomes = AttemptOutcomes.create(call, context);
     this.relay = ResponseRelay.create(response, call.headers.lastEventId);
@@ -327,15 +323,9 @@
     this.giveUp(detail);
   }
 
-  /** Refuses the call; as not run only if that is certain. */
+  /** Refuses the call because no upstream is left. */
   private giveUp(detail: string): void {
-    if (this.budget.mayHaveRun) return this.refuse("upstream_failed", detail);
-    const { origin } = this.stream;
-    if (origin && !this.context.canContinue(origin)) {
-      return this.refuse("stream_unresumable", detail);
-    }
-    const isUnreachable = this.context.isUnreachable(this.call.service);
-    this.refuse(isUnreachable ? "no_upstream" : "overloaded", detail);
+    this.refuse(this.refusal.chooseKind(this.budget.mayHaveRun), detail);
   }
 
   /** Refuses a call whose request likely crashes upstreams; as not run only if that is certain. */
@@ -346,13 +336,9 @@
     );
   }
 
-  /** Refuses the call. The retry time comes from the upstreams' backoffs unless it depends on the error kind only. */
   private refuse(kind: ErrorKind, detail: string): void {
     if (this.isFinished) return;
-    const retryAfterMs = KINDS_WITH_OWN_RETRY_TIME.has(kind)
-      ? undefined
-      : this.context.getRetryAfterMs(this.call.service, this.stream.origin);
-    this.response.refuse(Failure.create(kind, detail, retryAfterMs));
+    this.refusal.send(this.response, kind, detail);
     this.finish(
       this.relay.eventsForwarded > 0 ? "broken_off" : "refused",
       `${kind}: ${detail}`,
