--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import { CrashGuard } from "../crashes/crash_guard.ts";
-import { onClockJump, readClock } from "../clock/clock.ts";
+import { onClockJump } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
@@ -12,6 +12,7 @@
 import type { EngineInventory } from "../upstreams/engine_inventory.ts";
 import type { DiscoveryProtocol } from "./discovery_protocol.ts";
 import { CallHandler } from "./call_handler.ts";
+import { createChooser } from "./create_chooser.ts";
 import { GatewayEndpoints } from "./gateway_endpoints.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import { type GatewaySettings, pickRestartOnly } from "./gateway_settings.ts";
@@ -22,7 +23,7 @@
 import { PublicationWatch } from "./publication_watch.ts";
 import { StopAdmission } from "./stop_admission.ts";
 import { StreamResumer } from "./stream_resumer.ts";
-import { UpstreamChooser } from "./upstream_chooser.ts";
+import type { UpstreamChooser } from "./upstream_chooser.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
 
 /** The dependencies of a gateway that its settings do not describe. */
@@ -69,7 +70,16 @@
     this.logger = dependencies.logger;
     this.guard = this.createGuard();
     this.paths = this.createPaths();
-    this.chooser = this.createChooser();
+    this.chooser = createChooser({
+      logger: this.logger,
+      metrics: this.metrics,
+      guard: this.guard,
+      paths: this.paths,
+      getSettings: () => this.settings,
+      getReplica: () => this.replica,
+      getHandler: () => this.handler,
+      getPeerNetwork: () => this.peerNetwork,
+    });
     this.replica = PublicationReplica.create({
       logger: this.logger,
       onConfiguration: (routes) => this.applyConfiguration(routes),
@@ -211,45 +221,6 @@
     });
   }
 
-  private createChooser(): UpstreamChooser {
-    return UpstreamChooser.create({
-      logger: this.logger,
-      hostId: this.settings.id,
-      getSettings: () => this.settings,
-      getService: (name) => this.replica.routes?.getService(name),
-      countHosts: () => 1 + this.getLiveHosts().length,
-      getKnownHostIds: () => this.peerNetwork?.getKnownHostIds() ?? [],
-      knowsFleet: () => this.peerNetwork?.knowsFleet ?? false,
-      gossipAddress: this.settings.gossipAddress,
-      getGossipAddress: (hostId) => this.peerNetwork?.getGossipAddress(hostId),
-      sendSlotMessage: (address, message) =>
-        this.peerNetwork?.sendSlotMessage(address, message),
-      getFleetSize: () => this.peerNetwork?.fleetSize,
-      getRetainedFraction: (withinMs) =>
-        this.peerNetwork?.getRetainedFraction(withinMs) ?? 1,
-      getLapseEndsAt: () => this.replica.lapseEndsAt,
-      getCompleteUntil: () => readClock() - this.replica.ageMs,
-      usesDirectory: () => this.peerNetwork?.usesDirectory ?? false,
-      onPrefixUpdates: () => this.peerNetwork?.announcePrefixUpdates(),
-      onRestart: (before, startedAt) =>
-        this.handler.failAttemptsOn(before, startedAt),
-      onAvailabilityChange: (change) => this.metrics.recordAvailability(change),
-      onRemove: (upstream) => {
-        this.guard.recordRemoval(upstream.instanceHash);
-        this.paths.monitor.remove(upstream);
-      },
-      onSend: ({ basis }, { countAgeMs }) =>
-        this.metrics.recordSend(basis, countAgeMs),
-      onRetryDecision: (service, decision) =>
-        this.metrics.recordRetryDecision(service, decision),
-      onOutageDisproved: (upstream) =>
-        this.peerNetwork?.outages.contradict(upstream),
-      onHealthSignal: (signal) => this.metrics.recordAttempt(signal),
-      network: this.paths.monitor,
-      checkPath: (upstream) => this.paths.monitor.check(upstream),
-    });
-  }
-
   private createPeerNetwork(): Promise<PeerNetwork> {
     return PeerNetwork.create({
       logger: this.logger,
