--- a/tests/streams/stream_schedule_test.ts
+++ b/tests/streams/stream_schedule_test.ts
@@ -21,6 +21,14 @@
     names: ["killOne", "cutCallers", "resetUpstream", "crashUpstream"],
     minContinued: 0.98,
   },
+  {
+    hosts: 300,
+    streamsPerSecond: 60,
+    first: 151,
+    seeds: 1,
+    names: ["killOne", "cutCallers", "resetUpstream", "crashUpstream"],
+    minContinued: 0.98,
+  },
   {
     hosts: 7,
     streamsPerSecond: 30,
