Refuse resumes before a host can ask others, and keep records of streams resumed at the same host

Found by reading: a request to resume that arrived before the communication with other hosts had started threw, which ends the process if its body fails meanwhile; it is refused as unknown now. A host stopped refreshing a record when the first of two calls for the same stream ended there.

--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -32,8 +32,8 @@
 export interface StreamAnnouncer {
   /** Tells other hosts where a stream began, until it is released. */
   announce: (key: number, record: StreamRecord) => void;
-  /** Ends the announcements of a stream that is no longer forwarded. */
-  release: (key: number) => void;
+  /** Ends the announcements of a record, unless another call has announced the stream since. */
+  release: (key: number, record: StreamRecord) => void;
 }
 
 /** Selection and bookkeeping of upstreams, as needed to forward a call. */
--- a/src/forward/stream_tracker.ts
+++ b/src/forward/stream_tracker.ts
@@ -65,7 +65,8 @@
 
   /** Ends the announcements. */
   close(): void {
-    if (this.key !== undefined) this.announcer.release(this.key);
+    if (this.key === undefined || !this.record) return;
+    this.announcer.release(this.key, this.record);
   }
 
   private announce(): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -287,7 +287,8 @@
       streams: {
         announce: (key, record) =>
           this.peerNetwork?.streams.announce(key, record),
-        release: (key) => this.peerNetwork?.streams.release(key),
+        release: (key, record) =>
+          this.peerNetwork?.streams.release(key, record),
       },
       resumer: this.createResumer(),
       guard: this.guard,
@@ -297,7 +298,7 @@
   private createResumer(): StreamResumer {
     return StreamResumer.create({
       logger: this.logger,
-      lookUp: (question) => this.peerNetwork!.streams.lookUp(question),
+      lookUp: (question) => this.peerNetwork?.streams.lookUp(question),
       canContinue: (origin) => this.chooser.upstreams.canContinue(origin),
       isPublicationRecent: () => this.replica.isRecent,
       onDecision: (decision) => this.metrics.recordResume(decision),
--- a/src/gateway/stream_resumer.ts
+++ b/src/gateway/stream_resumer.ts
@@ -17,6 +17,15 @@
  * abandon a stream. */
 const RESUME_DELAY_MS = 2_000;
 
+/** Result of a lookup on a host that knows nothing yet. */
+const NO_KNOWLEDGE: StreamLookupResult = {
+  record: undefined,
+  versions: [],
+  observedMs: 0,
+  askedHosts: 0,
+  responses: 0,
+};
+
 /** Why a resumed stream continues or does not. */
 export type ResumeDecision =
   /** A host knows where it began. */
@@ -35,8 +44,10 @@
 /** Dependencies and callbacks of a {@link StreamResumer}. */
 export interface StreamResumerOptions {
   logger: Logger;
-  /** Looks up a stream at this host and at others. */
-  lookUp: (question: StreamQuestion) => Promise<StreamLookupResult>;
+  /** Looks up a stream at this host and at others; returns undefined until the communication with them has started. */
+  lookUp: (
+    question: StreamQuestion,
+  ) => Promise<StreamLookupResult> | undefined;
   canContinue: UpstreamAccess["canContinue"];
   /** Whether this host knows the upstreams that others do, although none responds. */
   isPublicationRecent: () => boolean;
@@ -76,7 +87,7 @@
       key: key ?? createStreamKey(call.customer, call.requestId),
       service: call.service,
       withinMs,
-    });
+    }) ?? NO_KNOWLEDGE;
     const record = lookup.record ?? this.inferRecord(call, lookup, withinMs);
     const decision = this.decide(call, lookup, record);
     this.options.onDecision(decision);
--- a/src/streams/stream_directory.ts
+++ b/src/streams/stream_directory.ts
@@ -88,10 +88,12 @@
     }
   }
 
-  /** Stops sending the record of a stream that this host no longer forwards. Its caller may still resume it.
-   * @param key Key of the stream. */
-  release(key: number): void {
-    this.ownRecords.delete(key);
+  /** Stops sending the record of a stream that this host no longer forwards, unless its caller has resumed it here. The
+   * holders keep it.
+   * @param key Key of the stream.
+   * @param record The record that was announced last for the call that has ended. */
+  release(key: number, record: StreamRecord): void {
+    if (this.ownRecords.get(key) === record) this.ownRecords.delete(key);
   }
 
   /** Looks up a stream at this host and at its holders.
