Vouch for the versions of a service only where no other host can know more

Found by reading: hosts that were cut off from the store and from the rest of the fleet together confirmed to each other that one version alone had served, as their old lists said, although the others may have begun streams at a new one. Versions now count as observed only if the publication is recent, or old although no known host was lost within the time. The new test failed before: a stream without a record continued on an old list after a host was lost. In an outage of the store with all hosts in contact it still continues, which is a test too.

--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -27,6 +27,7 @@
   SLOT_MESSAGE_TYPES,
   type SlotMessage,
 } from "../upstreams/slot_message.ts";
+import type { ObservedVersions } from "../upstreams/version_history.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
 
 /** Dependencies of a {@link PeerNetwork}. */
@@ -91,8 +92,7 @@
     this.streams = StreamDirectory.create({
       socket,
       ring: this.createRing(() => true),
-      getVersions: (service, withinMs) =>
-        options.chooser.upstreams.versions.getVersions(service, withinMs),
+      getVersions: (service, withinMs) => this.getVersions(service, withinMs),
       knowsFleet: () => this.knowsFleet,
       timeline: processTimeline,
     });
@@ -247,6 +247,18 @@
     });
   }
 
+  /** Returns the software versions of a service that may have served within a time. They count as observed only if no
+   * other host can know more: the publication is recent, or old although this host has contact to the whole fleet. */
+  private getVersions(service: string, withinMs: number): ObservedVersions {
+    const { chooser, replica } = this.options;
+    const observed = chooser.upstreams.versions.getVersions(service, withinMs);
+    const hasWholeFleet = this.knowsFleet &&
+      this.getRetainedFraction(withinMs) === 1;
+    return replica.isRecent || hasWholeFleet
+      ? observed
+      : { ...observed, observedMs: 0 };
+  }
+
   private handleSlotMessages(): void {
     const { slotLoans } = this.options.chooser.candidates;
     for (const type of SLOT_MESSAGE_TYPES) {
--- a/tests/gateway/start_knowledge_test.ts
+++ b/tests/gateway/start_knowledge_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { declineRequests } from "../../fakes/fake_worker.ts";
+import { setTimeout as delay } from "node:timers/promises";
 import { waitUntil } from "../system/with_fleet.ts";
 import { call, locate } from "./call.ts";
 import {
@@ -72,3 +73,47 @@
     t.true(isWholeStream(response));
   });
 });
+
+/** Time after which the publication of a host that can't read the store is not recent, in milliseconds. */
+const OUTAGE_MS = 4_500;
+
+/** Resumes a stream without a record during an outage of the store. Returns whether it continued. */
+async function resumeInOutage(
+  fleet: GatewayFleet,
+  losesHost: boolean,
+): Promise<boolean> {
+  const worker = await fleet.startWorker("s");
+  worker.behaviour = streamEvents(() => "none");
+  fleet.publishConfiguration(3, [KEY], RESUMABLE);
+  const gateways: TestGateway[] = [];
+  for (let index = 0; index < 3; index++) {
+    gateways.push(await fleet.startGateway({ keyRevocationLimitMs: 30_000 }));
+  }
+  await waitUntil(
+    "all addresses are listed",
+    async () => (await locate(gateways[0]!)).length === gateways.length,
+  );
+  await delay(KNOWN_FLEET_MS);
+  fleet.store.behaviour = "unavailable";
+  if (losesHost) await gateways[2]!.gateway.close();
+  await delay(OUTAGE_MS);
+  const response = await call(gateways[1]!, KEY, {
+    headers: { "last-event-id": "2" },
+  });
+  return isWholeStream(response);
+}
+
+/** Time after which hosts take the known hosts for all, in milliseconds. */
+const KNOWN_FLEET_MS = 1_500;
+
+test("a stream without a record is refused where the publication is old and hosts are lost, since these may know other versions", async (t) => {
+  await withGateways(async (fleet) => {
+    t.false(await resumeInOutage(fleet, true));
+  });
+});
+
+test("a stream without a record continues in an outage of the store if all hosts are in contact", async (t) => {
+  await withGateways(async (fleet) => {
+    t.true(await resumeInOutage(fleet, false));
+  });
+});
