Keep resumed streams whose upstream restarts before an event

A stream that a caller resumed was marked as of an uncertain version when its upstream started again, although the attempt had forwarded no event. Only an attempt that forwarded events can have mixed versions.

--- a/src/clock/clock.ts
+++ b/src/clock/clock.ts
@@ -68,7 +68,7 @@
 }
 
 /** Returns monotonic milliseconds of this process, without time during which the machine was suspended. Unlike
- * `readClock` it never runs ahead when the wall clock is adjusted, so a window measured with it does not end early. */
+ * `readClock` it never runs ahead when the wall clock is adjusted, so a time window that uses it does not end early. */
 export function readSteadyClock(): number {
   return performance.now();
 }
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -102,7 +102,8 @@
   failAttemptAt(upstream: Upstream, startedAt: number | undefined): void {
     if (this.isFinished || this.attempt?.upstream !== upstream) return;
     if (!this.attempt.isInProgress) return;
-    if (this.attempt.mayHaveBeenSentAfter(startedAt)) {
+    const mayBeNewInstance = this.attempt.mayHaveBeenSentAfter(startedAt);
+    if (this.relay.hasPartialResponse && mayBeNewInstance) {
       this.stream.recordUncertainVersion();
     }
     this.attempt.abandon();
--- a/src/gateway/gateway_endpoints.ts
+++ b/src/gateway/gateway_endpoints.ts
@@ -12,7 +12,7 @@
 import type { PeerExchanges } from "./peer_exchanges.ts";
 import { PREFIXES_PATH } from "./prefix_exchange.ts";
 import { PUBLICATION_PATH } from "./publication_exchange.ts";
-import { START_KNOWLEDGE_PATH } from "./start_knowledge.ts";
+import { START_KNOWLEDGE_PATH } from "./start_knowledge_exchange.ts";
 
 /** Path of the metrics, as Prometheus scrapes them. */
 const METRICS_PATH = "/metrics";
--- a/src/gateway/peer_exchanges.ts
+++ b/src/gateway/peer_exchanges.ts
@@ -5,7 +5,7 @@
 import { PrefixExchange } from "./prefix_exchange.ts";
 import { PrefixRecovery } from "./prefix_recovery.ts";
 import { PublicationExchange } from "./publication_exchange.ts";
-import { StartKnowledgeExchange } from "./start_knowledge.ts";
+import { StartKnowledgeExchange } from "./start_knowledge_exchange.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
 
 /** Dependencies of {@link PeerExchanges}. */
--- a/tests/gateway/stream_version_test.ts
+++ b/tests/gateway/stream_version_test.ts
@@ -1,6 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import { setTimeout as delay } from "node:timers/promises";
 import type { FakeWorker } from "../../fakes/fake_worker.ts";
+import { waitUntil } from "../system/with_fleet.ts";
 import { call } from "./call.ts";
 import {
   getVersions,
@@ -162,6 +163,31 @@
   });
 });
 
+test("a resumed stream whose upstream starts again before it sends an event continues at another of the known version", async (t) => {
+  await withGateways(async (fleet) => {
+    const restarted = await fleet.startWorker("s");
+    fleet.publishConfiguration(3, [KEY], RESUMABLE);
+    const gateway = await fleet.startGateway();
+    await waitUntilServing(gateway);
+    const [stream] = await beginStreams(fleet, gateway);
+    restarted.behaviour = streamEvents(() => "held");
+    const arrivals = countArrivals(fleet);
+    const response = resume(gateway, stream!);
+    await waitUntil(
+      "the resume arrives",
+      () => countArrivals(fleet) > arrivals,
+    );
+    const other = await fleet.startWorker("s");
+    other.behaviour = streamEvents(() => "none");
+    await waitUntilChosen(t, gateway, other);
+    restarted.version = "v2";
+    restarted.startedAt = Date.now();
+    fleet.publishWorker(restarted, "s", "ready");
+    t.true(isWholeStream(await response));
+    t.deepEqual(getVersions((await response).body), ["v1"]);
+  });
+});
+
 test("a stream whose software version has no upstream left is refused at once as not run", async (t) => {
   await withGateways(async (fleet) => {
     const [first, second] = await startMixedFleet(fleet, 2);
