--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -5,7 +5,7 @@
 import type { ServiceContact } from "../upstreams/service_contact.ts";
 import type { ChoiceBasis } from "../upstreams/choose_upstream.ts";
 import type { DatagramDirection } from "../peers/datagram_socket.ts";
-import type { ResumeDecision } from "./stream_resumer.ts";
+import type { ResumeDecision } from "../streams/decide_resume.ts";
 
 /** Buckets of the request duration histogram. */
 const DURATION_BUCKETS_S = [
--- a/src/gateway/stream_resumer.ts
+++ b/src/gateway/stream_resumer.ts
@@ -7,10 +7,14 @@
 import type { Logger } from "../logging/logger.ts";
 import type { StreamQuestion } from "../streams/stream_directory.ts";
 import type { StreamLookupResult } from "../streams/stream_lookup.ts";
+import {
+  type DecidedResume,
+  decideResume,
+  type ResumeDecision,
+} from "../streams/decide_resume.ts";
 import {
   createStreamKey,
   type ResumedStream,
-  type StreamRecord,
 } from "../streams/stream_record.ts";
 
 /** Time from the last event of a stream until its caller resumes it, in milliseconds: the silence after which callers
@@ -26,21 +30,6 @@
   responses: 0,
 };
 
-/** Why a resumed stream continues or does not. */
-export type ResumeDecision =
-  /** A host knows where it began. */
-  | "recorded"
-  /** No host knows it, but only one software version can have begun it. */
-  | "single_version"
-  /** It may have begun at another instance of its upstream than the host knew that sent it. */
-  | "uncertain_version"
-  /** No host knows it, and several software versions can have begun it. */
-  | "unknown"
-  /** Its route no longer leads to the service that began it. */
-  | "service_changed"
-  /** No upstream of its software version is left. */
-  | "version_gone";
-
 /** Dependencies and callbacks of a {@link StreamResumer}. */
 export interface StreamResumerOptions {
   logger: Logger;
@@ -88,54 +77,27 @@
       service: call.service,
       withinMs,
     }) ?? NO_KNOWLEDGE;
-    const record = lookup.record ?? this.inferRecord(call, lookup, withinMs);
-    const decision = this.decide(call, lookup, record);
-    this.options.onDecision(decision);
-    this.logDecision(call, decision, {
-      ...lookup,
-      record,
-      waitedMs: Math.round(readClock() - startedAt),
+    const decided = decideResume({
+      service: call.service,
+      route: call.route,
+      lookup,
+      withinMs,
+      isPublicationRecent: this.options.isPublicationRecent(),
+      canContinue: this.options.canContinue,
     });
-    return record && CONTINUING.has(decision)
+    const { decision, record, continues } = decided;
+    this.options.onDecision(decision);
+    this.logDecision(call, decided, lookup, readClock() - startedAt);
+    return record && continues
       ? Ok({ key, record })
       : Err(Failure.create("stream_unresumable", decision));
   }
 
-  /** Infers where an unknown stream began: at the only version that can have served. Some host must have observed the
-   * service for long enough, and none may know of another version. */
-  private inferRecord(
-    { service }: AdmittedCall,
-    { versions, observedMs, askedHosts, responses }: StreamLookupResult,
-    withinMs: number,
-  ): StreamRecord | undefined {
-    const knowsOthers = askedHosts === 0 || responses > 0 ||
-      this.options.isPublicationRecent();
-    return knowsOthers && observedMs >= withinMs && versions.length === 1
-      ? { service, softwareVersion: versions[0], order: 0 }
-      : undefined;
-  }
-
-  private decide(
-    { route }: AdmittedCall,
-    lookup: StreamLookupResult,
-    record: StreamRecord | undefined,
-  ): ResumeDecision {
-    if (!record) return "unknown";
-    if (record.softwareVersion === undefined) return "uncertain_version";
-    const leadsToService = route.shares.some(({ service, weight }) =>
-      service === record.service && (weight > 0 || route.shares.length === 1)
-    );
-    if (!leadsToService) return "service_changed";
-    if (!this.options.canContinue(record)) return "version_gone";
-    return lookup.record ? "recorded" : "single_version";
-  }
-
   private logDecision(
     call: AdmittedCall,
-    decision: ResumeDecision,
-    { record, versions, observedMs, askedHosts, responses, waitedMs }:
-      & StreamLookupResult
-      & { waitedMs: number },
+    { decision, record }: DecidedResume,
+    { versions, observedMs, askedHosts, responses }: StreamLookupResult,
+    waitedMs: number,
   ): void {
     this.options.logger.info({
       request: call.requestId,
@@ -149,17 +111,11 @@
       observedMs: Math.round(Math.min(observedMs, Number.MAX_SAFE_INTEGER)),
       askedHosts,
       responses,
-      waitedMs,
+      waitedMs: Math.round(waitedMs),
     }, "stream_resume_decided");
   }
 }
 
-/** Decisions with which a stream continues. */
-const CONTINUING: ReadonlySet<ResumeDecision> = new Set([
-  "recorded",
-  "single_version",
-]);
-
 /** Returns the key of the stream that a call names; undefined if it names none, or itself. */
 function getNamedKey(
   { customer, requestId, headers: { resumedRequestId } }: AdmittedCall,
