Log the prompt parts of requests when they are sent and when an upstream crashes with them

A crash was logged with the number of requests on the upstream, and a send with the deepest shared part only, so the logs did not tell which parts were in flight at each crash. Each interrupted request now has a line with its parts and points.

--- a/src/crashes/crash_detector.ts
+++ b/src/crashes/crash_detector.ts
@@ -1,4 +1,6 @@
 import type { Logger } from "../logging/logger.ts";
+import { formatFingerprint } from "../hashing/request_fingerprint.ts";
+import type { InterruptedRequest } from "./interrupted_request.ts";
 import { checkConnection, type CheckResult } from "./connection_check.ts";
 
 /** Time for which a suspected crash is kept after an undecided check or after its confirmation, in milliseconds. It
@@ -17,13 +19,6 @@
   readonly isEndExpected: boolean;
 }
 
-/** A request whose connection ended before its response was complete. */
-export interface InterruptedRequest {
-  fingerprint: number;
-  /** Points that the request is given if the upstream crashed. */
-  points: number;
-}
-
 /** Dependencies and callbacks of `CrashDetector`. */
 export interface CrashDetectorOptions {
   logger: Logger;
@@ -70,7 +65,7 @@
   ): void {
     if (upstream.isEndExpected) return;
     const crash = this.crashes.get(upstream.instanceHash);
-    if (crash?.isConfirmed) return this.options.onAffected(upstream, [request]);
+    if (crash?.isConfirmed) return this.reportAffected(upstream, [request]);
     if (crash) crash.requests.push(request);
     else this.startCheck(upstream, [request]);
   }
@@ -142,10 +137,26 @@
       "upstream_crashed",
     );
     this.options.onCrash(upstream);
-    if (requests.length > 0) this.options.onAffected(upstream, requests);
+    if (requests.length > 0) this.reportAffected(upstream, requests);
     this.scheduleRemoval(crash);
   }
 
+  private reportAffected(
+    upstream: UpstreamInstance,
+    requests: readonly InterruptedRequest[],
+  ): void {
+    for (const { requestId, fingerprint, parts, points } of requests) {
+      this.options.logger.info({
+        request: requestId,
+        upstream: upstream.id,
+        fingerprint: formatFingerprint(fingerprint),
+        parts: parts.join(","),
+        points,
+      }, "request_interrupted_by_crash");
+    }
+    this.options.onAffected(upstream, requests);
+  }
+
   private dismiss(crash: SuspectedCrash, result: CheckResult): void {
     const { upstream, requests, isConfirmed } = crash;
     if (isConfirmed) return;
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -4,9 +4,12 @@
 import {
   CrashDetector,
   type CrashDetectorOptions,
-  type InterruptedRequest,
   type UpstreamInstance,
 } from "./crash_detector.ts";
+import type {
+  InterruptedRequest,
+  TrackedRequest,
+} from "./interrupted_request.ts";
 import { type CrashHold, CrashStore } from "./crash_store.ts";
 import { CRASH_POINTS, HOLD_THRESHOLD_POINTS } from "./crash_record.ts";
 
@@ -81,16 +84,19 @@
 
   /** Records an attempt whose connection ended before its response was complete.
    * @param upstream Instance that the request was sent to.
-   * @param fingerprint Fingerprint of the request.
+   * @param request The request.
    * @param hasPartialResponse Whether part of the response had already been received. */
   recordInterruption(
     upstream: UpstreamInstance,
-    fingerprint: number,
+    { requestId, fingerprint, parts }: TrackedRequest,
     hasPartialResponse: boolean,
   ): void {
     const points =
       CRASH_POINTS[hasPartialResponse ? "partialResponse" : "noResponse"];
-    this.detector.recordInterruption(upstream, { fingerprint, points });
+    this.detector.recordInterruption(
+      upstream,
+      { requestId, fingerprint, parts, points },
+    );
   }
 
   /** Checks a crash that another host reported.
--- a/src/entry/dispatch_progress.ts
+++ b/src/entry/dispatch_progress.ts
@@ -1,3 +1,4 @@
+import type { TrackedRequest } from "../crashes/interrupted_request.ts";
 import type { Host } from "../configuration_service/host_schema.ts";
 import { ERROR_RESPONSES } from "../errors/error_responses.ts";
 import type { ErrorKind } from "../errors/error_kind.ts";
@@ -43,6 +44,14 @@
   lastDetail: string;
 }
 
+/** Returns the properties by which requests that crash upstreams are recognized.
+ * @param progress State of the request. */
+export function toTrackedRequest(
+  { request: { requestId }, fingerprint }: DispatchProgress,
+): TrackedRequest {
+  return { requestId, fingerprint, parts: [] };
+}
+
 /** Builds the frame that offers a request to an owner.
  * @param progress State of the request.
  * @param upstreamId The upstream.
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -21,6 +21,7 @@
   mayHaveRun,
   recordRedirect,
   refuse,
+  toTrackedRequest,
 } from "./dispatch_progress.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import type { RoutedRequest } from "./routed_request.ts";
@@ -183,7 +184,7 @@
         progress.softwareVersion = upstream?.softwareVersion;
       }
       recordAttempt(this.options.crashGuard, {
-        fingerprint: progress.fingerprint,
+        request: toTrackedRequest(progress),
         upstream,
         outcome,
         hasReceivedEvents: progress.events > eventsBefore,
--- a/src/entry/record_attempt.ts
+++ b/src/entry/record_attempt.ts
@@ -1,12 +1,13 @@
 import type { Host } from "../configuration_service/host_schema.ts";
 import type { UpstreamInstance } from "../crashes/crash_detector.ts";
+import type { TrackedRequest } from "../crashes/interrupted_request.ts";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import { hashText } from "../hashing/hasher.ts";
 import type { AttemptOutcome } from "./attempt.ts";
 
 /** A finished attempt. */
 export interface FinishedAttempt {
-  fingerprint: number;
+  request: TrackedRequest;
   /** The upstream that the request was sent to; undefined if it is no longer in the host list. */
   upstream: Host | undefined;
   outcome: AttemptOutcome;
@@ -22,17 +23,17 @@
   attempt: FinishedAttempt,
 ): void {
   const {
-    fingerprint,
+    request,
     upstream,
     outcome,
     hasReceivedEvents,
   } = attempt;
-  if (outcome.type === "done") guard.recordCompletion(fingerprint);
+  if (outcome.type === "done") guard.recordCompletion(request.fingerprint);
   const isBroken = outcome.type === "failed" && outcome.ran === "unknown";
   if (!isBroken || !upstream) return;
   guard.recordInterruption(
     toUpstreamInstance(upstream),
-    fingerprint,
+    request,
     hasReceivedEvents,
   );
 }
--- a/src/forward/attempt_outcomes.ts
+++ b/src/forward/attempt_outcomes.ts
@@ -3,7 +3,7 @@
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import type { CallForwarderContext } from "./call_forwarder_context.ts";
 import type { ResponseHeaders } from "./caller_headers.ts";
-import type { RoutedCall } from "./routed_call.ts";
+import { type RoutedCall, toTrackedRequest } from "./routed_call.ts";
 
 /** Records what the attempts of a call show about upstreams and about the request. */
 export class AttemptOutcomes {
@@ -57,7 +57,7 @@
     this.context.recordHealth(upstream, "broken");
     this.context.crashes.recordInterruption(
       upstream,
-      this.call.fingerprint,
+      toTrackedRequest(this.call),
       hasPartialResponse,
     );
   }
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -1,3 +1,4 @@
+import type { TrackedRequest } from "../crashes/interrupted_request.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
@@ -87,7 +88,7 @@
   /** Records an attempt whose connection ended before its response was complete. */
   recordInterruption: (
     upstream: Upstream,
-    fingerprint: number,
+    request: TrackedRequest,
     hasPartialResponse: boolean,
   ) => void;
   /** Records a request that an upstream ran to completion, whatever the response status. */
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -81,6 +81,7 @@
       backoffMs: Math.round(availability.getBackoffMs(readClock())),
       saysLeaving: availability.isLeaving,
       failureRate: roundFailureRate(upstream),
+      parts: this.call.sharedParts.map(({ name }) => name).join(","),
       ...prompt,
     }, "request_sent");
   }
--- a/src/forward/routed_call.ts
+++ b/src/forward/routed_call.ts
@@ -1,3 +1,4 @@
+import type { TrackedRequest } from "../crashes/interrupted_request.ts";
 import type { Route } from "../published/configuration_schema.ts";
 import type { ResumedStream } from "../streams/stream_record.ts";
 import type { HashedPromptPart } from "../upstreams/prefix_index.ts";
@@ -44,3 +45,12 @@
 ): boolean {
   return route.kind === "stream" && route.isResumable;
 }
+
+/** Returns the properties by which calls that crash upstreams are recognized.
+ * @param call The call. */
+export function toTrackedRequest(
+  { requestId, fingerprint, sharedParts }: RoutedCall,
+): TrackedRequest {
+  const parts = sharedParts.map(({ name }) => name);
+  return { requestId, fingerprint, parts };
+}
--- a/tests/crashes/crash_detector_test.ts
+++ b/tests/crashes/crash_detector_test.ts
@@ -4,10 +4,8 @@
 import { once } from "node:events";
 import type { AddressInfo } from "node:net";
 import { CrashDetector } from "../../src/crashes/crash_detector.ts";
-import type {
-  InterruptedRequest,
-  UpstreamInstance,
-} from "../../src/crashes/crash_detector.ts";
+import type { UpstreamInstance } from "../../src/crashes/crash_detector.ts";
+import type { InterruptedRequest } from "../../src/crashes/interrupted_request.ts";
 import {
   checkConnection,
   type CheckResult,
@@ -24,7 +22,7 @@
 
 /** Builds a request that was interrupted before any part of its response was received. */
 function interrupt(fingerprint: number): InterruptedRequest {
-  return { fingerprint, points: 2 };
+  return { requestId: `r-${fingerprint}`, fingerprint, parts: [], points: 2 };
 }
 
 /** Creates a detector whose connection checks are completed by the test. */
@@ -126,3 +124,28 @@
     detector.close();
   }
 });
+
+// Guards against logs that do not tell which prompt parts were in flight on an upstream when it crashed.
+test("a confirmed crash is logged with each request that it interrupted, its prompt parts and points", async (t) => {
+  const lines: Record<string, unknown>[] = [];
+  const detector = CrashDetector.create({
+    logger: pino({}, {
+      write: (line: string) => void lines.push(JSON.parse(line)),
+    }),
+    onCrash: () => undefined,
+    onAffected: () => undefined,
+    check: () => Promise.resolve("refused"),
+  });
+  const request = { ...interrupt(0xab), parts: [17, 18] };
+  detector.recordInterruption(UPSTREAM, request);
+  await waitUntil("the crash is confirmed", () => lines.length === 2);
+  t.like(lines[1], {
+    msg: "request_interrupted_by_crash",
+    upstream: "u-1",
+    request: "r-171",
+    fingerprint: "0000000000ab",
+    parts: "17,18",
+    points: 2,
+  });
+  detector.close();
+});
--- a/tests/forward/call_forwarder_test.ts
+++ b/tests/forward/call_forwarder_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import type { TrackedRequest } from "../../src/crashes/interrupted_request.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Upstream } from "../../src/upstreams/upstream.ts";
 import { createDeferred, forwardCall } from "./forward_call.ts";
@@ -132,7 +133,7 @@
     mayRetry: () => recorded.length === 0,
     recordInterruption: (
       upstream: { id: string },
-      _fingerprint: number,
+      _request: TrackedRequest,
       hasPartialResponse: boolean,
     ) => void recorded.push(`${upstream.id} ${hasPartialResponse}`),
     recordCompletion: () => void recorded.push("served"),
--- a/tests/forward/sent_request_log_test.ts
+++ b/tests/forward/sent_request_log_test.ts
@@ -5,7 +5,7 @@
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
 
-test("a sent request is logged with the upstream's software version and the stream that it resumes", (t) => {
+test("a sent request is logged with the upstream's software version, the stream that it resumes and its prompt parts", (t) => {
   const lines: Record<string, unknown>[] = [];
   const output = new Writable({
     write: (chunk, _encoding, done) => {
@@ -27,7 +27,8 @@
     requestId: "r-2",
     fingerprint: 1,
     headers: { resumedRequestId: "r-1" },
-  } as RoutedCall;
+    sharedParts: [{ name: 17, tokens: 400 }, { name: 18, tokens: 30 }],
+  } as unknown as RoutedCall;
   CallLog.create(pino(output), call).logSent({
     choice: { upstream, basis: "least_cost", bound: 3 },
     reason: "first",
@@ -50,5 +51,6 @@
     softwareVersion: "v1.2",
     resumesAfter: "7",
     resumesRequest: "r-1",
+    parts: "17,18",
   });
 });
