--- a/src/forward/attempt_budget.ts
+++ b/src/forward/attempt_budget.ts
@@ -1,3 +1,4 @@
+import type { AttemptFailure } from "./attempt.ts";
 import { mayRunAgain, type RoutedCall } from "./routed_call.ts";
 
 /** Maximum attempts that end without running the request: the upstream was unreachable, full or gone. */
@@ -50,6 +51,17 @@
     return this.allowsRun() && this.spendRetry();
   }
 
+  /** Counts a failed attempt, and takes a retry if one is needed; returns whether another attempt is allowed.
+   * @param failure Why the attempt failed. */
+  spendRetryAfterFailure(failure: AttemptFailure): boolean {
+    if (failure === "broken") {
+      this.recordRan();
+      return this.spendRetryAfterRun();
+    }
+    this.recordNotRun();
+    return this.allowsRetryAfterUnsent();
+  }
+
   /** Whether another attempt is allowed after one that reached no upstream. It takes no retry from the service's
    * budget, which covers arrivals at upstreams beyond the first: the next attempt is the first to arrive. */
   allowsRetryAfterUnsent(): boolean {
--- a/src/forward/attempt_outcomes.ts
+++ b/src/forward/attempt_outcomes.ts
@@ -1,10 +1,20 @@
 import { readClock } from "../clock/clock.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
+import type { AttemptFailure } from "./attempt.ts";
 import type { CallForwarderContext } from "./call_forwarder_context.ts";
 import type { ResponseHeaders } from "./caller_headers.ts";
 import { type RoutedCall, toTrackedRequest } from "./routed_call.ts";
 
+/** What a failed attempt shows about the health of its upstream. */
+const FAILURE_SIGNALS: Readonly<
+  Record<AttemptFailure, HealthSignal | undefined>
+> = {
+  not_sent: "unreachable",
+  withheld: undefined,
+  broken: "broken",
+};
+
 /** Records what the attempts of a call show about upstreams and about the request. */
 export class AttemptOutcomes {
   private constructor(
@@ -44,17 +54,18 @@
     this.context.recordHealth(upstream, "error_answer");
   }
 
-  /** Records that the request did not reach an upstream.
-   * @param upstream The upstream. */
-  recordUnreachable(upstream: Upstream): void {
-    this.context.recordHealth(upstream, "unreachable");
-  }
-
-  /** Records that the connection to an upstream ended before the response was complete.
+  /** Records that an attempt failed.
    * @param upstream The upstream.
-   * @param hasPartialResponse Whether an event of the response was forwarded. */
-  recordBroken(upstream: Upstream, hasPartialResponse: boolean): void {
-    this.context.recordHealth(upstream, "broken");
+   * @param failure Why it failed.
+   * @param hasPartialResponse Whether an event of its response was forwarded. */
+  recordFailure(
+    upstream: Upstream,
+    failure: AttemptFailure,
+    hasPartialResponse: boolean,
+  ): void {
+    const signal = FAILURE_SIGNALS[failure];
+    if (signal) this.context.recordHealth(upstream, signal);
+    if (failure !== "broken") return;
     this.context.crashes.recordInterruption(
       upstream,
       toTrackedRequest(this.call),
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -3,7 +3,7 @@
 import type { Route } from "../published/configuration_schema.ts";
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
-import { isFailureStatus, isNotRunStatus } from "./response_status.ts";
+import { ResponseCompletion } from "./response_completion.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import {
   type Attempt,
@@ -41,6 +41,7 @@
   private readonly refusal: CallRefusal;
   private readonly sender: AttemptSender;
   private readonly outcomes: AttemptOutcomes;
+  private readonly completion: ResponseCompletion;
   private attempt: Attempt | undefined;
   private isFinished = false;
   private readonly silences: SilenceHandler;
@@ -66,6 +67,8 @@
     this.sender = AttemptSender.create(call, context, this.log);
     this.outcomes = AttemptOutcomes.create(call, context);
     this.relay = ResponseRelay.create(response, call.headers.lastEventId);
+    const { relay, outcomes, budget } = this;
+    this.completion = ResponseCompletion.create({ relay, outcomes, budget });
     this.silences = this.createSilenceHandler();
   }
 
@@ -266,56 +269,30 @@
   }
 
   private onEnd(): void {
-    const upstream = this.attempt!.upstream;
-    const { head } = this.relay;
-    if (!head) return this.onFailure("broken", "an end without a head");
-    if (this.relay.isStream) return this.onStreamEnd(upstream);
-    const { status, headers } = head;
-    this.outcomes.recordCompletion(this.attempt!.elapsedMs);
-    if (isFailureStatus(status)) {
-      this.outcomes.recordError(upstream, headers);
-      this.budget.recordRan();
-      if (this.budget.spendRetryAfterRun()) {
-        return this.sendToNext(`answered with ${status}`);
-      }
-    } else this.outcomes.recordSuccess(upstream, this.silences.successSignal);
-    // Callers read these statuses as a promise that the request has not run, which the upstream did not state.
-    if (isNotRunStatus(status)) {
-      return this.refuse("upstream_failed", `answered with ${status}`);
-    }
-    this.relay.sendComplete();
-    this.finish("answered", `status ${status}`);
-  }
-
-  private onStreamEnd(upstream: Upstream): void {
-    if (this.relay.hasIncompleteEvent) {
-      return this.onFailure("broken", "the stream ended within an event");
+    const { successSignal } = this.silences;
+    const step = this.completion.complete(this.attempt!, successSignal);
+    switch (step.type) {
+      case "answered":
+        return this.finish("answered", step.detail);
+      case "failed":
+        return this.onFailure("broken", step.detail);
+      case "retry":
+        return this.sendToNext(step.reason);
+      case "refused":
+        return this.refuse("upstream_failed", step.detail);
     }
-    this.outcomes.recordSuccess(upstream, this.silences.successSignal);
-    this.outcomes.recordCompletion(this.attempt!.elapsedMs);
-    this.relay.endStream();
-    this.finish("answered", `${this.relay.eventsForwarded} events`);
   }
 
   private onFailure(failure: AttemptFailure, detail: string): void {
     const upstream = this.attempt!.upstream;
     this.log.logFailed(upstream, detail, this.progress);
-    if (failure !== "broken") return this.onUnsent(upstream, failure, detail);
-    this.outcomes.recordBroken(upstream, this.relay.hasPartialResponse);
-    this.budget.recordRan();
-    if (this.budget.spendRetryAfterRun()) return this.sendToNext(detail);
-    this.refuse("upstream_failed", detail);
-  }
-
-  private onUnsent(
-    upstream: Upstream,
-    failure: Exclude<AttemptFailure, "broken">,
-    detail: string,
-  ): void {
-    this.budget.recordNotRun();
-    if (failure !== "withheld") this.outcomes.recordUnreachable(upstream);
-    if (this.budget.allowsRetryAfterUnsent()) return this.sendToNext(detail);
-    this.giveUp(detail);
+    const { hasPartialResponse } = this.relay;
+    this.outcomes.recordFailure(upstream, failure, hasPartialResponse);
+    if (this.budget.spendRetryAfterFailure(failure)) {
+      return this.sendToNext(detail);
+    }
+    if (failure === "broken") this.refuse("upstream_failed", detail);
+    else this.giveUp(detail);
   }
 
   /** Retries or gives up after an attempt that certainly did not run the request. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,7 +11,8 @@
 import type { RouteTable } from "../published/route_table.ts";
 import type { EngineInventory } from "../upstreams/engine_inventory.ts";
 import type { DiscoveryProtocol } from "./discovery_protocol.ts";
-import { CallHandler } from "./call_handler.ts";
+import type { CallHandler } from "./call_handler.ts";
+import { createCallHandler } from "./create_call_handler.ts";
 import { createChooser } from "./create_chooser.ts";
 import { GatewayEndpoints } from "./gateway_endpoints.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
@@ -21,8 +22,6 @@
 import { PeerExchanges } from "./peer_exchanges.ts";
 import { PeerNetwork } from "./peer_network.ts";
 import { PublicationWatch } from "./publication_watch.ts";
-import { StopAdmission } from "./stop_admission.ts";
-import { StreamResumer } from "./stream_resumer.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
 
@@ -268,40 +267,18 @@
   }
 
   private createHandler(): CallHandler {
-    return CallHandler.create({
-      logger: this.logger,
-      metrics: this.metrics,
+    const { logger, metrics, replica, chooser, guard, status, stop } = this;
+    return createCallHandler({
+      logger,
+      metrics,
       codec: this.dependencies.codec,
-      getRoutes: () => this.replica.routes,
+      replica,
+      chooser,
+      guard,
+      status,
+      stop,
       initialRoutes: this.initialRoutes,
-      mayAcceptKeys: () => this.status.mayAcceptKeys,
-      getPublicationAgeMs: () => this.replica.ageMs,
-      isLeaving: () => this.stop.shouldCloseConnections,
-      stopAdmission: StopAdmission.create({
-        stop: this.stop,
-        getRetryAfterMs: () => this.status.stopRetryMs,
-      }),
-      onRequestAdmitted: (service) => this.chooser.recordRequest(service),
-      lookUpPart: (part) => this.peerNetwork?.lookUpPart(part),
-      upstreamAccess: this.chooser.createAccess(),
-      streams: {
-        announce: (key, record) =>
-          this.peerNetwork?.streams.announce(key, record),
-        release: (key, record) =>
-          this.peerNetwork?.streams.release(key, record),
-      },
-      resumer: this.createResumer(),
-      guard: this.guard,
-    });
-  }
-
-  private createResumer(): StreamResumer {
-    return StreamResumer.create({
-      logger: this.logger,
-      lookUp: (question) => this.peerNetwork?.streams.lookUp(question),
-      canContinue: (origin) => this.chooser.upstreams.canContinue(origin),
-      isPublicationRecent: () => this.replica.isRecent,
-      onDecision: (decision) => this.metrics.recordResume(decision),
+      getPeerNetwork: () => this.peerNetwork,
     });
   }
 
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -4,7 +4,6 @@
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { Logger } from "../logging/logger.ts";
 import { PublicationStatusPoller } from "../peers/publication_status_poller.ts";
-import { CrashGossip } from "../crashes/crash_gossip.ts";
 import { DatagramSocket } from "../peers/datagram_socket.ts";
 import { Gossip } from "../peers/gossip.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
@@ -15,9 +14,11 @@
 import type { PathMonitor } from "../paths/path_monitor.ts";
 import type { RelayHost } from "../paths/relay_host.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
-import { StreamDirectory } from "../streams/stream_directory.ts";
+import type { StreamDirectory } from "../streams/stream_directory.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { CrashExchange } from "./crash_exchange.ts";
+import { createStreamDirectory } from "./create_stream_directory.ts";
 import { HostExchange } from "./host_exchange.ts";
 import { OutageExchange } from "./outage_exchange.ts";
 import type { PublicationExchange } from "./publication_exchange.ts";
@@ -27,7 +28,6 @@
   SLOT_MESSAGE_TYPES,
   type SlotMessage,
 } from "../upstreams/slot_message.ts";
-import type { ObservedVersions } from "../upstreams/version_history.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
 
 /** Dependencies of a {@link PeerNetwork}. */
@@ -62,7 +62,7 @@
   private readonly gossip: Gossip;
   private readonly statusPoller: PublicationStatusPoller;
   private readonly directory: PrefixDirectory;
-  private readonly crashGossip: CrashGossip;
+  private readonly crashes: CrashExchange;
 
   private constructor(
     private readonly options: PeerNetworkOptions,
@@ -89,14 +89,19 @@
       prefixes: options.chooser.prefixes,
       ring: this.createRing((phase) => phase !== "draining"),
     });
-    this.streams = StreamDirectory.create({
+    this.streams = createStreamDirectory({
       socket,
       ring: this.createRing(() => true),
-      getVersions: (service, withinMs) => this.getVersions(service, withinMs),
+      replica: options.replica,
+      versions: options.chooser.upstreams.versions,
       knowsFleet: () => this.knowsFleet,
-      timeline: processTimeline,
+      getRetainedFraction: (withinMs) => this.getRetainedFraction(withinMs),
+    });
+    this.crashes = CrashExchange.create({
+      socket,
+      store: options.guard.store,
+      getHosts: () => this.getLiveAddresses(),
     });
-    this.crashGossip = this.createCrashGossip();
     this.outages = this.createOutageExchange(gossipAddress);
     this.handleSlotMessages();
   }
@@ -179,7 +184,7 @@
 
   /** Sends pending crash reports to other hosts soon: which requests were in flight at crashed upstreams. */
   announceCrashes(): void {
-    this.crashGossip.scheduleBatch();
+    this.crashes.announce();
   }
 
   /** Whether hosts look up cached prompt parts in a directory, because the fleet is too large for each host to know all
@@ -208,7 +213,7 @@
     this.statusPoller.close();
     this.directory.close();
     this.streams.close();
-    this.crashGossip.close();
+    this.crashes.close();
     this.outages.close();
     this.socket.close();
     await this.hostExchange.close();
@@ -233,32 +238,6 @@
     });
   }
 
-  private createCrashGossip(): CrashGossip {
-    const { socket, options: { guard: { store } } } = this;
-    socket.handle(
-      "crash_words",
-      ({ words }) => store.mergeReports(words, readClock()),
-    );
-    return CrashGossip.create({
-      store,
-      getHosts: () =>
-        this.getLiveHosts().map(({ entry }) => entry.gossipAddress),
-      send: (host, words) => socket.send(host, { type: "crash_words", words }),
-    });
-  }
-
-  /** Returns the software versions of a service that may have served within a time. They count as observed only if no
-   * other host can know more: the publication is recent, or old although this host has contact to the whole fleet. */
-  private getVersions(service: string, withinMs: number): ObservedVersions {
-    const { chooser, replica } = this.options;
-    const observed = chooser.upstreams.versions.getVersions(service, withinMs);
-    const hasWholeFleet = this.knowsFleet &&
-      this.getRetainedFraction(withinMs) === 1;
-    return replica.isRecent || hasWholeFleet
-      ? observed
-      : { ...observed, observedMs: 0 };
-  }
-
   private handleSlotMessages(): void {
     const { slotLoans } = this.options.chooser.candidates;
     for (const type of SLOT_MESSAGE_TYPES) {
@@ -276,11 +255,14 @@
       gossipAddress,
       chooser,
       paths,
-      getHosts: () =>
-        this.getLiveHosts().map(({ entry }) => entry.gossipAddress),
+      getHosts: () => this.getLiveAddresses(),
     });
   }
 
+  private getLiveAddresses(): string[] {
+    return this.getLiveHosts().map(({ entry }) => entry.gossipAddress);
+  }
+
   private describeSelf(): Omit<PeerEntry, "incarnation" | "sequence"> {
     const { getSettings, chooser, getPhase } = this.options;
     const { id, gossipAddress, peerAddress, callerAddress, hall } =
@@ -308,9 +290,7 @@
     const { loads, candidates } = this.options.chooser;
     candidates.declineLimits.merge(entry.declineLimits, lastSeenAt);
     recordPeerLoads(loads, entry, lastSeenAt, this.gossip.isLargeFleet);
-    if (entry.phase === "starting") {
-      this.crashGossip.informStarted(entry.gossipAddress, entry.incarnation);
-    }
+    if (entry.phase === "starting") this.crashes.informStarted(entry);
     if (requestedAt === undefined) return;
     this.reconciler.reconcile(entry, entry, requestedAt);
   }
