Start no path checks after a host has closed

A connection to an upstream that failed after the close started the checks of the lost path again, and their timers kept the process from exiting. Seen as a test file that did not exit; a test of the schedule failed before.

--- a/src/paths/recheck_schedule.ts
+++ b/src/paths/recheck_schedule.ts
@@ -19,6 +19,7 @@
     { target: PathTarget; nextMs: number }
   >();
   private stopPace: (() => void) | undefined;
+  private isClosed = false;
 
   private constructor(
     private readonly timeline: Timeline,
@@ -56,8 +57,9 @@
     this.due.delete(instanceHash);
   }
 
-  /** Ends all checks. */
+  /** Ends all checks, also those that connections still in progress would start. */
   close(): void {
+    this.isClosed = true;
     for (const cancel of this.timers.values()) cancel();
     this.timers.clear();
     this.due.clear();
@@ -65,6 +67,7 @@
   }
 
   private schedule(target: PathTarget, delayMs: number): void {
+    if (this.isClosed) return;
     const { instanceHash } = target;
     this.cancel(instanceHash);
     const nextMs = Math.min(
--- a/tests/paths/recheck_schedule_test.ts
+++ b/tests/paths/recheck_schedule_test.ts
@@ -64,3 +64,12 @@
   t.false(checked.includes("u-2"));
   t.true(checked.includes("u-1"));
 });
+
+// Guards against timers that keep a closed host's process from exiting because a connection failed after the close.
+test("no check starts after the schedule was closed", (t) => {
+  const { timeline, checked, schedule } = createSchedule();
+  schedule.close();
+  schedule.start(createTarget(1));
+  timeline.runUntil(10_000);
+  t.deepEqual(checked, []);
+});
