Check that the upstream still runs when a response without a length ends

Callers got half of a response as a complete 200: one that has neither a length nor chunks ends with its connection, and the system closes the connections of a crashed process in order too. Such a response now counts as complete only if a connection to the upstream is accepted; otherwise the attempt is broken, so that a resumable stream continues elsewhere. The same in serve for services; its chats have an end marker.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -3,6 +3,8 @@
 import type { UpstreamConnection } from "../upstreams/upstream_connection.ts";
 import { closeAfterDeclineWindow } from "../upstreams/decline_window.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
+import { isFramed } from "../http/is_framed.ts";
+import { hasBody } from "./response_status.ts";
 import type { HeaderCodec, ResponseHeaders } from "./caller_headers.ts";
 
 /** Time since bytes were last received from an upstream within which a request that may run only once is sent on an idle
@@ -48,6 +50,14 @@
   onLateDecline(status: number, headers: ResponseHeaders): void;
 }
 
+/** Dependencies of an attempt. */
+export interface AttemptContext {
+  /** Parses the response headers. */
+  codec: HeaderCodec;
+  /** Checks whether the process of an upstream still runs. */
+  isRunning: (upstream: Upstream) => Promise<boolean>;
+}
+
 /** One attempt to send a request to one upstream, until the response ends or the attempt fails. */
 export class Attempt {
   private readonly connection: UpstreamConnection;
@@ -59,6 +69,8 @@
   private isReusable = true;
   private isReadingPaused = false;
   private isWithheld = false;
+  /** Whether the response has neither a length nor chunks, so that it ends with its connection. */
+  private isUnframed = false;
   /** Whether this is an unanswered trial request to an upstream that has recently backed off or been full. */
   private isTrial: boolean;
   private controller: { pause(): void; resume(): void } | undefined;
@@ -66,7 +78,7 @@
   private constructor(
     /** The upstream that the request is sent to. */
     readonly upstream: Upstream,
-    private readonly codec: HeaderCodec,
+    private readonly context: AttemptContext,
     private readonly listener: AttemptListener,
     mayRunAgain: boolean,
   ) {
@@ -78,15 +90,16 @@
   /** Sends a request.
    * @param upstream The upstream.
    * @param request The request.
-   * @param codec Parses the response headers.
+   * @param context Its dependencies.
    * @param listener Receives the events, never before this method returns. */
   static create(
     upstream: Upstream,
     request: AttemptRequest,
-    codec: HeaderCodec,
+    context: AttemptContext,
     listener: AttemptListener,
   ): Attempt {
-    const attempt = new Attempt(upstream, codec, listener, request.mayRunAgain);
+    const { mayRunAgain } = request;
+    const attempt = new Attempt(upstream, context, listener, mayRunAgain);
     attempt.send(request);
     return attempt;
   }
@@ -183,7 +196,7 @@
     const now = readClock();
     this.upstream.lastReceivedAt = now;
     if (status < 200 || this.isFinished) return;
-    const response = this.codec.readResponse(status, headers);
+    const response = this.context.codec.readResponse(status, headers);
     // Another upstream that now has this address reports only its own availability.
     if (!response.isFromOtherUpstream) {
       this.upstream.availability.recordNotice(response.availability, now);
@@ -202,6 +215,7 @@
       return this.fail(`answer to another request ${response.requestId}`);
     }
     this.hasHead = true;
+    this.isUnframed = hasBody(status) && !isFramed(headers);
     if (this.isAbandoned) return this.onLateHead(status, response);
     this.listener.onHead(status, response);
   }
@@ -213,6 +227,18 @@
 
   private onEnd(): void {
     if (this.connection.wasReset) return this.fail("reset within the answer");
+    if (this.isUnframed) void this.checkUnframedEnd();
+    else this.complete();
+  }
+
+  /** Completes a response that ended with its connection, unless the connection ended because the upstream has crashed:
+   * the system then closes it in order too. */
+  private async checkUnframedEnd(): Promise<void> {
+    if (await this.context.isRunning(this.upstream)) this.complete();
+    else this.fail("the upstream ended with its answer, which has no length");
+  }
+
+  private complete(): void {
     if (!this.finish()) return;
     if (this.isReusable) this.upstream.connections.release(this.connection);
     else this.connection.close();
--- a/src/forward/attempt_sender.ts
+++ b/src/forward/attempt_sender.ts
@@ -52,6 +52,6 @@
       lastEventId,
       fetchFrom: prompt?.fetchFrom,
     }, context.codec);
-    return Attempt.create(upstream, request, context.codec, listener);
+    return Attempt.create(upstream, request, context, listener);
   }
 }
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -75,6 +75,8 @@
   recordHealth: (upstream: Upstream, signal: HealthSignal) => void;
   /** Checks the path to an upstream; resolves with whether this host has connected to it. */
   checkPath: (upstream: Upstream) => Promise<boolean>;
+  /** Checks whether the process of an upstream still runs, by a connection to its address. */
+  isRunning: (upstream: Upstream) => Promise<boolean>;
   /** Records the number of requests per second that an upstream states to bear declining; undefined if it states none. */
   recordDeclineLimit: (upstream: Upstream, limit: number | undefined) => void;
   /** Records that the address of an upstream now belongs to another one. */
--- a/src/forward/caller_response.ts
+++ b/src/forward/caller_response.ts
@@ -1,8 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { Failure } from "../errors/failure.ts";
-
-/** Status codes of responses without a body. */
-const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+import { hasBody } from "./response_status.ts";
 
 /** The response to one caller; sent once, either complete or as a stream. */
 export class CallerResponse {
@@ -96,8 +94,9 @@
         name.toLowerCase()
       ),
     );
-    const hasBody = !BODYLESS_STATUSES.has(status);
-    if (length !== undefined && hasBody && !names.has("content-length")) {
+    if (
+      length !== undefined && hasBody(status) && !names.has("content-length")
+    ) {
       allHeaders.push("content-length", String(length));
     }
     if (this.isHostLeaving || this.closesConnection()) {
--- a/src/gateway/create_chooser.ts
+++ b/src/gateway/create_chooser.ts
@@ -64,5 +64,7 @@
     onHealthSignal: (signal) => metrics.recordAttempt(signal),
     network: paths.monitor,
     checkPath: (upstream) => paths.monitor.check(upstream),
+    isRunning: async (upstream) =>
+      await paths.monitor.checkCrash(upstream) === "taken",
   });
 }
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -132,6 +132,7 @@
       recordHealth: (upstream, signal) =>
         this.recordHealthSignal(upstream, signal),
       checkPath: (upstream) => this.checkPath(upstream),
+      isRunning: this.options.isRunning ?? (() => Promise.resolve(true)),
       recordDeclineLimit: ({ published: { service } }, limit) =>
         this.candidates.declineLimits.record(service, limit, this.readNow()),
       recordMoved: (upstream) => this.upstreams.remove(upstream),
--- a/src/gateway/upstream_chooser_options.ts
+++ b/src/gateway/upstream_chooser_options.ts
@@ -76,6 +76,8 @@
   network?: UpstreamNetwork;
   /** Checks the path to an upstream; resolves with whether this host has connected to it. */
   checkPath?: (upstream: Upstream) => Promise<boolean>;
+  /** Checks whether the process of an upstream still runs; by default all do. */
+  isRunning?: (upstream: Upstream) => Promise<boolean>;
   /** Called with each upstream that this host has connected to although others reported an outage. */
   onOutageDisproved: (upstream: Upstream) => void;
   /** Defaults to the clock and timers of the process. */
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -2,6 +2,8 @@
 import { z } from "zod";
 import type { Host } from "../configuration_service/host_schema.ts";
 import { readClock } from "../clock/clock.ts";
+import { checkConnection } from "../crashes/connection_check.ts";
+import { isFramed } from "../http/is_framed.ts";
 import {
   Availability,
   type AvailabilityChange,
@@ -252,6 +254,7 @@
     requestId: string,
   ): Promise<ServiceResponse> {
     const body = Buffer.from(await response.body.arrayBuffer());
+    if (!isFramed(response.headers)) await this.checkRunning();
     if (response.headers["x-request-id"] !== requestId) {
       throw UpstreamError.create("unknown", "the answer names another request");
     }
@@ -271,6 +274,16 @@
     };
   }
 
+  /** Checks that the upstream still runs after a response that ended with its connection, as it does in a crash.
+   * @throws UpstreamError if it does not. */
+  private async checkRunning(): Promise<void> {
+    if (await checkConnection(new URL(this.url).host) === "taken") return;
+    throw UpstreamError.create(
+      "unknown",
+      "the upstream ended with its answer, which has no length",
+    );
+  }
+
   private async refused(
     response: Dispatcher.ResponseData,
   ): Promise<UpstreamError> {
--- a/tests/forward/attempt_test.ts
+++ b/tests/forward/attempt_test.ts
@@ -8,6 +8,10 @@
 import { Upstream } from "../../src/upstreams/upstream.ts";
 import { createDeferred } from "./forward_call.ts";
 
+const CONTEXT = {
+  codec: platformHeaderCodec,
+  isRunning: () => Promise.resolve(true),
+};
 const REQUEST_ID = "r-1";
 const REQUEST = {
   method: "GET",
@@ -41,7 +45,7 @@
   const request = { ...REQUEST, mayRunAgain };
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
-    Attempt.create(upstream, request, platformHeaderCodec, {
+    Attempt.create(upstream, request, CONTEXT, {
       onHead: () => undefined,
       onBytes: (bytes) => parts.push(bytes),
       onEnd: () =>
@@ -157,7 +161,7 @@
     setImmediate(() => socket.write(response));
   });
   const upstream = createUpstream((server.address() as AddressInfo).port);
-  const attempt = Attempt.create(upstream, REQUEST, platformHeaderCodec, {
+  const attempt = Attempt.create(upstream, REQUEST, CONTEXT, {
     onHead: () => calls.push("head"),
     onBytes: () => calls.push("bytes"),
     onEnd: () => calls.push("end"),
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -167,6 +167,7 @@
       }),
       recordHealth: () => undefined,
       checkPath: checkPath ?? (() => Promise.resolve(false)),
+      isRunning: () => Promise.resolve(true),
       isUnreachable: () => false,
       borrowSlot: () => hasSlot ? undefined : slotLoan,
       recordDeclineLimit: () => undefined,
--- a/tests/upstream/upstream_client_test.ts
+++ b/tests/upstream/upstream_client_test.ts
@@ -74,3 +74,36 @@
   t.truthy(error);
   t.false(hasBackoff);
 });
+
+/** Calls a service whose response has neither a length nor chunks; returns its body, or the detail of the error. */
+async function callUnframed(crashesWithin: boolean): Promise<string> {
+  const server = createServer((_request, response) => {
+    response.removeHeader("transfer-encoding");
+    response.shouldKeepAlive = false;
+    response.writeHead(200, { "x-request-id": "r-1" });
+    response.write("half ");
+    if (!crashesWithin) return void response.end("whole");
+    setImmediate(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = UpstreamClient.create(buildService(port), STALL_TIMEOUT_MS);
+  const request = buildRequest(new AbortController().signal);
+  const text = await client.call({ ...request, repeatable: false }).then(
+    ({ body }) => body.toString(),
+    (error) => (error as Error).message,
+  );
+  await client.close();
+  server.close();
+  return text;
+}
+
+// Guards against half of a response that is passed on as complete because its upstream crashed within it.
+test("a response without a length is complete only if its upstream still runs", async (t) => {
+  t.is(await callUnframed(false), "half whole");
+  t.regex(await callUnframed(true), /no length/);
+});
