--- /dev/null
+++ b/src/crashes/analyze_crashes.ts
@@ -0,0 +1,185 @@
+import type { CrashPoints } from "./crash_report.ts";
+
+/** Weight of a crash for the parts of a prompt, by the points of the request. Part of a response shows that the upstream
+ * bore the prompt for a while. */
+const WEIGHT_BY_POINTS: Readonly<Record<number, number>> = { 1: 0.25, 2: 1 };
+/** Weight of a completion. It is below that of a crash, since a part need not crash each upstream that gets it. */
+const COMPLETION_WEIGHT = 0.25;
+/** Minimum score of a part that counts as the cause of crashes: crashes with as many different prompts, none of which
+ * has completed. */
+const CAUSE_THRESHOLD = 3;
+/** Minimum fraction of the prompts with a cause that crash upstreams. A part of most prompts is in flight at the crashes of
+ * several causes. */
+const MIN_CRASH_FRACTION = 0.5;
+/** Minimum weighted number of crashes of a part that is a suspect. */
+const SUSPECT_CRASHES = 2;
+/** Score up to which a part is no suspect, since one more crash would not make it a cause. */
+const CLEARED_SCORE = -2;
+
+/** A prompt that was in flight on crashed upstreams. */
+export interface InterruptedPrompt {
+  /** Hashes of the parts that it shares with others. */
+  readonly parts: readonly number[];
+  readonly crashes: readonly CrashPoints[];
+}
+
+/** Parts that likely crash upstreams. If several were in flight together each time, only prompts with all of them count
+ * as crashing. */
+export interface CrashCause {
+  /** Hashes of the parts, in ascending order. */
+  readonly parts: readonly number[];
+  /** Weighted number of crashes. */
+  readonly crashes: number;
+  /** Number of prompts with the first of the parts that completed. */
+  readonly completions: number;
+}
+
+/** What is known of the crashes of upstreams that had a part in flight. */
+interface PartEvidence {
+  readonly part: number;
+  readonly prompts: readonly InterruptedPrompt[];
+  readonly crashes: number;
+  readonly completions: number;
+  readonly score: number;
+}
+
+/** The causes of a number of crashes, and how much the other parts are suspected. */
+export interface CrashAnalysis {
+  readonly causes: readonly CrashCause[];
+  /** Scores of the parts that are no causes, for the crashes that no cause explains. */
+  readonly scores: ReadonlyMap<number, number>;
+  /** Parts of which it matters how often they have completed. */
+  readonly suspects: ReadonlySet<number>;
+}
+
+/** Finds the parts of prompts that likely crash upstreams. All requests in flight on a crashed upstream are suspects; a
+ * part is told from the parts that accompany it by the prompts that complete without it. The likeliest cause is taken
+ * first, and the crashes that it explains do not count against other parts.
+ * @param prompts The prompts that were in flight on crashed upstreams, each once.
+ * @param getCompletions Returns how many prompts with a part have completed. */
+export function analyzeCrashes(
+  prompts: readonly InterruptedPrompt[],
+  getCompletions: (part: number) => number,
+): CrashAnalysis {
+  const causes: CrashCause[] = [];
+  let evidence = collectEvidence(prompts, getCompletions);
+  const suspects = new Set(
+    evidence.filter(isSuspect).map(({ part }) => part),
+  );
+  let unexplained = prompts;
+  let likeliest = findLikeliest(evidence);
+  while (likeliest) {
+    const cause = buildCause(likeliest, evidence);
+    causes.push(cause);
+    unexplained = removeExplained(unexplained, cause);
+    evidence = collectEvidence(unexplained, getCompletions);
+    likeliest = findLikeliest(evidence);
+  }
+  const scores = evidence.map(({ part, score }) => [part, score] as const);
+  return { causes, scores: new Map(scores), suspects };
+}
+
+/** Whether a prompt contains all parts of a cause.
+ * @param parts Hashes of the prompt's parts.
+ * @param cause The cause. */
+export function isCausedBy(
+  parts: readonly number[],
+  cause: Pick<CrashCause, "parts">,
+): boolean {
+  return cause.parts.every((part) => parts.includes(part));
+}
+
+/** Whether a part may be a cause once more is known. */
+function isSuspect({ crashes, score }: PartEvidence): boolean {
+  return crashes >= SUSPECT_CRASHES && score > CLEARED_SCORE;
+}
+
+function collectEvidence(
+  prompts: readonly InterruptedPrompt[],
+  getCompletions: (part: number) => number,
+): PartEvidence[] {
+  const promptsByPart = new Map<number, InterruptedPrompt[]>();
+  for (const prompt of prompts) {
+    for (const part of new Set(prompt.parts)) {
+      const known = promptsByPart.get(part);
+      if (known) known.push(prompt);
+      else promptsByPart.set(part, [prompt]);
+    }
+  }
+  return [...promptsByPart].map(([part, withPart]) => {
+    const crashes = weighCrashes(withPart);
+    const completions = getCompletions(part);
+    const score = crashes - completions * COMPLETION_WEIGHT;
+    return { part, prompts: withPart, crashes, completions, score };
+  });
+}
+
+/** Returns the weighted number of crashes. Each instance counts once, and so does each prompt: one that crashes upstreams
+ * whenever it is sent says nothing about its parts. */
+function weighCrashes(prompts: readonly InterruptedPrompt[]): number {
+  const weightByInstance = new Map<number, number>();
+  let promptWeight = 0;
+  for (const { crashes } of prompts) {
+    let largest = 0;
+    for (const [instance, points] of crashes) {
+      const weight = WEIGHT_BY_POINTS[points] ?? 0;
+      largest = Math.max(largest, weight);
+      const known = weightByInstance.get(instance) ?? 0;
+      weightByInstance.set(instance, Math.max(known, weight));
+    }
+    promptWeight += largest;
+  }
+  const instanceWeight = [...weightByInstance.values()].reduce(
+    (sum, weight) => sum + weight,
+    0,
+  );
+  return Math.min(instanceWeight, promptWeight);
+}
+
+/** Whether the evidence for a part is enough to hold it. */
+function isCause({ crashes, completions, score }: PartEvidence): boolean {
+  return score >= CAUSE_THRESHOLD &&
+    crashes >= MIN_CRASH_FRACTION * (crashes + completions);
+}
+
+/** Returns the part with the highest score among those with enough evidence. */
+function findLikeliest(
+  evidence: readonly PartEvidence[],
+): PartEvidence | undefined {
+  let likeliest: PartEvidence | undefined;
+  for (const each of evidence.filter(isCause)) {
+    const isMoreLikely = !likeliest || each.score > likeliest.score ||
+      (each.score === likeliest.score && each.part < likeliest.part);
+    if (isMoreLikely) likeliest = each;
+  }
+  return likeliest;
+}
+
+/** Builds the cause of a part together with those that can't be told from it so far. */
+function buildCause(
+  { part, prompts, crashes, completions, score }: PartEvidence,
+  evidence: readonly PartEvidence[],
+): CrashCause {
+  const inseparable = evidence.filter((other) =>
+    other.score === score &&
+    prompts.every(({ parts }) => parts.includes(other.part))
+  );
+  const parts = [...new Set([part, ...inseparable.map((other) => other.part)])];
+  return { parts: parts.sort((a, b) => a - b), crashes, completions };
+}
+
+/** Removes the crashes of the instances that had a prompt of a cause in flight. */
+function removeExplained(
+  prompts: readonly InterruptedPrompt[],
+  cause: CrashCause,
+): InterruptedPrompt[] {
+  const explained = new Set(
+    prompts.filter(({ parts }) => isCausedBy(parts, cause)).flatMap((
+      { crashes },
+    ) => crashes.map(([instance]) => instance)),
+  );
+  return prompts.flatMap(({ parts, crashes }) => {
+    const rest = crashes.filter(([instance]) => !explained.has(instance));
+    return rest.length > 0 ? [{ parts, crashes: rest }] : [];
+  });
+}
--- a/src/crashes/crash_detector.ts
+++ b/src/crashes/crash_detector.ts
@@ -1,3 +1,8 @@
+import {
+  type CancelTimer,
+  processTimeline,
+  type Timeline,
+} from "../clock/timeline.ts";
 import type { Logger } from "../logging/logger.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import type { InterruptedRequest } from "./interrupted_request.ts";
@@ -31,6 +36,8 @@
   ) => void;
   /** Checks whether something listens at the address of an upstream; `checkConnection` by default. */
   check?: (upstream: UpstreamInstance) => Promise<CheckResult>;
+  /** Timers; those of the process by default. */
+  timeline?: Timeline;
 }
 
 /** An instance that may have crashed, with the requests that it interrupted. */
@@ -38,7 +45,7 @@
   upstream: UpstreamInstance;
   requests: InterruptedRequest[];
   isConfirmed: boolean;
-  timer: NodeJS.Timeout | undefined;
+  cancelTimer: CancelTimer | undefined;
 }
 
 /** Distinguishes the crash of an upstream from a single connection that was closed or reset: after a crash nothing
@@ -48,7 +55,11 @@
   /** Suspected and confirmed crashes, by the hash of the instance. */
   private readonly crashes = new Map<number, SuspectedCrash>();
 
-  private constructor(private readonly options: CrashDetectorOptions) {}
+  private readonly timeline: Timeline;
+
+  private constructor(private readonly options: CrashDetectorOptions) {
+    this.timeline = options.timeline ?? processTimeline;
+  }
 
   /** Creates a detector.
    * @param options Dependencies and callbacks. */
@@ -96,7 +107,7 @@
 
   /** Stops all timers and discards all suspected crashes. */
   close(): void {
-    for (const { timer } of this.crashes.values()) clearTimeout(timer);
+    for (const { cancelTimer } of this.crashes.values()) cancelTimer?.();
     this.crashes.clear();
   }
 
@@ -108,7 +119,7 @@
       upstream,
       requests,
       isConfirmed: false,
-      timer: undefined,
+      cancelTimer: undefined,
     };
     this.crashes.set(upstream.instanceHash, crash);
     void this.check(crash);
@@ -121,15 +132,15 @@
     if (this.crashes.get(upstream.instanceHash) !== crash) return;
     if (result === "refused") return this.confirm(crash);
     if (result === "taken") return this.dismiss(crash, result);
-    crash.timer = setTimeout(
-      () => this.dismiss(crash, result),
+    crash.cancelTimer = this.timeline.after(
       SUSPECTED_CRASH_RETENTION_MS,
+      () => this.dismiss(crash, result),
     );
   }
 
   private confirm(crash: SuspectedCrash): void {
     if (crash.isConfirmed) return;
-    clearTimeout(crash.timer);
+    crash.cancelTimer?.();
     crash.isConfirmed = true;
     const { upstream, requests } = crash;
     this.options.logger.warn(
@@ -171,11 +182,10 @@
    * later. */
   private scheduleRemoval(crash: SuspectedCrash): void {
     const { instanceHash } = crash.upstream;
-    crash.timer = setTimeout(
-      () => this.crashes.delete(instanceHash),
+    crash.cancelTimer = this.timeline.after(
       SUSPECTED_CRASH_RETENTION_MS,
+      () => this.crashes.delete(instanceHash),
     );
-    crash.timer.unref();
   }
 }
 
--- a/src/crashes/crash_gossip.ts
+++ b/src/crashes/crash_gossip.ts
@@ -1,16 +1,18 @@
-import { readClock } from "../clock/clock.ts";
+import {
+  type CancelTimer,
+  processTimeline,
+  type Timeline,
+} from "../clock/timeline.ts";
 import { SMALL_FLEET_MAX_HOSTS } from "../peers/host_table.ts";
 import { Random } from "../random/random.ts";
-import type { CrashStore } from "./crash_store.ts";
-import type { CrashReport } from "./crash_report.ts";
+import type { CrashNews } from "./crash_news.ts";
+import type { CrashNewsSource } from "./crash_news_source.ts";
 
-/** Time in which new reports are batched before they are sent, in milliseconds. */
+/** Time in which news are batched before they are sent, in milliseconds. */
 const BATCH_DELAY_MS = 15;
-/** Time between two batches if more reports are pending than one holds, in milliseconds; it limits a host's sending
+/** Time between two batches if more news are pending than one holds, in milliseconds; it limits a host's sending
  * rate when many upstreams crash at once. */
 const NEXT_BATCH_DELAY_MS = 400;
-/** Maximum number of reports in one message. At about forty bytes each, a datagram of them fits into one packet. */
-const MAX_REPORTS_PER_MESSAGE = 30;
 /** Hosts that a batch is sent to in a large fleet. Each receiver forwards what is new to it to as many, so that all
  * but two in a thousand of 2,700 hosts receive it within eight hops (mean of twenty random draws). */
 const LARGE_FLEET_FANOUT = 6;
@@ -20,27 +22,34 @@
 
 /** Dependencies of `CrashGossip`. */
 export interface CrashGossipOptions {
-  store: CrashStore;
+  news: CrashNewsSource;
   /** Returns the other live hosts, as `send` accepts them. */
   getHosts: () => readonly string[];
-  /** Sends reports to one host; they may be lost. */
-  send: (host: string, reports: readonly CrashReport[]) => void;
+  /** Sends news to one host; they may be lost. */
+  send: (host: string, news: CrashNews) => void;
+  /** Clock and timers; those of the process by default. */
+  timeline?: Timeline;
+  random?: Random;
 }
 
-/** Gossips reports of the requests that were in flight on upstreams when they crashed. New reports are sent
+/** Gossips which requests were in flight on upstreams when they crashed, and how often the parts of their prompts have
+ * completed. News are sent
  * immediately to all hosts, or in a large fleet to some that forward them; anti-entropy messages reach hosts that
  * missed them. Nothing is sent while the store is empty. */
 export class CrashGossip {
-  private readonly random = Random.create();
-  private readonly antiEntropyTimer: NodeJS.Timeout;
+  private readonly timeline: Timeline;
+  private readonly random: Random;
+  private readonly cancelAntiEntropy: CancelTimer;
   /** Latest incarnation of each host that was told of after its start. */
   private readonly startedIncarnations = new Map<string, number>();
-  private batchTimer: NodeJS.Timeout | undefined;
+  private cancelBatch: CancelTimer | undefined;
 
   private constructor(private readonly options: CrashGossipOptions) {
-    this.antiEntropyTimer = setInterval(
-      () => this.sendSample(),
+    this.timeline = options.timeline ?? processTimeline;
+    this.random = options.random ?? Random.create();
+    this.cancelAntiEntropy = this.timeline.every(
       ANTI_ENTROPY_INTERVAL_MS,
+      () => this.sendSample(),
     );
   }
 
@@ -50,9 +59,12 @@
     return new CrashGossip(options);
   }
 
-  /** Schedules a batch of the pending reports, unless one is scheduled already. */
+  /** Schedules a batch of the pending news, unless one is scheduled already. */
   scheduleBatch(): void {
-    this.batchTimer ??= setTimeout(() => this.sendBatch(), BATCH_DELAY_MS);
+    this.cancelBatch ??= this.timeline.after(
+      BATCH_DELAY_MS,
+      () => this.sendBatch(),
+    );
   }
 
   /** Sends the known reports to a host that has just started, once per start. In a large fleet only some hosts do.
@@ -70,25 +82,24 @@
 
   /** Stops gossiping. */
   close(): void {
-    clearInterval(this.antiEntropyTimer);
-    clearTimeout(this.batchTimer);
+    this.cancelAntiEntropy();
+    this.cancelBatch?.();
   }
 
   private sendBatch(): void {
-    this.batchTimer = undefined;
-    const { store, getHosts } = this.options;
-    const reports = store.takePendingReports(
-      MAX_REPORTS_PER_MESSAGE,
-      readClock(),
-    );
+    this.cancelBatch = undefined;
+    const { news, getHosts } = this.options;
+    const pending = news.takePending(this.timeline.read());
     const hosts = this.random.shuffle(getHosts());
     const receivers = hosts.length <= SMALL_FLEET_MAX_HOSTS
       ? hosts
       : hosts.slice(0, LARGE_FLEET_FANOUT);
-    for (const host of receivers) this.send(host, reports);
-    if (store.hasPendingReports) {
-      this.batchTimer = setTimeout(() => this.sendBatch(), NEXT_BATCH_DELAY_MS);
-    }
+    for (const host of receivers) this.send(host, pending);
+    if (!news.hasPending) return;
+    this.cancelBatch = this.timeline.after(
+      NEXT_BATCH_DELAY_MS,
+      () => this.sendBatch(),
+    );
   }
 
   private sendSample(): void {
@@ -97,16 +108,13 @@
   }
 
   private sendSampleTo(host: string): void {
-    const { store } = this.options;
-    if (store.isEmpty) return;
-    this.send(
-      host,
-      store.sampleReports(MAX_REPORTS_PER_MESSAGE, readClock(), this.random),
-    );
+    const { news } = this.options;
+    if (news.isEmpty) return;
+    this.send(host, news.sample(this.timeline.read(), this.random));
   }
 
-  private send(host: string, reports: readonly CrashReport[]): void {
-    if (reports.length === 0) return;
-    this.options.send(host, reports);
+  private send(host: string, news: CrashNews): void {
+    if (news.reports.length + news.completions.length === 0) return;
+    this.options.send(host, news);
   }
 }
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -1,48 +1,83 @@
-import { readClock } from "../clock/clock.ts";
+import { processTimeline, type Timeline } from "../clock/timeline.ts";
 import { Failure } from "../errors/failure.ts";
 import type { Logger } from "../logging/logger.ts";
+import { Random } from "../random/random.ts";
+import { type CrashCause, isCausedBy } from "./analyze_crashes.ts";
+import { CompletionCounts } from "./completion_counts.ts";
 import {
   CrashDetector,
   type CrashDetectorOptions,
   type UpstreamInstance,
 } from "./crash_detector.ts";
+import type { CrashNews } from "./crash_news.ts";
+import { CrashNewsSource } from "./crash_news_source.ts";
+import { CRASH_POINTS, HOLD_THRESHOLD_POINTS } from "./crash_record.ts";
+import { type CrashHold, CrashStore } from "./crash_store.ts";
+import { HoldTrials } from "./hold_trials.ts";
 import type {
   InterruptedRequest,
   TrackedRequest,
 } from "./interrupted_request.ts";
-import { type CrashHold, CrashStore } from "./crash_store.ts";
-import { CRASH_POINTS, HOLD_THRESHOLD_POINTS } from "./crash_record.ts";
+import type { PartHold } from "./part_hold.ts";
+import { PartHolds } from "./part_holds.ts";
+
+/** Maximum id of a process in the counts of completions: an unsigned 32-bit number. */
+const MAX_REPORTER_ID = 0xffffffff;
+
+/** Whether a request is concerned by a hold. */
+export type HoldFilter = (request: TrackedRequest) => boolean;
 
 /** Dependencies and callbacks of `CrashGuard`. */
 export interface CrashGuardOptions {
   logger: Logger;
   /** Formats a fingerprint for logs and error details. */
   formatFingerprint: (fingerprint: number) => string;
-  /** Called when reports are pending for other hosts. */
-  onPendingReports: () => void;
-  /** Called when a request is held from now on, or for longer; its attempts that are in flight and unanswered are to
+  /** Called when there is news for other hosts. */
+  onPendingNews: () => void;
+  /** Called when requests are held from now on, or for longer; their attempts that are in flight and unanswered are to
    * be ended. */
-  onHeld: (fingerprint: number) => void;
+  onHeld: (isHeld: HoldFilter) => void;
   /** Called with the hash of each instance that crashed, once nothing listens at its address or it was removed from
    * the list. */
   onCrash: (instanceHash: number) => void;
   /** Called with the hash of each instance that another host newly reports to have crashed. */
   onCrashReported: (instanceHash: number) => void;
+  /** Whether this host is the one of the fleet that tries whether a held part still crashes upstreams. */
+  isTrialHost: (part: number) => boolean;
   /** Checks whether something listens at the address of an upstream; `checkConnection` by default. */
   check?: CrashDetectorOptions["check"];
+  /** Clock and timers; those of the process by default. */
+  timeline?: Timeline;
+  random?: Random;
 }
 
-/** Prevents requests that crash upstreams from crashing more of them, by holding them back for a while. */
+/** Prevents requests that crash upstreams from crashing more of them, by holding them back for a while. They are
+ * recognized as a whole, or by parts of their prompts that they share. */
 export class CrashGuard {
-  /** Crashes recorded from this host's attempts and other hosts' reports. */
-  readonly store: CrashStore;
+  /** What other hosts are told, and have told, about crashes. */
+  readonly news: CrashNewsSource;
+  private readonly store: CrashStore;
   private readonly detector: CrashDetector;
+  private readonly completions: CompletionCounts;
+  private readonly parts: PartHolds;
+  private readonly trials = HoldTrials.create();
+  private readonly timeline: Timeline;
 
   private constructor(private readonly options: CrashGuardOptions) {
-    this.store = CrashStore.create({
-      onPendingReports: options.onPendingReports,
-      onCrashReported: options.onCrashReported,
-      onHeld: (fingerprint, hold) => this.handleHold(fingerprint, hold),
+    this.timeline = options.timeline ?? processTimeline;
+    const random = options.random ?? Random.create();
+    this.completions = CompletionCounts.create(
+      random.integer(0, MAX_REPORTER_ID),
+    );
+    this.store = this.createStore();
+    this.news = CrashNewsSource.create(this.store, this.completions);
+    this.parts = PartHolds.create({
+      logger: options.logger,
+      timeline: this.timeline,
+      completions: this.completions,
+      getRecords: () => this.store.getPromptRecords(),
+      onHeld: (cause) => this.handlePartHold(cause),
+      onAnnouncements: options.onPendingNews,
     });
     this.detector = CrashDetector.create({
       logger: options.logger,
@@ -50,6 +85,7 @@
       onAffected: ({ instanceHash }, requests) =>
         this.recordCrash(instanceHash, requests),
       check: options.check,
+      timeline: this.timeline,
     });
   }
 
@@ -59,27 +95,27 @@
     return new CrashGuard(options);
   }
 
-  /** Returns the failure that refuses a held request, as not run and with the time until it may be sent again;
-   * undefined if the request may be sent.
-   * @param fingerprint Fingerprint of the request. */
-  findRefusal(fingerprint: number): Failure | undefined {
-    const hold = this.store.getHold(fingerprint, readClock());
-    if (!hold) return undefined;
-    const { points, remainingMs } = hold;
-    return Failure.create(
-      "crashes_upstreams",
-      `${this.options.formatFingerprint(fingerprint)} has ${points} points`,
-      remainingMs,
-    );
+  /** Returns the failure that refuses a held request, as not run; undefined if the request may be sent.
+   * @param request The request. */
+  findRefusal(request: TrackedRequest): Failure | undefined {
+    const now = this.timeline.read();
+    const hold = this.store.getHold(request.fingerprint, now);
+    if (hold) return this.createRefusal(request, hold);
+    const partHold = this.parts.find(request.parts);
+    if (!partHold || this.tryStartTrial(partHold, request, now)) {
+      return undefined;
+    }
+    return createPartRefusal(partHold);
   }
 
   /** Whether a request that failed may be retried on another upstream. Unconfirmed crashes count too, because they are
    * confirmed only after the next attempt could already have crashed its upstream.
-   * @param fingerprint Fingerprint of the request. */
-  mayRetry(fingerprint: number): boolean {
+   * @param request The request. */
+  mayRetry({ fingerprint, parts }: TrackedRequest): boolean {
     const points = this.store.getPoints(fingerprint) +
       this.detector.getPendingPoints(fingerprint);
-    return points < HOLD_THRESHOLD_POINTS;
+    return points < HOLD_THRESHOLD_POINTS &&
+      (points === 0 || this.parts.mayRetry(parts));
   }
 
   /** Records an attempt whose connection ended before its response was complete.
@@ -106,9 +142,17 @@
   }
 
   /** Records that an upstream completed a request, whatever the response.
-   * @param fingerprint Fingerprint of the request. */
-  recordCompletion(fingerprint: number): void {
-    this.store.recordCompletion(fingerprint, readClock());
+   * @param request The request. */
+  recordCompletion({ requestId, fingerprint, parts }: TrackedRequest): void {
+    this.store.recordCompletion(fingerprint, this.timeline.read());
+    this.parts.recordCompletion(parts);
+    this.trials.recordCompletion(requestId);
+  }
+
+  /** Records that a request has ended, however it did.
+   * @param requestId Id of the request. */
+  recordEnd(requestId: string): void {
+    this.trials.recordEnd(requestId);
   }
 
   /** Records that an instance was removed from the list or replaced.
@@ -117,21 +161,69 @@
     this.detector.recordRemoval(instanceHash);
   }
 
+  /** Merges what another host tells about crashes.
+   * @param news The news. */
+  mergeNews(news: CrashNews): void {
+    this.news.merge(news, this.timeline.read());
+    if (news.completions.length > 0) this.parts.scheduleAnalysis();
+    if (this.news.hasPending) this.options.onPendingNews();
+  }
+
   /** Stops all pending crash checks. */
   close(): void {
     this.detector.close();
+    this.parts.close();
+  }
+
+  private createStore(): CrashStore {
+    const { onPendingNews, onCrashReported } = this.options;
+    return CrashStore.create({
+      onPendingReports: onPendingNews,
+      onCrashReported,
+      onHeld: (fingerprint, hold) => this.handleHold(fingerprint, hold),
+      onPromptCrash: (parts) => {
+        this.completions.track(parts, this.timeline.read());
+        this.parts.scheduleAnalysis();
+      },
+      getSuspicion: (parts) => this.parts.getSuspicion(parts),
+      isHeld: (parts) => this.parts.find(parts) !== undefined,
+    });
   }
 
   private recordCrash(
     instanceHash: number,
     requests: readonly InterruptedRequest[],
   ): void {
-    const now = readClock();
-    for (const { fingerprint, points } of requests) {
-      this.store.recordCrash(fingerprint, instanceHash, points, now);
+    const now = this.timeline.read();
+    for (const { fingerprint, points, parts } of requests) {
+      this.store.recordCrash(fingerprint, instanceHash, points, now, parts);
     }
   }
 
+  private createRefusal(
+    { fingerprint }: TrackedRequest,
+    { points, remainingMs }: CrashHold,
+  ): Failure {
+    return Failure.create(
+      "crashes_upstreams",
+      `${this.options.formatFingerprint(fingerprint)} has ${points} points`,
+      remainingMs,
+    );
+  }
+
+  /** Starts a trial of a held part if its hold is over and no other host tries it; returns whether it was started. */
+  private tryStartTrial(
+    { key, cause, heldUntil }: PartHold,
+    { requestId }: TrackedRequest,
+    now: number,
+  ): boolean {
+    const { logger, isTrialHost } = this.options;
+    const isDue = heldUntil <= now && isTrialHost(cause.parts[0]!);
+    if (!isDue || !this.trials.tryStart(key, requestId, now)) return false;
+    logger.warn({ request: requestId, parts: key }, "held_part_tried");
+    return true;
+  }
+
   private handleHold(fingerprint: number, hold: CrashHold): void {
     const { points, remainingMs } = hold;
     this.options.logger.warn({
@@ -139,6 +231,17 @@
       points,
       holdMs: Math.round(remainingMs),
     }, "request_held");
-    this.options.onHeld(fingerprint);
+    this.options.onHeld((request) => request.fingerprint === fingerprint);
   }
+
+  private handlePartHold(cause: CrashCause): void {
+    this.options.onHeld(({ parts }) => isCausedBy(parts, cause));
+  }
+}
+
+function createPartRefusal({ cause, key }: PartHold): Failure {
+  return Failure.create(
+    "prompt_crashes_upstreams",
+    `${cause.crashes} crashes with the parts ${key}`,
+  );
 }
--- /dev/null
+++ b/src/crashes/crash_news_source.ts
@@ -0,0 +1,73 @@
+import type { Random } from "../random/random.ts";
+import type { CompletionCounts } from "./completion_counts.ts";
+import type { CrashNews } from "./crash_news.ts";
+import type { CrashStore } from "./crash_store.ts";
+
+/** Maximum number of reports in one message, and of counts. At about 45 and 13 bytes each, a datagram of them fits into
+ * one packet. */
+const MAX_REPORTS_PER_MESSAGE = 20;
+const MAX_COUNTS_PER_MESSAGE = 30;
+
+/** Selects what other hosts are told about crashes, and merges what they tell. */
+export class CrashNewsSource {
+  private constructor(
+    private readonly store: CrashStore,
+    private readonly completions: CompletionCounts,
+  ) {}
+
+  /** Creates a source.
+   * @param store The recorded crashes.
+   * @param completions The completions of the parts of prompts. */
+  static create(
+    store: CrashStore,
+    completions: CompletionCounts,
+  ): CrashNewsSource {
+    return new CrashNewsSource(store, completions);
+  }
+
+  /** Whether anything was not yet sent to other hosts. */
+  get hasPending(): boolean {
+    return this.store.hasPendingReports || this.completions.hasPending;
+  }
+
+  /** Whether there is nothing to tell. */
+  get isEmpty(): boolean {
+    return this.store.isEmpty;
+  }
+
+  /** Removes and returns news that were not yet sent, as many as fit into a message.
+   * @param now Monotonic milliseconds. */
+  takePending(now: number): CrashNews {
+    return {
+      reports: this.store.takePendingReports(MAX_REPORTS_PER_MESSAGE, now),
+      completions: this.completions.takePending(MAX_COUNTS_PER_MESSAGE),
+    };
+  }
+
+  /** Returns news for a host that may have missed them: reports, and the completions of their parts.
+   * @param now Monotonic milliseconds.
+   * @param random Source of the random choice. */
+  sample(now: number, random: Random): CrashNews {
+    const reports = this.store.sampleReports(
+      MAX_REPORTS_PER_MESSAGE,
+      now,
+      random,
+    );
+    const parts = new Set(reports.flatMap((report) => report.parts));
+    const completions = [...parts].flatMap((part) =>
+      this.completions.getCounts(part)
+    );
+    return {
+      reports,
+      completions: random.shuffle(completions).slice(0, MAX_COUNTS_PER_MESSAGE),
+    };
+  }
+
+  /** Merges news of another host. What is new becomes pending.
+   * @param news The news.
+   * @param now Monotonic milliseconds. */
+  merge({ reports, completions }: CrashNews, now: number): void {
+    this.store.mergeReports(reports, now);
+    for (const count of completions) this.completions.merge(count);
+  }
+}
--- a/src/crashes/crash_record.ts
+++ b/src/crashes/crash_record.ts
@@ -28,12 +28,22 @@
   private readonly excused = new Set<number>();
   private crashedAt = -Infinity;
 
-  private constructor(private readonly fingerprint: number) {}
+  private constructor(
+    private readonly fingerprint: number,
+    /** Hashes of the prompt parts that the request shares with others. */
+    readonly parts: readonly number[],
+  ) {}
 
   /** Creates a record without crashes.
-   * @param fingerprint Fingerprint of the request. */
-  static create(fingerprint: number): CrashRecord {
-    return new CrashRecord(fingerprint);
+   * @param fingerprint Fingerprint of the request.
+   * @param parts Hashes of the prompt parts that it shares with others. */
+  static create(fingerprint: number, parts: readonly number[]): CrashRecord {
+    return new CrashRecord(fingerprint, parts);
+  }
+
+  /** All crashes, also those that are excused. */
+  get crashPoints(): CrashPoints[] {
+    return [...this.crashes];
   }
 
   /** Sum of the points of all crashes that are not excused. */
@@ -95,6 +105,7 @@
       agoMs: Math.max(0, now - this.crashedAt),
       crashes: [...this.crashes],
       excused: [...this.excused],
+      parts: [...this.parts],
     };
   }
 
--- a/src/crashes/crash_report.ts
+++ b/src/crashes/crash_report.ts
@@ -10,6 +10,8 @@
   crashes: z.array(z.tuple([z.number().int(), z.number().positive()])),
   /** Hashes of the instances whose crash no longer counts, because the request completed after it. */
   excused: z.array(z.number().int()),
+  /** Hashes of the prompt parts that the request shares with others. */
+  parts: z.array(z.number().int()),
 });
 
 /** A report from one host to another about the crashes of upstreams on which one request was in flight. */
@@ -19,7 +21,7 @@
  * given. */
 export type CrashPoints = CrashReport["crashes"][number];
 
-const { fingerprint, agoMs, crashes, excused } = crashReportSchema.shape;
+const { fingerprint, agoMs, crashes, excused, parts } = crashReportSchema.shape;
 
 /** Schema of a crash report as a list, because field names would take up half of a datagram. */
 export const packedCrashReportSchema = z.tuple([
@@ -27,11 +29,13 @@
   agoMs,
   crashes,
   excused,
+  parts,
 ]).transform((list): CrashReport => ({
   fingerprint: list[0],
   agoMs: list[1],
   crashes: list[2],
   excused: list[3],
+  parts: list[4],
 }));
 
 /** Encodes a crash report as the list that `packedCrashReportSchema` decodes.
@@ -44,5 +48,6 @@
     Math.round(report.agoMs),
     report.crashes,
     report.excused,
+    report.parts,
   ];
 }
--- a/src/crashes/crash_store.ts
+++ b/src/crashes/crash_store.ts
@@ -5,6 +5,8 @@
 /** Maximum number of records; a hundred of them take some kilobytes. Beyond it, the oldest one that is not held is
  * evicted first. */
 const MAX_RECORDS = 4_096;
+/** Minimum score of a prompt part whose records are not evicted. */
+const KEPT_SUSPICION = 2;
 /** Retention of a record that meets the hold threshold, in milliseconds after its last crash: the longest hold plus
  * one day. */
 const HELD_RETENTION_MS = 2 * 24 * 3_600_000;
@@ -34,6 +36,12 @@
   onPendingReports(): void;
   /** Called when a request is held from now on, or for longer. */
   onHeld(fingerprint: number, hold: CrashHold): void;
+  /** Called when a crash of a request with shared prompt parts becomes known. */
+  onPromptCrash(parts: readonly number[]): void;
+  /** Returns how much the prompt parts of a request are suspected to crash upstreams: the highest of their scores. */
+  getSuspicion(parts: readonly number[]): number;
+  /** Whether some of the prompt parts of a request are held, so that the hold depends on its record. */
+  isHeld(parts: readonly number[]): boolean;
 }
 
 /** Records which requests were in flight on upstreams when they crashed, regardless of sender and request id, and
@@ -63,6 +71,11 @@
     return this.records.size === 0;
   }
 
+  /** Returns the records of all requests with shared prompt parts. */
+  getPromptRecords(): CrashRecord[] {
+    return [...this.records.values()].filter(({ parts }) => parts.length > 0);
+  }
+
   /** Returns the points of a request.
    * @param fingerprint Fingerprint of the request. */
   getPoints(fingerprint: number): number {
@@ -82,17 +95,22 @@
    * @param fingerprint Fingerprint of the request.
    * @param instanceHash Hash of the instance.
    * @param points Points that the request is given.
-   * @param now Monotonic milliseconds. */
+   * @param now Monotonic milliseconds.
+   * @param parts Hashes of the prompt parts that the request shares with others. */
   recordCrash(
     fingerprint: number,
     instanceHash: number,
     points: number,
     now: number,
+    parts: readonly number[] = [],
   ): void {
     const lastCompletedAt = this.completedAt.get(fingerprint) ?? -Infinity;
     if (now - lastCompletedAt < COMPLETION_GRACE_MS) return;
     const crashes: CrashReport["crashes"] = [[instanceHash, points]];
-    this.mergeReport({ fingerprint, agoMs: 0, crashes, excused: [] }, now);
+    this.mergeReport(
+      { fingerprint, agoMs: 0, crashes, excused: [], parts: [...parts] },
+      now,
+    );
   }
 
   /** Records that a request completed, which excuses its earlier crashes.
@@ -121,47 +139,67 @@
     }
   }
 
-  /** Returns the pending reports, oldest first, which are then no longer pending.
+  /** Returns the pending reports, those of the most suspected parts and then the oldest first, which are then no longer pending.
    * @param limit Maximum number of reports.
    * @param now Monotonic milliseconds. */
   takePendingReports(limit: number, now: number): CrashReport[] {
-    const fingerprints = [...this.pending].slice(0, limit);
+    const suspicions = [...this.pending].map((fingerprint) => ({
+      fingerprint,
+      suspicion: this.getSuspicion(fingerprint),
+    }));
+    const fingerprints = suspicions.sort((a, b) => b.suspicion - a.suspicion)
+      .slice(0, limit).map(({ fingerprint }) => fingerprint);
     for (const fingerprint of fingerprints) this.pending.delete(fingerprint);
     return fingerprints.flatMap((fingerprint) =>
       this.records.get(fingerprint)?.toReport(now) ?? []
     );
   }
 
-  /** Returns reports of randomly chosen records, for a host that may have missed them. Records that meet the hold
-   * threshold come before all others.
+  /** Returns reports of randomly chosen records, for a host that may have missed them. Records on which a hold depends
+   * come before all others.
    * @param limit Maximum number of reports.
    * @param now Monotonic milliseconds.
    * @param random Source of the random choice. */
   sampleReports(limit: number, now: number, random: Random): CrashReport[] {
     this.removeExpired(now);
     const records = random.shuffle([...this.records.values()]);
-    const above = records.filter((record) => record.meetsHoldThreshold);
-    const below = records.filter((record) => !record.meetsHoldThreshold);
+    const above = records.filter((record) => this.isHeld(record));
+    const below = records.filter((record) => !this.isHeld(record));
     return [...above, ...below].slice(0, limit)
       .map((record) => record.toReport(now));
   }
 
   /** Merges a report; returns whether it contained anything new. */
   private mergeReport(report: CrashReport, now: number): boolean {
-    const { fingerprint } = report;
+    const { fingerprint, parts } = report;
     const record = this.records.get(fingerprint) ??
-      CrashRecord.create(fingerprint);
+      CrashRecord.create(fingerprint, parts);
     const before = record.heldUntil;
     if (!record.merge(report, now)) return false;
     this.records.delete(fingerprint);
     this.records.set(fingerprint, record);
     if (this.records.size > MAX_RECORDS) this.evictOldest(now);
     this.enqueue(fingerprint);
+    if (parts.length > 0) this.listener.onPromptCrash(parts);
     if (record.heldUntil <= Math.max(before, now)) return true;
     this.listener.onHeld(fingerprint, this.getHold(fingerprint, now)!);
     return true;
   }
 
+  /** Whether a hold depends on a record; it may be over. */
+  private isHeld(record: CrashRecord): boolean {
+    return record.meetsHoldThreshold || this.listener.isHeld(record.parts);
+  }
+
+  /** Returns how much the prompt parts of a request are suspected; infinity if the request or a part is held. */
+  private getSuspicion(fingerprint: number): number {
+    const record = this.records.get(fingerprint);
+    if (!record) return 0;
+    return this.isHeld(record)
+      ? Infinity
+      : this.listener.getSuspicion(record.parts);
+  }
+
   private enqueue(fingerprint: number): void {
     this.pending.add(fingerprint);
     this.listener.onPendingReports();
@@ -170,7 +208,8 @@
   private evictOldest(now: number): void {
     const fingerprints = [...this.records.keys()];
     const unheld = fingerprints.find((fingerprint) =>
-      !this.getHold(fingerprint, now)
+      !this.getHold(fingerprint, now) &&
+      this.getSuspicion(fingerprint) < KEPT_SUSPICION
     );
     const evicted = unheld ?? fingerprints[0]!;
     this.records.delete(evicted);
@@ -179,7 +218,7 @@
 
   private removeExpired(now: number): void {
     for (const [fingerprint, record] of this.records) {
-      const retentionMs = record.meetsHoldThreshold
+      const retentionMs = this.isHeld(record)
         ? HELD_RETENTION_MS
         : DEFAULT_RETENTION_MS;
       if (now - record.lastCrashAt < retentionMs) continue;
--- /dev/null
+++ b/src/crashes/part_holds.ts
@@ -0,0 +1,169 @@
+import type { CancelTimer, Timeline } from "../clock/timeline.ts";
+import type { Logger } from "../logging/logger.ts";
+import {
+  analyzeCrashes,
+  type CrashAnalysis,
+  type CrashCause,
+  isCausedBy,
+} from "./analyze_crashes.ts";
+import type { CompletionCounts } from "./completion_counts.ts";
+import type { CrashRecord } from "./crash_record.ts";
+import { createPartHold, type PartHold } from "./part_hold.ts";
+
+/** Time in which changes are collected before the crashes are analyzed, in milliseconds. */
+const ANALYSIS_DELAY_MS = 50;
+/** Time from the second crash of a part until it may be held, in milliseconds: other hosts report completions of its
+ * prompts within it. */
+const SETTLING_MS = 500;
+/** Score from which a request with a part that has just been interrupted is not sent again: that of a part with one
+ * crash before, of which no completion is known. */
+const RETRY_LIMIT_SCORE = 1;
+
+const NOTHING_KNOWN: CrashAnalysis = {
+  causes: [],
+  scores: new Map(),
+  suspects: new Set(),
+};
+
+/** Dependencies and callbacks of {@link PartHolds}. */
+export interface PartHoldsOptions {
+  logger: Logger;
+  timeline: Timeline;
+  completions: CompletionCounts;
+  /** Returns the records of the prompts that were in flight on crashed upstreams. */
+  getRecords: () => readonly CrashRecord[];
+  /** Called when prompts with all parts of a cause are held from now on, or for longer. */
+  onHeld: (cause: CrashCause) => void;
+  /** Called when completions of prompts may have to be announced to other hosts. */
+  onAnnouncements: () => void;
+}
+
+/** Holds the prompt parts that likely crash upstreams, by the crashes and completions of all prompts with them. */
+export class PartHolds {
+  private analysis = NOTHING_KNOWN;
+  private holds: readonly PartHold[] = [];
+  private cancelAnalysis: CancelTimer | undefined;
+  private cancelSettling: CancelTimer | undefined;
+
+  private constructor(private readonly options: PartHoldsOptions) {}
+
+  /** Creates an object without holds.
+   * @param options Its dependencies and callbacks. */
+  static create(options: PartHoldsOptions): PartHolds {
+    return new PartHolds(options);
+  }
+
+  /** Returns the hold of a prompt; undefined if it is not held.
+   * @param parts Hashes of the parts that it shares with others. */
+  find(parts: readonly number[]): PartHold | undefined {
+    return this.holds.find(({ cause }) => isCausedBy(parts, cause));
+  }
+
+  /** Returns the highest score of the parts of a prompt, without the crashes that a cause explains.
+   * @param parts Hashes of the parts. */
+  getSuspicion(parts: readonly number[]): number {
+    const { scores } = this.analysis;
+    return Math.max(0, ...parts.map((part) => scores.get(part) ?? 0));
+  }
+
+  /** Whether a prompt that was just interrupted, maybe by a crash, may be sent to another upstream.
+   * @param parts Hashes of its parts. */
+  mayRetry(parts: readonly number[]): boolean {
+    return this.getSuspicion(parts) < RETRY_LIMIT_SCORE && !this.find(parts);
+  }
+
+  /** Records that a prompt completed.
+   * @param parts Hashes of its parts. */
+  recordCompletion(parts: readonly number[]): void {
+    const { timeline, completions } = this.options;
+    completions.record(parts, timeline.read());
+    const { suspects } = this.analysis;
+    if (parts.some((part) => suspects.has(part))) this.scheduleAnalysis();
+  }
+
+  /** Analyzes the crashes soon, because more is known of them. */
+  scheduleAnalysis(): void {
+    this.cancelAnalysis ??= this.options.timeline.after(
+      ANALYSIS_DELAY_MS,
+      () => {
+        this.cancelAnalysis = undefined;
+        this.analyze();
+      },
+    );
+  }
+
+  /** Cancels what is scheduled. */
+  close(): void {
+    this.cancelAnalysis?.();
+    this.cancelSettling?.();
+  }
+
+  private analyze(): void {
+    const { completions, getRecords } = this.options;
+    const records = getRecords();
+    this.analysis = analyzeCrashes(
+      records.map(({ parts, crashPoints }) => ({
+        parts,
+        crashes: crashPoints,
+      })),
+      (part) => completions.getCount(part),
+    );
+    const parts = new Set(records.flatMap((record) => record.parts));
+    completions.retain((part) => parts.has(part));
+    this.announceCompletions();
+    this.updateHolds(records);
+  }
+
+  private announceCompletions(): void {
+    const { completions, onAnnouncements } = this.options;
+    for (const part of this.analysis.suspects) completions.announce(part);
+    if (completions.hasPending) onAnnouncements();
+  }
+
+  private updateHolds(records: readonly CrashRecord[]): void {
+    const now = this.options.timeline.read();
+    const before = new Map(this.holds.map((hold) => [hold.key, hold]));
+    this.holds = this.analysis.causes.flatMap((cause) => {
+      const crashTimes = findCrashTimes(records, cause);
+      const settledAt = (crashTimes[1] ?? now) + SETTLING_MS;
+      if (now >= settledAt) return [createPartHold(cause, crashTimes)];
+      this.analyzeAt(settledAt);
+      return [];
+    });
+    for (const hold of this.holds) {
+      const known = before.get(hold.key);
+      before.delete(hold.key);
+      if (!known || known.heldUntil < hold.heldUntil) this.begin(hold, now);
+    }
+    for (const { key } of before.values()) {
+      this.options.logger.warn({ parts: key }, "part_released");
+    }
+  }
+
+  private begin({ key, cause, heldUntil }: PartHold, now: number): void {
+    const { logger, onHeld } = this.options;
+    const { crashes, completions } = cause;
+    const holdMs = Math.round(heldUntil - now);
+    logger.warn({ parts: key, crashes, completions, holdMs }, "part_held");
+    onHeld(cause);
+  }
+
+  private analyzeAt(at: number): void {
+    const { timeline } = this.options;
+    this.cancelSettling?.();
+    this.cancelSettling = timeline.after(
+      at - timeline.read(),
+      () => this.analyze(),
+    );
+  }
+}
+
+/** Returns the monotonic milliseconds of the crashes of a cause, in ascending order. */
+function findCrashTimes(
+  records: readonly CrashRecord[],
+  cause: CrashCause,
+): number[] {
+  return records.filter(({ parts }) => isCausedBy(parts, cause)).map((
+    { lastCrashAt },
+  ) => lastCrashAt).sort((a, b) => a - b);
+}
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -104,9 +104,10 @@
   }
 
   private refuseIfHeld(
-    { fingerprint }: DispatchProgress,
+    progress: DispatchProgress,
   ): DispatchResult | undefined {
-    const failure = this.options.crashGuard.findRefusal(fingerprint);
+    const request = toTrackedRequest(progress);
+    const failure = this.options.crashGuard.findRefusal(request);
     return failure && { type: "refused", failure, mayHaveRun: false };
   }
 
@@ -314,7 +315,7 @@
     if (progress.grant.isAcquired) {
       return { type: "end", end: refuse(progress, "outcome_unknown", detail) };
     }
-    if (!this.options.crashGuard.mayRetry(progress.fingerprint)) {
+    if (!this.options.crashGuard.mayRetry(toTrackedRequest(progress))) {
       return {
         type: "end",
         end: refuse(progress, "crashes_upstreams", `held after ${detail}`),
--- a/src/entry/record_attempt.ts
+++ b/src/entry/record_attempt.ts
@@ -28,7 +28,7 @@
     outcome,
     hasReceivedEvents,
   } = attempt;
-  if (outcome.type === "done") guard.recordCompletion(request.fingerprint);
+  if (outcome.type === "done") guard.recordCompletion(request);
   const isBroken = outcome.type === "failed" && outcome.ran === "unknown";
   if (!isBroken || !upstream) return;
   guard.recordInterruption(
--- a/src/errors/error_kind.ts
+++ b/src/errors/error_kind.ts
@@ -15,6 +15,7 @@
   "overloaded",
   "no_upstream",
   "crashes_upstreams",
+  "prompt_crashes_upstreams",
   "starting",
   "belief_too_old",
   "draining",
--- a/src/errors/error_responses.ts
+++ b/src/errors/error_responses.ts
@@ -93,6 +93,12 @@
     ran: "no",
     retryAfterSeconds: 30,
   },
+  prompt_crashes_upstreams: {
+    status: 503,
+    message:
+      "Part of this prompt was under way on several upstreams when they crashed; the request was not run.",
+    ran: "no",
+  },
   starting: {
     status: 503,
     message: "The router has no configuration yet.",
--- a/src/forward/attempt_outcomes.ts
+++ b/src/forward/attempt_outcomes.ts
@@ -36,7 +36,7 @@
    * @param elapsedMs Time since the request was sent, in milliseconds. */
   recordCompletion(elapsedMs: number): void {
     this.context.recordCompletion(this.call, elapsedMs);
-    this.context.crashes.recordCompletion(this.call.fingerprint);
+    this.context.crashes.recordCompletion(toTrackedRequest(this.call));
   }
 
   /** Records a successful response.
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -25,7 +25,7 @@
 import { formatSilence } from "./silence_detector.ts";
 import { SilenceHandler } from "./silence_handler.ts";
 import { StreamTracker } from "./stream_tracker.ts";
-import type { RoutedCall } from "./routed_call.ts";
+import { type RoutedCall, toTrackedRequest } from "./routed_call.ts";
 import { UpstreamPicker } from "./upstream_picker.ts";
 
 /** An attempt is not started with less time than this left, in milliseconds. */
@@ -149,8 +149,7 @@
 
   /** Whether the crash guard allows sending a request that failed to another upstream. */
   private get maySendAgain(): boolean {
-    const { fingerprint } = this.call;
-    return this.context.crashes.mayRetry(fingerprint);
+    return this.context.crashes.mayRetry(toTrackedRequest(this.call));
   }
 
   private get progress(): AttemptProgress {
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -86,7 +86,7 @@
 /** Reports and checks for requests that may crash upstreams. */
 export interface CrashAccess {
   /** Whether a request that failed may be sent to another upstream. */
-  mayRetry: (fingerprint: number) => boolean;
+  mayRetry: (request: TrackedRequest) => boolean;
   /** Records an attempt whose connection ended before its response was complete. */
   recordInterruption: (
     upstream: Upstream,
@@ -94,7 +94,7 @@
     hasPartialResponse: boolean,
   ) => void;
   /** Records a request that an upstream ran to completion, whatever the response status. */
-  recordCompletion: (fingerprint: number) => void;
+  recordCompletion: (request: TrackedRequest) => void;
 }
 
 /** Dependencies of a call forwarder on the rest of the process. */
--- a/src/forward/call_refusal.ts
+++ b/src/forward/call_refusal.ts
@@ -8,6 +8,7 @@
 /** Error kinds whose retry time does not depend on the upstreams' backoffs. */
 const KINDS_WITH_OWN_RETRY_TIME: ReadonlySet<ErrorKind> = new Set([
   "crashes_upstreams",
+  "prompt_crashes_upstreams",
   "stream_unresumable",
 ]);
 
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Result } from "ts-results-es";
-import type { CrashGuard } from "../crashes/crash_guard.ts";
+import type { CrashGuard, HoldFilter } from "../crashes/crash_guard.ts";
 import { readBody } from "../entry/read_body.ts";
 import { Failure } from "../errors/failure.ts";
 import { admitCall, type AdmittedCall } from "../forward/admit_call.ts";
@@ -15,7 +15,7 @@
 import { CallerResponse } from "../forward/caller_response.ts";
 import type { CallerHeaders, HeaderCodec } from "../forward/caller_headers.ts";
 import { fingerprintRequest } from "../hashing/request_fingerprint.ts";
-import type { RoutedCall } from "../forward/routed_call.ts";
+import { type RoutedCall, toTrackedRequest } from "../forward/routed_call.ts";
 import { pollSockets } from "../http/poll_sockets.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../published/configuration_schema.ts";
@@ -115,11 +115,11 @@
     }
   }
 
-  /** Refuses the unanswered calls whose request is held from now on because it crashes upstreams.
-   * @param fingerprint Fingerprint of the request. */
-  refuseHeldCalls(fingerprint: number): void {
+  /** Refuses the unanswered calls whose requests are held from now on because they crash upstreams.
+   * @param isHeld Whether a request is held. */
+  refuseHeldCalls(isHeld: HoldFilter): void {
     for (const each of [...this.forwarders]) {
-      if (each.call.fingerprint === fingerprint) each.refuseAsHeld();
+      if (isHeld(toTrackedRequest(each.call))) each.refuseAsHeld();
     }
   }
 
@@ -207,7 +207,7 @@
     callerResponse: CallerResponse,
     response: ServerResponse,
   ): void {
-    const refusal = this.options.guard.findRefusal(call.fingerprint);
+    const refusal = this.options.guard.findRefusal(toTrackedRequest(call));
     if (refusal) throw refusal;
     this.options.onRequestAdmitted(call.service);
     const { logger, codec, guard, streams } = this.options;
@@ -220,6 +220,7 @@
       streams,
       onEnd: (ended, outcome) => {
         isEnded = true;
+        guard.recordEnd(call.requestId);
         this.forwarders.delete(ended);
         this.recordEnd(call, outcome);
       },
--- a/src/gateway/crash_exchange.ts
+++ b/src/gateway/crash_exchange.ts
@@ -1,30 +1,26 @@
-import { readClock } from "../clock/clock.ts";
 import { CrashGossip } from "../crashes/crash_gossip.ts";
-import type { CrashStore } from "../crashes/crash_store.ts";
+import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { DatagramPort } from "../peers/datagram_socket.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
 
 /** Dependencies of a {@link CrashExchange}. */
 export interface CrashExchangeOptions {
   socket: DatagramPort;
-  store: CrashStore;
+  guard: CrashGuard;
   /** Returns the gossip addresses of the other live hosts. */
   getHosts: () => readonly string[];
 }
 
-/** Exchanges reports of the requests that were in flight on crashed upstreams with other hosts, by datagrams. */
+/** Exchanges with other hosts what is known of crashed upstreams and the requests on them, by datagrams. */
 export class CrashExchange {
   private readonly gossip: CrashGossip;
 
-  private constructor({ socket, store, getHosts }: CrashExchangeOptions) {
-    socket.handle(
-      "crash_words",
-      ({ words }) => store.mergeReports(words, readClock()),
-    );
+  private constructor({ socket, guard, getHosts }: CrashExchangeOptions) {
+    socket.handle("crash_words", ({ news }) => guard.mergeNews(news));
     this.gossip = CrashGossip.create({
-      store,
+      news: guard.news,
       getHosts,
-      send: (host, words) => socket.send(host, { type: "crash_words", words }),
+      send: (host, news) => socket.send(host, { type: "crash_words", news }),
     });
   }
 
@@ -34,12 +30,12 @@
     return new CrashExchange(options);
   }
 
-  /** Sends the pending reports to other hosts soon. */
+  /** Sends the pending news to other hosts soon. */
   announce(): void {
     this.gossip.scheduleBatch();
   }
 
-  /** Sends the known reports to a host that has just started, once per start.
+  /** Sends the known news to a host that has just started, once per start.
    * @param entry The host's entry. */
   informStarted({ gossipAddress, incarnation }: PeerEntry): void {
     this.gossip.informStarted(gossipAddress, incarnation);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -185,8 +185,9 @@
       logger: this.logger,
       formatFingerprint,
       check: ({ instanceHash }) => this.paths.checkCrash(instanceHash),
-      onPendingReports: () => this.peerNetwork?.announceCrashes(),
-      onHeld: (fingerprint) => this.handler.refuseHeldCalls(fingerprint),
+      onPendingNews: () => this.peerNetwork?.announceCrashes(),
+      onHeld: (isHeld) => this.handler.refuseHeldCalls(isHeld),
+      isTrialHost: (part) => this.peerNetwork?.isTrialHost(part) ?? false,
       onCrash: (instanceHash) => {
         this.metrics.recordCrash();
         this.chooser.markCrashed(instanceHash);
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -63,6 +63,8 @@
   private readonly statusPoller: PublicationStatusPoller;
   private readonly directory: PrefixDirectory;
   private readonly crashes: CrashExchange;
+  /** Ring of the hosts that take requests. */
+  private readonly servingRing: HostRing;
 
   private constructor(
     private readonly options: PeerNetworkOptions,
@@ -97,9 +99,10 @@
       knowsFleet: () => this.knowsFleet,
       getRetainedFraction: (withinMs) => this.getRetainedFraction(withinMs),
     });
+    this.servingRing = this.createRing(takesRequests);
     this.crashes = CrashExchange.create({
       socket,
-      store: options.guard.store,
+      guard: options.guard,
       getHosts: () => this.getLiveAddresses(),
     });
     this.outages = this.createOutageExchange(gossipAddress);
@@ -200,6 +203,12 @@
     } else this.gossip.announce();
   }
 
+  /** Whether this host is the one that tries whether a held prompt part still crashes upstreams.
+   * @param part Hash of the part. */
+  isTrialHost(part: number): boolean {
+    return this.servingRing.isFirst(part);
+  }
+
   /** In a large fleet, asks other hosts which engines have a prompt part cached if none is known here. Returns
    * undefined if no other host is asked.
    * @param part Hash of the part. */
--- a/src/peer/frame_schema.ts
+++ b/src/peer/frame_schema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { completionCountSchema } from "../crashes/crash_news.ts";
 import { crashReportSchema } from "../crashes/crash_report.ts";
 import { hostListSchema } from "../configuration_service/host_schema.ts";
 import { publishedValueSchema } from "../configuration/document_schema.ts";
@@ -170,6 +171,7 @@
     type: z.literal("crash_words"),
     exchange,
     words: z.array(crashReportSchema),
+    completions: z.array(completionCountSchema),
   }),
 ] as const;
 
--- a/src/peers/datagram.ts
+++ b/src/peers/datagram.ts
@@ -1,4 +1,4 @@
-import type { CrashReport } from "../crashes/crash_report.ts";
+import type { CrashNews } from "../crashes/crash_news.ts";
 import type { OutageReport } from "../upstreams/outage_reports.ts";
 import type { PrefixHolder, PrefixUpdate } from "../upstreams/prefix_index.ts";
 import type { StreamMessage } from "../streams/stream_message.ts";
@@ -41,8 +41,8 @@
     lookupId: number;
     holders: readonly PrefixHolder[];
   }
-  /** Reports which requests were in flight on upstreams that crashed. */
-  | { type: "crash_words"; words: readonly CrashReport[] }
+  /** Tells about crashed upstreams and the requests on them. */
+  | { type: "crash_words"; news: CrashNews }
   /** Reports failed connections to upstreams. */
   | { type: "outage_reports"; reports: readonly OutageReport[] }
   | SlotMessage
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -1,5 +1,6 @@
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
+import { completionCountSchema } from "../crashes/crash_news.ts";
 import {
   packCrashReport,
   packedCrashReportSchema,
@@ -90,9 +91,16 @@
   },
   crash_words: {
     typeCode: 6,
-    pack: ({ words }) => [words.map(packCrashReport)],
-    schema: z.tuple([z.array(packedCrashReportSchema)])
-      .transform(([words]) => ({ type: "crash_words", words })),
+    pack: ({ news: { reports, completions } }) => [
+      reports.map(packCrashReport),
+      completions,
+    ],
+    schema: z.tuple([
+      z.array(packedCrashReportSchema),
+      z.array(completionCountSchema),
+    ]).transform(([reports, completions]) => (
+      { type: "crash_words", news: { reports, completions } }
+    )),
   },
   probe_ack: {
     typeCode: 7,
--- a/src/peers/host_ring.ts
+++ b/src/peers/host_ring.ts
@@ -72,6 +72,13 @@
     return this.withoutOwn(ordered.slice(0, count));
   }
 
+  /** Whether this host is the first that follows a position.
+   * @param position Position as an unsigned 32-bit number. */
+  isFirst(position: number): boolean {
+    this.rebuildIfOld();
+    return this.ring.getSuccessors(position, 1)[0] === this.options.own.address;
+  }
+
   private withoutOwn(addresses: readonly string[]): string[] {
     return addresses.filter((address) => address !== this.options.own.address);
   }
--- a/src/router/frame_handlers.ts
+++ b/src/router/frame_handlers.ts
@@ -35,7 +35,11 @@
     release: (_port, frame) => witness.handleRelease(frame),
     record: (_port, frame) => witness.handleRecord(frame),
     pull_records: (port, frame) => witness.handleRecordPull(port, frame),
-    crash_words: (_port, frame) => crashes.mergeReports(frame.words),
+    crash_words: (_port, frame) =>
+      crashes.guard.mergeNews({
+        reports: frame.words,
+        completions: frame.completions,
+      }),
     outcome: (port, frame) => void sendOutcome(outcomes, port, frame),
     pull_hosts: (port, frame) =>
       port.send({
--- a/src/router/router_crash_tracker.ts
+++ b/src/router/router_crash_tracker.ts
@@ -1,5 +1,4 @@
 import { setTimeout as delay } from "node:timers/promises";
-import { readClock } from "../clock/clock.ts";
 import { confirmRefusal } from "../crashes/confirm_refusal.ts";
 import {
   checkConnection,
@@ -8,8 +7,9 @@
 import type { UpstreamInstance } from "../crashes/crash_detector.ts";
 import { CrashGossip } from "../crashes/crash_gossip.ts";
 import { CrashGuard } from "../crashes/crash_guard.ts";
-import type { CrashReport } from "../crashes/crash_report.ts";
+import type { CrashNews } from "../crashes/crash_news.ts";
 import { hashText } from "../hashing/hasher.ts";
+import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
@@ -37,16 +37,17 @@
     this.guard = CrashGuard.create({
       logger,
       formatFingerprint,
-      onPendingReports: () => this.gossip.scheduleBatch(),
+      onPendingNews: () => this.gossip.scheduleBatch(),
       onHeld: () => undefined,
       onCrash: () => metrics.count("upstream_crashes"),
       onCrashReported: () => undefined,
+      isTrialHost: (part) => this.isTrialRouter(part),
       check: (upstream) => this.checkCrash(upstream),
     });
     this.gossip = CrashGossip.create({
-      store: this.guard.store,
+      news: this.guard.news,
       getHosts: () => this.getReachablePeerIds(),
-      send: (routerId, reports) => void this.send(routerId, reports),
+      send: (routerId, news) => void this.send(routerId, news),
     });
   }
 
@@ -55,11 +56,6 @@
     return new RouterCrashTracker(options);
   }
 
-  /** Merges the crash reports that another router sent. */
-  mergeReports(reports: readonly CrashReport[]): void {
-    this.guard.store.mergeReports(reports, readClock());
-  }
-
   /** Handles a new view of the fleet: upstreams that are no longer listed count as ended. */
   handleViewChange(previous: FleetView, current: FleetView): void {
     for (const { id } of previous.upstreams) {
@@ -89,6 +85,12 @@
     });
   }
 
+  /** Whether this router is the first of the reachable ones in the rendezvous order of a part. */
+  private isTrialRouter(part: number): boolean {
+    const ids = [this.options.getView().ownId, ...this.getReachablePeerIds()];
+    return rankByRendezvous(String(part), ids)[0] === ids[0];
+  }
+
   private getReachablePeerIds(): string[] {
     const view = this.options.getView();
     return view.routers.filter(({ host, heard }) =>
@@ -98,9 +100,14 @@
 
   private async send(
     routerId: string,
-    reports: readonly CrashReport[],
+    { reports, completions }: CrashNews,
   ): Promise<void> {
     const client = await this.options.connectionPool.getClient(routerId);
-    client?.send({ type: "crash_words", exchange: 0, words: [...reports] });
+    client?.send({
+      type: "crash_words",
+      exchange: 0,
+      words: [...reports],
+      completions: [...completions],
+    });
   }
 }
--- a/tests/crashes/crash_gossip_test.ts
+++ b/tests/crashes/crash_gossip_test.ts
@@ -1,10 +1,17 @@
 import test from "ava";
+import { CompletionCounts } from "../../src/crashes/completion_counts.ts";
+import { CrashNewsSource } from "../../src/crashes/crash_news_source.ts";
 import { CrashStore } from "../../src/crashes/crash_store.ts";
 import { CrashGossip } from "../../src/crashes/crash_gossip.ts";
 import { waitUntil } from "../system/with_fleet.ts";
 import { type TestSocket, withSockets } from "../peers/with_sockets.ts";
 
 const REQUEST = 0xc0ffee123456;
+const WITHOUT_PARTS = {
+  onPromptCrash: () => undefined,
+  getSuspicion: () => 0,
+  isHeld: () => false,
+};
 
 interface TestHost {
   crashStore: CrashStore;
@@ -20,15 +27,17 @@
     onCrashReported: () => undefined,
     onPendingReports: () => gossip?.scheduleBatch(),
     onHeld: () => undefined,
+    ...WITHOUT_PARTS,
   });
+  const news = CrashNewsSource.create(crashStore, CompletionCounts.create(1));
   socket.handle(
     "crash_words",
-    ({ words }) => crashStore.mergeReports(words, performance.now()),
+    (datagram) => news.merge(datagram.news, performance.now()),
   );
   gossip = CrashGossip.create({
-    store: crashStore,
-    send: (host, reports) =>
-      socket.send(host, { type: "crash_words", words: reports }),
+    news,
+    send: (host, sent) =>
+      socket.send(host, { type: "crash_words", news: sent }),
     getHosts: () =>
       sockets.map((other) => other.address).filter((other) =>
         other !== address
@@ -87,10 +96,11 @@
     onCrashReported: () => undefined,
     onPendingReports: () => undefined,
     onHeld: () => undefined,
+    ...WITHOUT_PARTS,
   });
   const receivers: string[] = [];
   const gossip = CrashGossip.create({
-    store,
+    news: CrashNewsSource.create(store, CompletionCounts.create(1)),
     send: (host) => void receivers.push(host),
     getHosts: () => ["other"],
   });
--- a/tests/crashes/crash_store_test.ts
+++ b/tests/crashes/crash_store_test.ts
@@ -15,6 +15,9 @@
     onCrashReported: (instanceHash) => heard.push(instanceHash),
     onPendingReports: () => undefined,
     onHeld: (fingerprint) => held.push(fingerprint),
+    onPromptCrash: () => undefined,
+    getSuspicion: () => 0,
+    isHeld: () => false,
   });
   return { store, held, heard };
 }
@@ -86,7 +89,7 @@
 
 test("a reported crash is passed to the listener once, and only while it is recent", (t) => {
   const { store, heard } = createStore();
-  const report = { fingerprint: REQUEST, agoMs: 10, excused: [] };
+  const report = { fingerprint: REQUEST, agoMs: 10, excused: [], parts: [] };
   store.mergeReports([{ ...report, crashes: [[1, 2]] }], 0);
   store.mergeReports([{ ...report, crashes: [[1, 2]] }], 0);
   store.mergeReports(
@@ -98,7 +101,7 @@
 
 test("the age in a report counts towards the hold and the retention, so that no record is kept forever", (t) => {
   const { store } = createStore();
-  const report = { fingerprint: REQUEST, crashes: [], excused: [] };
+  const report = { fingerprint: REQUEST, crashes: [], excused: [], parts: [] };
   const crashes: CrashReport["crashes"] = [[1, 2], [2, 2]];
   store.mergeReports([{ ...report, crashes, agoMs: 31 * SECOND_MS }], 0);
   t.is(store.getHold(REQUEST, 0), undefined);
@@ -140,6 +143,7 @@
     { maxLength: 3 },
   ),
   excused: fc.array(fc.integer({ min: 1, max: 5 }), { maxLength: 2 }),
+  parts: fc.constant([]),
 });
 
 test("hosts that receive the same reports converge to the same points, in any order and with repetitions", (t) => {
--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -109,12 +109,16 @@
   "host entries request": { type: "host_entries_request", names: [1, 2] },
   "crash reports": {
     type: "crash_words",
-    words: [{
-      fingerprint: 2 ** 48 - 1,
-      agoMs: 12,
-      crashes: [[7, 2], [8, 1]],
-      excused: [7],
-    }],
+    news: {
+      reports: [{
+        fingerprint: 2 ** 48 - 1,
+        agoMs: 12,
+        crashes: [[7, 2], [8, 1]],
+        excused: [7],
+        parts: [2 ** 32 - 1],
+      }],
+      completions: [[2 ** 32 - 1, 5, 3]],
+    },
   },
 };
 
--- a/tests/peers/datagram_fuzz_test.ts
+++ b/tests/peers/datagram_fuzz_test.ts
@@ -10,7 +10,16 @@
 const GOSSIP = encodeDatagram(buildGossip());
 const CRASH_REPORTS = encodeDatagram({
   type: "crash_words",
-  words: [{ fingerprint: 5, agoMs: 1, crashes: [[7, 2]], excused: [] }],
+  news: {
+    reports: [{
+      fingerprint: 5,
+      agoMs: 1,
+      crashes: [[7, 2]],
+      excused: [],
+      parts: [3],
+    }],
+    completions: [[3, 9, 1]],
+  },
 });
 
 /** Bytes that no host of the fleet sends: random bytes, random msgpack values, and truncated or corrupted datagrams. */
