Verify holds of prompt parts in virtual time, and count begun responses and simultaneous crashes

A response now counts from its first event, crashes within 100 ms count once, and the part whose crashes outnumber its completions by the most comes first.

--- a/src/crashes/analyze_crashes.ts
+++ b/src/crashes/analyze_crashes.ts
@@ -5,6 +5,9 @@
 const WEIGHT_BY_POINTS: Readonly<Record<number, number>> = { 1: 0.25, 2: 1 };
 /** Weight of a completion. It is below that of a crash, since a part need not crash each upstream that gets it. */
 const COMPLETION_WEIGHT = 0.25;
+/** Time within which crashes of several instances count as one, in milliseconds: a fault that they share is likelier than
+ * prompts that reached all of them. */
+const MOMENT_MS = 100;
 /** Minimum score of a part that counts as the cause of crashes: crashes with as many different prompts, none of which
  * has completed. */
 const CAUSE_THRESHOLD = 3;
@@ -21,6 +24,15 @@
   /** Hashes of the parts that it shares with others. */
   readonly parts: readonly number[];
   readonly crashes: readonly CrashPoints[];
+  /** Monotonic milliseconds of the last of the crashes. */
+  readonly lastCrashAt: number;
+}
+
+/** The crash of an instance, weighted for one part. */
+interface WeightedCrash {
+  /** Monotonic milliseconds. */
+  readonly at: number;
+  readonly weight: number;
 }
 
 /** Parts that likely crash upstreams. If several were in flight together each time, only prompts with all of them count
@@ -114,26 +126,42 @@
   });
 }
 
-/** Returns the weighted number of crashes. Each instance counts once, and so does each prompt: one that crashes upstreams
- * whenever it is sent says nothing about its parts. */
+/** Returns the weighted number of crashes. Those of several instances at the same moment count once, and so does each
+ * prompt: one that crashes upstreams whenever it is sent says nothing about its parts. */
 function weighCrashes(prompts: readonly InterruptedPrompt[]): number {
-  const weightByInstance = new Map<number, number>();
+  const instances = new Map<number, WeightedCrash>();
   let promptWeight = 0;
-  for (const { crashes } of prompts) {
+  for (const { crashes, lastCrashAt } of prompts) {
     let largest = 0;
     for (const [instance, points] of crashes) {
       const weight = WEIGHT_BY_POINTS[points] ?? 0;
       largest = Math.max(largest, weight);
-      const known = weightByInstance.get(instance) ?? 0;
-      weightByInstance.set(instance, Math.max(known, weight));
+      const known = instances.get(instance);
+      instances.set(instance, {
+        at: Math.min(known?.at ?? Infinity, lastCrashAt),
+        weight: Math.max(known?.weight ?? 0, weight),
+      });
     }
     promptWeight += largest;
   }
-  const instanceWeight = [...weightByInstance.values()].reduce(
-    (sum, weight) => sum + weight,
-    0,
-  );
-  return Math.min(instanceWeight, promptWeight);
+  return Math.min(weighMoments([...instances.values()]), promptWeight);
+}
+
+/** Returns the sum of the weights of crashes, with the largest only for those at the same moment. */
+function weighMoments(crashes: readonly WeightedCrash[]): number {
+  let sum = 0;
+  let momentEndsAt = -Infinity;
+  let largest = 0;
+  for (const { at, weight } of crashes.toSorted((a, b) => a.at - b.at)) {
+    if (at >= momentEndsAt) {
+      momentEndsAt = at + MOMENT_MS;
+      largest = 0;
+    }
+    if (weight <= largest) continue;
+    sum += weight - largest;
+    largest = weight;
+  }
+  return sum;
 }
 
 /** Whether the evidence for a part is enough to hold it. */
@@ -142,19 +170,23 @@
     crashes >= MIN_CRASH_FRACTION * (crashes + completions);
 }
 
-/** Returns the part with the highest score among those with enough evidence. */
+/** Returns the part among those with enough evidence whose crashes outnumber its completions by the most. */
 function findLikeliest(
   evidence: readonly PartEvidence[],
 ): PartEvidence | undefined {
   let likeliest: PartEvidence | undefined;
   for (const each of evidence.filter(isCause)) {
-    const isMoreLikely = !likeliest || each.score > likeliest.score ||
-      (each.score === likeliest.score && each.part < likeliest.part);
-    if (isMoreLikely) likeliest = each;
+    if (!likeliest || compareEvidence(each, likeliest) < 0) likeliest = each;
   }
   return likeliest;
 }
 
+/** Orders evidence, the part whose crashes outnumber its completions by the most first. */
+function compareEvidence(one: PartEvidence, other: PartEvidence): number {
+  return other.crashes - other.completions -
+      (one.crashes - one.completions) || one.part - other.part;
+}
+
 /** Builds the cause of a part together with those that can't be told from it so far. */
 function buildCause(
   { part, prompts, crashes, completions, score }: PartEvidence,
@@ -178,8 +210,8 @@
       { crashes },
     ) => crashes.map(([instance]) => instance)),
   );
-  return prompts.flatMap(({ parts, crashes }) => {
+  return prompts.flatMap(({ parts, crashes, lastCrashAt }) => {
     const rest = crashes.filter(([instance]) => !explained.has(instance));
-    return rest.length > 0 ? [{ parts, crashes: rest }] : [];
+    return rest.length > 0 ? [{ parts, crashes: rest, lastCrashAt }] : [];
   });
 }
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -127,6 +127,7 @@
     { requestId, fingerprint, parts }: TrackedRequest,
     hasPartialResponse: boolean,
   ): void {
+    if (hasPartialResponse) this.parts.recordBreak(parts);
     const points =
       CRASH_POINTS[hasPartialResponse ? "partialResponse" : "noResponse"];
     this.detector.recordInterruption(
@@ -141,11 +142,21 @@
     this.detector.checkReportedCrash(upstream);
   }
 
-  /** Records that an upstream completed a request, whatever the response.
+  /** Records that part of the response to a request was received.
    * @param request The request. */
-  recordCompletion({ requestId, fingerprint, parts }: TrackedRequest): void {
-    this.store.recordCompletion(fingerprint, this.timeline.read());
+  recordBegin({ parts }: TrackedRequest): void {
     this.parts.recordCompletion(parts);
+  }
+
+  /** Records that an upstream completed a request, whatever the response.
+   * @param request The request.
+   * @param hasPartialResponse Whether part of the response had been received, and recorded, before. */
+  recordCompletion(
+    { requestId, fingerprint, parts }: TrackedRequest,
+    hasPartialResponse: boolean,
+  ): void {
+    this.store.recordCompletion(fingerprint, this.timeline.read());
+    if (!hasPartialResponse) this.parts.recordCompletion(parts);
     this.trials.recordCompletion(requestId);
   }
 
--- a/src/crashes/part_hold.ts
+++ b/src/crashes/part_hold.ts
@@ -1,10 +1,10 @@
 import type { CrashCause } from "./analyze_crashes.ts";
 
 /** Pause after which a crash counts as that of a trial, in milliseconds. */
-const TRIAL_PAUSE_MS = 30_000;
+const TRIAL_PAUSE_MS = 20_000;
 /** Duration of a hold after the last crash, in milliseconds, by the number of trials that crashed an upstream. The last
  * one applies to all further ones. */
-const HOLD_DURATIONS_MS = [60_000, 600_000, 7_200_000, 86_400_000] as const;
+const HOLD_DURATIONS_MS = [30_000, 300_000, 3_600_000, 86_400_000] as const;
 
 /** Prompt parts that are held, that is, whose prompts are refused because they likely crash upstreams. */
 export interface PartHold {
--- a/src/crashes/part_holds.ts
+++ b/src/crashes/part_holds.ts
@@ -72,7 +72,7 @@
     return this.getSuspicion(parts) < RETRY_LIMIT_SCORE && !this.find(parts);
   }
 
-  /** Records that a prompt completed.
+  /** Records that a prompt completed, or that its response has begun.
    * @param parts Hashes of its parts. */
   recordCompletion(parts: readonly number[]): void {
     const { timeline, completions } = this.options;
@@ -81,6 +81,13 @@
     if (parts.some((part) => suspects.has(part))) this.scheduleAnalysis();
   }
 
+  /** Records that the response of a prompt, which had begun, ended with a connection.
+   * @param parts Hashes of its parts. */
+  recordBreak(parts: readonly number[]): void {
+    const { timeline, completions } = this.options;
+    completions.takeBack(parts, timeline.read());
+  }
+
   /** Analyzes the crashes soon, because more is known of them. */
   scheduleAnalysis(): void {
     this.cancelAnalysis ??= this.options.timeline.after(
@@ -102,9 +109,10 @@
     const { completions, getRecords } = this.options;
     const records = getRecords();
     this.analysis = analyzeCrashes(
-      records.map(({ parts, crashPoints }) => ({
+      records.map(({ parts, crashPoints, lastCrashAt }) => ({
         parts,
         crashes: crashPoints,
+        lastCrashAt,
       })),
       (part) => completions.getCount(part),
     );
--- a/src/entry/record_attempt.ts
+++ b/src/entry/record_attempt.ts
@@ -28,7 +28,7 @@
     outcome,
     hasReceivedEvents,
   } = attempt;
-  if (outcome.type === "done") guard.recordCompletion(request);
+  if (outcome.type === "done") guard.recordCompletion(request, false);
   const isBroken = outcome.type === "failed" && outcome.ran === "unknown";
   if (!isBroken || !upstream) return;
   guard.recordInterruption(
--- a/src/forward/attempt_outcomes.ts
+++ b/src/forward/attempt_outcomes.ts
@@ -32,11 +32,20 @@
     return new AttemptOutcomes(call, context);
   }
 
+  /** Records that the first event of a response was received. */
+  recordBegin(): void {
+    this.context.crashes.recordBegin(toTrackedRequest(this.call));
+  }
+
   /** Records a complete response, whatever its status.
-   * @param elapsedMs Time since the request was sent, in milliseconds. */
-  recordCompletion(elapsedMs: number): void {
+   * @param elapsedMs Time since the request was sent, in milliseconds.
+   * @param hasPartialResponse Whether its first event was recorded before. */
+  recordCompletion(elapsedMs: number, hasPartialResponse: boolean): void {
     this.context.recordCompletion(this.call, elapsedMs);
-    this.context.crashes.recordCompletion(toTrackedRequest(this.call));
+    this.context.crashes.recordCompletion(
+      toTrackedRequest(this.call),
+      hasPartialResponse,
+    );
   }
 
   /** Records a successful response.
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -263,8 +263,11 @@
 
   private onBytes(bytes: Buffer): void {
     this.silences.recordBytes();
+    const hadPartialResponse = this.relay.hasPartialResponse;
     this.relay.pushBytes(bytes, this.attempt);
-    if (this.relay.hasPartialResponse) this.stream.recordEvent();
+    if (!this.relay.hasPartialResponse) return;
+    if (!hadPartialResponse) this.outcomes.recordBegin();
+    this.stream.recordEvent();
   }
 
   private onEnd(): void {
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -93,8 +93,13 @@
     request: TrackedRequest,
     hasPartialResponse: boolean,
   ) => void;
+  /** Records that the first event of an attempt's response was received. */
+  recordBegin: (request: TrackedRequest) => void;
   /** Records a request that an upstream ran to completion, whatever the response status. */
-  recordCompletion: (request: TrackedRequest) => void;
+  recordCompletion: (
+    request: TrackedRequest,
+    hasPartialResponse: boolean,
+  ) => void;
 }
 
 /** Dependencies of a call forwarder on the rest of the process. */
--- a/src/forward/response_completion.ts
+++ b/src/forward/response_completion.ts
@@ -54,7 +54,7 @@
       return { type: "failed", detail: "the stream ended within an event" };
     }
     outcomes.recordSuccess(upstream, signal);
-    outcomes.recordCompletion(elapsedMs);
+    outcomes.recordCompletion(elapsedMs, relay.hasPartialResponse);
     relay.endStream();
     return { type: "answered", detail: `${relay.eventsForwarded} events` };
   }
@@ -65,7 +65,7 @@
     signal: HealthSignal,
   ): CompletionStep {
     const { relay, outcomes, budget } = this.options;
-    outcomes.recordCompletion(elapsedMs);
+    outcomes.recordCompletion(elapsedMs, false);
     if (isFailureStatus(status)) {
       outcomes.recordError(upstream, headers);
       budget.recordRan();
--- a/src/gateway/crash_exchange.ts
+++ b/src/gateway/crash_exchange.ts
@@ -1,7 +1,9 @@
+import type { Timeline } from "../clock/timeline.ts";
 import { CrashGossip } from "../crashes/crash_gossip.ts";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { DatagramPort } from "../peers/datagram_socket.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
+import type { Random } from "../random/random.ts";
 
 /** Dependencies of a {@link CrashExchange}. */
 export interface CrashExchangeOptions {
@@ -9,18 +11,24 @@
   guard: CrashGuard;
   /** Returns the gossip addresses of the other live hosts. */
   getHosts: () => readonly string[];
+  /** Clock and timers; those of the process by default. */
+  timeline?: Timeline;
+  random?: Random;
 }
 
 /** Exchanges with other hosts what is known of crashed upstreams and the requests on them, by datagrams. */
 export class CrashExchange {
   private readonly gossip: CrashGossip;
 
-  private constructor({ socket, guard, getHosts }: CrashExchangeOptions) {
+  private constructor(options: CrashExchangeOptions) {
+    const { socket, guard, getHosts, timeline, random } = options;
     socket.handle("crash_words", ({ news }) => guard.mergeNews(news));
     this.gossip = CrashGossip.create({
       news: guard.news,
       getHosts,
       send: (host, news) => socket.send(host, { type: "crash_words", news }),
+      timeline,
+      random,
     });
   }
 
--- a/tests/crashes/analyze_crashes_test.ts
+++ b/tests/crashes/analyze_crashes_test.ts
@@ -12,7 +12,7 @@
 
 /** Builds a prompt that was in flight without a response on one instance that crashed. */
 function interrupt(instance: number, ...parts: number[]): InterruptedPrompt {
-  return { parts, crashes: [[instance, 2]] };
+  return { parts, crashes: [[instance, 2]], lastCrashAt: instance * 1_000 };
 }
 
 function findCauses(
@@ -37,6 +37,7 @@
   const repeated: InterruptedPrompt = {
     parts: [FIRST, CRASHING],
     crashes: [[1, 2], [2, 2], [3, 2], [4, 2]],
+    lastCrashAt: 0,
   };
   t.deepEqual(findCauses([repeated], {}), []);
 });
@@ -46,6 +47,16 @@
   t.deepEqual(findCauses(prompts, {}), []);
 });
 
+test("crashes of several instances at the same moment count as one", (t) => {
+  const prompts = [1, 2, 3, 4, 5].map((instance) => ({
+    ...interrupt(instance, CRASHING),
+    lastCrashAt: 50 + instance * 10,
+  }));
+  t.deepEqual(findCauses(prompts, {}), []);
+  const later = [interrupt(6, CRASHING), interrupt(7, CRASHING)];
+  t.deepEqual(findCauses([...prompts, ...later], {}), [[CRASHING]]);
+});
+
 test("a part that accompanies the cause is not blamed, even if it is rarely sent without it", (t) => {
   const prompts = [1, 2, 3, 4, 5, 6, 7].map((instance) =>
     interrupt(instance, FIRST, CRASHING, COMPANION)
@@ -87,6 +98,7 @@
   const prompts = [1, 2, 3, 4, 5].map((instance): InterruptedPrompt => ({
     parts: [CRASHING],
     crashes: [[instance, 1]],
+    lastCrashAt: instance * 1_000,
   }));
   t.deepEqual(findCauses(prompts, {}), []);
 });
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -178,6 +178,7 @@
       crashes: {
         mayRetry: () => true,
         recordInterruption: () => undefined,
+        recordBegin: () => undefined,
         recordCompletion: () => undefined,
         ...crashes,
       },
--- a/tests/peers/virtual_fleet.ts
+++ b/tests/peers/virtual_fleet.ts
@@ -9,6 +9,7 @@
 import { pino } from "pino";
 import { encodeDatagram } from "../../src/peers/datagram_codec.ts";
 import { Gossip } from "../../src/peers/gossip.ts";
+import type { PeerEntry } from "../../src/peers/gossip_schema.ts";
 import type { ReadHosts } from "../../src/peers/host_pull.ts";
 import { Random } from "../../src/random/random.ts";
 import { VirtualTimeline } from "../clock/virtual_timeline.ts";
@@ -39,6 +40,10 @@
   seeds?: number;
   /** Whether sent bytes are counted, which takes most of a run's time. */
   countsBytes?: boolean;
+  /** Time for which a host publishes that it is starting, in milliseconds; 0 by default. */
+  startingMs?: number;
+  /** Called with each host entry that a host receives. */
+  onEntry?: (index: number, entry: PeerEntry) => void;
   /** Called with each host that starts; returns what to close when it stops. */
   onStart?: (host: StartedHost) => () => void;
 }
@@ -141,17 +146,21 @@
       callerAddress: address,
       hall: getHall(index),
     });
+    const readyAt = timeline.read() + (this.options.startingMs ?? 0);
     const gossip = Gossip.create({
       logger: SILENT,
       socket,
       address,
       hall: getHall(index),
       getSeeds: () => this.getSeeds(),
-      describeSelf: () => entry,
+      describeSelf: () => ({
+        ...entry,
+        phase: timeline.read() < readyAt ? "starting" : "ready",
+      }),
       takePrefixUpdates: () => [],
       hasPrefixUpdates: () => false,
       onPrefixUpdates: () => undefined,
-      onEntry: () => undefined,
+      onEntry: (received) => this.options.onEntry?.(index, received),
       readHosts: (host, done) =>
         this.readHosts(address, host.gossipAddress, done),
       firstIncarnation: start.incarnation ??
