Hold messages that crash engines in the router program, and end its held dispatches

The messages of a chat but the last are its parts. A hold that begins now also ends unanswered dispatches there. Crashes count as simultaneous within 30 ms instead of 100, so that quick callers are noticed too.

--- a/src/crashes/analyze_crashes.ts
+++ b/src/crashes/analyze_crashes.ts
@@ -7,7 +7,7 @@
 const COMPLETION_WEIGHT = 0.25;
 /** Time within which crashes of several instances count as one, in milliseconds: a fault that they share is likelier than
  * prompts that reached all of them. */
-const MOMENT_MS = 100;
+const MOMENT_MS = 30;
 /** Minimum score of a part that counts as the cause of crashes: crashes with as many different prompts, none of which
  * has completed. */
 const CAUSE_THRESHOLD = 3;
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -20,13 +20,11 @@
 } from "./interrupted_request.ts";
 import type { PartHold } from "./part_hold.ts";
 import { PartHolds } from "./part_holds.ts";
+import type { RequestHold } from "./request_hold.ts";
 
 /** Maximum id of a process in the counts of completions: an unsigned 32-bit number. */
 const MAX_REPORTER_ID = 0xffffffff;
 
-/** Whether a request is concerned by a hold. */
-export type HoldFilter = (request: TrackedRequest) => boolean;
-
 /** Dependencies and callbacks of `CrashGuard`. */
 export interface CrashGuardOptions {
   logger: Logger;
@@ -36,7 +34,7 @@
   onPendingNews: () => void;
   /** Called when requests are held from now on, or for longer; their attempts that are in flight and unanswered are to
    * be ended. */
-  onHeld: (isHeld: HoldFilter) => void;
+  onHeld: (hold: RequestHold) => void;
   /** Called with the hash of each instance that crashed, once nothing listens at its address or it was removed from
    * the list. */
   onCrash: (instanceHash: number) => void;
@@ -242,11 +240,17 @@
       points,
       holdMs: Math.round(remainingMs),
     }, "request_held");
-    this.options.onHeld((request) => request.fingerprint === fingerprint);
+    this.options.onHeld({
+      kind: "crashes_upstreams",
+      concerns: (request) => request.fingerprint === fingerprint,
+    });
   }
 
   private handlePartHold(cause: CrashCause): void {
-    this.options.onHeld(({ parts }) => isCausedBy(parts, cause));
+    this.options.onHeld({
+      kind: "prompt_crashes_upstreams",
+      concerns: ({ parts }) => isCausedBy(parts, cause),
+    });
   }
 }
 
--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -36,8 +36,8 @@
   acceptTimeoutMs: number;
   /** Time until the caller's deadline. */
   remainingMs: number;
-  /** Aborted when the caller disconnects. */
-  disconnectSignal: AbortSignal;
+  /** Aborted when the caller disconnects or the request is held. */
+  endSignal: AbortSignal;
   /** Called with the number of events in each chunk that is passed to the sink. */
   onEvents: (count: number) => void;
 }
@@ -55,7 +55,7 @@
   private uncreditedBytes = 0;
   private delivery: Promise<void> = Promise.resolve();
   private readonly timers: NodeJS.Timeout[] = [];
-  private readonly handleDisconnect = () => this.finish({ type: "abandoned" });
+  private readonly handleEndSignal = () => this.finish({ type: "abandoned" });
 
   private constructor(private readonly options: AttemptOptions) {
     this.exchange = options.client.openExchange((frame) =>
@@ -75,7 +75,7 @@
       offer,
       acceptTimeoutMs,
       remainingMs,
-      disconnectSignal,
+      endSignal,
     } = this.options;
     return new Promise((resolve) => {
       this.resolve = resolve;
@@ -85,8 +85,8 @@
       this.timers.push(
         setTimeout(() => this.handleDeadline(), Math.max(1, remainingMs)),
       );
-      if (disconnectSignal.aborted) return this.finish({ type: "abandoned" });
-      disconnectSignal.addEventListener("abort", this.handleDisconnect, {
+      if (endSignal.aborted) return this.finish({ type: "abandoned" });
+      endSignal.addEventListener("abort", this.handleEndSignal, {
         once: true,
       });
       client.send({ ...offer, exchange: this.exchange });
@@ -198,9 +198,9 @@
     if (this.isFinished) return;
     this.isFinished = true;
     for (const timer of this.timers) clearTimeout(timer);
-    this.options.disconnectSignal.removeEventListener(
+    this.options.endSignal.removeEventListener(
       "abort",
-      this.handleDisconnect,
+      this.handleEndSignal,
     );
     const isEndedByOwner = outcome.type === "done" ||
       outcome.type === "declined";
--- a/src/entry/chat_handler.ts
+++ b/src/entry/chat_handler.ts
@@ -12,6 +12,7 @@
 import { toChatCompletion } from "./chat_completion.ts";
 import { type ChatRequest, chatRequestSchema } from "./chat_request_schema.ts";
 import type { EntryContext, HttpExchange } from "./entry_context.ts";
+import { hashSharedMessages } from "./hash_shared_messages.ts";
 import { readBody } from "./read_body.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { runBuffered, runStreaming } from "./run_request.ts";
@@ -35,6 +36,7 @@
     requirement: { role: "engine", model: getModelOrThrow(customer, chat) },
     placementKey: createChatKey(customer, chat),
     customer,
+    promptParts: hashSharedMessages(chat),
     method: "POST",
     path: "/v1/chat/completions",
     headers: {
--- a/src/entry/dispatch_progress.ts
+++ b/src/entry/dispatch_progress.ts
@@ -25,9 +25,16 @@
   fingerprint: number;
   sink: ResponseSink;
   grant: SendGrant;
-  disconnectSignal: AbortSignal;
+  /** Aborted when the request is held while it is under way. */
+  hold: AbortController;
+  /** Error kind of that hold; undefined if the request is not held. */
+  heldAs: ErrorKind | undefined;
+  /** Aborted when the caller disconnects or the request is held. */
+  endSignal: AbortSignal;
   /** Number of events that were passed to the sink. */
   events: number;
+  /** Whether an event of the current attempt was passed to the sink. */
+  hasAttemptEvents: boolean;
   /** Software version of the upstream that sent the first event; undefined if none was sent or it publishes none. */
   softwareVersion: string | undefined;
   /** Routers that did not respond, or declined as stale, during this request. */
@@ -47,9 +54,9 @@
 /** Returns the properties by which requests that crash upstreams are recognized.
  * @param progress State of the request. */
 export function toTrackedRequest(
-  { request: { requestId }, fingerprint }: DispatchProgress,
+  { request: { requestId, promptParts }, fingerprint }: DispatchProgress,
 ): TrackedRequest {
-  return { requestId, fingerprint, parts: [] };
+  return { requestId, fingerprint, parts: promptParts };
 }
 
 /** Builds the frame that offers a request to an owner.
@@ -167,13 +174,17 @@
   sink: ResponseSink,
   disconnectSignal: AbortSignal,
 ): DispatchProgress {
+  const hold = new AbortController();
   return {
     request,
     fingerprint: fingerprintRequest(getRequestIdentity(request)),
     sink,
     grant: SendGrant.create(),
-    disconnectSignal,
+    hold,
+    heldAs: undefined,
+    endSignal: AbortSignal.any([disconnectSignal, hold.signal]),
     events: 0,
+    hasAttemptEvents: false,
     softwareVersion: undefined,
     silent: new Set(),
     retried: new Set(),
--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -1,5 +1,6 @@
 import { readClock } from "../clock/clock.ts";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
+import type { RequestHold } from "../crashes/request_hold.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { LoadTable } from "../owner/load_table.ts";
@@ -10,19 +11,22 @@
 import type { Settings } from "../settings/settings_schema.ts";
 import type { ResponseSink } from "./response_sink.ts";
 import { Attempt, type AttemptOutcome } from "./attempt.ts";
+import { AttemptFollowUp } from "./attempt_follow_up.ts";
 import { recordAttempt } from "./record_attempt.ts";
 import {
   buildOffer,
   createProgress,
   type DispatchProgress,
   type DispatchResult,
-  isInconclusive,
   mayContinueAt,
-  mayHaveRun,
   recordRedirect,
   refuse,
   toTrackedRequest,
 } from "./dispatch_progress.ts";
+import {
+  type Declines,
+  refuseAfterLastUpstream,
+} from "./refuse_after_last_upstream.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
@@ -42,24 +46,24 @@
   onUnreachable: (routerId: string) => void;
 }
 
-/** The last declined attempt by upstream. */
-type Declines = Map<string, Extract<AttemptOutcome, { type: "declined" }>>;
-
-/** How dispatching continues after an attempt. */
-type NextStep =
-  | { type: "end"; end: DispatchResult }
-  | { type: "next_upstream" }
-  | { type: "next_owner" };
-
 /** Dispatches requests to upstreams.
  * Candidates are tried in the order given by the placement key, each through the router that owns it. */
 export class Dispatcher {
   private readonly retryBudget: RetryBudget;
   private readonly random = Random.create();
+  private readonly dispatches = new Set<DispatchProgress>();
+
+  private readonly followUp: AttemptFollowUp;
 
   private constructor(private readonly options: DispatcherOptions) {
-    const { retryRatio, retryReserve } = options.settings.routing;
+    const { crashGuard, onUnreachable, settings } = options;
+    const { retryRatio, retryReserve } = settings.routing;
     this.retryBudget = RetryBudget.create(retryRatio, retryReserve);
+    this.followUp = AttemptFollowUp.create({
+      crashGuard,
+      onUnreachable,
+      retryBudget: this.retryBudget,
+    });
   }
 
   /** Creates a dispatcher.
@@ -80,7 +84,7 @@
     this.retryBudget.recordRequest();
     const progress = createProgress(request, sink, disconnectSignal);
     const result = this.refuseIfHeld(progress) ??
-      await this.tryUpstreams(progress);
+      await this.tryUpstreamsUntilHeld(progress);
     if (result.type === "done") sink.end();
     if (result.type === "refused") sink.fail(result.failure);
     return result;
@@ -111,6 +115,32 @@
     return failure && { type: "refused", failure, mayHaveRun: false };
   }
 
+  /** Ends the unanswered dispatches of requests that are held from now on.
+   * @param hold The hold. */
+  abortHeld({ kind, concerns }: RequestHold): void {
+    for (const progress of this.dispatches) {
+      if (progress.events > 0) continue;
+      if (!concerns(toTrackedRequest(progress))) continue;
+      progress.heldAs = kind;
+      progress.hold.abort();
+    }
+  }
+
+  private async tryUpstreamsUntilHeld(
+    progress: DispatchProgress,
+  ): Promise<DispatchResult> {
+    this.dispatches.add(progress);
+    try {
+      const result = await this.tryUpstreams(progress);
+      return result.type === "abandoned" && progress.heldAs
+        ? refuse(progress, progress.heldAs, "held while under way")
+        : result;
+    } finally {
+      this.dispatches.delete(progress);
+      this.options.crashGuard.recordEnd(progress.request.requestId);
+    }
+  }
+
   private async tryUpstreams(
     progress: DispatchProgress,
   ): Promise<DispatchResult> {
@@ -143,7 +173,7 @@
       );
       if (result) return result;
     }
-    return this.refuseAfterLastUpstream(progress, declines);
+    return refuseAfterLastUpstream(progress, declines);
   }
 
   private mayContinueAt(progress: DispatchProgress, id: string): boolean {
@@ -175,6 +205,7 @@
       const ownerId = this.chooseOwner(upstreamId, progress);
       if (!ownerId) return undefined;
       const eventsBefore = progress.events;
+      progress.hasAttemptEvents = false;
       const outcome = await this.attempt(
         progress,
         upstreamId,
@@ -188,7 +219,7 @@
         request: toTrackedRequest(progress),
         upstream,
         outcome,
-        hasReceivedEvents: progress.events > eventsBefore,
+        hasReceivedEvents: progress.hasAttemptEvents,
       });
       if (outcome.type === "declined") declines.set(upstreamId, outcome);
       if (outcome.type === "declined" && outcome.owner !== "") {
@@ -197,7 +228,7 @@
       if (outcome.type === "unreachable" && outcome.wasAccepted) {
         progress.possibleRunners.add(upstreamId);
       }
-      const step = this.decideNextStep(progress, ownerId, outcome);
+      const step = this.followUp.decide(progress, ownerId, outcome);
       if (step.type === "end") return step.end;
       if (step.type === "next_upstream") return undefined;
     }
@@ -226,10 +257,10 @@
     ownerId: string,
     mayQueue: boolean,
   ): Promise<AttemptOutcome> {
-    const { request, sink, grant, disconnectSignal } = progress;
+    const { request, sink, grant, endSignal } = progress;
     const remainingMs = request.deadlineAt - readClock();
     if (remainingMs <= 0) return { type: "expired" };
-    if (disconnectSignal.aborted) return { type: "abandoned" };
+    if (endSignal.aborted) return { type: "abandoned" };
     const client = await this.options.connectionPool.getClient(ownerId);
     if (!client) {
       return {
@@ -245,124 +276,16 @@
       grant,
       acceptTimeoutMs: this.options.settings.routing.acceptTimeoutMs,
       remainingMs,
-      disconnectSignal,
-      onEvents: (count) => progress.events += count,
+      endSignal,
+      onEvents: (count) => this.recordEvents(progress, count),
     });
   }
 
-  private decideNextStep(
-    progress: DispatchProgress,
-    ownerId: string,
-    outcome: AttemptOutcome,
-  ): NextStep {
-    progress.hasInconclusiveAttempt ||= isInconclusive(outcome);
-    switch (outcome.type) {
-      case "done":
-        return { type: "end", end: { type: "done" } };
-      case "abandoned":
-        return {
-          type: "end",
-          end: { type: "abandoned", mayHaveRun: mayHaveRun(progress) },
-        };
-      case "expired":
-        return {
-          type: "end",
-          end: refuse(
-            progress,
-            "deadline_exceeded",
-            "the caller's time is over",
-          ),
-        };
-      case "declined":
-        return this.decideAfterDecline(progress, ownerId, outcome.reason);
-      case "unreachable":
-        this.options.onUnreachable(ownerId);
-        progress.silent.add(ownerId);
-        return this.decideAfterFailure(progress, outcome.detail, {
-          type: "next_owner",
-        });
-      case "failed":
-        return this.decideAfterFailure(progress, outcome.detail, {
-          type: "next_upstream",
-        });
-    }
-  }
-
-  private decideAfterDecline(
-    progress: DispatchProgress,
-    ownerId: string,
-    reason: string,
-  ): NextStep {
-    progress.lastDetail = reason;
-    if (reason === "deadline") {
-      return {
-        type: "end",
-        end: refuse(progress, "deadline_exceeded", "the time ended in a queue"),
-      };
+  private recordEvents(progress: DispatchProgress, count: number): void {
+    if (!progress.hasAttemptEvents && count > 0) {
+      progress.hasAttemptEvents = true;
+      this.options.crashGuard.recordBegin(toTrackedRequest(progress));
     }
-    if (reason === "moved") return { type: "next_owner" };
-    if (reason !== "stale") return { type: "next_upstream" };
-    progress.silent.add(ownerId);
-    return { type: "next_owner" };
+    progress.events += count;
   }
-
-  private decideAfterFailure(
-    progress: DispatchProgress,
-    detail: string,
-    next: NextStep,
-  ): NextStep {
-    progress.lastDetail = detail;
-    if (progress.grant.isAcquired) {
-      return { type: "end", end: refuse(progress, "outcome_unknown", detail) };
-    }
-    if (!this.options.crashGuard.mayRetry(toTrackedRequest(progress))) {
-      return {
-        type: "end",
-        end: refuse(progress, "crashes_upstreams", `held after ${detail}`),
-      };
-    }
-    if (this.retryBudget.tryAcquire()) return next;
-    return {
-      type: "end",
-      end: refuse(progress, "no_upstream", `no retry left: ${detail}`),
-    };
-  }
-
-  private refuseAfterLastUpstream(
-    progress: DispatchProgress,
-    declines: Declines,
-  ): DispatchResult {
-    if (progress.events > 0) {
-      return refuse(progress, "stream_broken", progress.lastDetail);
-    }
-    const reasons = [...declines.values()].map(({ reason }) => reason);
-    if (reasons.includes("share")) {
-      return refuse(
-        progress,
-        "too_many_requests",
-        "the customer's queue is full",
-      );
-    }
-    if (reasons.includes("full")) {
-      const detail = "all candidates are full";
-      return refuse(
-        progress,
-        "overloaded",
-        detail,
-        getShortestBackoff(declines),
-      );
-    }
-    return refuse(
-      progress,
-      "no_upstream",
-      progress.lastDetail || "no owner answered",
-    );
-  }
-}
-
-/** Returns the shortest backoff of the full upstreams, in milliseconds; undefined if one of them specified none. */
-function getShortestBackoff(declines: Declines): number | undefined {
-  const full = [...declines.values()].filter(({ reason }) => reason === "full");
-  const shortest = Math.min(...full.map(({ backoffMs }) => backoffMs ?? 0));
-  return shortest > 0 ? shortest : undefined;
 }
--- a/src/entry/record_attempt.ts
+++ b/src/entry/record_attempt.ts
@@ -28,7 +28,9 @@
     outcome,
     hasReceivedEvents,
   } = attempt;
-  if (outcome.type === "done") guard.recordCompletion(request, false);
+  if (outcome.type === "done") {
+    guard.recordCompletion(request, hasReceivedEvents);
+  }
   const isBroken = outcome.type === "failed" && outcome.ran === "unknown";
   if (!isBroken || !upstream) return;
   guard.recordInterruption(
--- a/src/entry/routed_request.ts
+++ b/src/entry/routed_request.ts
@@ -10,6 +10,8 @@
   /** Determines the order of candidate upstreams: the key of the chat, or the id of the request. */
   placementKey: string;
   customer: Customer;
+  /** Hashes of the prompt parts that other requests may share; empty for calls of services. */
+  promptParts: readonly number[];
   method: string;
   path: string;
   headers: Record<string, string>;
--- a/src/entry/service_handler.ts
+++ b/src/entry/service_handler.ts
@@ -45,6 +45,7 @@
     requirement: { role: "service" as const, service },
     placementKey: requestId,
     customer,
+    promptParts: [],
     method,
     path: `/${rest.join("/")}${url.search}`,
     headers,
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -93,10 +93,11 @@
   }
 
   /** Refuses the call because its request is now held, unless the attempt in progress has already forwarded events: an
-   * unanswered attempt is likely to crash one more upstream. */
-  refuseAsHeld(): void {
+   * unanswered attempt is likely to crash one more upstream.
+   * @param kind Error kind if the request was certainly not run. */
+  refuseAsHeld(kind: ErrorKind): void {
     if (this.relay.hasPartialResponse) return;
-    this.refuseHeld("held while under way");
+    this.refuseHeld(kind, "held while under way");
   }
 
   /** Fails the attempt in progress at an upstream that has restarted: its old connection may never be closed.
@@ -162,7 +163,7 @@
   /** Sends the request to the next upstream; refuses the call if none is left or the request would likely crash it. */
   private sendToNext(reason: string): void {
     if (this.picker.attempts > 0 && !this.maySendAgain) {
-      return this.refuseHeld(`held after ${reason}`);
+      return this.refuseHeld("crashes_upstreams", `held after ${reason}`);
     }
     const choice = this.picker.pick();
     if (choice) return this.sendTo(choice, reason);
@@ -309,11 +310,8 @@
   }
 
   /** Refuses a call whose request likely crashes upstreams; as not run only if that is certain. */
-  private refuseHeld(detail: string): void {
-    this.refuse(
-      this.mayHaveRun ? "upstream_failed" : "crashes_upstreams",
-      detail,
-    );
+  private refuseHeld(kind: ErrorKind, detail: string): void {
+    this.refuse(this.mayHaveRun ? "upstream_failed" : kind, detail);
   }
 
   private refuse(kind: ErrorKind, detail: string): void {
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -2,7 +2,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Result } from "ts-results-es";
-import type { CrashGuard, HoldFilter } from "../crashes/crash_guard.ts";
+import type { CrashGuard } from "../crashes/crash_guard.ts";
+import type { RequestHold } from "../crashes/request_hold.ts";
 import { readBody } from "../entry/read_body.ts";
 import { Failure } from "../errors/failure.ts";
 import { admitCall, type AdmittedCall } from "../forward/admit_call.ts";
@@ -116,10 +117,10 @@
   }
 
   /** Refuses the unanswered calls whose requests are held from now on because they crash upstreams.
-   * @param isHeld Whether a request is held. */
-  refuseHeldCalls(isHeld: HoldFilter): void {
+   * @param hold The hold. */
+  refuseHeldCalls({ kind, concerns }: RequestHold): void {
     for (const each of [...this.forwarders]) {
-      if (isHeld(toTrackedRequest(each.call))) each.refuseAsHeld();
+      if (concerns(toTrackedRequest(each.call))) each.refuseAsHeld(kind);
     }
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -186,7 +186,7 @@
       formatFingerprint,
       check: ({ instanceHash }) => this.paths.checkCrash(instanceHash),
       onPendingNews: () => this.peerNetwork?.announceCrashes(),
-      onHeld: (isHeld) => this.handler.refuseHeldCalls(isHeld),
+      onHeld: (hold) => this.handler.refuseHeldCalls(hold),
       isTrialHost: (part) => this.peerNetwork?.isTrialHost(part) ?? false,
       onCrash: (instanceHash) => {
         this.metrics.recordCrash();
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -115,6 +115,7 @@
       ...commonOptions,
       metrics: this.metrics,
       connectionPool: this.connectionPool,
+      onHeld: (hold) => this.dispatcher.abortHeld(hold),
     });
     this.dispatcher = Dispatcher.create({
       ...commonOptions,
--- a/src/router/router_crash_tracker.ts
+++ b/src/router/router_crash_tracker.ts
@@ -8,6 +8,7 @@
 import { CrashGossip } from "../crashes/crash_gossip.ts";
 import { CrashGuard } from "../crashes/crash_guard.ts";
 import type { CrashNews } from "../crashes/crash_news.ts";
+import type { RequestHold } from "../crashes/request_hold.ts";
 import { hashText } from "../hashing/hasher.ts";
 import { rankByRendezvous } from "../hashing/rendezvous.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
@@ -23,6 +24,8 @@
   metrics: Metrics;
   connectionPool: PeerConnectionPool;
   getView: () => FleetView;
+  /** Called when requests are held from now on, or for longer. */
+  onHeld: (hold: RequestHold) => void;
 }
 
 /** Tracks requests that crash upstreams, and gossips reports of them to the other routers over the peer connections. */
@@ -38,7 +41,7 @@
       logger,
       formatFingerprint,
       onPendingNews: () => this.gossip.scheduleBatch(),
-      onHeld: () => undefined,
+      onHeld: options.onHeld,
       onCrash: () => metrics.count("upstream_crashes"),
       onCrashReported: () => undefined,
       isTrialHost: (part) => this.isTrialRouter(part),
