--- a/soak/response_invariants.ts
+++ b/soak/response_invariants.ts
@@ -1,7 +1,10 @@
 import { checkBackoffs, checkLeavingResponses } from "./availability.ts";
 import { BOUNDS, FAULT_RECOVERY_MS } from "./bounds.ts";
 import { type CallerAttempt, KIND_RULES } from "./caller_attempt.ts";
-import { checkCrashingRequests } from "./crashing_requests.ts";
+import {
+  checkCrashingParts,
+  checkCrashingRequests,
+} from "./crashing_requests.ts";
 import type { Evidence } from "./evidence.ts";
 import { CUSTOMER, PERMANENT_KEY } from "./soak_fleet.ts";
 import { countEvents, formatEvent, getEventVersions } from "./stream_text.ts";
@@ -38,6 +41,8 @@
   "no permitted request is denied": checkDenials,
   "a request that crashed three workers reaches few more":
     checkCrashingRequests,
+  "prompts with a part that crashed five workers reach few more":
+    checkCrashingParts,
   "a worker that asked for a backoff gets few requests during it":
     checkBackoffs,
   "a gateway sends no new requests to a worker after forwarding that it leaves":
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -66,7 +66,7 @@
   );
   console.log(`  ${counts.join(", ")}`);
   console.log(
-    `  ${crashes.requests} crashing requests crashed ${crashes.crashes} workers; ${crashes.innocentRefused} attempts of other requests were refused as crashing`,
+    `  ${crashes.requests} crashing requests and ${crashes.parts} crashing parts crashed ${crashes.crashes} workers; ${crashes.innocentRefused} attempts of other requests were refused as crashing`,
   );
   console.log(
     `  ${resumes.continued} of ${resumes.sent} attempts to resume a stream continued`,
--- a/soak/soak_caller.ts
+++ b/soak/soak_caller.ts
@@ -95,6 +95,16 @@
     await this.send(attempt, gateway, undefined);
   }
 
+  /** Sends a chat whose prompt has a given part, and is otherwise different from all others.
+   * @param part Id of the part. */
+  async sendWithPart(part: string): Promise<void> {
+    const gateway = await this.chooseGateway();
+    if (!gateway) return;
+    const attempt = this.buildAttempt("chat", PERMANENT_KEY, gateway);
+    attempt.prompt = `m|900,50|c0ffee:600,${part}:250,${attempt.requestId}:50`;
+    await this.send(attempt, gateway, undefined);
+  }
+
   /** Sends one request with the permanent key, without giving up early. Returns the attempt, or undefined if no gateway
    * is known.
    * @param kind Kind of the request. */
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -4,7 +4,11 @@
 import type { Random } from "../src/random/random.ts";
 import { isRemovable, leaveByAnswers, turnAway } from "./availability.ts";
 import { BOUNDS, FAULT_RECOVERY_MS, WORKER_DRAIN_MS } from "./bounds.ts";
-import { ENTRY_TTL_MS, sendCrashingRequest } from "./crashing_requests.ts";
+import {
+  ENTRY_TTL_MS,
+  sendCrashingPart,
+  sendCrashingRequest,
+} from "./crashing_requests.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
 import type { WorkerFault } from "./soak_worker.ts";
@@ -291,6 +295,7 @@
   replaceWorker,
   changeConfiguration,
   sendCrashingRequest,
+  sendCrashingPart,
   restartWorker,
   spoilEntry,
   turnAway,
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -5,7 +5,7 @@
 import { resetSocket } from "../fakes/reset_socket.ts";
 import { buildWorkerEntry } from "../fakes/worker_entry.ts";
 import type { Random } from "../src/random/random.ts";
-import { isCrashingPath } from "./crashing_requests.ts";
+import { crashesWorkers } from "./crashing_requests.ts";
 import { countEvents, formatEvent, formatResponse } from "./stream_text.ts";
 import type { WorkerLedger } from "./worker_ledger.ts";
 import type { WorkerRun } from "./worker_run.ts";
@@ -184,7 +184,7 @@
     if (fault === "mute") return;
     await this.work(WORK_RANGE_MS, fault);
     if (response.destroyed) return;
-    if (isCrashingPath(run.path)) return this.onCrashRequest();
+    if (crashesWorkers(run)) return this.onCrashRequest();
     if (fault === "reset") return resetSocket(request.socket);
     if (fault === "errors") return this.sendError(request, response, run);
     const headers = this.worker.buildSealHeaders(request);
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -21,6 +21,12 @@
     faults: ["sendCrashingRequest", "killGateway"],
     cause: "none; requests that crash workers, together with killed gateways",
   },
+  {
+    seed: 5601,
+    seconds: 9,
+    faults: ["sendCrashingPart", "killGateway", "crashWorker"],
+    cause: "none; prompts with a part that crashes workers",
+  },
   {
     seed: 3,
     seconds: 6,
