Wait for reports of completions before a host holds a part, unless another host holds it

Reports of crashes survive a host, its counts of completions do not, and a host that had just started held at once by crashes that were 500 ms old. A host now waits 500 ms from its first suspicion; held parts travel with the reports, so that hosts that start need not wait for known ones. A response that has begun counts even if it breaks later.

--- a/src/crashes/completion_counts.ts
+++ b/src/crashes/completion_counts.ts
@@ -42,15 +42,13 @@
    * @param now Monotonic milliseconds. */
   record(parts: readonly number[], now: number): void {
     this.rotateWindows(now);
-    for (const part of parts) this.add(part, 1);
-  }
-
-  /** Takes back a prompt whose response had begun, but ended with a connection.
-   * @param parts Its parts.
-   * @param now Monotonic milliseconds. */
-  takeBack(parts: readonly number[], now: number): void {
-    this.rotateWindows(now);
-    for (const part of parts) this.add(part, -1);
+    for (const part of parts) {
+      const tracked = this.tracked.get(part);
+      if (tracked) tracked.own += 1;
+      else if (this.window.size < MAX_WINDOW_PARTS) {
+        this.window.set(part, (this.window.get(part) ?? 0) + 1);
+      }
+    }
   }
 
   /** Tracks parts from now on.
@@ -135,17 +133,6 @@
       : [[part, this.reporter, tracked.own], ...counts];
   }
 
-  private add(part: number, change: 1 | -1): void {
-    const tracked = this.tracked.get(part);
-    if (tracked) {
-      tracked.own = Math.max(0, tracked.own + change);
-      return;
-    }
-    const count = this.window.get(part);
-    if (count === undefined && this.window.size >= MAX_WINDOW_PARTS) return;
-    this.window.set(part, Math.max(0, (count ?? 0) + change));
-  }
-
   private enqueue(count: CompletionCount): void {
     const [part, reporter] = count;
     this.pending.set(`${part}/${reporter}`, count);
--- a/src/crashes/crash_gossip.ts
+++ b/src/crashes/crash_gossip.ts
@@ -114,7 +114,11 @@
   }
 
   private send(host: string, news: CrashNews): void {
-    if (news.reports.length + news.completions.length === 0) return;
+    if (isEmpty(news)) return;
     this.options.send(host, news);
   }
 }
+
+function isEmpty({ reports, completions, heldParts }: CrashNews): boolean {
+  return reports.length + completions.length + heldParts.length === 0;
+}
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -68,7 +68,6 @@
       random.integer(0, MAX_REPORTER_ID),
     );
     this.store = this.createStore();
-    this.news = CrashNewsSource.create(this.store, this.completions);
     this.parts = PartHolds.create({
       logger: options.logger,
       timeline: this.timeline,
@@ -77,6 +76,11 @@
       onHeld: (cause) => this.handlePartHold(cause),
       onAnnouncements: options.onPendingNews,
     });
+    this.news = CrashNewsSource.create(
+      this.store,
+      this.completions,
+      this.parts,
+    );
     this.detector = CrashDetector.create({
       logger: options.logger,
       onCrash: ({ instanceHash }) => options.onCrash(instanceHash),
@@ -125,7 +129,6 @@
     { requestId, fingerprint, parts }: TrackedRequest,
     hasPartialResponse: boolean,
   ): void {
-    if (hasPartialResponse) this.parts.recordBreak(parts);
     const points =
       CRASH_POINTS[hasPartialResponse ? "partialResponse" : "noResponse"];
     this.detector.recordInterruption(
@@ -247,6 +250,7 @@
   }
 
   private handlePartHold(cause: CrashCause): void {
+    this.options.onPendingNews();
     this.options.onHeld({
       kind: "prompt_crashes_upstreams",
       concerns: ({ parts }) => isCausedBy(parts, cause),
--- a/src/crashes/crash_news.ts
+++ b/src/crashes/crash_news.ts
@@ -12,10 +12,15 @@
 /** Number of prompts with a part that one process has seen complete. */
 export type CompletionCount = z.infer<typeof completionCountSchema>;
 
+/** Schema of the parts of the causes that a host holds, one list each. */
+export const heldPartsSchema = z.array(z.array(z.number().int()));
+
 /** What one host tells another about crashes. */
 export interface CrashNews {
   /** Requests that were in flight on crashed upstreams. */
   readonly reports: readonly CrashReport[];
   /** How often prompts with the parts of such requests have completed. */
   readonly completions: readonly CompletionCount[];
+  /** Parts of the causes that the host holds, one list each. */
+  readonly heldParts: readonly (readonly number[])[];
 }
--- a/src/crashes/crash_news_source.ts
+++ b/src/crashes/crash_news_source.ts
@@ -1,28 +1,33 @@
 import type { Random } from "../random/random.ts";
 import type { CompletionCounts } from "./completion_counts.ts";
 import type { CrashNews } from "./crash_news.ts";
+import type { PartHolds } from "./part_holds.ts";
 import type { CrashStore } from "./crash_store.ts";
 
-/** Maximum number of reports in one message, and of counts. At about 45 and 13 bytes each, a datagram of them fits into
- * one packet. */
+/** Maximum numbers of reports, counts and held causes in one message. At about 45, 13 and 12 bytes each, a datagram of them
+ * fits into one packet. */
 const MAX_REPORTS_PER_MESSAGE = 20;
 const MAX_COUNTS_PER_MESSAGE = 30;
+const MAX_HOLDS_PER_MESSAGE = 5;
 
 /** Selects what other hosts are told about crashes, and merges what they tell. */
 export class CrashNewsSource {
   private constructor(
     private readonly store: CrashStore,
     private readonly completions: CompletionCounts,
+    private readonly holds: Pick<PartHolds, "heldParts" | "confirm">,
   ) {}
 
   /** Creates a source.
    * @param store The recorded crashes.
-   * @param completions The completions of the parts of prompts. */
+   * @param completions The completions of the parts of prompts.
+   * @param holds The held parts. */
   static create(
     store: CrashStore,
     completions: CompletionCounts,
+    holds: Pick<PartHolds, "heldParts" | "confirm">,
   ): CrashNewsSource {
-    return new CrashNewsSource(store, completions);
+    return new CrashNewsSource(store, completions, holds);
   }
 
   /** Whether anything was not yet sent to other hosts. */
@@ -41,6 +46,7 @@
     return {
       reports: this.store.takePendingReports(MAX_REPORTS_PER_MESSAGE, now),
       completions: this.completions.takePending(MAX_COUNTS_PER_MESSAGE),
+      heldParts: this.getHeldParts(),
     };
   }
 
@@ -60,14 +66,20 @@
     return {
       reports,
       completions: random.shuffle(completions).slice(0, MAX_COUNTS_PER_MESSAGE),
+      heldParts: this.getHeldParts(),
     };
   }
 
   /** Merges news of another host. What is new becomes pending.
    * @param news The news.
    * @param now Monotonic milliseconds. */
-  merge({ reports, completions }: CrashNews, now: number): void {
+  merge({ reports, completions, heldParts }: CrashNews, now: number): void {
     this.store.mergeReports(reports, now);
     for (const count of completions) this.completions.merge(count);
+    for (const parts of heldParts) this.holds.confirm(parts);
+  }
+
+  private getHeldParts(): (readonly number[])[] {
+    return this.holds.heldParts.slice(0, MAX_HOLDS_PER_MESSAGE);
   }
 }
--- a/src/crashes/part_hold.ts
+++ b/src/crashes/part_hold.ts
@@ -15,6 +15,12 @@
   readonly heldUntil: number;
 }
 
+/** Returns the key of a hold.
+ * @param parts Hashes of the held parts, in ascending order. */
+export function createHoldKey(parts: readonly number[]): string {
+  return parts.join(",");
+}
+
 /** Creates the hold of a cause.
  * @param cause The cause.
  * @param crashTimes Monotonic milliseconds of its crashes, in ascending order; at least one. */
@@ -28,7 +34,7 @@
     ).length;
   const durationMs = HOLD_DURATIONS_MS[trials] ?? HOLD_DURATIONS_MS.at(-1)!;
   return {
-    key: cause.parts.join(","),
+    key: createHoldKey(cause.parts),
     cause,
     heldUntil: crashTimes.at(-1)! + durationMs,
   };
--- a/src/crashes/part_holds.ts
+++ b/src/crashes/part_holds.ts
@@ -8,16 +8,18 @@
 } from "./analyze_crashes.ts";
 import type { CompletionCounts } from "./completion_counts.ts";
 import type { CrashRecord } from "./crash_record.ts";
-import { createPartHold, type PartHold } from "./part_hold.ts";
+import { createHoldKey, createPartHold, type PartHold } from "./part_hold.ts";
 
 /** Time in which changes are collected before the crashes are analyzed, in milliseconds. */
 const ANALYSIS_DELAY_MS = 50;
-/** Time from the second crash of a part until it may be held, in milliseconds: other hosts report completions of its
- * prompts within it. */
+/** Time for which a part must have been suspected until it may be held, in milliseconds: other hosts report completions
+ * of its prompts within it. */
 const SETTLING_MS = 500;
 /** Score from which a request with a part that has just been interrupted is not sent again: that of a part with one
  * crash before, of which no completion is known. */
 const RETRY_LIMIT_SCORE = 1;
+/** Maximum number of causes of other hosts that are remembered. */
+const MAX_CONFIRMED = 256;
 
 const NOTHING_KNOWN: CrashAnalysis = {
   causes: [],
@@ -42,6 +44,10 @@
 export class PartHolds {
   private analysis = NOTHING_KNOWN;
   private holds: readonly PartHold[] = [];
+  /** Monotonic milliseconds since which this host has suspected each part. */
+  private readonly suspectedSince = new Map<number, number>();
+  /** Keys of the causes that other hosts hold. */
+  private readonly confirmed = new Set<string>();
   private cancelAnalysis: CancelTimer | undefined;
   private cancelSettling: CancelTimer | undefined;
 
@@ -59,6 +65,21 @@
     return this.holds.find(({ cause }) => isCausedBy(parts, cause));
   }
 
+  /** Parts of the held causes, one list each. */
+  get heldParts(): (readonly number[])[] {
+    return this.holds.map(({ cause }) => cause.parts);
+  }
+
+  /** Records that another host holds parts, so that they need no time to settle here.
+   * @param parts Hashes of the parts. */
+  confirm(parts: readonly number[]): void {
+    const key = createHoldKey(parts);
+    if (this.confirmed.has(key)) return;
+    if (this.confirmed.size >= MAX_CONFIRMED) this.confirmed.clear();
+    this.confirmed.add(key);
+    this.scheduleAnalysis();
+  }
+
   /** Returns the highest score of the parts of a prompt, without the crashes that a cause explains.
    * @param parts Hashes of the parts. */
   getSuspicion(parts: readonly number[]): number {
@@ -81,13 +102,6 @@
     if (parts.some((part) => suspects.has(part))) this.scheduleAnalysis();
   }
 
-  /** Records that the response of a prompt, which had begun, ended with a connection.
-   * @param parts Hashes of its parts. */
-  recordBreak(parts: readonly number[]): void {
-    const { timeline, completions } = this.options;
-    completions.takeBack(parts, timeline.read());
-  }
-
   /** Analyzes the crashes soon, because more is known of them. */
   scheduleAnalysis(): void {
     this.cancelAnalysis ??= this.options.timeline.after(
@@ -118,10 +132,22 @@
     );
     const parts = new Set(records.flatMap((record) => record.parts));
     completions.retain((part) => parts.has(part));
+    this.recordSuspects();
     this.announceCompletions();
     this.updateHolds(records);
   }
 
+  private recordSuspects(): void {
+    const { suspects } = this.analysis;
+    const now = this.options.timeline.read();
+    for (const part of this.suspectedSince.keys()) {
+      if (!suspects.has(part)) this.suspectedSince.delete(part);
+    }
+    for (const part of suspects) {
+      if (!this.suspectedSince.has(part)) this.suspectedSince.set(part, now);
+    }
+  }
+
   private announceCompletions(): void {
     const { completions, onAnnouncements } = this.options;
     for (const part of this.analysis.suspects) completions.announce(part);
@@ -132,9 +158,10 @@
     const now = this.options.timeline.read();
     const before = new Map(this.holds.map((hold) => [hold.key, hold]));
     this.holds = this.analysis.causes.flatMap((cause) => {
-      const crashTimes = findCrashTimes(records, cause);
-      const settledAt = (crashTimes[1] ?? now) + SETTLING_MS;
-      if (now >= settledAt) return [createPartHold(cause, crashTimes)];
+      const settledAt = this.getSettledAt(cause, now);
+      if (now >= settledAt) {
+        return [createPartHold(cause, findCrashTimes(records, cause))];
+      }
       this.analyzeAt(settledAt);
       return [];
     });
@@ -148,6 +175,13 @@
     }
   }
 
+  /** Returns the monotonic milliseconds at which enough time for reports of completions has passed. */
+  private getSettledAt({ parts }: CrashCause, now: number): number {
+    if (this.confirmed.has(createHoldKey(parts))) return now;
+    const since = parts.map((part) => this.suspectedSince.get(part) ?? now);
+    return Math.max(...since) + SETTLING_MS;
+  }
+
   private begin({ key, cause, heldUntil }: PartHold, now: number): void {
     const { logger, onHeld } = this.options;
     const { crashes, completions } = cause;
--- a/src/peer/frame_schema.ts
+++ b/src/peer/frame_schema.ts
@@ -1,5 +1,8 @@
 import { z } from "zod";
-import { completionCountSchema } from "../crashes/crash_news.ts";
+import {
+  completionCountSchema,
+  heldPartsSchema,
+} from "../crashes/crash_news.ts";
 import { crashReportSchema } from "../crashes/crash_report.ts";
 import { hostListSchema } from "../configuration_service/host_schema.ts";
 import { publishedValueSchema } from "../configuration/document_schema.ts";
@@ -172,6 +175,7 @@
     exchange,
     words: z.array(crashReportSchema),
     completions: z.array(completionCountSchema),
+    heldParts: heldPartsSchema,
   }),
 ] as const;
 
--- a/src/peers/datagram_codec.ts
+++ b/src/peers/datagram_codec.ts
@@ -1,6 +1,9 @@
 import { pack, unpack } from "msgpackr";
 import { z } from "zod";
-import { completionCountSchema } from "../crashes/crash_news.ts";
+import {
+  completionCountSchema,
+  heldPartsSchema,
+} from "../crashes/crash_news.ts";
 import {
   packCrashReport,
   packedCrashReportSchema,
@@ -91,15 +94,17 @@
   },
   crash_words: {
     typeCode: 6,
-    pack: ({ news: { reports, completions } }) => [
+    pack: ({ news: { reports, completions, heldParts } }) => [
       reports.map(packCrashReport),
       completions,
+      heldParts,
     ],
     schema: z.tuple([
       z.array(packedCrashReportSchema),
       z.array(completionCountSchema),
-    ]).transform(([reports, completions]) => (
-      { type: "crash_words", news: { reports, completions } }
+      heldPartsSchema,
+    ]).transform(([reports, completions, heldParts]) => (
+      { type: "crash_words", news: { reports, completions, heldParts } }
     )),
   },
   probe_ack: {
--- a/src/router/frame_handlers.ts
+++ b/src/router/frame_handlers.ts
@@ -39,6 +39,7 @@
       crashes.guard.mergeNews({
         reports: frame.words,
         completions: frame.completions,
+        heldParts: frame.heldParts,
       }),
     outcome: (port, frame) => void sendOutcome(outcomes, port, frame),
     pull_hosts: (port, frame) =>
--- a/src/router/router_crash_tracker.ts
+++ b/src/router/router_crash_tracker.ts
@@ -103,7 +103,7 @@
 
   private async send(
     routerId: string,
-    { reports, completions }: CrashNews,
+    { reports, completions, heldParts }: CrashNews,
   ): Promise<void> {
     const client = await this.options.connectionPool.getClient(routerId);
     client?.send({
@@ -111,6 +111,7 @@
       exchange: 0,
       words: [...reports],
       completions: [...completions],
+      heldParts: heldParts.map((parts) => [...parts]),
     });
   }
 }
--- a/tests/crashes/crash_gossip_test.ts
+++ b/tests/crashes/crash_gossip_test.ts
@@ -7,6 +7,7 @@
 import { type TestSocket, withSockets } from "../peers/with_sockets.ts";
 
 const REQUEST = 0xc0ffee123456;
+const WITHOUT_HOLDS = { heldParts: [], confirm: () => undefined };
 const WITHOUT_PARTS = {
   onPromptCrash: () => undefined,
   getSuspicion: () => 0,
@@ -29,7 +30,11 @@
     onHeld: () => undefined,
     ...WITHOUT_PARTS,
   });
-  const news = CrashNewsSource.create(crashStore, CompletionCounts.create(1));
+  const news = CrashNewsSource.create(
+    crashStore,
+    CompletionCounts.create(1),
+    WITHOUT_HOLDS,
+  );
   socket.handle(
     "crash_words",
     (datagram) => news.merge(datagram.news, performance.now()),
@@ -100,7 +105,11 @@
   });
   const receivers: string[] = [];
   const gossip = CrashGossip.create({
-    news: CrashNewsSource.create(store, CompletionCounts.create(1)),
+    news: CrashNewsSource.create(
+      store,
+      CompletionCounts.create(1),
+      WITHOUT_HOLDS,
+    ),
     send: (host) => void receivers.push(host),
     getHosts: () => ["other"],
   });
--- a/tests/peers/datagram_codec_test.ts
+++ b/tests/peers/datagram_codec_test.ts
@@ -118,6 +118,7 @@
         parts: [2 ** 32 - 1],
       }],
       completions: [[2 ** 32 - 1, 5, 3]],
+      heldParts: [[7, 2 ** 32 - 1]],
     },
   },
 };
--- a/tests/peers/datagram_fuzz_test.ts
+++ b/tests/peers/datagram_fuzz_test.ts
@@ -19,6 +19,7 @@
       parts: [3],
     }],
     completions: [[3, 9, 1]],
+    heldParts: [[3]],
   },
 });
 
