--- a/src/forward/routed_call.ts
+++ b/src/forward/routed_call.ts
@@ -1,4 +1,7 @@
-import type { TrackedRequest } from "../crashes/interrupted_request.ts";
+import {
+  MAX_TRACKED_PARTS,
+  type TrackedRequest,
+} from "../crashes/interrupted_request.ts";
 import type { Route } from "../published/configuration_schema.ts";
 import type { ResumedStream } from "../streams/stream_record.ts";
 import type { HashedPromptPart } from "../upstreams/prefix_index.ts";
@@ -51,6 +54,6 @@
 export function toTrackedRequest(
   { requestId, fingerprint, sharedParts }: RoutedCall,
 ): TrackedRequest {
-  const parts = sharedParts.map(({ name }) => name);
+  const parts = sharedParts.slice(0, MAX_TRACKED_PARTS).map(({ name }) => name);
   return { requestId, fingerprint, parts };
 }
--- /dev/null
+++ b/tests/crashes/crash_guard_test.ts
@@ -0,0 +1,143 @@
+import test from "ava";
+import { pino } from "pino";
+import { CrashGuard } from "../../src/crashes/crash_guard.ts";
+import type { TrackedRequest } from "../../src/crashes/interrupted_request.ts";
+import type { RequestHold } from "../../src/crashes/request_hold.ts";
+import { VirtualTimeline } from "../clock/virtual_timeline.ts";
+
+const FIRST = 1;
+const CRASHING = 2;
+const OTHER = 3;
+/** Time for which a guard that has heard of a crash collects reports before it holds a part, and a bit. */
+const SETTLED_MS = 600;
+/** Time until the first trial of a held part. */
+const FIRST_HOLD_MS = 30_000;
+
+interface TestGuard {
+  guard: CrashGuard;
+  timeline: VirtualTimeline;
+  holds: RequestHold[];
+  /** Crashes an upstream with a new prompt. */
+  crashWith: (...parts: number[]) => Promise<void>;
+}
+
+function createGuard(isTrialHost = true): TestGuard {
+  const timeline = VirtualTimeline.create();
+  const holds: RequestHold[] = [];
+  const guard = CrashGuard.create({
+    logger: pino({ level: "silent" }),
+    formatFingerprint: String,
+    onPendingNews: () => undefined,
+    onHeld: (hold) => holds.push(hold),
+    onCrash: () => undefined,
+    onCrashReported: () => undefined,
+    isTrialHost: () => isTrialHost,
+    check: () => Promise.resolve("refused"),
+    timeline,
+  });
+  let crashes = 0;
+  const crashWith = async (...parts: number[]) => {
+    crashes += 1;
+    const instance = {
+      id: `u-${crashes}`,
+      instanceHash: crashes,
+      address: "",
+      isEndExpected: false,
+    };
+    guard.recordInterruption(instance, buildRequest(...parts), false);
+    for (let turn = 0; turn < 3; turn++) await undefined;
+    timeline.runUntil(timeline.read() + 1_000);
+  };
+  return { guard, timeline, holds, crashWith };
+}
+
+let requests = 0;
+
+function buildRequest(...parts: number[]): TrackedRequest {
+  requests += 1;
+  return { requestId: `r-${requests}`, fingerprint: requests, parts };
+}
+
+/** Creates a guard that holds the crashing part. */
+async function createHolding(isTrialHost = true): Promise<TestGuard> {
+  const holding = createGuard(isTrialHost);
+  const { guard, crashWith } = holding;
+  for (let count = 0; count < 10; count++) {
+    guard.recordCompletion(buildRequest(FIRST, OTHER), false);
+  }
+  for (let count = 0; count < 3; count++) await crashWith(FIRST, CRASHING);
+  return holding;
+}
+
+test("different prompts with a part that crashed three upstreams are refused without a retry time, others are not", async (t) => {
+  const { guard, holds } = await createHolding();
+  const refusal = guard.findRefusal(buildRequest(FIRST, CRASHING, OTHER));
+  t.is(refusal?.kind, "prompt_crashes_upstreams");
+  t.is(refusal?.headers["retry-after"], undefined);
+  t.is(guard.findRefusal(buildRequest(FIRST, OTHER)), undefined);
+  t.true(holds.at(-1)!.concerns(buildRequest(CRASHING)));
+  t.false(holds.at(-1)!.concerns(buildRequest(FIRST)));
+});
+
+test("a prompt that was interrupted is not sent again if its part has crashed another upstream", async (t) => {
+  const { guard, crashWith } = createGuard();
+  const first = buildRequest(FIRST, CRASHING);
+  t.true(guard.mayRetry(first));
+  guard.recordCompletion(buildRequest(FIRST), false);
+  guard.recordCompletion(buildRequest(FIRST), false);
+  await crashWith(FIRST, CRASHING);
+  const second = buildRequest(FIRST, CRASHING);
+  const instance = {
+    id: "u",
+    instanceHash: 99,
+    address: "",
+    isEndExpected: false,
+  };
+  guard.recordInterruption(instance, second, false);
+  t.false(guard.mayRetry(second));
+  const sound = buildRequest(FIRST, OTHER);
+  guard.recordInterruption(instance, sound, false);
+  t.true(guard.mayRetry(sound));
+});
+
+test("when a hold is over, only the trial host sends, and only one prompt", async (t) => {
+  const [trying, other] = [await createHolding(), await createHolding(false)];
+  for (const { timeline } of [trying, other]) {
+    timeline.runUntil(timeline.read() + FIRST_HOLD_MS);
+  }
+  t.truthy(other.guard.findRefusal(buildRequest(CRASHING)));
+  t.is(trying.guard.findRefusal(buildRequest(CRASHING)), undefined);
+  t.truthy(trying.guard.findRefusal(buildRequest(CRASHING)));
+});
+
+test("a trial that crashes an upstream prolongs the hold", async (t) => {
+  const { guard, timeline, crashWith } = await createHolding();
+  timeline.runUntil(timeline.read() + FIRST_HOLD_MS);
+  await crashWith(FIRST, CRASHING);
+  timeline.runUntil(timeline.read() + 2 * FIRST_HOLD_MS);
+  t.truthy(guard.findRefusal(buildRequest(CRASHING)));
+  timeline.runUntil(timeline.read() + 10 * FIRST_HOLD_MS);
+  t.is(guard.findRefusal(buildRequest(CRASHING)), undefined);
+});
+
+test("trials that complete release the part", async (t) => {
+  const { guard, timeline } = await createHolding();
+  timeline.runUntil(timeline.read() + FIRST_HOLD_MS);
+  const trial = buildRequest(FIRST, CRASHING);
+  t.is(guard.findRefusal(trial), undefined);
+  guard.recordCompletion(trial, false);
+  timeline.runUntil(timeline.read() + SETTLED_MS);
+  for (let count = 0; count < 5; count++) {
+    t.is(guard.findRefusal(buildRequest(FIRST, CRASHING)), undefined);
+  }
+});
+
+// Guards against a host that has just started and forwards prompts that the others hold.
+test("a guard holds a part at once by the news of a host that holds it", async (t) => {
+  const holding = await createHolding();
+  const { guard, timeline } = createGuard();
+  guard.mergeNews(holding.guard.news.takePending(holding.timeline.read()));
+  timeline.runUntil(100);
+  t.truthy(guard.findRefusal(buildRequest(FIRST, CRASHING)));
+  t.is(guard.findRefusal(buildRequest(FIRST, OTHER)), undefined);
+});
