Refuse requests that a stopping router can't finish

What callers saw: a stopping router of serve took chats until its address had gone out of use, and cut those that were longer than what was left of its stop. A router now refuses such requests as not run (draining), by the durations of answered requests of the same kind, and closes callers' connections after their responses from the start of the stop, so that fewer requests cross the close.

--- a/src/gateway/call_durations.ts
+++ b/src/admission/call_durations.ts
@@ -1,4 +1,4 @@
-import { getOrCreateLruEntry } from "../admission/lru_entry.ts";
+import { getOrCreateLruEntry } from "./lru_entry.ts";
 
 /** Maximum number of tracked routes. Bounded because routes come and go with each configuration. */
 const MAX_TRACKED_ROUTES = 2_000;
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -8,6 +8,7 @@
 import type { PlacementTable } from "../placement/placement_table.ts";
 import type { RouterStatus } from "../router/router_status.ts";
 import type { Settings } from "../settings/settings_schema.ts";
+import type { DrainAdmission } from "./drain_admission.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import type { OutcomeStore } from "./outcome_store.ts";
 
@@ -24,6 +25,7 @@
   connectionPool: PeerConnectionPool;
   dispatcher: Dispatcher;
   outcomes: OutcomeStore;
+  drain: DrainAdmission;
   getView: () => FleetView;
   getPlacement: () => PlacementTable;
   getPhase: () => RouterPhase;
--- a/src/entry/run_request.ts
+++ b/src/entry/run_request.ts
@@ -6,9 +6,11 @@
 import { parseKeyTimestamp } from "../witness/key_timestamp.ts";
 import type { KeyRecord } from "../witness/key_record.ts";
 import { createDisconnectSignal } from "./caller_checks.ts";
+import type { DispatchResult } from "./dispatch_progress.ts";
 import type { EntryContext } from "./entry_context.ts";
 import type { Outcome, StoredResponse } from "./outcome_store.ts";
 import { getRequestIdentity, type RoutedRequest } from "./routed_request.ts";
+import type { ResponseSink } from "./response_sink.ts";
 import { StreamSink } from "./stream_sink.ts";
 import { BufferedSink } from "./buffered_sink.ts";
 
@@ -30,12 +32,24 @@
   request: RoutedRequest,
   response: ServerResponse,
 ): Promise<void> {
+  context.drain.assertFits(request);
   const sink = StreamSink.create(response, request.requestId);
-  await context.dispatcher.dispatch(
-    request,
-    sink,
-    createDisconnectSignal(response),
-  );
+  await dispatch(context, request, sink, createDisconnectSignal(response));
+}
+
+/** Dispatches a request, and records how long an answer took. */
+async function dispatch(
+  { dispatcher, drain }: EntryContext,
+  request: RoutedRequest,
+  sink: ResponseSink,
+  disconnectSignal: AbortSignal,
+): Promise<DispatchResult> {
+  const startedAt = readClock();
+  const result = await dispatcher.dispatch(request, sink, disconnectSignal);
+  if (result.type === "done") {
+    drain.recordAnswer(request, readClock() - startedAt);
+  }
+  return result;
 }
 
 /** Runs a request and sends its response when it is complete.
@@ -50,6 +64,7 @@
   response: ServerResponse,
   transform: ResponseTransform,
 ): Promise<void> {
+  context.drain.assertFits(request);
   const result = request.key === undefined
     ? await dispatchUnkeyed(context, request, response, transform)
     : await runIdempotent(context, request, request.key, response, transform);
@@ -138,7 +153,8 @@
   const disconnectSignal = request.repeatable
     ? createDisconnectSignal(response)
     : new AbortController().signal;
-  const dispatchResult = await context.dispatcher.dispatch(
+  const dispatchResult = await dispatch(
+    context,
     request,
     sink,
     disconnectSignal,
--- a/src/gateway/stop_admission.ts
+++ b/src/gateway/stop_admission.ts
@@ -1,6 +1,6 @@
 import { Failure } from "../errors/failure.ts";
 import type { AdmittedCall } from "../forward/admit_call.ts";
-import { CallDurations } from "./call_durations.ts";
+import { CallDurations } from "../admission/call_durations.ts";
 import type { GracefulStop } from "./graceful_stop.ts";
 
 /** Dependencies of a {@link StopAdmission}. */
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -9,6 +9,7 @@
 import { PauseDetector } from "../clock/pause_detector.ts";
 import { ConfigurationReplica } from "../configuration/configuration_replica.ts";
 import { CallerServer } from "../entry/caller_server.ts";
+import { DrainAdmission } from "../entry/drain_admission.ts";
 import { Dispatcher } from "../entry/dispatcher.ts";
 import type { RouterPhase } from "../entry/entry_context.ts";
 import { OutcomeStore } from "../entry/outcome_store.ts";
@@ -65,6 +66,7 @@
   /** @internal */
   readonly crashes: RouterCrashTracker;
   private readonly dispatcher: Dispatcher;
+  private readonly drainAdmission = DrainAdmission.create();
   private readonly hostListPuller: HostListPuller;
   private membership: Membership | undefined;
   private platform: PlatformWatcher | undefined;
@@ -141,10 +143,12 @@
       { openRequests: this.callerServer?.openRequests },
       "drain_started",
     );
+    this.drainAdmission.start(this.settings.drain.limitMs);
     this.membership?.setUnavailable(true);
+    // Callers that reuse connections would otherwise send on one that is about to be closed.
+    this.callerServer?.startDraining();
     await this.witness.drain();
     await delay(this.settings.locate.lifetimeMs);
-    this.callerServer?.startDraining();
     this.callerServer?.stopListening();
     this.owner.stopAccepting();
     while (this.isBusy && readClock() < deadlineAt) {
@@ -254,6 +258,7 @@
       connectionPool,
       dispatcher,
       outcomes,
+      drain: this.drainAdmission,
       getView: () => this.view,
       getPlacement: () => this.placement,
       getPhase: () => this.phase,
--- a/tests/gateway/call_durations_test.ts
+++ b/tests/admission/call_durations_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { CallDurations } from "../../src/gateway/call_durations.ts";
+import { CallDurations } from "../../src/admission/call_durations.ts";
 import { Random } from "../../src/random/random.ts";
 
 const ROUTE = "r";
