--- a/src/crashes/analyze_crashes.ts
+++ b/src/crashes/analyze_crashes.ts
@@ -60,6 +60,8 @@
   readonly causes: readonly CrashCause[];
   /** Scores of the parts that are no causes, for the crashes that no cause explains. */
   readonly scores: ReadonlyMap<number, number>;
+  /** Hashes of the instances whose crash a cause explains. */
+  readonly explained: ReadonlySet<number>;
   /** Parts of which it matters how often they have completed. */
   readonly suspects: ReadonlySet<number>;
 }
@@ -78,17 +80,21 @@
   const suspects = new Set(
     evidence.filter(isSuspect).map(({ part }) => part),
   );
+  const explained = new Set<number>();
   let unexplained = prompts;
   let likeliest = findLikeliest(evidence);
   while (likeliest) {
     const cause = buildCause(likeliest, evidence);
     causes.push(cause);
-    unexplained = removeExplained(unexplained, cause);
+    for (const instance of findInstances(unexplained, cause)) {
+      explained.add(instance);
+    }
+    unexplained = removeCrashes(unexplained, explained);
     evidence = collectEvidence(unexplained, getCompletions);
     likeliest = findLikeliest(evidence);
   }
   const scores = evidence.map(({ part, score }) => [part, score] as const);
-  return { causes, scores: new Map(scores), suspects };
+  return { causes, scores: new Map(scores), explained, suspects };
 }
 
 /** Whether a prompt contains all parts of a cause.
@@ -200,18 +206,22 @@
   return { parts: parts.sort((a, b) => a - b), crashes, completions };
 }
 
-/** Removes the crashes of the instances that had a prompt of a cause in flight. */
-function removeExplained(
+/** Returns the hashes of the crashed instances that had a prompt of a cause in flight. */
+function findInstances(
   prompts: readonly InterruptedPrompt[],
   cause: CrashCause,
-): InterruptedPrompt[] {
-  const explained = new Set(
-    prompts.filter(({ parts }) => isCausedBy(parts, cause)).flatMap((
-      { crashes },
-    ) => crashes.map(([instance]) => instance)),
+): number[] {
+  return prompts.filter(({ parts }) => isCausedBy(parts, cause)).flatMap(
+    ({ crashes }) => crashes.map(([instance]) => instance),
   );
+}
+
+function removeCrashes(
+  prompts: readonly InterruptedPrompt[],
+  instances: ReadonlySet<number>,
+): InterruptedPrompt[] {
   return prompts.flatMap(({ parts, crashes, lastCrashAt }) => {
-    const rest = crashes.filter(([instance]) => !explained.has(instance));
+    const rest = crashes.filter(([instance]) => !instances.has(instance));
     return rest.length > 0 ? [{ parts, crashes: rest, lastCrashAt }] : [];
   });
 }
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -198,6 +198,7 @@
         this.parts.scheduleAnalysis();
       },
       getSuspicion: (parts) => this.parts.getSuspicion(parts),
+      isExplained: (instanceHash) => this.parts.explains(instanceHash),
       isHeld: (parts) => this.parts.find(parts) !== undefined,
     });
   }
--- a/src/crashes/crash_record.ts
+++ b/src/crashes/crash_record.ts
@@ -48,11 +48,15 @@
 
   /** Sum of the points of all crashes that are not excused. */
   get points(): number {
-    return [...this.crashes].reduce(
-      (sum, [instanceHash, points]) =>
-        this.excused.has(instanceHash) ? sum : sum + points,
-      0,
-    );
+    return this.getPoints(() => false);
+  }
+
+  /** Returns the sum of the points of the crashes that are neither excused nor explained by something else.
+   * @param isExplained Whether the crash of an instance is explained. */
+  getPoints(isExplained: (instanceHash: number) => boolean): number {
+    return [...this.crashes].filter(([instanceHash]) =>
+      !this.excused.has(instanceHash) && !isExplained(instanceHash)
+    ).reduce((sum, [, points]) => sum + points, 0);
   }
 
   /** Whether the points meet the threshold for a hold, as the crashes are more than chance; the hold may be over. */
--- a/src/crashes/crash_store.ts
+++ b/src/crashes/crash_store.ts
@@ -1,5 +1,5 @@
 import type { Random } from "../random/random.ts";
-import { CrashRecord } from "./crash_record.ts";
+import { CrashRecord, HOLD_THRESHOLD_POINTS } from "./crash_record.ts";
 import type { CrashReport } from "./crash_report.ts";
 
 /** Maximum number of records; a hundred of them take some kilobytes. Beyond it, the oldest one that is not held is
@@ -40,6 +40,8 @@
   onPromptCrash(parts: readonly number[]): void;
   /** Returns how much the prompt parts of a request are suspected to crash upstreams: the highest of their scores. */
   getSuspicion(parts: readonly number[]): number;
+  /** Whether a held prompt part explains the crash of an instance, so that it does not count against whole requests. */
+  isExplained(instanceHash: number): boolean;
   /** Whether some of the prompt parts of a request are held, so that the hold depends on its record. */
   isHeld(parts: readonly number[]): boolean;
 }
@@ -79,7 +81,9 @@
   /** Returns the points of a request.
    * @param fingerprint Fingerprint of the request. */
   getPoints(fingerprint: number): number {
-    return this.records.get(fingerprint)?.points ?? 0;
+    return this.records.get(fingerprint)?.getPoints((instanceHash) =>
+      this.listener.isExplained(instanceHash)
+    ) ?? 0;
   }
 
   /** Returns the hold of a request, or undefined if it is not held.
@@ -88,7 +92,10 @@
   getHold(fingerprint: number, now: number): CrashHold | undefined {
     const record = this.records.get(fingerprint);
     if (!record || record.heldUntil <= now) return undefined;
-    return { points: record.points, remainingMs: record.heldUntil - now };
+    const points = this.getPoints(fingerprint);
+    return points < HOLD_THRESHOLD_POINTS
+      ? undefined
+      : { points, remainingMs: record.heldUntil - now };
   }
 
   /** Records that a request was in flight on an instance when that crashed, unless the request completed recently.
@@ -182,7 +189,8 @@
     this.enqueue(fingerprint);
     if (parts.length > 0) this.listener.onPromptCrash(parts);
     if (record.heldUntil <= Math.max(before, now)) return true;
-    this.listener.onHeld(fingerprint, this.getHold(fingerprint, now)!);
+    const hold = this.getHold(fingerprint, now);
+    if (hold) this.listener.onHeld(fingerprint, hold);
     return true;
   }
 
--- a/src/crashes/part_holds.ts
+++ b/src/crashes/part_holds.ts
@@ -24,6 +24,7 @@
 const NOTHING_KNOWN: CrashAnalysis = {
   causes: [],
   scores: new Map(),
+  explained: new Set(),
   suspects: new Set(),
 };
 
@@ -80,6 +81,12 @@
     this.scheduleAnalysis();
   }
 
+  /** Whether a held part explains the crash of an instance.
+   * @param instanceHash Hash of the instance. */
+  explains(instanceHash: number): boolean {
+    return this.holds.length > 0 && this.analysis.explained.has(instanceHash);
+  }
+
   /** Returns the highest score of the parts of a prompt, without the crashes that a cause explains.
    * @param parts Hashes of the parts. */
   getSuspicion(parts: readonly number[]): number {
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -233,7 +233,9 @@
     this.attempt = undefined;
     this.budget.recordNotRun();
     this.recordDecline(upstream, status, headers);
-    this.retryAfterDecline(`declined with ${status}`);
+    const detail = `declined with ${status}`;
+    if (this.budget.spendRetryAfterNotRun()) this.sendToNext(detail);
+    else this.giveUp(detail);
   }
 
   private recordDecline(
@@ -298,12 +300,6 @@
     else this.giveUp(detail);
   }
 
-  /** Retries or gives up after an attempt that certainly did not run the request. */
-  private retryAfterDecline(detail: string): void {
-    if (this.budget.spendRetryAfterNotRun()) return this.sendToNext(detail);
-    this.giveUp(detail);
-  }
-
   /** Refuses the call because no upstream is left. */
   private giveUp(detail: string): void {
     this.refuse(this.refusal.chooseKind(this.budget.mayHaveRun), detail);
--- a/src/gateway/crash_exchange.ts
+++ b/src/gateway/crash_exchange.ts
@@ -3,12 +3,15 @@
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { DatagramPort } from "../peers/datagram_socket.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
+import type { HostRing } from "../peers/host_ring.ts";
 import type { Random } from "../random/random.ts";
 
 /** Dependencies of a {@link CrashExchange}. */
 export interface CrashExchangeOptions {
   socket: DatagramPort;
   guard: CrashGuard;
+  /** Ring of the hosts that take requests. */
+  ring: HostRing;
   /** Returns the gossip addresses of the other live hosts. */
   getHosts: () => readonly string[];
   /** Clock and timers; those of the process by default. */
@@ -20,7 +23,7 @@
 export class CrashExchange {
   private readonly gossip: CrashGossip;
 
-  private constructor(options: CrashExchangeOptions) {
+  private constructor(private readonly options: CrashExchangeOptions) {
     const { socket, guard, getHosts, timeline, random } = options;
     socket.handle("crash_words", ({ news }) => guard.mergeNews(news));
     this.gossip = CrashGossip.create({
@@ -49,6 +52,12 @@
     this.gossip.informStarted(gossipAddress, incarnation);
   }
 
+  /** Whether this host is the one that tries whether a held prompt part still crashes upstreams.
+   * @param part Hash of the part. */
+  isTrialHost(part: number): boolean {
+    return this.options.ring.isFirst(part);
+  }
+
   /** Stops the gossip. */
   close(): void {
     this.gossip.close();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -185,9 +185,10 @@
       logger: this.logger,
       formatFingerprint,
       check: ({ instanceHash }) => this.paths.checkCrash(instanceHash),
-      onPendingNews: () => this.peerNetwork?.announceCrashes(),
+      onPendingNews: () => this.peerNetwork?.crashes.announce(),
       onHeld: (hold) => this.handler.refuseHeldCalls(hold),
-      isTrialHost: (part) => this.peerNetwork?.isTrialHost(part) ?? false,
+      isTrialHost: (part) =>
+        this.peerNetwork?.crashes.isTrialHost(part) ?? false,
       onCrash: (instanceHash) => {
         this.metrics.recordCrash();
         this.chooser.markCrashed(instanceHash);
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -54,6 +54,8 @@
 export class PeerNetwork {
   /** Exchanges reports of upstreams to which hosts could not connect. */
   readonly outages: OutageExchange;
+  /** Exchanges what is known of crashed upstreams. */
+  readonly crashes: CrashExchange;
   /** Where the streams of the fleet began. */
   readonly streams: StreamDirectory;
   /** Serves the list of all known hosts to other hosts, and fetches theirs. */
@@ -62,9 +64,6 @@
   private readonly gossip: Gossip;
   private readonly statusPoller: PublicationStatusPoller;
   private readonly directory: PrefixDirectory;
-  private readonly crashes: CrashExchange;
-  /** Ring of the hosts that take requests. */
-  private readonly servingRing: HostRing;
 
   private constructor(
     private readonly options: PeerNetworkOptions,
@@ -99,10 +98,10 @@
       knowsFleet: () => this.knowsFleet,
       getRetainedFraction: (withinMs) => this.getRetainedFraction(withinMs),
     });
-    this.servingRing = this.createRing(takesRequests);
     this.crashes = CrashExchange.create({
       socket,
       guard: options.guard,
+      ring: this.createRing(takesRequests),
       getHosts: () => this.getLiveAddresses(),
     });
     this.outages = this.createOutageExchange(gossipAddress);
@@ -185,11 +184,6 @@
     this.gossip.announce();
   }
 
-  /** Sends pending crash reports to other hosts soon: which requests were in flight at crashed upstreams. */
-  announceCrashes(): void {
-    this.crashes.announce();
-  }
-
   /** Whether hosts look up cached prompt parts in a directory, because the fleet is too large for each host to know all
    * of them. */
   get usesDirectory(): boolean {
@@ -203,12 +197,6 @@
     } else this.gossip.announce();
   }
 
-  /** Whether this host is the one that tries whether a held prompt part still crashes upstreams.
-   * @param part Hash of the part. */
-  isTrialHost(part: number): boolean {
-    return this.servingRing.isFirst(part);
-  }
-
   /** In a large fleet, asks other hosts which engines have a prompt part cached if none is known here. Returns
    * undefined if no other host is asked.
    * @param part Hash of the part. */
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -239,25 +239,15 @@
   }
 
   private createEntryContext() {
-    const {
-      settings,
-      logger,
-      metrics,
-      audit,
-      configuration,
-      connectionPool,
-      dispatcher,
-      outcomes,
-    } = this;
     return {
-      settings,
-      logger,
-      metrics,
-      audit,
-      configuration,
-      connectionPool,
-      dispatcher,
-      outcomes,
+      settings: this.settings,
+      logger: this.logger,
+      metrics: this.metrics,
+      audit: this.audit,
+      configuration: this.configuration,
+      connectionPool: this.connectionPool,
+      dispatcher: this.dispatcher,
+      outcomes: this.outcomes,
       drain: this.drainAdmission,
       getView: () => this.view,
       getPlacement: () => this.placement,
--- a/tests/crashes/crash_fleet.ts
+++ b/tests/crashes/crash_fleet.ts
@@ -57,7 +57,6 @@
   index: number;
   guard: CrashGuard;
   exchange: CrashExchange;
-  ring: HostRing;
   timeline: StartedHost["timeline"];
   avoided: Map<number, number>;
 }
@@ -220,7 +219,7 @@
         );
         if (known) guard.checkReportedCrash(known);
       },
-      isTrialHost: (part) => ring.isFirst(part),
+      isTrialHost: (part) => exchange.isTrialHost(part),
       check: (upstream) => this.check(upstream, timeline),
       timeline,
       random: this.random.fork(),
@@ -228,11 +227,12 @@
     const exchange = CrashExchange.create({
       socket,
       guard,
+      ring,
       getHosts: () => getLive().map(({ gossipAddress }) => gossipAddress),
       timeline,
       random: this.random.fork(),
     });
-    const host = { index, guard, exchange, ring, timeline, avoided };
+    const host = { index, guard, exchange, timeline, avoided };
     this.hosts.set(index, host);
     return () => {
       guard.close();
--- a/tests/crashes/crash_gossip_test.ts
+++ b/tests/crashes/crash_gossip_test.ts
@@ -11,6 +11,7 @@
 const WITHOUT_PARTS = {
   onPromptCrash: () => undefined,
   getSuspicion: () => 0,
+  isExplained: () => false,
   isHeld: () => false,
 };
 
--- a/tests/crashes/crash_guard_test.ts
+++ b/tests/crashes/crash_guard_test.ts
@@ -141,3 +141,25 @@
   t.truthy(guard.findRefusal(buildRequest(FIRST, CRASHING)));
   t.is(guard.findRefusal(buildRequest(FIRST, OTHER)), undefined);
 });
+
+// Guards against sound requests that are held because they were interrupted twice by the crashes of a held part.
+test("a request is not held for crashes that a held part explains", async (t) => {
+  const { guard, timeline } = createGuard();
+  const bystander = buildRequest(FIRST, OTHER);
+  for (let count = 1; count <= 4; count++) {
+    const instance = {
+      id: `u-${count}`,
+      instanceHash: count,
+      address: "",
+      isEndExpected: false,
+    };
+    guard.recordCompletion(buildRequest(FIRST, OTHER), false);
+    guard.recordInterruption(instance, buildRequest(FIRST, CRASHING), false);
+    if (count <= 2) guard.recordInterruption(instance, bystander, false);
+    for (let turn = 0; turn < 3; turn++) await undefined;
+    timeline.runUntil(timeline.read() + 1_000);
+    if (count === 2) t.truthy(guard.findRefusal(bystander));
+  }
+  t.truthy(guard.findRefusal(buildRequest(CRASHING)));
+  t.is(guard.findRefusal(bystander), undefined);
+});
--- a/tests/crashes/crash_store_test.ts
+++ b/tests/crashes/crash_store_test.ts
@@ -17,6 +17,7 @@
     onHeld: (fingerprint) => held.push(fingerprint),
     onPromptCrash: () => undefined,
     getSuspicion: () => 0,
+    isExplained: () => false,
     isHeld: () => false,
   });
   return { store, held, heard };
