Hold parts that crash three of ten upstreams

The least fraction of crashes is 0.3 instead of 0.5; the order of the causes keeps the first part of all prompts from being blamed.

--- a/src/crashes/analyze_crashes.ts
+++ b/src/crashes/analyze_crashes.ts
@@ -13,7 +13,7 @@
 const CAUSE_THRESHOLD = 3;
 /** Minimum fraction of the prompts with a cause that crash upstreams. A part of most prompts is in flight at the crashes of
  * several causes. */
-const MIN_CRASH_FRACTION = 0.5;
+const MIN_CRASH_FRACTION = 0.3;
 /** Minimum weighted number of crashes of a part that is a suspect. */
 const SUSPECT_CRASHES = 2;
 /** Score up to which a part is no suspect, since one more crash would not make it a cause. */
--- a/src/forward/attempt_outcomes.ts
+++ b/src/forward/attempt_outcomes.ts
@@ -32,6 +32,11 @@
     return new AttemptOutcomes(call, context);
   }
 
+  /** Whether the crash guard allows sending the request, after it failed, to another upstream. */
+  get maySendAgain(): boolean {
+    return this.context.crashes.mayRetry(toTrackedRequest(this.call));
+  }
+
   /** Records that the first event of a response was received. */
   recordBegin(): void {
     this.context.crashes.recordBegin(toTrackedRequest(this.call));
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -25,7 +25,7 @@
 import { formatSilence } from "./silence_detector.ts";
 import { SilenceHandler } from "./silence_handler.ts";
 import { StreamTracker } from "./stream_tracker.ts";
-import { type RoutedCall, toTrackedRequest } from "./routed_call.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import { UpstreamPicker } from "./upstream_picker.ts";
 
 /** An attempt is not started with less time than this left, in milliseconds. */
@@ -148,11 +148,6 @@
     return this.budget.mayHaveRun || (this.attempt?.wasSent ?? false);
   }
 
-  /** Whether the crash guard allows sending a request that failed to another upstream. */
-  private get maySendAgain(): boolean {
-    return this.context.crashes.mayRetry(toTrackedRequest(this.call));
-  }
-
   private get progress(): AttemptProgress {
     return {
       attempt: this.picker.attempts,
@@ -162,7 +157,7 @@
 
   /** Sends the request to the next upstream; refuses the call if none is left or the request would likely crash it. */
   private sendToNext(reason: string): void {
-    if (this.picker.attempts > 0 && !this.maySendAgain) {
+    if (this.picker.attempts > 0 && !this.outcomes.maySendAgain) {
       return this.refuseHeld("crashes_upstreams", `held after ${reason}`);
     }
     const choice = this.picker.pick();
@@ -254,7 +249,7 @@
     const isInProgress = !this.isFinished &&
       this.attempt?.upstream === upstream;
     if (!isInProgress || !this.budget.allowsRun(1)) return;
-    if (!this.maySendAgain) return;
+    if (!this.outcomes.maySendAgain) return;
     const alternative = this.picker.pick();
     if (!alternative || !this.budget.spendRetry()) return;
     const wasSent = this.attempt?.wasSent ?? false;
