Retry no held prompts, and discard trials of parts that are released

Found by reading: a prompt with a held part whose attempt failed without an interruption, such as a decline, could be sent to another upstream, and the trials of released parts were never discarded. A part that was counted in the window is counted on when the window is full.

--- a/src/crashes/completion_counts.ts
+++ b/src/crashes/completion_counts.ts
@@ -45,7 +45,7 @@
     for (const part of parts) {
       const tracked = this.tracked.get(part);
       if (tracked) tracked.own += 1;
-      else if (this.window.size < MAX_WINDOW_PARTS) {
+      else if (this.window.has(part) || hasRoom(this.window)) {
         this.window.set(part, (this.window.get(part) ?? 0) + 1);
       }
     }
@@ -146,3 +146,7 @@
     this.windowEndsAt = now + WINDOW_MS;
   }
 }
+
+function hasRoom({ size }: ReadonlyMap<number, number>): boolean {
+  return size < MAX_WINDOW_PARTS;
+}
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -97,7 +97,8 @@
     return new CrashGuard(options);
   }
 
-  /** Returns the failure that refuses a held request, as not run; undefined if the request may be sent.
+  /** Returns the failure that refuses a held request, as not run; undefined if the request may be sent. A request with a
+   * held part may be sent as a trial, which ends with `recordEnd`.
    * @param request The request. */
   findRefusal(request: TrackedRequest): Failure | undefined {
     const now = this.timeline.read();
@@ -116,8 +117,8 @@
   mayRetry({ fingerprint, parts }: TrackedRequest): boolean {
     const points = this.store.getPoints(fingerprint) +
       this.detector.getPendingPoints(fingerprint);
-    return points < HOLD_THRESHOLD_POINTS &&
-      (points === 0 || this.parts.mayRetry(parts));
+    if (points >= HOLD_THRESHOLD_POINTS || this.parts.find(parts)) return false;
+    return points === 0 || this.parts.mayRetryInterrupted(parts);
   }
 
   /** Records an attempt whose connection ended before its response was complete.
@@ -232,7 +233,9 @@
   ): boolean {
     const { logger, isTrialHost } = this.options;
     const isDue = heldUntil <= now && isTrialHost(cause.parts[0]!);
-    if (!isDue || !this.trials.tryStart(key, requestId, now)) return false;
+    if (!isDue) return false;
+    this.trials.retain(this.parts.heldKeys);
+    if (!this.trials.tryStart(key, requestId, now)) return false;
     logger.warn({ request: requestId, parts: key }, "held_part_tried");
     return true;
   }
--- a/src/crashes/hold_trials.ts
+++ b/src/crashes/hold_trials.ts
@@ -61,10 +61,10 @@
   }
 
   /** Discards the trials of causes that are no longer held.
-   * @param isHeld Whether the cause of a key is held. */
-  retain(isHeld: (cause: string) => boolean): void {
+   * @param held Keys of the held causes. */
+  retain(held: ReadonlySet<string>): void {
     for (const cause of [...this.trials.keys()]) {
-      if (!isHeld(cause)) this.trials.delete(cause);
+      if (!held.has(cause)) this.trials.delete(cause);
     }
   }
 }
--- a/src/crashes/part_holds.ts
+++ b/src/crashes/part_holds.ts
@@ -21,6 +21,7 @@
 /** Maximum number of causes of other hosts that are remembered. */
 const MAX_CONFIRMED = 256;
 
+/** Analysis of no crashes. */
 const NOTHING_KNOWN: CrashAnalysis = {
   causes: [],
   scores: new Map(),
@@ -71,6 +72,11 @@
     return this.holds.map(({ cause }) => cause.parts);
   }
 
+  /** Keys of the holds. */
+  get heldKeys(): ReadonlySet<string> {
+    return new Set(this.holds.map(({ key }) => key));
+  }
+
   /** Records that another host holds parts, so that they need no time to settle here.
    * @param parts Hashes of the parts. */
   confirm(parts: readonly number[]): void {
@@ -96,8 +102,8 @@
 
   /** Whether a prompt that was just interrupted, maybe by a crash, may be sent to another upstream.
    * @param parts Hashes of its parts. */
-  mayRetry(parts: readonly number[]): boolean {
-    return this.getSuspicion(parts) < RETRY_LIMIT_SCORE && !this.find(parts);
+  mayRetryInterrupted(parts: readonly number[]): boolean {
+    return this.getSuspicion(parts) < RETRY_LIMIT_SCORE;
   }
 
   /** Records that a prompt completed, or that its response has begun.
--- a/tests/crashes/crash_guard_test.ts
+++ b/tests/crashes/crash_guard_test.ts
@@ -75,6 +75,8 @@
   t.is(refusal?.kind, "prompt_crashes_upstreams");
   t.is(refusal?.headers["retry-after"], undefined);
   t.is(guard.findRefusal(buildRequest(FIRST, OTHER)), undefined);
+  t.false(guard.mayRetry(buildRequest(FIRST, CRASHING)));
+  t.true(guard.mayRetry(buildRequest(FIRST, OTHER)));
   t.true(holds.at(-1)!.concerns(buildRequest(CRASHING)));
   t.false(holds.at(-1)!.concerns(buildRequest(FIRST)));
 });
