--- a/src/entry/dispatcher.ts
+++ b/src/entry/dispatcher.ts
@@ -51,8 +51,8 @@
 export class Dispatcher {
   private readonly retryBudget: RetryBudget;
   private readonly random = Random.create();
+  /** Requests that are under way. */
   private readonly dispatches = new Set<DispatchProgress>();
-
   private readonly followUp: AttemptFollowUp;
 
   private constructor(private readonly options: DispatcherOptions) {
@@ -126,6 +126,7 @@
     }
   }
 
+  /** Tries upstreams until one responds, none is left, or the request is held. */
   private async tryUpstreamsUntilHeld(
     progress: DispatchProgress,
   ): Promise<DispatchResult> {
