--- a/tests/soak/invariants_test.ts
+++ b/tests/soak/invariants_test.ts
@@ -175,6 +175,16 @@
       ),
     }),
   ],
+  "prompts with a part that crashed five workers reach few more": [
+    buildEvidence({
+      runs: [1, 2, 3, 4, 5, 5_000, 5_001, 5_002, 5_003].map((startedAt) =>
+        buildRun({
+          prompt: `m|900,50|a:600,dead1:250,${startedAt}:50`,
+          startedAt,
+        })
+      ),
+    }),
+  ],
   "a worker that asked for a backoff gets few requests during it": [
     buildEvidence({
       declines: [0, 600, 700, 800].map((at) => ({
