--- a/src/crashes/crash_news_source.ts
+++ b/src/crashes/crash_news_source.ts
@@ -40,7 +40,7 @@
     return this.store.isEmpty;
   }
 
-  /** Removes and returns news that were not yet sent, as many as fit into a message.
+  /** Removes and returns news that was not yet sent, as much as fits into a message.
    * @param now Monotonic milliseconds. */
   takePending(now: number): CrashNews {
     return {
@@ -50,7 +50,7 @@
     };
   }
 
-  /** Returns news for a host that may have missed them: reports, and the completions of their parts.
+  /** Returns news for a host that may have missed it: reports, and the completions of their parts.
    * @param now Monotonic milliseconds.
    * @param random Source of the random choice. */
   sample(now: number, random: Random): CrashNews {
