Do not retry prompts of unknown parts at hosts that have just started

Schedule 7077 (7 hosts, 6 upstreams, one crashing prompt a second): after the loss of all hosts, which then know nothing, 4 prompts with the part reached upstreams at hosts without disturbance, of three allowed: the first one crashed two upstreams, which counts as one, since a prompt that crashes upstreams whenever it is sent says nothing about its parts. In its first 10 s a host now retries an interrupted prompt only if its parts are known to have completed.

--- a/src/crashes/completion_counts.ts
+++ b/src/crashes/completion_counts.ts
@@ -83,6 +83,13 @@
     );
   }
 
+  /** Whether any prompt with a part is known to have completed lately.
+   * @param part Hash of the part. */
+  hasCompleted(part: number): boolean {
+    return this.getCount(part) > 0 || this.window.has(part) ||
+      this.previousWindow.has(part);
+  }
+
   /** Merges a count of another process; returns whether it is news. Counts of parts that are not tracked are ignored,
    * and those beyond the maximum number of processes.
    * @param count The count. */
--- a/src/crashes/part_holds.ts
+++ b/src/crashes/part_holds.ts
@@ -18,6 +18,8 @@
 /** Score from which a request with a part that has just been interrupted is not sent again: that of a part with one
  * crash before, of which no completion is known. */
 const RETRY_LIMIT_SCORE = 1;
+/** Time after its start for which a host counts as one that has started lately, in milliseconds. */
+const STARTING_MS = 10_000;
 /** Maximum number of causes of other hosts that are remembered. */
 const MAX_CONFIRMED = 256;
 
@@ -50,10 +52,13 @@
   private readonly suspectedSince = new Map<number, number>();
   /** Keys of the causes that other hosts hold. */
   private readonly confirmed = new Set<string>();
+  private readonly createdAt: number;
   private cancelAnalysis: CancelTimer | undefined;
   private cancelSettling: CancelTimer | undefined;
 
-  private constructor(private readonly options: PartHoldsOptions) {}
+  private constructor(private readonly options: PartHoldsOptions) {
+    this.createdAt = options.timeline.read();
+  }
 
   /** Creates an object without holds.
    * @param options Its dependencies and callbacks. */
@@ -100,10 +105,14 @@
     return Math.max(0, ...parts.map((part) => scores.get(part) ?? 0));
   }
 
-  /** Whether a prompt that was just interrupted, maybe by a crash, may be sent to another upstream.
+  /** Whether a prompt that was just interrupted, maybe by a crash, may be sent to another upstream. A host that has
+   * started lately may not know of earlier crashes, so that it only retries prompts whose parts have completed.
    * @param parts Hashes of its parts. */
   mayRetryInterrupted(parts: readonly number[]): boolean {
-    return this.getSuspicion(parts) < RETRY_LIMIT_SCORE;
+    if (this.getSuspicion(parts) >= RETRY_LIMIT_SCORE) return false;
+    const { timeline, completions } = this.options;
+    return timeline.read() - this.createdAt >= STARTING_MS ||
+      parts.every((part) => completions.hasCompleted(part));
   }
 
   /** Records that a prompt completed, or that its response has begun.
--- a/tests/crashes/crash_guard_test.ts
+++ b/tests/crashes/crash_guard_test.ts
@@ -81,8 +81,30 @@
   t.false(holds.at(-1)!.concerns(buildRequest(FIRST)));
 });
 
+// Guards against a host that forgot with its restart which parts crash upstreams, and sends each prompt to two of them.
+test("a host that has just started retries interrupted prompts only if their parts have completed", (t) => {
+  const { guard, timeline } = createGuard();
+  guard.recordCompletion(buildRequest(FIRST, OTHER), false);
+  const instance = {
+    id: "u",
+    instanceHash: 99,
+    address: "",
+    isEndExpected: false,
+  };
+  const unknown = buildRequest(FIRST, CRASHING);
+  const known = buildRequest(FIRST, OTHER);
+  for (const request of [unknown, known]) {
+    guard.recordInterruption(instance, request, false);
+  }
+  t.false(guard.mayRetry(unknown));
+  t.true(guard.mayRetry(known));
+  timeline.runUntil(10_000);
+  t.true(guard.mayRetry(unknown));
+});
+
 test("a prompt that was interrupted is not sent again if its part has crashed another upstream", async (t) => {
-  const { guard, crashWith } = createGuard();
+  const { guard, timeline, crashWith } = createGuard();
+  timeline.runUntil(10_000);
   const first = buildRequest(FIRST, CRASHING);
   t.true(guard.mayRetry(first));
   guard.recordCompletion(buildRequest(FIRST), false);
--- a/tests/crashes/crash_schedule_test.ts
+++ b/tests/crashes/crash_schedule_test.ts
@@ -61,6 +61,19 @@
     seeds: 8,
     disruptions: ALL_DISRUPTIONS,
   },
+  {
+    name: "7 hosts, six upstreams, and one crashing prompt a second",
+    options: {
+      ...DEFAULTS,
+      hosts: 7,
+      upstreams: 6,
+      soundPerSecond: 36,
+      crashingPerSecond: 1,
+    },
+    first: 7071,
+    seeds: 10,
+    disruptions: ALL_DISRUPTIONS,
+  },
   {
     name: "24 hosts",
     options: { ...DEFAULTS, hosts: 24, upstreams: 32, soundPerSecond: 80 },
