--- a/tests/crashes/crash_fleet.ts
+++ b/tests/crashes/crash_fleet.ts
@@ -1,12 +1,10 @@
-import { pino } from "pino";
 import type { UpstreamInstance } from "../../src/crashes/crash_detector.ts";
 import type { RequestHold } from "../../src/crashes/request_hold.ts";
-import { CrashGuard } from "../../src/crashes/crash_guard.ts";
-import { CrashExchange } from "../../src/gateway/crash_exchange.ts";
-import { HostRing } from "../../src/peers/host_ring.ts";
 import { Random } from "../../src/random/random.ts";
 import { type StartedHost, VirtualFleet } from "../peers/virtual_fleet.ts";
+import { runWithMicrotasks } from "../clock/run_with_microtasks.ts";
 import { CrashRule } from "./crash_rule.ts";
+import { VirtualCrashHost } from "./virtual_crash_host.ts";
 import {
   type PromptShape,
   type VirtualPrompt,
@@ -25,16 +23,10 @@
 const STREAM_MS = [20, 2_000] as const;
 /** Time after a crash in which another upstream starts for the crashed one, in milliseconds. */
 const DOWN_MS = 2_000;
-/** Time for which a host sends nothing to an upstream that it knows to have crashed. */
-const AVOIDED_MS = 3_000;
 /** Number of attempts of a request. */
 const MAX_ATTEMPTS = 2;
 /** Turns of the microtask queue after each millisecond, which end all connection checks. */
 const TURNS_PER_STEP = 6;
-const SILENT = pino({
-  level: process.env.CRASH_LOG ?? "silent",
-  messageKey: "event",
-});
 
 /** Options of a {@link CrashFleet}. */
 export interface CrashFleetOptions extends PromptShape {
@@ -53,14 +45,6 @@
   isRunning: boolean;
 }
 
-interface VirtualCrashHost {
-  index: number;
-  guard: CrashGuard;
-  exchange: CrashExchange;
-  timeline: StartedHost["timeline"];
-  avoided: Map<number, number>;
-}
-
 interface VirtualAttempt {
   prompt: VirtualPrompt;
   host: VirtualCrashHost;
@@ -124,11 +108,7 @@
   /** Advances the time.
    * @param until Virtual milliseconds. */
   async runUntil(until: number): Promise<void> {
-    const { timeline } = this.fleet;
-    while (timeline.read() < until) {
-      timeline.runUntil(timeline.read() + 1);
-      for (let turn = 0; turn < TURNS_PER_STEP; turn++) await undefined;
-    }
+    await runWithMicrotasks(this.fleet.timeline, until, TURNS_PER_STEP);
   }
 
   /** Kills hosts at once and starts them again, except those that are down.
@@ -193,51 +173,22 @@
   }
 
   private addHost(started: StartedHost): () => void {
-    const { index, address, hall, gossip, socket, timeline } = started;
-    const getLive = () =>
-      gossip.hosts.getLive(timeline.read()).map(({ entry }) => entry);
-    const ring = HostRing.create({
-      own: { address, hall },
-      getHosts: () =>
-        getLive().map((entry) => ({
-          address: entry.gossipAddress,
-          hall: entry.hall,
-        })),
-      timeline,
-    });
-    const avoided = new Map<number, number>();
-    const guard: CrashGuard = CrashGuard.create({
-      logger: SILENT,
-      formatFingerprint: String,
-      onPendingNews: () => exchange.announce(),
-      onHeld: (hold) => this.refuseHeld(index, hold),
-      onCrash: (instanceHash) =>
-        avoided.set(instanceHash, timeline.read() + AVOIDED_MS),
-      onCrashReported: (instanceHash) => {
-        const known = this.upstreams.find((upstream) =>
-          upstream.instanceHash === instanceHash
-        );
-        if (known) guard.checkReportedCrash(known);
-      },
-      isTrialHost: (part) => exchange.isTrialHost(part),
+    const { index, timeline } = started;
+    const host = VirtualCrashHost.create({
+      started,
+      random: this.random,
+      findInstance: (instanceHash) => this.findInstance(instanceHash),
       check: (upstream) => this.check(upstream, timeline),
-      timeline,
-      random: this.random.fork(),
-    });
-    const exchange = CrashExchange.create({
-      socket,
-      guard,
-      ring,
-      getHosts: () => getLive().map(({ gossipAddress }) => gossipAddress),
-      timeline,
-      random: this.random.fork(),
+      onHeld: (hold) => this.refuseHeld(index, hold),
     });
-    const host = { index, guard, exchange, timeline, avoided };
     this.hosts.set(index, host);
-    return () => {
-      guard.close();
-      exchange.close();
-    };
+    return () => host.close();
+  }
+
+  private findInstance(instanceHash: number): VirtualInstance | undefined {
+    return this.upstreams.find((upstream) =>
+      upstream.instanceHash === instanceHash
+    );
   }
 
   private check(
@@ -246,10 +197,8 @@
   ): Promise<"taken" | "refused"> {
     return new Promise((resolve) => {
       timeline.after(2 * this.random.integer(...LATENCY_MS), () => {
-        const known = this.upstreams.find((upstream) =>
-          upstream.instanceHash === instanceHash
-        );
-        resolve(known?.isRunning ? "taken" : "refused");
+        const isRunning = this.findInstance(instanceHash)?.isRunning;
+        resolve(isRunning ? "taken" : "refused");
       });
     });
   }
@@ -282,7 +231,7 @@
     number: number,
   ): void {
     const candidates = this.upstreams.filter(({ isRunning, instanceHash }) =>
-      isRunning && (host.avoided.get(instanceHash) ?? 0) <= this.now
+      isRunning && host.sendsTo(instanceHash)
     );
     if (candidates.length === 0) return;
     const upstream = this.random.pick(candidates);
--- a/tests/crashes/crash_schedule.ts
+++ b/tests/crashes/crash_schedule.ts
@@ -1,4 +1,9 @@
 import { Random } from "../../src/random/random.ts";
+import {
+  type Disruption,
+  drawHosts,
+  KILL_DISRUPTIONS,
+} from "../peers/host_disruptions.ts";
 import {
   CrashFleet,
   type CrashFleetOptions,
@@ -11,14 +16,10 @@
 const LAST_DISRUPTION_MS = 20_000;
 /** Minimum and maximum number of disruptions. */
 const DISRUPTIONS = [4, 16] as const;
-/** Minimum and maximum time for which a killed host is down, in milliseconds. */
-const DOWN_MS = [100, 3_000] as const;
 /** Minimum and maximum duration of a cut, in milliseconds. */
 const CUT_MS = [500, 4_000] as const;
 /** Minimum and maximum duration of a pause, in milliseconds. */
 const PAUSE_MS = [200, 2_500] as const;
-/** Time between two hosts of seven that restart in turn, in milliseconds. */
-const ROLL_GAP_MS = 700;
 
 /** A fleet after a schedule of disruptions that is drawn from a seed. */
 export interface ScheduledCrashes {
@@ -27,40 +28,9 @@
   description: string[];
 }
 
-interface DisruptionContext {
-  fleet: CrashFleet;
-  hosts: number;
-  random: Random;
-  /** Virtual milliseconds. */
-  at: number;
-}
-
 /** Schedules one disruption each; returns its description. */
-const DISRUPTIONS_BY_NAME: Readonly<
-  Record<string, (context: DisruptionContext) => string>
-> = {
-  killOne({ fleet, hosts, random, at }) {
-    const index = random.integer(0, hosts - 1);
-    fleet.at(at, () => fleet.kill([index], random.integer(...DOWN_MS)));
-    return `host ${index} is killed`;
-  },
-  killThird({ fleet, hosts, random, at }) {
-    const affected = drawHosts(hosts, 0.3, random);
-    fleet.at(at, () => fleet.kill(affected, random.integer(...DOWN_MS)));
-    return `${affected.length} hosts are killed`;
-  },
-  killAll({ fleet, hosts, random, at }) {
-    const affected = drawHosts(hosts, 1, random);
-    fleet.at(at, () => fleet.kill(affected, random.integer(...DOWN_MS)));
-    return "all hosts are killed";
-  },
-  restartInTurn({ fleet, hosts, random, at }) {
-    const gapMs = ROLL_GAP_MS * 7 / hosts;
-    for (const [turn, index] of drawHosts(hosts, 1, random).entries()) {
-      fleet.at(at + turn * gapMs, () => fleet.kill([index], 400));
-    }
-    return "all hosts restart in turn";
-  },
+const DISRUPTIONS_BY_NAME: Readonly<Record<string, Disruption<CrashFleet>>> = {
+  ...KILL_DISRUPTIONS,
   cut({ fleet, hosts, random, at }) {
     const forMs = random.integer(...CUT_MS);
     const affected = drawHosts(hosts, random.pick([0.1, 0.4]), random);
@@ -110,8 +80,3 @@
   await fleet.runUntil(TRAFFIC_FROM_MS + TRAFFIC_MS);
   return { fleet, description };
 }
-
-function drawHosts(hosts: number, fraction: number, random: Random): number[] {
-  const all = Array.from({ length: hosts }, (_, index) => index);
-  return random.shuffle(all).slice(0, Math.ceil(hosts * fraction));
-}
--- a/tests/streams/stream_fleet.ts
+++ b/tests/streams/stream_fleet.ts
@@ -1,5 +1,6 @@
 import type { StreamTracker } from "../../src/forward/stream_tracker.ts";
 import { Random } from "../../src/random/random.ts";
+import { runWithMicrotasks } from "../clock/run_with_microtasks.ts";
 import { VirtualFleet } from "../peers/virtual_fleet.ts";
 import { VirtualStream } from "./virtual_stream.ts";
 import { VirtualStreamHost } from "./virtual_stream_host.ts";
@@ -18,8 +19,6 @@
 const EVENTS = [3, 80] as const;
 /** Minimum and maximum time until a caller resumes a broken stream, in milliseconds. */
 const RESUME_MS = [5, 400] as const;
-/** Resolution of the virtual time, in milliseconds. */
-const STEP_MS = 1;
 /** Turns of the microtask queue after each step, which end all pending lookups. */
 const TURNS_PER_STEP = 12;
 const MAX_ATTEMPTS = 3;
@@ -109,11 +108,7 @@
   /** Advances the time.
    * @param until Virtual milliseconds. */
   async runUntil(until: number): Promise<void> {
-    const { timeline } = this.fleet;
-    while (timeline.read() < until) {
-      timeline.runUntil(timeline.read() + STEP_MS);
-      for (let turn = 0; turn < TURNS_PER_STEP; turn++) await undefined;
-    }
+    await runWithMicrotasks(this.fleet.timeline, until, TURNS_PER_STEP);
   }
 
   /** Kills hosts at once and starts them again, except those that are down.
--- a/tests/streams/stream_schedule.ts
+++ b/tests/streams/stream_schedule.ts
@@ -1,4 +1,9 @@
 import { Random } from "../../src/random/random.ts";
+import {
+  type Disruption,
+  drawHosts,
+  KILL_DISRUPTIONS,
+} from "../peers/host_disruptions.ts";
 import { StreamFleet, TRAFFIC_FROM_MS } from "./stream_fleet.ts";
 
 /** Virtual time for which callers send requests, in milliseconds. */
@@ -9,14 +14,10 @@
 const DISRUPTIONS = [6, 24] as const;
 const VERSIONS = ["v1", "v1.1", "v1.2"] as const;
 const UPSTREAMS_PER_VERSION = 4;
-/** Minimum and maximum time for which a killed host is down, in milliseconds. */
-const DOWN_MS = [100, 3_000] as const;
 /** Minimum and maximum duration of a partition, in milliseconds. */
 const PARTITION_MS = [500, 4_000] as const;
 /** Minimum and maximum duration of a pause, in milliseconds. */
 const PAUSE_MS = [200, 2_500] as const;
-/** Time between two hosts of seven that restart in turn, in milliseconds. */
-const ROLL_GAP_MS = 700;
 
 /** A fleet after a schedule of disruptions that is drawn from a seed. */
 export interface ScheduledStreams {
@@ -25,40 +26,9 @@
   description: string[];
 }
 
-interface DisruptionContext {
-  fleet: StreamFleet;
-  hosts: number;
-  random: Random;
-  /** Virtual milliseconds. */
-  at: number;
-}
-
 /** Schedules one disruption each; returns its description. */
-const DISRUPTIONS_BY_NAME: Readonly<
-  Record<string, (context: DisruptionContext) => string>
-> = {
-  killOne({ fleet, hosts, random, at }) {
-    const index = random.integer(0, hosts - 1);
-    fleet.at(at, () => fleet.kill([index], random.integer(...DOWN_MS)));
-    return `host ${index} is killed`;
-  },
-  killThird({ fleet, hosts, random, at }) {
-    const affected = drawHosts(hosts, 0.3, random);
-    fleet.at(at, () => fleet.kill(affected, random.integer(...DOWN_MS)));
-    return `${affected.length} hosts are killed`;
-  },
-  killAll({ fleet, hosts, random, at }) {
-    const affected = drawHosts(hosts, 1, random);
-    fleet.at(at, () => fleet.kill(affected, random.integer(...DOWN_MS)));
-    return "all hosts are killed";
-  },
-  restartInTurn({ fleet, hosts, random, at }) {
-    const gapMs = ROLL_GAP_MS * 7 / hosts;
-    for (const [turn, index] of drawHosts(hosts, 1, random).entries()) {
-      fleet.at(at + turn * gapMs, () => fleet.kill([index], 400));
-    }
-    return "all hosts restart in turn";
-  },
+const DISRUPTIONS_BY_NAME: Readonly<Record<string, Disruption<StreamFleet>>> = {
+  ...KILL_DISRUPTIONS,
   cutCallers({ fleet, random, at }) {
     const fraction = random.pick([0.1, 0.5, 1]);
     fleet.at(at, () => fleet.cutCallers(fraction));
@@ -134,8 +104,3 @@
   await fleet.runUntil(TRAFFIC_FROM_MS + TRAFFIC_MS);
   return { fleet, description };
 }
-
-function drawHosts(hosts: number, fraction: number, random: Random): number[] {
-  const all = Array.from({ length: hosts }, (_, index) => index);
-  return random.shuffle(all).slice(0, Math.ceil(hosts * fraction));
-}
