--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -165,7 +165,7 @@
   /** Records that a request has ended, however it did.
    * @param requestId Id of the request. */
   recordEnd(requestId: string): void {
-    this.trials.recordEnd(requestId);
+    this.trials.recordEnd(requestId, this.timeline.read());
   }
 
   /** Records that an instance was removed from the list or replaced.
--- a/src/crashes/hold_trials.ts
+++ b/src/crashes/hold_trials.ts
@@ -1,4 +1,4 @@
-/** Minimum time between two trials of which neither has completed, in milliseconds: a crash is confirmed within it. */
+/** Time after a trial without a completion until the next one, in milliseconds: a crash is confirmed within it. */
 const RETRY_TRIAL_MS = 5_000;
 /** Time after which a trial without an outcome no longer counts, in milliseconds. */
 const TRIAL_TIMEOUT_MS = 60_000;
@@ -37,7 +37,6 @@
     const isFull = trials.startedAt.size >= trials.limit;
     if (isFull || now < trials.blockedUntil) return false;
     trials.startedAt.set(requestId, now);
-    if (trials.limit === 1) trials.blockedUntil = now + RETRY_TRIAL_MS;
     this.trials.set(cause, trials);
     return true;
   }
@@ -46,17 +45,18 @@
    * @param requestId Id of the request. */
   recordCompletion(requestId: string): void {
     for (const trials of this.trials.values()) {
-      if (!trials.startedAt.delete(requestId)) continue;
-      trials.limit *= 2;
-      trials.blockedUntil = -Infinity;
+      if (trials.startedAt.delete(requestId)) trials.limit *= 2;
     }
   }
 
   /** Records that a request ended; if it was a trial without a completion, the next ones start one at a time.
-   * @param requestId Id of the request. */
-  recordEnd(requestId: string): void {
+   * @param requestId Id of the request.
+   * @param now Monotonic milliseconds. */
+  recordEnd(requestId: string, now: number): void {
     for (const trials of this.trials.values()) {
-      if (trials.startedAt.delete(requestId)) trials.limit = 1;
+      if (!trials.startedAt.delete(requestId)) continue;
+      trials.limit = 1;
+      trials.blockedUntil = now + RETRY_TRIAL_MS;
     }
   }
 
