--- a/tests/crashes/crash_schedule_test.ts
+++ b/tests/crashes/crash_schedule_test.ts
@@ -40,6 +40,13 @@
     seeds: 8,
     disruptions: ALL_DISRUPTIONS,
   },
+  {
+    name: "7 hosts and three crashing parts, with a sound part held",
+    options: { ...DEFAULTS, hosts: 7, crashingParts: 3 },
+    first: 2039,
+    seeds: 1,
+    disruptions: ALL_DISRUPTIONS,
+  },
   {
     name: "7 hosts and a crashing part that is the first of its prompts",
     options: { ...DEFAULTS, hosts: 7, isFirst: true },
@@ -74,6 +81,20 @@
     seeds: 10,
     disruptions: ALL_DISRUPTIONS,
   },
+  {
+    name:
+      "7 hosts, six upstreams, and one crashing prompt a second, with all hosts lost three times",
+    options: {
+      ...DEFAULTS,
+      hosts: 7,
+      upstreams: 6,
+      soundPerSecond: 36,
+      crashingPerSecond: 1,
+    },
+    first: 7025,
+    seeds: 1,
+    disruptions: ALL_DISRUPTIONS,
+  },
   {
     name: "24 hosts",
     options: { ...DEFAULTS, hosts: 24, upstreams: 32, soundPerSecond: 80 },
