--- a/src/crashes/analyze_crashes.ts
+++ b/src/crashes/analyze_crashes.ts
@@ -1,18 +1,18 @@
 import type { CrashPoints } from "./crash_report.ts";
 
-/** Weight of a crash for the parts of a prompt, by the points of the request. Part of a response shows that the upstream
- * bore the prompt for a while. */
+/** Weight of a crash for the parts of a prompt, by the points of the request. Part of a response shows that the
+ * upstream bore the prompt for a while. */
 const WEIGHT_BY_POINTS: Readonly<Record<number, number>> = { 1: 0.25, 2: 1 };
 /** Weight of a completion. It is below that of a crash, since a part need not crash each upstream that gets it. */
 const COMPLETION_WEIGHT = 0.25;
-/** Time within which crashes of several instances count as one, in milliseconds: a fault that they share is likelier than
- * prompts that reached all of them. */
+/** Time within which crashes of several instances count as one, in milliseconds: a fault that they share is likelier
+ * than prompts that reached all of them. */
 const MOMENT_MS = 30;
 /** Minimum score of a part that counts as the cause of crashes: crashes with as many different prompts, none of which
  * has completed. */
 const CAUSE_THRESHOLD = 3;
-/** Minimum fraction of the prompts with a cause that crash upstreams. A part of most prompts is in flight at the crashes of
- * several causes. */
+/** Minimum fraction of the prompts with a cause that crash upstreams. A part of most prompts is in flight at the
+ * crashes of several causes. */
 const MIN_CRASH_FRACTION = 0.3;
 /** Minimum weighted number of crashes of a part that is a suspect. */
 const SUSPECT_CRASHES = 2;
--- a/src/crashes/crash_gossip.ts
+++ b/src/crashes/crash_gossip.ts
@@ -10,8 +10,8 @@
 
 /** Time for which news is batched before it is sent, in milliseconds. */
 const BATCH_DELAY_MS = 15;
-/** Time between two batches if more news is pending than one holds, in milliseconds; it limits a host's sending rate when
- * many upstreams crash at once. */
+/** Time between two batches if more news is pending than one holds, in milliseconds; it limits a host's sending rate
+ * when many upstreams crash at once. */
 const NEXT_BATCH_DELAY_MS = 400;
 /** Hosts that a batch is sent to in a large fleet. Each receiver forwards what is new to it to as many, so that all
  * but two in a thousand of 2,700 hosts receive it within eight hops (mean of twenty random draws). */
@@ -33,8 +33,8 @@
 }
 
 /** Gossips which requests were in flight on upstreams when they crashed, how often the parts of their prompts have
- * completed, and which parts are held. News is sent immediately to all hosts, or in a large fleet to some that forward it;
- * anti-entropy messages reach hosts that missed it. Nothing is sent while no crash is known. */
+ * completed, and which parts are held. News is sent immediately to all hosts, or in a large fleet to some that forward
+ * it; anti-entropy messages reach hosts that missed it. Nothing is sent while no crash is known. */
 export class CrashGossip {
   private readonly timeline: Timeline;
   private readonly random: Random;
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -97,8 +97,8 @@
     return new CrashGuard(options);
   }
 
-  /** Returns the failure that refuses a held request, as not run; undefined if the request may be sent. A request with a
-   * held part may be sent as a trial, which ends with `recordEnd`.
+  /** Returns the failure that refuses a held request, as not run; undefined if the request may be sent. A request with
+   * a held part may be sent as a trial, which ends with `recordEnd`.
    * @param request The request. */
   findRefusal(request: TrackedRequest): Failure | undefined {
     const now = this.timeline.read();
--- a/src/crashes/crash_news_source.ts
+++ b/src/crashes/crash_news_source.ts
@@ -4,8 +4,8 @@
 import type { PartHolds } from "./part_holds.ts";
 import type { CrashStore } from "./crash_store.ts";
 
-/** Maximum numbers of reports, counts and held causes in one message. At about 45, 13 and 12 bytes each, a datagram of them
- * fits into one packet. */
+/** Maximum numbers of reports, counts and held causes in one message. At about 45, 13 and 12 bytes each, a datagram of
+ * them fits into one packet. */
 const MAX_REPORTS_PER_MESSAGE = 20;
 const MAX_COUNTS_PER_MESSAGE = 30;
 const MAX_HOLDS_PER_MESSAGE = 5;
--- a/src/crashes/crash_store.ts
+++ b/src/crashes/crash_store.ts
@@ -146,7 +146,8 @@
     }
   }
 
-  /** Returns the pending reports, those of the most suspected parts and then the oldest first, which are then no longer pending.
+  /** Returns the pending reports, those of the most suspected parts and then the oldest first, which are then no longer
+   * pending.
    * @param limit Maximum number of reports.
    * @param now Monotonic milliseconds. */
   takePendingReports(limit: number, now: number): CrashReport[] {
--- a/src/entry/drain_admission.ts
+++ b/src/entry/drain_admission.ts
@@ -31,8 +31,8 @@
     this.durations.record(getKind(request), durationMs);
   }
 
-  /** Throws if a request that has not been sent anywhere likely outlasts the stop. Those of a kind that takes an unknown
-   * time are taken.
+  /** Throws if a request that has not been sent anywhere likely outlasts the stop. Those of a kind that takes an
+   * unknown time are taken.
    * @param request The request. */
   assertFits(request: RoutedRequest): void {
     const now = readClock();
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -7,9 +7,9 @@
 import { hasBody } from "./response_status.ts";
 import type { HeaderCodec, ResponseHeaders } from "./caller_headers.ts";
 
-/** Time since bytes were last received from an upstream within which a request that may run only once is sent on an idle
- * connection to it, in milliseconds. The connection may have gone silent for good, and the request could not be sent
- * again; a new connection that is not established was certainly not used. */
+/** Time since bytes were last received from an upstream within which a request that may run only once is sent on an
+ * idle connection to it, in milliseconds. The connection may have gone silent for good, and the request could not be
+ * sent again; a new connection that is not established was certainly not used. */
 const IDLE_CONNECTION_TRUST_MS = 1_000;
 
 /** Maximum difference between the times of day of two machines, in milliseconds. */
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -44,8 +44,8 @@
     call: RoutedCall,
     filter: UpstreamFilter,
   ) => UpstreamChoice | undefined;
-  /** Borrows a slot of an upstream of a call's service from another host, if the number of requests to these is limited.
-   * Resolves with whether one was borrowed; undefined if no host was asked. */
+  /** Borrows a slot of an upstream of a call's service from another host, if the number of requests to these is
+   * limited. Resolves with whether one was borrowed; undefined if no host was asked. */
   borrowSlot: (
     call: RoutedCall,
     filter: UpstreamFilter,
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -30,8 +30,8 @@
  * upstream takes for its first requests, whose number starts at one and doubles each time. */
 const RETRY_AFTER_JITTER_MS = 250;
 
-/** Minimum and maximum retry time of callers that are refused because this host has used up its share of the requests to
- * upstreams that bear few, in milliseconds. Short, since another host may have some left. */
+/** Minimum and maximum retry time of callers that are refused because this host has used up its share of the requests
+ * to upstreams that bear few, in milliseconds. Short, since another host may have some left. */
 const LIMITED_RETRY_MS = [50, 300] as const;
 
 /** Chooses upstreams, from their loads, the prompt prefixes that they have cached and the remaining retry budgets. */
@@ -220,8 +220,8 @@
     });
   }
 
-  /** Returns the upstreams that may get a request. One that continues a stream may go to a leaving upstream if there is no
-   * other of its version. */
+  /** Returns the upstreams that may get a request. One that continues a stream may go to a leaving upstream if there is
+   * no other of its version. */
   private selectCandidates(
     service: string,
     origin: StreamOrigin | undefined,
--- a/src/gateway/upstream_chooser_options.ts
+++ b/src/gateway/upstream_chooser_options.ts
@@ -46,8 +46,8 @@
   getGossipAddress: (hostId: string) => string | undefined;
   /** Sends a message about lent slots to another host. */
   sendSlotMessage: SendSlotMessage;
-  /** Returns the number of hosts that may share a fleet-wide budget, including recently lost ones; undefined while it is
-   * not known. */
+  /** Returns the number of hosts that may share a fleet-wide budget, including recently lost ones; undefined while it
+   * is not known. */
   getFleetSize: () => number | undefined;
   /** Returns the part of the fleet's hosts that has not been lost within a time, in milliseconds. */
   getRetainedFraction: (withinMs: number) => number;
--- a/src/http/is_framed.ts
+++ b/src/http/is_framed.ts
@@ -1,5 +1,5 @@
-/** Whether response headers give the length of the body or state that it is sent in chunks. Any other body ends with its
- * connection.
+/** Whether response headers give the length of the body or state that it is sent in chunks. Any other body ends with
+ * its connection.
  * @param headers Headers by lower-case name. */
 export function isFramed(
   headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/src/router/router_crash_tracker.ts
+++ b/src/router/router_crash_tracker.ts
@@ -72,8 +72,8 @@
     this.guard.close();
   }
 
-  /** Checks whether an upstream has crashed. That its connections are refused counts only while this router has paths to
-   * other upstreams. */
+  /** Checks whether an upstream has crashed. That its connections are refused counts only while this router has paths
+   * to other upstreams. */
   private async checkCrash(
     { id, address }: UpstreamInstance,
   ): Promise<CheckResult> {
--- a/tests/gateway/crashing_part_test.ts
+++ b/tests/gateway/crashing_part_test.ts
@@ -1,5 +1,5 @@
-/** Guards against a part of prompts that crashes each upstream which begins to answer it, in requests that are otherwise
- * different. */
+/** Guards against a part of prompts that crashes each upstream which begins to answer it, in requests that are
+ * otherwise different. */
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
 import type { FakeWorker } from "../../fakes/fake_worker.ts";
--- a/tests/system/stopping_router_test.ts
+++ b/tests/system/stopping_router_test.ts
@@ -1,5 +1,5 @@
-/** Guards against chats that a stopping router takes although it can't finish them before its stop ends: callers that still
- * had its address got half of their streams. */
+/** Guards against chats that a stopping router takes although it can't finish them before its stop ends: callers that
+ * still had its address got half of their streams. */
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
 import { withFleet } from "./with_fleet.ts";
