Share the decision what ends before a stop

Both programs decided it, with the same fraction of the stop's time; it is now a function without clocks, with a table of cases.

--- a/src/entry/drain_admission.ts
+++ b/src/entry/drain_admission.ts
@@ -1,11 +1,9 @@
 import { CallDurations } from "../admission/call_durations.ts";
+import { endsBeforeStop, STOP_TIME_FRACTION } from "../admission/stop_time.ts";
 import { readClock } from "../clock/clock.ts";
 import { Failure } from "../errors/failure.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
-/** Fraction of the time limit of a graceful stop in which requests may finish; the rest is for closing. */
-const STOP_TIME_FRACTION = 0.93;
-
 /** Decides which requests a router that stops gracefully takes: those that are likely to end before the stop does. */
 export class DrainAdmission {
   private readonly durations = CallDurations.create();
@@ -37,12 +35,12 @@
   assertFits(request: RoutedRequest): void {
     const now = readClock();
     const remainingMs = this.endsAt - now;
-    if (request.deadlineAt - now <= remainingMs) return;
     const longMs = this.durations.getLongMs(getKind(request));
-    if (longMs === undefined || longMs <= remainingMs) return;
+    const times = { longMs, deadlineMs: request.deadlineAt - now };
+    if (endsBeforeStop(times, remainingMs) ?? true) return;
     throw Failure.create(
       "draining",
-      `takes ${Math.round(longMs)} ms, ${Math.round(remainingMs)} ms are left`,
+      `takes ${Math.round(longMs!)} ms, ${Math.round(remainingMs)} ms are left`,
     );
   }
 }
--- a/src/gateway/graceful_stop.ts
+++ b/src/gateway/graceful_stop.ts
@@ -1,3 +1,8 @@
+import {
+  endsBeforeStop,
+  type RequestTimes,
+  STOP_TIME_FRACTION,
+} from "../admission/stop_time.ts";
 import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 
@@ -7,19 +12,9 @@
 /** Minimum time for which a stopping host still accepts requests: seven times the TTL of an address list, because some
  * callers keep it beyond its TTL. */
 const MIN_DRAIN_MS = 3_500;
-/** Fraction of the stop timeout in which calls may finish; the rest is for closing and for the exit of the process. */
-const STOP_TIME_FRACTION = 0.93;
 /** Interval at which a stopping host checks whether all calls have finished. */
 const STOP_POLL_INTERVAL_MS = 50;
 
-/** How long a call may take. */
-export interface CallTimes {
-  /** Time within which nearly all calls of its route are answered, in milliseconds; undefined if that is not known. */
-  longMs: number | undefined;
-  /** Time until the call's deadline, in milliseconds. */
-  deadlineMs: number;
-}
-
 /** The progress of a graceful stop: whether it has started, which requests the host still accepts, and until when. */
 export class GracefulStop {
   private startedAt: number | undefined;
@@ -58,11 +53,9 @@
   /** Whether a call is likely to end before the stop does. A call of a route whose calls take an unknown time is assumed
    * to, as long as callers may have this host in a cached address list.
    * @param times How long the call may take. */
-  canFinish({ longMs, deadlineMs }: CallTimes): boolean {
-    const { remainingMs } = this;
-    if (deadlineMs <= remainingMs) return true;
-    if (longMs === undefined) return !this.shouldCloseConnections;
-    return longMs <= remainingMs;
+  canFinish(times: RequestTimes): boolean {
+    return endsBeforeStop(times, this.remainingMs) ??
+      !this.shouldCloseConnections;
   }
 
   /** Waits until callers have had time to move to other hosts and no call is open, or until the usable time is over.
--- a/tests/crashes/crash_fleet.ts
+++ b/tests/crashes/crash_fleet.ts
@@ -5,6 +5,7 @@
 import { runWithMicrotasks } from "../clock/run_with_microtasks.ts";
 import { CrashRule } from "./crash_rule.ts";
 import { VirtualCrashHost } from "./virtual_crash_host.ts";
+import { type VirtualInstance, VirtualInstances } from "./virtual_instances.ts";
 import {
   type PromptShape,
   type VirtualPrompt,
@@ -41,10 +42,6 @@
   loss: number;
 }
 
-interface VirtualInstance extends UpstreamInstance {
-  isRunning: boolean;
-}
-
 interface VirtualAttempt {
   prompt: VirtualPrompt;
   host: VirtualCrashHost;
@@ -61,9 +58,8 @@
   private readonly random: Random;
   private readonly prompts: VirtualPrompts;
   private readonly hosts = new Map<number, VirtualCrashHost>();
-  private upstreams: VirtualInstance[] = [];
+  private readonly instances = new VirtualInstances();
   private attempts = new Set<VirtualAttempt>();
-  private instances = 0;
 
   private constructor(private readonly options: CrashFleetOptions) {
     const { seed, hosts, loss, upstreams } = options;
@@ -82,7 +78,7 @@
         this.hosts.get(index)?.exchange.informStarted(entry);
       },
     });
-    for (let count = 0; count < upstreams; count++) this.startUpstream();
+    this.instances.start(upstreams);
     const { soundPerSecond, crashingPerSecond } = options;
     this.repeat(soundPerSecond, () => this.send(this.prompts.drawSound()));
     this.repeat(
@@ -152,7 +148,7 @@
   /** Crashes running upstreams that no prompt crashes.
    * @param count Number of upstreams. */
   crashUpstreams(count: number): void {
-    const running = this.upstreams.filter(({ isRunning }) => isRunning);
+    const running = this.instances.getRunning();
     for (const upstream of this.random.shuffle(running).slice(0, count)) {
       this.crash(upstream);
     }
@@ -177,7 +173,7 @@
     const host = VirtualCrashHost.create({
       started,
       random: this.random,
-      findInstance: (instanceHash) => this.findInstance(instanceHash),
+      findInstance: (instanceHash) => this.instances.find(instanceHash),
       check: (upstream) => this.check(upstream, timeline),
       onHeld: (hold) => this.refuseHeld(index, hold),
     });
@@ -185,35 +181,18 @@
     return () => host.close();
   }
 
-  private findInstance(instanceHash: number): VirtualInstance | undefined {
-    return this.upstreams.find((upstream) =>
-      upstream.instanceHash === instanceHash
-    );
-  }
-
   private check(
     { instanceHash }: UpstreamInstance,
     timeline: StartedHost["timeline"],
   ): Promise<"taken" | "refused"> {
     return new Promise((resolve) => {
       timeline.after(2 * this.random.integer(...LATENCY_MS), () => {
-        const isRunning = this.findInstance(instanceHash)?.isRunning;
+        const isRunning = this.instances.find(instanceHash)?.isRunning;
         resolve(isRunning ? "taken" : "refused");
       });
     });
   }
 
-  private startUpstream(): void {
-    this.instances += 1;
-    this.upstreams.push({
-      id: `u-${this.instances}`,
-      instanceHash: this.instances,
-      address: "",
-      isEndExpected: false,
-      isRunning: true,
-    });
-  }
-
   private send(prompt: VirtualPrompt): void {
     const active = [...this.hosts.values()].filter(({ index }) =>
       this.fleet.isActive(index)
@@ -230,8 +209,8 @@
     host: VirtualCrashHost,
     number: number,
   ): void {
-    const candidates = this.upstreams.filter(({ isRunning, instanceHash }) =>
-      isRunning && host.sendsTo(instanceHash)
+    const candidates = this.instances.getRunning().filter(({ instanceHash }) =>
+      host.sendsTo(instanceHash)
     );
     if (candidates.length === 0) return;
     const upstream = this.random.pick(candidates);
@@ -281,8 +260,7 @@
       if (attempt.upstream === upstream) this.interrupt(attempt);
     }
     this.fleet.timeline.after(DOWN_MS, () => {
-      this.upstreams = this.upstreams.filter((other) => other !== upstream);
-      this.startUpstream();
+      this.instances.replace(upstream);
     });
   }
 
