Name the requests of a hold, and refuse its retries by its own kind

Found by reading. Callers of a prompt whose part is held, and that was declined, were told that their own request had been under way at several crashes, with a retry time; they get prompt_crashes_upstreams now, without one. The line of a hold did not tell by which crashes: it names the fingerprints of the interrupted requests, which the lines of each crash have too.

--- a/src/crashes/analyze_crashes.ts
+++ b/src/crashes/analyze_crashes.ts
@@ -42,7 +42,7 @@
   readonly parts: readonly number[];
   /** Weighted number of crashes. */
   readonly crashes: number;
-  /** Number of prompts with the first of the parts that completed. */
+  /** Number of prompts with the likeliest of the parts that are known to have completed. */
   readonly completions: number;
 }
 
--- a/src/crashes/crash_guard.ts
+++ b/src/crashes/crash_guard.ts
@@ -1,4 +1,5 @@
 import { processTimeline, type Timeline } from "../clock/timeline.ts";
+import type { ErrorKind } from "../errors/error_kind.ts";
 import { Failure } from "../errors/failure.ts";
 import type { Logger } from "../logging/logger.ts";
 import { Random } from "../random/random.ts";
@@ -121,6 +122,14 @@
     return points === 0 || this.parts.mayRetryInterrupted(parts);
   }
 
+  /** Returns the error kind for a request that may not be retried, if it was certainly not run.
+   * @param request The request. */
+  getRefusalKind({ parts }: TrackedRequest): ErrorKind {
+    return this.parts.find(parts)
+      ? "prompt_crashes_upstreams"
+      : "crashes_upstreams";
+  }
+
   /** Records an attempt whose connection ended before its response was complete.
    * @param upstream Instance that the request was sent to.
    * @param request The request.
--- a/src/crashes/crash_record.ts
+++ b/src/crashes/crash_record.ts
@@ -29,7 +29,8 @@
   private crashedAt = -Infinity;
 
   private constructor(
-    private readonly fingerprint: number,
+    /** Fingerprint of the request. */
+    readonly fingerprint: number,
     /** Hashes of the prompt parts that the request shares with others. */
     readonly parts: readonly number[],
   ) {}
--- a/src/crashes/part_holds.ts
+++ b/src/crashes/part_holds.ts
@@ -1,4 +1,5 @@
 import type { CancelTimer, Timeline } from "../clock/timeline.ts";
+import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import type { Logger } from "../logging/logger.ts";
 import {
   analyzeCrashes,
@@ -23,6 +24,9 @@
 /** Maximum number of causes of other hosts that are remembered. */
 const MAX_CONFIRMED = 256;
 
+/** Maximum number of requests that the log line of a hold names. */
+const MAX_LOGGED = 8;
+
 /** Analysis of no crashes. */
 const NOTHING_KNOWN: CrashAnalysis = {
   causes: [],
@@ -190,7 +194,9 @@
     for (const hold of this.holds) {
       const known = before.get(hold.key);
       before.delete(hold.key);
-      if (!known || known.heldUntil < hold.heldUntil) this.begin(hold, now);
+      if (!known || known.heldUntil < hold.heldUntil) {
+        this.begin(hold, records, now);
+      }
     }
     for (const { key } of before.values()) {
       this.options.logger.warn({ parts: key }, "part_released");
@@ -204,11 +210,20 @@
     return Math.max(...since) + SETTLING_MS;
   }
 
-  private begin({ key, cause, heldUntil }: PartHold, now: number): void {
+  private begin(
+    { key, cause, heldUntil }: PartHold,
+    records: readonly CrashRecord[],
+    now: number,
+  ): void {
     const { logger, onHeld } = this.options;
     const { crashes, completions } = cause;
+    const fingerprints = findRecords(records, cause).slice(0, MAX_LOGGED)
+      .map(({ fingerprint }) => formatFingerprint(fingerprint)).join(",");
     const holdMs = Math.round(heldUntil - now);
-    logger.warn({ parts: key, crashes, completions, holdMs }, "part_held");
+    logger.warn(
+      { parts: key, crashes, completions, fingerprints, holdMs },
+      "part_held",
+    );
     onHeld(cause);
   }
 
@@ -222,12 +237,19 @@
   }
 }
 
+/** Returns the records of the prompts with a cause. */
+function findRecords(
+  records: readonly CrashRecord[],
+  cause: CrashCause,
+): CrashRecord[] {
+  return records.filter(({ parts }) => isCausedBy(parts, cause));
+}
+
 /** Returns the monotonic milliseconds of the crashes of a cause, in ascending order. */
 function findCrashTimes(
   records: readonly CrashRecord[],
   cause: CrashCause,
 ): number[] {
-  return records.filter(({ parts }) => isCausedBy(parts, cause)).map((
-    { lastCrashAt },
-  ) => lastCrashAt).sort((a, b) => a - b);
+  return findRecords(records, cause).map(({ lastCrashAt }) => lastCrashAt)
+    .sort((a, b) => a - b);
 }
--- a/src/entry/attempt_follow_up.ts
+++ b/src/entry/attempt_follow_up.ts
@@ -103,10 +103,13 @@
     if (progress.grant.isAcquired) {
       return { type: "end", end: refuse(progress, "outcome_unknown", detail) };
     }
-    if (!this.options.crashGuard.mayRetry(toTrackedRequest(progress))) {
+    const { crashGuard } = this.options;
+    const request = toTrackedRequest(progress);
+    if (!crashGuard.mayRetry(request)) {
+      const kind = crashGuard.getRefusalKind(request);
       return {
         type: "end",
-        end: refuse(progress, "crashes_upstreams", `held after ${detail}`),
+        end: refuse(progress, kind, `held after ${detail}`),
       };
     }
     if (this.options.retryBudget.tryAcquire()) return next;
--- a/src/forward/attempt_outcomes.ts
+++ b/src/forward/attempt_outcomes.ts
@@ -1,4 +1,5 @@
 import { readClock } from "../clock/clock.ts";
+import type { ErrorKind } from "../errors/error_kind.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import type { AttemptFailure } from "./attempt.ts";
@@ -15,7 +16,8 @@
   broken: "broken",
 };
 
-/** Records what the attempts of a call show about upstreams and about the request. */
+/** Records what the attempts of a call show about upstreams and about the request, and what the crash guard concludes
+ * about the request. */
 export class AttemptOutcomes {
   private constructor(
     private readonly call: RoutedCall,
@@ -37,6 +39,11 @@
     return this.context.crashes.mayRetry(toTrackedRequest(this.call));
   }
 
+  /** Error kind if the crash guard does not allow it and the request was certainly not run. */
+  get refusalKind(): ErrorKind {
+    return this.context.crashes.getRefusalKind(toTrackedRequest(this.call));
+  }
+
   /** Records that the first event of a response was received. */
   recordBegin(): void {
     this.context.crashes.recordBegin(toTrackedRequest(this.call));
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -158,7 +158,7 @@
   /** Sends the request to the next upstream; refuses the call if none is left or the request would likely crash it. */
   private sendToNext(reason: string): void {
     if (this.picker.attempts > 0 && !this.outcomes.maySendAgain) {
-      return this.refuseHeld("crashes_upstreams", `held after ${reason}`);
+      return this.refuseHeld(this.outcomes.refusalKind, `held after ${reason}`);
     }
     const choice = this.picker.pick();
     if (choice) return this.sendTo(choice, reason);
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -1,4 +1,5 @@
 import type { TrackedRequest } from "../crashes/interrupted_request.ts";
+import type { ErrorKind } from "../errors/error_kind.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { HealthSignal } from "../upstreams/upstream_health.ts";
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
@@ -87,6 +88,8 @@
 export interface CrashAccess {
   /** Whether a request that failed may be sent to another upstream. */
   mayRetry: (request: TrackedRequest) => boolean;
+  /** Returns the error kind for a request that may not be retried, if it was certainly not run. */
+  getRefusalKind: (request: TrackedRequest) => ErrorKind;
   /** Records an attempt whose connection ended before its response was complete. */
   recordInterruption: (
     upstream: Upstream,
--- a/tests/crashes/crash_guard_test.ts
+++ b/tests/crashes/crash_guard_test.ts
@@ -17,6 +17,8 @@
   guard: CrashGuard;
   timeline: VirtualTimeline;
   holds: RequestHold[];
+  /** The log lines of the guard. */
+  lines: Record<string, unknown>[];
   /** Crashes an upstream with a new prompt. */
   crashWith: (...parts: number[]) => Promise<void>;
 }
@@ -24,8 +26,9 @@
 function createGuard(isTrialHost = true): TestGuard {
   const timeline = VirtualTimeline.create();
   const holds: RequestHold[] = [];
+  const lines: Record<string, unknown>[] = [];
   const guard = CrashGuard.create({
-    logger: pino({ level: "silent" }),
+    logger: pino({}, { write: (line) => void lines.push(JSON.parse(line)) }),
     formatFingerprint: String,
     onPendingNews: () => undefined,
     onHeld: (hold) => holds.push(hold),
@@ -48,7 +51,7 @@
     for (let turn = 0; turn < 3; turn++) await undefined;
     timeline.runUntil(timeline.read() + 1_000);
   };
-  return { guard, timeline, holds, crashWith };
+  return { guard, timeline, holds, lines, crashWith };
 }
 
 let requests = 0;
@@ -76,6 +79,11 @@
   t.is(refusal?.headers["retry-after"], undefined);
   t.is(guard.findRefusal(buildRequest(FIRST, OTHER)), undefined);
   t.false(guard.mayRetry(buildRequest(FIRST, CRASHING)));
+  t.is(
+    guard.getRefusalKind(buildRequest(FIRST, CRASHING)),
+    "prompt_crashes_upstreams",
+  );
+  t.is(guard.getRefusalKind(buildRequest(OTHER)), "crashes_upstreams");
   t.true(guard.mayRetry(buildRequest(FIRST, OTHER)));
   t.true(holds.at(-1)!.concerns(buildRequest(CRASHING)));
   t.false(holds.at(-1)!.concerns(buildRequest(FIRST)));
@@ -187,3 +195,14 @@
   t.truthy(guard.findRefusal(buildRequest(CRASHING)));
   t.is(guard.findRefusal(bystander), undefined);
 });
+
+test("the log line of a hold names its parts, its evidence and the requests that were interrupted", async (t) => {
+  const { lines } = await createHolding();
+  const held = lines.find(({ msg }) => msg === "part_held");
+  t.like(held, { parts: String(CRASHING), crashes: 3, completions: 0 });
+  const interrupted = lines.filter(({ msg }) =>
+    msg === "request_interrupted_by_crash"
+  ).map(({ fingerprint }) => fingerprint);
+  t.is(interrupted.length, 3);
+  t.deepEqual(String(held?.fingerprints).split(","), interrupted);
+});
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -177,6 +177,7 @@
       streams: { announce: () => undefined, release: () => undefined },
       crashes: {
         mayRetry: () => true,
+        getRefusalKind: () => "crashes_upstreams",
         recordInterruption: () => undefined,
         recordBegin: () => undefined,
         recordCompletion: () => undefined,
