Check that sound prompts begin at their first attempt

The schedules counted only whether sound prompts, which share the first part with the crashing ones, were sent.

--- a/tests/crashes/crash_fleet.ts
+++ b/tests/crashes/crash_fleet.ts
@@ -240,6 +240,7 @@
       this.random.fraction() < this.options.crashProbability;
     if (crashes) return this.crash(upstream, prompt.crashingPart);
     attempt.hasBegun = true;
+    if (attempt.number === 1) this.rule.recordBegin(prompt);
     host.timeline.after(this.random.integer(...LATENCY_MS), () => {
       if (!attempt.isOver) host.guard.recordBegin(prompt);
     });
--- a/tests/crashes/crash_rule.ts
+++ b/tests/crashes/crash_rule.ts
@@ -14,6 +14,8 @@
 interface SoundRequest {
   at: number;
   wasAdmitted: boolean;
+  /** Whether its first attempt began a response. */
+  hasBegun: boolean;
   isInTouch: boolean;
 }
 
@@ -22,7 +24,8 @@
   private readonly disturbedUntil = new Map<number, number>();
   private readonly crashes = new Map<number, number[]>();
   private readonly arrivals: Arrival[] = [];
-  private readonly soundRequests: SoundRequest[] = [];
+  /** Requests without a crashing part, by their ids. */
+  private readonly soundRequests = new Map<string, SoundRequest>();
 
   private constructor() {}
 
@@ -49,14 +52,21 @@
 
   /** Records a request at a host. */
   recordRequest(
-    { crashingPart }: VirtualPrompt,
+    { crashingPart, requestId }: VirtualPrompt,
     host: number,
     at: number,
     wasAdmitted: boolean,
   ): void {
     if (crashingPart !== undefined) return;
     const isInTouch = this.isInTouch(host, at);
-    this.soundRequests.push({ at, wasAdmitted, isInTouch });
+    const request = { at, wasAdmitted, hasBegun: false, isInTouch };
+    this.soundRequests.set(requestId, request);
+  }
+
+  /** Records that the first attempt of a request began a response. */
+  recordBegin({ requestId }: VirtualPrompt): void {
+    const request = this.soundRequests.get(requestId);
+    if (request) request.hasBegun = true;
   }
 
   /** Records that a prompt has reached an upstream. */
@@ -84,11 +94,28 @@
   /** Returns the fraction of sound requests at hosts without disturbance that were sent to an upstream.
    * @param from Virtual milliseconds from which requests count. */
   getAdmittedFraction(from: number): number {
-    const counted = this.soundRequests.filter(({ at, isInTouch }) =>
-      isInTouch && at >= from
+    return this.getFraction(from, ({ wasAdmitted }) => wasAdmitted);
+  }
+
+  /** Returns the fraction of sound requests at hosts without disturbance whose first attempt began a response, from twice
+   * the contact time after the last crash of each part that counts; 1 if there were none. */
+  getBegunFraction(): number {
+    const knownAt = [...this.crashes.values()].map((times) =>
+      times[KNOWN_CRASHES - 1] ?? times.at(-1)!
     );
-    const admitted = counted.filter(({ wasAdmitted }) => wasAdmitted);
-    return admitted.length / Math.max(1, counted.length);
+    const from = Math.max(-Infinity, ...knownAt) + 2 * CONTACT_MS;
+    return this.getFraction(from, ({ hasBegun }) => hasBegun);
+  }
+
+  private getFraction(
+    from: number,
+    isCounted: (request: SoundRequest) => boolean,
+  ): number {
+    const requests = [...this.soundRequests.values()].filter((
+      { at, isInTouch },
+    ) => isInTouch && at >= from);
+    if (requests.length === 0) return 1;
+    return requests.filter(isCounted).length / requests.length;
   }
 
   private isInTouch(host: number, at: number): boolean {
--- a/tests/crashes/crash_schedule_test.ts
+++ b/tests/crashes/crash_schedule_test.ts
@@ -6,6 +6,8 @@
 const MAX_LATE = 3;
 /** Minimum fraction of the sound prompts that are sent to an upstream. */
 const MIN_ADMITTED = 0.98;
+/** Minimum fraction of the sound prompts whose first attempt begins a response once the parts are known: half of all. */
+const MIN_BEGUN = 0.5;
 
 const DEFAULTS = {
   upstreams: 16,
@@ -124,6 +126,7 @@
       crashes += rule.crashCount;
       t.true(rule.countLate().every((late) => late <= MAX_LATE), report);
       t.true(rule.getAdmittedFraction(TRAFFIC_FROM_MS) >= MIN_ADMITTED, report);
+      t.true(rule.getBegunFraction() >= MIN_BEGUN, report);
     }
     t.log(`${crashes} crashes by prompts in ${seeds} schedules`);
   });
