Let the last prompts of a schedule begin before they are judged

Traced: they were sent in the last 50 ms of the run, and a response begins after 40 to 150; of all 113 prompts from there on 107 began. The fleet now runs on for 500 ms without new prompts; the bound and the prompts that count are the same.

--- a/tests/crashes/crash_fleet.ts
+++ b/tests/crashes/crash_fleet.ts
@@ -40,6 +40,8 @@
   crashProbability: number;
   /** Fraction of the datagrams between hosts that are lost. */
   loss: number;
+  /** Time for which callers send prompts, in milliseconds. */
+  trafficMs: number;
 }
 
 interface VirtualAttempt {
@@ -161,7 +163,9 @@
 
   private repeat(perSecond: number, action: () => void): void {
     const { timeline } = this.fleet;
+    const endsAt = TRAFFIC_FROM_MS + this.options.trafficMs;
     const next = () => {
+      if (timeline.read() >= endsAt) return;
       if (timeline.read() >= TRAFFIC_FROM_MS) action();
       timeline.after(this.random.fraction() * 2_000 / perSecond, next);
     };
--- a/tests/crashes/crash_schedule.ts
+++ b/tests/crashes/crash_schedule.ts
@@ -12,6 +12,8 @@
 
 /** Virtual time for which callers send prompts, in milliseconds. */
 const TRAFFIC_MS = 24_000;
+/** Time for which the fleet runs on, so that the responses to the last prompts can begin, in milliseconds. */
+const RESPONSE_MS = 500;
 /** Time of the last disruption, in milliseconds of traffic. */
 const LAST_DISRUPTION_MS = 20_000;
 /** Minimum and maximum number of disruptions. */
@@ -64,11 +66,14 @@
  * @param options Options of the fleet.
  * @param names Names of the disruptions to draw from. */
 export async function runCrashSchedule(
-  options: CrashFleetOptions,
+  options: Omit<CrashFleetOptions, "trafficMs">,
   names: readonly string[],
 ): Promise<ScheduledCrashes> {
   const random = Random.create(options.seed);
-  const fleet = CrashFleet.create(options);
+  const fleet = CrashFleet.create({
+    ...options,
+    trafficMs: TRAFFIC_MS,
+  });
   const description: string[] = [];
   const count = names.length === 0 ? 0 : random.integer(...DISRUPTIONS);
   for (let index = 0; index < count; index++) {
@@ -77,6 +82,6 @@
     const context = { fleet, hosts: options.hosts, random, at };
     description.push(`${at}: ${schedule(context)}`);
   }
-  await fleet.runUntil(TRAFFIC_FROM_MS + TRAFFIC_MS);
+  await fleet.runUntil(TRAFFIC_FROM_MS + TRAFFIC_MS + RESPONSE_MS);
   return { fleet, description };
 }
