Refuse requests only if no handler receives them

A 408 or 400 for what follows on a connection stood where the response to the request before it belongs.

Cause: the handler of clientError wrote to the socket while the parser went on reading, without regard to requests under way; and Node's timeout check counts the process's own pause, since it runs before the sockets are read.

Why it works: ConnectionState, apart from sockets, lets no request pass once a refusal is due, and sends it after the responses under way. Bodies time out in the handler that would forward them.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -5,23 +5,18 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Duplex } from "node:stream";
+import { CallerConnections } from "../http/caller_connections.ts";
+import { discardArrivedBody } from "../http/discard_arrived_body.ts";
+import { keepReadingBody } from "../http/keep_reading_body.ts";
+import type { RequestReceipt } from "../http/request_receipt.ts";
 import { parseRequestTarget } from "../http/parse_request_target.ts";
 import { Failure } from "../errors/failure.ts";
 import type { EntryContext } from "./entry_context.ts";
 import { getHandlerOrThrow } from "./routes.ts";
 
-/** Interval at which the header and request timeouts are checked. */
+/** Interval at which the header timeout is checked, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
-/** Error kinds of specific errors of Node's HTTP server; all others are `malformed_request`. */
-const CLIENT_ERROR_KINDS: Readonly<
-  Record<string, "headers_too_large" | "caller_too_slow">
-> = {
-  HPE_HEADER_OVERFLOW: "headers_too_large",
-  ERR_HTTP_REQUEST_TIMEOUT: "caller_too_slow",
-};
-
 /** The HTTP server for callers; requests are handled independently of each other. */
 export class CallerServer {
   private openCount = 0;
@@ -39,19 +34,16 @@
     const server = createServer({
       maxHeaderSize: limits.maxHeaderBytes,
       headersTimeout: limits.headerTimeoutMs,
-      requestTimeout: limits.requestTimeoutMs,
+      requestTimeout: 0,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       noDelay: true,
     });
     const callerServer = new CallerServer(server, context);
-    server.on(
-      "request",
-      (request, response) => void callerServer.handleRequest(request, response),
-    );
-    server.on(
-      "clientError",
-      (error: Error & { code?: string }, socket) =>
-        refuseConnection(error, socket),
+    CallerConnections.attach(
+      server,
+      context.logger,
+      (request, response, receipt) =>
+        void callerServer.handleRequest(request, response, receipt),
     );
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
@@ -85,6 +77,7 @@
   private async handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
+    receipt: RequestReceipt,
   ): Promise<void> {
     const startedAt = readClock();
     this.openCount += 1;
@@ -100,9 +93,10 @@
       const url = parseRequestTarget(request.url);
       await getHandlerOrThrow(request.method ?? "GET", url.pathname)(
         this.context,
-        { request, response, url },
+        { request, response, receipt, url },
       );
     } catch (thrown) {
+      await discardArrivedBody(request);
       this.refuseRequest(request, response, Failure.from(thrown));
     } finally {
       this.openCount -= 1;
@@ -128,33 +122,8 @@
       response.destroy();
       return;
     }
-    if (!request.complete) response.setHeader("connection", "close");
+    keepReadingBody(response);
     response.writeHead(failure.status, failure.headers);
     response.end(JSON.stringify(failure.body));
   }
 }
-
-/** Responds to a request that Node rejected before it reached a handler, and closes the connection. */
-function refuseConnection(
-  error: Error & { code?: string },
-  socket: Duplex,
-): void {
-  if (!socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const failure = Failure.create(
-    CLIENT_ERROR_KINDS[error.code ?? ""] ?? "malformed_request",
-    error.message,
-  );
-  const body = JSON.stringify(failure.body);
-  const headers = Object.entries({
-    ...failure.headers,
-    connection: "close",
-    "content-length": Buffer.byteLength(body),
-  });
-  const lines = headers.map(([name, value]) => `${name}: ${value}\r\n`).join(
-    "",
-  );
-  socket.end(`HTTP/1.1 ${failure.status} Refused\r\n${lines}\r\n${body}`);
-}
--- a/src/entry/chat_handler.ts
+++ b/src/entry/chat_handler.ts
@@ -13,7 +13,7 @@
 import { type ChatRequest, chatRequestSchema } from "./chat_request_schema.ts";
 import type { EntryContext, HttpExchange } from "./entry_context.ts";
 import { hashSharedMessages } from "./hash_shared_messages.ts";
-import { readBody } from "./read_body.ts";
+import { readRequestBody } from "./read_request_body.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { runBuffered, runStreaming } from "./run_request.ts";
 import type { Customer } from "../configuration/customer.ts";
@@ -28,7 +28,7 @@
   const { request, response } = exchange;
   assertServing(context);
   const customer = getCustomerOrThrow(context, request);
-  const body = await readBody(request, context.settings.limits.maxBodyBytes);
+  const body = await readRequestBody(context, exchange);
   const chat = parseChatRequest(body);
   const routed: RoutedRequest = {
     requestId: createUuid(),
--- a/src/entry/entry_context.ts
+++ b/src/entry/entry_context.ts
@@ -6,6 +6,7 @@
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { PeerConnectionPool } from "../peer/peer_connection_pool.ts";
 import type { PlacementTable } from "../placement/placement_table.ts";
+import type { RequestReceipt } from "../http/request_receipt.ts";
 import type { RouterStatus } from "../router/router_status.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 import type { DrainAdmission } from "./drain_admission.ts";
@@ -37,6 +38,8 @@
 export interface HttpExchange {
   request: IncomingMessage;
   response: ServerResponse;
+  /** Tells that the rest of the request's body can't be received. */
+  receipt: RequestReceipt;
   url: URL;
 }
 
--- a/src/entry/service_handler.ts
+++ b/src/entry/service_handler.ts
@@ -8,7 +8,7 @@
   isRepeatable,
 } from "./caller_checks.ts";
 import type { EntryContext, HttpExchange } from "./entry_context.ts";
-import { readBody } from "./read_body.ts";
+import { readRequestBody } from "./read_request_body.ts";
 import { runBuffered } from "./run_request.ts";
 
 /** Path prefix of calls to services. */
@@ -49,7 +49,7 @@
     method,
     path: `/${rest.join("/")}${url.search}`,
     headers,
-    body: await readBody(request, context.settings.limits.maxBodyBytes),
+    body: await readRequestBody(context, exchange),
     repeatable: isRepeatable(request, SAFE_METHODS.has(method)),
     key,
     deadlineAt: getDeadline(context, request),
--- a/src/forward/caller_response.ts
+++ b/src/forward/caller_response.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { Failure } from "../errors/failure.ts";
+import { keepReadingBody } from "../http/keep_reading_body.ts";
 import { hasBody } from "./response_status.ts";
 
 /** The response to one caller; sent once, either complete or as a stream. */
@@ -99,9 +100,11 @@
     ) {
       allHeaders.push("content-length", String(length));
     }
-    if (this.isHostLeaving || this.closesConnection()) {
+    const isLast = this.isHostLeaving || this.closesConnection();
+    if (isLast && this.response.req.complete) {
       allHeaders.push("connection", "close");
     }
+    keepReadingBody(this.response);
     this.response.writeHead(status, allHeaders);
     return true;
   }
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -4,7 +4,6 @@
 import type { Result } from "ts-results-es";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { RequestHold } from "../crashes/request_hold.ts";
-import { readBody } from "../entry/read_body.ts";
 import { Failure } from "../errors/failure.ts";
 import { admitCall, type AdmittedCall } from "../forward/admit_call.ts";
 import { CallForwarder } from "../forward/call_forwarder.ts";
@@ -17,7 +16,10 @@
 import type { CallerHeaders, HeaderCodec } from "../forward/caller_headers.ts";
 import { fingerprintRequest } from "../hashing/request_fingerprint.ts";
 import { type RoutedCall, toTrackedRequest } from "../forward/routed_call.ts";
+import { BodyReader } from "../http/body_reader.ts";
+import { discardArrivedBody } from "../http/discard_arrived_body.ts";
 import { pollSockets } from "../http/poll_sockets.ts";
+import type { RequestReceipt } from "../http/request_receipt.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../published/configuration_schema.ts";
 import type { RouteTable } from "../published/route_table.ts";
@@ -32,6 +34,9 @@
  * platform takes, and less than a quarter of most routes' latency objectives. */
 const INITIAL_CONFIGURATION_TIMEOUT_MS = 250;
 
+/** Time within which the body of a request must arrive, in milliseconds: equal to the timeout of the largest routes. */
+const BODY_TIMEOUT_MS = 20_000;
+
 /** Limits that apply until the first configuration is received. */
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16_384,
@@ -68,6 +73,13 @@
   guard: CrashGuard;
 }
 
+/** A caller's request, its response, and what becomes known while its body arrives. */
+interface CallerExchange {
+  request: IncomingMessage;
+  response: ServerResponse;
+  receipt: RequestReceipt;
+}
+
 /** Admits callers' requests, reads their bodies and forwards them to upstreams. */
 export class CallHandler {
   private readonly forwarders = new Set<CallForwarder>();
@@ -88,8 +100,13 @@
 
   /** Handles a request of a caller.
    * @param request The request.
-   * @param response The response to it. */
-  handle(request: IncomingMessage, response: ServerResponse): void {
+   * @param response The response to it.
+   * @param receipt Tells that the rest of the body can't be received. */
+  handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    receipt: RequestReceipt,
+  ): void {
     const receivedAt = readClock();
     const headers = this.options.codec.readCaller(request.rawHeaders);
     const callerResponse = CallerResponse.create(
@@ -98,8 +115,7 @@
     );
     this.pendingAdmissions += 1;
     void this.admitAndForward(
-      request,
-      response,
+      { request, response, receipt },
       headers,
       callerResponse,
       receivedAt,
@@ -143,8 +159,7 @@
   }
 
   private async admitAndForward(
-    request: IncomingMessage,
-    response: ServerResponse,
+    { request, response, receipt }: CallerExchange,
     headers: CallerHeaders,
     callerResponse: CallerResponse,
     receivedAt: number,
@@ -156,7 +171,10 @@
       const admitted = this.admit(request, headers, receivedAt);
       const lookup = this.options.lookUpPrompt(admitted.sharedParts);
       const resumed = this.options.resumer.find(admitted);
-      const body = await readBody(request, limits.maxBodyBytes);
+      const body = await BodyReader.read(request, receipt, {
+        maxBytes: limits.maxBodyBytes,
+        timeoutMs: BODY_TIMEOUT_MS,
+      });
       await Promise.all([lookup, resumed, pollSockets()]);
       if (hasCallerGone(request, response)) {
         return this.abandon(headers, response);
@@ -169,7 +187,8 @@
       this.start(call, callerResponse, response);
     } catch (thrown) {
       if (request.destroyed && !request.complete) return;
-      this.refuse(Failure.from(thrown), headers, callerResponse, request);
+      await discardArrivedBody(request);
+      this.refuse(Failure.from(thrown), headers, callerResponse);
     }
   }
 
@@ -264,7 +283,6 @@
     failure: Failure,
     headers: CallerHeaders,
     callerResponse: CallerResponse,
-    request: IncomingMessage,
   ): void {
     this.options.metrics.recordRefusal(failure.kind);
     this.options.logger.info({
@@ -275,7 +293,6 @@
       ageMs: Math.round(this.options.getPublicationAgeMs()),
     }, "request_refused");
     callerResponse.refuse(failure);
-    if (!request.complete) request.resume();
   }
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -160,7 +160,8 @@
       CallServer.create(
         settings.callerAddress,
         logger,
-        (request, response) => this.handler.handle(request, response),
+        (request, response, receipt) =>
+          this.handler.handle(request, response, receipt),
       ),
       this.createPeerNetwork(),
       this.createEndpoints(),
--- a/tests/gateway/with_gateways.ts
+++ b/tests/gateway/with_gateways.ts
@@ -114,14 +114,17 @@
   /** Publishes a configuration with a single route, from `/a/` to service `s`.
    * @param version Version of the configuration.
    * @param keys Keys of its only customer.
-   * @param changes Fields of the route that differ from the defaults. */
+   * @param changes Fields of the route that differ from the defaults.
+   * @param limits Limits on what callers send; the defaults if it is undefined. */
   publishConfiguration(
     version: number,
     keys: readonly string[],
     changes: Record<string, unknown> = {},
+    limits?: Record<string, number>,
   ): void {
     this.store.put("op/config", {
       version,
+      limits,
       routes: [{
         name: "r",
         host: "a.example",
--- a/tests/system/invalid_request_test.ts
+++ b/tests/system/invalid_request_test.ts
@@ -1,8 +1,10 @@
 import { connect, type Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import test from "ava";
 import { request } from "undici";
 import { WebSocket } from "ws";
 import type { Fleet } from "../../tools/fleet.ts";
+import { RawCaller } from "../http/raw_caller.ts";
 import { waitUntil, withFleet } from "./with_fleet.ts";
 
 const CUSTOMER = { "x-beechkeel-customer": "kilima/rosters" };
@@ -189,6 +191,41 @@
   });
 });
 
+// Guards against requests that ran after their caller got a 408 for a late head.
+test.serial("a request whose head was refused as late does not run when its rest arrives", async (t) => {
+  const settings = { limits: { headerTimeoutMs: 300, requestTimeoutMs: 600 } };
+  await withFleet({ settings }, async (fleet) => {
+    const caller = await RawCaller.create(fleet.routers[0]!.httpPort, false);
+    caller.write(`POST ${CHATS} HTTP/1.1\r\nhost: router\r\n`);
+    await caller.waitForResponses(1);
+    caller.write("x-beechkeel-customer: kilima/rosters\r\n");
+    caller.write(`content-length: ${CHAT.length}\r\n\r\n${CHAT}`);
+    await delay(500);
+    caller.close();
+    t.deepEqual(caller.statuses, [408]);
+    t.is(countRuns(fleet), 0);
+  });
+});
+
+// Guards against requests that ran after their caller got a 408 for a late body.
+test.serial("a request whose body was refused as late does not run when its rest arrives", async (t) => {
+  const settings = { limits: { headerTimeoutMs: 300, requestTimeoutMs: 600 } };
+  await withFleet({ settings }, async (fleet) => {
+    const caller = await RawCaller.create(fleet.routers[0]!.httpPort, false);
+    caller.write(
+      `POST ${CHATS} HTTP/1.1\r\nhost: router\r\n` +
+        "x-beechkeel-customer: kilima/rosters\r\n" +
+        `content-length: ${CHAT.length}\r\n\r\n${CHAT.slice(0, 5)}`,
+    );
+    await caller.waitForResponses(1);
+    caller.write(CHAT.slice(5));
+    await delay(500);
+    caller.close();
+    t.deepEqual(caller.statuses, [408]);
+    t.is(countRuns(fleet), 0);
+  });
+});
+
 test.serial("invalid data on the port for other routers closes the connection and has no other effect", async (t) => {
   await withFleet({}, async (fleet, caller) => {
     const router = fleet.routers[0]!;
