End every begun response when its call ends

Cause: a stream that broke continues at another upstream, and if that one answers with anything but an event stream, sendComplete returned in silence since the head had been sent. The call was finished as answered, which stopped its time limit, and the response stayed open.

Why it works: a head that does not continue the stream, or an event that is not after the last one, ends the attempt as an error that has run; the request goes on to the next upstream or the response is cut. CallForwarder.finish closes the response for all ways by which a call ends, with a log line and a counter. In serve, CallerServer does the same.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -17,6 +17,9 @@
 /** Interval at which the header timeout is checked, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 
+/** Time that the last bytes of a broken stream have to reach a caller that reads slowly, in milliseconds. */
+const OPEN_RESPONSE_GRACE_MS = 1_000;
+
 /** The HTTP server for callers; requests are handled independently of each other. */
 export class CallerServer {
   private openCount = 0;
@@ -101,9 +104,26 @@
     } finally {
       this.openCount -= 1;
       this.context.metrics.time("request", readClock() - startedAt);
+      this.closeOpenResponse(request, response);
     }
   }
 
+  /** Cuts a response that is still open some time after its handler has ended. */
+  private closeOpenResponse(
+    { url: path, method }: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const isClosed = () => response.writableEnded || response.destroyed;
+    if (isClosed()) return;
+    const timer = setTimeout(() => {
+      if (isClosed()) return;
+      this.context.metrics.count("open_response");
+      this.context.logger.error({ path, method }, "response_open");
+      response.destroy();
+    }, OPEN_RESPONSE_GRACE_MS);
+    response.once("close", () => clearTimeout(timer));
+  }
+
   private refuseRequest(
     request: IncomingMessage,
     response: ServerResponse,
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -254,9 +254,27 @@
       return this.onFailure("broken", "a success without proof or id");
     }
     const isStream = isSuccess && headers.isEventStream;
+    if (this.response.hasStarted && !isStream) {
+      const detail = `status ${status} does not continue the stream`;
+      return this.onUnusableContinuation(headers, detail);
+    }
     this.relay.setHead({ status, headers }, isStream);
   }
 
+  /** Ends an attempt whose response does not continue the stream that the caller is receiving. */
+  private onUnusableContinuation(
+    headers: ResponseHeaders,
+    detail: string,
+  ): void {
+    const { upstream } = this.attempt!;
+    this.attempt!.abandon();
+    this.log.logFailed(upstream, detail, this.progress);
+    this.outcomes.recordError(upstream, headers);
+    this.budget.recordRan();
+    if (this.budget.spendRetryAfterRun("error")) this.sendToNext(detail);
+    else this.refuse("upstream_failed", detail);
+  }
+
   private onDecline(
     upstream: Upstream,
     status: number,
@@ -305,7 +323,10 @@
   private onBytes(bytes: Buffer): void {
     this.silences.recordBytes();
     const hadPartialResponse = this.relay.hasPartialResponse;
-    this.relay.pushBytes(bytes, this.attempt);
+    const problem = this.relay.pushBytes(bytes, this.attempt);
+    if (problem !== undefined) {
+      return this.onUnusableContinuation(this.relay.head!.headers, problem);
+    }
     if (!this.relay.hasPartialResponse) return;
     if (!hadPartialResponse) this.recordBegin();
     this.stream.recordEvent();
@@ -376,8 +397,13 @@
     this.silences.close();
     this.stream.close();
     this.attempt?.abandon();
-    const durationMs = readClock() - this.call.receivedAt;
-    const { attempts } = this.picker;
-    this.context.onEnd(this, { result, detail, durationMs, attempts });
+    const wasOpen = this.response.close();
+    this.context.onEnd(this, {
+      result: wasOpen ? "broken_off" : result,
+      detail,
+      durationMs: readClock() - this.call.receivedAt,
+      attempts: this.picker.attempts,
+      wasOpen,
+    });
   }
 }
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -24,6 +24,8 @@
   durationMs: number;
   /** Number of upstreams that were chosen for the call. */
   attempts: number;
+  /** Whether the response was still open and had to be cut. */
+  wasOpen: boolean;
 }
 
 /** The upstreams that an attempt of a call may be sent to. */
--- a/src/forward/caller_response.ts
+++ b/src/forward/caller_response.ts
@@ -77,6 +77,13 @@
     this.response.end(body);
   }
 
+  /** Cuts the response if it is still open after its call has ended; returns whether it was. */
+  close(): boolean {
+    if (this.isFinished || this.response.destroyed) return false;
+    this.abort();
+    return true;
+  }
+
   private abort(): void {
     this.isFinished = true;
     this.response.destroy();
--- a/src/forward/response_relay.ts
+++ b/src/forward/response_relay.ts
@@ -91,18 +91,25 @@
     if (isStream) this.splitter = EventSplitter.create();
   }
 
-  /** Processes bytes of the response body.
+  /** Processes bytes of the response body; returns why they can't be forwarded, or undefined if they can.
    * @param bytes The bytes.
    * @param source Paused while the caller's connection accepts no more data. */
-  pushBytes(bytes: Buffer, source: ResponseSource | undefined): void {
+  pushBytes(
+    bytes: Buffer,
+    source: ResponseSource | undefined,
+  ): string | undefined {
     if (!this.splitter) {
       this.body.push(bytes);
-      return;
+      return undefined;
     }
     for (const event of this.splitter.push(bytes)) {
+      if (this.isRepeated(event.id)) {
+        return `event ${event.id} repeats what precedes ${this.lastId}`;
+      }
       if (event.id !== undefined) this.lastId = event.id;
       this.forwardEvent(event.bytes, source);
     }
+    return undefined;
   }
 
   /** Sends a complete response that is not a stream to the caller. */
@@ -121,6 +128,13 @@
     this.response.endStream();
   }
 
+  /** Whether the first event of a continuation is not after the last one that was forwarded. */
+  private isRepeated(id: string | undefined): boolean {
+    const isContinuation = this.forwardedEventsBefore > 0;
+    if (!isContinuation || this.hasPartialResponse) return false;
+    return id !== undefined && Number(id) <= Number(this.lastId);
+  }
+
   private forwardEvent(
     bytes: Buffer,
     source: ResponseSource | undefined,
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -261,7 +261,8 @@
   }
 
   private recordEnd(call: RoutedCall, outcome: CallOutcome): void {
-    const { result, detail, durationMs, attempts } = outcome;
+    const { result, detail, durationMs, attempts, wasOpen } = outcome;
+    if (wasOpen) this.reportOpenResponse(call, detail);
     this.options.metrics.recordRequest(call.route.kind, result, durationMs);
     if (result === "answered") {
       this.options.stopAdmission.recordAnswer(call.route.name, durationMs);
@@ -279,6 +280,12 @@
     }, "request_ended");
   }
 
+  /** Reports that a call ended without ending its response, which is a fault of this program. */
+  private reportOpenResponse({ requestId }: RoutedCall, detail: string): void {
+    this.options.metrics.recordOpenResponse();
+    this.options.logger.error({ request: requestId, detail }, "response_open");
+  }
+
   private refuse(
     failure: Failure,
     headers: CallerHeaders,
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -53,6 +53,11 @@
     labelNames: ["kind"],
     registers: [this.registry],
   });
+  private readonly openResponses = new Counter({
+    name: "beechkeel_open_responses_total",
+    help: "Responses that were still open when their request had ended.",
+    registers: [this.registry],
+  });
   private readonly earlyRefusals = new Counter({
     name: "beechkeel_early_refusals_total",
     help:
@@ -221,6 +226,11 @@
     this.durations.observe({ kind }, durationMs / 1_000);
   }
 
+  /** Records a response that was still open when its request had ended. */
+  recordOpenResponse(): void {
+    this.openResponses.inc();
+  }
+
   /** Records an attempt.
    * @param sign The health signal of the upstream. */
   recordAttempt(sign: string): void {
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -213,7 +213,9 @@
     onStart?.(forwarder, call.route, upstreams);
   });
   const port = await listen(callerFacingServer);
-  const response = await fetch(`http://127.0.0.1:${port}/`);
+  const response = await fetch(`http://127.0.0.1:${port}/`, {
+    redirect: "manual",
+  });
   let isTruncated = false;
   const body = await response.text().catch(() => {
     isTruncated = true;
