Bound what a response may take in memory and time

Cause: neither bodies, events, their number, nor what a response has besides its body had a bound; splitting events took time that grew with the square.

Why it works: bodies over 4 MiB, events over 256 KiB, more than 65,536 events, 16 MiB of a stream, 256 KiB besides the body and 16 interim responses end the attempt as an error that has run, with the bound and bytes in the log. All incomplete responses of a process share 12 MiB. Bytes are examined once, and events that arrive together are written together. The HTTP clients of the platform, of other hosts and of reports have limits too.

The soak has the fault respondForEver.

--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -11,7 +11,7 @@
 } from "./crashing_requests.ts";
 import type { GatewayProcess } from "./gateway_process.ts";
 import type { SoakFleet } from "./soak_fleet.ts";
-import type { WorkerFault } from "./soak_worker.ts";
+import type { SoakWorker, WorkerFault } from "./soak_worker.ts";
 
 /** Injects one fault, reverts it, and resolves when it is over. */
 export type SoakFault = (fleet: SoakFleet, random: Random) => Promise<void>;
@@ -189,12 +189,23 @@
   fleet.faults.end(window);
 }
 
-async function misbehaveWorker(
+function misbehaveWorker(fleet: SoakFleet, random: Random): Promise<void> {
+  const worker = random.pick(fleet.workers);
+  return applyWorkerFault(fleet, random, worker, random.pick(WORKER_FAULTS));
+}
+
+/** Lets a worker answer without end. */
+function respondForEver(fleet: SoakFleet, random: Random): Promise<void> {
+  const worker = random.pick(fleet.workers);
+  return applyWorkerFault(fleet, random, worker, "endless");
+}
+
+async function applyWorkerFault(
   fleet: SoakFleet,
   random: Random,
+  worker: SoakWorker,
+  fault: WorkerFault,
 ): Promise<void> {
-  const worker = random.pick(fleet.workers);
-  const fault = random.pick(WORKER_FAULTS);
   const window = fleet.faults.begin(fault, [worker.id]);
   worker.fault = fault;
   await delay(random.integer(300, 4_000));
@@ -300,4 +311,5 @@
   spoilEntry,
   turnAway,
   leaveByAnswers,
+  respondForEver,
 };
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -1,5 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
+import {
+  ENDLESS_RESPONSES,
+  writeEndlessResponse,
+} from "../fakes/endless_response.ts";
 import { FakeWorker } from "../fakes/fake_worker.ts";
 import { FaultProxy } from "../fakes/fault_proxy.ts";
 import { resetSocket } from "../fakes/reset_socket.ts";
@@ -22,7 +26,8 @@
   | "cut_short"
   | "surplus"
   | "crossed"
-  | "slow";
+  | "slow"
+  | "endless";
 
 /** Range of the duration of work on a request, in milliseconds. */
 const WORK_RANGE_MS = [3, 25] as const;
@@ -192,6 +197,7 @@
     if (response.destroyed) return;
     if (crashesWorkers(run)) return this.onCrashRequest();
     if (fault === "reset") return resetSocket(request.socket);
+    if (fault === "endless") return this.sendEndless(request);
     if (fault === "errors") return this.sendError(request, response, run);
     const headers = this.worker.buildSealHeaders(request);
     if (fault === "crossed") {
@@ -203,6 +209,12 @@
     else this.sendPlainResponse(response, run, headers, fault);
   }
 
+  private sendEndless(request: IncomingMessage): void {
+    const kind = this.random.pick(Object.keys(ENDLESS_RESPONSES));
+    const headers = this.worker.buildSealHeaders(request);
+    writeEndlessResponse(request.socket, kind, headers);
+  }
+
   private sendError(
     request: IncomingMessage,
     response: ServerResponse,
--- a/src/configuration_service/platform_client.ts
+++ b/src/configuration_service/platform_client.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from "undici";
 import { z } from "zod";
+import { MAX_SYSTEM_RESPONSE_BYTES } from "../http/response_limits.ts";
 import {
   type PublishedValue,
   publishedValueSchema,
@@ -19,6 +20,7 @@
   private readonly agent = new Agent({
     connections: 4,
     connect: { timeout: NETWORK_TIMEOUT_MS },
+    maxResponseSize: MAX_SYSTEM_RESPONSE_BYTES,
   });
 
   private constructor(private readonly url: string) {}
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -167,6 +167,7 @@
             this.onHead(status, headers, requestId),
           onResponseData: (_controller, bytes) => {
             this.upstream.lastReceivedAt = readClock();
+            this.connection.recordBody(bytes.length);
             if (!this.isFinished) this.listener.onBytes(bytes);
           },
           onResponseEnd: () => this.onEnd(),
@@ -200,7 +201,8 @@
     const now = readClock();
     this.upstream.lastReceivedAt = now;
     this.context.recordConnectionResponse(this.connection.establishedAt);
-    if (status < 200 || this.isFinished) return;
+    if (status < 200) return this.connection.recordInterim();
+    if (this.isFinished) return;
     const response = this.context.codec.readResponse(status, headers);
     // Another upstream that now has this address reports only its own availability.
     if (!response.isFromOtherUpstream) {
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -76,7 +76,12 @@
     this.refusal = CallRefusal.create(call, context, this.stream);
     this.sender = AttemptSender.create(call, context, this.log);
     this.outcomes = AttemptOutcomes.create(call, context);
-    this.relay = ResponseRelay.create(response, call.headers.lastEventId);
+    this.relay = ResponseRelay.create({
+      response,
+      lastEventId: call.headers.lastEventId,
+      memory: context.memory,
+      onEvicted: (problem) => this.onUnusableBody(problem),
+    });
     const { relay, outcomes, budget } = this;
     this.completion = ResponseCompletion.create({ relay, outcomes, budget });
     this.silences = this.createSilenceHandler();
@@ -256,13 +261,18 @@
     const isStream = isSuccess && headers.isEventStream;
     if (this.response.hasStarted && !isStream) {
       const detail = `status ${status} does not continue the stream`;
-      return this.onUnusableContinuation(headers, detail);
+      return this.onUnusableResponse(headers, detail);
     }
     this.relay.setHead({ status, headers }, isStream);
   }
 
-  /** Ends an attempt whose response does not continue the stream that the caller is receiving. */
-  private onUnusableContinuation(
+  private onUnusableBody(problem: string): void {
+    this.onUnusableResponse(this.relay.head!.headers, problem);
+  }
+
+  /** Ends an attempt whose response can't be passed on: it does not continue the stream that the caller is receiving,
+   * or exceeds a limit. */
+  private onUnusableResponse(
     headers: ResponseHeaders,
     detail: string,
   ): void {
@@ -324,9 +334,7 @@
     this.silences.recordBytes();
     const hadPartialResponse = this.relay.hasPartialResponse;
     const problem = this.relay.pushBytes(bytes, this.attempt);
-    if (problem !== undefined) {
-      return this.onUnusableContinuation(this.relay.head!.headers, problem);
-    }
+    if (problem !== undefined) return this.onUnusableBody(problem);
     if (!this.relay.hasPartialResponse) return;
     if (!hadPartialResponse) this.recordBegin();
     this.stream.recordEvent();
@@ -397,6 +405,7 @@
     this.silences.close();
     this.stream.close();
     this.attempt?.abandon();
+    this.relay.discard();
     const wasOpen = this.response.close();
     this.context.onEnd(this, {
       result: wasOpen ? "broken_off" : result,
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -14,6 +14,7 @@
 import type { PromptPlacement } from "./call_log.ts";
 import type { CallForwarder } from "./call_forwarder.ts";
 import type { HeaderCodec } from "./caller_headers.ts";
+import type { ResponseMemory } from "./response_memory.ts";
 import type { RoutedCall } from "./routed_call.ts";
 
 /** How a call ended. */
@@ -164,6 +165,8 @@
   codec: HeaderCodec;
   crashes: CrashAccess;
   streams: StreamAnnouncer;
+  /** Limits what the incomplete responses of all calls take together. */
+  memory: ResponseMemory;
   /** Called once when the call has ended. */
   onEnd: (forwarder: CallForwarder, outcome: CallOutcome) => void;
 }
--- a/src/forward/event_splitter.ts
+++ b/src/forward/event_splitter.ts
@@ -1,18 +1,32 @@
-/** The empty line that ends an event, for each kind of line ending. */
-const EVENT_TERMINATORS = [Buffer.from("\n\n"), Buffer.from("\r\n\r\n")];
+import { ByteAccumulator } from "../http/byte_accumulator.ts";
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 /** Prefix of the line with the id of an event. */
 const ID_FIELD_PREFIX = "id:";
+const FIRST_ID_BYTE = ID_FIELD_PREFIX.charCodeAt(0);
+/** Number of characters of a line that are kept if it arrives in pieces; longer than a line with an id. */
+const MAX_LINE_PREFIX_LENGTH = 1_024;
 
-/** One complete event of a stream. */
-export interface StreamEvent {
+/** Consecutive complete events of a stream. */
+export interface StreamEvents {
   bytes: Buffer;
-  /** Id of the event, if it has one. */
-  id: string | undefined;
+  count: number;
+  /** Id of the first event that has one. */
+  firstId: string | undefined;
+  /** Id of the last event that has one. */
+  lastId: string | undefined;
 }
 
-/** Splits the bytes of an event stream into complete events and buffers an incomplete one. */
+/** Splits the bytes of an event stream after complete events, each of which ends with an empty line, and buffers an
+ * incomplete one. Each byte is examined once. */
 export class EventSplitter {
-  private incompleteEvent: Buffer = Buffer.alloc(0);
+  private readonly incomplete = ByteAccumulator.create();
+  /** Beginning of the current line, as far as it arrived in earlier pieces. */
+  private linePrefix = "";
+  private hasLineBytes = false;
+  /** Id of the incomplete event. */
+  private pendingId: string | undefined;
 
   private constructor() {}
 
@@ -21,44 +35,80 @@
     return new EventSplitter();
   }
 
-  /** Whether part of an event is buffered. */
-  get hasIncompleteEvent(): boolean {
-    return this.incompleteEvent.length > 0;
+  /** Number of bytes of the incomplete event. */
+  get incompleteBytes(): number {
+    return this.incomplete.length;
   }
 
-  /** Adds bytes and returns the events that they complete.
+  /** Adds bytes and returns the events that they complete; undefined if there are none.
    * @param bytes The bytes. */
-  push(bytes: Buffer): StreamEvent[] {
-    let pending = this.incompleteEvent.length === 0
-      ? bytes
-      : Buffer.concat([this.incompleteEvent, bytes]);
-    const events: StreamEvent[] = [];
-    let end = findEventEnd(pending);
-    while (end !== undefined) {
-      const event = pending.subarray(0, end);
-      events.push({ bytes: event, id: readId(event) });
-      pending = pending.subarray(end);
-      end = findEventEnd(pending);
+  push(bytes: Buffer): StreamEvents | undefined {
+    let [count, end, lineStart] = [0, 0, 0];
+    let [firstId, lastId]: (string | undefined)[] = [undefined, undefined];
+    for (let at = 0; at < bytes.length; at++) {
+      if (bytes[at] !== LINE_FEED) continue;
+      if (this.isEmptyLine(bytes, lineStart, at)) {
+        firstId ??= this.pendingId;
+        lastId = this.pendingId ?? lastId;
+        this.pendingId = undefined;
+        count += 1;
+        end = at + 1;
+      } else this.pendingId = this.readId(bytes, lineStart, at);
+      this.linePrefix = "";
+      this.hasLineBytes = false;
+      lineStart = at + 1;
     }
-    this.incompleteEvent = pending;
-    return events;
+    this.keepLine(bytes, lineStart);
+    const complete = this.takeComplete(bytes, end);
+    return complete && { bytes: complete, count, firstId, lastId };
   }
-}
 
-/** Returns the offset after the first complete event; undefined if there is none. */
-function findEventEnd(bytes: Buffer): number | undefined {
-  const ends = EVENT_TERMINATORS.map((terminator) => ({
-    terminator,
-    at: bytes.indexOf(terminator),
-  }))
-    .filter(({ at }) => at >= 0)
-    .map(({ terminator, at }) => at + terminator.length);
-  return ends.length === 0 ? undefined : Math.min(...ends);
-}
+  private isEmptyLine(bytes: Buffer, start: number, end: number): boolean {
+    const length = end - start;
+    if (!this.hasLineBytes) {
+      return length === 0 || (length === 1 && bytes[start] === CARRIAGE_RETURN);
+    }
+    return length === 0 && this.linePrefix === "\r";
+  }
 
-function readId(event: Buffer): string | undefined {
-  const line = event.toString("latin1").split("\n").find((field) =>
-    field.startsWith(ID_FIELD_PREFIX)
-  );
-  return line?.slice(ID_FIELD_PREFIX.length).trim();
+  /** Returns the id in a line, or else the one in the lines before it. */
+  private readId(
+    bytes: Buffer,
+    start: number,
+    end: number,
+  ): string | undefined {
+    const isUnlikely = !this.hasLineBytes && bytes[start] !== FIRST_ID_BYTE;
+    if (isUnlikely) return this.pendingId;
+    const line = this.linePrefix +
+      bytes.toString(
+        "latin1",
+        start,
+        Math.min(end, start + MAX_LINE_PREFIX_LENGTH),
+      );
+    return line.startsWith(ID_FIELD_PREFIX)
+      ? this.pendingId ?? line.slice(ID_FIELD_PREFIX.length).trim()
+      : this.pendingId;
+  }
+
+  private keepLine(bytes: Buffer, start: number): void {
+    if (start === bytes.length) return;
+    this.hasLineBytes = true;
+    const missing = MAX_LINE_PREFIX_LENGTH - this.linePrefix.length;
+    const end = Math.min(bytes.length, start + missing);
+    this.linePrefix += bytes.toString("latin1", start, end);
+  }
+
+  /** Returns the buffered bytes together with those up to the end of the last complete event, and buffers the rest. */
+  private takeComplete(bytes: Buffer, end: number): Buffer | undefined {
+    const { incomplete } = this;
+    if (end === 0) {
+      incomplete.append(bytes);
+      return undefined;
+    }
+    const head = bytes.subarray(0, end);
+    if (incomplete.length > 0) incomplete.append(head);
+    const complete = incomplete.length > 0 ? incomplete.take() : head;
+    if (end < bytes.length) incomplete.append(bytes.subarray(end));
+    return complete;
+  }
 }
--- a/src/forward/response_relay.ts
+++ b/src/forward/response_relay.ts
@@ -1,6 +1,13 @@
 import type { CallerResponse } from "./caller_response.ts";
 import type { ResponseHeaders } from "./caller_headers.ts";
-import { EventSplitter } from "./event_splitter.ts";
+import { ByteAccumulator } from "../http/byte_accumulator.ts";
+import {
+  MAX_BODY_BYTES,
+  MAX_EVENT_BYTES,
+  MAX_STREAM_EVENTS,
+} from "../http/response_limits.ts";
+import { EventSplitter, type StreamEvents } from "./event_splitter.ts";
+import type { ResponseHolder, ResponseMemory } from "./response_memory.ts";
 
 /** Pauses and resumes reading the response of an upstream. */
 export interface ResponseSource {
@@ -14,30 +21,35 @@
   headers: ResponseHeaders;
 }
 
+/** Dependencies of a {@link ResponseRelay}. */
+export interface ResponseRelayOptions {
+  /** The response to the caller. */
+  response: CallerResponse;
+  /** Id of the last event that the caller has received, if it resumes a stream. */
+  lastEventId: string | undefined;
+  /** Limits what all relays hold together. */
+  memory: ResponseMemory;
+  /** Called if the current attempt's response was discarded because all relays together hold too much. */
+  onEvicted: (problem: string) => void;
+}
+
 /** Forwards responses of upstreams to the caller: an event stream event by event, anything else once it is complete. */
-export class ResponseRelay {
+export class ResponseRelay implements ResponseHolder {
   private currentHead: ResponseHead | undefined;
-  private body: Buffer[] = [];
+  private body = ByteAccumulator.create();
   private splitter: EventSplitter | undefined;
   private lastId: string | undefined;
   private events = 0;
   private forwardedEventsBefore = 0;
 
-  private constructor(
-    private readonly response: CallerResponse,
-    lastEventId: string | undefined,
-  ) {
-    this.lastId = lastEventId;
+  private constructor(private readonly options: ResponseRelayOptions) {
+    this.lastId = options.lastEventId;
   }
 
   /** Creates a relay.
-   * @param response The response to the caller.
-   * @param lastEventId Id of the last event that the caller has received, if it resumes a stream. */
-  static create(
-    response: CallerResponse,
-    lastEventId: string | undefined,
-  ): ResponseRelay {
-    return new ResponseRelay(response, lastEventId);
+   * @param options Its dependencies. */
+  static create(options: ResponseRelayOptions): ResponseRelay {
+    return new ResponseRelay(options);
   }
 
   /** Status and headers of the current attempt's response; undefined before they arrive. */
@@ -52,7 +64,7 @@
 
   /** Whether part of an event has been received. */
   get hasIncompleteEvent(): boolean {
-    return this.splitter?.hasIncompleteEvent ?? false;
+    return (this.splitter?.incompleteBytes ?? 0) > 0;
   }
 
   /** Id of the last event that was forwarded, or that the caller named when it resumed the stream. */
@@ -77,12 +89,23 @@
 
   /** Starts a new attempt and discards what the previous one received but did not forward. */
   startAttempt(): void {
+    this.discard();
     this.currentHead = undefined;
-    this.body = [];
-    this.splitter = undefined;
     this.forwardedEventsBefore = this.events;
   }
 
+  /** Discards what was received but not forwarded. */
+  discard(): void {
+    this.body = ByteAccumulator.create();
+    this.splitter = undefined;
+    this.options.memory.release(this);
+  }
+
+  /** @internal */
+  evict(): void {
+    this.options.onEvicted("all responses together hold too much memory");
+  }
+
   /** Sets the status and headers of the current attempt's response.
    * @param head Status and headers.
    * @param isStream Whether the response is forwarded event by event. */
@@ -98,34 +121,58 @@
     bytes: Buffer,
     source: ResponseSource | undefined,
   ): string | undefined {
-    if (!this.splitter) {
-      this.body.push(bytes);
-      return undefined;
-    }
-    for (const event of this.splitter.push(bytes)) {
-      if (this.isRepeated(event.id)) {
-        return `event ${event.id} repeats what precedes ${this.lastId}`;
-      }
-      if (event.id !== undefined) this.lastId = event.id;
-      this.forwardEvent(event.bytes, source);
-    }
-    return undefined;
+    const problem = this.splitter
+      ? this.pushStreamBytes(this.splitter, bytes, source)
+      : this.pushBodyBytes(bytes);
+    if (problem !== undefined) return problem;
+    const heldBytes = this.splitter?.incompleteBytes ?? this.body.length;
+    return this.options.memory.hold(this, heldBytes)
+      ? undefined
+      : "it is the largest of too many responses in memory";
   }
 
   /** Sends a complete response that is not a stream to the caller. */
   sendComplete(): void {
     const { status, headers } = this.currentHead!;
-    this.response.sendComplete(
+    this.options.response.sendComplete(
       status,
       headers.forwardedHeaders,
-      Buffer.concat(this.body),
+      this.body.take(),
     );
   }
 
   /** Ends the stream to the caller as complete. */
   endStream(): void {
     this.beginStream();
-    this.response.endStream();
+    this.options.response.endStream();
+  }
+
+  private pushBodyBytes(bytes: Buffer): string | undefined {
+    if (this.body.length + bytes.length > MAX_BODY_BYTES) {
+      return `a body of more than ${MAX_BODY_BYTES} bytes`;
+    }
+    this.body.append(bytes);
+    return undefined;
+  }
+
+  private pushStreamBytes(
+    splitter: EventSplitter,
+    bytes: Buffer,
+    source: ResponseSource | undefined,
+  ): string | undefined {
+    const events = splitter.push(bytes);
+    if (splitter.incompleteBytes > MAX_EVENT_BYTES) {
+      return `an event of more than ${MAX_EVENT_BYTES} bytes`;
+    }
+    if (!events) return undefined;
+    if (this.isRepeated(events.firstId)) {
+      return `event ${events.firstId} is not after ${this.lastId}`;
+    }
+    if (this.attemptEvents + events.count > MAX_STREAM_EVENTS) {
+      return `more than ${MAX_STREAM_EVENTS} events`;
+    }
+    this.forwardEvents(events, source);
+    return undefined;
   }
 
   /** Whether the first event of a continuation is not after the last one that was forwarded. */
@@ -135,21 +182,23 @@
     return id !== undefined && Number(id) <= Number(this.lastId);
   }
 
-  private forwardEvent(
-    bytes: Buffer,
+  private forwardEvents(
+    { bytes, count, lastId }: StreamEvents,
     source: ResponseSource | undefined,
   ): void {
+    this.lastId = lastId ?? this.lastId;
     this.beginStream();
-    this.events += 1;
-    const canWriteMore = this.response.write(bytes, () => source?.resume());
+    this.events += count;
+    const { response } = this.options;
+    const canWriteMore = response.write(bytes, () => source?.resume());
     if (!canWriteMore) source?.pause();
   }
 
   /** Begins the stream to the caller unless an earlier attempt has already begun it. */
   private beginStream(): void {
-    if (this.response.hasStarted) return;
+    if (this.options.response.hasStarted) return;
     const { status, headers } = this.currentHead!;
-    this.response.beginStream(
+    this.options.response.beginStream(
       status,
       removeContentLength(headers.forwardedHeaders),
     );
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -13,6 +13,7 @@
   UpstreamAccess,
 } from "../forward/call_forwarder_context.ts";
 import { CallerResponse } from "../forward/caller_response.ts";
+import { ResponseMemory } from "../forward/response_memory.ts";
 import type { CallerHeaders, HeaderCodec } from "../forward/caller_headers.ts";
 import { fingerprintRequest } from "../hashing/request_fingerprint.ts";
 import { type RoutedCall, toTrackedRequest } from "../forward/routed_call.ts";
@@ -83,6 +84,7 @@
 /** Admits callers' requests, reads their bodies and forwards them to upstreams. */
 export class CallHandler {
   private readonly forwarders = new Set<CallForwarder>();
+  private readonly memory = ResponseMemory.create();
   private pendingAdmissions = 0;
 
   private constructor(private readonly options: CallHandlerOptions) {}
@@ -246,6 +248,7 @@
       codec,
       crashes: guard,
       streams,
+      memory: this.memory,
       onEnd: (ended, outcome) => {
         isEnded = true;
         guard.recordEnd(call.requestId);
--- a/src/peers/msgpack_client.ts
+++ b/src/peers/msgpack_client.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import { pack, unpack } from "msgpackr";
 import { Agent, request } from "undici";
+import { MAX_SYSTEM_RESPONSE_BYTES } from "../http/response_limits.ts";
 
 /** Connect timeout, in milliseconds: several round-trip times; an unresponsive host delays a request to the next host
  * by no longer than this. */
@@ -11,7 +12,10 @@
   private readonly agent: Agent;
 
   private constructor(private readonly timeoutMs: number) {
-    this.agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+    this.agent = new Agent({
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      maxResponseSize: MAX_SYSTEM_RESPONSE_BYTES,
+    });
   }
 
   /** Creates a client.
--- a/src/upstream/event_stream_parser.ts
+++ b/src/upstream/event_stream_parser.ts
@@ -3,6 +3,7 @@
   type EngineEvent,
   engineEventSchema,
 } from "./engine_event.ts";
+import { MAX_EVENT_BYTES } from "../http/response_limits.ts";
 
 const EVENT_SEPARATOR = "\n\n";
 const DATA_PREFIX = "data: ";
@@ -19,7 +20,9 @@
 /** Splits a stream of server-sent events into complete events and checks that each belongs to one request. Throws if an
  * event names another request, is out of order, or follows the end marker. */
 export class EventStreamParser {
-  private buffered = "";
+  /** The incomplete event, as it arrived. */
+  private pending: string[] = [];
+  private pendingLength = 0;
   private hasEndMarker = false;
 
   private constructor(
@@ -38,18 +41,7 @@
    * @param text The chunk; may start and end anywhere between characters.
    * @returns The events that this chunk completes. */
   push(text: string): ParsedEvents {
-    const pending = this.buffered + text;
-    const lastSeparator = pending.lastIndexOf(EVENT_SEPARATOR);
-    if (lastSeparator < 0) {
-      this.buffered = pending;
-      return {
-        bytes: Buffer.alloc(0),
-        events: [],
-        done: this.hasEndMarker,
-      };
-    }
-    const complete = pending.slice(0, lastSeparator + EVENT_SEPARATOR.length);
-    this.buffered = pending.slice(lastSeparator + EVENT_SEPARATOR.length);
+    const complete = this.takeComplete(text);
     const events: EngineEvent[] = [];
     for (const line of complete.split(EVENT_SEPARATOR)) {
       const event = line === "" ? undefined : this.parseLine(line);
@@ -72,6 +64,31 @@
     return this.hasEndMarker;
   }
 
+  /** Returns the complete events up to the end of the last one, and buffers the rest. Only the new text is searched. */
+  private takeComplete(text: string): string {
+    const lastCharacter = this.pending.at(-1)?.at(-1) ?? "";
+    const at = (lastCharacter + text).lastIndexOf(EVENT_SEPARATOR);
+    if (at < 0) {
+      this.keep(text);
+      return "";
+    }
+    const end = at - lastCharacter.length + EVENT_SEPARATOR.length;
+    const complete = this.pending.join("") + text.slice(0, end);
+    this.pending = [];
+    this.pendingLength = 0;
+    this.keep(text.slice(end));
+    return complete;
+  }
+
+  private keep(text: string): void {
+    if (text === "") return;
+    this.pending.push(text);
+    this.pendingLength += text.length;
+    if (this.pendingLength > MAX_EVENT_BYTES) {
+      throw new Error(`an event of more than ${MAX_EVENT_BYTES} characters`);
+    }
+  }
+
   private parseLine(line: string): EngineEvent | undefined {
     if (this.hasEndMarker) throw new Error("an event follows the end marker");
     if (line === DONE_LINE) {
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -3,7 +3,9 @@
 import type { Host } from "../configuration_service/host_schema.ts";
 import { readClock } from "../clock/clock.ts";
 import { checkConnection } from "../crashes/connection_check.ts";
+import { ByteAccumulator } from "../http/byte_accumulator.ts";
 import { isFramed } from "../http/is_framed.ts";
+import { MAX_BODY_BYTES, MAX_STREAM_BYTES } from "../http/response_limits.ts";
 import {
   Availability,
   type AvailabilityChange,
@@ -50,7 +52,6 @@
 const LEAVING_HEADER = { name: "x-leaving", value: "true" };
 const CONNECT_TIMEOUT_MS = 1_000;
 const REPORT_TIMEOUT_MS = 1_000;
-const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
 
 /** HTTP client of one upstream; encapsulates the upstream protocol. */
 export class UpstreamClient {
@@ -66,6 +67,7 @@
     this.agent = new Agent({
       connect: { timeout: CONNECT_TIMEOUT_MS },
       keepAliveTimeout: 2_000,
+      maxResponseSize: MAX_STREAM_BYTES,
       pipelining: 1,
     });
   }
@@ -165,9 +167,10 @@
   /** Calls a service and returns its complete response.
    * @param work The request; one that may not be repeated uses a connection of its own. */
   async call(work: UpstreamRequest): Promise<ServiceResponse> {
-    const dispatcher = work.repeatable
-      ? this.agent
-      : new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+    const dispatcher = work.repeatable ? this.agent : new Agent({
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      maxResponseSize: MAX_BODY_BYTES,
+    });
     try {
       const response = await this.send(work, dispatcher);
       if (response.headers["x-not-run"] === "true") {
@@ -253,17 +256,11 @@
     response: Dispatcher.ResponseData,
     requestId: string,
   ): Promise<ServiceResponse> {
-    const body = Buffer.from(await response.body.arrayBuffer());
+    const body = await readWholeBody(response);
     if (!isFramed(response.headers)) await this.checkRunning();
     if (response.headers["x-request-id"] !== requestId) {
       throw UpstreamError.create("unknown", "the answer names another request");
     }
-    if (body.length > MAX_RESPONSE_BYTES) {
-      throw UpstreamError.create(
-        "unknown",
-        "the answer exceeds the limit",
-      );
-    }
     const contentType = String(
       response.headers["content-type"] ?? "application/octet-stream",
     );
@@ -296,6 +293,24 @@
   }
 }
 
+/** Reads a response body.
+ * @throws UpstreamError if it exceeds the limit; its connection is then closed. */
+async function readWholeBody(
+  { body }: Dispatcher.ResponseData,
+): Promise<Buffer> {
+  const collected = ByteAccumulator.create();
+  for await (const bytes of body) {
+    collected.append(bytes as Buffer);
+    if (collected.length > MAX_BODY_BYTES) {
+      throw UpstreamError.create(
+        "unknown",
+        `a body of more than ${MAX_BODY_BYTES} bytes`,
+      );
+    }
+  }
+  return collected.take();
+}
+
 /** Discards a response that nobody waits for any more; returns the error to throw instead. */
 function discardResponse(response: Dispatcher.ResponseData): UpstreamError {
   response.body.destroy();
--- a/src/upstreams/upstream_connection.ts
+++ b/src/upstreams/upstream_connection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { readClock } from "../clock/clock.ts";
 import type { PathConnection } from "../paths/path_connection.ts";
+import { ResponseMeter } from "./response_meter.ts";
 import { type buildConnector, Client, type Dispatcher } from "undici";
 
 /** Idle time after which a connection is closed if the upstream names none, in milliseconds. */
@@ -17,6 +18,8 @@
   private hasFailed = false;
   private relayHostId: string | undefined;
   private establishedTime = Infinity;
+  private meter = ResponseMeter.create();
+  private socket: PathConnection["socket"] | undefined;
 
   private constructor(
     address: string,
@@ -32,6 +35,12 @@
       keepAliveTimeoutThreshold: IDLE_CLOSE_MARGIN_MS,
       connect: this.createConnector(connect),
     });
+    // The HTTP client has its own listeners by now, so that this one does not change how it reads.
+    this.client.on("connect", () =>
+      this.socket?.on("data", (bytes: Buffer) => {
+        this.meter.recordReceived(bytes.length);
+        this.closeIfExcessive();
+      }));
     this.client.on("disconnect", () => {
       this.close();
       onClosed(this);
@@ -78,9 +87,22 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): void {
+    this.meter = ResponseMeter.create();
     this.client.dispatch(options, handler);
   }
 
+  /** Records bytes of the response body.
+   * @param bytes Number of bytes. */
+  recordBody(bytes: number): void {
+    this.meter.recordBody(bytes);
+  }
+
+  /** Records an interim response. */
+  recordInterim(): void {
+    this.meter.recordInterim();
+    this.closeIfExcessive();
+  }
+
   /** Closes the connection immediately. */
   close(): void {
     if (this.isClosed) return;
@@ -96,6 +118,7 @@
         ({ socket, relayId }) => {
           this.relayHostId = relayId;
           this.establishedTime = readClock();
+          this.socket = socket;
           this.detectReset(socket);
           callback(null, socket as Socket);
         },
@@ -103,6 +126,14 @@
       );
   }
 
+  /** Closes the connection if the response exceeds a limit; the request then fails with a message that names it. */
+  private closeIfExcessive(): void {
+    const { excess } = this.meter;
+    if (excess === undefined || this.isClosed) return;
+    this.isClosed = true;
+    void this.client.destroy(new Error(`excessive response: ${excess}`));
+  }
+
   /** Detects a reset of the connection. If the reset arrives together with the last bytes, the event loop reports an
    * ordinary end. The socket then has no remote address any more, whereas a socket that was closed properly still has
    * one. */
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -12,6 +12,7 @@
   RepeatAccess,
 } from "../../src/forward/call_forwarder_context.ts";
 import { CallerResponse } from "../../src/forward/caller_response.ts";
+import { ResponseMemory } from "../../src/forward/response_memory.ts";
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
 import type { Route } from "../../src/published/configuration_schema.ts";
 import type { HashedPromptPart } from "../../src/upstreams/prefix_index.ts";
@@ -51,6 +52,8 @@
   repeats?: Partial<RepeatAccess>;
   /** Checks the path to an upstream; by default at once. */
   checkPath?: CallForwarderContext["checkPath"];
+  /** Limits what incomplete responses take together; by default that of a process. */
+  memory?: ResponseMemory;
   /** Decides whether the call may be sent; by default at once. */
   admit?: CallForwarderContext["admit"];
   /** Resolves with whether another host lends a slot; until then no upstream can be chosen. By default none is needed. */
@@ -143,8 +146,16 @@
 async function sendCall(
   upstreams: readonly Upstream[],
   call: RoutedCall,
-  { onStart, retryAfterMs, crashes, repeats, checkPath, slotLoan, admit }:
-    ForwardCallOptions,
+  {
+    onStart,
+    retryAfterMs,
+    crashes,
+    repeats,
+    checkPath,
+    slotLoan,
+    admit,
+    memory,
+  }: ForwardCallOptions,
 ): Promise<ReceivedResponse> {
   const ended = createDeferred<CallOutcome>();
   const loads = LoadCounts.create();
@@ -199,6 +210,7 @@
       recordMoved: () => undefined,
       canContinue: (origin) =>
         upstreams.some((upstream) => isOfOrigin(upstream, origin)),
+      memory: memory ?? ResponseMemory.create(),
       streams: { announce: () => undefined, release: () => undefined },
       crashes: {
         mayRetry: () => true,
