Do not trust the end of an unframed response after a pause

Cause: such an end was believed if something listens at the upstream's address when it is read; a host that was frozen reads it seconds later, when another upstream may have the address.

Both programs use checkUpstreamRuns.

--- a/src/clock/pause_detector.ts
+++ b/src/clock/pause_detector.ts
@@ -1,28 +1,32 @@
 import { readClock } from "./clock.ts";
 
-const TICK_INTERVAL_MS = 50;
+const DEFAULT_TICK_INTERVAL_MS = 50;
 
 /** Detects that this process was paused or its machine suspended, so that no decision is based on stale state. */
 export class PauseDetector {
   private lastTick = readClock();
   private stale = false;
+  private lastPauseEndedAt = -Infinity;
   private readonly timer: NodeJS.Timeout;
 
   private constructor(
     private readonly thresholdMs: number,
     private readonly onPause: (gapMs: number) => void,
+    tickIntervalMs: number,
   ) {
-    this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS);
+    this.timer = setInterval(() => this.tick(), tickIntervalMs);
   }
 
   /** Creates a detector and starts its timer.
    * @param thresholdMs Smallest gap between two ticks that counts as a pause, in milliseconds.
-   * @param onPause Called once for each pause, with the gap in milliseconds. */
+   * @param onPause Called once for each pause, with the gap in milliseconds.
+   * @param tickIntervalMs Interval of the ticks, in milliseconds. */
   static create(
     thresholdMs: number,
     onPause: (gapMs: number) => void,
+    tickIntervalMs = DEFAULT_TICK_INTERVAL_MS,
   ): PauseDetector {
-    return new PauseDetector(thresholdMs, onPause);
+    return new PauseDetector(thresholdMs, onPause, tickIntervalMs);
   }
 
   /** Whether the process has run without a pause since its state was last marked fresh. */
@@ -31,6 +35,13 @@
     return !this.stale;
   }
 
+  /** Whether a pause has ended recently.
+   * @param durationMs Time since its end, in milliseconds. */
+  hasPausedWithin(durationMs: number): boolean {
+    this.tick();
+    return readClock() - this.lastPauseEndedAt < durationMs;
+  }
+
   /** Marks state as fresh again, for instance after a response from a peer. */
   markFresh(): void {
     this.tick();
@@ -48,6 +59,7 @@
     this.lastTick = now;
     if (gap < this.thresholdMs) return;
     this.stale = true;
+    this.lastPauseEndedAt = now;
     this.onPause(gap);
   }
 }
--- a/src/gateway/create_chooser.ts
+++ b/src/gateway/create_chooser.ts
@@ -1,4 +1,5 @@
 import { readClock } from "../clock/clock.ts";
+import type { PauseDetector } from "../clock/pause_detector.ts";
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
@@ -6,6 +7,7 @@
 import type { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { PeerNetwork } from "./peer_network.ts";
+import { checkUpstreamRuns } from "../upstreams/check_upstream_runs.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
 import type { UpstreamPaths } from "./upstream_paths.ts";
 
@@ -15,6 +17,7 @@
   metrics: GatewayMetrics;
   guard: CrashGuard;
   paths: UpstreamPaths;
+  pauses: PauseDetector;
   /** Returns the current settings; the id and the gossip address are read once. */
   getSettings: () => GatewaySettings;
   getReplica: () => PublicationReplica;
@@ -26,7 +29,7 @@
 /** Creates the chooser of a gateway.
  * @param parts The parts that it depends on. */
 export function createChooser(parts: ChooserParts): UpstreamChooser {
-  const { logger, metrics, guard, paths, getSettings } = parts;
+  const { logger, metrics, guard, paths, pauses, getSettings } = parts;
   const { getReplica, getHandler, getPeerNetwork } = parts;
   const { id, gossipAddress } = getSettings();
   return UpstreamChooser.create({
@@ -70,7 +73,13 @@
     onHealthSignal: (signal) => metrics.recordAttempt(signal),
     network: paths.monitor,
     checkPath: (upstream) => paths.monitor.check(upstream),
-    isRunning: async (upstream) =>
-      await paths.monitor.checkCrash(upstream) === "taken",
+    isRunning: async (upstream) => {
+      const result = await checkUpstreamRuns(
+        () => paths.monitor.checkCrash(upstream),
+        pauses,
+      );
+      logger.info({ upstream: upstream.id, result }, "unframed_end_checked");
+      return result === "taken";
+    },
   });
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,9 +22,14 @@
 import { PeerExchanges } from "./peer_exchanges.ts";
 import { PeerNetwork } from "./peer_network.ts";
 import { PublicationWatch } from "./publication_watch.ts";
+import { PauseDetector } from "../clock/pause_detector.ts";
+import { MIN_PAUSE_MS } from "../upstreams/check_upstream_runs.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
 
+/** Interval at which pauses of the process are looked for, in milliseconds. */
+const PAUSE_CHECK_INTERVAL_MS = 250;
+
 /** The dependencies of a gateway that its settings do not describe. */
 export interface GatewayDependencies {
   logger: Logger;
@@ -57,6 +62,11 @@
   private watch: PublicationWatch | undefined;
   private endpoints: GatewayEndpoints | undefined;
   private server: CallServer | undefined;
+  private readonly pauses = PauseDetector.create(
+    MIN_PAUSE_MS,
+    (pausedMs) => this.logger.warn({ pausedMs }, "process_paused"),
+    PAUSE_CHECK_INTERVAL_MS,
+  );
   private readonly stopClockWatch = onClockJump((jumpMs) => {
     const { ageMs } = this.replica;
     this.logger.warn({ jumpMs, ageMs: Math.round(ageMs) }, "time_jumped");
@@ -74,6 +84,7 @@
       metrics: this.metrics,
       guard: this.guard,
       paths: this.paths,
+      pauses: this.pauses,
       getSettings: () => this.settings,
       getReplica: () => this.replica,
       getHandler: () => this.handler,
@@ -141,6 +152,7 @@
   /** Stops immediately, without waiting for open calls. */
   async close(): Promise<void> {
     this.stopClockWatch();
+    this.pauses.close();
     this.watch?.close();
     this.server?.close();
     this.paths.close();
--- a/src/owner/owned_upstream.ts
+++ b/src/owner/owned_upstream.ts
@@ -10,6 +10,7 @@
   REPORT_CATCH_UP_MS,
 } from "./foreign_load_estimator.ts";
 import type { Job } from "./job.ts";
+import type { Pauses } from "../upstreams/check_upstream_runs.ts";
 
 /** Number of consecutive failed reports from which an upstream counts as unreachable. */
 const MISSED_REPORT_LIMIT = 2;
@@ -20,6 +21,8 @@
   queueLimit: number;
   /** Time without data from the upstream after which a request to it fails, in milliseconds. */
   stallTimeoutMs: number;
+  /** Detects pauses of this process. */
+  pauses?: Pauses;
   /** Defaults to the timeline of the process. */
   timeline?: Timeline;
 }
@@ -53,7 +56,8 @@
     options: OwnedUpstreamOptions,
   ) {
     this.queue = FairQueue.create<Job>(options.queueLimit);
-    this.client = UpstreamClient.create(host, options.stallTimeoutMs);
+    const { stallTimeoutMs, pauses } = options;
+    this.client = UpstreamClient.create(host, stallTimeoutMs, pauses);
     this.timeline = options.timeline ?? processTimeline;
   }
 
--- a/src/owner/upstream_registry.ts
+++ b/src/owner/upstream_registry.ts
@@ -23,6 +23,7 @@
   UNREACHABLE_LOAD,
 } from "./load_table.ts";
 import { OwnedUpstream } from "./owned_upstream.ts";
+import type { Pauses } from "../upstreams/check_upstream_runs.ts";
 
 /** Index, in the ordered owners of an upstream, of the backup owner. It accepts requests of entry routers that cannot
  * reach the owner. */
@@ -38,6 +39,8 @@
   getPlacement: () => PlacementTable;
   /** Requests a report from an upstream. */
   requestReport: (upstream: OwnedUpstream) => void;
+  /** Detects pauses of this process. */
+  pauseDetector?: Pauses;
   /** Defaults to the timeline of the process. */
   timeline?: Timeline;
 }
@@ -229,6 +232,7 @@
     const upstream = OwnedUpstream.create(host, {
       queueLimit,
       stallTimeoutMs,
+      pauses: this.options.pauseDetector,
       timeline: this.timeline,
     });
     upstream.client.onAvailabilityChange = (change) =>
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -6,6 +6,10 @@
 import { ByteAccumulator } from "../http/byte_accumulator.ts";
 import { isFramed } from "../http/is_framed.ts";
 import { MAX_BODY_BYTES, MAX_STREAM_BYTES } from "../http/response_limits.ts";
+import {
+  checkUpstreamRuns,
+  type Pauses,
+} from "../upstreams/check_upstream_runs.ts";
 import {
   Availability,
   type AvailabilityChange,
@@ -62,7 +66,11 @@
   private currentAvailability = this.createAvailability();
   private leavingSeenAt = -Infinity;
 
-  private constructor(host: Host, private readonly stallTimeoutMs: number) {
+  private constructor(
+    host: Host,
+    private readonly stallTimeoutMs: number,
+    private readonly pauses: Pauses,
+  ) {
     this.url = `http://${host.address}:${host.port}`;
     this.agent = new Agent({
       connect: { timeout: CONNECT_TIMEOUT_MS },
@@ -74,9 +82,14 @@
 
   /** Creates a client without connections.
    * @param host The upstream.
-   * @param stallTimeoutMs Time without received data after which a request fails, in milliseconds. */
-  static create(host: Host, stallTimeoutMs: number): UpstreamClient {
-    return new UpstreamClient(host, stallTimeoutMs);
+   * @param stallTimeoutMs Time without received data after which a request fails, in milliseconds.
+   * @param pauses Detects pauses of this process; by default there are none. */
+  static create(
+    host: Host,
+    stallTimeoutMs: number,
+    pauses: Pauses = { hasPausedWithin: () => false },
+  ): UpstreamClient {
+    return new UpstreamClient(host, stallTimeoutMs, pauses);
   }
 
   /** Whether the upstream accepts requests, according to its responses. */
@@ -274,7 +287,9 @@
   /** Checks that the upstream still runs after a response that ended with its connection, as it does in a crash.
    * @throws UpstreamError if it does not. */
   private async checkRunning(): Promise<void> {
-    if (await checkConnection(new URL(this.url).host) === "taken") return;
+    const { host } = new URL(this.url);
+    const check = () => checkConnection(host);
+    if (await checkUpstreamRuns(check, this.pauses) === "taken") return;
     throw UpstreamError.create(
       "unknown",
       "the upstream ended with its answer, which has no length",
