Ask for the instance at the end of a response after a pause

The gateway now asks who answers there, by the liveness check of the service, once for all responses of an upstream that end together.

--- a/fakes/fake_worker.ts
+++ b/fakes/fake_worker.ts
@@ -1,6 +1,9 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { closeHttp, listenHttp } from "./http_fake.ts";
 
+/** Path of the liveness check. */
+const HEALTH_PATH = "/healthz";
+
 /** Handles the requests of a fake worker. */
 export type WorkerBehaviour = (
   request: IncomingMessage,
@@ -26,6 +29,8 @@
   startedAt = Date.now();
   /** Software version that the worker publishes. */
   version = "v1";
+  /** Id that it states in liveness checks; differs from its own if another worker has taken over the address. */
+  answeringId: string;
   /** Whether `crash` was called. */
   hasCrashed = false;
 
@@ -35,7 +40,9 @@
     private readonly server: Server,
     /** Address as ip:port. */
     readonly address: string,
-  ) {}
+  ) {
+    this.answeringId = id;
+  }
 
   /** Starts a worker.
    * @param id Id under which it is published. */
@@ -75,6 +82,11 @@
     response: ServerResponse,
     body: string,
   ): void {
+    if (request.url === HEALTH_PATH) {
+      const id = this.answeringId;
+      response.writeHead(200, { "X-Beechkeel-Instance-Id": id }).end();
+      return;
+    }
     const expected = request.headers["x-beechkeel-expect-instance"];
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, { "X-Beechkeel-Instance-Id": this.id }).end();
--- a/src/gateway/create_chooser.ts
+++ b/src/gateway/create_chooser.ts
@@ -8,6 +8,8 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { PeerNetwork } from "./peer_network.ts";
 import { checkUpstreamRuns } from "../upstreams/check_upstream_runs.ts";
+import { InstanceCheck } from "../upstreams/instance_check.ts";
+import type { InstanceReader } from "../upstreams/instance_reader.ts";
 import { UpstreamChooser } from "./upstream_chooser.ts";
 import type { UpstreamPaths } from "./upstream_paths.ts";
 
@@ -18,6 +20,7 @@
   guard: CrashGuard;
   paths: UpstreamPaths;
   pauses: PauseDetector;
+  instances: InstanceReader;
   /** Returns the current settings; the id and the gossip address are read once. */
   getSettings: () => GatewaySettings;
   getReplica: () => PublicationReplica;
@@ -32,6 +35,11 @@
   const { logger, metrics, guard, paths, pauses, getSettings } = parts;
   const { getReplica, getHandler, getPeerNetwork } = parts;
   const { id, gossipAddress } = getSettings();
+  const instances = InstanceCheck.create({
+    logger,
+    reader: parts.instances,
+    getHealthPath: (name) => getReplica().routes?.getService(name)?.healthPath,
+  });
   return UpstreamChooser.create({
     logger,
     hostId: id,
@@ -74,10 +82,10 @@
     network: paths.monitor,
     checkPath: (upstream) => paths.monitor.check(upstream),
     isRunning: async (upstream) => {
-      const result = await checkUpstreamRuns(
-        () => paths.monitor.checkCrash(upstream),
-        pauses,
-      );
+      const result = await checkUpstreamRuns({
+        checkAddress: () => paths.monitor.checkCrash(upstream),
+        isSameInstance: () => instances.isSame(upstream),
+      }, pauses);
       logger.info({ upstream: upstream.id, result }, "unframed_end_checked");
       return result === "taken";
     },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -24,6 +24,7 @@
 import { PublicationWatch } from "./publication_watch.ts";
 import { PauseDetector } from "../clock/pause_detector.ts";
 import { MIN_PAUSE_MS } from "../upstreams/check_upstream_runs.ts";
+import type { InstanceReader } from "../upstreams/instance_reader.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
 import { UpstreamPaths } from "./upstream_paths.ts";
 
@@ -35,6 +36,7 @@
   logger: Logger;
   feed: PublicationFeed;
   inventory: EngineInventory;
+  instances: InstanceReader;
   codec: HeaderCodec;
   discoveryProtocol: DiscoveryProtocol;
   /** Establishes connections to upstreams; defaults to TCP. */
@@ -85,6 +87,7 @@
       guard: this.guard,
       paths: this.paths,
       pauses: this.pauses,
+      instances: dependencies.instances,
       getSettings: () => this.settings,
       getReplica: () => this.replica,
       getHandler: () => this.handler,
@@ -162,6 +165,7 @@
     await this.peerNetwork?.close();
     await this.exchanges.close();
     await this.dependencies.inventory.close();
+    await this.dependencies.instances.close();
     await this.dependencies.feed.close();
   }
 
--- a/src/published/configuration_schema.ts
+++ b/src/published/configuration_schema.ts
@@ -46,6 +46,8 @@
   warmUpRequestsPerSecond: z.number().positive().optional(),
   /** Whether an engine of the service can fetch cached parts of a prompt from another engine. */
   canFetch: z.boolean(),
+  /** Path of the liveness check of its upstreams. */
+  healthPath: z.string().optional(),
 });
 
 /** A service of the published configuration. */
--- a/src/upstream/upstream_client.ts
+++ b/src/upstream/upstream_client.ts
@@ -288,8 +288,8 @@
    * @throws UpstreamError if it does not. */
   private async checkRunning(): Promise<void> {
     const { host } = new URL(this.url);
-    const check = () => checkConnection(host);
-    if (await checkUpstreamRuns(check, this.pauses) === "taken") return;
+    const checks = { checkAddress: () => checkConnection(host) };
+    if (await checkUpstreamRuns(checks, this.pauses) === "taken") return;
     throw UpstreamError.create(
       "unknown",
       "the upstream ended with its answer, which has no length",
--- a/src/upstreams/check_upstream_runs.ts
+++ b/src/upstreams/check_upstream_runs.ts
@@ -10,15 +10,26 @@
 /** Tells whether this process was paused. */
 export type Pauses = Pick<PauseDetector, "hasPausedWithin">;
 
-/** Checks whether an upstream still runs after a response without a length has ended. The upstream may have crashed and
- * its address may belong to another one if this process was paused, so the check is then undecided.
- * @param checkAddress Checks whether something listens at the address of the upstream.
+/** Ways to check whether an upstream runs. */
+export interface UpstreamChecks {
+  /** Checks whether something listens at its address. */
+  checkAddress: () => Promise<CheckResult>;
+  /** Whether the same instance still answers there; by default that can't be decided. */
+  isSameInstance?: () => Promise<boolean>;
+}
+
+/** Checks whether an upstream still runs after a response without a length has ended. If this process was paused, the
+ * upstream may have crashed and its address may belong to another one, so that the instance has to answer itself.
+ * @param checks Ways to check it.
  * @param pauses Detects pauses of this process of at least `MIN_PAUSE_MS`. */
 export async function checkUpstreamRuns(
-  checkAddress: () => Promise<CheckResult>,
+  { checkAddress, isSameInstance }: UpstreamChecks,
   pauses: Pauses,
 ): Promise<CheckResult> {
-  if (pauses.hasPausedWithin(UNREAD_END_MS)) return "undecided";
-  const result = await checkAddress();
-  return pauses.hasPausedWithin(UNREAD_END_MS) ? "undecided" : result;
+  const hasPaused = () => pauses.hasPausedWithin(UNREAD_END_MS);
+  if (!hasPaused()) {
+    const result = await checkAddress();
+    if (!hasPaused()) return result;
+  }
+  return await isSameInstance?.() ? "taken" : "undecided";
 }
--- a/tests/gateway/paused_end_test.ts
+++ b/tests/gateway/paused_end_test.ts
@@ -10,9 +10,10 @@
 /** Time after which the address of an upstream may belong to another, in milliseconds. */
 const FREEZE_MS = 2_000;
 
-// Guards against a response that a crash has cut short and that counts as complete, because the gateway was frozen and
-// another upstream listens at the address when the gateway wakes.
-test("a response without a length that ended while the gateway was frozen is not passed on as complete", async (t) => {
+/** Lets a response without a length end while the gateway is frozen; returns the status that the caller gets.
+ * @param answeringId Id of the worker that listens at the address afterwards; the same by default. */
+async function endDuringFreeze(answeringId?: string): Promise<number> {
+  let status = 0;
   await withGateways(async (fleet) => {
     const worker = await fleet.startWorker("s");
     fleet.publishConfiguration(1, [KEY], {
@@ -23,14 +24,25 @@
     await waitUntilServing(gateway);
     const begun = new Promise<ServerResponse>((resolve) =>
       worker.behaviour = (request, response, self) => {
-        writeUnframed(response, self.buildSealHeaders(request), "half of a te");
+        writeUnframed(response, self.buildSealHeaders(request), "a text");
         resolve(response);
       }
     );
     const received = call(gateway, KEY);
     const response = await begun;
-    // The worker goes on listening, as another one at its address would.
+    if (answeringId !== undefined) worker.answeringId = answeringId;
     await freezeProcess(FREEZE_MS, () => response.socket!.destroy());
-    t.is((await received).status, 502);
+    ({ status } = await received);
   });
+  return status;
+}
+
+// Guards against a response that a crash has cut short and that counts as complete, because the gateway was frozen and
+// another upstream listens at the address when the gateway wakes.
+test.serial("a response without a length that ended while the gateway was frozen is not passed on as complete if another upstream has the address", async (t) => {
+  t.is(await endDuringFreeze("w-other"), 502);
+});
+
+test.serial("a response without a length that ended while the gateway was frozen is complete if its upstream still runs", async (t) => {
+  t.is(await endDuringFreeze(), 200);
 });
--- a/tests/gateway/with_gateways.ts
+++ b/tests/gateway/with_gateways.ts
@@ -4,6 +4,7 @@
 import { buildWorkerEntry } from "../../fakes/worker_entry.ts";
 import { platformDiscoveryProtocol } from "../../platform/discovery_protocol.ts";
 import { EngineClient } from "../../platform/engine_client.ts";
+import { InstanceClient } from "../../platform/instance_client.ts";
 import { platformHeaderCodec } from "../../platform/header_codec.ts";
 import { StoreClient } from "../../platform/store_client.ts";
 import { Gateway } from "../../src/gateway/gateway.ts";
@@ -50,6 +51,7 @@
       logger: pino({ level: "silent" }),
       feed: StoreClient.create(settings.platformAddress),
       inventory: EngineClient.create(),
+      instances: InstanceClient.create(),
       codec: platformHeaderCodec,
       discoveryProtocol: platformDiscoveryProtocol,
       dial,
@@ -136,7 +138,7 @@
         max_attempts: 2,
         ...changes,
       }],
-      services: [{ name: "s", max_conns: 100 }],
+      services: [{ name: "s", max_conns: 100, health_path: "/healthz" }],
       tenants: [{ name: "c", api_keys: keys }],
     });
   }
