--- a/src/forward/event_splitter.ts
+++ b/src/forward/event_splitter.ts
@@ -40,6 +40,11 @@
     return this.incomplete.length;
   }
 
+  /** Discards the incomplete event. */
+  close(): void {
+    this.incomplete.clear();
+  }
+
   /** Adds bytes and returns the events that they complete; undefined if there are none.
    * @param bytes The bytes. */
   push(bytes: Buffer): StreamEvents | undefined {
--- a/src/http/response_limits.ts
+++ b/src/http/response_limits.ts
@@ -14,6 +14,6 @@
 /** Maximum number of interim responses before a response. */
 export const MAX_INTERIM_RESPONSES = 16;
 /** Maximum size of all incomplete bodies and events that a process holds in memory, in bytes. */
-export const MAX_HELD_BYTES = 12 * 1024 * 1024;
+export const MAX_HELD_BYTES = 8 * 1024 * 1024;
 /** Maximum size of a response from another host or from the platform, in bytes. */
 export const MAX_SYSTEM_RESPONSE_BYTES = 32 * 1024 * 1024;
