--- a/soak/gateway_process.ts
+++ b/soak/gateway_process.ts
@@ -23,7 +23,6 @@
 /** Bounds in the form of the settings file, with one unknown field, which gateways must ignore. */
 const BOUND_SETTINGS = {
   "bounds.drain_ms": BOUNDS.leaveWithinMs,
-  "bounds.grace_s": BOUNDS.stopWithinMs / 1_000,
   "bounds.revoke_ms": BOUNDS.revokeWithinMs,
   "bounds.retry_ratio": BOUNDS.retryRatio,
   "bounds.retry_window_s": BOUNDS.retryWindowMs / 1_000,
@@ -44,6 +43,8 @@
   folder: string;
   /** Command and its first arguments. */
   program: readonly [string, ...string[]];
+  /** Longest duration of a graceful stop in milliseconds; that of the soak by default. */
+  stopWithinMs?: number;
 }
 
 /** A gateway in a separate process, which reaches the store through a fault-injecting proxy. */
@@ -128,6 +129,7 @@
     bootstrap: isFirstStart,
     "platform.address": `127.0.0.1:${storePort}`,
     ...BOUND_SETTINGS,
+    "bounds.grace_s": (options.stopWithinMs ?? BOUNDS.stopWithinMs) / 1_000,
   };
   const lines = Object.entries(fields).map(([name, value]) =>
     `${name}=${value}\n`
