Log the calls that a stop cuts, and how late it began

A stopping host now logs call_cut for each call that it cuts: upstream, events, attempts, the time that it had and had left, when it arrived after the signal, and what was expected of its route. stop_started tells for how long the process was busy before, stop_ended the bytes that were not sent.

--- a/src/clock/pause_detector.ts
+++ b/src/clock/pause_detector.ts
@@ -1,10 +1,13 @@
 import { readClock } from "./clock.ts";
 
 const DEFAULT_TICK_INTERVAL_MS = 50;
+/** Time since a tick within which an event is taken to be handled in the same turn of the event loop, in milliseconds. */
+const SAME_TURN_MS = 20;
 
 /** Detects that this process was paused or its machine suspended, so that no decision is based on stale state. */
 export class PauseDetector {
   private lastTick = readClock();
+  private lastGapMs = 0;
   private stale = false;
   private lastPauseEndedAt = -Infinity;
   private readonly timer: NodeJS.Timeout;
@@ -12,7 +15,7 @@
   private constructor(
     private readonly thresholdMs: number,
     private readonly onPause: (gapMs: number) => void,
-    tickIntervalMs: number,
+    private readonly tickIntervalMs: number,
   ) {
     this.timer = setInterval(() => this.tick(), tickIntervalMs);
   }
@@ -48,6 +51,14 @@
     this.stale = false;
   }
 
+  /** Time for which events that are handled now may have waited because the process was busy or paused, in milliseconds.
+   * Delays shorter than the interval of the ticks may be missed. */
+  get delayMs(): number {
+    const sinceTickMs = readClock() - this.lastTick;
+    const gapMs = sinceTickMs < SAME_TURN_MS ? this.lastGapMs : sinceTickMs;
+    return Math.max(0, gapMs - this.tickIntervalMs);
+  }
+
   /** Stops the timer. */
   close(): void {
     clearInterval(this.timer);
@@ -57,6 +68,7 @@
     const now = readClock();
     const gap = now - this.lastTick;
     this.lastTick = now;
+    this.lastGapMs = gap;
     if (gap < this.thresholdMs) return;
     this.stale = true;
     this.lastPauseEndedAt = now;
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -24,6 +24,7 @@
   CallOutcome,
 } from "./call_forwarder_context.ts";
 import type { CallerResponse } from "./caller_response.ts";
+import type { CallProgress } from "./call_progress.ts";
 import type { ResponseHeaders } from "./caller_headers.ts";
 import { formatSilence } from "./silence_detector.ts";
 import { SilenceHandler } from "./silence_handler.ts";
@@ -140,6 +141,18 @@
     this.finish("caller_gone", "the caller closed its connection");
   }
 
+  /** Progress of the call, for the log of a stop that cuts it. */
+  describeProgress(): CallProgress {
+    return {
+      upstream: this.attempt?.upstream.id,
+      wasSent: this.mayHaveRun,
+      events: this.relay.eventsForwarded,
+      attempts: this.picker.attempts,
+      hadMs: readClock() - this.call.receivedAt,
+      remainingMs: this.deadline.remainingMs,
+    };
+  }
+
   private createSilenceHandler(): SilenceHandler {
     return SilenceHandler.create({
       call: this.call,
--- a/src/forward/call_server.ts
+++ b/src/forward/call_server.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from "node:http";
 import { once } from "node:events";
+import type { Socket } from "node:net";
 import { splitAddress } from "../addresses/split_address.ts";
 import {
   CallerConnections,
@@ -18,7 +19,14 @@
 
 /** The HTTP server that callers connect to. */
 export class CallServer {
-  private constructor(private readonly server: Server) {}
+  private readonly sockets = new Set<Socket>();
+
+  private constructor(private readonly server: Server) {
+    server.on("connection", (socket) => {
+      this.sockets.add(socket);
+      socket.once("close", () => this.sockets.delete(socket));
+    });
+  }
 
   /** Starts a server and waits until it listens.
    * @param address The address to listen on, as ip:port.
@@ -36,10 +44,11 @@
       noDelay: true,
     });
     CallerConnections.attach(server, logger, onRequest);
+    const callServer = new CallServer(server);
     const { host, port } = splitAddress(address);
     server.listen(port, host);
     await once(server, "listening");
-    return new CallServer(server);
+    return callServer;
   }
 
   /** Applies the published limits.
@@ -50,6 +59,13 @@
       IDLE_TIMEOUT_MARGIN_MS;
   }
 
+  /** Number of bytes of responses that have not been handed to the system. */
+  get unsentBytes(): number {
+    let bytes = 0;
+    for (const socket of this.sockets) bytes += socket.writableLength;
+    return bytes;
+  }
+
   /** Stops accepting connections. */
   stopListening(): void {
     this.server.close();
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -160,6 +160,24 @@
     for (const each of [...this.forwarders]) each.leaveLostUpstream(upstream);
   }
 
+  /** Logs the calls that a stop of the host cuts. */
+  logCutCalls(): void {
+    for (const forwarder of this.forwarders) {
+      const { requestId, route, service, receivedAt } = forwarder.call;
+      const { stopAdmission, logger } = this.options;
+      const progress = forwarder.describeProgress();
+      logger.warn({
+        request: requestId,
+        route: route.name,
+        service,
+        ...progress,
+        hadMs: Math.round(progress.hadMs),
+        remainingMs: Math.round(progress.remainingMs),
+        ...stopAdmission.describeExpectation(route.name, receivedAt),
+      }, "call_cut");
+    }
+  }
+
   private async admitAndForward(
     { request, response, receipt }: CallerExchange,
     headers: CallerHeaders,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -141,14 +141,20 @@
   async drain(): Promise<void> {
     if (this.stop.hasStarted) return;
     this.stop.start(this.settings.stopTimeoutMs);
-    this.logger.info({ openCalls: this.handler.openCalls }, "stop_started");
+    const { openCalls } = this.handler;
+    const delayMs = Math.round(this.pauses.delayMs);
+    const limitMs = this.settings.stopTimeoutMs;
+    this.logger.info({ openCalls, limitMs, delayMs }, "stop_started");
     this.peerNetwork?.announce();
     await this.stop.waitForOpenCalls(
       () => this.handler.openCalls + this.paths.server.openTunnels,
     );
     this.server?.stopListening();
     this.server?.closeIdle();
-    this.logger.info({ unfinished: this.handler.openCalls }, "stop_ended");
+    this.handler.logCutCalls();
+    const unsentBytes = this.server?.unsentBytes;
+    const unfinished = this.handler.openCalls;
+    this.logger.info({ unfinished, unsentBytes }, "stop_ended");
     await this.close();
   }
 
--- a/src/gateway/graceful_stop.ts
+++ b/src/gateway/graceful_stop.ts
@@ -42,6 +42,12 @@
     return Math.max(0, this.endsAt - readClock());
   }
 
+  /** Returns the time from the start of the stop to a moment, in milliseconds; negative before the stop.
+   * @param at Monotonic milliseconds. */
+  getElapsedMs(at: number): number {
+    return at - (this.startedAt ?? Infinity);
+  }
+
   /** Starts the stop; does nothing if it has already started.
    * @param limitMs Time that the stop may take, in milliseconds. */
   start(limitMs: number): void {
--- a/src/gateway/stop_admission.ts
+++ b/src/gateway/stop_admission.ts
@@ -29,6 +29,19 @@
     this.durations.record(route, durationMs);
   }
 
+  /** Describes what was expected of a call that the stop cuts, for the log.
+   * @param route Name of its route.
+   * @param receivedAt Monotonic milliseconds of its arrival. */
+  describeExpectation(route: string, receivedAt: number) {
+    const longMs = this.durations.getLongMs(route);
+    return {
+      receivedAfterStopMs: Math.round(
+        this.options.stop.getElapsedMs(receivedAt),
+      ),
+      expectedMs: longMs && Math.round(longMs),
+    };
+  }
+
   /** Returns why a call is refused; undefined if it is accepted.
    * @param call The call, which has not been sent to any upstream. */
   findRefusal(
