--- a/tests/gateway/stopping_host_test.ts
+++ b/tests/gateway/stopping_host_test.ts
@@ -65,3 +65,46 @@
     t.is(sent.length, served.length, "requests that were sent and not served");
   });
 });
+
+/** Time after the start of a stop at which requests begin to take longer, in milliseconds. */
+const GROWS_AFTER_MS = 2_000;
+/** Times that a worker takes for a request before and after, in milliseconds. */
+const SHORT_MS = 300;
+const GROWN_MS = 2_400;
+
+// Guards against requests that arrive late in a stop and are cut, because the requests of their kind took less time before.
+test("a stopping host does not cut late requests when requests become longer during the stop", async (t) => {
+  await withGateways(async (fleet) => {
+    const worker = await fleet.startWorker("s", "h", 100);
+    let durationMs = SHORT_MS;
+    worker.behaviour = (request, response) => {
+      setTimeout(() => {
+        response.writeHead(200, worker.buildSealHeaders(request));
+        response.end(worker.id);
+      }, durationMs);
+    };
+    fleet.publishConfiguration(1, [KEY], { timeout_ms: 8_000 });
+    const stopping = await fleet.startGateway({
+      stopTimeoutMs: STOP_TIMEOUT_MS,
+    });
+    await waitForStatus(stopping, KEY, 200);
+    await Promise.all(Array.from({ length: 5 }, () => call(stopping, KEY)));
+    worker.arrivals.length = 0;
+    const stopped = stopping.gateway.drain();
+    setTimeout(() => durationMs = GROWN_MS, GROWS_AFTER_MS);
+    const calls: Promise<CallResult | undefined>[] = [];
+    const isOver = stopped.then(() => true);
+    while (!await Promise.race([isOver, delay(PAUSE_MS, false)])) {
+      calls.push(call(stopping, KEY).catch(() => undefined));
+    }
+    await stopped;
+    const results = await Promise.all(calls);
+    const served = results.filter((result) => result?.status === 200);
+    t.true(served.length > 0);
+    t.is(
+      worker.arrivals.length,
+      served.length,
+      "requests that were sent and not served",
+    );
+  });
+});
