Decide on each request that arrives at a stopping host

Callers saw streams cut at the end of a host's stop (rule LOST): a stopping host accepted requests by one estimate for their whole route, the mean and four mean deviations of the calls that had ended. It is made of the short ones when calls become longer, so that late requests were accepted and cut; and where calls of a route differ, it refused nearly all of them from the first moment, though most would have ended in time.

Now the decision looks at the request. Whoever has certainly ended by its deadline is accepted. In the first 36 % of the stop, in which callers may still have the address, a request is accepted if a refusal would cost its caller more than a cut, by the probability that it ends in time: from the latest calls of the route, weighted by how near their length hints are, at the pace at which streams run now. Later, no estimate is trusted. What the stop does not let finish is refused as not run, if no upstream can have run it, answered with an error if its response has not begun, and cut only within its response. Each is a log line (call_cut) with what was expected.

--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -24,10 +24,11 @@
   CallOutcome,
 } from "./call_forwarder_context.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import type { CallProgress } from "./call_progress.ts";
+import type { CallProgress, StopEnd } from "./call_progress.ts";
 import type { ResponseHeaders } from "./caller_headers.ts";
 import { formatSilence } from "./silence_detector.ts";
 import { SilenceHandler } from "./silence_handler.ts";
+import { StreamPace } from "./stream_pace.ts";
 import { StreamTracker } from "./stream_tracker.ts";
 import type { RoutedCall } from "./routed_call.ts";
 import { UpstreamPicker } from "./upstream_picker.ts";
@@ -48,6 +49,7 @@
   private readonly outcomes: AttemptOutcomes;
   private readonly repeats: RepeatGate;
   private readonly completion: ResponseCompletion;
+  private readonly pace = StreamPace.create();
   private attempt: Attempt | undefined;
   private isFinished = false;
   private readonly silences: SilenceHandler;
@@ -141,7 +143,25 @@
     this.finish("caller_gone", "the caller closed its connection");
   }
 
-  /** Progress of the call, for the log of a stop that cuts it. */
+  /** Ends the call because the process stops: refuses it as not run if no upstream can have run it, fails it if its
+   * response has not begun, and otherwise cuts the response.
+   * @param retryAfterMs Time after which its caller may retry, in milliseconds. */
+  endForStop(retryAfterMs: number): StopEnd {
+    const end = this.chooseStopEnd();
+    this.refuse(
+      end === "refused" ? "draining" : "upstream_failed",
+      "the host has stopped",
+      retryAfterMs,
+    );
+    return end;
+  }
+
+  /** Recent pause between two events, in milliseconds; undefined if too few are known. */
+  get recentPauseMs(): number | undefined {
+    return this.pace.getRecentPauseMs(readClock());
+  }
+
+  /** Progress of the call, for the log of a stop that ends it. */
   describeProgress(): CallProgress {
     return {
       upstream: this.attempt?.upstream.id,
@@ -153,6 +173,11 @@
     };
   }
 
+  private chooseStopEnd(): StopEnd {
+    if (this.response.hasStarted) return "cut";
+    return this.mayHaveRun ? "failed" : "refused";
+  }
+
   private createSilenceHandler(): SilenceHandler {
     return SilenceHandler.create({
       call: this.call,
@@ -352,9 +377,12 @@
 
   private onBytes(bytes: Buffer): void {
     this.silences.recordBytes();
-    const hadPartialResponse = this.relay.hasPartialResponse;
+    const { hasPartialResponse: hadPartialResponse, eventsForwarded } =
+      this.relay;
     const problem = this.relay.pushBytes(bytes, this.attempt);
     if (problem !== undefined) return this.onUnusableBody(problem);
+    const newEvents = this.relay.eventsForwarded - eventsForwarded;
+    if (newEvents > 0) this.pace.recordEvents(newEvents, readClock());
     if (!this.relay.hasPartialResponse) return;
     if (!hadPartialResponse) this.recordBegin();
     this.stream.recordEvent();
@@ -433,6 +461,8 @@
       durationMs: readClock() - this.call.receivedAt,
       attempts: this.picker.attempts,
       wasOpen,
+      pauses: this.pace.pauses,
+      pauseMs: this.pace.meanPauseMs,
     });
   }
 }
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -27,6 +27,10 @@
   attempts: number;
   /** Whether the response was still open and had to be cut. */
   wasOpen: boolean;
+  /** Number of pauses between the events of the response. */
+  pauses: number;
+  /** Mean length of these pauses, in milliseconds; undefined if there were none. */
+  pauseMs: number | undefined;
 }
 
 /** The upstreams that an attempt of a call may be sent to. */
--- a/src/forward/call_progress.ts
+++ b/src/forward/call_progress.ts
@@ -13,3 +13,6 @@
   /** Time until the deadline, in milliseconds. */
   remainingMs: number;
 }
+
+/** How a stop of the process ends a call: as not run, with an error, or within its response. */
+export type StopEnd = "refused" | "failed" | "cut";
--- a/src/forward/caller_headers.ts
+++ b/src/forward/caller_headers.ts
@@ -14,6 +14,8 @@
   parts: readonly PromptPart[];
   /** Number of tokens in the entire prompt. */
   promptTokens: number;
+  /** Number of tokens that the caller expects in the response; undefined if it does not say. */
+  lengthHint?: number;
 }
 
 /** The parsed headers of a caller's request. */
--- a/src/forward/routed_call.ts
+++ b/src/forward/routed_call.ts
@@ -37,7 +37,7 @@
 
 /** Whether a request may run again after an attempt that may have run it.
  * @param call The call. */
-export function mayRunAgain(call: RoutedCall): boolean {
+export function mayRunAgain(call: Pick<RoutedCall, "route">): boolean {
   return call.route.kind === "repeatable" || isResumableStream(call);
 }
 
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -22,7 +22,7 @@
 import { pollSockets } from "../http/poll_sockets.ts";
 import type { RequestReceipt } from "../http/request_receipt.ts";
 import type { Logger } from "../logging/logger.ts";
-import type { CallerLimits } from "../published/configuration_schema.ts";
+import type { CallerLimits, Route } from "../published/configuration_schema.ts";
 import type { RouteTable } from "../published/route_table.ts";
 import type { ResumedStream } from "../streams/stream_record.ts";
 import type { HashedPromptPart } from "../upstreams/prefix_index.ts";
@@ -60,6 +60,8 @@
   getPublicationAgeMs: () => number;
   /** Whether callers' connections are closed after their responses. */
   isLeaving: () => boolean;
+  /** Whether the host is stopping. */
+  isStopping: () => boolean;
   stopAdmission: StopAdmission;
   /** Called once for each admitted request, before its first attempt. */
   onRequestAdmitted: (service: string) => void;
@@ -85,7 +87,8 @@
 export class CallHandler {
   private readonly forwarders = new Set<CallForwarder>();
   private readonly memory = ResponseMemory.create();
-  private pendingAdmissions = 0;
+  /** Receipts of the requests that are being admitted. */
+  private readonly pendingReceipts = new Set<RequestReceipt>();
 
   private constructor(private readonly options: CallHandlerOptions) {}
 
@@ -97,7 +100,7 @@
 
   /** Number of requests that have not been answered. */
   get openCalls(): number {
-    return this.forwarders.size + this.pendingAdmissions;
+    return this.forwarders.size + this.pendingReceipts.size;
   }
 
   /** Handles a request of a caller.
@@ -115,7 +118,7 @@
       response,
       this.options.isLeaving,
     );
-    this.pendingAdmissions += 1;
+    this.pendingReceipts.add(receipt);
     void this.admitAndForward(
       { request, response, receipt },
       headers,
@@ -123,7 +126,7 @@
       receivedAt,
     )
       .finally(
-        () => this.pendingAdmissions -= 1,
+        () => this.pendingReceipts.delete(receipt),
       );
   }
 
@@ -131,9 +134,12 @@
    * @param routes The current routes. */
   applyRoutes(routes: RouteTable): void {
     for (const forwarder of this.forwarders) {
-      forwarder.applyRoute(
-        routes.getRouteByName(forwarder.call.route.name),
-      );
+      const route = routes.getRouteByName(forwarder.call.route.name);
+      // A call that was accepted because of its deadline must not get a later one.
+      if (this.options.isStopping() && isLonger(route, forwarder.call)) {
+        continue;
+      }
+      forwarder.applyRoute(route);
     }
   }
 
@@ -160,24 +166,34 @@
     for (const each of [...this.forwarders]) each.leaveLostUpstream(upstream);
   }
 
-  /** Logs the calls that a stop of the host cuts. */
-  logCutCalls(): void {
-    for (const forwarder of this.forwarders) {
-      const { requestId, route, service, receivedAt } = forwarder.call;
-      const { stopAdmission, logger } = this.options;
-      const progress = forwarder.describeProgress();
-      logger.warn({
-        request: requestId,
-        route: route.name,
-        service,
-        ...progress,
-        hadMs: Math.round(progress.hadMs),
-        remainingMs: Math.round(progress.remainingMs),
-        ...stopAdmission.describeExpectation(route.name, receivedAt),
-      }, "call_cut");
+  /** Ends the calls that the stop of the host has not let finish.
+   * @param retryAfterMs Time after which their callers may retry, in milliseconds. */
+  endForStop(retryAfterMs: number): void {
+    const { stopAdmission } = this.options;
+    for (const each of [...this.forwarders]) {
+      const progress = each.describeProgress();
+      const end = each.endForStop(retryAfterMs);
+      stopAdmission.recordUnfinished(each.call, progress, end);
+    }
+    for (const receipt of [...this.pendingReceipts]) {
+      receipt.fail(
+        Failure.create("draining", "the host has stopped", retryAfterMs),
+      );
     }
   }
 
+  /** Returns the median of the recent pauses between events of a service's streams, in milliseconds; undefined if none is
+   * known.
+   * @param service Name of the service. */
+  getPauseMs(service: string): number | undefined {
+    const pauses: number[] = [];
+    for (const { call, recentPauseMs } of this.forwarders) {
+      if (call.service !== service || recentPauseMs === undefined) continue;
+      pauses.push(recentPauseMs);
+    }
+    return pauses.sort((a, b) => a - b)[Math.floor(pauses.length / 2)];
+  }
+
   private async admitAndForward(
     { request, response, receipt }: CallerExchange,
     headers: CallerHeaders,
@@ -204,6 +220,7 @@
         body,
         unwrapResumed(await resumed),
       );
+      this.assertEndsBeforeStop(call);
       this.start(call, callerResponse, response);
     } catch (thrown) {
       if (request.destroyed && !request.complete) return;
@@ -245,11 +262,15 @@
       acceptsKeys: this.options.mayAcceptKeys(),
     });
     if (admitted.isErr()) throw admitted.error;
-    const refusal = this.options.stopAdmission.findRefusal(admitted.value);
-    if (refusal) throw refusal;
+    this.assertEndsBeforeStop(admitted.value);
     return admitted.value;
   }
 
+  private assertEndsBeforeStop(call: AdmittedCall): void {
+    const refusal = this.options.stopAdmission.findRefusal(call);
+    if (refusal) throw refusal;
+  }
+
   private start(
     call: RoutedCall,
     callerResponse: CallerResponse,
@@ -283,10 +304,12 @@
 
   private recordEnd(call: RoutedCall, outcome: CallOutcome): void {
     const { result, detail, durationMs, attempts, wasOpen } = outcome;
+    const { pauses, pauseMs } = outcome;
     if (wasOpen) this.reportOpenResponse(call, detail);
     this.options.metrics.recordRequest(call.route.kind, result, durationMs);
     if (result === "answered") {
-      this.options.stopAdmission.recordAnswer(call.route.name, durationMs);
+      const pace = { pauses, pauseMs };
+      this.options.stopAdmission.recordAnswer(call, durationMs, pace);
     }
     this.options.logger.info({
       request: call.requestId,
@@ -324,6 +347,10 @@
   }
 }
 
+function isLonger(route: Route | undefined, call: RoutedCall): boolean {
+  return route !== undefined && route.timeoutMs > call.route.timeoutMs;
+}
+
 function hasCallerGone(
   { socket }: IncomingMessage,
   response: ServerResponse,
--- a/src/gateway/create_call_handler.ts
+++ b/src/gateway/create_call_handler.ts
@@ -32,7 +32,7 @@
 export function createCallHandler(parts: CallHandlerParts): CallHandler {
   const { logger, metrics, codec, guard, initialRoutes } = parts;
   const { replica, chooser, status, stop, getPeerNetwork } = parts;
-  return CallHandler.create({
+  const handler: CallHandler = CallHandler.create({
     logger,
     metrics,
     codec,
@@ -41,9 +41,14 @@
     mayAcceptKeys: () => status.mayAcceptKeys,
     getPublicationAgeMs: () => replica.ageMs,
     isLeaving: () => stop.shouldCloseConnections,
+    isStopping: () => stop.hasStarted,
     stopAdmission: StopAdmission.create({
+      logger,
+      metrics: metrics.stops,
       stop,
+      hasOtherHost: () => status.hasOtherHost,
       getRetryAfterMs: () => status.stopRetryMs,
+      getPauseMs: (service) => handler.getPauseMs(service),
     }),
     onRequestAdmitted: (service) => chooser.recordRequest(service),
     lookUpPrompt: (sharedParts) => {
@@ -61,6 +66,7 @@
     resumer: createResumer(parts),
     guard,
   });
+  return handler;
 }
 
 function createResumer(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import { CrashGuard } from "../crashes/crash_guard.ts";
-import { onClockJump } from "../clock/clock.ts";
+import { onClockJump, readClock } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
@@ -137,23 +137,30 @@
   }
 
   /** Stops gracefully: withdraws this host from the address lists, keeps accepting requests while callers may still
-   * have it in cached lists, and lets open calls finish. */
-  async drain(): Promise<void> {
+   * have it in cached lists, and lets open calls finish.
+   * @param signaledAt Monotonic milliseconds at which the stop was asked for; now by default. */
+  async drain(signaledAt = readClock()): Promise<void> {
     if (this.stop.hasStarted) return;
-    this.stop.start(this.settings.stopTimeoutMs);
-    const { openCalls } = this.handler;
-    const delayMs = Math.round(this.pauses.delayMs);
     const limitMs = this.settings.stopTimeoutMs;
-    this.logger.info({ openCalls, limitMs, delayMs }, "stop_started");
+    const { delayMs } = this.pauses;
+    this.stop.start(limitMs, signaledAt - delayMs);
+    const { openCalls } = this.handler;
+    this.logger.info({
+      openCalls,
+      limitMs,
+      lateMs: Math.round(readClock() - signaledAt + delayMs),
+    }, "stop_started");
     this.peerNetwork?.announce();
     await this.stop.waitForOpenCalls(
       () => this.handler.openCalls + this.paths.server.openTunnels,
     );
+    const unfinished = this.handler.openCalls;
+    const { stopRetryMs } = this.status;
+    this.stop.end();
     this.server?.stopListening();
     this.server?.closeIdle();
-    this.handler.logCutCalls();
+    this.handler.endForStop(stopRetryMs);
     const unsentBytes = this.server?.unsentBytes;
-    const unfinished = this.handler.openCalls;
     this.logger.info({ unfinished, unsentBytes }, "stop_ended");
     await this.close();
   }
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -10,6 +10,7 @@
 import type { RefusalReason } from "../scheduling/decide_admission.ts";
 import type { WaitEnd } from "./admission_log.ts";
 import type { ResumeDecision } from "../streams/decide_resume.ts";
+import { StopMetrics } from "./stop_metrics.ts";
 
 /** Buckets of the request duration histogram. */
 const DURATION_BUCKETS_S = [
@@ -210,6 +211,9 @@
     registers: [this.registry],
   });
 
+  /** Counters of graceful stops. */
+  readonly stops = StopMetrics.create(this.registry);
+
   private constructor() {}
 
   /** Creates metrics that start at zero. */
--- a/src/gateway/graceful_stop.ts
+++ b/src/gateway/graceful_stop.ts
@@ -1,8 +1,4 @@
-import {
-  endsBeforeStop,
-  type RequestTimes,
-  STOP_TIME_FRACTION,
-} from "../admission/stop_time.ts";
+import { getUsableMs } from "../admission/decide_at_stop.ts";
 import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 
@@ -15,10 +11,11 @@
 /** Interval at which a stopping host checks whether all calls have finished. */
 const STOP_POLL_INTERVAL_MS = 50;
 
-/** The progress of a graceful stop: whether it has started, which requests the host still accepts, and until when. */
+/** The progress of a graceful stop: whether it has started, and how much of its time is left. */
 export class GracefulStop {
   private startedAt: number | undefined;
-  private endsAt = Infinity;
+  private timeLimitMs = Infinity;
+  private hasEnded = false;
 
   private constructor() {}
 
@@ -31,37 +28,47 @@
     return this.startedAt !== undefined;
   }
 
+  /** Time that the stop may take, in milliseconds; infinite before it. */
+  get limitMs(): number {
+    return this.timeLimitMs;
+  }
+
   /** Whether callers' connections are closed after their responses. */
   get shouldCloseConnections(): boolean {
-    return this.startedAt !== undefined &&
-      readClock() - this.startedAt > CLOSE_CONNECTIONS_AFTER_MS;
+    return this.getElapsedMs(readClock()) > CLOSE_CONNECTIONS_AFTER_MS;
   }
 
   /** Remaining time in which calls may finish, in milliseconds; infinite before the stop. */
   get remainingMs(): number {
-    return Math.max(0, this.endsAt - readClock());
+    if (this.startedAt === undefined) return Infinity;
+    return getUsableMs(this.getElapsedMs(readClock()), this.timeLimitMs);
+  }
+
+  /** Remaining time until the process must have exited, in milliseconds; infinite before the stop. */
+  get exitWithinMs(): number {
+    if (this.startedAt === undefined) return Infinity;
+    return this.timeLimitMs - (readClock() - this.startedAt);
   }
 
-  /** Returns the time from the start of the stop to a moment, in milliseconds; negative before the stop.
+  /** Returns the time from the start of the stop to a moment, in milliseconds: negative before the start, infinite once
+   * the stop has ended.
    * @param at Monotonic milliseconds. */
   getElapsedMs(at: number): number {
-    return at - (this.startedAt ?? Infinity);
+    return this.hasEnded ? Infinity : at - (this.startedAt ?? Infinity);
   }
 
   /** Starts the stop; does nothing if it has already started.
-   * @param limitMs Time that the stop may take, in milliseconds. */
-  start(limitMs: number): void {
+   * @param limitMs Time that the stop may take, in milliseconds.
+   * @param signaledAt Monotonic milliseconds at which it was asked for; now by default. */
+  start(limitMs: number, signaledAt = readClock()): void {
     if (this.startedAt !== undefined) return;
-    this.startedAt = readClock();
-    this.endsAt = this.startedAt + limitMs * STOP_TIME_FRACTION;
+    this.startedAt = signaledAt;
+    this.timeLimitMs = limitMs;
   }
 
-  /** Whether a call is likely to end before the stop does. A call of a route whose calls take an unknown time is assumed
-   * to, as long as callers may have this host in a cached address list.
-   * @param times How long the call may take. */
-  canFinish(times: RequestTimes): boolean {
-    return endsBeforeStop(times, this.remainingMs) ??
-      !this.shouldCloseConnections;
+  /** Ends the stop: no time is left for calls. */
+  end(): void {
+    this.hasEnded = true;
   }
 
   /** Waits until callers have had time to move to other hosts and no call is open, or until the usable time is over.
--- a/src/gateway/host_status.ts
+++ b/src/gateway/host_status.ts
@@ -59,13 +59,17 @@
     return this.options.isPartitioned() ? "partitioned" : "ready";
   }
 
+  /** Whether another host takes requests. */
+  get hasOtherHost(): boolean {
+    return this.options.getLiveHosts().some(({ entry }) =>
+      takesRequests(entry.phase)
+    );
+  }
+
   /** Time after which callers that this stopping host refuses may retry, in milliseconds: at once if another host takes
    * requests, otherwise when this one is back. */
   get stopRetryMs(): number {
-    const { getLiveHosts, stop } = this.options;
-    const hasOther = getLiveHosts().some(({ entry }) =>
-      takesRequests(entry.phase)
-    );
-    return hasOther ? 0 : stop.remainingMs + RESTART_MS;
+    const { stop } = this.options;
+    return this.hasOtherHost ? 0 : stop.remainingMs + RESTART_MS;
   }
 }
--- a/tests/gateway/graceful_stop_test.ts
+++ b/tests/gateway/graceful_stop_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { readClock } from "../../src/clock/clock.ts";
 import { GracefulStop } from "../../src/gateway/graceful_stop.ts";
 
 /** Far more than this test takes, so that none of its decisions depends on the time. */
@@ -10,21 +11,28 @@
   return stop;
 }
 
-test("before a stop any call can finish", (t) => {
+test("before a stop there is no limit", (t) => {
   const stop = GracefulStop.create();
-  t.true(stop.canFinish({ longMs: Infinity, deadlineMs: Infinity }));
+  t.false(stop.hasStarted);
+  t.false(stop.shouldCloseConnections);
   t.is(stop.remainingMs, Infinity);
+  t.is(stop.exitWithinMs, Infinity);
 });
 
-test("a call can finish if its route's calls or its deadline end before the stop", (t) => {
+test("calls may finish within most of the time limit", (t) => {
   const stop = startStop();
-  t.true(stop.canFinish({ longMs: LIMIT_MS / 2, deadlineMs: Infinity }));
-  t.true(stop.canFinish({ longMs: Infinity, deadlineMs: LIMIT_MS / 2 }));
-  t.false(stop.canFinish({ longMs: LIMIT_MS, deadlineMs: Infinity }));
+  t.true(stop.remainingMs > 0.9 * LIMIT_MS);
+  t.true(stop.remainingMs < stop.exitWithinMs);
+  t.true(stop.exitWithinMs <= LIMIT_MS);
 });
 
-test("a call of unknown duration is accepted while callers may have the address", (t) => {
-  t.true(startStop().canFinish({ longMs: undefined, deadlineMs: Infinity }));
+// Guards against a process that is killed because it counted the time of its stop from when it handled the signal.
+test("a stop counts from its signal, also if that was handled late", (t) => {
+  const stop = GracefulStop.create();
+  stop.start(LIMIT_MS, readClock() - LIMIT_MS / 2);
+  t.true(stop.remainingMs < LIMIT_MS / 2);
+  t.true(stop.exitWithinMs <= LIMIT_MS / 2);
+  t.true(stop.shouldCloseConnections);
 });
 
 test("a repeated start does not prolong the stop", (t) => {
@@ -32,3 +40,11 @@
   stop.start(3 * LIMIT_MS);
   t.true(stop.remainingMs <= LIMIT_MS);
 });
+
+test("an ended stop leaves no time for calls", (t) => {
+  const stop = startStop();
+  stop.end();
+  t.is(stop.remainingMs, 0);
+  t.is(stop.getElapsedMs(readClock()), Infinity);
+  t.true(stop.exitWithinMs > 0);
+});
