Count the time of a stop from its signal

A process that was still starting, or busy, when SIGTERM arrived counted the time of its stop from when it got to it, so that it could be killed before it had ended its calls in order.

--- a/src/cli/handle_stop_signals.ts
+++ b/src/cli/handle_stop_signals.ts
@@ -1,10 +1,12 @@
 import process from "node:process";
+import { readClock } from "../clock/clock.ts";
 import { EXIT_CODE } from "./exit_code.ts";
 
 /** A program that is stopped by signals. */
 export interface StoppableProgram {
-  /** Stops gracefully; resolves when the stop is complete. */
-  drain(): Promise<void>;
+  /** Stops gracefully; resolves when the stop is complete.
+   * @param signaledAt Monotonic milliseconds at which the stop was asked for. */
+  drain(signaledAt: number): Promise<void>;
   /** Stops immediately. */
   close(): Promise<void>;
 }
@@ -25,7 +27,8 @@
   process.on("SIGTERM", () => {
     if (isStopping) return;
     isStopping = true;
-    void starting.then((program) => program.drain()).then(end);
+    const signaledAt = readClock();
+    void starting.then((program) => program.drain(signaledAt)).then(end);
   });
   process.on(
     "SIGINT",
