--- a/soak/stop_report.ts
+++ b/soak/stop_report.ts
@@ -27,6 +27,9 @@
   late: number;
   lateWhole: number;
   lateCut: number;
+  /** Requests that were cut, and those of them whose callers had them continued to their end elsewhere. */
+  cut: number;
+  cutContinued: number;
   /** Cut requests without a log line of the host that names the request. */
   cutUnlogged: number;
 }
@@ -49,13 +52,19 @@
     late: 0,
     lateWhole: 0,
     lateCut: 0,
+    cut: 0,
+    cutContinued: 0,
     cutUnlogged: 0,
   };
+  const wholeOrders = new Set(
+    streams.filter(isWhole).map(({ requestId }) => getOrder(requestId)),
+  );
   for (const { gateway, at } of stops) {
     const lines = logs.get(gateway) ?? [];
     for (const stream of streams) {
       if (stream.gateway !== gateway) continue;
-      countStream(counts, stream, at, stopWithinMs, lines);
+      const isContinued = wholeOrders.has(getOrder(stream.requestId));
+      countStream(counts, stream, at, stopWithinMs, lines, isContinued);
     }
   }
   return counts;
@@ -67,6 +76,7 @@
   stopAt: number,
   stopWithinMs: number,
   lines: readonly string[],
+  isContinued: boolean,
 ): void {
   const sentMs = stream.sentAt - stopAt;
   const endedMs = (stream.endedAt ?? Infinity) - stopAt;
@@ -75,6 +85,8 @@
   const wasRead = stream.status !== undefined ||
     lines.some((line) => line.includes(stream.requestId));
   const isCut = stream.isCut && wasRead;
+  if (isCut) counts.cut += 1;
+  if (isCut && isContinued) counts.cutContinued += 1;
   if (isCut && !isCutLogged(lines, stream)) counts.cutUnlogged += 1;
   if (sentMs > LIKELY_WITHIN_MS) {
     counts.late += 1;
@@ -96,6 +108,11 @@
   if (isWhole(stream)) counts.wouldEndWhole += 1;
 }
 
+/** Name of the stream that a request is for; all attempts of its caller share it. */
+function getOrder(requestId: string): string {
+  return requestId.slice(0, requestId.lastIndexOf("-"));
+}
+
 function isCutLogged(
   lines: readonly string[],
   { requestId }: StopStream,
