--- a/soak/response_invariants.ts
+++ b/soak/response_invariants.ts
@@ -5,7 +5,7 @@
   checkCrashingParts,
   checkCrashingRequests,
 } from "./crashing_requests.ts";
-import type { Evidence } from "./evidence.ts";
+import type { Evidence, GracefulStop } from "./evidence.ts";
 import { getOwnerOf, isPermanentKey } from "./soak_customers.ts";
 import { countEvents, formatEvent, getEventVersions } from "./stream_text.ts";
 import { checkStreamVersions } from "./stream_versions.ts";
@@ -28,6 +28,8 @@
 const FINAL_FLUSH_MS = 5;
 /** Share of a graceful stop's duration in which requests must complete; later, those still running may be cut off. */
 const GRACEFUL_STOP_SHARE = 0.83;
+/** Share of a graceful stop's duration from which a gateway may accept only requests that are certain to end in it. */
+const LATE_STOP_SHARE = 0.375;
 
 /** Checks of the invariants that hold regardless of timing, by the name that is printed with breaches. */
 export const RESPONSE_INVARIANTS: Readonly<Record<string, InvariantCheck>> = {
@@ -43,6 +45,7 @@
   "a gateway never reverts to an older configuration": checkRollbacks,
   "the response of an undisturbed worker reaches its caller":
     checkLostResponses,
+  "a stopping gateway does not cut requests that came late": checkLateStopCuts,
   "no permitted request is denied": checkDenials,
   "a request that crashed three workers reaches few more":
     checkCrashingRequests,
@@ -223,6 +226,40 @@
   );
 }
 
+/** Finds requests that a gateway sent on although they came late in its stop, and then cut. */
+function checkLateStopCuts(evidence: Evidence): string[] {
+  const runsById = groupRunsById(evidence.runs);
+  return evidence.attempts.flatMap((attempt) => {
+    const { requestId, gateway, kind, sentAt, endedAt = Infinity } = attempt;
+    const hasNoAnswer = attempt.status === undefined || attempt.status === 200;
+    if (attempt.isWhole || !hasNoAnswer) return [];
+    if (attempt.gaveUpAt !== undefined) return [];
+    if (endedAt - sentAt >= KIND_RULES[kind].timeoutMs) return [];
+    const run = runsById.get(requestId)?.at(-1);
+    if (!run || !run.wasCancelled) return [];
+    const stop = findStopInLateness(attempt, evidence);
+    if (!stop) return [];
+    const isDisturbed = [gateway, run.worker].some((target) =>
+      evidence.faults.wasAffected(target, stop.at, endedAt)
+    );
+    if (isDisturbed) return [];
+    const lateMs = Math.round(sentAt - stop.at);
+    return [`${requestId}: ${gateway} cut it, sent ${lateMs} ms after SIGTERM`];
+  });
+}
+
+/** Returns the stop of an attempt's gateway in whose late part it was sent. */
+function findStopInLateness(
+  { gateway, life, sentAt }: CallerAttempt,
+  { gracefulStops, lagMs }: Evidence,
+): GracefulStop | undefined {
+  const lateMs = BOUNDS.stopWithinMs * LATE_STOP_SHARE + lagMs;
+  return gracefulStops.find((stop) =>
+    stop.gateway === gateway && stop.gatewayStart === life &&
+    sentAt > stop.at + lateMs && sentAt < stop.at + BOUNDS.stopWithinMs
+  );
+}
+
 /** Finds denied requests with a permanent key on permanent routes, which each version of the configuration allows. */
 function checkDenials({ attempts }: Evidence): string[] {
   return attempts.filter((attempt) =>
--- a/tests/soak/invariants_test.ts
+++ b/tests/soak/invariants_test.ts
@@ -36,6 +36,11 @@
 const repeatable = { kind: "look", path: "/look/1", body: "" } as const;
 
 /** Evidence that breaches each invariant, by its name. */
+/** A stop in whose late part the attempts below were sent. */
+const LATE_STOP = { gateway: "g-0", gatewayStart: 1, at: -1_200 };
+const CUT_ATTEMPT = buildAttempt({ isWhole: false, status: undefined });
+const CUT_RUN = buildRun({ isWhole: false, wasCancelled: true });
+
 const BREACHES: Record<string, Evidence[]> = {
   "a response belongs to its request, and is complete if it ends normally": [
     buildEvidence({ attempts: [buildAttempt({ seal: undefined })] }),
@@ -144,6 +149,13 @@
         ],
       }),
     ],
+  "a stopping gateway does not cut requests that came late": [
+    buildEvidence({
+      gracefulStops: [LATE_STOP],
+      attempts: [CUT_ATTEMPT],
+      runs: [CUT_RUN],
+    }),
+  ],
   "a leaving worker gets no new requests": [
     buildEvidence({
       leaveAnnouncements: [{ worker: "w-1", at: 1_000 }],
@@ -241,3 +253,27 @@
     t.deepEqual(check(buildEvidence({ attempts, faults })), []);
   }
 });
+
+test("a request that a stopping gateway cuts is not a breach if it came early, was refused, or its worker crashed", (t) => {
+  const check =
+    INVARIANTS["a stopping gateway does not cut requests that came late"]!;
+  const late = {
+    gracefulStops: [LATE_STOP],
+    attempts: [CUT_ATTEMPT],
+    runs: [CUT_RUN],
+  };
+  const early = { ...LATE_STOP, at: 0 };
+  t.deepEqual(check(buildEvidence({ ...late, gracefulStops: [early] })), []);
+  const refused = buildAttempt({ isWhole: false, status: 503 });
+  t.deepEqual(check(buildEvidence({ ...late, attempts: [refused] })), []);
+  t.deepEqual(check(buildEvidence({ ...late, runs: [] })), []);
+  const faults = FaultLog.create();
+  faults.windows.push({
+    name: "crash",
+    targets: ["w-1"],
+    isPlanned: false,
+    from: 1_010,
+    to: 1_500,
+  });
+  t.deepEqual(check(buildEvidence({ ...late, faults })), []);
+});
