Close callers' connections in order

A caller got a part of a response, or none, when the process stopped or its response closed the connection:

- After a response with `connection: close` Node destroys the socket as soon as the kernel has its bytes.
A next request that lies unread makes this a reset: the caller got 127,888 of 400,000 bytes.
- `server.close()` destroys connections whose response has ended but is not sent yet, and the end of a stop all others: 3,919,736 of 24,000,000 bytes; with an unread request 127,864.
Such calls are not open any more, so that a stop which ends early does not wait for them.
- A request that crossed the close, also on a connection that was not taken over yet, was reset instead of refused; a response under way was cut although time was left.

`ConnectionCloser` ends the connections of both servers: it refuses what still arrives as not run, lets responses be sent, half-closes, and reads until the caller closes, within the rest of the stop. `connection_cut` names what could not be sent. `serve` no longer closes idle connections when it stops listening but at the end of the stop.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -6,8 +6,13 @@
   type ServerResponse,
 } from "node:http";
 import { CallerConnections } from "../http/caller_connections.ts";
+import {
+  type ClosingOptions,
+  ConnectionCloser,
+} from "../http/connection_closer.ts";
 import { discardArrivedBody } from "../http/discard_arrived_body.ts";
 import { keepReadingBody } from "../http/keep_reading_body.ts";
+import { stopListening } from "../http/stop_listening.ts";
 import type { RequestReceipt } from "../http/request_receipt.ts";
 import { parseRequestTarget } from "../http/parse_request_target.ts";
 import { Failure } from "../errors/failure.ts";
@@ -24,11 +29,20 @@
 export class CallerServer {
   private openCount = 0;
   private isDraining = false;
+  private readonly closer: ConnectionCloser;
 
   private constructor(
     private readonly server: Server,
     private readonly context: EntryContext,
-  ) {}
+  ) {
+    const connections = CallerConnections.attach(
+      server,
+      context.logger,
+      (request, response, receipt) =>
+        void this.handleRequest(request, response, receipt),
+    );
+    this.closer = ConnectionCloser.create(server, connections);
+  }
 
   /** Starts listening.
    * @param context Dependencies of the request handlers. */
@@ -42,12 +56,6 @@
       noDelay: true,
     });
     const callerServer = new CallerServer(server, context);
-    CallerConnections.attach(
-      server,
-      context.logger,
-      (request, response, receipt) =>
-        void callerServer.handleRequest(request, response, receipt),
-    );
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(http.port, http.host, resolve);
@@ -65,10 +73,15 @@
     this.isDraining = true;
   }
 
-  /** Stops listening and closes idle connections; requests in progress continue. */
+  /** Stops listening; connections stay open. */
   stopListening(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+    stopListening(this.server);
+  }
+
+  /** Ends all connections once their responses have been sent.
+   * @param options Time limit and refusals. */
+  async closeInOrder(options: ClosingOptions): Promise<void> {
+    await this.closer.close(options);
   }
 
   /** Stops listening and closes all connections. */
--- a/src/forward/call_server.ts
+++ b/src/forward/call_server.ts
@@ -5,6 +5,10 @@
   CallerConnections,
   type RequestListener,
 } from "../http/caller_connections.ts";
+import {
+  type ClosingOptions,
+  ConnectionCloser,
+} from "../http/connection_closer.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../published/configuration_schema.ts";
 
@@ -18,7 +22,10 @@
 
 /** The HTTP server that callers connect to. */
 export class CallServer {
-  private constructor(private readonly server: Server) {}
+  private constructor(
+    private readonly server: Server,
+    private readonly closer: ConnectionCloser,
+  ) {}
 
   /** Starts a server and waits until it listens.
    * @param address The address to listen on, as ip:port.
@@ -35,11 +42,11 @@
       requestTimeout: 0,
       noDelay: true,
     });
-    CallerConnections.attach(server, logger, onRequest);
+    const connections = CallerConnections.attach(server, logger, onRequest);
     const { host, port } = splitAddress(address);
     server.listen(port, host);
     await once(server, "listening");
-    return new CallServer(server);
+    return new CallServer(server, ConnectionCloser.create(server, connections));
   }
 
   /** Applies the published limits.
@@ -50,14 +57,10 @@
       IDLE_TIMEOUT_MARGIN_MS;
   }
 
-  /** Stops accepting connections. */
-  stopListening(): void {
-    this.server.close();
-  }
-
-  /** Closes the idle connections. */
-  closeIdle(): void {
-    this.server.closeIdleConnections();
+  /** Stops listening and ends all connections once their responses have been sent.
+   * @param options Time limit and refusals. */
+  async closeInOrder(options: ClosingOptions): Promise<void> {
+    await this.closer.close(options);
   }
 
   /** Stops listening and closes all connections immediately. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import { CrashGuard } from "../crashes/crash_guard.ts";
-import { onClockJump } from "../clock/clock.ts";
+import { onClockJump, readClock } from "../clock/clock.ts";
 import type { HeaderCodec } from "../forward/caller_headers.ts";
 import { formatFingerprint } from "../hashing/request_fingerprint.ts";
 import { CallServer } from "../forward/call_server.ts";
@@ -30,6 +30,8 @@
 
 /** Interval at which pauses of the process are looked for, in milliseconds. */
 const PAUSE_CHECK_INTERVAL_MS = 250;
+/** Time of a graceful stop that is left for the exit of the process, in milliseconds. */
+const EXIT_TIME_MS = 150;
 
 /** The dependencies of a gateway that its settings do not describe. */
 export interface GatewayDependencies {
@@ -140,15 +142,18 @@
    * have it in cached lists, and lets open calls finish. */
   async drain(): Promise<void> {
     if (this.stop.hasStarted) return;
+    const exitsAt = readClock() + this.settings.stopTimeoutMs - EXIT_TIME_MS;
     this.stop.start(this.settings.stopTimeoutMs);
     this.logger.info({ openCalls: this.handler.openCalls }, "stop_started");
     this.peerNetwork?.announce();
     await this.stop.waitForOpenCalls(
       () => this.handler.openCalls + this.paths.server.openTunnels,
     );
-    this.server?.stopListening();
-    this.server?.closeIdle();
     this.logger.info({ unfinished: this.handler.openCalls }, "stop_ended");
+    await this.server?.closeInOrder({
+      limitMs: exitsAt - readClock(),
+      retryAfterMs: this.status.stopRetryMs,
+    });
     await this.close();
   }
 
--- a/src/http/caller_connection.ts
+++ b/src/http/caller_connection.ts
@@ -3,7 +3,9 @@
 import type { ErrorKind } from "../errors/error_kind.ts";
 import { Failure } from "../errors/failure.ts";
 import type { Logger } from "../logging/logger.ts";
+import { setTimeout as delay } from "node:timers/promises";
 import { ConnectionState, type ConnectionStep } from "./connection_state.ts";
+import type { Departure } from "./departure.ts";
 import { formatRefusal } from "./format_refusal.ts";
 import { pollSockets } from "./poll_sockets.ts";
 import { RequestReceipt } from "./request_receipt.ts";
@@ -39,11 +41,18 @@
   private newest: ReceivedRequest | undefined;
   private refusal: Failure | undefined;
   private receivedRequests = 0;
+  private departure: Departure | undefined;
+  /** Number of bytes read up to the end of the newest request. */
+  private bytesOfRequests = 0;
 
   private constructor(
     private readonly socket: Socket,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    // Node calls this after a response that closes the connection. Its own method would destroy the connection as soon
+    // as the response is sent, and a request that lies unread would make that a reset.
+    socket.destroySoon = () => this.endAfterResponse();
+  }
 
   /** Creates the handling of a connection.
    * @param socket The connection.
@@ -59,16 +68,39 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): RequestReceipt | undefined {
-    if (!this.state.receiveRequest()) {
+    const step = this.state.receiveRequest();
+    if (step === "drop") {
       this.drop(request);
       return undefined;
     }
     this.receivedRequests += 1;
+    request.once("end", () => this.recordBytes());
     const receipt = RequestReceipt.create();
     const received = { request, response, receipt };
     this.newest = received;
     response.once("finish", () => this.onResponseEnd(received));
-    return receipt;
+    if (step === "handle") return receipt;
+    this.refuseLate(received);
+    return undefined;
+  }
+
+  /** Refuses the requests that are received from now on, and closes the connection once its responses have been sent.
+   * @param departure How the connection is ended. */
+  leave(departure: Departure): void {
+    this.departure = departure;
+    if (this.state.isClosing) this.closeAfterSending(departure.lingerMs);
+    else this.apply(this.state.leave());
+  }
+
+  /** Closes the connection even if its responses have not been sent. */
+  cut(): void {
+    const { writableLength: unsentBytes } = this.socket;
+    const { unansweredRequests: unanswered } = this.state;
+    if (unsentBytes > 0 || unanswered > 0) {
+      const path = this.newest?.request.url;
+      this.logger.warn({ unsentBytes, unanswered, path }, "connection_cut");
+    }
+    this.socket.destroy();
   }
 
   /** Handles an error of Node's HTTP server on this connection.
@@ -77,6 +109,8 @@
     const { code = "" } = error;
     const isOverdue = code === "ERR_HTTP_REQUEST_TIMEOUT";
     const isProtocolError = isOverdue || code.startsWith(PARSER_CODE_PREFIX);
+    // What follows the last response is discarded, whatever it is.
+    if (isProtocolError && this.state.isClosing) return;
     const hasCallerGone = code === END_WITHIN_REQUEST_CODE &&
       this.state.unansweredRequests > 0;
     if (!isProtocolError || hasCallerGone || !this.socket.writable) {
@@ -110,7 +144,7 @@
   }
 
   private fail(error: ServerError): void {
-    if (!this.state.isOpen) return;
+    if (!this.state.isReceiving) return;
     const kind = ERROR_KIND_BY_NODE_CODE[error.code ?? ""] ??
       "malformed_request";
     this.refusal = Failure.create(kind, error.message);
@@ -131,15 +165,74 @@
     if (!received.request.complete) this.limitDiscardedBody(received);
   }
 
+  private endAfterResponse(): void {
+    this.state.close();
+    this.socket.end();
+    this.closeAfterSending(this.departure?.lingerMs ?? DISCARD_TIMEOUT_MS);
+  }
+
+  private refuseLate({ request, response }: ReceivedRequest): void {
+    const { refusal } = this.departure!;
+    this.logger.info({
+      kind: refusal.kind,
+      detail: refusal.detail,
+      path: request.url,
+      method: request.method,
+    }, "request_refused");
+    request.resume();
+    response.writeHead(refusal.status, {
+      ...refusal.headers,
+      connection: "close",
+    });
+    response.end(JSON.stringify(refusal.body));
+  }
+
+  /** Closes an idle connection, unless a request arrives first. */
+  private async settle({ refusal, settleMs }: Departure): Promise<void> {
+    await delay(settleMs);
+    await pollSockets();
+    if (this.socket.destroyed) return;
+    this.refusal ??= refusal;
+    this.apply(this.state.endIdle(this.hasPartialHead));
+  }
+
+  private get hasPartialHead(): boolean {
+    const isBodyComplete = this.newest?.request.complete ?? true;
+    return isBodyComplete && this.socket.bytesRead > this.bytesOfRequests;
+  }
+
+  private recordBytes(): void {
+    this.bytesOfRequests = this.socket.bytesRead;
+  }
+
   private apply(step: ConnectionStep): void {
     if (step === "none") return;
+    if (step === "settle") {
+      void this.settle(this.departure!);
+      return;
+    }
     if (step === "fail_request") {
       this.newest!.receipt.fail(this.refusal!);
       return;
     }
     const refusal = step === "refuse" ? formatRefusal(this.refusal!) : "";
     if (this.socket.writable) this.socket.end(refusal);
-    this.closeAfterDiscard(() => true);
+    if (this.departure) this.closeAfterSending(this.departure.lingerMs);
+    else this.closeAfterDiscard(() => true);
+  }
+
+  /** Closes the connection some time after its last byte was passed to the kernel, unless its caller closes it first. What
+   * arrives meanwhile is read and discarded. */
+  private closeAfterSending(lingerMs: number): void {
+    const { socket } = this;
+    this.newest?.request.resume();
+    if (socket.writableFinished) this.closeAfterDiscard(() => true, lingerMs);
+    else {
+      socket.once(
+        "finish",
+        () => this.closeAfterDiscard(() => true, lingerMs),
+      );
+    }
   }
 
   /** Closes the connection if the body of an answered request doesn't end soon. */
@@ -148,10 +241,13 @@
     this.closeAfterDiscard(() => !request.complete);
   }
 
-  private closeAfterDiscard(isDue: () => boolean): void {
+  private closeAfterDiscard(
+    isDue: () => boolean,
+    timeoutMs = DISCARD_TIMEOUT_MS,
+  ): void {
     const timer = setTimeout(() => {
       if (isDue()) this.socket.destroy();
-    }, DISCARD_TIMEOUT_MS);
+    }, timeoutMs);
     this.socket.once("close", () => clearTimeout(timer));
   }
 
--- a/src/http/caller_connections.ts
+++ b/src/http/caller_connections.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from "node:stream";
 import type { Logger } from "../logging/logger.ts";
 import { CallerConnection } from "./caller_connection.ts";
+import type { Departure } from "./departure.ts";
 import type { RequestReceipt } from "./request_receipt.ts";
 
 /** Handles a request whose head was received. */
@@ -15,7 +16,9 @@
 /** Passes the requests on the connections of an HTTP server on, and refuses what can't be received as a request.
  * The server must have no request timeout, since only the handler of a request can refuse it once it was received. */
 export class CallerConnections {
-  private readonly connections = new WeakMap<Duplex, CallerConnection>();
+  private readonly connections = new Map<Duplex, CallerConnection>();
+  private departure: Departure | undefined;
+  private onAllClosed: () => void = () => undefined;
 
   private constructor(
     private readonly logger: Logger,
@@ -30,8 +33,9 @@
     server: Server,
     logger: Logger,
     onRequest: RequestListener,
-  ): void {
+  ): CallerConnections {
     const connections = new CallerConnections(logger, onRequest);
+    server.on("connection", (socket) => connections.get(socket));
     server.on(
       "request",
       (request, response) => connections.handle(request, response),
@@ -52,16 +56,43 @@
       "timeout",
       (socket) => void connections.get(socket).closeIdle(),
     );
+    return connections;
+  }
+
+  /** Refuses the requests that are received from now on, and closes each connection once its responses have been sent.
+   * @param departure How connections are ended. */
+  leave(departure: Departure): void {
+    this.departure = departure;
+    for (const each of this.connections.values()) each.leave(departure);
+  }
+
+  /** Resolves when no connection is open. The server must have stopped to listen. */
+  async waitUntilClosed(): Promise<void> {
+    if (this.connections.size === 0) return;
+    await new Promise<void>((resolve) => this.onAllClosed = resolve);
+  }
+
+  /** Closes the connections that are still open. */
+  cut(): void {
+    for (const each of this.connections.values()) each.cut();
   }
 
   private get(socket: Duplex): CallerConnection {
     const known = this.connections.get(socket);
     if (known) return known;
     const created = CallerConnection.create(socket as Socket, this.logger);
+    if (socket.destroyed) return created;
     this.connections.set(socket, created);
+    socket.once("close", () => this.forget(socket));
+    if (this.departure) created.leave(this.departure);
     return created;
   }
 
+  private forget(socket: Duplex): void {
+    this.connections.delete(socket);
+    if (this.connections.size === 0) this.onAllClosed();
+  }
+
   private handle(request: IncomingMessage, response: ServerResponse): void {
     const receipt = this.get(request.socket).receive(request, response);
     if (receipt) this.onRequest(request, response, receipt);
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -39,6 +39,10 @@
 const FRAME_OVERHEAD_BYTES = 256 * 1024;
 /** Interval of the checks for readiness at start-up and for open requests while draining. */
 const POLL_INTERVAL_MS = 50;
+/** Time of a graceful stop that is left for closing callers' connections, in milliseconds. */
+const CLOSING_TIME_MS = 500;
+/** Part of that time that is left for the exit of the process, in milliseconds. */
+const EXIT_TIME_MS = 150;
 /** Number of peers from which configuration documents are pulled before a router serves. */
 const STARTUP_PULL_PEERS = 3;
 /** Number of outcomes of requests with an idempotency key that are kept. */
@@ -151,7 +155,8 @@
     await delay(this.settings.locate.lifetimeMs);
     this.callerServer?.stopListening();
     this.owner.stopAccepting();
-    while (this.isBusy && readClock() < deadlineAt) {
+    const closesAt = deadlineAt - CLOSING_TIME_MS;
+    while (this.isBusy && readClock() < closesAt) {
       await delay(POLL_INTERVAL_MS);
     }
     await this.witness.drain();
@@ -159,6 +164,9 @@
       { unfinished: this.callerServer?.openRequests ?? 0 },
       "drain_ended",
     );
+    await this.callerServer?.closeInOrder({
+      limitMs: deadlineAt - readClock() - EXIT_TIME_MS,
+    });
     await this.close();
   }
 
--- a/tests/http/raw_caller.ts
+++ b/tests/http/raw_caller.ts
@@ -57,6 +57,16 @@
     this.socket.write(text);
   }
 
+  /** Stops reading; what arrives stays in the kernel. */
+  pause(): void {
+    this.socket.pause();
+  }
+
+  /** Reads again. */
+  resume(): void {
+    this.socket.resume();
+  }
+
   /** Resolves when the other side has ended or reset the connection. */
   async waitForEnd(): Promise<void> {
     if (this.hasEnded || this.hasFailed || this.socket.destroyed) return;
