Answer pipelined requests of a host that leaves

A request that a caller had sent behind another one ran and got no response if the response before it was sent with `connection: close`, as all responses of a stopping host are: Node sends nothing after it.

Both new tests failed before: of two pipelined requests that ran, one was answered; a request behind a stream that had announced the close was run. Now only the newest request of a connection gets the response that closes it, and a request behind an announced close is dropped unrun and logged as `request_dropped`.

--- a/src/entry/caller_server.ts
+++ b/src/entry/caller_server.ts
@@ -98,7 +98,10 @@
     const startedAt = readClock();
     this.openCount += 1;
     response.on("error", () => response.destroy());
-    if (this.isDraining) response.setHeader("connection", "close");
+    if (this.isDraining) {
+      response.setHeader("connection", "close");
+      response.shouldKeepAlive = false;
+    }
     try {
       if (this.openCount > this.context.settings.limits.maxOpenRequests) {
         throw Failure.create(
--- a/src/forward/caller_response.ts
+++ b/src/forward/caller_response.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { Failure } from "../errors/failure.ts";
+import { isFollowed } from "../http/followed_requests.ts";
 import { keepReadingBody } from "../http/keep_reading_body.ts";
 import { hasBody } from "./response_status.ts";
 
@@ -108,8 +109,10 @@
       allHeaders.push("content-length", String(length));
     }
     const isLast = this.isHostLeaving || this.closesConnection();
-    if (isLast && this.response.req.complete) {
+    const { req } = this.response;
+    if (isLast && req.complete && !isFollowed(req)) {
       allHeaders.push("connection", "close");
+      this.response.shouldKeepAlive = false;
     }
     keepReadingBody(this.response);
     this.response.writeHead(status, allHeaders);
--- a/src/http/caller_connection.ts
+++ b/src/http/caller_connection.ts
@@ -6,6 +6,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { ConnectionState, type ConnectionStep } from "./connection_state.ts";
 import type { Departure } from "./departure.ts";
+import { markFollowed } from "./followed_requests.ts";
 import { formatRefusal } from "./format_refusal.ts";
 import { pollSockets } from "./poll_sockets.ts";
 import { RequestReceipt } from "./request_receipt.ts";
@@ -68,7 +69,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): RequestReceipt | undefined {
-    const step = this.state.receiveRequest();
+    const step = this.isCloseAnnounced ? "drop" : this.state.receiveRequest();
     if (step === "drop") {
       this.drop(request);
       return undefined;
@@ -77,6 +78,7 @@
     request.once("end", () => this.recordBytes());
     const receipt = RequestReceipt.create();
     const received = { request, response, receipt };
+    if (this.newest) this.keepOpenAfter(this.newest);
     this.newest = received;
     response.once("finish", () => this.onResponseEnd(received));
     if (step === "handle") return receipt;
@@ -165,6 +167,21 @@
     if (!received.request.complete) this.limitDiscardedBody(received);
   }
 
+  /** Whether the newest response has told its caller that the connection is closed after it. */
+  private get isCloseAnnounced(): boolean {
+    const response = this.newest?.response;
+    return response !== undefined && response.headersSent &&
+      !response.shouldKeepAlive;
+  }
+
+  /** Keeps the response to an earlier request from closing the connection, if it has not begun. */
+  private keepOpenAfter({ request, response }: ReceivedRequest): void {
+    if (response.headersSent) return;
+    markFollowed(request);
+    response.removeHeader("connection");
+    response.shouldKeepAlive = true;
+  }
+
   private endAfterResponse(): void {
     this.state.close();
     this.socket.end();
