Close a stopping router's connections within its stop

It is now the same part of the stop by which requests are admitted (`STOP_TIME_FRACTION`); what is still under way then goes on until 150 ms before the end.

Tests of `serve`: a request on a kept connection at the end of a stop is refused as not run, and of two pipelined requests at a stopping router both are answered.

--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,3 +1,4 @@
+import { STOP_TIME_FRACTION } from "../admission/stop_time.ts";
 import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import {
@@ -39,9 +40,7 @@
 const FRAME_OVERHEAD_BYTES = 256 * 1024;
 /** Interval of the checks for readiness at start-up and for open requests while draining. */
 const POLL_INTERVAL_MS = 50;
-/** Time of a graceful stop that is left for closing callers' connections, in milliseconds. */
-const CLOSING_TIME_MS = 500;
-/** Part of that time that is left for the exit of the process, in milliseconds. */
+/** Time of a graceful stop that is left for the exit of the process, in milliseconds. */
 const EXIT_TIME_MS = 150;
 /** Number of peers from which configuration documents are pulled before a router serves. */
 const STARTUP_PULL_PEERS = 3;
@@ -155,7 +154,8 @@
     await delay(this.settings.locate.lifetimeMs);
     this.callerServer?.stopListening();
     this.owner.stopAccepting();
-    const closesAt = deadlineAt - CLOSING_TIME_MS;
+    const closingMs = this.settings.drain.limitMs * (1 - STOP_TIME_FRACTION);
+    const closesAt = deadlineAt - closingMs;
     while (this.isBusy && readClock() < closesAt) {
       await delay(POLL_INTERVAL_MS);
     }
--- a/tests/entry/caller_server_test.ts
+++ b/tests/entry/caller_server_test.ts
@@ -11,11 +11,11 @@
   messages: [{ role: "user", content: "hello" }],
 });
 
-// Guards against begun streams that stay open although their request has ended.
-test("a response that its handler leaves open is cut", async (t) => {
-  const counted: string[] = [];
-  const port = await getFreePort();
-  const context = {
+/** Builds the context of a server whose chats are begun and never ended.
+ * @param port Port of the server.
+ * @param counted Receives the names of the events that are counted. */
+function buildContext(port: number, counted: string[]): EntryContext {
+  return {
     settings: {
       http: { host: "127.0.0.1", port },
       limits: {
@@ -49,7 +49,13 @@
     },
     getPhase: () => "serving",
   } as unknown as EntryContext;
-  const server = await CallerServer.create(context);
+}
+
+// Guards against begun streams that stay open although their request has ended.
+test("a response that its handler leaves open is cut", async (t) => {
+  const counted: string[] = [];
+  const port = await getFreePort();
+  const server = await CallerServer.create(buildContext(port, counted));
   const caller = await RawCaller.create(port, false);
   caller.write(
     "POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nX-Beechkeel-Customer: c\r\n" +
@@ -63,3 +69,33 @@
   t.false(caller.received.endsWith("0\r\n\r\n"));
   t.deepEqual(counted, ["open_response"]);
 });
+
+// Guards against requests that are reset because they cross the end of a stop.
+test("a request that arrives on a kept connection at the end of a stop is refused as not run", async (t) => {
+  const port = await getFreePort();
+  const server = await CallerServer.create(buildContext(port, []));
+  const caller = await RawCaller.create(port);
+  caller.write("GET /unknown HTTP/1.1\r\nHost: r\r\n\r\n");
+  await caller.waitForResponses(1);
+  server.stopListening();
+  const closed = server.closeInOrder({ limitMs: 60_000 });
+  caller.write("GET /unknown HTTP/1.1\r\nHost: r\r\n\r\n");
+  await Promise.all([closed, caller.waitForEnd()]);
+  t.deepEqual(caller.statuses, [404, 503]);
+  t.true(caller.received.includes("x-beechkeel-ran: no"));
+  t.false(caller.wasReset);
+});
+
+// Guards against a pipelined request that runs and gets no response, because the one before it closes the connection.
+test("a pipelined request at a stopping router is answered after the one before it", async (t) => {
+  const port = await getFreePort();
+  const server = await CallerServer.create(buildContext(port, []));
+  server.startDraining();
+  const caller = await RawCaller.create(port);
+  const chat = `POST /unknown HTTP/1.1\r\nHost: r\r\nContent-Length: 2\r\n\r\n`;
+  caller.write(`${chat}ab${chat}cd`);
+  await caller.waitForEnd();
+  t.deepEqual(caller.statuses, [404, 404]);
+  t.is(caller.received.split("connection: close").length, 2);
+  server.close();
+});
