--- a/src/forward/call_server.ts
+++ b/src/forward/call_server.ts
@@ -1,11 +1,14 @@
 import { createServer, type Server } from "node:http";
 import { once } from "node:events";
-import type { Socket } from "node:net";
 import { splitAddress } from "../addresses/split_address.ts";
 import {
   CallerConnections,
   type RequestListener,
 } from "../http/caller_connections.ts";
+import {
+  type ClosingOptions,
+  ConnectionCloser,
+} from "../http/connection_closer.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { CallerLimits } from "../published/configuration_schema.ts";
 
@@ -19,14 +22,10 @@
 
 /** The HTTP server that callers connect to. */
 export class CallServer {
-  private readonly sockets = new Set<Socket>();
-
-  private constructor(private readonly server: Server) {
-    server.on("connection", (socket) => {
-      this.sockets.add(socket);
-      socket.once("close", () => this.sockets.delete(socket));
-    });
-  }
+  private constructor(
+    private readonly server: Server,
+    private readonly closer: ConnectionCloser,
+  ) {}
 
   /** Starts a server and waits until it listens.
    * @param address The address to listen on, as ip:port.
@@ -43,12 +42,11 @@
       requestTimeout: 0,
       noDelay: true,
     });
-    CallerConnections.attach(server, logger, onRequest);
-    const callServer = new CallServer(server);
+    const connections = CallerConnections.attach(server, logger, onRequest);
     const { host, port } = splitAddress(address);
     server.listen(port, host);
     await once(server, "listening");
-    return callServer;
+    return new CallServer(server, ConnectionCloser.create(server, connections));
   }
 
   /** Applies the published limits.
@@ -59,21 +57,10 @@
       IDLE_TIMEOUT_MARGIN_MS;
   }
 
-  /** Number of bytes of responses that have not been handed to the system. */
-  get unsentBytes(): number {
-    let bytes = 0;
-    for (const socket of this.sockets) bytes += socket.writableLength;
-    return bytes;
-  }
-
-  /** Stops accepting connections. */
-  stopListening(): void {
-    this.server.close();
-  }
-
-  /** Closes the idle connections. */
-  closeIdle(): void {
-    this.server.closeIdleConnections();
+  /** Stops listening and ends all connections once their responses have been sent.
+   * @param options Time limit and refusals. */
+  async closeInOrder(options: ClosingOptions): Promise<void> {
+    await this.closer.close(options);
   }
 
   /** Stops listening and closes all connections immediately. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -30,6 +30,8 @@
 
 /** Interval at which pauses of the process are looked for, in milliseconds. */
 const PAUSE_CHECK_INTERVAL_MS = 250;
+/** Time of a graceful stop that is left for the exit of the process, in milliseconds. */
+const EXIT_TIME_MS = 150;
 
 /** The dependencies of a gateway that its settings do not describe. */
 export interface GatewayDependencies {
@@ -141,27 +143,11 @@
    * @param signaledAt Monotonic milliseconds at which the stop was asked for; now by default. */
   async drain(signaledAt = readClock()): Promise<void> {
     if (this.stop.hasStarted) return;
-    const limitMs = this.settings.stopTimeoutMs;
-    const { delayMs } = this.pauses;
-    this.stop.start(limitMs, signaledAt - delayMs);
-    const { openCalls } = this.handler;
-    this.logger.info({
-      openCalls,
-      limitMs,
-      lateMs: Math.round(readClock() - signaledAt + delayMs),
-    }, "stop_started");
-    this.peerNetwork?.announce();
+    this.startStop(signaledAt);
     await this.stop.waitForOpenCalls(
       () => this.handler.openCalls + this.paths.server.openTunnels,
     );
-    const unfinished = this.handler.openCalls;
-    const { stopRetryMs } = this.status;
-    this.stop.end();
-    this.server?.stopListening();
-    this.server?.closeIdle();
-    this.handler.endForStop(stopRetryMs);
-    const unsentBytes = this.server?.unsentBytes;
-    this.logger.info({ unfinished, unsentBytes }, "stop_ended");
+    await this.endStop();
     await this.close();
   }
 
@@ -182,6 +168,27 @@
     await this.dependencies.feed.close();
   }
 
+  private startStop(signaledAt: number): void {
+    const limitMs = this.settings.stopTimeoutMs;
+    const { delayMs } = this.pauses;
+    this.stop.start(limitMs, signaledAt - delayMs);
+    const { openCalls } = this.handler;
+    const lateMs = Math.round(readClock() - signaledAt + delayMs);
+    this.logger.info({ openCalls, limitMs, lateMs }, "stop_started");
+    this.peerNetwork?.announce();
+  }
+
+  /** Ends the calls that are still open, and then the connections of callers once all responses have been sent. */
+  private async endStop(): Promise<void> {
+    const unfinished = this.handler.openCalls;
+    const retryAfterMs = this.status.stopRetryMs;
+    this.stop.end();
+    this.handler.endForStop(retryAfterMs);
+    this.logger.info({ unfinished }, "stop_ended");
+    const limitMs = this.stop.exitWithinMs - EXIT_TIME_MS;
+    await this.server?.closeInOrder({ limitMs, retryAfterMs });
+  }
+
   private async open(): Promise<void> {
     const { settings, logger } = this;
     this.watch = this.createWatch();
