Test that a stopping host's calls keep their deadlines

With the check removed, the call whose route got a longer timeout during the stop ended with the stop (502) instead of at its deadline (504).

--- a/tests/gateway/stopping_host_test.ts
+++ b/tests/gateway/stopping_host_test.ts
@@ -1,6 +1,9 @@
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
-import type { WorkerBehaviour } from "../../fakes/fake_worker.ts";
+import {
+  respondSuccessfully,
+  type WorkerBehaviour,
+} from "../../fakes/fake_worker.ts";
 import { call, type CallResult } from "./call.ts";
 import { waitForStatus } from "./wait_for_gateway.ts";
 import { withGateways } from "./with_gateways.ts";
@@ -108,3 +111,37 @@
     );
   });
 });
+
+// Guards against a call that is accepted because of its deadline, gets a later one, and is cut by the stop.
+test("a longer timeout does not apply to the calls of a stopping host", async (t) => {
+  await withGateways(async (fleet) => {
+    const worker = await fleet.startWorker("s", "h", 100);
+    worker.behaviour = (request, response, self) => {
+      if (request.headers["x-kind"] === ENDLESS) return;
+      respondSuccessfully(request, response, self);
+    };
+    const route = { route_kind: "non_idempotent", max_attempts: 1 };
+    fleet.publishConfiguration(1, [KEY], { ...route, timeout_ms: 2_000 });
+    const stopping = await fleet.startGateway({
+      stopTimeoutMs: STOP_TIMEOUT_MS,
+    });
+    await waitForStatus(stopping, KEY, 200);
+    const stopped = stopping.gateway.drain();
+    const endless = call(stopping, KEY, { headers: { "x-kind": ENDLESS } });
+    await until(() =>
+      worker.arrivals.some(({ headers }) => headers["x-kind"] === ENDLESS)
+    );
+    fleet.publishConfiguration(2, ["other", KEY], {
+      ...route,
+      timeout_ms: 8_000,
+    });
+    const { status } = await endless;
+    await stopped;
+    t.is(status, 504);
+  });
+});
+
+/** Waits until a condition holds. */
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) await delay(10);
+}
