Never trust an estimate late in a stop, and less of it early

No late request is accepted by an estimate now. - The time in which likely requests are accepted grew with the limit of the stop, though its reason, the time for which callers keep an address, does not.

The chats of the deployments run once.

--- a/soak/stop_report.ts
+++ b/soak/stop_report.ts
@@ -118,7 +118,7 @@
   { requestId }: StopStream,
 ): boolean {
   return lines.some((line) =>
-    line.includes(`request=${requestId} `) && line.includes("call_cut")
+    line.includes(`request=${requestId} `) && line.includes("call_unfinished")
   );
 }
 
--- a/soak/stop_run.ts
+++ b/soak/stop_run.ts
@@ -26,6 +26,8 @@
 const BEFORE_STOP_MS = 6_000;
 /** Time within which all gateways must list each other, in milliseconds. */
 const START_TIMEOUT_MS = 30_000;
+/** Time after its exit in which a gateway is back, in milliseconds. */
+const RESTART_MS = 1_500;
 /** Pause between two polls of the gateways, in milliseconds. */
 const POLL_MS = 50;
 
@@ -204,8 +206,11 @@
   }
 
   private chooseReady(): GatewayProcess | undefined {
+    const now = performance.now();
     const ready = this.gateways.filter(({ id }) =>
-      !this.stops.some(({ gateway }) => gateway === id)
+      !this.stops.some(({ gateway, exitedAt = Infinity }) =>
+        gateway === id && now < exitedAt + RESTART_MS
+      )
     );
     return ready.length === 0 ? undefined : this.random.pick(ready);
   }
--- a/soak/stops.ts
+++ b/soak/stops.ts
@@ -54,7 +54,7 @@
         if (!args.logs) continue;
         for (const [id, lines] of result.logs) {
           for (const line of lines) {
-            if (/stop_|draining|call_cut|connection/.test(line)) {
+            if (/stop_|draining|call_unfinished|connection/.test(line)) {
               console.log(id, line);
             }
           }
--- a/src/admission/duration_distribution.ts
+++ b/src/admission/duration_distribution.ts
@@ -11,9 +11,9 @@
   { length: MAX_SAMPLES },
   (_, age) => AGE_FACTOR ** age,
 );
-/** Difference of the logarithms of two size hints from which a call says little about another. */
+/** Difference of the logarithms of two length hints from which a call says little about another. */
 const HINT_DISTANCE = 0.6;
-/** Least weight of a call with another size hint, because hints are often far off. */
+/** Least weight of a call with another length hint, because hints are often far off. */
 const MIN_HINT_WEIGHT = 0.05;
 /** Weight of the assumption that a call ends at any time before its deadline, relative to one completed call. */
 const PRIOR_WEIGHT = 1;
@@ -22,8 +22,8 @@
 export interface CompletedCall {
   /** Time from its arrival to the end of its response, in milliseconds. */
   durationMs: number;
-  /** Size of the response that its caller expected; undefined if unknown. */
-  sizeHint?: number;
+  /** Length of the response that its caller expected; undefined if unknown. */
+  lengthHint?: number;
   /** Number of pauses between the events of its stream; 0 if it was no stream. */
   pauses?: number;
   /** Mean length of these pauses, in milliseconds; undefined if there were none. */
@@ -34,10 +34,10 @@
 export interface ExpectedCall {
   /** Time until its deadline, in milliseconds. */
   deadlineMs: number;
-  /** Size of the response that its caller expects; undefined if unknown. */
-  sizeHint?: number;
-  /** Current pause between two events of a stream at its upstreams, in milliseconds; undefined if unknown. */
-  pauseMs?: number;
+  /** Length of the response that its caller expects; undefined if unknown. */
+  lengthHint?: number;
+  /** Length of the pauses between events of streams now, relative to their usual length; undefined if unknown. */
+  paceRatio?: number;
 }
 
 /** The durations of the calls of each kind, from those that were answered lately. */
@@ -65,15 +65,8 @@
     if (samples.length > MAX_SAMPLES) samples.shift();
   }
 
-  /** Returns the longest recent duration of a kind, in milliseconds; undefined if no call was answered.
-   * @param kind Kind of the calls. */
-  getLongestMs(kind: string): number | undefined {
-    const samples = this.samples.get(kind);
-    return samples && Math.max(...samples.map(({ durationMs }) => durationMs));
-  }
-
-  /** Returns the probability that a call ends within a time, from the calls of its kind with similar size hints, at the
-   * current pace of their upstreams.
+  /** Returns the probability that a call ends within a time, from the calls of its kind with similar length hints, at the
+   * current pace of streams; undefined if none was answered.
    * @param kind Kind of the call.
    * @param call The call.
    * @param withinMs The time, in milliseconds. */
@@ -81,10 +74,11 @@
     kind: string,
     call: ExpectedCall,
     withinMs: number,
-  ): number {
+  ): number | undefined {
+    const samples = this.samples.get(kind);
+    if (!samples) return undefined;
     let weightSum = PRIOR_WEIGHT;
     let endingSum = PRIOR_WEIGHT * Math.min(1, withinMs / call.deadlineMs);
-    const samples = this.samples.get(kind) ?? [];
     for (let age = 0; age < samples.length; age++) {
       const sample = samples[samples.length - 1 - age]!;
       const weight = AGE_WEIGHTS[age]! * getHintWeight(sample, call);
@@ -95,10 +89,10 @@
   }
 }
 
-/** Returns how much a completed call tells of one with another size hint, from 0 to 1. */
+/** Returns how much a completed call tells of one with another length hint, from 0 to 1. */
 function getHintWeight(
-  { sizeHint: completed }: CompletedCall,
-  { sizeHint: expected }: ExpectedCall,
+  { lengthHint: completed }: CompletedCall,
+  { lengthHint: expected }: ExpectedCall,
 ): number {
   if (!completed || !expected) return 1;
   const distance = Math.log(expected / completed) / HINT_DISTANCE;
@@ -107,9 +101,8 @@
 
 /** Returns how long a completed call would take at the current pace, in milliseconds. */
 function scaleDuration(
-  { durationMs, pauses = 0, pauseMs: completed }: CompletedCall,
-  { pauseMs: current }: ExpectedCall,
+  { durationMs, pauses = 0, pauseMs = 0 }: CompletedCall,
+  { paceRatio = 1 }: ExpectedCall,
 ): number {
-  if (completed === undefined || current === undefined) return durationMs;
-  return durationMs + pauses * (current - completed);
+  return durationMs + pauses * pauseMs * (paceRatio - 1);
 }
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -156,9 +156,9 @@
     return end;
   }
 
-  /** Recent pause between two events, in milliseconds; undefined if too few are known. */
-  get recentPauseMs(): number | undefined {
-    return this.pace.getRecentPauseMs(readClock());
+  /** Recent length of the pauses between events relative to their mean length; undefined if too few are known. */
+  get paceRatio(): number | undefined {
+    return this.pace.getPaceRatio(readClock());
   }
 
   /** Progress of the call, for the log of a stop that ends it. */
--- a/src/forward/stream_pace.ts
+++ b/src/forward/stream_pace.ts
@@ -44,13 +44,13 @@
     this.lastAt = now;
   }
 
-  /** Returns the recent length of the pauses, including the one in progress if it is longer, in milliseconds; undefined
-   * if too few are known.
+  /** Returns the recent length of the pauses, including the one in progress if it is longer, relative to the mean length;
+   * undefined if too few are known.
    * @param now Monotonic milliseconds. */
-  getRecentPauseMs(now: number): number | undefined {
-    if (this.recentMs === undefined || this.pauseCount < MIN_PAUSES) {
-      return undefined;
-    }
-    return Math.max(this.recentMs, now - this.lastAt);
+  getPaceRatio(now: number): number | undefined {
+    const { meanPauseMs, recentMs, pauseCount } = this;
+    if (recentMs === undefined || pauseCount < MIN_PAUSES) return undefined;
+    if (!meanPauseMs) return undefined;
+    return Math.max(recentMs, now - this.lastAt) / meanPauseMs;
   }
 }
--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -182,16 +182,15 @@
     }
   }
 
-  /** Returns the median of the recent pauses between events of a service's streams, in milliseconds; undefined if none is
-   * known.
+  /** Returns the median pace of a service's streams relative to their usual one; undefined if none is known.
    * @param service Name of the service. */
-  getPauseMs(service: string): number | undefined {
-    const pauses: number[] = [];
-    for (const { call, recentPauseMs } of this.forwarders) {
-      if (call.service !== service || recentPauseMs === undefined) continue;
-      pauses.push(recentPauseMs);
+  getPaceRatio(service: string): number | undefined {
+    const ratios: number[] = [];
+    for (const { call, paceRatio } of this.forwarders) {
+      if (call.service !== service || paceRatio === undefined) continue;
+      ratios.push(paceRatio);
     }
-    return pauses.sort((a, b) => a - b)[Math.floor(pauses.length / 2)];
+    return ratios.sort((a, b) => a - b)[Math.floor(ratios.length / 2)];
   }
 
   private async admitAndForward(
--- a/src/gateway/create_call_handler.ts
+++ b/src/gateway/create_call_handler.ts
@@ -48,7 +48,7 @@
       stop,
       hasOtherHost: () => status.hasOtherHost,
       getRetryAfterMs: () => status.stopRetryMs,
-      getPauseMs: (service) => handler.getPauseMs(service),
+      getPaceRatio: (service) => handler.getPaceRatio(service),
     }),
     onRequestAdmitted: (service) => chooser.recordRequest(service),
     lookUpPrompt: (sharedParts) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -171,7 +171,7 @@
   private startStop(signaledAt: number): void {
     const limitMs = this.settings.stopTimeoutMs;
     const { delayMs } = this.pauses;
-    this.stop.start(limitMs, signaledAt - delayMs);
+    this.stop.start(limitMs, signaledAt, delayMs);
     const { openCalls } = this.handler;
     const lateMs = Math.round(readClock() - signaledAt + delayMs);
     this.logger.info({ openCalls, limitMs, lateMs }, "stop_started");
--- a/src/gateway/graceful_stop.ts
+++ b/src/gateway/graceful_stop.ts
@@ -5,9 +5,15 @@
 /** Time after the start of a graceful stop from which responses close their connections: three times the TTL of an
  * address list. */
 const CLOSE_CONNECTIONS_AFTER_MS = 1_500;
+/** Time after the start of a graceful stop within which callers stop using the address of the host, in milliseconds: a
+ * little less than six times the TTL of an address list, because callers that can't get another list keep one for up to
+ * twice as long as others. */
+export const CALLERS_LEAVE_WITHIN_MS = 2_880;
 /** Minimum time for which a stopping host still accepts requests: seven times the TTL of an address list, because some
  * callers keep it beyond its TTL. */
 const MIN_DRAIN_MS = 3_500;
+/** Maximum fraction of the time limit by which a stop is taken to have begun before its signal was handled. */
+const MAX_DELAY_FRACTION = 0.08;
 /** Interval at which a stopping host checks whether all calls have finished. */
 const STOP_POLL_INTERVAL_MS = 50;
 
@@ -59,10 +65,12 @@
 
   /** Starts the stop; does nothing if it has already started.
    * @param limitMs Time that the stop may take, in milliseconds.
-   * @param signaledAt Monotonic milliseconds at which it was asked for; now by default. */
-  start(limitMs: number, signaledAt = readClock()): void {
+   * @param signaledAt Monotonic milliseconds at which its signal was handled; now by default.
+   * @param delayMs Time for which the signal may have waited before, in milliseconds. */
+  start(limitMs: number, signaledAt = readClock(), delayMs = 0): void {
     if (this.startedAt !== undefined) return;
-    this.startedAt = signaledAt;
+    this.startedAt = signaledAt -
+      Math.min(delayMs, limitMs * MAX_DELAY_FRACTION);
     this.timeLimitMs = limitMs;
   }
 
--- a/src/gateway/stop_admission.ts
+++ b/src/gateway/stop_admission.ts
@@ -10,7 +10,7 @@
 import type { CallProgress, StopEnd } from "../forward/call_progress.ts";
 import { mayRunAgain, type RoutedCall } from "../forward/routed_call.ts";
 import type { Logger } from "../logging/logger.ts";
-import type { GracefulStop } from "./graceful_stop.ts";
+import { CALLERS_LEAVE_WITHIN_MS, type GracefulStop } from "./graceful_stop.ts";
 import type { StopMetrics } from "./stop_metrics.ts";
 
 /** Dependencies of a {@link StopAdmission}. */
@@ -22,9 +22,9 @@
   hasOtherHost: () => boolean;
   /** Returns the time after which refused callers may retry, in milliseconds. */
   getRetryAfterMs: () => number;
-  /** Returns the current pause between two events of the streams of a service, in milliseconds; undefined if it has no
-   * streams. */
-  getPauseMs: (service: string) => number | undefined;
+  /** Returns the length of the pauses between events of a service's streams relative to their usual length; undefined if
+   * it has no streams. */
+  getPaceRatio: (service: string) => number | undefined;
 }
 
 /** What was decided on a call that arrived during a stop. */
@@ -35,8 +35,8 @@
   deadlineMs: number;
   /** Time that was left for calls, in milliseconds. */
   usableMs: number;
-  endProbability: number;
-  pauseMs: number | undefined;
+  endProbability: number | undefined;
+  paceRatio: number | undefined;
 }
 
 /** Decides which calls a stopping host accepts, and records what becomes of those that outlast its stop. */
@@ -61,8 +61,8 @@
     durationMs: number,
     pauses: { pauses: number; pauseMs: number | undefined },
   ): void {
-    const sizeHint = headers.prompt?.lengthHint;
-    this.durations.record(route.name, { durationMs, sizeHint, ...pauses });
+    const lengthHint = headers.prompt?.lengthHint;
+    this.durations.record(route.name, { durationMs, lengthHint, ...pauses });
   }
 
   /** Returns why a call is refused; undefined if it is accepted. Called when its head has arrived, and again before it is
@@ -98,7 +98,7 @@
       hadMs: Math.round(progress.hadMs),
       remainingMs: Math.round(progress.remainingMs),
       ...judged ? formatJudged(judged) : { decision: "before_stop" },
-    }, "call_cut");
+    }, "call_unfinished");
   }
 
   private record(call: AdmittedCall, judged: JudgedCall): void {
@@ -114,7 +114,7 @@
   }
 
   private judge(call: AdmittedCall): JudgedCall {
-    const { stop, hasOtherHost, getPauseMs } = this.options;
+    const { stop, hasOtherHost, getPaceRatio } = this.options;
     const { route, headers, receivedAt, callerDeadlineAt, service } = call;
     const now = readClock();
     const elapsedMs = stop.getElapsedMs(now);
@@ -122,18 +122,20 @@
     const deadlineAt = Math.min(callerDeadlineAt, receivedAt + route.timeoutMs);
     const deadlineMs = Math.max(0, deadlineAt - now);
     const usableMs = getUsableMs(elapsedMs, limitMs);
-    const pauseMs = route.kind === "stream" ? getPauseMs(service) : undefined;
+    const paceRatio = route.kind === "stream"
+      ? getPaceRatio(service)
+      : undefined;
     const endProbability = this.durations.getEndProbability(
       route.name,
-      { deadlineMs, pauseMs, sizeHint: headers.prompt?.lengthHint },
+      { deadlineMs, paceRatio, lengthHint: headers.prompt?.lengthHint },
       usableMs,
     );
     const decision = decideAtStop({
       elapsedMs,
       limitMs,
+      callersLeaveWithinMs: CALLERS_LEAVE_WITHIN_MS,
       deadlineMs,
       endProbability,
-      longestMs: this.durations.getLongestMs(route.name),
       mayRunAgain: mayRunAgain(call),
       hasOtherHost: hasOtherHost(),
     });
@@ -143,14 +145,14 @@
       deadlineMs,
       usableMs,
       endProbability,
-      pauseMs,
+      paceRatio,
     };
   }
 
   private createRefusal(
     { usableMs, deadlineMs, endProbability }: JudgedCall,
   ): Failure {
-    const probability = endProbability.toFixed(2);
+    const probability = endProbability?.toFixed(2) ?? "unknown";
     return Failure.create(
       "draining",
       `ends within ${Math.round(deadlineMs)} ms, ${
@@ -167,7 +169,7 @@
     afterStopMs: Math.round(judged.elapsedMs),
     deadlineMs: Math.round(judged.deadlineMs),
     usableMs: Math.round(judged.usableMs),
-    endProbability: Number(judged.endProbability.toFixed(3)),
-    pauseMs: judged.pauseMs && Math.round(judged.pauseMs),
+    endProbability: judged.endProbability?.toFixed(3),
+    paceRatio: judged.paceRatio?.toFixed(2),
   };
 }
--- a/src/gateway/stop_metrics.ts
+++ b/src/gateway/stop_metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, type Registry } from "prom-client";
 import type { StopDecision } from "../admission/decide_at_stop.ts";
+import type { StopEnd } from "../forward/call_progress.ts";
 
 /** Counters of graceful stops. */
 export class StopMetrics {
@@ -11,7 +12,7 @@
     this.decisions = new Counter({
       name: "beechkeel_stop_decisions_total",
       help:
-        "Requests that arrived during a stop, by what was decided: certain, likely, short, refused.",
+        "Requests that arrived during a stop, by what was decided: certain, likely, refused.",
       labelNames: ["decision"],
       registers,
     });
@@ -38,7 +39,7 @@
 
   /** Records a request that the end of a stop has ended.
    * @param end How it was ended. */
-  recordUnfinished(end: string): void {
+  recordUnfinished(end: StopEnd): void {
     this.unfinished.inc({ end });
   }
 }
--- a/tests/admission/decide_at_stop_test.ts
+++ b/tests/admission/decide_at_stop_test.ts
@@ -24,7 +24,7 @@
   limitMs: LIMIT_MS,
   deadlineMs: 12_000,
   endProbability: 0.8,
-  longestMs: 3_000,
+  callersLeaveWithinMs: 2_880,
   mayRunAgain: true,
   hasOtherHost: true,
 };
@@ -44,11 +44,9 @@
 test("an early request is accepted if it likely ends, and more readily if it can be repeated", (t) => {
   t.is(decideAtStop(EARLY), "likely");
   t.is(decideAtStop({ ...EARLY, endProbability: 0.1 }), "refused");
-  t.is(decideAtStop({ ...EARLY, mayRunAgain: false }), "refused");
-  t.is(
-    decideAtStop({ ...EARLY, mayRunAgain: false, endProbability: 0.95 }),
-    "likely",
-  );
+  const once = { ...EARLY, mayRunAgain: false };
+  t.is(decideAtStop({ ...once, endProbability: 0.6 }), "refused");
+  t.is(decideAtStop({ ...once, endProbability: 0.8 }), "likely");
 });
 
 test("an early request that no other host takes is accepted if it may end", (t) => {
@@ -60,13 +58,19 @@
   );
 });
 
-test("a late request is refused however likely it ends, unless it is far shorter and no other host takes it", (t) => {
+test("a late request is refused however likely it ends, also if no other host takes it", (t) => {
   const late = { ...EARLY, elapsedMs: 4_000, endProbability: 1 };
   t.is(decideAtStop(late), "refused");
-  t.is(decideAtStop({ ...late, longestMs: 20 }), "refused");
-  const alone = { ...late, hasOtherHost: false };
-  t.is(decideAtStop(alone), "refused");
-  t.is(decideAtStop({ ...alone, longestMs: 20 }), "short");
+  t.is(decideAtStop({ ...late, hasOtherHost: false }), "refused");
+});
+
+test("a request is late when callers have left, and after part of a short stop", (t) => {
+  const left = { ...EARLY, elapsedMs: 2_900, endProbability: 1 };
+  t.is(
+    decideAtStop({ ...left, limitMs: 30_000, deadlineMs: 40_000 }),
+    "refused",
+  );
+  t.is(decideAtStop({ ...left, elapsedMs: 1_900, limitMs: 5_000 }), "refused");
 });
 
 function isCut({ decision, endsMs }: VirtualStopRequest): boolean {
@@ -112,3 +116,22 @@
     }
   }
 });
+
+// Guards against chats that run once and are refused early in a stop, although most of them would end in time.
+test("nine of ten early requests that would end are served if they run once and their durations have a long tail", (t) => {
+  for (let seed = 1; seed <= SEEDS / 10; seed++) {
+    const requests = playVirtualStop({
+      seed,
+      durations: "long_tailed",
+      mayRunAgain: false,
+    });
+    const ending = requests.filter(({ sentMs, endsMs }) =>
+      sentMs <= EARLY_MS && endsMs <= getUsableMs(0, LIMIT_MS)
+    );
+    const served = ending.filter(({ decision }) => decision !== "refused");
+    t.true(
+      served.length >= SERVED_FRACTION * ending.length,
+      `seed ${seed}: ${served.length} of ${ending.length}`,
+    );
+  }
+});
--- a/tests/admission/duration_distribution_test.ts
+++ b/tests/admission/duration_distribution_test.ts
@@ -15,12 +15,12 @@
   }
 }
 
-test("a call of an unknown kind ends at any time before its deadline", (t) => {
+test("nothing is known of a kind without answered calls", (t) => {
   const distribution = DurationDistribution.create();
   const call = { deadlineMs: DEADLINE_MS };
-  t.is(distribution.getEndProbability(KIND, call, 2_500), 0.25);
-  t.is(distribution.getEndProbability(KIND, call, 20_000), 1);
-  t.is(distribution.getLongestMs(KIND), undefined);
+  t.is(distribution.getEndProbability(KIND, call, 2_500), undefined);
+  recordMany(distribution, 1, 6_000);
+  t.is(distribution.getEndProbability("other", call, 2_500), undefined);
 });
 
 test("a call is as likely to end within a time as those before it were", (t) => {
@@ -30,22 +30,20 @@
     recordMany(distribution, 1, 6_000);
   }
   const call = { deadlineMs: DEADLINE_MS };
-  const probability = distribution.getEndProbability(KIND, call, 1_000);
+  const probability = distribution.getEndProbability(KIND, call, 1_000)!;
   t.true(probability > 0.4 && probability < 0.6);
-  t.is(distribution.getLongestMs(KIND), 6_000);
-  t.is(distribution.getEndProbability("other", call, 1_000), 0.1);
 });
 
-test("calls with similar size hints count more", (t) => {
+test("calls with similar length hints count more", (t) => {
   const distribution = DurationDistribution.create();
-  recordMany(distribution, 20, 100, { sizeHint: 10 });
-  recordMany(distribution, 20, 6_000, { sizeHint: 600 });
-  const estimate = (sizeHint: number) =>
+  recordMany(distribution, 20, 100, { lengthHint: 10 });
+  recordMany(distribution, 20, 6_000, { lengthHint: 600 });
+  const estimate = (lengthHint: number) =>
     distribution.getEndProbability(
       KIND,
-      { deadlineMs: DEADLINE_MS, sizeHint },
+      { deadlineMs: DEADLINE_MS, lengthHint },
       1_000,
-    );
+    )!;
   t.true(estimate(10) > 0.85);
   t.true(estimate(600) < 0.15);
 });
@@ -54,20 +52,21 @@
 test("streams are expected to take longer when pauses between events become longer", (t) => {
   const distribution = DurationDistribution.create();
   recordMany(distribution, 20, 1_000, { pauses: 9, pauseMs: 100 });
-  const estimate = (pauseMs: number | undefined) =>
+  const estimate = (paceRatio: number | undefined) =>
     distribution.getEndProbability(
       KIND,
-      { deadlineMs: DEADLINE_MS, pauseMs },
+      { deadlineMs: DEADLINE_MS, paceRatio },
       2_000,
-    );
+    )!;
   t.true(estimate(undefined) > 0.9);
-  t.true(estimate(100) > 0.9);
-  t.true(estimate(400) < 0.1);
+  t.true(estimate(1) > 0.9);
+  t.true(estimate(4) < 0.1);
 });
 
 test("old calls are forgotten", (t) => {
   const distribution = DurationDistribution.create();
   recordMany(distribution, 500, 6_000);
   recordMany(distribution, 64, 100);
-  t.is(distribution.getLongestMs(KIND), 100);
+  const call = { deadlineMs: DEADLINE_MS };
+  t.true(distribution.getEndProbability(KIND, call, 1_000)! > 0.95);
 });
--- a/tests/admission/stop_faults_test.ts
+++ b/tests/admission/stop_faults_test.ts
@@ -20,7 +20,7 @@
   limitMs: LIMIT_MS,
   deadlineMs: DEADLINE_MS,
   endProbability: 0.9,
-  longestMs: 1_000,
+  callersLeaveWithinMs: 2_880,
   mayRunAgain: true,
   hasOtherHost: true,
 };
@@ -51,7 +51,7 @@
           { deadlineMs: DEADLINE_MS },
           usableMs,
         ),
-        longestMs: distribution.getLongestMs(KIND),
+        callersLeaveWithinMs: EARLY.callersLeaveWithinMs,
         mayRunAgain: true,
         hasOtherHost: false,
       });
@@ -93,9 +93,8 @@
     { deadlineMs },
     getUsableMs(EARLY.elapsedMs, LIMIT_MS),
   );
-  const longestMs = undefined;
   t.is(
-    decideAtStop({ ...EARLY, deadlineMs, endProbability, longestMs }),
+    decideAtStop({ ...EARLY, deadlineMs, endProbability }),
     "likely",
   );
 });
@@ -110,11 +109,10 @@
 test("a stream of a fast route is accepted although slower streams of another route run at its service", (t) => {
   const distribution = DurationDistribution.create();
   const fast = { durationMs: 1_350, pauses: 89, pauseMs: 15 };
-  const slowPauseMs = 400;
   for (let call = 0; call < 20; call++) distribution.record(KIND, fast);
   const endProbability = distribution.getEndProbability(
     KIND,
-    { deadlineMs: DEADLINE_MS, pauseMs: slowPauseMs },
+    { deadlineMs: DEADLINE_MS, paceRatio: 1 },
     getUsableMs(EARLY.elapsedMs, LIMIT_MS),
   );
   t.is(decideAtStop({ ...EARLY, endProbability }), "likely");
