Continue streams of the only version after all hosts are lost

Callers that resumed a stream after all hosts had been killed at once were refused for the timeout of the route and two seconds, also where one software version alone had served: what began where ended with the hosts, and a host that starts has observed nothing.

A host that starts now learns which versions have served from hosts that observed it, and if none has observed 20 s, the hosts that read the platform read back through the changes that it retains. The decision stands apart: removed and replaced instances count as having left just now; an upstream whose entry is not retained, a restored platform, or a history whose age nothing shows makes everything uncertain. Others take what these hosts have learned. A resume without a record waits for it for at most 800 ms after the first publication.

The time within which a stream may have begun now covers the silence after which callers leave: two seconds, four objectives, or eight gaps.

The stand-in of the store keeps a history that time and compaction bound; before, it listed only the last change of each key. Callers in virtual time now try again while no host runs.

--- a/fakes/fake_store.ts
+++ b/fakes/fake_store.ts
@@ -13,6 +13,13 @@
   deleted?: boolean;
 }
 
+/** An event of the history, with the time at which it happened. */
+interface HistoryEvent {
+  item: Item;
+  /** Monotonic milliseconds. */
+  at: number;
+}
+
 interface PendingWatch {
   after: number;
   respond: () => void;
@@ -33,6 +40,12 @@
   rangeReads = 0;
   /** Era sent in all responses, incremented by each restore; undefined if no era is sent. */
   era: number | undefined = 1;
+  /** Time for which events are retained, in milliseconds. */
+  historyMs = 20_000;
+  /** All events that are retained, in their order. */
+  private history: HistoryEvent[] = [];
+  /** Revision of the last event that is no longer retained. */
+  private forgottenRevision = 0;
   private revision = 0;
   private items = new Map<string, Item>();
   private readonly waiting = new Set<PendingWatch>();
@@ -66,14 +79,14 @@
    * @param text Text of the value. */
   putText(key: string, text: string): void {
     this.revision += 1;
-    const created = this.items.get(key)?.created ?? this.revision;
-    this.items.set(key, {
+    const previous = this.items.get(key);
+    const isNew = previous === undefined || previous.deleted === true;
+    this.record({
       private_key: key,
       value: Buffer.from(text).toString("base64"),
       revision: this.revision,
-      created,
+      created: isNew ? this.revision : previous.created,
     });
-    this.respondToPendingWatches();
   }
 
   /** Deletes a value. The store keeps a tombstone, so that watches see the deletion.
@@ -82,8 +95,13 @@
     this.revision += 1;
     const created = this.items.get(key)?.created ?? 0;
     const { revision } = this;
-    this.items.set(key, { private_key: key, revision, created, deleted: true });
-    this.respondToPendingWatches();
+    this.record({ private_key: key, revision, created, deleted: true });
+  }
+
+  /** Forgets all events so far. */
+  compact(): void {
+    this.history = [];
+    this.forgottenRevision = this.revision;
   }
 
   /** Takes a snapshot of all items. */
@@ -97,6 +115,13 @@
     this.revision = snapshot.revision;
     this.items = new Map(snapshot.items);
     this.era = (this.era ?? 0) + 1;
+    this.history = this.history.filter(({ item }) =>
+      item.revision <= snapshot.revision
+    );
+    this.forgottenRevision = Math.min(
+      this.forgottenRevision,
+      snapshot.revision,
+    );
     this.respondToPendingWatches();
   }
 
@@ -119,6 +144,19 @@
     await closeHttp(this.server);
   }
 
+  private record(item: Item): void {
+    this.items.set(item.private_key, item);
+    this.history.push({ item, at: performance.now() });
+    this.respondToPendingWatches();
+  }
+
+  private forgetOldEvents(): void {
+    const minAt = performance.now() - this.historyMs;
+    while (this.history.length > 0 && this.history[0]!.at < minAt) {
+      this.forgottenRevision = this.history.shift()!.item.revision;
+    }
+  }
+
   private writeEraHeader(response: ServerResponse): void {
     if (this.era === undefined) return;
     response.setHeader("Store-Era", String(this.era));
@@ -177,17 +215,20 @@
   ): void {
     if (this.behaviour === "history_lost") return reply(response, {}, 410);
     const after = Number(query.get("after"));
-    if (after > this.revision) return reply(response, {}, 410);
+    this.forgetOldEvents();
+    const isForgotten = () =>
+      after > this.revision || after < this.forgottenRevision;
+    if (isForgotten()) return reply(response, {}, 410);
     const prefix = query.get("path_prefix") ?? "";
     const findEvents = () =>
-      [...this.items.values()].filter((item) =>
+      this.history.map(({ item }) => item).filter((item) =>
         item.revision > after && item.private_key.startsWith(prefix)
-      ).sort((a, b) => a.revision - b.revision);
+      );
     const respond = () => {
       clearTimeout(timer);
       this.waiting.delete(waiting);
       this.writeEraHeader(response);
-      if (after > this.revision) return reply(response, {}, 410);
+      if (isForgotten()) return reply(response, {}, 410);
       reply(response, { events: findEvents(), timestamp: this.revision });
     };
     const waiting = { after, respond };
--- a/src/gateway/create_call_handler.ts
+++ b/src/gateway/create_call_handler.ts
@@ -23,6 +23,9 @@
   stop: GracefulStop;
   /** Resolves when the first configuration is received. */
   initialRoutes: Promise<void>;
+  /** Resolves when the versions that have served before this host started are known, or after a short time; undefined if
+   * it is not learning them. */
+  awaitVersions: () => Promise<void> | undefined;
   /** Returns undefined until the communication with other hosts has started. */
   getPeerNetwork: () => PeerNetwork | undefined;
 }
@@ -64,13 +67,15 @@
 }
 
 function createResumer(
-  { logger, metrics, replica, chooser, getPeerNetwork }: CallHandlerParts,
+  parts: CallHandlerParts,
 ): StreamResumer {
+  const { logger, metrics, replica, chooser, getPeerNetwork } = parts;
   return StreamResumer.create({
     logger,
     lookUp: (question) => getPeerNetwork()?.streams.lookUp(question),
     canContinue: (origin) => chooser.upstreams.canContinue(origin),
     isPublicationRecent: () => replica.isRecent,
+    awaitHistory: parts.awaitVersions,
     onDecision: (decision) => metrics.recordResume(decision),
   });
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -111,7 +111,9 @@
       replica: this.replica,
       chooser: this.chooser,
       inventory: dependencies.inventory,
+      feed: dependencies.feed,
       getHosts: () => this.getLiveHosts().map(({ entry }) => entry),
+      getSourceIds: () => this.watch?.getSources() ?? [],
     });
     this.handler = this.createHandler();
   }
@@ -298,6 +300,7 @@
       status,
       stop,
       initialRoutes: this.initialRoutes,
+      awaitVersions: () => this.exchanges.versions.pending,
       getPeerNetwork: () => this.peerNetwork,
     });
   }
--- a/src/gateway/peer_exchanges.ts
+++ b/src/gateway/peer_exchanges.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "../logging/logger.ts";
 import type { PeerEntry } from "../peers/gossip_schema.ts";
+import type { PublicationFeed } from "../published/publication_feed.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
 import type { EngineInventory } from "../upstreams/engine_inventory.ts";
 import { PrefixExchange } from "./prefix_exchange.ts";
@@ -7,6 +8,7 @@
 import { PublicationExchange } from "./publication_exchange.ts";
 import { StartKnowledgeExchange } from "./start_knowledge_exchange.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
+import { VersionRecovery } from "./version_recovery.ts";
 
 /** Dependencies of {@link PeerExchanges}. */
 export interface PeerExchangesOptions {
@@ -15,8 +17,11 @@
   replica: PublicationReplica;
   chooser: UpstreamChooser;
   inventory: EngineInventory;
+  feed: PublicationFeed;
   /** Returns the other live hosts. */
   getHosts: () => readonly PeerEntry[];
+  /** Returns the ids of the hosts from which this one learns of changes; none if it reads the platform itself. */
+  getSourceIds: () => readonly string[];
 }
 
 /** The exchanges over HTTP by which hosts learn from each other what they know of the upstreams. */
@@ -24,6 +29,7 @@
   readonly publication: PublicationExchange;
   readonly prefixes: PrefixExchange;
   readonly startKnowledge: StartKnowledgeExchange;
+  readonly versions: VersionRecovery;
 
   private constructor(private readonly options: PeerExchangesOptions) {
     const { logger, replica, chooser, getHosts } = options;
@@ -35,6 +41,13 @@
       getHosts,
       isPublicationRecent: () => replica.isRecent,
     });
+    this.versions = VersionRecovery.create({
+      logger,
+      feed: options.feed,
+      versions: chooser.upstreams.versions,
+      startKnowledge: this.startKnowledge,
+      getSourceIds: options.getSourceIds,
+    });
   }
 
   /** Creates the exchanges.
@@ -55,11 +68,12 @@
       getHosts,
       getEngines: () => chooser.getFetchCapableEngines(),
     });
-    await Promise.all([this.startKnowledge.learn(), recovery.run()]);
+    await Promise.all([this.versions.run(), recovery.run()]);
   }
 
   /** Closes the connections. */
   async close(): Promise<void> {
+    this.versions.close();
     await this.publication.close();
     await this.prefixes.close();
     await this.startKnowledge.close();
--- a/src/gateway/start_knowledge_exchange.ts
+++ b/src/gateway/start_knowledge_exchange.ts
@@ -81,6 +81,15 @@
     );
   }
 
+  /** Learns again from some hosts, which may have learned more meanwhile.
+   * @param ids Their ids. */
+  async learnFromHosts(ids: readonly string[]): Promise<void> {
+    const hosts = this.options.getHosts().filter(({ id }) => ids.includes(id));
+    await Promise.all(
+      hosts.slice(0, MAX_QUERIED_HOSTS).map((host) => this.learnFrom(host)),
+    );
+  }
+
   /** Closes the connections. */
   async close(): Promise<void> {
     this.isClosed = true;
--- a/src/gateway/stream_resumer.ts
+++ b/src/gateway/stream_resumer.ts
@@ -5,6 +5,7 @@
 import type { UpstreamAccess } from "../forward/call_forwarder_context.ts";
 import { isResumableStream } from "../forward/routed_call.ts";
 import type { Logger } from "../logging/logger.ts";
+import type { Route } from "../published/configuration_schema.ts";
 import type { StreamQuestion } from "../streams/stream_directory.ts";
 import type { StreamLookupResult } from "../streams/stream_lookup.ts";
 import {
@@ -17,9 +18,10 @@
   type ResumedStream,
 } from "../streams/stream_record.ts";
 
-/** Time from the last event of a stream until its caller resumes it, in milliseconds: the silence after which callers
- * abandon a stream. */
-const RESUME_DELAY_MS = 2_000;
+/** Minimum silence after which callers abandon a stream, in milliseconds. */
+const MIN_ABANDON_MS = 2_000;
+/** The same silence, as a multiple of the objectives of the route: for the first event, and for the gap between two. */
+const ABANDON_OBJECTIVES = { firstEvent: 4, gap: 8 } as const;
 
 /** Result of a lookup on a host that knows nothing yet. */
 const NO_KNOWLEDGE: StreamLookupResult = {
@@ -40,6 +42,9 @@
   canContinue: UpstreamAccess["canContinue"];
   /** Whether this host knows the upstreams that others do, although none responds. */
   isPublicationRecent: () => boolean;
+  /** Resolves when this host has learned which versions have served before it started, or after a short time; undefined
+   * if it is not learning. */
+  awaitHistory?: () => Promise<void> | undefined;
   /** Called with each decision. */
   onDecision: (decision: ResumeDecision) => void;
 }
@@ -70,13 +75,12 @@
   ): Promise<Result<ResumedStream, Failure>> {
     const startedAt = readClock();
     const key = getNamedKey(call);
-    // The upstream of the last event was sent the request within the timeout before, and was listed then.
-    const withinMs = call.route.timeoutMs + RESUME_DELAY_MS;
-    const lookup = await this.options.lookUp({
+    const withinMs = getOriginWindowMs(call.route);
+    const lookup = await this.lookUp({
       key: key ?? createStreamKey(call.customer, call.requestId),
       service: call.service,
       withinMs,
-    }) ?? NO_KNOWLEDGE;
+    });
     const decided = decideResume({
       service: call.service,
       route: call.route,
@@ -93,6 +97,16 @@
       : Err(Failure.create("stream_unresumable", decision));
   }
 
+  /** Looks up a stream; once more if nothing is known of it while this host is still learning which versions served. */
+  private async lookUp(question: StreamQuestion): Promise<StreamLookupResult> {
+    const { lookUp, awaitHistory } = this.options;
+    const pendingHistory = awaitHistory?.();
+    const result = await lookUp(question) ?? NO_KNOWLEDGE;
+    if (result.record || !pendingHistory) return result;
+    await pendingHistory;
+    return await lookUp(question) ?? NO_KNOWLEDGE;
+  }
+
   private logDecision(
     call: AdmittedCall,
     { decision, record }: DecidedResume,
@@ -116,6 +130,18 @@
   }
 }
 
+/** Returns the time within which the upstream of the last event was sent the request of a stream that is resumed, and was
+ * listed: the timeout of the route, and the silence after which its caller has abandoned it. */
+function getOriginWindowMs(
+  { timeoutMs, objectiveMs, gapObjectiveMs = 0 }: Route,
+): number {
+  return timeoutMs + Math.max(
+    MIN_ABANDON_MS,
+    ABANDON_OBJECTIVES.firstEvent * objectiveMs,
+    ABANDON_OBJECTIVES.gap * gapObjectiveMs,
+  );
+}
+
 /** Returns the key of the stream that a call names; undefined if it names none, or itself. */
 function getNamedKey(
   { customer, requestId, headers: { resumedRequestId } }: AdmittedCall,
--- a/src/published/publication_feed.ts
+++ b/src/published/publication_feed.ts
@@ -32,6 +32,19 @@
   problems: string[];
 }
 
+/** What the platform still retains of the changes of upstreams. */
+export interface PublicationHistory {
+  /** The upstreams that are published at the end of the history. */
+  present: UpstreamChange[];
+  /** The retained changes, in their order; an upstream that changed several times has several. */
+  changes: UpstreamChange[];
+  /** Position after which no change is unknown: each is among `changes`, or is the first or the last one of an item that
+   * is still published. The position 0 of an era is the beginning of the platform. */
+  completeAfter: number;
+  /** Number of calls to the platform that the read took. */
+  calls: number;
+}
+
 /** Reason why a read from a feed failed. */
 export type FeedFailure =
   /** The changes after the requested position are no longer retained, or the platform has been restored since. A new
@@ -49,6 +62,9 @@
    * @param waitMs Maximum wait in milliseconds, after which the result is empty if nothing has changed.
    * @throws FeedError if the platform does not answer or no longer retains the history. */
   watch(after: number, waitMs: number): Promise<PublicationChanges>;
+  /** Reads what the platform retains of the changes of upstreams. It takes several calls, so call this rarely.
+   * @throws FeedError if the platform does not answer or has been restored meanwhile. */
+  readHistory(): Promise<PublicationHistory>;
   /** Closes the connections. */
   close(): Promise<void>;
 }
--- a/tests/streams/stream_fleet.ts
+++ b/tests/streams/stream_fleet.ts
@@ -72,6 +72,7 @@
           started,
           this.random.fork(),
           isFirst,
+          () => this.upstreams.readHistory(),
         );
         this.hosts.set(started.index, host);
         for (const { published, isRunning } of this.upstreams.all.values()) {
@@ -156,7 +157,7 @@
     const hosts = [...this.hosts].filter(([index]) =>
       this.fleet.isActive(index)
     );
-    if (hosts.length === 0) return;
+    if (hosts.length === 0) return this.sendLater(stream);
     const [hostIndex, host] = this.random.pick(hosts);
     this.requests += 1;
     const requestId = `r-${this.requests}`;
@@ -237,6 +238,10 @@
     const { stream } = attempt;
     if (!stream.mayRetry) return;
     stream.retries += 1;
+    this.sendLater(stream);
+  }
+
+  private sendLater(stream: VirtualStream): void {
     this.fleet.timeline.after(
       this.random.integer(...RESUME_MS),
       () => void this.sendAttempt(stream),
--- a/tests/streams/stream_schedule.ts
+++ b/tests/streams/stream_schedule.ts
@@ -19,6 +19,9 @@
 /** Minimum and maximum duration of a pause, in milliseconds. */
 const PAUSE_MS = [200, 2_500] as const;
 
+/** Maximum time from the beginning of a release until all hosts are killed, in milliseconds. */
+const KILL_AFTER_RELEASE_MS = 5_000;
+
 /** A fleet after a schedule of disruptions that is drawn from a seed. */
 export interface ScheduledStreams {
   fleet: StreamFleet;
@@ -58,6 +61,20 @@
     fleet.at(at, () => fleet.upstreams.crashOne(version));
     return `an upstream crashes, one of ${version} starts`;
   },
+  forgetHistory({ fleet, at }) {
+    fleet.at(at, () => fleet.upstreams.forgetHistory());
+    return "the platform forgets its history";
+  },
+  killAllInRelease(context) {
+    const { fleet, random, at } = context;
+    const gapMs = random.integer(0, KILL_AFTER_RELEASE_MS);
+    const release = DISRUPTIONS_BY_NAME.release!(context);
+    const kill = KILL_DISRUPTIONS.killAll!({ ...context, at: at + gapMs });
+    if (random.fraction() < 0.3) {
+      fleet.at(at + gapMs, () => fleet.upstreams.forgetHistory());
+    }
+    return `${release}, ${gapMs} ms later ${kill}`;
+  },
   release({ fleet, random, at }) {
     const version = random.pick(VERSIONS);
     const count = random.integer(1, 6);
@@ -74,21 +91,38 @@
   fleet.timeline.after(forMs, () => fleet.resumeHost(index));
 }
 
-/** Names of all disruptions. */
-export const ALL_DISRUPTIONS = Object.keys(DISRUPTIONS_BY_NAME);
+/** Disruptions that take away what hosts could learn after the loss of all of them. */
+const LOSS_DISRUPTIONS = ["forgetHistory", "killAllInRelease"];
+
+/** Names of all disruptions but those of {@link LOSS_DISRUPTIONS}. */
+export const ALL_DISRUPTIONS = Object.keys(DISRUPTIONS_BY_NAME).filter((name) =>
+  !LOSS_DISRUPTIONS.includes(name)
+);
+
+/** Names of the disruptions around the loss of all hosts while versions change. */
+export const RELEASE_DISRUPTIONS = [
+  ...LOSS_DISRUPTIONS,
+  "killAll",
+  "killOne",
+  "release",
+  "crashUpstream",
+  "cutCallers",
+] as const;
 
 /** Runs a fleet through a schedule that is drawn from a seed.
  * @param seed The seed.
  * @param size Hosts and traffic of the fleet.
- * @param names Names of the disruptions to draw from. */
+ * @param names Names of the disruptions to draw from.
+ * @param maxVersions Maximum number of versions that serve at first. */
 export async function runStreamSchedule(
   seed: number,
   size: { hosts: number; streamsPerSecond: number; loss: number },
   names: readonly string[],
+  maxVersions: number = VERSIONS.length,
 ): Promise<ScheduledStreams> {
   const random = Random.create(seed);
   const fleet = StreamFleet.create({ seed, ...size });
-  for (const version of VERSIONS.slice(0, random.integer(1, 3))) {
+  for (const version of VERSIONS.slice(0, random.integer(1, maxVersions))) {
     for (let index = 0; index < UPSTREAMS_PER_VERSION; index++) {
       fleet.upstreams.start(version);
     }
--- a/tests/streams/stream_schedule_test.ts
+++ b/tests/streams/stream_schedule_test.ts
@@ -1,6 +1,10 @@
 import test from "ava";
 import type { StreamFleet } from "./stream_fleet.ts";
-import { ALL_DISRUPTIONS, runStreamSchedule } from "./stream_schedule.ts";
+import {
+  ALL_DISRUPTIONS,
+  RELEASE_DISRUPTIONS,
+  runStreamSchedule,
+} from "./stream_schedule.ts";
 
 /** Fleets, the seeds of their schedules, and the minimum share of resumes that continue. The disruptions of the first
  * kind leave the host that began a stream alive, or kill it alone. */
@@ -85,3 +89,57 @@
     continued: counted.reduce((sum, { resumes }) => sum + resumes.continued, 0),
   };
 }
+
+/** Minimum share of the resumes that continue after the loss of all hosts, if one version alone has served. */
+const MIN_CONTINUED_OF_LOST = 0.98;
+
+/** Fleets whose hosts are all lost at once, and the seeds of their schedules. */
+const LOST_RUNS = [
+  { hosts: 7, streamsPerSecond: 30, first: 601, seeds: 8 },
+  { hosts: 87, streamsPerSecond: 60, first: 631, seeds: 1 },
+] as const;
+
+for (const { first, seeds, ...size } of LOST_RUNS) {
+  const last = first + seeds - 1;
+  test(`streams keep their version after all of ${size.hosts} hosts are lost while versions change, in schedules ${first} to ${last}`, async (t) => {
+    for (let seed = first; seed < first + seeds; seed++) {
+      const { fleet, description } = await runStreamSchedule(
+        seed,
+        { ...size, loss: 0.01 },
+        RELEASE_DISRUPTIONS,
+      );
+      const mixed = fleet.streams.filter(({ versions }) => versions.length > 1);
+      t.is(mixed.length, 0, `seed ${seed}: ${description.join("; ")}`);
+      const { tried, continued } = countLostResumes(fleet);
+      t.log(`seed ${seed}: ${continued} of ${tried} resumes continued`);
+    }
+  });
+
+  test(`streams of the only version continue after all of ${size.hosts} hosts are lost, in schedules ${first} to ${last}`, async (t) => {
+    const total = { tried: 0, continued: 0 };
+    for (let seed = first; seed < first + seeds; seed++) {
+      const names = ["killAll", "cutCallers", "resetUpstream"];
+      const { fleet } = await runStreamSchedule(
+        seed,
+        { ...size, loss: 0.01 },
+        names,
+        1,
+      );
+      const { tried, continued } = countLostResumes(fleet);
+      total.tried += tried;
+      total.continued += continued;
+    }
+    t.log(`${total.continued} of ${total.tried} resumes continued`);
+    t.true(total.tried > 0);
+    t.true(total.continued >= total.tried * MIN_CONTINUED_OF_LOST);
+  });
+}
+
+/** Counts the resumes of streams that no host has survived, while two upstreams of their version served. */
+function countLostResumes({ streams }: StreamFleet) {
+  const counted = streams.filter(({ wasLostByAll }) => wasLostByAll);
+  return {
+    tried: counted.reduce((sum, { resumes }) => sum + resumes.tried, 0),
+    continued: counted.reduce((sum, { resumes }) => sum + resumes.continued, 0),
+  };
+}
--- a/tests/streams/virtual_stream_host.ts
+++ b/tests/streams/virtual_stream_host.ts
@@ -2,9 +2,12 @@
 import { StreamTracker } from "../../src/forward/stream_tracker.ts";
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
 import { StreamResumer } from "../../src/gateway/stream_resumer.ts";
+import type { Timeline } from "../../src/clock/timeline.ts";
 import { HostRing } from "../../src/peers/host_ring.ts";
+import type { PublicationHistory } from "../../src/published/publication_feed.ts";
 import type { Random } from "../../src/random/random.ts";
 import { StreamDirectory } from "../../src/streams/stream_directory.ts";
+import { deriveVersionHistory } from "../../src/upstreams/derive_version_history.ts";
 import { isOfOrigin } from "../../src/upstreams/is_of_origin.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
 import { VersionHistory } from "../../src/upstreams/version_history.ts";
@@ -15,6 +18,9 @@
 /** Timeout of the route of all streams, in milliseconds. */
 export const TIMEOUT_MS = 12_000;
 
+/** Time after which a host that starts has read the history of the platform, in milliseconds. */
+const HISTORY_DELAY_MS = 120;
+
 const ROUTE = buildRoute({
   kind: "stream",
   isResumable: true,
@@ -36,18 +42,21 @@
   private readonly directory: StreamDirectory;
   private readonly versions: VersionHistory;
   private readonly resumer: StreamResumer;
+  private pendingHistory: Promise<void> | undefined;
+  private hasReadHistory = false;
 
   constructor(
     { address, hall, gossip, socket, timeline }: StartedHost,
     private readonly random: Random,
     isFirstStart: boolean,
+    readHistory: () => PublicationHistory,
   ) {
     this.versions = VersionHistory.create({
       getPresent: () => [...this.upstreams.values()],
       readNow: () => timeline.read(),
     });
     if (isFirstStart) this.versions.markComplete();
-    else this.versions.recordGap();
+    else this.learnHistory(timeline, readHistory);
     this.directory = StreamDirectory.create({
       socket,
       ring: HostRing.create({
@@ -69,7 +78,8 @@
       lookUp: (question) => this.directory.lookUp(question),
       canContinue: (origin) =>
         this.getAccepting().some((upstream) => isOfOrigin(upstream, origin)),
-      isPublicationRecent: () => false,
+      isPublicationRecent: () => this.hasReadHistory,
+      awaitHistory: () => this.pendingHistory,
       onDecision: () => undefined,
     });
   }
@@ -117,6 +127,24 @@
     this.directory.close();
   }
 
+  /** Reads the history of the platform some time after the start. */
+  private learnHistory(
+    timeline: Timeline,
+    readHistory: () => PublicationHistory,
+  ): void {
+    this.versions.recordGap();
+    this.pendingHistory = new Promise((resolve) =>
+      timeline.after(HISTORY_DELAY_MS, () => {
+        this.versions.adopt(
+          deriveVersionHistory(readHistory(), timeline.read()),
+        );
+        this.hasReadHistory = true;
+        this.pendingHistory = undefined;
+        resolve();
+      })
+    );
+  }
+
   private getAccepting(): Upstream[] {
     return [...this.upstreams.values()].filter(({ isLeaving }) => !isLeaving);
   }
--- a/tests/streams/virtual_upstreams.ts
+++ b/tests/streams/virtual_upstreams.ts
@@ -1,4 +1,8 @@
 import type { Random } from "../../src/random/random.ts";
+import type {
+  PublicationHistory,
+  UpstreamChange,
+} from "../../src/published/publication_feed.ts";
 import type { PublishedUpstream } from "../../src/published/upstream_schema.ts";
 import type { VirtualTimeline } from "../clock/virtual_timeline.ts";
 import { buildUpstream } from "../published/build_published.ts";
@@ -18,6 +22,16 @@
   published: PublishedUpstream | undefined;
 }
 
+/** Time for which the platform retains changes, in milliseconds. */
+const HISTORY_MS = 20_000;
+
+/** A change of the published list as the platform retains it. */
+interface RetainedChange {
+  change: UpstreamChange;
+  /** Virtual milliseconds. */
+  at: number;
+}
+
 /** The upstreams of one service in virtual time, and the list of them that is published. */
 export class VirtualUpstreams {
   /** All upstreams that run or have run. */
@@ -27,6 +41,9 @@
   /** Called when an upstream ends or loses its connections. */
   onInterruption: (id: string) => void = () => undefined;
   private count = 0;
+  private revision = 0;
+  private history: RetainedChange[] = [];
+  private readonly lastChanges = new Map<string, UpstreamChange>();
 
   constructor(
     private readonly timeline: VirtualTimeline,
@@ -38,9 +55,14 @@
   start(softwareVersion: string): void {
     this.count += 1;
     const id = `u-${this.count}`;
-    const published = buildUpstream({ id, softwareVersion });
+    const published = buildUpstream({
+      id,
+      softwareVersion,
+      arrival: this.revision + 1,
+      startedAt: this.timeline.read(),
+    });
     this.all.set(id, { published, isRunning: true });
-    this.onChange({ id, published });
+    this.publish(id, published);
   }
 
   /** Returns the running upstreams that do not leave. */
@@ -59,7 +81,7 @@
     this.start(softwareVersion);
     upstream.published = { ...upstream.published, isLeaving: true };
     const { published } = upstream;
-    this.onChange({ id: published.id, published });
+    this.publish(published.id, published);
     this.timeline.after(LEAVE_MS, () => this.end(upstream));
   }
 
@@ -72,6 +94,30 @@
     this.start(softwareVersion);
   }
 
+  /** Makes the platform forget all changes so far. */
+  forgetHistory(): void {
+    this.history = [];
+  }
+
+  /** Returns what the platform retains. */
+  readHistory(): PublicationHistory {
+    const minAt = this.timeline.read() - HISTORY_MS;
+    this.history = this.history.filter(({ at }) => at >= minAt);
+    const present = [...this.lastChanges.values()].filter(({ upstream }) =>
+      upstream !== undefined
+    );
+    const known = new Set(
+      present.flatMap(({ revision, upstream }) => [
+        revision,
+        upstream!.arrival,
+      ]),
+    );
+    let completeAfter = this.revision - this.history.length;
+    while (completeAfter > 0 && known.has(completeAfter)) completeAfter -= 1;
+    const changes = this.history.map(({ change }) => change);
+    return { present, changes, completeAfter, calls: 1 };
+  }
+
   /** Resets the connections to an upstream. */
   resetOne(): void {
     const serving = this.getServing();
@@ -84,6 +130,15 @@
     upstream.isRunning = false;
     const { id } = upstream.published;
     this.onInterruption(id);
-    this.onChange({ id, published: undefined });
+    this.publish(id, undefined);
+  }
+
+  private publish(id: string, published: PublishedUpstream | undefined): void {
+    this.revision += 1;
+    const { revision } = this;
+    const change = { id, revision, upstream: published } as UpstreamChange;
+    this.history.push({ change, at: this.timeline.read() });
+    this.lastChanges.set(id, change);
+    this.onChange({ id, published });
   }
 }
