--- a/tests/platform/store_history_test.ts
+++ b/tests/platform/store_history_test.ts
@@ -50,4 +50,5 @@
   t.is(find(10), 10);
   t.is(find(3), 2);
   t.is(find(0), 0);
+  t.is(find(1), 0);
 });
