Test that a history of two eras is not used

The store may be restored while a host that has just started reads back through its history; events of both eras would then be joined. The check was there without a test.

--- a/tests/platform/store_client_test.ts
+++ b/tests/platform/store_client_test.ts
@@ -147,3 +147,13 @@
     });
   }
 });
+
+test("a history whose responses belong to two eras is not used", async (t) => {
+  await withStoreEras(["1", "1"], async (client) => {
+    const { changes, present } = await client.readHistory();
+    t.deepEqual([changes.length, present.length], [1, 1]);
+  });
+  await withStoreEras(["1", "2"], async (client) => {
+    t.is(await getFailureKind(client.readHistory()), "history_lost");
+  });
+});
