Give each attempt of a call its own response and records

CallForwarder kept one response, one set of records and one silence detector for all attempts of a call, so that only one attempt at a time could be heard. CallAttempt now holds these for one attempt and reports how it ended; CallOutcomes keeps what concerns the whole call, and ResponseRelay what the caller has received.

--- a/src/forward/attempt_budget.ts
+++ b/src/forward/attempt_budget.ts
@@ -1,5 +1,6 @@
 import type { RepeatCause } from "../scheduling/decide_repeat.ts";
 import type { AttemptFailure } from "./attempt.ts";
+import type { AttemptEnd } from "./attempt_end.ts";
 import { mayRunAgain, type RoutedCall } from "./routed_call.ts";
 
 /** Maximum attempts that end without running the request: the upstream was unreachable, full or gone. */
@@ -48,6 +49,23 @@
       this.ranAttempts + attemptsInProgress < this.call.route.maxAttempts;
   }
 
+  /** Counts an attempt that ended without an answer, and takes a retry if one is needed; returns whether another attempt
+   * is allowed.
+   * @param end How the attempt ended. */
+  spendRetryAfterEnd(end: Exclude<AttemptEnd, { type: "answered" }>): boolean {
+    switch (end.type) {
+      case "declined":
+        this.recordNotRun();
+        return this.spendRetryAfterNotRun();
+      case "failed":
+        return this.spendRetryAfterFailure(end.failure);
+      case "unusable":
+      case "error":
+        this.recordRan();
+        return this.spendRetryAfterRun("error");
+    }
+  }
+
   /** Takes a retry after an attempt that may have run the request; returns whether it is allowed.
    * @param cause Why the request is to be sent again. */
   spendRetryAfterRun(cause: RepeatCause): boolean {
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -4,31 +4,27 @@
 import type { RepeatCause } from "../scheduling/decide_repeat.ts";
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
-import { ResponseCompletion } from "./response_completion.ts";
-import { ResponseRelay } from "./response_relay.ts";
-import {
-  type Attempt,
-  type AttemptFailure,
-  type AttemptListener,
-} from "./attempt.ts";
 import { AdmissionGate } from "./admission_gate.ts";
 import { AttemptBudget } from "./attempt_budget.ts";
-import { AttemptOutcomes } from "./attempt_outcomes.ts";
+import type { AttemptEnd } from "./attempt_end.ts";
+import type { AttemptOutcomes } from "./attempt_outcomes.ts";
+import type { AttemptResponse } from "./attempt_response.ts";
 import { AttemptSender } from "./attempt_sender.ts";
-import { RepeatGate, type RepeatProgress } from "./repeat_gate.ts";
-import { type AttemptProgress, CallLog } from "./call_log.ts";
+import { CallAttempt, type CallAttemptListener } from "./call_attempt.ts";
 import { CallDeadline } from "./call_deadline.ts";
-import { CallRefusal } from "./call_refusal.ts";
 import type {
   CallForwarderContext,
   CallOutcome,
 } from "./call_forwarder_context.ts";
+import { CallLog } from "./call_log.ts";
+import { CallOutcomes } from "./call_outcomes.ts";
+import { CallRefusal } from "./call_refusal.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import type { ResponseHeaders } from "./caller_headers.ts";
+import { RepeatGate, type RepeatProgress } from "./repeat_gate.ts";
+import { ResponseRelay } from "./response_relay.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import { formatSilence } from "./silence_detector.ts";
-import { SilenceHandler } from "./silence_handler.ts";
 import { StreamTracker } from "./stream_tracker.ts";
-import type { RoutedCall } from "./routed_call.ts";
 import { UpstreamPicker } from "./upstream_picker.ts";
 
 /** An attempt is not started with less time than this left, in milliseconds. */
@@ -44,13 +40,20 @@
   private readonly gate: AdmissionGate;
   private readonly refusal: CallRefusal;
   private readonly sender: AttemptSender;
-  private readonly outcomes: AttemptOutcomes;
+  private readonly outcomes: CallOutcomes;
   private readonly repeats: RepeatGate;
-  private readonly completion: ResponseCompletion;
-  private attempt: Attempt | undefined;
+  /** The latest attempt; undefined if it was declined, or while a slot is borrowed for the next one. */
+  private attempt: CallAttempt | undefined;
+  /** Whether the latest attempt has forwarded an event. */
+  private hasPartialResponse = false;
   private isFinished = false;
-  private readonly silences: SilenceHandler;
   private readonly deadline: CallDeadline;
+  private readonly listener: CallAttemptListener = {
+    onForwarded: () => this.onForwarded(),
+    onEnded: (attempt, end) => this.onEnded(attempt, end),
+    onSilent: (attempt, silentMs, cause) =>
+      this.sendElsewhere(attempt, silentMs, cause),
+  };
 
   private constructor(
     /** The call that is forwarded. */
@@ -75,16 +78,8 @@
     this.gate = this.createGate();
     this.refusal = CallRefusal.create(call, context, this.stream);
     this.sender = AttemptSender.create(call, context, this.log);
-    this.outcomes = AttemptOutcomes.create(call, context);
-    this.relay = ResponseRelay.create({
-      response,
-      lastEventId: call.headers.lastEventId,
-      memory: context.memory,
-      onEvicted: (problem) => this.onUnusableBody(problem),
-    });
-    const { relay, outcomes, budget } = this;
-    this.completion = ResponseCompletion.create({ relay, outcomes, budget });
-    this.silences = this.createSilenceHandler();
+    this.outcomes = CallOutcomes.create(call, context);
+    this.relay = ResponseRelay.create(response, call.headers.lastEventId);
   }
 
   /** Starts the first attempt of a call.
@@ -111,7 +106,7 @@
    * unanswered attempt is likely to crash one more upstream.
    * @param kind Error kind if the request was certainly not run. */
   refuseAsHeld(kind: ErrorKind): void {
-    if (this.relay.hasPartialResponse) return;
+    if (this.hasPartialResponse) return;
     this.refuseHeld(kind, "held while under way");
   }
 
@@ -119,20 +114,20 @@
    * @param upstream The instance before the restart.
    * @param startedAt Unix milliseconds of the restart; undefined if they are not known. */
   failAttemptAt(upstream: Upstream, startedAt: number | undefined): void {
-    if (this.isFinished || this.attempt?.upstream !== upstream) return;
-    if (!this.attempt.isInProgress) return;
-    const mayBeNewInstance = this.attempt.mayHaveBeenSentAfter(startedAt);
-    if (this.relay.hasPartialResponse && mayBeNewInstance) {
+    const { attempt } = this;
+    if (this.isFinished || attempt?.upstream !== upstream) return;
+    if (!attempt.isInProgress) return;
+    const mayBeNewInstance = attempt.mayHaveBeenSentAfter(startedAt);
+    if (attempt.response.hasPartialResponse && mayBeNewInstance) {
       this.stream.recordUncertainVersion();
     }
-    this.attempt.abandon();
-    this.onFailure("broken", "its upstream has started again");
+    attempt.break("its upstream has started again");
   }
 
   /** Sends the request elsewhere if its attempt is in progress at an upstream that no host reaches any more.
    * @param upstream The upstream. */
   leaveLostUpstream(upstream: Upstream): void {
-    if (this.attempt?.upstream === upstream) this.silences.leaveLost(upstream);
+    if (this.attempt?.upstream === upstream) this.attempt.leaveLost();
   }
 
   /** Ends the call because the caller has disconnected. */
@@ -140,18 +135,6 @@
     this.finish("caller_gone", "the caller closed its connection");
   }
 
-  private createSilenceHandler(): SilenceHandler {
-    return SilenceHandler.create({
-      call: this.call,
-      context: this.context,
-      isReadingPaused: () => this.attempt?.isPaused ?? false,
-      logSilence: (upstream, silentMs) =>
-        this.log.logFailed(upstream, formatSilence(silentMs), this.progress),
-      sendElsewhere: (upstream, silentMs, cause) =>
-        this.sendElsewhere(upstream, silentMs, cause),
-    });
-  }
-
   private createGate(): AdmissionGate {
     return AdmissionGate.create({
       call: this.call,
@@ -181,17 +164,14 @@
     return this.budget.mayHaveRun || (this.attempt?.wasSent ?? false);
   }
 
-  private get progress(): AttemptProgress {
+  private get repeatProgress(): RepeatProgress {
     return {
       attempt: this.picker.attempts,
       events: this.relay.eventsForwarded,
+      remainingMs: this.deadline.remainingMs,
     };
   }
 
-  private get repeatProgress(): RepeatProgress {
-    return { ...this.progress, remainingMs: this.deadline.remainingMs };
-  }
-
   /** Sends the request to the next upstream; refuses the call if none is left or the request would likely crash it. */
   private sendToNext(reason: string): void {
     if (!this.relay.canContinue) {
@@ -220,8 +200,6 @@
     loan: Promise<UpstreamChoice | undefined>,
     reason: string,
   ): Promise<void> {
-    // The previous attempt has ended; its upstream need not be watched any more.
-    this.silences.close();
     this.attempt = undefined;
     const choice = await loan;
     if (this.isFinished) return;
@@ -232,150 +210,69 @@
   private sendTo(choice: UpstreamChoice, reason: string): void {
     const { upstream } = choice;
     this.picker.recordAttempt(upstream);
-    this.relay.startAttempt();
-    this.outcomes.startAttempt(choice);
+    this.hasPartialResponse = false;
+    const outcomes = this.outcomes.startAttempt(choice);
     const { remainingMs } = this.deadline;
     if (remainingMs < MIN_REMAINING_MS) return this.giveUp("no time left");
-    this.silences.watch(upstream);
     const { lastEventId } = this.relay;
     const plan = { choice, reason, remainingMs, lastEventId };
+    this.attempt = this.createAttempt(upstream, outcomes);
+    this.attempt.watchSilence();
     this.stream.recordSend(upstream);
-    this.attempt = this.sender.send(plan, this.createListener(upstream));
+    this.attempt.send(plan, this.sender);
   }
 
-  private createListener(upstream: Upstream): AttemptListener {
-    return {
-      onHead: (status, headers) => this.onHead(status, headers),
-      onBytes: (bytes) => this.onBytes(bytes),
-      onEnd: () => this.onEnd(),
-      onFailure: (failure, detail) => this.onFailure(failure, detail),
-      onLateDecline: (status, headers) =>
-        this.recordDecline(upstream, status, headers),
-    };
-  }
-
-  private onHead(status: number, headers: ResponseHeaders): void {
-    const upstream = this.attempt!.upstream;
-    this.context.recordDeclineLimit(upstream, headers.declineLimit);
-    if (headers.isNotRun) return this.onDecline(upstream, status, headers);
-    const isSuccess = status >= 200 && status < 300;
-    const isForThisRequest = headers.requestId === this.call.requestId;
-    if (isSuccess && !(headers.hasSeal && isForThisRequest)) {
-      this.attempt!.abandon();
-      return this.onFailure("broken", "a success without proof or id");
-    }
-    const isStream = isSuccess && headers.isEventStream;
-    if (this.response.hasStarted && !isStream) {
-      const detail = `status ${status} does not continue the stream`;
-      return this.onUnusableResponse(headers, detail);
-    }
-    this.relay.setHead({ status, headers }, isStream);
-  }
-
-  private onUnusableBody(problem: string): void {
-    this.onUnusableResponse(this.relay.head!.headers, problem);
-  }
-
-  /** Ends an attempt whose response can't be passed on: it does not continue the stream that the caller is receiving,
-   * or exceeds a limit. */
-  private onUnusableResponse(
-    headers: ResponseHeaders,
-    detail: string,
-  ): void {
-    const { upstream } = this.attempt!;
-    this.attempt!.abandon();
-    this.log.logFailed(upstream, detail, this.progress);
-    this.outcomes.recordError(upstream, headers);
-    this.budget.recordRan();
-    if (this.budget.spendRetryAfterRun("error")) this.sendToNext(detail);
-    else this.refuse("upstream_failed", detail);
-  }
-
-  private onDecline(
+  private createAttempt(
     upstream: Upstream,
-    status: number,
-    headers: ResponseHeaders,
-  ): void {
-    this.attempt!.abandon();
-    this.attempt = undefined;
-    this.budget.recordNotRun();
-    this.recordDecline(upstream, status, headers);
-    const detail = `declined with ${status}`;
-    if (this.budget.spendRetryAfterNotRun()) this.sendToNext(detail);
-    else this.giveUp(detail);
-  }
-
-  private recordDecline(
-    upstream: Upstream,
-    status: number,
-    headers: ResponseHeaders,
-  ): void {
-    this.outcomes.recordDecline(upstream, headers);
-    const { availability } = headers;
-    this.log.logDeclined(upstream, status, availability, this.progress);
+    outcomes: AttemptOutcomes,
+  ): CallAttempt {
+    const { call, context, relay, log, listener, picker } = this;
+    const number = picker.attempts;
+    return CallAttempt.create(
+      { call, context, upstream, number, outcomes, relay, log, listener },
+    );
   }
 
   /** Replaces the attempt by one at another upstream if the request may run again and another upstream is available;
    * otherwise keeps waiting. */
   private sendElsewhere(
-    upstream: Upstream,
+    attempt: CallAttempt,
     silentMs: number,
     cause: RepeatCause,
   ): void {
-    const isInProgress = !this.isFinished &&
-      this.attempt?.upstream === upstream;
+    const isInProgress = !this.isFinished && this.attempt === attempt;
     if (!isInProgress || !this.budget.allowsRun(1)) return;
     if (!this.relay.canContinue) return;
     if (!this.outcomes.maySendAgain) return;
     if (!this.repeats.allows(cause, this.repeatProgress)) return;
     const alternative = this.picker.pick();
     if (!alternative || !this.budget.spendRetry(cause)) return;
-    const wasSent = this.attempt?.wasSent ?? false;
-    this.attempt?.abandon();
-    if (wasSent) this.budget.recordRan();
+    attempt.abandon();
+    if (attempt.wasSent) this.budget.recordRan();
     else this.budget.recordNotRun();
     this.sendTo(alternative, formatSilence(silentMs));
   }
 
-  private onBytes(bytes: Buffer): void {
-    this.silences.recordBytes();
-    const hadPartialResponse = this.relay.hasPartialResponse;
-    const problem = this.relay.pushBytes(bytes, this.attempt);
-    if (problem !== undefined) return this.onUnusableBody(problem);
-    if (!this.relay.hasPartialResponse) return;
-    if (!hadPartialResponse) this.recordBegin();
+  private onForwarded(): void {
+    this.hasPartialResponse = true;
     this.stream.recordEvent();
   }
 
-  private recordBegin(): void {
-    this.outcomes.recordBegin(this.attempt?.elapsedMs ?? 0);
-  }
-
-  private onEnd(): void {
-    const { successSignal } = this.silences;
-    const step = this.completion.complete(this.attempt!, successSignal);
-    switch (step.type) {
-      case "answered":
-        return this.finish("answered", step.detail);
-      case "failed":
-        return this.onFailure("broken", step.detail);
-      case "retry":
-        return this.sendToNext(step.reason);
-      case "refused":
-        return this.refuse("upstream_failed", step.detail);
+  private onEnded(attempt: CallAttempt, end: AttemptEnd): void {
+    if (end.type === "answered") return this.finish("answered", end.detail);
+    if (end.type === "declined") this.attempt = undefined;
+    if (this.budget.spendRetryAfterEnd(end)) {
+      attempt.abandon();
+      return this.sendToNext(end.detail);
     }
+    if (end.type === "error" && end.mayBePassedOn) {
+      this.passOnError(attempt.response);
+    } else this.giveUp(end.detail);
   }
 
-  private onFailure(failure: AttemptFailure, detail: string): void {
-    const upstream = this.attempt!.upstream;
-    this.log.logFailed(upstream, detail, this.progress);
-    const { hasPartialResponse } = this.relay;
-    this.outcomes.recordFailure(upstream, failure, hasPartialResponse);
-    if (this.budget.spendRetryAfterFailure(failure)) {
-      return this.sendToNext(detail);
-    }
-    if (failure === "broken") this.refuse("upstream_failed", detail);
-    else this.giveUp(detail);
+  private passOnError(response: AttemptResponse): void {
+    this.relay.sendComplete(response);
+    this.finish("answered", `status ${response.head?.status}`);
   }
 
   /** Refuses the call because no upstream is left. */
@@ -409,10 +306,8 @@
     this.isFinished = true;
     this.deadline.close();
     this.gate.close();
-    this.silences.close();
     this.stream.close();
     this.attempt?.abandon();
-    this.relay.discard();
     const wasOpen = this.response.close();
     this.context.onEnd(this, {
       result: wasOpen ? "broken_off" : result,
--- a/src/forward/response_relay.ts
+++ b/src/forward/response_relay.ts
@@ -1,13 +1,6 @@
+import type { AttemptResponse } from "./attempt_response.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import type { ResponseHeaders } from "./caller_headers.ts";
-import { ByteAccumulator } from "../http/byte_accumulator.ts";
-import {
-  MAX_BODY_BYTES,
-  MAX_EVENT_BYTES,
-  MAX_STREAM_EVENTS,
-} from "../http/response_limits.ts";
-import { EventSplitter, type StreamEvents } from "./event_splitter.ts";
-import type { ResponseHolder, ResponseMemory } from "./response_memory.ts";
+import type { StreamEvents } from "./event_splitter.ts";
 
 /** Pauses and resumes reading the response of an upstream. */
 export interface ResponseSource {
@@ -15,56 +8,31 @@
   resume(): void;
 }
 
-/** Status and headers of an upstream's response. */
-export interface ResponseHead {
-  status: number;
-  headers: ResponseHeaders;
-}
-
-/** Dependencies of a {@link ResponseRelay}. */
-export interface ResponseRelayOptions {
-  /** The response to the caller. */
-  response: CallerResponse;
-  /** Id of the last event that the caller has received, if it resumes a stream. */
-  lastEventId: string | undefined;
-  /** Limits what all relays hold together. */
-  memory: ResponseMemory;
-  /** Called if the current attempt's response was discarded because all relays together hold too much. */
-  onEvicted: (problem: string) => void;
-}
-
 /** Forwards responses of upstreams to the caller: an event stream event by event, anything else once it is complete. */
-export class ResponseRelay implements ResponseHolder {
-  private currentHead: ResponseHead | undefined;
-  private readonly body = ByteAccumulator.create();
-  private splitter: EventSplitter | undefined;
+export class ResponseRelay {
   private lastId: string | undefined;
   private events = 0;
-  private forwardedEventsBefore = 0;
 
-  private constructor(private readonly options: ResponseRelayOptions) {
-    this.lastId = options.lastEventId;
+  private constructor(
+    private readonly response: CallerResponse,
+    lastEventId: string | undefined,
+  ) {
+    this.lastId = lastEventId;
   }
 
   /** Creates a relay.
-   * @param options Its dependencies. */
-  static create(options: ResponseRelayOptions): ResponseRelay {
-    return new ResponseRelay(options);
+   * @param response The response to the caller.
+   * @param lastEventId Id of the last event that the caller has received, if it resumes a stream. */
+  static create(
+    response: CallerResponse,
+    lastEventId: string | undefined,
+  ): ResponseRelay {
+    return new ResponseRelay(response, lastEventId);
   }
 
-  /** Status and headers of the current attempt's response; undefined before they arrive. */
-  get head(): ResponseHead | undefined {
-    return this.currentHead;
-  }
-
-  /** Whether the current attempt's response is forwarded event by event. */
-  get isStream(): boolean {
-    return this.splitter !== undefined;
-  }
-
-  /** Whether part of an event has been received. */
-  get hasIncompleteEvent(): boolean {
-    return (this.splitter?.incompleteBytes ?? 0) > 0;
+  /** Whether the head of the response to the caller has been written. */
+  get hasStarted(): boolean {
+    return this.response.hasStarted;
   }
 
   /** Id of the last event that was forwarded, or that the caller named when it resumed the stream. */
@@ -82,129 +50,67 @@
     return this.events;
   }
 
-  /** Number of events forwarded by the current attempt. */
-  get attemptEvents(): number {
-    return this.events - this.forwardedEventsBefore;
-  }
-
-  /** Whether an event of the current attempt has been forwarded. */
-  get hasPartialResponse(): boolean {
-    return this.attemptEvents > 0;
-  }
-
-  /** Starts a new attempt and discards what the previous one received but did not forward. */
-  startAttempt(): void {
-    this.discard();
-    this.currentHead = undefined;
-    this.forwardedEventsBefore = this.events;
-  }
-
-  /** Discards what was received but not forwarded. */
-  discard(): void {
-    this.body.clear();
-    this.splitter?.close();
-    this.splitter = undefined;
-    this.options.memory.release(this);
-  }
-
-  /** @internal */
-  evict(): void {
-    this.options.onEvicted("all responses together hold too much memory");
-  }
-
-  /** Sets the status and headers of the current attempt's response.
-   * @param head Status and headers.
-   * @param isStream Whether the response is forwarded event by event. */
-  setHead(head: ResponseHead, isStream: boolean): void {
-    this.currentHead = head;
-    if (isStream) this.splitter = EventSplitter.create();
-  }
-
-  /** Processes bytes of the response body; returns why they can't be forwarded, or undefined if they can.
+  /** Processes bytes of an attempt's response; returns why they can't be forwarded, or undefined if they can.
+   * @param response The response.
    * @param bytes The bytes.
    * @param source Paused while the caller's connection accepts no more data. */
   pushBytes(
+    response: AttemptResponse,
     bytes: Buffer,
     source: ResponseSource | undefined,
   ): string | undefined {
-    const problem = this.splitter
-      ? this.pushStreamBytes(this.splitter, bytes, source)
-      : this.pushBodyBytes(bytes);
+    const { events, problem } = response.push(bytes);
     if (problem !== undefined) return problem;
-    const heldBytes = this.splitter?.incompleteBytes ?? this.body.length;
-    return this.options.memory.hold(this, heldBytes)
-      ? undefined
-      : "it is the largest of too many responses in memory";
-  }
-
-  /** Sends a complete response that is not a stream to the caller. */
-  sendComplete(): void {
-    const { status, headers } = this.currentHead!;
-    this.options.response.sendComplete(
-      status,
-      headers.forwardedHeaders,
-      this.body.take(),
-    );
-  }
-
-  /** Ends the stream to the caller as complete. */
-  endStream(): void {
-    this.beginStream();
-    this.options.response.endStream();
+    if (events && this.isRepeated(response, events.firstId)) {
+      return `event ${events.firstId} is not after ${this.lastId}`;
+    }
+    if (events) this.forwardEvents(response, events, source);
+    return response.hold();
   }
 
-  private pushBodyBytes(bytes: Buffer): string | undefined {
-    if (this.body.length + bytes.length > MAX_BODY_BYTES) {
-      return `a body of more than ${MAX_BODY_BYTES} bytes`;
-    }
-    this.body.append(bytes);
-    return undefined;
+  /** Sends a complete response that is not a stream to the caller.
+   * @param response The response. */
+  sendComplete(response: AttemptResponse): void {
+    const { status, headers } = response.head!;
+    const body = response.takeBody();
+    this.response.sendComplete(status, headers.forwardedHeaders, body);
   }
 
-  private pushStreamBytes(
-    splitter: EventSplitter,
-    bytes: Buffer,
-    source: ResponseSource | undefined,
-  ): string | undefined {
-    const events = splitter.push(bytes);
-    if (splitter.incompleteBytes > MAX_EVENT_BYTES) {
-      return `an event of more than ${MAX_EVENT_BYTES} bytes`;
-    }
-    if (!events) return undefined;
-    if (this.isRepeated(events.firstId)) {
-      return `event ${events.firstId} is not after ${this.lastId}`;
-    }
-    if (this.attemptEvents + events.count > MAX_STREAM_EVENTS) {
-      return `more than ${MAX_STREAM_EVENTS} events`;
-    }
-    this.forwardEvents(events, source);
-    return undefined;
+  /** Ends the stream to the caller as complete.
+   * @param response The response that ends it. */
+  endStream(response: AttemptResponse): void {
+    this.beginStream(response);
+    this.response.endStream();
   }
 
   /** Whether the first event of a continuation is not after the last one that was forwarded. */
-  private isRepeated(id: string | undefined): boolean {
-    const isContinuation = this.forwardedEventsBefore > 0;
-    if (!isContinuation || this.hasPartialResponse) return false;
-    return id !== undefined && Number(id) <= Number(this.lastId);
+  private isRepeated(
+    { hasPartialResponse }: AttemptResponse,
+    id: string | undefined,
+  ): boolean {
+    const isContinuation = this.events > 0 && !hasPartialResponse;
+    return isContinuation && id !== undefined &&
+      Number(id) <= Number(this.lastId);
   }
 
   private forwardEvents(
+    response: AttemptResponse,
     { bytes, count, lastId }: StreamEvents,
     source: ResponseSource | undefined,
   ): void {
     this.lastId = lastId ?? this.lastId;
-    this.beginStream();
+    this.beginStream(response);
     this.events += count;
-    const { response } = this.options;
-    const canWriteMore = response.write(bytes, () => source?.resume());
+    response.recordForwarded(count);
+    const canWriteMore = this.response.write(bytes, () => source?.resume());
     if (!canWriteMore) source?.pause();
   }
 
   /** Begins the stream to the caller unless an earlier attempt has already begun it. */
-  private beginStream(): void {
-    if (this.options.response.hasStarted) return;
-    const { status, headers } = this.currentHead!;
-    this.options.response.beginStream(
+  private beginStream(response: AttemptResponse): void {
+    if (this.response.hasStarted) return;
+    const { status, headers } = response.head!;
+    this.response.beginStream(
       status,
       removeContentLength(headers.forwardedHeaders),
     );
--- a/src/forward/silence_handler.ts
+++ b/src/forward/silence_handler.ts
@@ -22,20 +22,18 @@
 export interface SilenceHandlerOptions {
   call: RoutedCall;
   context: Pick<CallForwarderContext, "checkPath" | "recordHealth">;
+  /** The upstream of the attempt. */
+  upstream: Upstream;
   /** Whether a silence shows nothing, because the response is not being read. */
   isReadingPaused: () => boolean;
-  /** Logs a silence of an upstream. */
-  logSilence: (upstream: Upstream, silentMs: number) => void;
-  /** Sends the request elsewhere, if it is still in progress at the upstream and may run again. */
-  sendElsewhere: (
-    upstream: Upstream,
-    silentMs: number,
-    cause: RepeatCause,
-  ) => void;
+  /** Logs a silence. */
+  logSilence: (silentMs: number) => void;
+  /** Sends the request elsewhere, if the attempt is still in progress and the request may run again. */
+  sendElsewhere: (silentMs: number, cause: RepeatCause) => void;
 }
 
-/** Handles the silences of the upstream of a call's attempt: records them, and has the request sent elsewhere if its
- * response is likely lost. */
+/** Handles the silences of the upstream of an attempt: records them, and has the request sent elsewhere if its response
+ * is likely lost. */
 export class SilenceHandler {
   private detector: SilenceDetector | undefined;
   /** Whether the upstream of the attempt was silent for too long, for all requests. */
@@ -43,7 +41,7 @@
 
   private constructor(private readonly options: SilenceHandlerOptions) {}
 
-  /** Creates a handler without an attempt.
+  /** Creates a handler of an attempt that is not monitored.
    * @param options Its dependencies and callbacks. */
   static create(options: SilenceHandlerOptions): SilenceHandler {
     return new SilenceHandler(options);
@@ -54,19 +52,14 @@
     return this.wasSilent ? "recovered" : "good";
   }
 
-  /** Starts monitoring an attempt that is about to be sent, and stops monitoring the previous one.
-   * @param upstream The upstream of the attempt. */
-  watch(upstream: Upstream): void {
+  /** Starts monitoring the attempt, which is about to be sent or has just received bytes. */
+  watch(): void {
     this.close();
-    this.wasSilent = false;
-    this.detector = SilenceDetector.create(
-      upstream,
-      this.options.call.route,
-      {
-        onOverdue: (silence) => this.onOverdue(upstream, silence),
-        onSilence: (silence) => this.onSilence(upstream, silence),
-      },
-    );
+    const { upstream, call } = this.options;
+    this.detector = SilenceDetector.create(upstream, call.route, {
+      onOverdue: (silence) => this.onOverdue(silence),
+      onSilence: (silence) => this.onSilence(silence),
+    });
   }
 
   /** Records that bytes of the response body arrived. */
@@ -74,12 +67,11 @@
     this.detector?.recordBytes();
   }
 
-  /** Sends the request elsewhere because no host reaches its upstream any more, if that has been silent for a while.
-   * @param upstream The upstream. */
-  leaveLost(upstream: Upstream): void {
+  /** Sends the request elsewhere because no host reaches its upstream any more, if that has been silent for a while. */
+  leaveLost(): void {
     const silentMs = this.detector?.silentMs ?? 0;
     if (this.options.isReadingPaused() || silentMs < MIN_LOST_MS) return;
-    this.options.sendElsewhere(upstream, silentMs, "lost");
+    this.options.sendElsewhere(silentMs, "lost");
   }
 
   /** Stops monitoring. */
@@ -88,35 +80,26 @@
   }
 
   /** Records a silent upstream as unhealthy, and sends the request elsewhere if the upstream is likely stuck. */
-  private onSilence(
-    upstream: Upstream,
-    { silentMs, isComplete, isLikelyStuck }: Silence,
-  ): void {
-    const { context, isReadingPaused, logSilence } = this.options;
+  private onSilence({ silentMs, isComplete, isLikelyStuck }: Silence): void {
+    const { context, upstream, isReadingPaused, logSilence } = this.options;
     if (isReadingPaused()) return;
-    logSilence(upstream, silentMs);
+    logSilence(silentMs);
     this.wasSilent ||= isComplete;
     context.recordHealth(upstream, "silent");
-    if (isLikelyStuck) void this.sendElsewhereAfterCheck(upstream, silentMs);
+    if (isLikelyStuck) void this.sendElsewhereAfterCheck(silentMs);
   }
 
   /** Sends the request elsewhere because its response may be lost, unless a second prefill of its prompt is costly. */
-  private onOverdue(
-    upstream: Upstream,
-    { silentMs, isLikelyStuck }: Silence,
-  ): void {
+  private onOverdue({ silentMs, isLikelyStuck }: Silence): void {
     if (isPrefillCostly(this.options.call)) return;
-    if (isLikelyStuck) void this.sendElsewhereAfterCheck(upstream, silentMs);
-    else this.options.sendElsewhere(upstream, silentMs, "overdue");
+    if (isLikelyStuck) void this.sendElsewhereAfterCheck(silentMs);
+    else this.options.sendElsewhere(silentMs, "overdue");
   }
 
   /** Sends the request elsewhere once it is known whether this host has lost its path to the upstream, since it has then
    * likely lost others too; unless the upstream responds meanwhile. Does not wait long for the check. */
-  private async sendElsewhereAfterCheck(
-    upstream: Upstream,
-    silentMs: number,
-  ): Promise<void> {
-    const { detector } = this;
+  private async sendElsewhereAfterCheck(silentMs: number): Promise<void> {
+    const { detector, options: { upstream } } = this;
     const checkedAt = readClock();
     await Promise.race([
       this.options.context.checkPath(upstream),
@@ -125,6 +108,6 @@
     // If this process was late, what has arrived meanwhile is read first.
     await nextTurn();
     if (detector?.hasReceivedSince(checkedAt)) return;
-    this.options.sendElsewhere(upstream, silentMs, "stuck");
+    this.options.sendElsewhere(silentMs, "stuck");
   }
 }
