Keep silent attempts outstanding until a response is sound

Callers got 502 or 504 although the worker that had run their request had its response ready: a request is sent elsewhere after 60 to 75 ms of silence, and the gateway then dropped whatever its first upstream responded, also if the second attempt failed or stayed silent.

An attempt that is left because it is silent now stays outstanding. The first one to end soundly, or to complete the next event of a stream, wins; the others are abandoned, as are all when the call ends. An error response waits for the outstanding attempts, and is passed on when these have failed or at the deadline. A left attempt counts against the route's attempts from the moment it is left, as before, so that nothing is sent oftener; one that was not sent is abandoned, as before.

A stream that an earlier attempt begins is announced at the version of that attempt; one that it continues is watched for silence again.

--- a/src/forward/attempt_budget.ts
+++ b/src/forward/attempt_budget.ts
@@ -37,6 +37,11 @@
     this.ranAttempts += 1;
   }
 
+  /** Counts an attempt as in progress again that was counted as one that may have run the request. */
+  recordResumed(): void {
+    this.ranAttempts -= 1;
+  }
+
   /** Counts an attempt that certainly did not run the request. */
   recordNotRun(): void {
     this.notRunAttempts += 1;
--- a/src/forward/call_attempt.ts
+++ b/src/forward/call_attempt.ts
@@ -43,11 +43,13 @@
   readonly response: AttemptResponse;
   private readonly silences: SilenceHandler;
   private attempt: Attempt | undefined;
+  private hasEnded = false;
+  private wasEvicted = false;
 
   private constructor(private readonly options: CallAttemptOptions) {
     this.response = AttemptResponse.create({
       memory: options.context.memory,
-      onEvicted: (problem) => this.rejectResponse(problem),
+      onEvicted: (problem) => this.onEvicted(problem),
     });
     this.silences = this.createSilenceHandler();
   }
@@ -63,6 +65,16 @@
     return this.options.upstream;
   }
 
+  /** Number of the attempt, starting at 1. */
+  get number(): number {
+    return this.options.number;
+  }
+
+  /** Whether the response was discarded after the attempt had ended, because all responses together held too much. */
+  get isEvicted(): boolean {
+    return this.wasEvicted;
+  }
+
   /** Whether bytes of the request may have left this host. */
   get wasSent(): boolean {
     return this.attempt?.wasSent ?? false;
@@ -91,6 +103,17 @@
     this.silences.watch();
   }
 
+  /** Starts monitoring the silences of the upstream again, which has just continued a stream. */
+  watchStream(): void {
+    this.silences.watch();
+    this.silences.recordBytes();
+  }
+
+  /** Stops monitoring the silences of the upstream. */
+  ignoreSilence(): void {
+    this.silences.close();
+  }
+
   /** Sends the request elsewhere because no host reaches the upstream any more, if that has been silent for a while. */
   leaveLost(): void {
     this.silences.leaveLost();
@@ -175,6 +198,12 @@
     listener.onForwarded(this);
   }
 
+  private onEvicted(problem: string): void {
+    if (!this.hasEnded) return this.rejectResponse(problem);
+    this.wasEvicted = true;
+    this.response.discard();
+  }
+
   /** Ends the attempt because its response can't be passed on. */
   private rejectResponse(detail: string): void {
     const { outcomes, log, upstream } = this.options;
@@ -204,6 +233,7 @@
   }
 
   private end(end: AttemptEnd): void {
+    this.hasEnded = true;
     this.silences.close();
     this.options.listener.onEnded(this, end);
   }
--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -8,7 +8,6 @@
 import { AttemptBudget } from "./attempt_budget.ts";
 import type { AttemptEnd } from "./attempt_end.ts";
 import type { AttemptOutcomes } from "./attempt_outcomes.ts";
-import type { AttemptResponse } from "./attempt_response.ts";
 import { AttemptSender } from "./attempt_sender.ts";
 import { CallAttempt, type CallAttemptListener } from "./call_attempt.ts";
 import { CallDeadline } from "./call_deadline.ts";
@@ -20,6 +19,7 @@
 import { CallOutcomes } from "./call_outcomes.ts";
 import { CallRefusal } from "./call_refusal.ts";
 import type { CallerResponse } from "./caller_response.ts";
+import { OutstandingAttempts } from "./outstanding_attempts.ts";
 import { RepeatGate, type RepeatProgress } from "./repeat_gate.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import type { RoutedCall } from "./routed_call.ts";
@@ -42,14 +42,17 @@
   private readonly sender: AttemptSender;
   private readonly outcomes: CallOutcomes;
   private readonly repeats: RepeatGate;
-  /** The latest attempt; undefined if it was declined, or while a slot is borrowed for the next one. */
-  private attempt: CallAttempt | undefined;
+  private readonly attempts = OutstandingAttempts.create<CallAttempt>();
+  /** A complete error response, which the caller receives if no outstanding attempt succeeds. */
+  private errorResponse: CallAttempt | undefined;
+  /** Whether a slot is being borrowed for the next attempt. */
+  private isBorrowing = false;
   /** Whether the latest attempt has forwarded an event. */
   private hasPartialResponse = false;
   private isFinished = false;
   private readonly deadline: CallDeadline;
   private readonly listener: CallAttemptListener = {
-    onForwarded: () => this.onForwarded(),
+    onForwarded: (attempt) => this.onForwarded(attempt),
     onEnded: (attempt, end) => this.onEnded(attempt, end),
     onSilent: (attempt, silentMs, cause) =>
       this.sendElsewhere(attempt, silentMs, cause),
@@ -110,13 +113,12 @@
     this.refuseHeld(kind, "held while under way");
   }
 
-  /** Fails the attempt in progress at an upstream that has restarted: its old connection may never be closed.
+  /** Fails the attempt that is outstanding at an upstream that has restarted: its old connection may never be closed.
    * @param upstream The instance before the restart.
    * @param startedAt Unix milliseconds of the restart; undefined if they are not known. */
   failAttemptAt(upstream: Upstream, startedAt: number | undefined): void {
-    const { attempt } = this;
-    if (this.isFinished || attempt?.upstream !== upstream) return;
-    if (!attempt.isInProgress) return;
+    const attempt = this.attempts.all.find((one) => one.upstream === upstream);
+    if (this.isFinished || !attempt?.isInProgress) return;
     const mayBeNewInstance = attempt.mayHaveBeenSentAfter(startedAt);
     if (attempt.response.hasPartialResponse && mayBeNewInstance) {
       this.stream.recordUncertainVersion();
@@ -127,7 +129,8 @@
   /** Sends the request elsewhere if its attempt is in progress at an upstream that no host reaches any more.
    * @param upstream The upstream. */
   leaveLostUpstream(upstream: Upstream): void {
-    if (this.attempt?.upstream === upstream) this.attempt.leaveLost();
+    const { latest } = this.attempts;
+    if (latest?.upstream === upstream) latest.leaveLost();
   }
 
   /** Ends the call because the caller has disconnected. */
@@ -154,14 +157,16 @@
 
   private expire(): void {
     this.outcomes.recordFirstResponse();
+    if (this.passOnError()) return;
     const durationMs = readClock() - this.call.receivedAt;
     const detail = `no answer within ${Math.round(durationMs)} ms`;
     this.refuse(this.mayHaveRun ? "timed_out" : "overloaded", detail);
   }
 
-  /** Whether the request may have run: an attempt failed after it was sent, or one that was sent is in progress. */
+  /** Whether the request may have run: an attempt failed after it was sent, or one that was sent is outstanding. */
   private get mayHaveRun(): boolean {
-    return this.budget.mayHaveRun || (this.attempt?.wasSent ?? false);
+    return this.budget.mayHaveRun ||
+      this.attempts.all.some(({ wasSent }) => wasSent);
   }
 
   private get repeatProgress(): RepeatProgress {
@@ -175,10 +180,7 @@
   /** Sends the request to the next upstream; refuses the call if none is left or the request would likely crash it. */
   private sendToNext(reason: string): void {
     if (!this.relay.canContinue) {
-      return this.refuse(
-        "upstream_failed",
-        `${reason}, after events without id`,
-      );
+      return this.giveUp(`${reason}, after events without id`);
     }
     if (this.picker.attempts > 0 && !this.outcomes.maySendAgain) {
       return this.refuseHeld(this.outcomes.refusalKind, `held after ${reason}`);
@@ -200,9 +202,11 @@
     loan: Promise<UpstreamChoice | undefined>,
     reason: string,
   ): Promise<void> {
-    this.attempt = undefined;
+    this.isBorrowing = true;
     const choice = await loan;
-    if (this.isFinished) return;
+    this.isBorrowing = false;
+    // An earlier attempt may have responded meanwhile.
+    if (this.isFinished || this.attempts.latest) return;
     if (choice) this.sendTo(choice, reason);
     else this.giveUp(`no slot left after ${reason}`);
   }
@@ -216,10 +220,11 @@
     if (remainingMs < MIN_REMAINING_MS) return this.giveUp("no time left");
     const { lastEventId } = this.relay;
     const plan = { choice, reason, remainingMs, lastEventId };
-    this.attempt = this.createAttempt(upstream, outcomes);
-    this.attempt.watchSilence();
+    const attempt = this.createAttempt(upstream, outcomes);
+    this.attempts.start(attempt);
+    attempt.watchSilence();
     this.stream.recordSend(upstream);
-    this.attempt.send(plan, this.sender);
+    attempt.send(plan, this.sender);
   }
 
   private createAttempt(
@@ -233,51 +238,102 @@
     );
   }
 
-  /** Replaces the attempt by one at another upstream if the request may run again and another upstream is available;
-   * otherwise keeps waiting. */
+  /** Sends the request to another upstream as well if it may run again and another upstream is available; otherwise
+   * keeps waiting. */
   private sendElsewhere(
     attempt: CallAttempt,
     silentMs: number,
     cause: RepeatCause,
   ): void {
-    const isInProgress = !this.isFinished && this.attempt === attempt;
-    if (!isInProgress || !this.budget.allowsRun(1)) return;
+    if (this.isFinished || this.attempts.latest !== attempt) return;
+    if (!this.budget.allowsRun(1)) return;
     if (!this.relay.canContinue) return;
     if (!this.outcomes.maySendAgain) return;
     if (!this.repeats.allows(cause, this.repeatProgress)) return;
     const alternative = this.picker.pick();
     if (!alternative || !this.budget.spendRetry(cause)) return;
+    this.leave(attempt);
+    this.sendTo(alternative, formatSilence(silentMs));
+  }
+
+  /** Leaves a silent attempt, whose response still counts if it arrives first; one that was not sent must not be sent any
+   * more. */
+  private leave(attempt: CallAttempt): void {
+    if (attempt.wasSent) {
+      attempt.ignoreSilence();
+      this.attempts.leaveLatest();
+      this.budget.recordRan();
+    } else {
+      this.drop(attempt);
+      this.attempts.end(attempt);
+    }
+  }
+
+  /** Abandons an attempt that has not ended, and counts it. */
+  private drop(attempt: CallAttempt): void {
     attempt.abandon();
     if (attempt.wasSent) this.budget.recordRan();
     else this.budget.recordNotRun();
-    this.sendTo(alternative, formatSilence(silentMs));
   }
 
-  private onForwarded(): void {
+  private onForwarded(attempt: CallAttempt): void {
+    if (this.attempts.latest !== attempt) this.resume(attempt);
+    else this.abandonOthers(attempt);
     this.hasPartialResponse = true;
     this.stream.recordEvent();
   }
 
+  /** Makes an earlier attempt, which has forwarded the next event of the stream, the latest one again. */
+  private resume(attempt: CallAttempt): void {
+    const { latest } = this.attempts;
+    if (latest) this.drop(latest);
+    this.budget.recordResumed();
+    this.stream.recordSend(attempt.upstream);
+    this.abandonOthers(attempt);
+    attempt.watchStream();
+  }
+
+  private abandonOthers(attempt: CallAttempt): void {
+    this.errorResponse?.abandon();
+    this.errorResponse = undefined;
+    const others = this.attempts.choose(attempt);
+    for (const other of others) other.abandon();
+    if (others.length > 0) this.log.logChosen(attempt, others);
+  }
+
   private onEnded(attempt: CallAttempt, end: AttemptEnd): void {
-    if (end.type === "answered") return this.finish("answered", end.detail);
-    if (end.type === "declined") this.attempt = undefined;
-    if (this.budget.spendRetryAfterEnd(end)) {
-      attempt.abandon();
-      return this.sendToNext(end.detail);
+    if (end.type === "answered") {
+      this.abandonOthers(attempt);
+      return this.finish("answered", end.detail);
     }
-    if (end.type === "error" && end.mayBePassedOn) {
-      this.passOnError(attempt.response);
-    } else this.giveUp(end.detail);
+    // An earlier attempt was counted when it was left.
+    const isRepeated = this.attempts.end(attempt) &&
+      this.budget.spendRetryAfterEnd(end);
+    const mayBePassedOn = end.type === "error" && end.mayBePassedOn;
+    if (mayBePassedOn && !isRepeated) this.errorResponse ??= attempt;
+    if (this.errorResponse !== attempt) attempt.abandon();
+    if (isRepeated) return this.sendToNext(end.detail);
+    const isAnotherSent = this.attempts.latest || this.isBorrowing;
+    if (!isAnotherSent) this.giveUp(end.detail);
   }
 
-  private passOnError(response: AttemptResponse): void {
+  /** Passes on an error response that was received; returns whether there is one. */
+  private passOnError(): boolean {
+    const { response, isEvicted } = this.errorResponse ?? {};
+    if (!response || isEvicted || this.relay.hasStarted) return false;
     this.relay.sendComplete(response);
     this.finish("answered", `status ${response.head?.status}`);
+    return true;
   }
 
-  /** Refuses the call because no upstream is left. */
+  /** Waits for the earlier attempts, because no upstream is left for another; without any, passes on an error response
+   * or refuses the call. */
   private giveUp(detail: string): void {
-    this.refuse(this.refusal.chooseKind(this.budget.mayHaveRun), detail);
+    const { all } = this.attempts;
+    if (all.length > 0) this.log.logAwaited(all, detail);
+    else if (!this.passOnError()) {
+      this.refuse(this.refusal.chooseKind(this.budget.mayHaveRun), detail);
+    }
   }
 
   /** Refuses a call whose request likely crashes upstreams; as not run only if that is certain. */
@@ -307,7 +363,8 @@
     this.deadline.close();
     this.gate.close();
     this.stream.close();
-    this.attempt?.abandon();
+    for (const attempt of this.attempts.clear()) attempt.abandon();
+    this.errorResponse?.abandon();
     const wasOpen = this.response.close();
     this.context.onEnd(this, {
       result: wasOpen ? "broken_off" : result,
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -39,6 +39,13 @@
   events: number;
 }
 
+/** An attempt of a call. */
+export interface NumberedAttempt {
+  upstream: Upstream;
+  /** Number of the attempt, starting at 1. */
+  number: number;
+}
+
 /** Writes the log lines for the attempts of one call. */
 export class CallLog {
   private constructor(
@@ -144,6 +151,32 @@
     }, "attempt_declined");
   }
 
+  /** Logs that the response of one of several outstanding attempts is passed on.
+   * @param chosen The attempt.
+   * @param others The other attempts, which are abandoned. */
+  logChosen(
+    { upstream, number }: NumberedAttempt,
+    others: readonly NumberedAttempt[],
+  ): void {
+    this.logger.info({
+      request: this.call.requestId,
+      upstream: upstream.id,
+      attempt: number,
+      abandoned: formatUpstreams(others),
+    }, "response_chosen");
+  }
+
+  /** Logs that no other attempt follows, and that the outstanding ones are awaited.
+   * @param attempts The outstanding attempts.
+   * @param detail Why no other attempt follows. */
+  logAwaited(attempts: readonly NumberedAttempt[], detail: string): void {
+    this.logger.info({
+      request: this.call.requestId,
+      detail,
+      awaited: formatUpstreams(attempts),
+    }, "attempts_awaited");
+  }
+
   /** Logs that an attempt failed or is silent, and when this host and others last heard from the upstream.
    * @param upstream Upstream of the attempt.
    * @param detail Description of the failure.
@@ -165,6 +198,10 @@
   }
 }
 
+function formatUpstreams(attempts: readonly NumberedAttempt[]): string {
+  return attempts.map(({ upstream }) => upstream.id).join(",");
+}
+
 /** Returns the expected times of a choice by time, and the slowdown that they include; nothing if it is by count. */
 function formatEstimate({ estimate, estimateBasis }: UpstreamChoice) {
   if (!estimate) return {};
--- a/src/forward/stream_tracker.ts
+++ b/src/forward/stream_tracker.ts
@@ -37,7 +37,7 @@
     return this.hasBegun ? this.record : undefined;
   }
 
-  /** Records an attempt that is about to be sent; it may begin the stream.
+  /** Records an attempt that is about to be sent, or an earlier one that has responded first; it may begin the stream.
    * @param upstream Its upstream. */
   recordSend({ published }: Upstream): void {
     if (this.hasBegun) return;
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -54,6 +54,10 @@
   checkPath?: CallForwarderContext["checkPath"];
   /** Limits what incomplete responses take together; by default that of a process. */
   memory?: ResponseMemory;
+  /** Receives the records of where the call's stream began. */
+  streams?: CallForwarderContext["streams"];
+  /** Software versions of the upstreams; by default they all run the same. */
+  softwareVersions?: readonly string[];
   /** Decides whether the call may be sent; by default at once. */
   admit?: CallForwarderContext["admit"];
   /** Resolves with whether another host lends a slot; until then no upstream can be chosen. By default none is needed. */
@@ -110,7 +114,11 @@
   );
   const upstreams: Upstream[] = [];
   for (const server of servers) {
-    upstreams.push(createUpstream(upstreams.length, await listen(server)));
+    const index = upstreams.length;
+    const softwareVersion = options.softwareVersions?.[index] ?? "v1";
+    upstreams.push(
+      createUpstream(index, await listen(server), softwareVersion),
+    );
   }
   options.prepare?.(upstreams);
   const call = buildCall(buildRoute(changes), options.sharedParts ?? []);
@@ -123,7 +131,11 @@
   return { ...received, requests };
 }
 
-function createUpstream(index: number, port: number): Upstream {
+function createUpstream(
+  index: number,
+  port: number,
+  softwareVersion: string,
+): Upstream {
   return Upstream.create({
     id: `u-${index}`,
     service: "s",
@@ -132,7 +144,7 @@
     slots: 4,
     arrival: index,
     isLeaving: false,
-    softwareVersion: "v1",
+    softwareVersion,
   });
 }
 
@@ -155,6 +167,7 @@
     slotLoan,
     admit,
     memory,
+    streams,
   }: ForwardCallOptions,
 ): Promise<ReceivedResponse> {
   const ended = createDeferred<CallOutcome>();
@@ -211,7 +224,8 @@
       canContinue: (origin) =>
         upstreams.some((upstream) => isOfOrigin(upstream, origin)),
       memory: memory ?? ResponseMemory.create(),
-      streams: { announce: () => undefined, release: () => undefined },
+      streams: streams ??
+        { announce: () => undefined, release: () => undefined },
       crashes: {
         mayRetry: () => true,
         getRefusalKind: () => "crashes_upstreams",
