Move the outstanding attempts of a call out of CallForwarder

Pure refactoring: CallAttempts counts the attempts of a call and abandons the others when the response of one is passed on.

--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -10,6 +10,7 @@
 import type { AttemptOutcomes } from "./attempt_outcomes.ts";
 import { AttemptSender } from "./attempt_sender.ts";
 import { CallAttempt, type CallAttemptListener } from "./call_attempt.ts";
+import { CallAttempts } from "./call_attempts.ts";
 import { CallDeadline } from "./call_deadline.ts";
 import type {
   CallForwarderContext,
@@ -19,7 +20,6 @@
 import { CallOutcomes } from "./call_outcomes.ts";
 import { CallRefusal } from "./call_refusal.ts";
 import type { CallerResponse } from "./caller_response.ts";
-import { OutstandingAttempts } from "./outstanding_attempts.ts";
 import { RepeatGate, type RepeatProgress } from "./repeat_gate.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import type { RoutedCall } from "./routed_call.ts";
@@ -42,9 +42,7 @@
   private readonly sender: AttemptSender;
   private readonly outcomes: CallOutcomes;
   private readonly repeats: RepeatGate;
-  private readonly attempts = OutstandingAttempts.create<CallAttempt>();
-  /** A complete error response, which the caller receives if no outstanding attempt succeeds. */
-  private errorResponse: CallAttempt | undefined;
+  private readonly attempts: CallAttempts;
   /** Whether a slot is being borrowed for the next attempt. */
   private isBorrowing = false;
   /** Whether the latest attempt has forwarded an event. */
@@ -83,6 +81,8 @@
     this.sender = AttemptSender.create(call, context, this.log);
     this.outcomes = CallOutcomes.create(call, context);
     this.relay = ResponseRelay.create(response, call.headers.lastEventId);
+    const { budget, log, relay, stream } = this;
+    this.attempts = CallAttempts.create({ budget, log, relay, stream });
   }
 
   /** Starts the first attempt of a call.
@@ -117,7 +117,7 @@
    * @param upstream The instance before the restart.
    * @param startedAt Unix milliseconds of the restart; undefined if they are not known. */
   failAttemptAt(upstream: Upstream, startedAt: number | undefined): void {
-    const attempt = this.attempts.all.find((one) => one.upstream === upstream);
+    const attempt = this.attempts.findAt(upstream);
     if (this.isFinished || !attempt?.isInProgress) return;
     const mayBeNewInstance = attempt.mayHaveBeenSentAfter(startedAt);
     if (attempt.response.hasPartialResponse && mayBeNewInstance) {
@@ -160,13 +160,7 @@
     if (this.passOnError()) return;
     const durationMs = readClock() - this.call.receivedAt;
     const detail = `no answer within ${Math.round(durationMs)} ms`;
-    this.refuse(this.mayHaveRun ? "timed_out" : "overloaded", detail);
-  }
-
-  /** Whether the request may have run: an attempt failed after it was sent, or one that was sent is outstanding. */
-  private get mayHaveRun(): boolean {
-    return this.budget.mayHaveRun ||
-      this.attempts.all.some(({ wasSent }) => wasSent);
+    this.refuse(this.attempts.mayHaveRun ? "timed_out" : "overloaded", detail);
   }
 
   private get repeatProgress(): RepeatProgress {
@@ -252,66 +246,18 @@
     if (!this.repeats.allows(cause, this.repeatProgress)) return;
     const alternative = this.picker.pick();
     if (!alternative || !this.budget.spendRetry(cause)) return;
-    this.leave(attempt);
+    this.attempts.leave(attempt);
     this.sendTo(alternative, formatSilence(silentMs));
   }
 
-  /** Leaves a silent attempt, whose response still counts if it arrives first; one that was not sent must not be sent any
-   * more. */
-  private leave(attempt: CallAttempt): void {
-    if (attempt.wasSent) {
-      attempt.ignoreSilence();
-      this.attempts.leaveLatest();
-      this.budget.recordRan();
-    } else {
-      this.drop(attempt);
-      this.attempts.end(attempt);
-    }
-  }
-
-  /** Abandons an attempt that has not ended, and counts it. */
-  private drop(attempt: CallAttempt): void {
-    attempt.abandon();
-    if (attempt.wasSent) this.budget.recordRan();
-    else this.budget.recordNotRun();
-  }
-
   private onForwarded(attempt: CallAttempt): void {
-    if (this.attempts.latest !== attempt) this.resume(attempt);
-    else this.abandonOthers(attempt);
     this.hasPartialResponse = true;
-    this.stream.recordEvent();
-  }
-
-  /** Makes an earlier attempt, which has forwarded the next event of the stream, the latest one again. */
-  private resume(attempt: CallAttempt): void {
-    const { latest } = this.attempts;
-    if (latest) this.drop(latest);
-    this.budget.recordResumed();
-    this.stream.recordSend(attempt.upstream);
-    this.abandonOthers(attempt);
-    attempt.watchStream();
-  }
-
-  private abandonOthers(attempt: CallAttempt): void {
-    this.errorResponse?.abandon();
-    this.errorResponse = undefined;
-    const others = this.attempts.choose(attempt);
-    for (const other of others) other.abandon();
-    if (others.length > 0) this.log.logChosen(attempt, others);
+    this.attempts.recordForwarded(attempt);
   }
 
   private onEnded(attempt: CallAttempt, end: AttemptEnd): void {
-    if (end.type === "answered") {
-      this.abandonOthers(attempt);
-      return this.finish("answered", end.detail);
-    }
-    // An earlier attempt was counted when it was left.
-    const isRepeated = this.attempts.end(attempt) &&
-      this.budget.spendRetryAfterEnd(end);
-    const mayBePassedOn = end.type === "error" && end.mayBePassedOn;
-    if (mayBePassedOn && !isRepeated) this.errorResponse ??= attempt;
-    if (this.errorResponse !== attempt) attempt.abandon();
+    const isRepeated = this.attempts.end(attempt, end);
+    if (end.type === "answered") return this.finish("answered", end.detail);
     if (isRepeated) return this.sendToNext(end.detail);
     const isAnotherSent = this.attempts.latest || this.isBorrowing;
     if (!isAnotherSent) this.giveUp(end.detail);
@@ -319,26 +265,22 @@
 
   /** Passes on an error response that was received; returns whether there is one. */
   private passOnError(): boolean {
-    const { response, isEvicted } = this.errorResponse ?? {};
-    if (!response || isEvicted || this.relay.hasStarted) return false;
-    this.relay.sendComplete(response);
-    this.finish("answered", `status ${response.head?.status}`);
+    const status = this.attempts.passOnError();
+    if (status === undefined) return false;
+    this.finish("answered", `status ${status}`);
     return true;
   }
 
   /** Waits for the earlier attempts, because no upstream is left for another; without any, passes on an error response
    * or refuses the call. */
   private giveUp(detail: string): void {
-    const { all } = this.attempts;
-    if (all.length > 0) this.log.logAwaited(all, detail);
-    else if (!this.passOnError()) {
-      this.refuse(this.refusal.chooseKind(this.budget.mayHaveRun), detail);
-    }
+    if (this.attempts.awaitOutstanding(detail) || this.passOnError()) return;
+    this.refuse(this.refusal.chooseKind(this.budget.mayHaveRun), detail);
   }
 
   /** Refuses a call whose request likely crashes upstreams; as not run only if that is certain. */
   private refuseHeld(kind: ErrorKind, detail: string): void {
-    this.refuse(this.mayHaveRun ? "upstream_failed" : kind, detail);
+    this.refuse(this.attempts.mayHaveRun ? "upstream_failed" : kind, detail);
   }
 
   private refuse(
@@ -363,8 +305,7 @@
     this.deadline.close();
     this.gate.close();
     this.stream.close();
-    for (const attempt of this.attempts.clear()) attempt.abandon();
-    this.errorResponse?.abandon();
+    this.attempts.close();
     const wasOpen = this.response.close();
     this.context.onEnd(this, {
       result: wasOpen ? "broken_off" : result,
