--- a/src/forward/call_attempt.ts
+++ b/src/forward/call_attempt.ts
@@ -16,8 +16,8 @@
 
 /** Receives what happens to an attempt of a call. */
 export interface CallAttemptListener {
-  /** Events of the attempt's response were forwarded. */
-  onForwarded(attempt: CallAttempt): void;
+  /** Events of the attempt's response were forwarded; `events` is their number. */
+  onForwarded(attempt: CallAttempt, events: number): void;
   /** The attempt has ended; called at most once, and not if it was abandoned. */
   onEnded(attempt: CallAttempt, end: AttemptEnd): void;
   /** The upstream is silent, so that the request should be sent elsewhere. */
@@ -193,9 +193,10 @@
     const eventsBefore = response.eventsForwarded;
     const problem = relay.pushBytes(response, bytes, attempt);
     if (problem !== undefined) return this.rejectResponse(problem);
-    if (!response.hasPartialResponse) return;
+    const events = response.eventsForwarded - eventsBefore;
+    if (events === 0) return;
     if (eventsBefore === 0) outcomes.recordBegin(attempt?.elapsedMs ?? 0);
-    listener.onForwarded(this);
+    listener.onForwarded(this, events);
   }
 
   private onEvicted(problem: string): void {
