--- a/src/forward/attempt_outcomes.ts
+++ b/src/forward/attempt_outcomes.ts
@@ -91,14 +91,20 @@
     this.context.recordHealth(this.choice.upstream, "error_answer");
   }
 
-  /** Records that the attempt failed.
+  /** Records that the attempt failed. One that the call had left does not count as a possible crash: upstreams that fail
+   * together would otherwise bring a request to a long hold by a single call.
    * @param failure Why it failed.
-   * @param hasPartialResponse Whether an event of its response was forwarded. */
-  recordFailure(failure: AttemptFailure, hasPartialResponse: boolean): void {
+   * @param hasPartialResponse Whether an event of its response was forwarded.
+   * @param wasLeft Whether the call had left the attempt. */
+  recordFailure(
+    failure: AttemptFailure,
+    hasPartialResponse: boolean,
+    wasLeft: boolean,
+  ): void {
     const { upstream } = this.choice;
     const signal = FAILURE_SIGNALS[failure];
     if (signal) this.context.recordHealth(upstream, signal);
-    if (failure !== "broken") return;
+    if (failure !== "broken" || wasLeft) return;
     this.outcomes.endSecondRun(this, false);
     this.context.crashes.recordInterruption(
       upstream,
--- a/src/forward/call_attempt.ts
+++ b/src/forward/call_attempt.ts
@@ -44,6 +44,7 @@
   private readonly silences: SilenceHandler;
   private attempt: Attempt | undefined;
   private hasEnded = false;
+  private isLeft = false;
   private wasEvicted = false;
 
   private constructor(private readonly options: CallAttemptOptions) {
@@ -103,14 +104,16 @@
     this.silences.watch();
   }
 
-  /** Starts monitoring the silences of the upstream again, which has just continued a stream. */
-  watchStream(): void {
+  /** Returns to the attempt, which has just continued a stream, and monitors the silences of its upstream again. */
+  resume(): void {
+    this.isLeft = false;
     this.silences.watch();
     this.silences.recordBytes();
   }
 
-  /** Stops monitoring the silences of the upstream. */
-  ignoreSilence(): void {
+  /** Leaves the attempt outstanding, and stops monitoring the silences of its upstream. */
+  leave(): void {
+    this.isLeft = true;
     this.silences.close();
   }
 
@@ -229,7 +232,8 @@
   private onFailure(failure: AttemptFailure, detail: string): void {
     const { outcomes, log, upstream } = this.options;
     log.logFailed(upstream, detail, this.progress);
-    outcomes.recordFailure(failure, this.response.hasPartialResponse);
+    const { hasPartialResponse } = this.response;
+    outcomes.recordFailure(failure, hasPartialResponse, this.isLeft);
     this.end({ type: "failed", failure, detail });
   }
 
--- a/src/forward/call_attempts.ts
+++ b/src/forward/call_attempts.ts
@@ -57,7 +57,7 @@
    * @param attempt The attempt. */
   leave(attempt: CallAttempt): void {
     if (attempt.wasSent) {
-      attempt.ignoreSilence();
+      attempt.leave();
       this.outstanding.leaveLatest();
       this.options.budget.recordRan();
     } else {
@@ -122,7 +122,7 @@
     budget.recordResumed();
     stream.recordSend(attempt.upstream);
     this.abandonOthers(attempt);
-    attempt.watchStream();
+    attempt.resume();
   }
 
   /** Abandons an attempt that has not ended, and counts it. */
