--- a/src/forward/call_forwarder.ts
+++ b/src/forward/call_forwarder.ts
@@ -4,33 +4,29 @@
 import type { RepeatCause } from "../scheduling/decide_repeat.ts";
 import type { UpstreamChoice } from "../upstreams/choose_upstream.ts";
 import type { Upstream } from "../upstreams/upstream.ts";
-import { ResponseCompletion } from "./response_completion.ts";
-import { ResponseRelay } from "./response_relay.ts";
-import {
-  type Attempt,
-  type AttemptFailure,
-  type AttemptListener,
-} from "./attempt.ts";
 import { AdmissionGate } from "./admission_gate.ts";
 import { AttemptBudget } from "./attempt_budget.ts";
-import { AttemptOutcomes } from "./attempt_outcomes.ts";
+import type { AttemptEnd } from "./attempt_end.ts";
+import type { AttemptOutcomes } from "./attempt_outcomes.ts";
 import { AttemptSender } from "./attempt_sender.ts";
-import { RepeatGate, type RepeatProgress } from "./repeat_gate.ts";
-import { type AttemptProgress, CallLog } from "./call_log.ts";
+import { CallAttempt, type CallAttemptListener } from "./call_attempt.ts";
+import { CallAttempts } from "./call_attempts.ts";
 import { CallDeadline } from "./call_deadline.ts";
-import { CallRefusal } from "./call_refusal.ts";
 import type {
   CallForwarderContext,
   CallOutcome,
 } from "./call_forwarder_context.ts";
+import { CallLog } from "./call_log.ts";
+import { CallOutcomes } from "./call_outcomes.ts";
+import { CallRefusal } from "./call_refusal.ts";
 import type { CallerResponse } from "./caller_response.ts";
 import type { CallProgress, StopEnd } from "./call_progress.ts";
-import type { ResponseHeaders } from "./caller_headers.ts";
+import { RepeatGate, type RepeatProgress } from "./repeat_gate.ts";
+import { ResponseRelay } from "./response_relay.ts";
+import type { RoutedCall } from "./routed_call.ts";
 import { formatSilence } from "./silence_detector.ts";
-import { SilenceHandler } from "./silence_handler.ts";
 import { StreamPace } from "./stream_pace.ts";
 import { StreamTracker } from "./stream_tracker.ts";
-import type { RoutedCall } from "./routed_call.ts";
 import { UpstreamPicker } from "./upstream_picker.ts";
 
 /** An attempt is not started with less time than this left, in milliseconds. */
@@ -46,14 +42,22 @@
   private readonly gate: AdmissionGate;
   private readonly refusal: CallRefusal;
   private readonly sender: AttemptSender;
-  private readonly outcomes: AttemptOutcomes;
+  private readonly outcomes: CallOutcomes;
   private readonly repeats: RepeatGate;
-  private readonly completion: ResponseCompletion;
+  private readonly attempts: CallAttempts;
+  /** Whether a slot is being borrowed for the next attempt. */
+  private isBorrowing = false;
+  /** Whether the latest attempt has forwarded an event. */
+  private hasPartialResponse = false;
   private readonly pace = StreamPace.create();
-  private attempt: Attempt | undefined;
   private isFinished = false;
-  private readonly silences: SilenceHandler;
   private readonly deadline: CallDeadline;
+  private readonly listener: CallAttemptListener = {
+    onForwarded: (attempt, events) => this.onForwarded(attempt, events),
+    onEnded: (attempt, end) => this.onEnded(attempt, end),
+    onSilent: (attempt, silentMs, cause) =>
+      this.sendElsewhere(attempt, silentMs, cause),
+  };
 
   private constructor(
     /** The call that is forwarded. */
@@ -78,16 +82,10 @@
     this.gate = this.createGate();
     this.refusal = CallRefusal.create(call, context, this.stream);
     this.sender = AttemptSender.create(call, context, this.log);
-    this.outcomes = AttemptOutcomes.create(call, context);
-    this.relay = ResponseRelay.create({
-      response,
-      lastEventId: call.headers.lastEventId,
-      memory: context.memory,
-      onEvicted: (problem) => this.onUnusableBody(problem),
-    });
-    const { relay, outcomes, budget } = this;
-    this.completion = ResponseCompletion.create({ relay, outcomes, budget });
-    this.silences = this.createSilenceHandler();
+    this.outcomes = CallOutcomes.create(call, context);
+    this.relay = ResponseRelay.create(response, call.headers.lastEventId);
+    const { budget, log, relay, stream } = this;
+    this.attempts = CallAttempts.create({ budget, log, relay, stream });
   }
 
   /** Starts the first attempt of a call.
@@ -114,28 +112,28 @@
    * unanswered attempt is likely to crash one more upstream.
    * @param kind Error kind if the request was certainly not run. */
   refuseAsHeld(kind: ErrorKind): void {
-    if (this.relay.hasPartialResponse) return;
+    if (this.hasPartialResponse) return;
     this.refuseHeld(kind, "held while under way");
   }
 
-  /** Fails the attempt in progress at an upstream that has restarted: its old connection may never be closed.
+  /** Fails the attempt that is outstanding at an upstream that has restarted: its old connection may never be closed.
    * @param upstream The instance before the restart.
    * @param startedAt Unix milliseconds of the restart; undefined if they are not known. */
   failAttemptAt(upstream: Upstream, startedAt: number | undefined): void {
-    if (this.isFinished || this.attempt?.upstream !== upstream) return;
-    if (!this.attempt.isInProgress) return;
-    const mayBeNewInstance = this.attempt.mayHaveBeenSentAfter(startedAt);
-    if (this.relay.hasPartialResponse && mayBeNewInstance) {
+    const attempt = this.attempts.findAt(upstream);
+    if (this.isFinished || !attempt?.isInProgress) return;
+    const mayBeNewInstance = attempt.mayHaveBeenSentAfter(startedAt);
+    if (attempt.response.hasPartialResponse && mayBeNewInstance) {
       this.stream.recordUncertainVersion();
     }
-    this.attempt.abandon();
-    this.onFailure("broken", "its upstream has started again");
+    attempt.break("its upstream has started again");
   }
 
   /** Sends the request elsewhere if its attempt is in progress at an upstream that no host reaches any more.
    * @param upstream The upstream. */
   leaveLostUpstream(upstream: Upstream): void {
-    if (this.attempt?.upstream === upstream) this.silences.leaveLost(upstream);
+    const { latest } = this.attempts;
+    if (latest?.upstream === upstream) latest.leaveLost();
   }
 
   /** Ends the call because the caller has disconnected. */
@@ -164,8 +162,8 @@
   /** Progress of the call, for the log of a stop that ends it. */
   describeProgress(): CallProgress {
     return {
-      upstream: this.attempt?.upstream.id,
-      wasSent: this.mayHaveRun,
+      upstream: this.attempts.latest?.upstream.id,
+      wasSent: this.attempts.mayHaveRun,
       events: this.relay.eventsForwarded,
       attempts: this.picker.attempts,
       hadMs: readClock() - this.call.receivedAt,
@@ -175,19 +173,7 @@
 
   private chooseStopEnd(): StopEnd {
     if (this.response.hasStarted) return "cut";
-    return this.mayHaveRun ? "failed" : "refused";
-  }
-
-  private createSilenceHandler(): SilenceHandler {
-    return SilenceHandler.create({
-      call: this.call,
-      context: this.context,
-      isReadingPaused: () => this.attempt?.isPaused ?? false,
-      logSilence: (upstream, silentMs) =>
-        this.log.logFailed(upstream, formatSilence(silentMs), this.progress),
-      sendElsewhere: (upstream, silentMs, cause) =>
-        this.sendElsewhere(upstream, silentMs, cause),
-    });
+    return this.attempts.mayHaveRun ? "failed" : "refused";
   }
 
   private createGate(): AdmissionGate {
@@ -209,34 +195,24 @@
 
   private expire(): void {
     this.outcomes.recordFirstResponse();
+    if (this.passOnError()) return;
     const durationMs = readClock() - this.call.receivedAt;
     const detail = `no answer within ${Math.round(durationMs)} ms`;
-    this.refuse(this.mayHaveRun ? "timed_out" : "overloaded", detail);
-  }
-
-  /** Whether the request may have run: an attempt failed after it was sent, or one that was sent is in progress. */
-  private get mayHaveRun(): boolean {
-    return this.budget.mayHaveRun || (this.attempt?.wasSent ?? false);
+    this.refuse(this.attempts.mayHaveRun ? "timed_out" : "overloaded", detail);
   }
 
-  private get progress(): AttemptProgress {
+  private get repeatProgress(): RepeatProgress {
     return {
       attempt: this.picker.attempts,
       events: this.relay.eventsForwarded,
+      remainingMs: this.deadline.remainingMs,
     };
   }
 
-  private get repeatProgress(): RepeatProgress {
-    return { ...this.progress, remainingMs: this.deadline.remainingMs };
-  }
-
   /** Sends the request to the next upstream; refuses the call if none is left or the request would likely crash it. */
   private sendToNext(reason: string): void {
     if (!this.relay.canContinue) {
-      return this.refuse(
-        "upstream_failed",
-        `${reason}, after events without id`,
-      );
+      return this.giveUp(`${reason}, after events without id`);
     }
     if (this.picker.attempts > 0 && !this.outcomes.maySendAgain) {
       return this.refuseHeld(this.outcomes.refusalKind, `held after ${reason}`);
@@ -258,11 +234,11 @@
     loan: Promise<UpstreamChoice | undefined>,
     reason: string,
   ): Promise<void> {
-    // The previous attempt has ended; its upstream need not be watched any more.
-    this.silences.close();
-    this.attempt = undefined;
+    this.isBorrowing = true;
     const choice = await loan;
-    if (this.isFinished) return;
+    this.isBorrowing = false;
+    // An earlier attempt may have responded meanwhile.
+    if (this.isFinished || this.attempts.latest) return;
     if (choice) this.sendTo(choice, reason);
     else this.giveUp(`no slot left after ${reason}`);
   }
@@ -270,163 +246,80 @@
   private sendTo(choice: UpstreamChoice, reason: string): void {
     const { upstream } = choice;
     this.picker.recordAttempt(upstream);
-    this.relay.startAttempt();
-    this.outcomes.startAttempt(choice);
+    this.hasPartialResponse = false;
+    const outcomes = this.outcomes.startAttempt(choice);
     const { remainingMs } = this.deadline;
     if (remainingMs < MIN_REMAINING_MS) return this.giveUp("no time left");
-    this.silences.watch(upstream);
     const { lastEventId } = this.relay;
     const plan = { choice, reason, remainingMs, lastEventId };
+    const attempt = this.createAttempt(upstream, outcomes);
+    this.attempts.start(attempt);
+    attempt.watchSilence();
     this.stream.recordSend(upstream);
-    this.attempt = this.sender.send(plan, this.createListener(upstream));
-  }
-
-  private createListener(upstream: Upstream): AttemptListener {
-    return {
-      onHead: (status, headers) => this.onHead(status, headers),
-      onBytes: (bytes) => this.onBytes(bytes),
-      onEnd: () => this.onEnd(),
-      onFailure: (failure, detail) => this.onFailure(failure, detail),
-      onLateDecline: (status, headers) =>
-        this.recordDecline(upstream, status, headers),
-    };
-  }
-
-  private onHead(status: number, headers: ResponseHeaders): void {
-    const upstream = this.attempt!.upstream;
-    this.context.recordDeclineLimit(upstream, headers.declineLimit);
-    if (headers.isNotRun) return this.onDecline(upstream, status, headers);
-    const isSuccess = status >= 200 && status < 300;
-    const isForThisRequest = headers.requestId === this.call.requestId;
-    if (isSuccess && !(headers.hasSeal && isForThisRequest)) {
-      this.attempt!.abandon();
-      return this.onFailure("broken", "a success without proof or id");
-    }
-    const isStream = isSuccess && headers.isEventStream;
-    if (this.response.hasStarted && !isStream) {
-      const detail = `status ${status} does not continue the stream`;
-      return this.onUnusableResponse(headers, detail);
-    }
-    this.relay.setHead({ status, headers }, isStream);
-  }
-
-  private onUnusableBody(problem: string): void {
-    this.onUnusableResponse(this.relay.head!.headers, problem);
-  }
-
-  /** Ends an attempt whose response can't be passed on: it does not continue the stream that the caller is receiving,
-   * or exceeds a limit. */
-  private onUnusableResponse(
-    headers: ResponseHeaders,
-    detail: string,
-  ): void {
-    const { upstream } = this.attempt!;
-    this.attempt!.abandon();
-    this.log.logFailed(upstream, detail, this.progress);
-    this.outcomes.recordError(upstream, headers);
-    this.budget.recordRan();
-    if (this.budget.spendRetryAfterRun("error")) this.sendToNext(detail);
-    else this.refuse("upstream_failed", detail);
+    attempt.send(plan, this.sender);
   }
 
-  private onDecline(
+  private createAttempt(
     upstream: Upstream,
-    status: number,
-    headers: ResponseHeaders,
-  ): void {
-    this.attempt!.abandon();
-    this.attempt = undefined;
-    this.budget.recordNotRun();
-    this.recordDecline(upstream, status, headers);
-    const detail = `declined with ${status}`;
-    if (this.budget.spendRetryAfterNotRun()) this.sendToNext(detail);
-    else this.giveUp(detail);
-  }
-
-  private recordDecline(
-    upstream: Upstream,
-    status: number,
-    headers: ResponseHeaders,
-  ): void {
-    this.outcomes.recordDecline(upstream, headers);
-    const { availability } = headers;
-    this.log.logDeclined(upstream, status, availability, this.progress);
+    outcomes: AttemptOutcomes,
+  ): CallAttempt {
+    const { call, context, relay, log, listener, picker } = this;
+    const number = picker.attempts;
+    return CallAttempt.create(
+      { call, context, upstream, number, outcomes, relay, log, listener },
+    );
   }
 
-  /** Replaces the attempt by one at another upstream if the request may run again and another upstream is available;
-   * otherwise keeps waiting. */
+  /** Sends the request to another upstream as well if it may run again and another upstream is available; otherwise
+   * keeps waiting. */
   private sendElsewhere(
-    upstream: Upstream,
+    attempt: CallAttempt,
     silentMs: number,
     cause: RepeatCause,
   ): void {
-    const isInProgress = !this.isFinished &&
-      this.attempt?.upstream === upstream;
-    if (!isInProgress || !this.budget.allowsRun(1)) return;
+    if (this.isFinished || this.attempts.latest !== attempt) return;
+    if (!this.budget.allowsRun(1)) return;
     if (!this.relay.canContinue) return;
     if (!this.outcomes.maySendAgain) return;
     if (!this.repeats.allows(cause, this.repeatProgress)) return;
     const alternative = this.picker.pick();
     if (!alternative || !this.budget.spendRetry(cause)) return;
-    const wasSent = this.attempt?.wasSent ?? false;
-    this.attempt?.abandon();
-    if (wasSent) this.budget.recordRan();
-    else this.budget.recordNotRun();
+    this.attempts.leave(attempt);
     this.sendTo(alternative, formatSilence(silentMs));
   }
 
-  private onBytes(bytes: Buffer): void {
-    this.silences.recordBytes();
-    const { hasPartialResponse: hadPartialResponse, eventsForwarded } =
-      this.relay;
-    const problem = this.relay.pushBytes(bytes, this.attempt);
-    if (problem !== undefined) return this.onUnusableBody(problem);
-    const newEvents = this.relay.eventsForwarded - eventsForwarded;
-    if (newEvents > 0) this.pace.recordEvents(newEvents, readClock());
-    if (!this.relay.hasPartialResponse) return;
-    if (!hadPartialResponse) this.recordBegin();
-    this.stream.recordEvent();
+  private onForwarded(attempt: CallAttempt, events: number): void {
+    this.pace.recordEvents(events, readClock());
+    this.hasPartialResponse = true;
+    this.attempts.recordForwarded(attempt);
   }
 
-  private recordBegin(): void {
-    this.outcomes.recordBegin(this.attempt?.elapsedMs ?? 0);
+  private onEnded(attempt: CallAttempt, end: AttemptEnd): void {
+    const isRepeated = this.attempts.end(attempt, end);
+    if (end.type === "answered") return this.finish("answered", end.detail);
+    if (isRepeated) return this.sendToNext(end.detail);
+    const isAnotherSent = this.attempts.latest || this.isBorrowing;
+    if (!isAnotherSent) this.giveUp(end.detail);
   }
 
-  private onEnd(): void {
-    const { successSignal } = this.silences;
-    const step = this.completion.complete(this.attempt!, successSignal);
-    switch (step.type) {
-      case "answered":
-        return this.finish("answered", step.detail);
-      case "failed":
-        return this.onFailure("broken", step.detail);
-      case "retry":
-        return this.sendToNext(step.reason);
-      case "refused":
-        return this.refuse("upstream_failed", step.detail);
-    }
-  }
-
-  private onFailure(failure: AttemptFailure, detail: string): void {
-    const upstream = this.attempt!.upstream;
-    this.log.logFailed(upstream, detail, this.progress);
-    const { hasPartialResponse } = this.relay;
-    this.outcomes.recordFailure(upstream, failure, hasPartialResponse);
-    if (this.budget.spendRetryAfterFailure(failure)) {
-      return this.sendToNext(detail);
-    }
-    if (failure === "broken") this.refuse("upstream_failed", detail);
-    else this.giveUp(detail);
+  /** Passes on an error response that was received; returns whether there is one. */
+  private passOnError(): boolean {
+    const status = this.attempts.passOnError();
+    if (status === undefined) return false;
+    this.finish("answered", `status ${status}`);
+    return true;
   }
 
-  /** Refuses the call because no upstream is left. */
+  /** Waits for the earlier attempts, because no upstream is left for another; without any, passes on an error response
+   * or refuses the call. */
   private giveUp(detail: string): void {
+    if (this.attempts.awaitOutstanding(detail) || this.passOnError()) return;
     this.refuse(this.refusal.chooseKind(this.budget.mayHaveRun), detail);
   }
 
   /** Refuses a call whose request likely crashes upstreams; as not run only if that is certain. */
   private refuseHeld(kind: ErrorKind, detail: string): void {
-    this.refuse(this.mayHaveRun ? "upstream_failed" : kind, detail);
+    this.refuse(this.attempts.mayHaveRun ? "upstream_failed" : kind, detail);
   }
 
   private refuse(
@@ -450,10 +343,8 @@
     this.isFinished = true;
     this.deadline.close();
     this.gate.close();
-    this.silences.close();
     this.stream.close();
-    this.attempt?.abandon();
-    this.relay.discard();
+    this.attempts.close();
     const wasOpen = this.response.close();
     this.context.onEnd(this, {
       result: wasOpen ? "broken_off" : result,
