Decide on and end each request at a stopping router

What callers saw: a stopping router (`serve`) took late chats by how long chats took before the stop, and cut them when they became longer; it refused all chats of a model whose durations differ; and what was still open at the end lost its connection without an answer.

Cause: DrainAdmission compared the mean and four deviations with the time left.

Now DrainAdmission uses decideAtStop and DurationDistribution: max_tokens, pace of open streams, deadline, other routers. The time counts from the signal. Requests are judged after their body and again after the votes on their key. At the end each open request is answered (draining, outcome_unknown, upstream_failed, stream_broken) and logged as request_cut. The wait for witness.drain is bounded by the stop.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -3,7 +3,7 @@
 import type { ResponseSink } from "./response_sink.ts";
 import type { SendGrant } from "./send_grant.ts";
 
-/** Time that an owner has to confirm the outcome of a request after its deadline. */
+/** Time that an owner has to confirm the outcome of a request after its deadline or after the router's stop. */
 const CANCEL_CONFIRM_MS = 100;
 
 /** Minimum number of bytes that are credited to the owner at once; a small fraction of the smallest stream window. */
@@ -23,6 +23,8 @@
    * the offer without queueing it. */
   | { type: "unreachable"; detail: string; wasAccepted: boolean }
   | { type: "failed"; ran: "no" | "unknown"; detail: string }
+  /** The request was not offered, because the router has stopped. */
+  | { type: "withdrawn" }
   | { type: "expired" }
   | { type: "abandoned" };
 
@@ -38,6 +40,8 @@
   remainingMs: number;
   /** Aborted when the caller disconnects or the request is held. */
   endSignal: AbortSignal;
+  /** Aborted when the router has stopped. */
+  stopSignal: AbortSignal;
   /** Called with the number of events in each chunk that is passed to the sink. */
   onEvents: (count: number) => void;
 }
@@ -49,12 +53,14 @@
   private isFinished = false;
   /** Whether the owner accepted the offer without queueing it. */
   private isAccepted = false;
+  private isStopped = false;
   private chunks = 0;
   private bytes = 0;
   /** Bytes that were delivered to the caller and not yet credited to the owner. */
   private uncreditedBytes = 0;
   private delivery: Promise<void> = Promise.resolve();
   private readonly timers: NodeJS.Timeout[] = [];
+  private readonly handleStop = () => this.endForStop();
   private readonly handleEndSignal = () => this.finish({ type: "abandoned" });
 
   private constructor(private readonly options: AttemptOptions) {
@@ -76,6 +82,7 @@
       acceptTimeoutMs,
       remainingMs,
       endSignal,
+      stopSignal,
     } = this.options;
     return new Promise((resolve) => {
       this.resolve = resolve;
@@ -86,6 +93,8 @@
         setTimeout(() => this.handleDeadline(), Math.max(1, remainingMs)),
       );
       if (endSignal.aborted) return this.finish({ type: "abandoned" });
+      if (stopSignal.aborted) return this.finish({ type: "withdrawn" });
+      stopSignal.addEventListener("abort", this.handleStop, { once: true });
       endSignal.addEventListener("abort", this.handleEndSignal, {
         once: true,
       });
@@ -101,6 +110,13 @@
     );
   }
 
+  /** Cancels the request because the router has stopped: forwards nothing more of its response. */
+  private endForStop(): void {
+    clearTimeout(this.timers[0]);
+    this.isStopped = true;
+    this.handleDeadline();
+  }
+
   private finishUnreachable(detail: string): void {
     this.finish({ type: "unreachable", detail, wasAccepted: this.isAccepted });
   }
@@ -151,6 +167,7 @@
   }
 
   private handleChunk(frame: FrameOf<"chunk">): void {
+    if (this.isStopped) return;
     if (frame.sequence !== this.chunks) {
       return this.finish({
         type: "failed",
@@ -165,6 +182,7 @@
   }
 
   private async deliver(bytes: Uint8Array): Promise<void> {
+    if (this.isStopped) return;
     await this.options.sink.chunk(bytes);
     this.uncreditedBytes += bytes.length;
     if (this.uncreditedBytes < MIN_CREDIT_BYTES) return;
@@ -177,6 +195,7 @@
   }
 
   private handleEnd(frame: FrameOf<"end">): void {
+    if (this.isStopped) return this.finish({ type: "expired" });
     const isComplete = frame.chunks === this.chunks &&
       frame.bytes === this.bytes;
     if (!isComplete) {
@@ -202,12 +221,14 @@
       "abort",
       this.handleEndSignal,
     );
+    this.options.stopSignal.removeEventListener("abort", this.handleStop);
     const isEndedByOwner = outcome.type === "done" ||
       outcome.type === "declined";
     if (!isEndedByOwner) {
       this.options.client.send({ type: "cancel", exchange: this.exchange });
     }
     this.options.client.closeExchange(this.exchange);
-    void this.delivery.then(() => this.resolve(outcome));
+    if (this.isStopped) this.resolve(outcome);
+    else void this.delivery.then(() => this.resolve(outcome));
   }
 }
--- a/src/entry/attempt_follow_up.ts
+++ b/src/entry/attempt_follow_up.ts
@@ -1,5 +1,6 @@
 import type { CrashGuard } from "../crashes/crash_guard.ts";
 import type { AttemptOutcome } from "./attempt.ts";
+import type { DrainAdmission } from "./drain_admission.ts";
 import {
   type DispatchProgress,
   type DispatchResult,
@@ -20,6 +21,7 @@
 export interface AttemptFollowUpOptions {
   crashGuard: CrashGuard;
   retryBudget: RetryBudget;
+  drain: Pick<DrainAdmission, "endSignal" | "retryAfterMs">;
   /** Called with the id of a router that did not respond. */
   onUnreachable: (routerId: string) => void;
 }
@@ -44,14 +46,20 @@
     outcome: AttemptOutcome,
   ): NextStep {
     progress.hasInconclusiveAttempt ||= isInconclusive(outcome);
+    if (outcome.type === "done") {
+      return { type: "end", end: { type: "done", pace: progress.pace } };
+    }
+    if (outcome.type !== "abandoned" && this.options.drain.endSignal.aborted) {
+      return this.endForStop(progress);
+    }
     switch (outcome.type) {
-      case "done":
-        return { type: "end", end: { type: "done" } };
       case "abandoned":
         return {
           type: "end",
           end: { type: "abandoned", mayHaveRun: mayHaveRun(progress) },
         };
+      case "withdrawn":
+        return this.endForStop(progress);
       case "expired":
         return {
           type: "end",
@@ -76,6 +84,15 @@
     }
   }
 
+  private endForStop(progress: DispatchProgress): NextStep {
+    const { retryAfterMs } = this.options.drain;
+    const detail = "the router has stopped";
+    return {
+      type: "end",
+      end: refuse(progress, "draining", detail, retryAfterMs),
+    };
+  }
+
   private decideAfterDecline(
     progress: DispatchProgress,
     ownerId: string,
--- a/src/entry/chat_handler.ts
+++ b/src/entry/chat_handler.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { v4 as createUuid } from "uuid";
 import { Failure } from "../errors/failure.ts";
 import { hashText } from "../hashing/hasher.ts";
@@ -28,10 +29,12 @@
   const { request, response } = exchange;
   assertServing(context);
   const customer = getCustomerOrThrow(context, request);
-  const body = await readRequestBody(context, exchange);
+  const arrived = { requestId: createUuid(), receivedAt: readClock() };
+  const body = await readRequestBody(context, exchange, arrived);
   const chat = parseChatRequest(body);
+  const key = getIdempotencyKey(request);
   const routed: RoutedRequest = {
-    requestId: createUuid(),
+    ...arrived,
     work: "chat",
     requirement: { role: "engine", model: getModelOrThrow(customer, chat) },
     placementKey: createChatKey(customer, chat),
@@ -45,10 +48,12 @@
     },
     body,
     repeatable: isRepeatable(request, true),
-    key: getIdempotencyKey(request),
+    isStreamed: chat.stream && key === undefined,
+    key,
     deadlineAt: getDeadline(context, request),
+    sizeHint: chat.max_tokens,
   };
-  if (chat.stream && routed.key === undefined) {
+  if (routed.isStreamed) {
     return await runStreaming(context, routed, response);
   }
   await runBuffered(
--- a/src/entry/dispatch_progress.ts
+++ b/src/entry/dispatch_progress.ts
@@ -4,6 +4,7 @@
 import type { ErrorKind } from "../errors/error_kind.ts";
 import { Failure } from "../errors/failure.ts";
 import { fingerprintRequest } from "../hashing/request_fingerprint.ts";
+import { StreamPace } from "../forward/stream_pace.ts";
 import type { ResponseSink } from "./response_sink.ts";
 import type { AttemptOutcome } from "./attempt.ts";
 import { getRequestIdentity, type RoutedRequest } from "./routed_request.ts";
@@ -14,7 +15,7 @@
 
 /** Result of a dispatch; `mayHaveRun` tells whether the request may have been run, as far as the entry router knows. */
 export type DispatchResult =
-  | { type: "done" }
+  | { type: "done"; pace: StreamPace }
   | { type: "refused"; failure: Failure; mayHaveRun: boolean }
   | { type: "abandoned"; mayHaveRun: boolean };
 
@@ -31,6 +32,10 @@
   heldAs: ErrorKind | undefined;
   /** Aborted when the caller disconnects or the request is held. */
   endSignal: AbortSignal;
+  /** The upstream that the request was offered to last; undefined if there was none. */
+  upstreamId: string | undefined;
+  /** The pauses between the events of the response. */
+  pace: StreamPace;
   /** Number of events that were passed to the sink. */
   events: number;
   /** Whether an event of the current attempt was passed to the sink. */
@@ -120,10 +125,17 @@
   if (progress.silent.delete(ownerId)) progress.retried.add(ownerId);
 }
 
+/** Types of outcomes after which it is known whether the request was run. */
+const CONCLUSIVE_OUTCOMES: ReadonlySet<AttemptOutcome["type"]> = new Set([
+  "done",
+  "declined",
+  "withdrawn",
+]);
+
 /** Whether an attempt ended without confirmation by the owner that nothing was sent. */
 export function isInconclusive(outcome: AttemptOutcome): boolean {
   if (outcome.type === "failed") return outcome.ran === "unknown";
-  return outcome.type !== "done" && outcome.type !== "declined";
+  return !CONCLUSIVE_OUTCOMES.has(outcome.type);
 }
 
 /** Whether an upstream may have started to run the request. */
@@ -183,6 +195,8 @@
     hold,
     heldAs: undefined,
     endSignal: AbortSignal.any([disconnectSignal, hold.signal]),
+    upstreamId: undefined,
+    pace: StreamPace.create(),
     events: 0,
     hasAttemptEvents: false,
     softwareVersion: undefined,
--- a/src/entry/routed_request.ts
+++ b/src/entry/routed_request.ts
@@ -18,10 +18,16 @@
   body: Buffer;
   /** Whether the request may run more than once. */
   repeatable: boolean;
+  /** Whether the response is passed on as it arrives, so that its caller can't have it continued elsewhere. */
+  isStreamed: boolean;
   /** Idempotency key, if the caller sent one. */
   key: string | undefined;
+  /** Monotonic time in milliseconds of its arrival. */
+  receivedAt: number;
   /** Monotonic time in milliseconds of the caller's deadline. */
   deadlineAt: number;
+  /** Size of the response that the caller expects; undefined if it names none. */
+  sizeHint?: number;
 }
 
 /** Returns the parts of a request that are equal when it is sent again.
--- a/src/entry/run_request.ts
+++ b/src/entry/run_request.ts
@@ -47,8 +47,9 @@
   const startedAt = readClock();
   const result = await dispatcher.dispatch(request, sink, disconnectSignal);
   if (result.type === "done") {
-    drain.recordAnswer(request, readClock() - startedAt);
+    drain.recordAnswer(request, readClock() - startedAt, result.pace);
   }
+  drain.forget(request);
   return result;
 }
 
@@ -99,7 +100,11 @@
         "too few routers that remember the key were reached",
       );
     }
-    const outcome = await requestOutcome(context, request, voteResult.record);
+    const outcome = await context.drain.waitUntilEnd(
+      request,
+      requestOutcome(context, request, voteResult.record),
+      () => createUnconfirmedFailure(context),
+    );
     if (outcome instanceof Failure) return outcome;
     if (outcome.state === "done") return markReplayed(outcome.response);
     if (outcome.state === "unknown") {
@@ -123,6 +128,12 @@
   response: ServerResponse,
   transform: ResponseTransform,
 ): Promise<StoredResponse | Failure> {
+  const refusal = findStopRefusal(context, request);
+  if (refusal) {
+    context.outcomes.settle(claim.attempt, { state: "released" });
+    await claim.release();
+    return refusal;
+  }
   const dispatched = await dispatchBuffered(
     context,
     request,
@@ -134,6 +145,28 @@
   return dispatched.result;
 }
 
+/** Returns why a request is refused that has waited for votes while the router stops; undefined if it is accepted. */
+function findStopRefusal(
+  { drain }: EntryContext,
+  request: RoutedRequest,
+): Failure | undefined {
+  try {
+    drain.assertFits(request);
+    return undefined;
+  } catch (thrown) {
+    return Failure.from(thrown);
+  }
+}
+
+/** Creates the failure of a request whose key another attempt holds, at the end of a stop. */
+function createUnconfirmedFailure({ drain }: EntryContext): Failure {
+  return Failure.create(
+    "key_unconfirmed",
+    "the router has stopped while another attempt held the key",
+    drain.retryAfterMs,
+  );
+}
+
 /** Dispatches a request into a buffer; returns the result for the caller and the outcome for the outcome store. */
 async function dispatchBuffered(
   context: EntryContext,
--- a/src/entry/service_handler.ts
+++ b/src/entry/service_handler.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { v4 as createUuid } from "uuid";
 import { Failure } from "../errors/failure.ts";
 import {
@@ -34,6 +35,7 @@
   const method = request.method ?? "GET";
   const key = getIdempotencyKey(request);
   const requestId = createUuid();
+  const receivedAt = readClock();
   const headers: Record<string, string> = {
     "content-type": request.headers["content-type"] ??
       "application/octet-stream",
@@ -41,6 +43,7 @@
   if (key !== undefined) headers["idempotency-key"] = key;
   const routed = {
     requestId,
+    receivedAt,
     work: "call" as const,
     requirement: { role: "service" as const, service },
     placementKey: requestId,
@@ -49,8 +52,12 @@
     method,
     path: `/${rest.join("/")}${url.search}`,
     headers,
-    body: await readRequestBody(context, exchange),
+    body: await readRequestBody(context, exchange, {
+      requestId,
+      receivedAt,
+    }),
     repeatable: isRepeatable(request, SAFE_METHODS.has(method)),
+    isStreamed: false,
     key,
     deadlineAt: getDeadline(context, request),
   };
--- a/src/membership/fleet_view.ts
+++ b/src/membership/fleet_view.ts
@@ -60,6 +60,13 @@
     return this.upstreamsById.get(id);
   }
 
+  /** Whether a router other than this one takes requests. */
+  get hasOtherRouter(): boolean {
+    return this.routers.some(({ host, heard, unavailable }) =>
+      host.id !== this.ownId && heard && !unavailable
+    );
+  }
+
   /** Fraction of the listed routers whose status is alive, including this one; 1 if none is listed. */
   get reachableFraction(): number {
     if (this.routers.length === 0) return 1;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -33,12 +33,17 @@
 import { buildRouterStatus } from "./build_router_status.ts";
 import type { RouterStatus } from "./router_status.ts";
 import { RouterCrashTracker } from "./router_crash_tracker.ts";
+import { waitAtMost } from "../clock/wait_at_most.ts";
 import { VERSION } from "./version.ts";
 
 /** Allowance for the other fields of a frame beyond the largest request body. */
 const FRAME_OVERHEAD_BYTES = 256 * 1024;
 /** Interval of the checks for readiness at start-up and for open requests while draining. */
 const POLL_INTERVAL_MS = 50;
+/** Interval at which it is checked whether the requests that the end of a stop has ended are answered. */
+const END_POLL_INTERVAL_MS = 10;
+/** Fraction of the time limit of a stop after which connections are closed, answered or not. */
+const CLOSE_FRACTION = 0.98;
 /** Number of peers from which configuration documents are pulled before a router serves. */
 const STARTUP_PULL_PEERS = 3;
 /** Number of outcomes of requests with an idempotency key that are kept. */
@@ -66,7 +71,7 @@
   /** @internal */
   readonly crashes: RouterCrashTracker;
   private readonly dispatcher: Dispatcher;
-  private readonly drainAdmission = DrainAdmission.create();
+  private readonly drainAdmission: DrainAdmission;
   private readonly hostListPuller: HostListPuller;
   private membership: Membership | undefined;
   private platform: PlatformWatcher | undefined;
@@ -119,8 +124,16 @@
       connectionPool: this.connectionPool,
       onHeld: (hold) => this.dispatcher.abortHeld(hold),
     });
+    this.drainAdmission = DrainAdmission.create({
+      ...commonOptions,
+      metrics: this.metrics,
+      limitMs: settings.drain.limitMs,
+      hasOtherRouter: () => this.view.hasOtherRouter,
+      getPauseMs: (request) => this.dispatcher.getPauseMs(request),
+    });
     this.dispatcher = Dispatcher.create({
       ...commonOptions,
+      drain: this.drainAdmission,
       connectionPool: this.connectionPool,
       crashGuard: this.crashes.guard,
     });
@@ -134,29 +147,35 @@
   }
 
   /** Stops gracefully: announces that the router is unavailable, keeps serving for the lifetime of a `/locate`
-   * response, and then completes the open requests, up to `drain.limitMs` from the call. */
-  async drain(): Promise<void> {
+   * response, and then completes the open requests, up to `drain.limitMs`.
+   * @param signaledAt Monotonic milliseconds at which the stop was asked for. */
+  async drain(signaledAt = readClock()): Promise<void> {
     if (this.phase === "draining" || this.phase === "closing") return;
-    const deadlineAt = readClock() + this.settings.drain.limitMs;
+    const closeAt = signaledAt + this.settings.drain.limitMs * CLOSE_FRACTION;
     this.phase = "draining";
     this.logger.info(
       { openRequests: this.callerServer?.openRequests },
       "drain_started",
     );
-    this.drainAdmission.start(this.settings.drain.limitMs);
+    this.drainAdmission.start(signaledAt);
     this.membership?.setUnavailable(true);
     // Callers that reuse connections would otherwise send on one that is about to be closed.
     this.callerServer?.startDraining();
-    await this.witness.drain();
-    await delay(this.settings.locate.lifetimeMs);
+    await waitAtMost(this.witness.drain(), this.drainAdmission.usableMs);
+    const { lifetimeMs } = this.settings.locate;
+    await delay(Math.min(lifetimeMs, this.drainAdmission.usableMs));
     this.callerServer?.stopListening();
     this.owner.stopAccepting();
-    while (this.isBusy && readClock() < deadlineAt) {
+    while (this.isBusy && this.drainAdmission.usableMs > 0) {
       await delay(POLL_INTERVAL_MS);
     }
-    await this.witness.drain();
+    this.drainAdmission.end();
+    while (this.openRequests > 0 && readClock() < closeAt) {
+      await delay(END_POLL_INTERVAL_MS);
+    }
+    await waitAtMost(this.witness.drain(), closeAt - readClock());
     this.logger.info(
-      { unfinished: this.callerServer?.openRequests ?? 0 },
+      { unfinished: this.openRequests },
       "drain_ended",
     );
     await this.close();
@@ -184,9 +203,12 @@
     return this.membership?.hosts ?? { version: 0, hosts: [] };
   }
 
+  private get openRequests(): number {
+    return this.callerServer?.openRequests ?? 0;
+  }
+
   private get isBusy(): boolean {
-    return (this.callerServer?.openRequests ?? 0) > 0 ||
-      this.owner.openJobs > 0;
+    return this.openRequests > 0 || this.owner.openJobs > 0;
   }
 
   private getCommonOptions() {
