--- a/tests/system/stopping_router_test.ts
+++ b/tests/system/stopping_router_test.ts
@@ -2,6 +2,7 @@
  * that it refuses although it could, and against requests that the end of a stop cuts without an answer. */
 import test from "ava";
 import { setTimeout as delay } from "node:timers/promises";
+import type { ReceivedResponse } from "../../tools/caller.ts";
 import type { RouterProcess } from "../../tools/router_process.ts";
 import { RawCaller } from "../http/raw_caller.ts";
 import { withFleet } from "./with_fleet.ts";
@@ -18,6 +19,21 @@
 const KNOWN_CHATS = 12;
 const PAUSE_MS = 100;
 
+/** Sends chats until a number of them are complete, so that the router knows how long they take.
+ * @param count The number.
+ * @param send Sends a chat. */
+async function completeChats(
+  count: number,
+  send: () => Promise<ReceivedResponse>,
+): Promise<void> {
+  let completed = 0;
+  while (completed < count) {
+    const missing = Array.from({ length: count - completed }, send);
+    const received = await Promise.all(missing);
+    completed += received.filter(({ isComplete }) => isComplete).length;
+  }
+}
+
 test.serial("a stopping router refuses chats that it can't finish as not run, and finishes those that it takes", async (t) => {
   const settings = {
     locate: { lifetimeMs: LIFETIME_MS },
@@ -36,9 +52,7 @@
       const options = { customer: CUSTOMER, router };
       return caller.chat(options, `c-${chats}`, [`text ${chats}`], tokens);
     };
-    await Promise.all(
-      Array.from({ length: KNOWN_CHATS }, () => send(CHAT_TOKENS)),
-    );
+    await completeChats(KNOWN_CHATS, () => send(CHAT_TOKENS));
     const endless = send(ENDLESS_TOKENS);
     await delay(PAUSE_MS);
     stopping!.signal("SIGTERM");
@@ -90,9 +104,7 @@
       chats += 1;
       return caller.chat(options, `c-${chats}`, [`text ${chats}`], tokens);
     };
-    await Promise.all(
-      Array.from({ length: KNOWN_CHATS }, () => send(CHAT_TOKENS)),
-    );
+    await completeChats(KNOWN_CHATS, () => send(CHAT_TOKENS));
     const endless = send(ENDLESS_TOKENS * 4);
     await delay(PAUSE_MS);
     stopping!.signal("SIGTERM");
@@ -141,11 +153,10 @@
       chats += 1;
       return caller.chat(options, `c-${chats}`, [`text ${chats}`], tokens);
     };
-    const known = Array.from({ length: LONG_CHATS }, () => send(LONG_TOKENS));
-    known.push(
-      ...Array.from({ length: SHORT_CHATS }, () => send(SHORT_TOKENS)),
-    );
-    await Promise.all(known);
+    await Promise.all([
+      completeChats(LONG_CHATS, () => send(LONG_TOKENS)),
+      completeChats(SHORT_CHATS, () => send(SHORT_TOKENS)),
+    ]);
     const endless = send(ENDLESS_TOKENS);
     await delay(PAUSE_MS);
     stopping!.signal("SIGTERM");
