Let a starting router read its documents until it has them

What callers saw: in halls with more routers than watch the platform, a router whose first read of the documents failed served only once it was its turn to watch, up to minutes later: after the host list it no longer counted as a watcher, and it asked its peers once only. Nothing in the log said so. The host list was asked for as fast as the platform answered while it was empty.

Now a router without documents watches, asks peers again, and waits at the platform for an empty list too. `router_waiting` says what a start waits for (host_list, documents, key_records), once in two seconds.

A failed wait for a router in the tests now also tells its last status and whether its process runs.

--- a/src/router/platform_watcher.ts
+++ b/src/router/platform_watcher.ts
@@ -25,6 +25,7 @@
   private revision = 0;
   private version = 0;
   private hasReadDocuments = false;
+  private hasReadHosts = false;
   private readonly failedSources = new Set<string>();
 
   private constructor(private readonly options: PlatformWatcherOptions) {
@@ -42,7 +43,7 @@
       }),
       PollLoop.create({
         ...commonOptions,
-        poll: () => this.readHosts(this.version === 0 ? 0 : watchMs),
+        poll: () => this.readHosts(this.hasReadHosts ? watchMs : 0),
         onOutcome: (result) => this.logReachability("hosts", result),
       }),
     ];
@@ -80,12 +81,14 @@
       waitMs,
     );
     this.version = Math.max(this.version, list.version);
+    this.hasReadHosts = true;
     this.options.membership.offerHostList(list);
   }
 
   /** Whether this router is one of the routers of its hall that watch the platform in the current interval. A router
-   * that is not among the responsive routers of its hall in its own view always watches. */
+   * without documents, or that is not among the responsive routers of its hall in its own view, always watches. */
   private isWatcher(): boolean {
+    if (this.options.configuration.documents.revision === 0) return true;
     const { id, hall, platform } = this.options.settings;
     const routers = this.options.membership.view.routers.filter((router) =>
       router.heard && router.host.hall === hall
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -32,13 +32,14 @@
 import { PlatformWatcher } from "./platform_watcher.ts";
 import { buildRouterStatus } from "./build_router_status.ts";
 import type { RouterStatus } from "./router_status.ts";
+import { StartWait } from "./start_wait.ts";
 import { RouterCrashTracker } from "./router_crash_tracker.ts";
 import { waitAtMost } from "../clock/wait_at_most.ts";
 import { VERSION } from "./version.ts";
 
 /** Allowance for the other fields of a frame beyond the largest request body. */
 const FRAME_OVERHEAD_BYTES = 256 * 1024;
-/** Interval of the checks for readiness at start-up and for open requests while draining. */
+/** Interval of the checks for open requests while draining. */
 const POLL_INTERVAL_MS = 50;
 /** Interval at which it is checked whether the requests that the end of a stop has ended are answered. */
 const END_POLL_INTERVAL_MS = 10;
@@ -280,13 +281,30 @@
 
   /** Waits for a host list, then for configuration documents from peers or the platform, and starts to serve. */
   private async becomeReady(): Promise<void> {
-    while (this.view.version === 0 && this.phase === "starting") {
-      await delay(POLL_INTERVAL_MS);
-    }
+    const wait = StartWait.create({
+      logger: this.logger,
+      isStarting: () => this.phase === "starting",
+    });
+    await wait.waitFor("host_list", () => this.view.version > 0);
+    void this.witness.synchronize();
+    await wait.waitFor("documents", () => this.readDocuments(), () => ({
+      revision: this.configuration.documents.revision,
+      routers: this.view.routers.length,
+    }));
+    if (this.phase !== "starting") return;
+    this.phase = "serving";
+    this.membership?.setUnavailable(false);
+    this.logger.info(
+      { revision: this.configuration.documents.revision },
+      "router_serving",
+    );
+  }
+
+  /** Pulls the configuration documents from some peers; returns whether they or the platform have delivered all. */
+  private async readDocuments(): Promise<boolean> {
     const peerIds = this.view.routers.map((router) => router.host.id).filter((
       id,
     ) => id !== this.settings.id);
-    void this.witness.synchronize();
     const pulls = await Promise.all(
       peerIds.slice(0, STARTUP_PULL_PEERS).map((id) =>
         this.configuration.pullAll(id)
@@ -294,16 +312,7 @@
     );
     const hasPulled = pulls.includes(true) &&
       this.configuration.documents.revision > 0;
-    while (
-      !hasPulled && !this.platform?.hasDocuments && this.phase === "starting"
-    ) await delay(POLL_INTERVAL_MS);
-    if (this.phase !== "starting") return;
-    this.phase = "serving";
-    this.membership?.setUnavailable(false);
-    this.logger.info(
-      { revision: this.configuration.documents.revision },
-      "router_serving",
-    );
+    return hasPulled || this.platform?.hasDocuments === true;
   }
 
   private applyView(view: FleetView): void {
--- a/src/witness/witness.ts
+++ b/src/witness/witness.ts
@@ -1,3 +1,4 @@
+import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import { Actor, type ActorSystem } from "../actors/actor.ts";
 import type { Logger } from "../logging/logger.ts";
@@ -13,6 +14,10 @@
 const EXPIRY_INTERVAL_MS = 5_000;
 const PULL_TIMEOUT_MS = 2_000;
 const SYNCHRONIZE_RETRY_MS = 250;
+/** Minimum time between two log lines about routers that have not sent their records, in milliseconds. */
+const WAIT_LOG_INTERVAL_MS = 2_000;
+/** Maximum number of these routers in a log line. */
+const MAX_LOGGED_ROUTERS = 8;
 
 /** Dependencies of a `Witness`. */
 export interface WitnessOptions {
@@ -41,6 +46,7 @@
   private readonly timer: NodeJS.Timeout;
   private routerIds: readonly string[] = [];
   private isClosed = false;
+  private waitLoggedAt = -Infinity;
 
   private constructor(private readonly options: WitnessOptions) {
     this.recordStore = KeyRecordStore.create(options.settings.keys.rememberMs);
@@ -115,10 +121,23 @@
         this.actor.tell("synchronized", startedAt);
         return;
       }
+      this.logWait(others.filter((_, index) => !pulls[index]));
       await delay(SYNCHRONIZE_RETRY_MS);
     }
   }
 
+  /** Logs which routers have not sent their records, at a bounded rate. */
+  private logWait(routerIds: readonly string[]): void {
+    const now = readClock();
+    if (now - this.waitLoggedAt < WAIT_LOG_INTERVAL_MS) return;
+    this.waitLoggedAt = now;
+    const routers = routerIds.slice(0, MAX_LOGGED_ROUTERS).join(",");
+    this.options.logger.info(
+      { reason: "key_records", count: routerIds.length, routers },
+      "router_waiting",
+    );
+  }
+
   /** Applies a new view of the fleet.
    * @param view The view. */
   handleViewChange(view: FleetView): void {
--- a/tools/router_process.ts
+++ b/tools/router_process.ts
@@ -84,15 +84,26 @@
     timeoutMs = 20_000,
   ): Promise<void> {
     const deadline = performance.now() + timeoutMs;
+    let lastStatus: RouterStatus | undefined;
     while (performance.now() < deadline) {
       const status = await this.getStatus();
+      lastStatus = status ?? lastStatus;
       if (status && condition(status)) return;
       await new Promise((resolve) => setTimeout(resolve, POLL_INTERVAL_MS));
     }
     throw new Error(
-      `${this.id}: timed out waiting for: ${description}; last log lines: ${
+      `${this.id}: timed out waiting for: ${description}; process ${
+        this.program.isAlive ? "runs" : "has exited"
+      }; last status: ${formatStatus(lastStatus)}; last log lines: ${
         this.logLines.slice(-5).join(" | ")
       }`,
     );
   }
 }
+
+/** Formats what a router has reported about its start. */
+function formatStatus(status: RouterStatus | undefined): string {
+  if (!status) return "none";
+  const { phase, configuration, witness } = status;
+  return JSON.stringify({ phase, configuration, witness });
+}
