Connect once to each router that key records are handed to

A router whose list of routers changed, or that stopped, connected anew for each record to a router that could not be reached: its witness answered no votes for up to 0.7 s a record, and a stop waited for it. Found by reading.

Failed before: tests/witness/witness_drain_test.ts (200 records, several attempts to each router; one each now). The clients are kept for one transfer only, which runs in one turn once they are connected.

--- a/src/witness/witness.ts
+++ b/src/witness/witness.ts
@@ -5,6 +5,7 @@
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { FramePort } from "../peer/frame_port.ts";
 import type { FrameOf } from "../peer/frame_schema.ts";
+import type { PeerClient } from "../peer/peer_client.ts";
 import type { PeerConnectionPool } from "../peer/peer_connection_pool.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 import { KeyRecordStore } from "./key_record_store.ts";
@@ -229,18 +230,23 @@
     await this.transferRecords(this.routerIds, others);
   }
 
-  /** Sends each record to the routers that become witnesses of its key when the list of routers changes. */
+  /** Sends each record to the routers that become witnesses of its key when the list of routers changes. A router that
+   * can't be reached is tried once, because this actor answers no votes meanwhile. */
   private async transferRecords(
     previousIds: readonly string[],
     currentIds: readonly string[],
   ): Promise<void> {
+    const clients = new Map<string, Promise<PeerClient | undefined>>();
     for (const [key, record] of this.recordStore.getRecords()) {
       const previousWitnesses = new Set(getWitnesses(key, previousIds));
       const newWitnesses = getWitnesses(key, currentIds).filter((id) =>
         !previousWitnesses.has(id) && id !== this.options.settings.id
       );
       for (const id of newWitnesses) {
-        const client = await this.options.connectionPool.getClient(id);
+        const connecting = clients.get(id) ??
+          this.options.connectionPool.getClient(id);
+        clients.set(id, connecting);
+        const client = await connecting;
         client?.send({
           type: "record",
           exchange: 0,
