--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -1,4 +1,3 @@
-import { STOP_TIME_FRACTION } from "../admission/stop_time.ts";
 import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import {
@@ -33,15 +32,21 @@
 import { PlatformWatcher } from "./platform_watcher.ts";
 import { buildRouterStatus } from "./build_router_status.ts";
 import type { RouterStatus } from "./router_status.ts";
+import { StartWait } from "./start_wait.ts";
 import { RouterCrashTracker } from "./router_crash_tracker.ts";
+import { waitAtMost } from "../clock/wait_at_most.ts";
 import { VERSION } from "./version.ts";
 
 /** Allowance for the other fields of a frame beyond the largest request body. */
 const FRAME_OVERHEAD_BYTES = 256 * 1024;
-/** Interval of the checks for readiness at start-up and for open requests while draining. */
+/** Interval of the checks for open requests while draining. */
 const POLL_INTERVAL_MS = 50;
 /** Time of a graceful stop that is left for the exit of the process, in milliseconds. */
 const EXIT_TIME_MS = 150;
+/** Interval at which it is checked whether the requests that the end of a stop has ended are answered. */
+const END_POLL_INTERVAL_MS = 10;
+/** Fraction of the time limit of a stop after which connections are closed, answered or not. */
+const CLOSE_FRACTION = 0.98;
 /** Number of peers from which configuration documents are pulled before a router serves. */
 const STARTUP_PULL_PEERS = 3;
 /** Number of outcomes of requests with an idempotency key that are kept. */
@@ -69,7 +74,7 @@
   /** @internal */
   readonly crashes: RouterCrashTracker;
   private readonly dispatcher: Dispatcher;
-  private readonly drainAdmission = DrainAdmission.create();
+  private readonly drainAdmission: DrainAdmission;
   private readonly hostListPuller: HostListPuller;
   private membership: Membership | undefined;
   private platform: PlatformWatcher | undefined;
@@ -122,8 +127,17 @@
       connectionPool: this.connectionPool,
       onHeld: (hold) => this.dispatcher.abortHeld(hold),
     });
+    this.drainAdmission = DrainAdmission.create({
+      ...commonOptions,
+      metrics: this.metrics,
+      limitMs: settings.drain.limitMs,
+      hasOtherRouter: () => this.view.hasOtherRouter,
+      callersLeaveWithinMs: 2 * settings.locate.lifetimeMs,
+      getPaceRatio: (request) => this.dispatcher.getPaceRatio(request),
+    });
     this.dispatcher = Dispatcher.create({
       ...commonOptions,
+      drain: this.drainAdmission,
       connectionPool: this.connectionPool,
       crashGuard: this.crashes.guard,
     });
@@ -137,35 +151,40 @@
   }
 
   /** Stops gracefully: announces that the router is unavailable, keeps serving for the lifetime of a `/locate`
-   * response, and then completes the open requests, up to `drain.limitMs` from the call. */
-  async drain(): Promise<void> {
+   * response, and then completes the open requests, up to `drain.limitMs`.
+   * @param signaledAt Monotonic milliseconds at which the stop was asked for. */
+  async drain(signaledAt = readClock()): Promise<void> {
     if (this.phase === "draining" || this.phase === "closing") return;
-    const deadlineAt = readClock() + this.settings.drain.limitMs;
+    const { limitMs } = this.settings.drain;
+    const closeAt = signaledAt + limitMs * CLOSE_FRACTION;
     this.phase = "draining";
     this.logger.info(
       { openRequests: this.callerServer?.openRequests },
       "drain_started",
     );
-    this.drainAdmission.start(this.settings.drain.limitMs);
+    this.drainAdmission.start(signaledAt);
     this.membership?.setUnavailable(true);
     // Callers that reuse connections would otherwise send on one that is about to be closed.
     this.callerServer?.startDraining();
-    await this.witness.drain();
-    await delay(this.settings.locate.lifetimeMs);
+    await waitAtMost(this.witness.drain(), this.drainAdmission.usableMs);
+    const { lifetimeMs } = this.settings.locate;
+    await delay(Math.min(lifetimeMs, this.drainAdmission.usableMs));
     this.callerServer?.stopListening();
     this.owner.stopAccepting();
-    const closingMs = this.settings.drain.limitMs * (1 - STOP_TIME_FRACTION);
-    const closesAt = deadlineAt - closingMs;
-    while (this.isBusy && readClock() < closesAt) {
+    while (this.isBusy && this.drainAdmission.usableMs > 0) {
       await delay(POLL_INTERVAL_MS);
     }
-    await this.witness.drain();
+    this.drainAdmission.end();
+    while (this.openRequests > 0 && readClock() < closeAt) {
+      await delay(END_POLL_INTERVAL_MS);
+    }
+    await waitAtMost(this.witness.drain(), closeAt - readClock());
     this.logger.info(
-      { unfinished: this.callerServer?.openRequests ?? 0 },
+      { unfinished: this.openRequests },
       "drain_ended",
     );
     await this.callerServer?.closeInOrder({
-      limitMs: deadlineAt - readClock() - EXIT_TIME_MS,
+      limitMs: signaledAt + limitMs - readClock() - EXIT_TIME_MS,
     });
     await this.close();
   }
@@ -192,9 +211,12 @@
     return this.membership?.hosts ?? { version: 0, hosts: [] };
   }
 
+  private get openRequests(): number {
+    return this.callerServer?.openRequests ?? 0;
+  }
+
   private get isBusy(): boolean {
-    return (this.callerServer?.openRequests ?? 0) > 0 ||
-      this.owner.openJobs > 0;
+    return this.openRequests > 0 || this.owner.openJobs > 0;
   }
 
   private getCommonOptions() {
@@ -266,13 +288,30 @@
 
   /** Waits for a host list, then for configuration documents from peers or the platform, and starts to serve. */
   private async becomeReady(): Promise<void> {
-    while (this.view.version === 0 && this.phase === "starting") {
-      await delay(POLL_INTERVAL_MS);
-    }
+    const wait = StartWait.create({
+      logger: this.logger,
+      isStarting: () => this.phase === "starting",
+    });
+    await wait.waitFor("host_list", () => this.view.version > 0);
+    void this.witness.synchronize();
+    await wait.waitFor("documents", () => this.readDocuments(), () => ({
+      revision: this.configuration.documents.revision,
+      routers: this.view.routers.length,
+    }));
+    if (this.phase !== "starting") return;
+    this.phase = "serving";
+    this.membership?.setUnavailable(false);
+    this.logger.info(
+      { revision: this.configuration.documents.revision },
+      "router_serving",
+    );
+  }
+
+  /** Pulls the configuration documents from some peers; returns whether they or the platform have delivered all. */
+  private async readDocuments(): Promise<boolean> {
     const peerIds = this.view.routers.map((router) => router.host.id).filter((
       id,
     ) => id !== this.settings.id);
-    void this.witness.synchronize();
     const pulls = await Promise.all(
       peerIds.slice(0, STARTUP_PULL_PEERS).map((id) =>
         this.configuration.pullAll(id)
@@ -280,16 +319,7 @@
     );
     const hasPulled = pulls.includes(true) &&
       this.configuration.documents.revision > 0;
-    while (
-      !hasPulled && !this.platform?.hasDocuments && this.phase === "starting"
-    ) await delay(POLL_INTERVAL_MS);
-    if (this.phase !== "starting") return;
-    this.phase = "serving";
-    this.membership?.setUnavailable(false);
-    this.logger.info(
-      { revision: this.configuration.documents.revision },
-      "router_serving",
-    );
+    return hasPulled || this.platform?.hasDocuments === true;
   }
 
   private applyView(view: FleetView): void {
--- a/src/witness/witness.ts
+++ b/src/witness/witness.ts
@@ -1,9 +1,11 @@
+import { readClock } from "../clock/clock.ts";
 import { setTimeout as delay } from "node:timers/promises";
 import { Actor, type ActorSystem } from "../actors/actor.ts";
 import type { Logger } from "../logging/logger.ts";
 import type { FleetView } from "../membership/fleet_view.ts";
 import type { FramePort } from "../peer/frame_port.ts";
 import type { FrameOf } from "../peer/frame_schema.ts";
+import type { PeerClient } from "../peer/peer_client.ts";
 import type { PeerConnectionPool } from "../peer/peer_connection_pool.ts";
 import type { Settings } from "../settings/settings_schema.ts";
 import { KeyRecordStore } from "./key_record_store.ts";
@@ -13,6 +15,10 @@
 const EXPIRY_INTERVAL_MS = 5_000;
 const PULL_TIMEOUT_MS = 2_000;
 const SYNCHRONIZE_RETRY_MS = 250;
+/** Minimum time between two log lines about routers that have not sent their records, in milliseconds. */
+const WAIT_LOG_INTERVAL_MS = 2_000;
+/** Maximum number of these routers in a log line. */
+const MAX_LOGGED_ROUTERS = 8;
 
 /** Dependencies of a `Witness`. */
 export interface WitnessOptions {
@@ -41,6 +47,7 @@
   private readonly timer: NodeJS.Timeout;
   private routerIds: readonly string[] = [];
   private isClosed = false;
+  private waitLoggedAt = -Infinity;
 
   private constructor(private readonly options: WitnessOptions) {
     this.recordStore = KeyRecordStore.create(options.settings.keys.rememberMs);
@@ -115,10 +122,23 @@
         this.actor.tell("synchronized", startedAt);
         return;
       }
+      this.logWait(others.filter((_, index) => !pulls[index]));
       await delay(SYNCHRONIZE_RETRY_MS);
     }
   }
 
+  /** Logs which routers have not sent their records, at a bounded rate. */
+  private logWait(routerIds: readonly string[]): void {
+    const now = readClock();
+    if (now - this.waitLoggedAt < WAIT_LOG_INTERVAL_MS) return;
+    this.waitLoggedAt = now;
+    const routers = routerIds.slice(0, MAX_LOGGED_ROUTERS).join(",");
+    this.options.logger.info(
+      { reason: "key_records", count: routerIds.length, routers },
+      "router_waiting",
+    );
+  }
+
   /** Applies a new view of the fleet.
    * @param view The view. */
   handleViewChange(view: FleetView): void {
@@ -210,18 +230,23 @@
     await this.transferRecords(this.routerIds, others);
   }
 
-  /** Sends each record to the routers that become witnesses of its key when the list of routers changes. */
+  /** Sends each record to the routers that become witnesses of its key when the list of routers changes. A router that
+   * can't be reached is tried once, because this actor answers no votes meanwhile. */
   private async transferRecords(
     previousIds: readonly string[],
     currentIds: readonly string[],
   ): Promise<void> {
+    const clients = new Map<string, Promise<PeerClient | undefined>>();
     for (const [key, record] of this.recordStore.getRecords()) {
       const previousWitnesses = new Set(getWitnesses(key, previousIds));
       const newWitnesses = getWitnesses(key, currentIds).filter((id) =>
         !previousWitnesses.has(id) && id !== this.options.settings.id
       );
       for (const id of newWitnesses) {
-        const client = await this.options.connectionPool.getClient(id);
+        const connecting = clients.get(id) ??
+          this.options.connectionPool.getClient(id);
+        clients.set(id, connecting);
+        const client = await connecting;
         client?.send({
           type: "record",
           exchange: 0,
--- a/tests/entry/attempt_test.ts
+++ b/tests/entry/attempt_test.ts
@@ -58,6 +58,7 @@
     acceptTimeoutMs: ACCEPT_TIMEOUT_MS,
     remainingMs,
     endSignal: new AbortController().signal,
+    stopSignal: new AbortController().signal,
     onEvents: () => undefined,
   });
   return {
