Keep warnings when a process logs too much at its end

Lines beyond 400 a second were dropped, warnings too, and the count of the last second was never reported: of 300 calls that a stop ended, 200 had a line, found by the review. Warnings have a bound of their own now, and closing the logger reports what was dropped.

--- a/src/logging/bounded_logger.ts
+++ b/src/logging/bounded_logger.ts
@@ -9,6 +9,10 @@
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 /** Maximum number of lines per second; further lines are counted and dropped. */
 const MAX_LINES_PER_SECOND = 400;
+/** Maximum number of lines per second including warnings and errors. */
+const MAX_LINES_WITH_WARNINGS_PER_SECOND = 1_200;
+/** Start of a line below the level of warnings. */
+const INFO_LINE_PREFIX = '{"level":"info"';
 /** Length of a rate limit window, and interval at which buffered lines are flushed, in milliseconds. */
 const RATE_WINDOW_MS = 1_000;
 
@@ -49,6 +53,7 @@
   close(): void {
     clearInterval(this.timer);
     try {
+      this.reportDropped();
       this.output.flushSync();
     } catch {
       // The reader has closed the pipe or is too slow; the remaining lines are lost, with nowhere left to report it.
@@ -56,21 +61,27 @@
   }
 
   private write(line: string): void {
-    this.windowLines += 1;
-    if (this.windowLines > MAX_LINES_PER_SECOND) {
+    const maxLines = line.startsWith(INFO_LINE_PREFIX)
+      ? MAX_LINES_PER_SECOND
+      : MAX_LINES_WITH_WARNINGS_PER_SECOND;
+    if (this.windowLines >= maxLines) {
       this.droppedLines += 1;
       return;
     }
+    this.windowLines += 1;
     this.output.write(logfmt.stringify(JSON.parse(line)) + "\n");
   }
 
   private startWindow(): void {
-    this.windowLines = 0;
-    if (this.droppedLines > 0) {
-      const dropped = this.droppedLines;
-      this.droppedLines = 0;
-      this.logger.warn({ dropped }, "log_lines_dropped");
-    }
+    this.reportDropped();
     this.output.flush();
   }
+
+  private reportDropped(): void {
+    this.windowLines = 0;
+    if (this.droppedLines === 0) return;
+    const dropped = this.droppedLines;
+    this.droppedLines = 0;
+    this.logger.warn({ dropped }, "log_lines_dropped");
+  }
 }
