Tell callers of a stopping fleet to retry soon

If no other host takes requests, a stopping host told callers to come back when it would be back itself, up to 8.4 s later: beyond the deadlines of most, although hosts that stopped before it are back sooner.

--- a/src/gateway/host_status.ts
+++ b/src/gateway/host_status.ts
@@ -67,9 +67,8 @@
   }
 
   /** Time after which callers that this stopping host refuses may retry, in milliseconds: at once if another host takes
-   * requests, otherwise when this one is back. */
+   * requests, otherwise when one may be back. One that stopped before this host is back before it. */
   get stopRetryMs(): number {
-    const { stop } = this.options;
-    return this.hasOtherHost ? 0 : stop.remainingMs + RESTART_MS;
+    return this.hasOtherHost ? 0 : RESTART_MS;
   }
 }
