--- a/src/gateway/graceful_stop.ts
+++ b/src/gateway/graceful_stop.ts
@@ -6,8 +6,8 @@
  * address list. */
 const CLOSE_CONNECTIONS_AFTER_MS = 1_500;
 /** Time after the start of a graceful stop within which callers stop using the address of the host, in milliseconds: a
- * little less than six times the TTL of an address list, because callers that can't get another list keep one for up to
- * twice as long as others. */
+ * little less than six times the TTL of an address list. Some callers keep a list for three TTLs, and longer while they
+ * can't get another. */
 export const CALLERS_LEAVE_WITHIN_MS = 2_880;
 /** Minimum time for which a stopping host still accepts requests: seven times the TTL of an address list, because some
  * callers keep it beyond its TTL. */
