Log the age of the publication at each send and what each fetch of it gained

The record of the late sends to a leaving upstream can't tell whether the change was late on its way, the host late, or the choice old: no line of a send names the age of the publication, and a fetch is logged only if it fails. Now request_sent has publicationAgeMs, each fetch has a line with its peer, its duration and the ages before and after, and both are counted.

--- a/src/forward/attempt_sender.ts
+++ b/src/forward/attempt_sender.ts
@@ -45,7 +45,8 @@
     const { upstream } = choice;
     const prompt = context.placePrompt(call, upstream);
     const load = context.recordSend(choice);
-    this.log.logSent({ ...plan, load, prompt });
+    const publicationAgeMs = context.getPublicationAgeMs();
+    this.log.logSent({ ...plan, load, publicationAgeMs, prompt });
     const request = buildAttemptRequest(call, {
       upstreamId: upstream.id,
       remainingMs,
--- a/src/forward/call_forwarder_context.ts
+++ b/src/forward/call_forwarder_context.ts
@@ -101,6 +101,8 @@
     call: RoutedCall,
     target: Upstream,
   ) => PromptPlacement | undefined;
+  /** Age of the publication by which upstreams are chosen, in milliseconds. */
+  getPublicationAgeMs: () => number;
   /** Records that a request is sent; returns the known load of the upstream. */
   recordSend: (choice: UpstreamChoice) => LoadSnapshot;
   /** Records a complete response, with the milliseconds since the request was sent. */
--- a/src/forward/call_log.ts
+++ b/src/forward/call_log.ts
@@ -15,6 +15,8 @@
 export interface LoggedSend extends AttemptPlan {
   /** The known load of the upstream. */
   load: LoadSnapshot;
+  /** Age of the publication by which the upstream was chosen, in milliseconds. */
+  publicationAgeMs: number;
   /** What the upstream is assumed to have cached of the prompt; undefined if the request shares no prompt. */
   prompt: PromptPlacement | undefined;
 }
@@ -64,6 +66,7 @@
    * @param send The attempt. */
   logSent(send: LoggedSend): void {
     const { choice, reason, remainingMs, lastEventId, load, prompt } = send;
+    const publicationAgeMs = Math.round(send.publicationAgeMs);
     const { upstream, basis, bound } = choice;
     const { availability } = upstream;
     this.logger.info({
@@ -78,6 +81,7 @@
       remainingMs: Math.round(remainingMs),
       hall: upstream.published.hall,
       path: upstream.path.state,
+      publicationAgeMs,
       basis,
       ...formatEstimate(choice),
       bound: roundTo(bound, 1),
--- a/src/gateway/create_chooser.ts
+++ b/src/gateway/create_chooser.ts
@@ -66,8 +66,10 @@
       guard.recordRemoval(upstream.instanceHash);
       paths.monitor.remove(upstream);
     },
-    onSend: ({ basis }, { countAgeMs }) =>
-      metrics.recordSend(basis, countAgeMs),
+    onSend: ({ basis }, { countAgeMs }) => {
+      metrics.recordSend(basis, countAgeMs);
+      metrics.publication.recordSend(getReplica().ageMs);
+    },
     onEstimateError: (errorMs) => metrics.recordEstimateError(errorMs),
     onRetryDecision: (service, decision) =>
       metrics.recordRetryDecision(service, decision),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -114,6 +114,8 @@
       chooser: this.chooser,
       inventory: dependencies.inventory,
       feed: dependencies.feed,
+      onPublicationFetched: (result) =>
+        this.metrics.publication.recordFetch(result),
       getHosts: () => this.getLiveHosts().map(({ entry }) => entry),
       getSourceIds: () => this.watch?.getSources() ?? [],
     });
--- a/src/gateway/gateway_metrics.ts
+++ b/src/gateway/gateway_metrics.ts
@@ -10,6 +10,7 @@
 import type { RefusalReason } from "../scheduling/decide_admission.ts";
 import type { WaitEnd } from "./admission_log.ts";
 import type { ResumeDecision } from "../streams/decide_resume.ts";
+import { PublicationMetrics } from "./publication_metrics.ts";
 import { StopMetrics } from "./stop_metrics.ts";
 
 /** Buckets of the request duration histogram. */
@@ -211,6 +212,8 @@
     registers: [this.registry],
   });
 
+  /** How recent the publication is. */
+  readonly publication = PublicationMetrics.create(this.registry);
   /** Counters of graceful stops. */
   readonly stops = StopMetrics.create(this.registry);
 
--- a/src/gateway/peer_exchanges.ts
+++ b/src/gateway/peer_exchanges.ts
@@ -5,7 +5,10 @@
 import type { EngineInventory } from "../upstreams/engine_inventory.ts";
 import { PrefixExchange } from "./prefix_exchange.ts";
 import { PrefixRecovery } from "./prefix_recovery.ts";
-import { PublicationExchange } from "./publication_exchange.ts";
+import {
+  PublicationExchange,
+  type PublicationExchangeOptions,
+} from "./publication_exchange.ts";
 import { StartKnowledgeExchange } from "./start_knowledge_exchange.ts";
 import type { UpstreamChooser } from "./upstream_chooser.ts";
 import { VersionRecovery } from "./version_recovery.ts";
@@ -20,6 +23,8 @@
   feed: PublicationFeed;
   /** Returns the other live hosts. */
   getHosts: () => readonly PeerEntry[];
+  /** Called at the end of each request for the publication of another host. */
+  onPublicationFetched: PublicationExchangeOptions["onFetched"];
   /** Returns the ids of the hosts from which this one learns of changes; none if it reads the platform itself. */
   getSourceIds: () => readonly string[];
 }
@@ -33,7 +38,11 @@
 
   private constructor(private readonly options: PeerExchangesOptions) {
     const { logger, replica, chooser, getHosts } = options;
-    this.publication = PublicationExchange.create(replica, logger);
+    this.publication = PublicationExchange.create({
+      logger,
+      replica,
+      onFetched: options.onPublicationFetched,
+    });
     this.prefixes = PrefixExchange.create(chooser.prefixes, logger);
     this.startKnowledge = StartKnowledgeExchange.create({
       logger,
--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -8,6 +8,7 @@
   packConfiguration,
   unpackConfiguration,
 } from "../published/pack_configuration.ts";
+import { getRevision } from "../published/position.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
 import { evacuationChangeSchema } from "../published/evacuation_change.ts";
 import { upstreamSchema } from "../published/upstream_schema.ts";
@@ -21,6 +22,18 @@
  * configuration of a few thousand routes at the same time over a link of a few megabits per second. */
 const RESPONSE_TIMEOUT_MS = 1_500;
 
+/** Result of a request for the publication of another host. */
+export type PublicationFetchResult = "learned" | "failed";
+
+/** Dependencies of a {@link PublicationExchange}. */
+export interface PublicationExchangeOptions {
+  logger: Logger;
+  /** The publication known here. */
+  replica: PublicationReplica;
+  /** Called at the end of each fetch. */
+  onFetched?: (result: PublicationFetchResult) => void;
+}
+
 /** Minimum interval between the starts of two fetches while this host has a configuration, in milliseconds. While
  * upstreams come and go, the digests of all hosts differ all the time; the interval is small compared with the times
  * within which changes have to be in force. */
@@ -55,19 +68,18 @@
   private needsFullState = false;
   private packedConfiguration: { version: number; bytes: Buffer } | undefined;
 
-  private constructor(
-    private readonly replica: PublicationReplica,
-    private readonly logger: Logger,
-  ) {}
+  private readonly logger: Logger;
+  private readonly replica: PublicationReplica;
+
+  private constructor(private readonly options: PublicationExchangeOptions) {
+    this.logger = options.logger;
+    this.replica = options.replica;
+  }
 
   /** Creates an exchange.
-   * @param replica The publication known here.
-   * @param logger Logs failed fetches. */
-  static create(
-    replica: PublicationReplica,
-    logger: Logger,
-  ): PublicationExchange {
-    return new PublicationExchange(replica, logger);
+   * @param options Its dependencies. */
+  static create(options: PublicationExchangeOptions): PublicationExchange {
+    return new PublicationExchange(options);
   }
 
   /** Responds with the parts of the publication that the requesting host may lack.
@@ -113,19 +125,41 @@
 
   private async fetchNow(peerId: string, address: string): Promise<void> {
     this.isFetching = true;
-    this.lastFetchAt = readClock();
+    const requestedAt = readClock();
+    this.lastFetchAt = requestedAt;
+    const before = { ...describe(this.replica), requestedAt };
     try {
-      await this.fetchState(peerId, address, readClock());
+      await this.fetchState(peerId, address, requestedAt);
+      this.logLearned(peerId, before);
+      this.options.onFetched?.("learned");
     } catch (error) {
+      const reason = (error as Error).message;
+      const tookMs = Math.round(readClock() - requestedAt);
       this.logger.info(
-        { peer: peerId, reason: (error as Error).message },
+        { peer: peerId, reason, tookMs, ageMs: describe(this.replica).ageMs },
         "publication_not_learned",
       );
+      this.options.onFetched?.("failed");
     } finally {
       this.isFetching = false;
     }
   }
 
+  private logLearned(
+    peer: string,
+    before: { revision: number; ageMs: number; requestedAt: number },
+  ): void {
+    const { revision, ageMs } = describe(this.replica);
+    this.logger.info({
+      peer,
+      tookMs: Math.round(readClock() - before.requestedAt),
+      revisionBefore: before.revision,
+      revision,
+      ageBeforeMs: before.ageMs,
+      ageMs,
+    }, "publication_learned");
+  }
+
   /** Returns the packed configuration, cached per version because many hosts ask for it at the same time. */
   private pack(configuration: PublishedConfiguration): Buffer {
     const { version } = configuration;
@@ -161,3 +195,10 @@
       rest.completeUpTo >= this.replica.revision;
   }
 }
+
+/** Returns how much of the publication is known, for the log. */
+function describe(
+  { revision, ageMs }: PublicationReplica,
+): { revision: number; ageMs: number } {
+  return { revision: getRevision(revision), ageMs: Math.round(ageMs) };
+}
--- a/src/gateway/upstream_chooser.ts
+++ b/src/gateway/upstream_chooser.ts
@@ -186,6 +186,8 @@
         this.getRetryAfterMs(service, origin),
       canContinue: (origin) => this.upstreams.canContinue(origin),
       placePrompt: (call, target) => this.promptPlacer.place(call, target),
+      getPublicationAgeMs: () =>
+        this.readNow() - this.options.getCompleteUntil(),
       recordSend: (choice) => this.recordSend(choice),
       recordCompletion: (call, durationMs) => {
         const { service, route } = call;
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -190,6 +190,7 @@
       admit: admit ?? (() => START),
       getRetryAfterMs: () => retryAfterMs,
       placePrompt: () => undefined,
+      getPublicationAgeMs: () => 0,
       recordSend: ({ upstream }) =>
         loads.getSnapshot(upstream, performance.now()),
       recordCompletion: () => undefined,
--- a/tests/forward/sent_request_log_test.ts
+++ b/tests/forward/sent_request_log_test.ts
@@ -5,7 +5,7 @@
 import type { RoutedCall } from "../../src/forward/routed_call.ts";
 import { Upstream } from "../../src/upstreams/upstream.ts";
 
-test("a sent request is logged with the upstream's software version, the stream that it resumes and its prompt parts", (t) => {
+test("a sent request is logged with the upstream's software version, the age of the publication, the stream that it resumes and its prompt parts", (t) => {
   const lines: Record<string, unknown>[] = [];
   const output = new Writable({
     write: (chunk, _encoding, done) => {
@@ -43,12 +43,14 @@
       reported: undefined,
       reportAgeMs: undefined,
     },
+    publicationAgeMs: 812.4,
     prompt: undefined,
   });
   t.like(lines[0], {
     msg: "request_sent",
     upstream: "u-1",
     softwareVersion: "v1.2",
+    publicationAgeMs: 812,
     resumesAfter: "7",
     resumesRequest: "r-1",
     parts: "17,18",
--- a/tests/gateway/publication_exchange_test.ts
+++ b/tests/gateway/publication_exchange_test.ts
@@ -60,13 +60,16 @@
   peerReplica = createReplicaOf(1),
 ): Promise<void> {
   const askedAfter: string[] = [];
-  const served = PublicationExchange.create(peerReplica, LOGGER);
+  const served = PublicationExchange.create({
+    replica: peerReplica,
+    logger: LOGGER,
+  });
   const { server, port } = await listenHttp((request, response) => {
     const url = new URL(request.url ?? "/", "http://peer");
     askedAfter.push(url.searchParams.get("after") ?? "");
     served.respond(response, url.searchParams);
   });
-  const exchange = PublicationExchange.create(replica, LOGGER);
+  const exchange = PublicationExchange.create({ replica, logger: LOGGER });
   try {
     await body(
       () => exchange.fetch("g-1", `127.0.0.1:${port}`),
