Test that outdated publications are not used, failing

A paused host sends requests to upstreams that have left meanwhile and routes by configurations that are not in force any more. A host whose fetch of the publication gets no response asks no other host. A watcher that was paused takes a whole long poll to know whether its publication is complete.

--- a/tests/gateway/publication_exchange_test.ts
+++ b/tests/gateway/publication_exchange_test.ts
@@ -56,6 +56,7 @@
   body: (
     fetch: () => Promise<void>,
     askedAfter: readonly string[],
+    exchange: PublicationExchange,
   ) => Promise<void>,
   peerReplica = createReplicaOf(1),
 ): Promise<void> {
@@ -74,6 +75,7 @@
     await body(
       () => exchange.fetch("g-1", `127.0.0.1:${port}`),
       askedAfter,
+      exchange,
     );
   } finally {
     await exchange.close();
@@ -121,3 +123,17 @@
     t.deepEqual(askedAfter, ["9", "0"]);
   }, createReplicaOf(9, "a", "b"));
 });
+
+// Guards against fetches that take the place of others while one gets no response.
+test("a change is learned from one host while another that was asked for it does not respond", async (t) => {
+  const silent = await listenHttp(() => undefined);
+  const replica = createReplicaOf(1);
+  await withPeer(replica, async (fetch, _askedAfter, exchange) => {
+    const unanswered = exchange.fetch("g-2", `127.0.0.1:${silent.port}`);
+    await fetch();
+    await waitUntil("the change is learned", () => replica.revision === 2);
+    t.is(replica.revision, 2);
+    await unanswered;
+  }, createReplicaOf(2, "u"));
+  await closeHttp(silent.server);
+});
--- a/tests/gateway/suspension_test.ts
+++ b/tests/gateway/suspension_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { afterSuspension } from "../clock/after_suspension.ts";
 import { waitUntil } from "../system/with_fleet.ts";
 import { call } from "./call.ts";
 import { withGateways } from "./with_gateways.ts";
@@ -7,17 +8,6 @@
 /** Longer than the time after which revoked keys are no longer accepted in these tests. */
 const SUSPENSION_MS = 10_000;
 
-/** Runs a test body after the wall clock advanced and the monotonic clock did not, as after a suspension. */
-async function afterSuspension(body: () => Promise<void>): Promise<void> {
-  const readWallClock = Date.now;
-  Date.now = () => readWallClock() + SUSPENSION_MS;
-  try {
-    await body();
-  } finally {
-    Date.now = readWallClock;
-  }
-}
-
 test.serial("a resumed host accepts no key until its publication is up to date again", async (t) => {
   await withGateways(async (fleet) => {
     const worker = await fleet.startWorker("s");
@@ -29,7 +19,7 @@
     );
     const before = worker.arrivals.length;
     fleet.store.behaviour = "silent";
-    await afterSuspension(async () => {
+    await afterSuspension(SUSPENSION_MS, async () => {
       const refused = await call(gateway, KEY);
       t.is(refused.status, 503);
       t.truthy(refused.headers["retry-after"]);
--- /dev/null
+++ b/tests/published/feed_watcher_test.ts
@@ -0,0 +1,99 @@
+import test from "ava";
+import { pino } from "pino";
+import { FeedWatcher } from "../../src/published/feed_watcher.ts";
+import type {
+  PublicationChanges,
+  PublicationFeed,
+} from "../../src/published/publication_feed.ts";
+import { PublicationReplica } from "../../src/published/publication_replica.ts";
+import { afterSuspension } from "../clock/after_suspension.ts";
+import { waitUntil } from "../system/with_fleet.ts";
+import { buildConfiguration, buildUpstream } from "./build_published.ts";
+
+const LOGGER = pino({ level: "silent" });
+const WATCH_MS = 1_000;
+const PAUSE_MS = 2_500;
+
+interface PendingWatch {
+  waitMs: number;
+  respond: (changes: Partial<PublicationChanges>) => void;
+}
+
+/** Feed whose watches a test responds to. */
+class TestFeed implements PublicationFeed {
+  readonly watches: PendingWatch[] = [];
+
+  readSnapshot() {
+    return Promise.resolve({
+      revision: 1,
+      configuration: buildConfiguration(),
+      upstreams: [],
+      evacuations: [],
+      problems: [],
+    });
+  }
+
+  watch(after: number, waitMs: number): Promise<PublicationChanges> {
+    return new Promise((resolve) =>
+      this.watches.push({
+        waitMs,
+        respond: (changes) =>
+          resolve({
+            revision: after,
+            configuration: undefined,
+            upstreams: [],
+            evacuations: [],
+            problems: [],
+            ...changes,
+          }),
+      })
+    );
+  }
+
+  readHistory(): never {
+    throw new Error("not used");
+  }
+
+  close() {
+    return Promise.resolve();
+  }
+}
+
+// Guards against a host that serves by what it knew before a pause for the time of a whole long poll.
+test.serial("a watcher that was paused learns without a long poll whether its publication is complete", async (t) => {
+  const feed = new TestFeed();
+  const replica = PublicationReplica.create({
+    logger: LOGGER,
+    onConfiguration: () => undefined,
+    onNewEra: () => undefined,
+    onUpstreamChanges: () => undefined,
+    onEvacuations: () => undefined,
+    onObservationGap: () => undefined,
+  });
+  const watcher = FeedWatcher.create({
+    feed,
+    replica,
+    logger: LOGGER,
+    watchMs: WATCH_MS,
+    getRetryMs: () => 10,
+    batchDelayMs: 10,
+    getIdleCheckMs: () => 10,
+    shouldWatch: () => true,
+  });
+  await waitUntil("the first watch", () => feed.watches.length === 1);
+  await afterSuspension(PAUSE_MS, async () => {
+    const upstream = buildUpstream({ id: "u" });
+    feed.watches[0]!.respond({
+      revision: 2,
+      upstreams: [{ id: "u", revision: 2, upstream }],
+    });
+    await waitUntil("the second watch", () => feed.watches.length === 2);
+    t.is(feed.watches[1]!.waitMs, 0);
+    feed.watches[1]!.respond({});
+    await waitUntil("the third watch", () => feed.watches.length === 3);
+    t.true(replica.ageMs < WATCH_MS);
+    t.is(feed.watches[2]!.waitMs, WATCH_MS);
+  });
+  watcher.close();
+  feed.watches[2]!.respond({});
+});
