Ask another host for the publication while one does not respond

Callers' requests reached an upstream 3.0 to 3.4 s after it had said that it leaves.

At most two hosts are asked at a time now, still at most one in 400 ms, and of the hosts named within that interval the last one. The test failed before: the change was not learned until the first fetch timed out.

--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -39,6 +39,10 @@
  * within which changes have to be in force. */
 const MIN_FETCH_INTERVAL_MS = 400;
 
+/** Maximum number of hosts that are asked at a time, so that one that does not respond does not delay the changes that
+ * another knows. */
+const MAX_CONCURRENT_FETCHES = 2;
+
 const stateSchema = z.object({
   /** The configuration as `packConfiguration` writes it. */
   configuration: z.instanceof(Uint8Array).optional(),
@@ -61,10 +65,13 @@
 /** Exchanges the publication with other hosts. */
 export class PublicationExchange {
   private readonly client = MsgpackClient.create(RESPONSE_TIMEOUT_MS);
-  private isFetching = false;
+  /** Ids of the hosts that have not responded yet. */
+  private readonly running = new Set<string>();
   private lastFetchAt = -Infinity;
   /** Pending fetch that was requested before the minimum interval was over. */
   private deferredFetch: NodeJS.Timeout | undefined;
+  /** The host that the pending fetch asks. */
+  private nextPeer: { peerId: string; address: string } | undefined;
   private needsFullState = false;
   private packedConfiguration: { version: number; bytes: Buffer } | undefined;
 
@@ -101,18 +108,14 @@
   }
 
   /** Fetches from a host what may be missing here, at the end of the minimum interval if the last fetch was just before.
-   * Does nothing while another fetch is in progress or pending, because all hosts would send the same.
+   * Of several hosts that are named within the interval, the last one is asked.
    * @param peerId Id of the host.
    * @param address Peer address of the host, as ip:port. */
   async fetch(peerId: string, address: string): Promise<void> {
-    if (this.isFetching || this.deferredFetch) return;
     const waitMs = this.lastFetchAt + MIN_FETCH_INTERVAL_MS - readClock();
-    if (waitMs > 0 && this.replica.routes !== undefined) {
-      this.deferredFetch = setTimeout(() => {
-        this.deferredFetch = undefined;
-        void this.fetchNow(peerId, address);
-      }, waitMs);
-      return;
+    const hasConfiguration = this.replica.routes !== undefined;
+    if (waitMs > 0 && (hasConfiguration || this.running.size > 0)) {
+      return this.defer(peerId, address, waitMs);
     }
     await this.fetchNow(peerId, address);
   }
@@ -123,8 +126,19 @@
     await this.client.close();
   }
 
+  private defer(peerId: string, address: string, waitMs: number): void {
+    this.nextPeer = { peerId, address };
+    this.deferredFetch ??= setTimeout(() => {
+      this.deferredFetch = undefined;
+      const { peerId: id, address: nextAddress } = this.nextPeer!;
+      void this.fetchNow(id, nextAddress);
+    }, waitMs);
+  }
+
   private async fetchNow(peerId: string, address: string): Promise<void> {
-    this.isFetching = true;
+    const isBusy = this.running.size >= MAX_CONCURRENT_FETCHES;
+    if (isBusy || this.running.has(peerId)) return;
+    this.running.add(peerId);
     const requestedAt = readClock();
     this.lastFetchAt = requestedAt;
     const before = { ...describe(this.replica), requestedAt };
@@ -141,7 +155,7 @@
       );
       this.options.onFetched?.("failed");
     } finally {
-      this.isFetching = false;
+      this.running.delete(peerId);
     }
   }
 
