Do not take a pause of the host for an outage of the platform

A host that was paused or late and then read the platform itself took the gap for an outage: it went on using upstreams whose entries were gone for up to 2.2 s after it had learned that, and told other hosts to do so. Callers' requests then reach upstreams that have left. The age of what is known does not show an outage; only a read that failed after that does. Both tests failed before.

--- a/src/published/platform_outage.ts
+++ b/src/published/platform_outage.ts
@@ -6,6 +6,7 @@
  * show that: this host may have been paused, or late. */
 export class PlatformOutage {
   private observedAt = -Infinity;
+  private failedAt = -Infinity;
 
   private constructor() {}
 
@@ -18,6 +19,7 @@
    * @param moment Monotonic milliseconds at which that was so. */
   recordFailure(moment: number): void {
     this.observedAt = Math.max(this.observedAt, moment);
+    this.failedAt = Math.max(this.failedAt, moment);
   }
 
   /** Records that the platform has responded to a host. */
@@ -25,6 +27,12 @@
     this.observedAt = -Infinity;
   }
 
+  /** Whether the platform did not respond after a moment, even if it does now.
+   * @param moment Monotonic milliseconds. */
+  hasFailedSince(moment: number): boolean {
+    return this.failedAt > moment;
+  }
+
   /** Whether the platform did not respond a short time ago.
    * @param now Monotonic milliseconds. */
   isObserved(now: number): boolean {
--- a/src/published/publication_replica.ts
+++ b/src/published/publication_replica.ts
@@ -244,12 +244,13 @@
   }
 
   /** Detects the end of an outage in a response of the platform: the received data is recent while the known data is
-   * old.
+   * old, and the platform has not responded meanwhile.
    * @param moment Monotonic milliseconds up to which everything is known now. */
   private detectOutageEnd(moment: number): void {
     const { ageMs } = this;
     const isRecent = readClock() - moment < OUTAGE_AGE_MS;
     if (!isRecent || ageMs < OUTAGE_AGE_MS || !Number.isFinite(ageMs)) return;
+    if (!this.outage.hasFailedSince(readClock() - ageMs)) return;
     this.recoveredAt = readClock();
     this.options.logger.info(
       { ageMs: Math.round(ageMs) },
--- a/tests/published/publication_replica_test.ts
+++ b/tests/published/publication_replica_test.ts
@@ -61,10 +61,27 @@
   };
 }
 
+// Guards against requests to upstreams that left while a host was paused.
+test("a host that was paused does not take the pause for an outage of the platform", (t) => {
+  const replica = createReplica();
+  applySnapshot(replica, performance.now() - LONG_AGO_MS);
+  applySnapshot(replica, performance.now());
+  t.true(replica.lapseEndsAt < performance.now());
+});
+
+test("an outage of the platform before what is known does not count as one after it", (t) => {
+  const replica = createReplica();
+  replica.recordOutage(performance.now() - 2 * LONG_AGO_MS);
+  applySnapshot(replica, performance.now() - LONG_AGO_MS);
+  applySnapshot(replica, performance.now());
+  t.true(replica.lapseEndsAt < performance.now());
+});
+
 test("after an outage of the platform, missing entries may only have lapsed, but not after the first start", (t) => {
   const replica = createReplica();
   applySnapshot(replica, performance.now() - LONG_AGO_MS);
   t.true(replica.lapseEndsAt < performance.now());
+  replica.recordOutage(performance.now());
   applySnapshot(replica, performance.now());
   t.true(replica.lapseEndsAt > performance.now());
 });
@@ -72,6 +89,7 @@
 test("a peer that has seen an outage passes on the remaining time in which entries may only have lapsed", (t) => {
   const observer = createReplica();
   applySnapshot(observer, performance.now() - LONG_AGO_MS);
+  observer.recordOutage(performance.now());
   applySnapshot(observer, performance.now());
   const { lapseMs } = observer.getState();
   t.true(lapseMs > 0);
