Let no single entry decide whether upstreams must publish a start time

Where upstreams publish no start time, one entry of another writer that has one (2^53-1, all else sound) made hosts drop every upstream, and after a restart 0 of 30 requests were served: the first entry with the field made the decoder require it of all, for the life of the process.

--- a/src/upstreams/upstream_table.ts
+++ b/src/upstreams/upstream_table.ts
@@ -7,7 +7,9 @@
 import type { AvailabilityChange } from "./availability.ts";
 import { isSameInstance } from "../published/is_same_instance.ts";
 import { logAvailabilityChange } from "./log_availability_change.ts";
+import { requiresStartTime } from "./requires_start_time.ts";
 import { RememberedInstances } from "./remembered_instances.ts";
+import { UnlistedUpstreams } from "./unlisted_upstreams.ts";
 import { Upstream } from "./upstream.ts";
 import type { UpstreamNetwork } from "./upstream_network.ts";
 import { VersionHistory } from "./version_history.ts";
@@ -18,10 +20,6 @@
 /** Time after the announcement that an upstream leaves in which it still gets requests that only it can serve, as a
  * fraction of the leave timeout; the rest covers the time that a request takes to reach it. */
 const LEAVE_GRACE_FRACTION = 0.75;
-/** Time for which an upstream that is no longer listed counts as present, in milliseconds. Leaving upstreams continue
- * to serve slightly longer than the two seconds after which they get no new requests. */
-const UNLISTED_TTL_MS = 3_000;
-
 /** Time for which a crashed upstream gets no requests, in milliseconds; about as long as its entry remains listed and a
  * restart takes. */
 const CRASH_EXCLUSION_MS = 3_000;
@@ -54,9 +52,9 @@
   private readonly byId = new Map<string, Upstream>();
   private readonly byInstanceHash = new Map<number, Upstream>();
   private readonly byService = new Map<string, Upstream[]>();
-  /** Upstreams that are no longer listed, with the monotonic milliseconds of their removal. */
-  private readonly unlisted = new Map<Upstream, number>();
+  private readonly unlisted = UnlistedUpstreams.create();
   private readonly rememberedInstances = RememberedInstances.create();
+  private startTimeIsRequired = false;
   private evacuatedHalls: ReadonlySet<string> = new Set();
 
   private constructor(private readonly options: UpstreamTableOptions) {
@@ -73,8 +71,8 @@
   }
 
   /** Returns all upstreams. */
-  getAll(): Iterable<Upstream> {
-    return this.byId.values();
+  getAll(): Upstream[] {
+    return [...this.byService.values()].flat();
   }
 
   /** Returns the upstream with an instance hash, if there is one.
@@ -171,14 +169,8 @@
    * entry disappeared so recently that they still answer other upstreams.
    * @param service Name of the service. */
   getPresent(service: string): readonly Upstream[] {
-    const now = readClock();
-    for (const [upstream, removedAt] of this.unlisted) {
-      if (now - removedAt > UNLISTED_TTL_MS) this.unlisted.delete(upstream);
-    }
-    const departed = [...this.unlisted.keys()].filter((upstream) =>
-      upstream.published.service === service
-    );
-    return [...this.byService.get(service) ?? [], ...departed];
+    const unlisted = this.unlisted.getPresent(service, readClock());
+    return [...this.byService.get(service) ?? [], ...unlisted];
   }
 
   /** Applies changes of the published list.
@@ -203,7 +195,7 @@
     if (this.byId.get(upstream.id) !== upstream) return;
     this.byId.delete(upstream.id);
     this.byInstanceHash.delete(upstream.instanceHash);
-    this.rebuildService(upstream.published.service);
+    this.rebuildServices();
     upstream.isRemoved = true;
     this.versions.recordDeparture(upstream);
     this.rememberedInstances.remember(upstream);
@@ -253,7 +245,7 @@
     current.recordWarmUp(published.warmUpMs ?? 0, readClock());
     this.byId.set(current.id, current);
     this.byInstanceHash.set(current.instanceHash, current);
-    this.rebuildService(published.service);
+    this.rebuildServices();
   }
 
   /** Removes an upstream whose id now belongs to another instance, with its state. */
@@ -297,7 +289,7 @@
 
   /** Removes an upstream that is no longer listed; it still counts as present for a short time. */
   private removeUnlisted(upstream: Upstream): void {
-    this.unlisted.set(upstream, readClock());
+    this.unlisted.add(upstream, readClock());
     this.remove(upstream);
   }
 
@@ -305,10 +297,28 @@
     upstream.isEvacuated = this.evacuatedHalls.has(upstream.published.hall);
   }
 
-  private rebuildService(service: string): void {
-    const upstreams = [...this.byId.values()].filter((upstream) =>
-      upstream.published.service === service
+  /** Groups the upstreams by service, without the entries that are no upstreams. */
+  private rebuildServices(): void {
+    const listed = [...this.byId.values()];
+    const isRequired = requiresStartTime(listed);
+    if (isRequired !== this.startTimeIsRequired) {
+      this.logRequirement(isRequired);
+    }
+    this.byService.clear();
+    for (const upstream of listed) {
+      const { service, startedAt } = upstream.published;
+      if (isRequired && startedAt === undefined) continue;
+      const others = this.byService.get(service);
+      if (others) others.push(upstream);
+      else this.byService.set(service, [upstream]);
+    }
+  }
+
+  private logRequirement(isRequired: boolean): void {
+    this.startTimeIsRequired = isRequired;
+    this.options.logger.info(
+      { isRequired, upstreams: this.byId.size },
+      "start_time_requirement_changed",
     );
-    this.byService.set(service, upstreams);
   }
 }
--- a/tests/gateway/worker_entry_test.ts
+++ b/tests/gateway/worker_entry_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { buildWorkerEntry } from "../../fakes/worker_entry.ts";
 import { respondSuccessfully } from "../../fakes/fake_worker.ts";
 import { waitUntil } from "../system/with_fleet.ts";
 import { call } from "./call.ts";
@@ -53,3 +54,34 @@
     t.true(healthy.arrivals.length >= CALLS);
   });
 });
+
+// Guards against the loss of all workers by one entry of another writer.
+test("workers that publish no start time are used beside an entry that has one", async (t) => {
+  await withGateways(async (fleet) => {
+    const workers = await fleet.startWorkers("s", 2);
+    for (const worker of workers) {
+      const { address, id } = worker;
+      const entry = {
+        service: "s",
+        address,
+        state: "ready",
+        slots: 8,
+      } as const;
+      const { born: _, ...published } = buildWorkerEntry({
+        ...entry,
+        startedAt: 0,
+      });
+      worker.startedAt = 0;
+      fleet.store.put(`servers/${id}`, published);
+    }
+    const odd = { address: "127.0.0.1:9", state: "ready", slots: 8 } as const;
+    fleet.store.put(
+      "servers/odd",
+      buildWorkerEntry({ ...odd, service: "other", startedAt: 5 }),
+    );
+    fleet.publishConfiguration(1, [KEY]);
+    const gateway = await fleet.startGateway();
+    await waitForStatus(gateway, KEY, 200);
+    t.true(workers.some(({ arrivals }) => arrivals.length > 0));
+  });
+});
--- a/tests/upstreams/upstream_table_test.ts
+++ b/tests/upstreams/upstream_table_test.ts
@@ -148,3 +148,34 @@
   list(5, 6);
   t.is(table.getServing("s").length, 1);
 });
+
+/** Lists upstreams in a table, with or without a start time by their ids. */
+function listStarts(
+  table: UpstreamTable,
+  starts: Readonly<Record<string, number | undefined>>,
+): string[] {
+  table.apply(
+    Object.entries(starts).map(([id, startedAt], index) => ({
+      id,
+      revision: index,
+      upstream: buildUpstream({ id, startedAt }),
+    })),
+  );
+  return table.getServing("s").map(({ id }) => id);
+}
+
+// Guards against the loss of all upstreams by one entry of another writer.
+test("one entry with a start time does not exclude upstreams that publish none", (t) => {
+  const table = createTable(-1);
+  const starts = { a: undefined, b: undefined, odd: 1, c: undefined };
+  t.deepEqual(listStarts(table, starts), ["a", "b", "odd", "c"]);
+  t.is([...table.getAll()].length, 4);
+});
+
+test("an entry without a start time is not used where others have one, and is used once most have none", (t) => {
+  const table = createTable(-1);
+  t.deepEqual(listStarts(table, { odd: undefined, a: 1 }), ["a"]);
+  t.is([...table.getAll()].length, 1);
+  const more = { b: undefined, c: undefined };
+  t.deepEqual(listStarts(table, more).sort(), ["a", "b", "c", "odd"]);
+});
