Continue no unknown stream at the only known version before all upstreams are known

During a release, a host that was out of step (cut off from the others, or late) took up streams that had begun at upstreams of a new version, which it did not know yet, and continued them at the old one: with no record of a stream and one known version, it inferred that version from a publication up to 2.2 s old, or from other hosts, which may be late as well. A test shows it: a stream is resumed while a version joins unnoticed, and was continued (200 for 503).

The version is now inferred only if every upstream is known that was published before the resume was received. The host waits up to 1 s for that and looks the stream up again; while the platform does not respond to any host, another host must have responded.

--- a/src/gateway/create_call_handler.ts
+++ b/src/gateway/create_call_handler.ts
@@ -83,7 +83,9 @@
     logger,
     lookUp: (question) => getPeerNetwork()?.streams.lookUp(question),
     canContinue: (origin) => chooser.upstreams.canContinue(origin),
-    isPublicationRecent: () => replica.isRecent,
+    awaitPublication: (moment, limitMs) =>
+      parts.gate.waitUntilComplete(moment, limitMs),
+    isPlatformUnavailable: () => replica.isPlatformUnavailable,
     awaitHistory: parts.awaitVersions,
     onDecision: (decision) => metrics.recordResume(decision),
   });
--- a/src/gateway/stream_resumer.ts
+++ b/src/gateway/stream_resumer.ts
@@ -23,6 +23,9 @@
 /** The same silence, as a multiple of the objectives of the route: for the first event, and for the gap between two. */
 const ABANDON_OBJECTIVES = { firstEvent: 4, gap: 8 } as const;
 
+/** Maximum wait for the publication to be complete up to a resume, in milliseconds: as long as a long poll. */
+const PUBLICATION_TIMEOUT_MS = 1_000;
+
 /** Result of a lookup on a host that knows nothing yet. */
 const NO_KNOWLEDGE: StreamLookupResult = {
   record: undefined,
@@ -40,8 +43,11 @@
     question: StreamQuestion,
   ) => Promise<StreamLookupResult> | undefined;
   canContinue: UpstreamAccess["canContinue"];
-  /** Whether this host knows the upstreams that others do, although none responds. */
-  isPublicationRecent: () => boolean;
+  /** Waits until every upstream is known that was published before a time of this process; resolves with whether all
+   * are. */
+  awaitPublication: (moment: number, limitMs: number) => Promise<boolean>;
+  /** Whether the platform is known not to respond. */
+  isPlatformUnavailable: () => boolean;
   /** Resolves when this host has learned which versions have served before it started, or after a short time; undefined
    * if it is not learning. */
   awaitHistory?: () => Promise<void> | undefined;
@@ -76,17 +82,22 @@
     const startedAt = readClock();
     const key = getNamedKey(call);
     const withinMs = getOriginWindowMs(call.route);
-    const lookup = await this.lookUp({
+    const question = {
       key: key ?? createStreamKey(call.customer, call.requestId),
       service: call.service,
       withinMs,
-    });
+    };
+    const { lookup, isPublicationComplete } = await this.lookUpCompletely(
+      question,
+      startedAt,
+    );
     const decided = decideResume({
       service: call.service,
       route: call.route,
       lookup,
       withinMs,
-      isPublicationRecent: this.options.isPublicationRecent(),
+      isPublicationComplete,
+      isPlatformUnavailable: this.options.isPlatformUnavailable(),
       canContinue: this.options.canContinue,
     });
     const { decision, record, continues } = decided;
@@ -97,6 +108,22 @@
       : Err(Failure.create("stream_unresumable", decision));
   }
 
+  /** Looks up a stream; once more if only the known versions tell where it began, when all that served are known. */
+  private async lookUpCompletely(
+    question: StreamQuestion,
+    startedAt: number,
+  ): Promise<{ lookup: StreamLookupResult; isPublicationComplete: boolean }> {
+    const lookup = await this.lookUp(question);
+    if (lookup.record || lookup.versions.length !== 1) {
+      return { lookup, isPublicationComplete: false };
+    }
+    const isPublicationComplete = await this.options.awaitPublication(
+      startedAt,
+      PUBLICATION_TIMEOUT_MS,
+    );
+    return { lookup: await this.lookUp(question), isPublicationComplete };
+  }
+
   /** Looks up a stream; once more if nothing is known of it while this host is still learning which versions served. */
   private async lookUp(question: StreamQuestion): Promise<StreamLookupResult> {
     const { lookUp, awaitHistory } = this.options;
--- a/src/published/publication_gate.ts
+++ b/src/published/publication_gate.ts
@@ -45,20 +45,40 @@
 
   /** Waits until a request may be routed; returns whether one may be.
    * @param limitMs Maximum wait in milliseconds. */
-  async waitUntilOpen(limitMs: number): Promise<boolean> {
-    if (this.isOpen) return true;
-    let release: () => void = () => undefined;
-    const opened = new Promise<void>((resolve) => release = resolve);
-    this.waiting.add(release);
-    await waitAtMost(opened, limitMs);
-    this.waiting.delete(release);
-    return this.isOpen;
+  waitUntilOpen(limitMs: number): Promise<boolean> {
+    return this.waitUntil(() => this.isOpen, limitMs);
+  }
+
+  /** Waits until every change before a moment is known; returns whether it is.
+   * @param moment Monotonic milliseconds.
+   * @param limitMs Maximum wait in milliseconds. */
+  waitUntilComplete(moment: number, limitMs: number): Promise<boolean> {
+    const { publication } = this.options;
+    return this.waitUntil(
+      () => readClock() - publication.ageMs >= moment,
+      limitMs,
+    );
   }
 
   /** Continues what waits, if that is possible now. Called when more is known of the publication or the platform. */
   recheck(): void {
-    if (this.waiting.size === 0 || !this.isOpen) return;
-    for (const release of this.waiting) release();
+    for (const check of [...this.waiting]) check();
+  }
+
+  private async waitUntil(
+    isReached: () => boolean,
+    limitMs: number,
+  ): Promise<boolean> {
+    if (isReached()) return true;
+    let release: () => void = () => undefined;
+    const reached = new Promise<void>((resolve) => release = resolve);
+    const check = () => {
+      if (isReached()) release();
+    };
+    this.waiting.add(check);
+    await waitAtMost(reached, limitMs);
+    this.waiting.delete(check);
+    return isReached();
   }
 
   private decide(): PublicationUse {
--- a/src/streams/decide_resume.ts
+++ b/src/streams/decide_resume.ts
@@ -26,8 +26,10 @@
   lookup: StreamLookupResult;
   /** Time within which the stream began, in milliseconds. */
   withinMs: number;
-  /** Whether this host knows the upstreams that others do, although none responds. */
-  isPublicationRecent: boolean;
+  /** Whether this host knows every upstream that was published before the stream was resumed. */
+  isPublicationComplete: boolean;
+  /** Whether the platform is known not to respond. */
+  isPlatformUnavailable: boolean;
   /** Whether an upstream could continue a stream now or after a backoff. */
   canContinue: (origin: StreamOrigin) => boolean;
 }
@@ -54,13 +56,15 @@
 }
 
 /** Infers where an unknown stream began: at the only version that can have served. Some host must have observed the
- * service for long enough, and none may know of another version. */
-function inferRecord(
-  { service, lookup, withinMs, isPublicationRecent }: ResumeInputs,
-): StreamRecord | undefined {
-  const { versions, observedMs, askedHosts, responses } = lookup;
-  const knowsOthers = askedHosts === 0 || responses > 0 || isPublicationRecent;
-  return knowsOthers && observedMs >= withinMs && versions.length === 1
+ * service for long enough, and none may know of another version. Upstreams of another version may have joined that only
+ * the host knew which began the stream; while the platform does not respond, other hosts must confirm that there are
+ * none. */
+function inferRecord(inputs: ResumeInputs): StreamRecord | undefined {
+  const { service, lookup, withinMs } = inputs;
+  const { versions, observedMs, responses } = lookup;
+  const knowsAll = inputs.isPublicationComplete ||
+    (inputs.isPlatformUnavailable && responses > 0);
+  return knowsAll && observedMs >= withinMs && versions.length === 1
     ? { service, softwareVersion: versions[0], order: 0 }
     : undefined;
 }
--- a/tests/gateway/stream_version_test.ts
+++ b/tests/gateway/stream_version_test.ts
@@ -241,6 +241,30 @@
   });
 });
 
+// Guards against streams of two versions at a host that is out of step while a version joins.
+test("a stream that no host knows is not continued at the only known version while another may have joined", async (t) => {
+  await withGateways(async (fleet) => {
+    await fleet.startWorkers("s", 3, "v1");
+    fleet.publishConfiguration(3, [KEY], RESUMABLE);
+    const gateway = await fleet.startGateway();
+    await waitUntilServing(gateway);
+    const buildUnknown = (requestId: string) => (
+      { requestId, lastEventId: "2", version: "v1" }
+    );
+    for (const worker of fleet.workers) {
+      worker.behaviour = streamEvents(() => "none");
+    }
+    t.is((await resume(gateway, buildUnknown("before"))).status, 200);
+    const arrivals = countArrivals(fleet);
+    fleet.store.behaviour = "silent";
+    const { calls } = fleet.store;
+    await waitUntil("a watch is not answered", () => fleet.store.calls > calls);
+    await fleet.startWorker("s", "h", 4, "v2");
+    t.is((await resume(gateway, buildUnknown("after"))).status, 503);
+    t.is(countArrivals(fleet), arrivals);
+  });
+});
+
 /** Sends requests until one reaches an upstream. */
 async function waitUntilChosen(
   t: ExecutionContext,
--- a/tests/streams/decide_resume_test.ts
+++ b/tests/streams/decide_resume_test.ts
@@ -25,7 +25,8 @@
     route: { shares: [{ service: "s", weight: 1 }] },
     lookup: { ...LOOKUP, ...lookup },
     withinMs: 10_000,
-    isPublicationRecent: false,
+    isPublicationComplete: true,
+    isPlatformUnavailable: false,
     canContinue: () => true,
     ...changes,
   };
@@ -70,18 +71,36 @@
     "unknown",
     buildInputs({ observedMs: 9_999 }),
   ],
-  "no record, no response and an old publication": [
+  "no record and upstreams that may have joined": [
     "unknown",
-    buildInputs({ responses: 0 }),
+    buildInputs({}, { isPublicationComplete: false }),
+  ],
+  "no record, no response and upstreams that may have joined": [
+    "unknown",
+    buildInputs({ responses: 0 }, { isPublicationComplete: false }),
   ],
-  "no record, no response and a recent publication": [
+  "no record, no response and a complete publication": [
     "single_version",
-    buildInputs({ responses: 0 }, { isPublicationRecent: true }),
+    buildInputs({ responses: 0 }),
   ],
   "no record and no other host": [
     "single_version",
     buildInputs({ askedHosts: 0, responses: 0 }),
   ],
+  "no record while the platform does not respond to any host": [
+    "single_version",
+    buildInputs({}, {
+      isPublicationComplete: false,
+      isPlatformUnavailable: true,
+    }),
+  ],
+  "no record while neither the platform nor a host responds": [
+    "unknown",
+    buildInputs({ responses: 0 }, {
+      isPublicationComplete: false,
+      isPlatformUnavailable: true,
+    }),
+  ],
 };
 
 for (const [description, [decision, inputs]] of Object.entries(CASES)) {
--- a/tests/streams/virtual_stream_host.ts
+++ b/tests/streams/virtual_stream_host.ts
@@ -43,7 +43,6 @@
   private readonly versions: VersionHistory;
   private readonly resumer: StreamResumer;
   private pendingHistory: Promise<void> | undefined;
-  private hasReadHistory = false;
 
   constructor(
     { address, hall, gossip, socket, timeline }: StartedHost,
@@ -78,7 +77,8 @@
       lookUp: (question) => this.directory.lookUp(question),
       canContinue: (origin) =>
         this.getAccepting().some((upstream) => isOfOrigin(upstream, origin)),
-      isPublicationRecent: () => this.hasReadHistory,
+      awaitPublication: () => Promise.resolve(true),
+      isPlatformUnavailable: () => false,
       awaitHistory: () => this.pendingHistory,
       onDecision: () => undefined,
     });
@@ -138,7 +138,6 @@
         this.versions.adopt(
           deriveVersionHistory(readHistory(), timeline.read()),
         );
-        this.hasReadHistory = true;
         this.pendingHistory = undefined;
         resolve();
       })
