Test that responses cut within their head or framing are not complete

Other operators saw 200 with a short body, framed as whole, when a worker stopped within the head of its response and closed. Not reproduced; the tests stay.

--- a/tests/upstream/upstream_client_test.ts
+++ b/tests/upstream/upstream_client_test.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from "node:http";
+import { createServer as createTcpServer } from "node:net";
 import { once } from "node:events";
 import type { AddressInfo } from "node:net";
 import test from "ava";
@@ -6,6 +7,7 @@
   UpstreamClient,
   type UpstreamRequest,
 } from "../../src/upstream/upstream_client.ts";
+import { buildResponseForms, WHOLE_BODY } from "../forward/cut_responses.ts";
 import { buildService } from "../owner/build_fleet.ts";
 
 /** Stall timeout longer than a test takes, in milliseconds. */
@@ -107,3 +109,41 @@
   t.is(await callUnframed(false), "half whole");
   t.regex(await callUnframed(true), /no length/);
 });
+
+/** Calls a service that sends the beginning of a response and then closes the connection in order; returns the body if
+ * it counts as complete. */
+async function callCut(
+  text: string,
+  length: number,
+): Promise<string | undefined> {
+  const server = createTcpServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => socket.end(text.slice(0, length)));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = UpstreamClient.create(buildService(port), STALL_TIMEOUT_MS);
+  const request = buildRequest(new AbortController().signal);
+  const body = await client.call({ ...request, repeatable: false }).then(
+    (response) => response.body.toString(),
+    () => undefined,
+  );
+  await client.close();
+  server.close();
+  return body;
+}
+
+// Guards against responses that are cut in their head or framing and passed on as complete.
+for (
+  const [form, text] of Object.entries(
+    buildResponseForms(["x-request-id: r-1"]),
+  )
+) {
+  test(`a response of a service with ${form} is complete only at its end`, async (t) => {
+    for (let length = 0; length < text.length; length++) {
+      t.is(await callCut(text, length), undefined, text.slice(0, length));
+    }
+    t.is(await callCut(text, text.length), WHOLE_BODY);
+  });
+}
