Repeat a read of the platform at once that failed because of a pause

A host that wakes from a pause has a read whose time is over, and waited 100 to 300 ms before the next one, while callers' requests wait at most 250 ms for it: late_request_test failed once in a run of its folder (503 for 200). The read now follows at once; the pause shows nothing about the platform.

--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -50,7 +50,7 @@
       poll: () => this.poll(),
       isActive: options.shouldWatch,
       getDelayMs: (outcome) =>
-        outcome === "idle" ? options.getIdleCheckMs() : options.getRetryMs(),
+        outcome === "idle" ? options.getIdleCheckMs() : this.getRetryMs(),
       onOutcome: (outcome, error) => this.handleOutcome(outcome, error),
     });
   }
@@ -123,10 +123,17 @@
   }
 
   private recordOutage(requestedAt: number): void {
-    const now = readClock();
-    const { replica, hasPausedWithin } = this.options;
-    if (hasPausedWithin?.(now - requestedAt)) return;
-    replica.recordOutage(now);
+    if (this.hasPausedSince(requestedAt)) return;
+    this.options.replica.recordOutage(readClock());
+  }
+
+  /** Returns the pause after a failed read: none if this process was paused meanwhile, so that the read failed of that. */
+  private getRetryMs(): number {
+    return this.hasPausedSince(this.startedAt) ? 0 : this.options.getRetryMs();
+  }
+
+  private hasPausedSince(moment: number): boolean {
+    return this.options.hasPausedWithin?.(readClock() - moment) ?? false;
   }
 
   private logProblems(problems: readonly string[]): void {
--- a/tests/published/feed_watcher_test.ts
+++ b/tests/published/feed_watcher_test.ts
@@ -1,6 +1,9 @@
 import test from "ava";
 import { pino } from "pino";
-import { FeedWatcher } from "../../src/published/feed_watcher.ts";
+import {
+  FeedWatcher,
+  type FeedWatcherOptions,
+} from "../../src/published/feed_watcher.ts";
 import type {
   PublicationChanges,
   PublicationFeed,
@@ -16,6 +19,7 @@
 
 interface PendingWatch {
   waitMs: number;
+  fail: () => void;
   respond: (changes: Partial<PublicationChanges>) => void;
 }
 
@@ -34,9 +38,10 @@
   }
 
   watch(after: number, waitMs: number): Promise<PublicationChanges> {
-    return new Promise((resolve) =>
+    return new Promise((resolve, reject) =>
       this.watches.push({
         waitMs,
+        fail: () => reject(new Error("no response")),
         respond: (changes) =>
           resolve({
             revision: after,
@@ -59,8 +64,9 @@
   }
 }
 
-// Guards against a host that serves by what it knew before a pause for the time of a whole long poll.
-test.serial("a watcher that was paused learns without a long poll whether its publication is complete", async (t) => {
+/** Starts a watcher, and waits for its first watch.
+ * @param options Its options that differ from the defaults. */
+async function startWatcher(options: Partial<FeedWatcherOptions> = {}) {
   const feed = new TestFeed();
   const replica = PublicationReplica.create({
     logger: LOGGER,
@@ -79,8 +85,15 @@
     batchDelayMs: 10,
     getIdleCheckMs: () => 10,
     shouldWatch: () => true,
+    ...options,
   });
   await waitUntil("the first watch", () => feed.watches.length === 1);
+  return { feed, replica, watcher };
+}
+
+// Guards against a host that serves by what it knew before a pause for the time of a whole long poll.
+test.serial("a watcher that was paused learns without a long poll whether its publication is complete", async (t) => {
+  const { feed, replica, watcher } = await startWatcher();
   await afterSuspension(PAUSE_MS, async () => {
     const upstream = buildUpstream({ id: "u" });
     feed.watches[0]!.respond({
@@ -97,3 +110,28 @@
   watcher.close();
   feed.watches[2]!.respond({});
 });
+
+// Guards against a paused host that takes its own pause for an outage of the platform.
+test("a read that failed because of a pause is repeated at once and shows no outage", async (t) => {
+  const { feed, replica, watcher } = await startWatcher({
+    hasPausedWithin: () => true,
+    getRetryMs: () => 3_600_000,
+  });
+  feed.watches[0]!.fail();
+  await waitUntil("the second watch", () => feed.watches.length === 2);
+  t.false(replica.isPlatformUnavailable);
+  watcher.close();
+  feed.watches[1]!.respond({});
+});
+
+test("a failed read shows an outage until the platform responds", async (t) => {
+  const { feed, replica, watcher } = await startWatcher();
+  feed.watches[0]!.fail();
+  await waitUntil("the second watch", () => feed.watches.length === 2);
+  t.true(replica.isPlatformUnavailable);
+  feed.watches[1]!.respond({});
+  await waitUntil("the third watch", () => feed.watches.length === 3);
+  t.false(replica.isPlatformUnavailable);
+  watcher.close();
+  feed.watches[2]!.respond({});
+});
