Derive long polls and late ages from the time within which changes must be in force

Where that time is 1.5 s, a publication that is updated in time reaches 1.4 s and would be outdated from 1.35 s on, so that requests wait in calm.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,7 +17,11 @@
 import { createChooser } from "./create_chooser.ts";
 import { GatewayEndpoints } from "./gateway_endpoints.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
-import { type GatewaySettings, pickRestartOnly } from "./gateway_settings.ts";
+import {
+  type GatewaySettings,
+  getApplyWithinMs,
+  pickRestartOnly,
+} from "./gateway_settings.ts";
 import { GracefulStop } from "./graceful_stop.ts";
 import { HostStatus } from "./host_status.ts";
 import { PeerExchanges } from "./peer_exchanges.ts";
@@ -296,11 +300,7 @@
     return PublicationGate.create({
       logger: this.logger,
       publication: this.replica,
-      getApplyWithinMs: () =>
-        Math.min(
-          this.settings.leaveWithinMs,
-          this.settings.configurationWithinMs,
-        ),
+      getApplyWithinMs: () => getApplyWithinMs(this.settings),
       onOutdated: () => this.peerNetwork?.updatePublication(),
     });
   }
@@ -310,6 +310,7 @@
       logger: this.logger,
       feed: this.dependencies.feed,
       replica: this.replica,
+      applyWithinMs: getApplyWithinMs(this.settings),
       getHostId: () => this.settings.id,
       getLiveHosts: () => this.getLiveHosts(),
       hasPausedWithin: (durationMs) => this.pauses.hasPausedWithin(durationMs),
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -47,6 +47,14 @@
 /** Settings of a gateway. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
 
+/** Returns the time within which all published changes must be in force, in milliseconds.
+ * @param settings The settings. */
+export function getApplyWithinMs(
+  { leaveWithinMs, configurationWithinMs }: GatewaySettings,
+): number {
+  return Math.min(leaveWithinMs, configurationWithinMs);
+}
+
 /** Settings that a running process keeps until its next start: its id and its addresses. */
 const RESTART_ONLY_FIELDS = [
   "id",
--- a/src/gateway/peer_network.ts
+++ b/src/gateway/peer_network.ts
@@ -16,7 +16,8 @@
 import type { PublicationReplica } from "../published/publication_replica.ts";
 import type { StreamDirectory } from "../streams/stream_directory.ts";
 import type { GatewayMetrics } from "./gateway_metrics.ts";
-import type { GatewaySettings } from "./gateway_settings.ts";
+import { getLateAgeMs } from "../published/publication_timing.ts";
+import { type GatewaySettings, getApplyWithinMs } from "./gateway_settings.ts";
 import { CrashExchange } from "./crash_exchange.ts";
 import { createStreamDirectory } from "./create_stream_directory.ts";
 import { HostExchange } from "./host_exchange.ts";
@@ -74,6 +75,7 @@
     const { gossipAddress } = options.getSettings();
     this.reconciler = PublicationReconciler.create({
       ...options,
+      lateAgeMs: getLateAgeMs(getApplyWithinMs(options.getSettings())),
       isSource: (hostId) =>
         !this.gossip.isLargeFleet || options.getSourceIds().includes(hostId),
     });
--- a/src/gateway/publication_reconciler.ts
+++ b/src/gateway/publication_reconciler.ts
@@ -3,9 +3,6 @@
 import type { PublicationReplica } from "../published/publication_replica.ts";
 import type { PublicationExchange } from "./publication_exchange.ts";
 
-/** Age of this host's copy from which it is fetched from any host whose copy is fresher, in milliseconds: more than it
- * reaches while its sources respond. */
-export const LATE_AGE_MS = 1_500;
 /** Minimum difference in age from which a host that is no source is asked for its copy, in milliseconds. Hosts that are
  * late themselves would otherwise be asked in place of sources. */
 const MIN_GAIN_MS = 500;
@@ -14,6 +11,8 @@
 export interface PublicationReconcilerOptions {
   replica: PublicationReplica;
   publicationExchange: PublicationExchange;
+  /** Age from which the local copy is late, in milliseconds. */
+  lateAgeMs: number;
   /** Whether this host learns of changes from a host, by its id. */
   isSource: (hostId: string) => boolean;
 }
@@ -38,7 +37,7 @@
 
   /** Whether this host's copy is older than it is while its sources respond. */
   get isLate(): boolean {
-    return this.options.replica.ageMs > LATE_AGE_MS;
+    return this.options.replica.ageMs > this.options.lateAgeMs;
   }
 
   /** Compares another host's status with the local copy. Equal digests confirm that the local copy is as recent as the
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -5,10 +5,9 @@
 import { FeedWatcher } from "../published/feed_watcher.ts";
 import type { PublicationFeed } from "../published/publication_feed.ts";
 import type { PublicationReplica } from "../published/publication_replica.ts";
+import { getLateAgeMs, getWatchMs } from "../published/publication_timing.ts";
 import { WatcherRanking } from "./watcher_ranking.ts";
 
-/** Maximum wait of one long poll; the publication appears up to this old while nothing changes. */
-const WATCH_TIMEOUT_MS = 1_000;
 /** Pause after changes arrive, to batch those that follow: engines change their entries in bursts, each call to the
  * platform has a cost, and the bounds on draining and on configurations are seconds. */
 const CHANGE_BATCHING_MS = 120;
@@ -35,6 +34,8 @@
   logger: Logger;
   feed: PublicationFeed;
   replica: PublicationReplica;
+  /** Time within which changes must be in force, in milliseconds. */
+  applyWithinMs: number;
   /** Returns the id of this host. */
   getHostId: () => string;
   /** Returns the other live hosts. */
@@ -62,7 +63,8 @@
       feed,
       replica,
       logger,
-      watchMs: WATCH_TIMEOUT_MS,
+      watchMs: getWatchMs(options.applyWithinMs),
+      lateAgeMs: getLateAgeMs(options.applyWithinMs),
       batchDelayMs: CHANGE_BATCHING_MS,
       getRetryMs: () =>
         this.ranking.isWatcher ? WATCHER_RETRY_MS : BACKUP_RETRY_MS,
--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -10,9 +10,6 @@
 } from "./publication_feed.ts";
 import type { PublicationReplica } from "./publication_replica.ts";
 
-/** Age of the known publication from which the feed is read without a long poll, in milliseconds: more than it reaches
- * while the feed is watched. */
-const LATE_AGE_MS = 1_500;
 /** Time after the end of a watch after which its response is overdue, in milliseconds: many times the usual 4 ms. */
 const OVERDUE_MS = 300;
 
@@ -23,6 +20,8 @@
   logger: Logger;
   /** Maximum wait of one watch in milliseconds. It bounds the apparent age of data that does not change. */
   watchMs: number;
+  /** Age of the known publication from which the feed is read without a long poll, in milliseconds. */
+  lateAgeMs: number;
   /** Mean pause after a failure in milliseconds; the actual pause is drawn between 0.5 and 1.5 times this value. */
   getRetryMs: () => number;
   /** Pause after a watch that returned changes, in milliseconds, so that changes which follow arrive in one batch. */
@@ -86,9 +85,9 @@
   }
 
   private async watch(revision: number, requestedAt: number): Promise<void> {
-    const { feed, replica } = this.options;
+    const { feed, replica, lateAgeMs } = this.options;
     // An empty response confirms the publication up to its request only, unless it was held.
-    const isLate = replica.ageMs > LATE_AGE_MS;
+    const isLate = replica.ageMs > lateAgeMs;
     const watchMs = isLate ? 0 : this.options.watchMs;
     const changes = await this.awaitWatch(feed.watch(revision, watchMs), {
       requestedAt,
--- a/tests/published/feed_watcher_test.ts
+++ b/tests/published/feed_watcher_test.ts
@@ -15,6 +15,7 @@
 
 const LOGGER = pino({ level: "silent" });
 const WATCH_MS = 1_000;
+const LATE_AGE_MS = 1_500;
 const PAUSE_MS = 2_500;
 
 interface PendingWatch {
@@ -81,6 +82,7 @@
     replica,
     logger: LOGGER,
     watchMs: WATCH_MS,
+    lateAgeMs: LATE_AGE_MS,
     getRetryMs: () => 10,
     batchDelayMs: 10,
     getIdleCheckMs: () => 10,
