Ask few hosts about upstreams that several could not reach

In the record of the late sends the small hosts used all their processor time when 14 and then 21 upstreams stopped responding, and changes reached them seconds late.

While two hosts have reported that they could not connect, neither directly nor through others, checks ask no host and connections for requests ask one, unless this host has heard nothing from any other upstream for 300 ms: then its own network may be at fault, and it asks as before. The check of a crash still asks all.

--- a/src/gateway/outage_exchange.ts
+++ b/src/gateway/outage_exchange.ts
@@ -56,6 +56,12 @@
     this.reports.contradict(instanceHash, readClock());
   }
 
+  /** Whether several hosts could not connect to an upstream a short time ago.
+   * @param upstream The upstream. */
+  isReportedOut({ instanceHash }: PathTarget): boolean {
+    return this.reports.isOut(instanceHash, readClock());
+  }
+
   /** Cancels what is scheduled to be sent. */
   close(): void {
     this.gossip.close();
--- a/src/gateway/upstream_paths.ts
+++ b/src/gateway/upstream_paths.ts
@@ -95,6 +95,8 @@
       }),
       random,
       getTargets: () => getChooser().upstreams.getAll(),
+      isReportedOut: (target) =>
+        getPeerNetwork()?.outages.isReportedOut(target) ?? false,
       onChange: (target, state) => this.handleChange(target, state),
       onDoubt: (target) => getPeerNetwork()?.outages.report(target),
       onRecheck: (target) => this.handleRecheck(target),
--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -32,6 +32,8 @@
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Maximum number of checks at a time. */
 const MAX_CONCURRENT_CHECKS = 16;
+/** Time since bytes of any other upstream within which this host's own network is taken to work, in milliseconds. */
+const OWN_NETWORK_HEARD_MS = 300;
 /** Time without bytes of an upstream after which its path is checked if another one was lost, in milliseconds. */
 const RECENTLY_HEARD_MS = 100;
 
@@ -49,6 +51,9 @@
   random: Random;
   /** Returns all upstreams. */
   getTargets: () => Iterable<PathTarget>;
+  /** Whether several hosts could not connect to an upstream, neither over their own paths nor through others, and none has
+   * heard from it since. */
+  isReportedOut: (target: PathTarget) => boolean;
   /** Called when the state of a path has changed. */
   onChange: (target: PathTarget, state: PathState) => void;
   /** Called when neither this host nor the first other one could connect at once. */
@@ -89,12 +94,15 @@
   /** Connects to an upstream, by the way that is expected to work first.
    * @param target The upstream.
    * @param maxRelays Maximum number of hosts that are asked to relay the connection.
+   * @param asksAll Whether as many are asked even if several hosts have asked in vain, to prove that none reaches the
+   * upstream; otherwise only one is then.
    * @throws DialError if no way is established in time: why this host could not connect, if that is known. */
   async connect(
     target: PathTarget,
     maxRelays = MAX_RELAYS,
+    asksAll = false,
   ): Promise<PathConnection> {
-    const attempts = this.createAttempts(target, maxRelays);
+    const attempts = this.createAttempts(target, maxRelays, asksAll);
     try {
       const connection = await StaggeredRace.run({
         getNextAttempt: () => attempts.getNext(),
@@ -125,7 +133,7 @@
     const isBusy = this.checks.size >= MAX_CONCURRENT_CHECKS;
     if (isBusy || now - checkedAt < MIN_CHECK_INTERVAL_MS) return false;
     this.checkedAt.set(instanceHash, now);
-    const check = this.tryAllWays(target, MAX_CHECK_RELAYS)
+    const check = this.tryAllWays(target, this.getCheckRelays(target))
       .then(() => this.getEstablishedAt(target) >= now)
       .finally(() => this.checks.delete(instanceHash));
     this.checks.set(instanceHash, check);
@@ -137,7 +145,7 @@
    * @param target The upstream. */
   async checkCrash(target: PathTarget): Promise<CheckResult> {
     return await confirmRefusal({
-      check: () => this.tryAllWays(target, MAX_RELAYS),
+      check: () => this.tryAllWays(target, MAX_RELAYS, true),
       others: this.options.random.shuffle(
         [...this.options.getTargets()].filter((other) => other !== target),
       ),
@@ -195,6 +203,7 @@
   private createAttempts(
     target: PathTarget,
     maxRelays: number,
+    asksAll: boolean,
   ): ConnectionAttempts {
     const { relays, onDoubt } = this.options;
     return ConnectionAttempts.create({
@@ -203,7 +212,9 @@
       connectDirectly: () => this.connectDirectly(target),
       connectThrough: (relay) => this.connectThrough(relay, target),
       chooseRelay: (asked) =>
-        relays.choose(target, asked, this.timeline.read()),
+        asked.size === 0 || asksAll || !this.isInVain(target)
+          ? relays.choose(target, asked, this.timeline.read())
+          : undefined,
       onDoubt: () => onDoubt(target),
     });
   }
@@ -211,9 +222,10 @@
   private async tryAllWays(
     target: PathTarget,
     maxRelays: number,
+    asksAll = false,
   ): Promise<CheckResult> {
     try {
-      (await this.connect(target, maxRelays)).socket.destroy();
+      (await this.connect(target, maxRelays, asksAll)).socket.destroy();
       return "taken";
     } catch (thrown) {
       return toCheckResult(DialError.from(thrown));
@@ -302,7 +314,23 @@
     const asksOthers = target.path.isUnreachable &&
       this.options.relays.admitsRecheck(target, this.timeline.read());
     if (asksOthers) {
-      await this.tryAllWays(target, MAX_CHECK_RELAYS);
+      await this.tryAllWays(target, this.getCheckRelays(target));
     } else await this.tryDirectly(target);
   }
+
+  /** Returns the maximum number of hosts that are asked in a check: none if that is in vain. */
+  private getCheckRelays(target: PathTarget): number {
+    return this.isInVain(target) ? 0 : MAX_CHECK_RELAYS;
+  }
+
+  /** Whether an upstream is likely reached by no host: several have asked others in vain, and this host hears from other
+   * upstreams, so that its own network is not at fault. */
+  private isInVain(target: PathTarget): boolean {
+    const { isReportedOut, getTargets } = this.options;
+    if (!isReportedOut(target)) return false;
+    const heardSince = this.timeline.read() - OWN_NETWORK_HEARD_MS;
+    return [...getTargets()].some((other) =>
+      other !== target && other.lastReceivedAt > heardSince
+    );
+  }
 }
--- a/src/upstreams/outage_reports.ts
+++ b/src/upstreams/outage_reports.ts
@@ -84,6 +84,14 @@
     }
   }
 
+  /** Whether enough hosts could not connect to an instance a short time ago.
+   * @param instanceHash Hash of the instance.
+   * @param now Monotonic milliseconds. */
+  isOut(instanceHash: number, now: number): boolean {
+    return this.instances.has(instanceHash) &&
+      this.getReports(instanceHash, now).outAt.size >= QUORUM;
+  }
+
   /** Removes and returns the reports for other hosts.
    * @param limit Maximum number of reports. */
   takePending(limit: number): OutageReport[] {
--- a/tests/paths/path_fleet.ts
+++ b/tests/paths/path_fleet.ts
@@ -71,6 +71,8 @@
 export class PathFleet {
   /** All requests so far. */
   readonly requests: PathRequest[] = [];
+  /** Number of times that a host asked another one to relay a connection. */
+  relayRequests = 0;
   private readonly timeline = VirtualTimeline.create();
   private readonly random: Random;
   private readonly hosts: FleetHost[];
@@ -151,6 +153,8 @@
       relays,
       random: this.random,
       getTargets: () => targets,
+      isReportedOut: ({ instanceHash }) =>
+        this.hosts[index]!.reports.isOut(instanceHash, this.timeline.read()),
       onChange: ({ instanceHash, path }) =>
         path.isUnreachable && this.report(index, instanceHash),
       onDoubt: ({ instanceHash }) => this.report(index, instanceHash),
@@ -244,6 +248,7 @@
   private async openTunnel(relay: number, upstream: number): Promise<Socket> {
     const { monitor, targets } = this.hosts[relay]!;
     const target = targets[upstream]!;
+    this.relayRequests += 1;
     await this.wait(ROUND_TRIP_MS);
     if (!target.path.isDirect) throw DialError.create("failed", "path lost");
     try {
--- a/tests/paths/path_fleet_test.ts
+++ b/tests/paths/path_fleet_test.ts
@@ -76,3 +76,27 @@
     });
   }
 }
+
+/** Number of upstreams that stop responding, of twice as many. */
+const LOST_UPSTREAMS = 20;
+/** Maximum number of hosts that a host asks on average about an upstream that no host reaches, in two seconds. */
+const MAX_RELAY_REQUESTS = 2;
+
+// Guards against hosts that spend their time on each other's requests when many upstreams stop responding at once.
+for (const hosts of [24, 87]) {
+  test(`${hosts} hosts seldom ask each other to relay connections to upstreams that no host reaches`, async (t) => {
+    const fleet = PathFleet.create({
+      seed: 3,
+      hosts,
+      upstreams: 2 * LOST_UPSTREAMS,
+      requestIntervalMs: 60,
+      failure: "timed_out",
+      canReach: (_host, upstream, now) =>
+        upstream >= LOST_UPSTREAMS || now < CUT_AT_MS,
+    });
+    await fleet.runUntil(CUT_AT_MS + 2_000);
+    fleet.close();
+    const perPath = fleet.relayRequests / (hosts * LOST_UPSTREAMS);
+    t.true(perPath <= MAX_RELAY_REQUESTS, `${perPath} a path`);
+  });
+}
