--- a/src/gateway/call_handler.ts
+++ b/src/gateway/call_handler.ts
@@ -6,6 +6,7 @@
 import type { RequestHold } from "../crashes/request_hold.ts";
 import { Failure } from "../errors/failure.ts";
 import { admitCall, type AdmittedCall } from "../forward/admit_call.ts";
+import { buildRoutedCall } from "../forward/build_routed_call.ts";
 import { CallForwarder } from "../forward/call_forwarder.ts";
 import type {
   CallOutcome,
@@ -15,9 +16,9 @@
 import { CallerResponse } from "../forward/caller_response.ts";
 import { ResponseMemory } from "../forward/response_memory.ts";
 import type { CallerHeaders, HeaderCodec } from "../forward/caller_headers.ts";
-import { fingerprintRequest } from "../hashing/request_fingerprint.ts";
 import { type RoutedCall, toTrackedRequest } from "../forward/routed_call.ts";
 import { BodyReader } from "../http/body_reader.ts";
+import { checkHeaderSize } from "../http/check_header_size.ts";
 import { discardArrivedBody } from "../http/discard_arrived_body.ts";
 import { pollSockets } from "../http/poll_sockets.ts";
 import type { RequestReceipt } from "../http/request_receipt.ts";
@@ -209,7 +210,7 @@
       await this.waitForInitialRoutes();
       await this.waitForUpdate();
       const limits = this.options.getRoutes()?.limits ?? DEFAULT_LIMITS;
-      checkHeaderSize(request, limits);
+      checkHeaderSize(request, limits.maxHeaderBytes);
       const admitted = this.admit(request, headers, receivedAt);
       const lookup = this.options.lookUpPrompt(admitted.sharedParts);
       const resumed = this.options.resumer.find(admitted);
@@ -378,31 +379,3 @@
   if (resumed?.isErr()) throw resumed.error;
   return resumed?.isOk() ? resumed.value : undefined;
 }
-
-/** Builds the call of a request; a resumed stream stays at the service that began it. */
-function buildRoutedCall(
-  admitted: AdmittedCall,
-  bytes: Buffer,
-  resumed: ResumedStream | undefined,
-): RoutedCall {
-  const body = bytes.length > 0 ? bytes : undefined;
-  const { method, path, customer, headers: { host } } = admitted;
-  const identity = { method, host, path, customer, body };
-  return {
-    ...admitted,
-    service: resumed?.record.service ?? admitted.service,
-    body,
-    fingerprint: fingerprintRequest(identity),
-    resumed,
-  };
-}
-
-function checkHeaderSize(request: IncomingMessage, limits: CallerLimits): void {
-  const bytes = request.rawHeaders.reduce(
-    (sum, part) => sum + part.length + 2,
-    (request.url ?? "").length,
-  );
-  if (bytes > limits.maxHeaderBytes) {
-    throw Failure.create("headers_too_large", `${bytes} bytes`);
-  }
-}
--- a/src/published/publication_replica.ts
+++ b/src/published/publication_replica.ts
@@ -4,6 +4,7 @@
 import type { EvacuationChange } from "./evacuation_change.ts";
 import { FreshnessTracker } from "./freshness_tracker.ts";
 import { getEra, getRevision } from "./position.ts";
+import { logUpstreamChanges } from "./log_upstream_changes.ts";
 import { PlatformOutage } from "./platform_outage.ts";
 import { type MergeResult, Publication } from "./publication.ts";
 import type {
@@ -12,7 +13,6 @@
   UpstreamChange,
 } from "./publication_feed.ts";
 import { RouteTable } from "./route_table.ts";
-import type { PublishedUpstream } from "./upstream_schema.ts";
 
 /** Age of the known data, in milliseconds, from which an outage of the platform is assumed. It is above the age that is
  * reached while a host of the fleet reads the platform, and below the three missed heartbeats after which entries
@@ -307,24 +307,7 @@
   private handleMergeResult(result: MergeResult, source: string): void {
     if (result.hasNewConfiguration) this.applyConfiguration(source);
     if (result.changes.length === 0) return;
-    for (const { id, revision, upstream } of result.changes) {
-      const state = getStateForLog(upstream);
-      const address = upstream?.address ?? "";
-      const service = upstream?.service ?? "";
-      this.options.logger.info(
-        {
-          upstream: id,
-          state,
-          service,
-          address,
-          softwareVersion: upstream?.softwareVersion,
-          era: getEra(revision),
-          revision: getRevision(revision),
-          source,
-        },
-        "upstream_published",
-      );
-    }
+    logUpstreamChanges(this.options.logger, result.changes, source);
     this.options.onUpstreamChanges(result.changes);
   }
 
@@ -339,11 +322,3 @@
     this.options.onConfiguration(this.routeTable);
   }
 }
-
-/** Returns the state of a published upstream for the log. */
-function getStateForLog(
-  upstream: PublishedUpstream | undefined,
-): "gone" | "leaving" | "live" {
-  if (!upstream) return "gone";
-  return upstream.isLeaving ? "leaving" : "live";
-}
