Let hosts with recent publications not confirm an outage to each other

After an outage of the platform, each host took the statement of another with the same publication for a new observation and stated it itself, so that hosts would have confirmed the outage to each other for ever, and an outdated host would have sent requests. A host states an outage, and believes the statement of another, only while its own publication is late.

--- a/src/gateway/publication_reconciler.ts
+++ b/src/gateway/publication_reconciler.ts
@@ -29,9 +29,10 @@
 
   /** Returns the status of this host's copy. */
   getStatus(): PublicationStatus {
-    const { ageMs, digest, revision, isPlatformUnavailable } =
-      this.options.replica;
+    const { ageMs, digest, revision } = this.options.replica;
     const publicationAgeMs = Number.isFinite(ageMs) ? ageMs : -1;
+    const isPlatformUnavailable = this.isLate &&
+      this.options.replica.isPlatformUnavailable;
     return { digest, revision, publicationAgeMs, isPlatformUnavailable };
   }
 
@@ -56,7 +57,10 @@
     if (publicationAgeMs < 0) return;
     if (digest === replica.digest) {
       replica.confirmFreshness(digest, requestedAt - publicationAgeMs);
-      if (isPlatformUnavailable) replica.recordOutage(requestedAt);
+      // Hosts that know recent changes would otherwise confirm an outage to each other after its end.
+      if (isPlatformUnavailable && this.isLate) {
+        replica.recordOutage(requestedAt);
+      }
       return;
     }
     if (!this.isFresher(host.id, status)) return;
