--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -12,6 +12,7 @@
 import type { Random } from "../random/random.ts";
 import type { PathConnection } from "./path_connection.ts";
 import type { PathTarget } from "./path_target.ts";
+import { hearsFromOthers } from "./hears_from_others.ts";
 import { ConnectionAttempts } from "./connection_attempts.ts";
 import { RecheckSchedule } from "./recheck_schedule.ts";
 import type { RelayDirectory } from "./relay_directory.ts";
@@ -32,8 +33,6 @@
 const MIN_CHECK_INTERVAL_MS = 500;
 /** Maximum number of checks at a time. */
 const MAX_CONCURRENT_CHECKS = 16;
-/** Time since bytes of any other upstream within which this host's own network is taken to work, in milliseconds. */
-const OWN_NETWORK_HEARD_MS = 300;
 /** Time without bytes of an upstream after which its path is checked if another one was lost, in milliseconds. */
 const RECENTLY_HEARD_MS = 100;
 
@@ -323,14 +322,10 @@
     return this.isInVain(target) ? 0 : MAX_CHECK_RELAYS;
   }
 
-  /** Whether an upstream is likely reached by no host: several have asked others in vain, and this host hears from other
-   * upstreams, so that its own network is not at fault. */
+  /** Whether several hosts have asked others for an upstream in vain, and this host's own network is not at fault. */
   private isInVain(target: PathTarget): boolean {
     const { isReportedOut, getTargets } = this.options;
-    if (!isReportedOut(target)) return false;
-    const heardSince = this.timeline.read() - OWN_NETWORK_HEARD_MS;
-    return [...getTargets()].some((other) =>
-      other !== target && other.lastReceivedAt > heardSince
-    );
+    return isReportedOut(target) &&
+      hearsFromOthers(target, getTargets(), this.timeline.read());
   }
 }
