--- a/src/gateway/publication_exchange.ts
+++ b/src/gateway/publication_exchange.ts
@@ -37,7 +37,7 @@
 /** Minimum interval between the starts of two fetches while this host has a configuration, in milliseconds. While
  * upstreams come and go, the digests of all hosts differ all the time; the interval is small compared with the times
  * within which changes have to be in force. */
-const MIN_FETCH_INTERVAL_MS = 400;
+export const MIN_FETCH_INTERVAL_MS = 400;
 
 /** Maximum number of hosts that are asked at a time, so that one that does not respond does not delay the changes that
  * another knows. */
--- a/src/gateway/publication_watch.ts
+++ b/src/gateway/publication_watch.ts
@@ -10,7 +10,7 @@
 
 /** Pause after changes arrive, to batch those that follow: engines change their entries in bursts, each call to the
  * platform has a cost, and the bounds on draining and on configurations are seconds. */
-const CHANGE_BATCHING_MS = 120;
+export const CHANGE_BATCHING_MS = 120;
 /** Time after a start in which a host that hears others and has a publication younger than this does not watch, because
  * it does not know yet which hosts should. */
 const STARTUP_GRACE_MS = 1_000;
--- a/src/peers/publication_status_poller.ts
+++ b/src/peers/publication_status_poller.ts
@@ -8,7 +8,7 @@
 
 /** Time between two requests, in milliseconds. The publication appears older by up to as much; the age at which further
  * hosts start to watch the platform allows for that. */
-const POLL_INTERVAL_MS = 600;
+export const POLL_INTERVAL_MS = 600;
 /** Time between two requests while the copy is late, in milliseconds. */
 const LATE_POLL_INTERVAL_MS = 200;
 
