Pass on an error response after which the request is not sent again

A complete error response of an upstream was dropped as soon as the request was to be sent again, and the caller got 502 if no upstream could be chosen then, as with an outdated publication (502 for 500 in the test). The response is now kept until the next attempt starts.

--- a/src/forward/call_attempts.ts
+++ b/src/forward/call_attempts.ts
@@ -20,6 +20,8 @@
   private readonly outstanding = OutstandingAttempts.create<CallAttempt>();
   /** A complete error response, which the caller receives if no outstanding attempt succeeds. */
   private errorResponse: CallAttempt | undefined;
+  /** A complete error response after which the request is to be sent again; the caller receives it if it is not. */
+  private repeatedError: CallAttempt | undefined;
 
   private constructor(private readonly options: CallAttemptsOptions) {}
 
@@ -49,6 +51,8 @@
   /** Adds the latest attempt.
    * @param attempt The attempt. */
   start(attempt: CallAttempt): void {
+    this.repeatedError?.abandon();
+    this.repeatedError = undefined;
     this.outstanding.start(attempt);
   }
 
@@ -86,8 +90,11 @@
     const isRepeated = this.outstanding.end(attempt) &&
       this.options.budget.spendRetryAfterEnd(end);
     const mayBePassedOn = end.type === "error" && end.mayBePassedOn;
-    if (mayBePassedOn && !isRepeated) this.errorResponse ??= attempt;
-    if (this.errorResponse !== attempt) attempt.abandon();
+    if (mayBePassedOn && isRepeated) this.repeatedError = attempt;
+    else if (mayBePassedOn) this.errorResponse ??= attempt;
+    const isKept = attempt === this.errorResponse ||
+      attempt === this.repeatedError;
+    if (!isKept) attempt.abandon();
     return isRepeated;
   }
 
@@ -103,7 +110,8 @@
   /** Passes on an error response that was received; returns its status, or undefined if there is none. */
   passOnError(): number | undefined {
     const { relay } = this.options;
-    const { response, isEvicted } = this.errorResponse ?? {};
+    const { response, isEvicted } = this.errorResponse ?? this.repeatedError ??
+      {};
     if (!response || isEvicted || relay.hasStarted) return undefined;
     relay.sendComplete(response);
     return response.head?.status;
@@ -142,5 +150,7 @@
   private discardError(): void {
     this.errorResponse?.abandon();
     this.errorResponse = undefined;
+    this.repeatedError?.abandon();
+    this.repeatedError = undefined;
   }
 }
--- a/tests/forward/forward_call.ts
+++ b/tests/forward/forward_call.ts
@@ -62,6 +62,10 @@
   admit?: CallForwarderContext["admit"];
   /** Resolves with whether another host lends a slot; until then no upstream can be chosen. By default none is needed. */
   slotLoan?: Promise<boolean>;
+  /** Whether requests may be sent by the publication; by default they may. */
+  isPublicationUsable?: () => boolean;
+  /** Whether a request may still be sent to an upstream that was chosen for it; by default if it accepts requests. */
+  maySendTo?: CallForwarderContext["maySendTo"];
 }
 
 function buildCall(
@@ -168,6 +172,8 @@
     admit,
     memory,
     streams,
+    isPublicationUsable,
+    maySendTo,
   }: ForwardCallOptions,
 ): Promise<ReceivedResponse> {
   const ended = createDeferred<CallOutcome>();
@@ -180,7 +186,7 @@
       logger: pino({ level: "silent" }),
       codec: platformHeaderCodec,
       choose: (_call, { triedIds, origin }) => {
-        if (!hasSlot) return undefined;
+        if (!hasSlot || isPublicationUsable?.() === false) return undefined;
         const upstream = upstreams.find((one) =>
           !triedIds.has(one.id) && isOfOrigin(one, origin)
         );
@@ -191,8 +197,9 @@
       getRetryAfterMs: () => retryAfterMs,
       placePrompt: () => undefined,
       getPublicationAgeMs: () => 0,
-      isPublicationUsable: () => true,
-      maySendTo: (upstream) => upstream.acceptsRequests(performance.now()),
+      isPublicationUsable: isPublicationUsable ?? (() => true),
+      maySendTo: maySendTo ??
+        ((upstream) => upstream.acceptsRequests(performance.now())),
       recordSend: ({ upstream }) =>
         loads.getSnapshot(upstream, performance.now()),
       recordCompletion: () => undefined,
--- a/tests/upstreams/upstream_table_test.ts
+++ b/tests/upstreams/upstream_table_test.ts
@@ -179,3 +179,17 @@
   const more = { b: undefined, c: undefined };
   t.deepEqual(listStarts(table, more).sort(), ["a", "b", "c", "odd"]);
 });
+
+// Guards against requests that were chosen for an upstream before it left and wait for their connection.
+test("a request may be sent to a chosen upstream until that leaves or is removed", (t) => {
+  const table = createTable(-1);
+  table.apply([LISTED]);
+  const upstream = table.getServing("s")[0]!;
+  t.true(table.maySendTo(upstream, false));
+  const leaving = buildUpstream({ id: "u", isLeaving: true });
+  table.apply([{ id: "u", revision: 2, upstream: leaving }]);
+  t.false(table.maySendTo(upstream, false));
+  t.true(table.maySendTo(upstream, true));
+  table.apply([{ id: "u", revision: 3, upstream: undefined }]);
+  t.false(table.maySendTo(upstream, true));
+});
