Reword what a second reading found unclear, keep one error response

Two outstanding attempts that both ended with an error response could have kept both in memory: the second took the place of the first, which was not discarded. Found by reading; not shown by a test.

--- a/src/forward/call_attempts.ts
+++ b/src/forward/call_attempts.ts
@@ -90,7 +90,7 @@
     const isRepeated = this.outstanding.end(attempt) &&
       this.options.budget.spendRetryAfterEnd(end);
     const mayBePassedOn = end.type === "error" && end.mayBePassedOn;
-    if (mayBePassedOn && isRepeated) this.repeatedError = attempt;
+    if (mayBePassedOn && isRepeated) this.repeatedError ??= attempt;
     else if (mayBePassedOn) this.errorResponse ??= attempt;
     const isKept = attempt === this.errorResponse ||
       attempt === this.repeatedError;
--- a/src/paths/path_monitor.ts
+++ b/src/paths/path_monitor.ts
@@ -93,8 +93,8 @@
   /** Connects to an upstream, by the way that is expected to work first.
    * @param target The upstream.
    * @param maxRelays Maximum number of hosts that are asked to relay the connection.
-   * @param asksAll Whether as many are asked even if several hosts have asked in vain, to prove that none reaches the
-   * upstream; otherwise only one is then.
+   * @param asksAll Whether as many are asked even if the upstream is likely down, to prove that none reaches it; otherwise
+   * only one is then.
    * @throws DialError if no way is established in time: why this host could not connect, if that is known. */
   async connect(
     target: PathTarget,
@@ -211,7 +211,7 @@
       connectDirectly: () => this.connectDirectly(target),
       connectThrough: (relay) => this.connectThrough(relay, target),
       chooseRelay: (asked) =>
-        asked.size === 0 || asksAll || !this.isInVain(target)
+        asked.size === 0 || asksAll || !this.isLikelyDown(target)
           ? relays.choose(target, asked, this.timeline.read())
           : undefined,
       onDoubt: () => onDoubt(target),
@@ -317,13 +317,13 @@
     } else await this.tryDirectly(target);
   }
 
-  /** Returns the maximum number of hosts that are asked in a check: none if that is in vain. */
+  /** Returns the maximum number of hosts that are asked in a check: none if the upstream is likely down. */
   private getCheckRelays(target: PathTarget): number {
-    return this.isInVain(target) ? 0 : MAX_CHECK_RELAYS;
+    return this.isLikelyDown(target) ? 0 : MAX_CHECK_RELAYS;
   }
 
-  /** Whether several hosts have asked others for an upstream in vain, and this host's own network is not at fault. */
-  private isInVain(target: PathTarget): boolean {
+  /** Whether several hosts could not connect to an upstream, and this host's own network is not at fault. */
+  private isLikelyDown(target: PathTarget): boolean {
     const { isReportedOut, getTargets } = this.options;
     return isReportedOut(target) &&
       hearsFromOthers(target, getTargets(), this.timeline.read());
--- a/src/published/feed_watcher.ts
+++ b/src/published/feed_watcher.ts
@@ -86,7 +86,7 @@
 
   private async watch(revision: number, requestedAt: number): Promise<void> {
     const { feed, replica, lateAgeMs } = this.options;
-    // An empty response confirms the publication up to its request only, unless it was held.
+    // The response to a long poll would tell only at its end that nothing is missing.
     const isLate = replica.ageMs > lateAgeMs;
     const watchMs = isLate ? 0 : this.options.watchMs;
     const changes = await this.awaitWatch(feed.watch(revision, watchMs), {
--- a/src/streams/decide_resume.ts
+++ b/src/streams/decide_resume.ts
@@ -56,9 +56,8 @@
 }
 
 /** Infers where an unknown stream began: at the only version that can have served. Some host must have observed the
- * service for long enough, and none may know of another version. Upstreams of another version may have joined that only
- * the host knew which began the stream; while the platform does not respond, other hosts must confirm that there are
- * none. */
+ * service for long enough, and none may know of another version. The stream may have begun at an upstream that has just
+ * joined: this host must know all upstreams, or other hosts must have responded while the platform does not. */
 function inferRecord(inputs: ResumeInputs): StreamRecord | undefined {
   const { service, lookup, withinMs } = inputs;
   const { versions, observedMs, responses } = lookup;
--- a/src/upstreams/requires_start_time.ts
+++ b/src/upstreams/requires_start_time.ts
@@ -1,7 +1,7 @@
 import type { Upstream } from "./upstream.ts";
 
-/** Whether an entry without a start time comes from another writer, and is no upstream: not fewer upstreams publish
- * theirs than do not. A single entry decides nothing, and a deployment may begin to publish them.
+/** Whether an entry without a start time comes from another writer and is no upstream, because at least as many entries
+ * have one as have none.
  * @param upstreams All listed upstreams. */
 export function requiresStartTime(upstreams: Iterable<Upstream>): boolean {
   let withStart = 0;
